--- /dev/null
+++ b/greengagepath/timers.py
@@ -0,0 +1,151 @@
+"""Timer service that the other parts subscribe to.
+
+Decision modules take a `TimerService` and never read a clock
+themselves, so that tests and benchmarks drive them in virtual time.
+"""
+
+import heapq
+import itertools
+import time
+from collections.abc import Callable
+
+import gevent
+from gevent.event import Event
+
+Callback = Callable[[], None]
+
+
+class Timer:
+    """A pending call, once or periodic."""
+
+    __slots__ = ('callback', 'cancelled', 'due_s', 'period_s')
+
+    def __init__(
+        self,
+        callback: Callback,
+        due_s: float,
+        period_s: float | None = None,
+    ) -> None:
+        self.callback = callback
+        self.due_s = due_s
+        self.period_s = period_s
+        self.cancelled = False
+
+    def cancel(self) -> None:
+        """Prevent all further calls."""
+        self.cancelled = True
+
+
+class TimerService:
+    """Schedules callbacks; subclasses provide the clock.
+
+    Callbacks run one after the other, in order of their due time, and
+    in order of subscription when due at the same time.
+    """
+
+    def __init__(self) -> None:
+        self._queue: list[tuple[float, int, Timer]] = []
+        self._order = itertools.count()
+
+    def now(self) -> float:
+        """Return monotonic seconds; time spent suspended counts."""
+        raise NotImplementedError
+
+    def call_after(self, delay_s: float, callback: Callback) -> Timer:
+        """Call once after `delay_s` seconds."""
+        return self._push(Timer(callback, self.now() + max(delay_s, 0.0)))
+
+    def subscribe(self, period_s: float, callback: Callback) -> Timer:
+        """Call every `period_s` seconds, first after one period.
+
+        Raises ValueError if the period is not positive.
+        """
+        if period_s <= 0:
+            raise ValueError(f'period must be positive, got {period_s}')
+        return self._push(Timer(callback, self.now() + period_s, period_s))
+
+    def next_due(self) -> float | None:
+        """Return when the next callback is due, or None."""
+        while self._queue and self._queue[0][2].cancelled:
+            heapq.heappop(self._queue)
+        return self._queue[0][0] if self._queue else None
+
+    def run_due(self) -> int:
+        """Run all callbacks that are due; return how many ran."""
+        count = 0
+        due_s = self.next_due()
+        while due_s is not None and due_s <= self.now():
+            self._run_next()
+            count += 1
+            due_s = self.next_due()
+        return count
+
+    def _push(self, timer: Timer) -> Timer:
+        heapq.heappush(self._queue, (timer.due_s, next(self._order), timer))
+        return timer
+
+    def _run_next(self) -> None:
+        timer = heapq.heappop(self._queue)[2]
+        if timer.period_s is not None:
+            # A late loop skips missed periods instead of running them all.
+            timer.due_s = max(timer.due_s, self.now() - timer.period_s)
+            timer.due_s += timer.period_s
+            self._push(timer)
+        timer.callback()
+
+
+class VirtualTimerService(TimerService):
+    """Clock that moves only when `advance` is called."""
+
+    def __init__(self, start_s: float = 0.0) -> None:
+        super().__init__()
+        self._now_s = start_s
+
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._now_s
+
+    def advance(self, duration_s: float) -> None:
+        """Move the clock, running due callbacks at their own time."""
+        end_s = self._now_s + duration_s
+        due_s = self.next_due()
+        while due_s is not None and due_s <= end_s:
+            self._now_s = max(self._now_s, due_s)
+            self._run_next()
+            due_s = self.next_due()
+        self._now_s = end_s
+
+
+class LoopTimerService(TimerService):
+    """Runs callbacks from one greenlet of the gevent loop."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._changed = Event()
+        self._stopped = False
+
+    def now(self) -> float:
+        """Return seconds of CLOCK_BOOTTIME, which counts suspension."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+    def start(self) -> gevent.Greenlet:
+        """Start the greenlet that runs the callbacks."""
+        return gevent.spawn(self._run)
+
+    def stop(self) -> None:
+        """End the greenlet after the callback that is running."""
+        self._stopped = True
+        self._changed.set()
+
+    def _push(self, timer: Timer) -> Timer:
+        super()._push(timer)
+        self._changed.set()
+        return timer
+
+    def _run(self) -> None:
+        while not self._stopped:
+            self._changed.clear()
+            self.run_due()
+            due_s = self.next_due()
+            timeout_s = None if due_s is None else max(due_s - self.now(), 0)
+            self._changed.wait(timeout_s)
