--- /dev/null
+++ b/greengagepath/emulator/backend.py
@@ -0,0 +1,220 @@
+"""Stand-in for a target's back end.
+
+`python -m greengagepath.emulator.backend --port N` serves HTTP/1.1. The
+work and the size of an answer come from the query of each request
+(`work_ms`, `bytes`). It has slots, a bounded backlog, a speed, a cold
+start, stragglers, and load and health paths that lag or mislead. It
+counts the runs of each request id on its own; `GET /control/runs` lists
+them, so that a test need not trust the system's own figures.
+"""
+
+import random
+import socket
+import time
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from typing import Annotated
+
+import cappa
+import gevent
+import msgspec
+from gevent import monkey
+from gevent.lock import BoundedSemaphore
+
+from .http_server import (
+    GATEWAY_TIMEOUT,
+    STATUS_OK,
+    UNAVAILABLE,
+    Call,
+    Reply,
+    make_server,
+    reply_json,
+)
+
+MS_PER_S = 1000
+CANCEL_CHECK_S = 0.02
+LOAD_LAG_S = 2.0
+COLD_START_S = 5.0
+COLD_SLOWDOWN = 3.0
+STRAGGLER_SLOWDOWN = 20.0
+CHECKSUM_BYTES = 16
+MAX_ANSWER_BYTES = 67_108_864
+PATTERN_BYTES = 65_536
+
+
+class Run(msgspec.Struct):
+    """One run of a request; `ended` is empty while it runs."""
+
+    request_id: str
+    service_id: str
+    customer: str
+    started_ms: float
+    path: str
+    ended: str = ''
+
+
+@dataclass(slots=True)
+class BackendOptions:
+    """Serve a back end stand-in."""
+
+    port: Annotated[int, cappa.Arg(long=True, help='Port to listen on.')]
+    service: Annotated[int, cappa.Arg(long=True, help='Service id.')]
+    host: Annotated[str, cappa.Arg(long=True)] = '127.0.0.1'
+    slots: Annotated[int, cappa.Arg(long=True)] = 2
+    backlog: Annotated[int, cappa.Arg(long=True)] = 4
+    speed: Annotated[float, cappa.Arg(long=True)] = 1.0
+    stragglers: Annotated[float, cappa.Arg(long=True)] = 0.0
+    cold: Annotated[bool, cappa.Arg(long=True)] = False
+    seed: Annotated[int, cappa.Arg(long=True)] = 0
+
+
+@dataclass(slots=True)
+class Load:
+    """Load as the back end reports it, which lags behind the truth."""
+
+    taken_s: float = 0.0
+    running: int = 0
+    waiting: int = 0
+
+
+class Backend:
+    """Runs requests in slots and records each run."""
+
+    def __init__(self, options: BackendOptions) -> None:
+        self._options = options
+        self._rng = random.Random(options.seed)
+        self._slots = BoundedSemaphore(options.slots)
+        self._started_s = time.monotonic()
+        self._load = Load()
+        self._running = 0
+        self._waiting = 0
+        self.runs: list[Run] = []
+
+    def answer(self, call: Call) -> Reply:
+        """Answer one call."""
+        match call.path:
+            case '/health':
+                # Misleads on purpose: says healthy whatever happens.
+                return reply_json({'healthy': True})
+            case '/load':
+                return reply_json(self._report_load())
+            case '/control/runs':
+                return reply_json(msgspec.to_builtins(self.runs))
+        return self._admit(call)
+
+    def _report_load(self) -> dict[str, int]:
+        now_s = time.monotonic()
+        if now_s - self._load.taken_s > LOAD_LAG_S:
+            self._load = Load(now_s, self._running, self._waiting)
+        return {'running': self._load.running, 'waiting': self._load.waiting}
+
+    def _admit(self, call: Call) -> Reply:
+        if self._waiting >= self._options.backlog:
+            return Reply(UNAVAILABLE, headers=(('X-Not-Run', '1'),))
+        self._waiting += 1
+        self._slots.acquire()
+        self._waiting -= 1
+        self._running += 1
+        reply = self._run(call)
+        self._running -= 1
+        self._slots.release()
+        return reply
+
+    def _run(self, call: Call) -> Reply:
+        run = Run(
+            request_id=call.headers.get('x-request-id', ''),
+            service_id=call.headers.get('x-service', ''),
+            customer=call.headers.get('x-customer', ''),
+            started_ms=time.time() * MS_PER_S,
+            path=call.path,
+        )
+        self.runs.append(run)
+        run.ended = self._work(call)
+        if run.ended != 'answered':
+            return Reply(GATEWAY_TIMEOUT)
+        body = make_body(run.request_id, int(call.query.get('bytes', '64')))
+        return Reply(STATUS_OK, body, self._describe(run, body))
+
+    def _describe(self, run: Run, body: bytes) -> tuple[tuple[str, str], ...]:
+        return (
+            ('X-Checksum', checksum(body)),
+            ('X-Request-Id', run.request_id),
+            ('X-Service', str(self._options.service)),
+        )
+
+    def _work(self, call: Call) -> str:
+        """Spend the work; return how the run ended."""
+        left_s = int(call.query.get('work_ms', '5')) / MS_PER_S
+        left_s *= self._slowdown()
+        deadline_s = int(call.headers.get('x-deadline-ms', '60000')) / MS_PER_S
+        while left_s > 0:
+            step_s = min(left_s, CANCEL_CHECK_S)
+            gevent.sleep(step_s)
+            left_s -= step_s
+            deadline_s -= step_s
+            if _is_closed(call.connection):
+                return 'cancelled'
+            if deadline_s <= 0:
+                return 'deadline'
+        return 'answered'
+
+    def _slowdown(self) -> float:
+        slowdown = 1 / self._options.speed
+        age_s = time.monotonic() - self._started_s
+        if self._options.cold and age_s < COLD_START_S:
+            slowdown *= COLD_SLOWDOWN
+        if self._rng.random() < self._options.stragglers:
+            slowdown *= STRAGGLER_SLOWDOWN
+        return slowdown
+
+
+@dataclass(slots=True)
+class BodyCache:
+    """Keeps one pattern that answers of any size are cut from."""
+
+    pattern: bytes = field(
+        default_factory=lambda: random.Random(1).randbytes(PATTERN_BYTES)
+    )
+
+
+_BODIES = BodyCache()
+
+
+def make_body(request_id: str, size: int) -> bytes:
+    """Return `size` B that differ from those of other request ids."""
+    prefix = request_id.encode()
+    pattern = _BODIES.pattern
+    bounded = min(size, MAX_ANSWER_BYTES)
+    repeats = bounded // len(pattern) + 1
+    return (prefix + pattern * repeats)[:bounded]
+
+
+def checksum(body: bytes) -> str:
+    """Return the hexadecimal checksum of an answer's body."""
+    return blake2b(body, digest_size=CHECKSUM_BYTES).hexdigest()
+
+
+def _is_closed(connection: socket.socket) -> bool:
+    timeout_s = connection.gettimeout()
+    # Under gevent only a timeout of 0 makes recv return at once.
+    connection.settimeout(0)
+    try:
+        return not connection.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    finally:
+        connection.settimeout(timeout_s)
+
+
+def main() -> None:
+    """Serve until the process is ended."""
+    monkey.patch_all()
+    options = cappa.parse(BackendOptions)
+    backend = Backend(options)
+    make_server(options.host, options.port, backend.answer).serve_forever()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/greengagepath/emulator/http_server.py
@@ -0,0 +1,117 @@
+"""Small pieces that the HTTP stand-ins share."""
+
+import json
+import socket
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from urllib.parse import parse_qs
+
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+LISTEN_BACKLOG = 2048
+JSON_TYPE = 'application/json'
+
+
+@dataclass(slots=True, frozen=True)
+class Reply:
+    """Status line, body and headers of an HTTP answer."""
+
+    status: str
+    body: bytes = b''
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+STATUS_OK = '200 OK'
+NO_CONTENT = '204 No Content'
+BAD_REQUEST = '400 Bad Request'
+NOT_FOUND = '404 Not Found'
+CONFLICT = '412 Precondition Failed'
+UNAVAILABLE = '503 Service Unavailable'
+GATEWAY_TIMEOUT = '504 Gateway Timeout'
+
+
+@dataclass(slots=True, frozen=True)
+class Call:
+    """An HTTP request as the stand-ins see it."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+    connection: socket.socket
+
+    def read_json(self) -> object:
+        """Return the decoded body; raises ValueError if it is not JSON."""
+        return json.loads(self.body or b'null')
+
+    def abort(self) -> None:
+        """Close the connection so that the answer is lost."""
+        self.connection.shutdown(socket.SHUT_RDWR)
+
+
+class _ConnectionHandler(WSGIHandler):
+    """Passes the connection to the application."""
+
+    def get_environ(self) -> dict[str, object]:
+        environ = super().get_environ()
+        environ['greengagepath.connection'] = self.socket
+        return environ
+
+
+class Application:
+    """WSGI application that answers each call with `answer`."""
+
+    def __init__(self, answer: Callable[[Call], Reply]) -> None:
+        self._answer = answer
+
+    def __call__(
+        self,
+        environ: dict[str, object],
+        start_response: Callable[..., object],
+    ) -> Iterable[bytes]:
+        """Answer one request of the WSGI server."""
+        reply = self._answer(_read_call(environ))
+        headers = [('Content-Length', str(len(reply.body)))]
+        start_response(reply.status, [*headers, *reply.headers])
+        return [reply.body]
+
+
+def make_server(
+    host: str, port: int, answer: Callable[[Call], Reply]
+) -> WSGIServer:
+    """Return a server that answers each call with `answer`."""
+    return WSGIServer(
+        (host, port),
+        Application(answer),
+        backlog=LISTEN_BACKLOG,
+        log=None,
+        error_log=None,
+        handler_class=_ConnectionHandler,
+    )
+
+
+def reply_json(payload: object, status: str = STATUS_OK) -> Reply:
+    """Return an answer with a JSON body."""
+    return Reply(
+        status,
+        json.dumps(payload).encode(),
+        (('Content-Type', JSON_TYPE),),
+    )
+
+
+def _read_call(environ: dict[str, object]) -> Call:
+    query = parse_qs(str(environ.get('QUERY_STRING', '')))
+    headers = {
+        name.removeprefix('HTTP_').replace('_', '-').lower(): str(text)
+        for name, text in environ.items()
+        if name.startswith('HTTP_')
+    }
+    return Call(
+        method=str(environ['REQUEST_METHOD']),
+        path=str(environ['PATH_INFO']),
+        query={name: texts[0] for name, texts in query.items()},
+        headers=headers,
+        body=environ['wsgi.input'].read(),
+        connection=environ['greengagepath.connection'],
+    )
