Add the decisions of one call, not yet tested

Cause: the caller's library needs opening, exchange, retries and the detection of silent flows without sockets.

Conclusion: linted only; the tests follow with the shell of the client.

--- /dev/null
+++ b/greengagepath/calls.py
@@ -0,0 +1,226 @@
+"""Decisions of one call, without I/O.
+
+A call opens a flow, exchanges the request and the answer on it, and
+retries on a new flow where that cannot run the request twice: after a
+refusal ("not run"), and after an unknown outcome if the request is
+idempotent.
+"""
+
+from result import Err, Ok, Result
+
+from .call_types import (
+    CallDrop,
+    CallError,
+    CallErrorKind,
+    CallRequest,
+    CallSetup,
+    ServiceAddress,
+)
+from .codec import encode_body
+from .exchange import Exchange, FlowLost, OutcomeUnknown
+from .flows import Flow
+from .generated.messages import Answer, Refusal, Request
+from .opening import Opening
+from .packets import decode_service_datagram
+from .retry_plan import BackingOff, RetryPlan
+
+CallOutcome = Result[Answer, CallError]
+Phase = Opening | Exchange | BackingOff
+
+_MS_PER_S = 1000
+_MAX_DEADLINE_MS = 3600000
+
+
+class Call:
+    """One call; `outcome` is set when it has ended.
+
+    When `due_s` is reached or a datagram has come in, the owner calls
+    `check_due`, changes its local port if `take_move` says so, and
+    sends what `datagrams` returns. Times are in seconds.
+    """
+
+    __slots__ = (
+        '_deadline_s',
+        '_move_is_due',
+        '_phase',
+        '_plan',
+        '_request',
+        '_service',
+        '_setup',
+        'flow',
+        'outcome',
+    )
+
+    def __init__(
+        self,
+        service: ServiceAddress,
+        request: CallRequest,
+        setup: CallSetup,
+        deadline_s: float,
+        now_s: float,
+        flow: Flow | None = None,
+    ) -> None:
+        self._service = service
+        self._request = request
+        self._setup = setup
+        self._deadline_s = deadline_s
+        self._move_is_due = False
+        self._plan = RetryPlan(setup, deadline_s)
+        self._phase: Phase = BackingOff(now_s)
+        self.flow = flow
+        self.outcome: CallOutcome | None = None
+        setup.allowance.record_request()
+        if len(request.body) > setup.limits.max_request_bytes:
+            self._fail(CallErrorKind.REQUEST_TOO_LARGE, not_run=True)
+        else:
+            self._start_attempt(now_s)
+
+    def due_s(self) -> float:
+        """Return when `check_due` and `datagrams` have to be called."""
+        return min(self._phase.due_s(), self._deadline_s)
+
+    def datagrams(self, now_s: float) -> list[bytes]:
+        """Return the datagrams to send now."""
+        if isinstance(self._phase, BackingOff):
+            return []
+        return self._phase.datagrams(now_s)
+
+    def check_due(self, now_s: float) -> list[bytes]:
+        """Do what is due; return the datagrams that end the call."""
+        if self.outcome is not None:
+            return []
+        if now_s >= self._deadline_s:
+            return self._end_at_deadline()
+        match self._phase:
+            case BackingOff(until_s=until_s):
+                if now_s >= until_s:
+                    self._start_attempt(now_s)
+            case Exchange() as exchange:
+                exchange.check_due(now_s)
+                self._move_is_due = exchange.take_move()
+                self._take_exchange(exchange, now_s)
+        return []
+
+    def receive(self, encoded: bytes, now_s: float) -> None:
+        """Take a datagram from the network; never raises on bad input."""
+        decoded = decode_service_datagram(encoded)
+        if decoded.is_err():
+            self._setup.drops[CallDrop.MALFORMED] += 1
+            return
+        datagram = decoded.unwrap()
+        match self._phase:
+            case Opening() as opening:
+                opening.receive(datagram, now_s)
+                self._take_opening(opening, now_s)
+            case Exchange() as exchange:
+                exchange.receive(datagram, now_s)
+                self._take_exchange(exchange, now_s)
+            case BackingOff():
+                self._setup.drops[CallDrop.WRONG_FLOW] += 1
+
+    def take_move(self) -> bool:
+        """Return whether the owner has to change its local port now."""
+        due = self._move_is_due
+        self._move_is_due = False
+        if due:
+            self._setup.events['port_moves'] += 1
+        return due
+
+    def cancel(self) -> list[bytes]:
+        """End the call; return the datagrams to send."""
+        if self.outcome is not None:
+            return []
+        farewell, not_run = self._leave_attempt()
+        self._fail(CallErrorKind.CANCELLED, not_run=not_run)
+        return farewell
+
+    def _start_attempt(self, now_s: float) -> None:
+        if self.flow is None or not self.flow.is_usable:
+            self.flow = None
+            self._phase = Opening(
+                self._service, self._request.size_code, self._setup, now_s
+            )
+            return
+        payload = encode_request(self._request, self._deadline_s - now_s)
+        self._phase = Exchange(
+            self.flow, self._request, payload, self._setup, now_s
+        )
+
+    def _take_opening(self, opening: Opening, now_s: float) -> None:
+        match opening.outcome:
+            case Flow() as flow:
+                self._setup.events['flows_opened'] += 1
+                self.flow = flow
+                self._start_attempt(now_s)
+            case Refusal() as refusal:
+                self._continue(self._plan.after_refusal(refusal, now_s))
+
+    def _take_exchange(self, exchange: Exchange, now_s: float) -> None:
+        if self.outcome is not None:
+            return
+        match exchange.outcome:
+            case Answer() as answer:
+                self.outcome = Ok(answer)
+            case Refusal() as refusal:
+                self._drop_flow()
+                self._continue(self._plan.after_refusal(refusal, now_s))
+            case FlowLost():
+                self._drop_flow()
+                self._continue(self._plan.redirect(now_s))
+            case OutcomeUnknown():
+                self._drop_flow()
+                self._continue(
+                    self._plan.after_unknown_outcome(
+                        now_s, idempotent=self._request.idempotent
+                    )
+                )
+            case CallErrorKind() as kind:
+                self._fail(kind, not_run=False)
+
+    def _continue(self, wait: BackingOff | None) -> None:
+        if wait is None:
+            self.outcome = Err(self._plan.error)
+        else:
+            self._phase = wait
+
+    def _drop_flow(self) -> None:
+        if self.flow is not None:
+            self.flow.is_usable = False
+
+    def _leave_attempt(self) -> tuple[list[bytes], bool]:
+        # An earlier attempt of unknown outcome may have run as well.
+        not_run = self._plan.error.not_run
+        if isinstance(self._phase, Exchange):
+            self._drop_flow()
+            not_run = not_run and not self._phase.was_sent
+            return self._phase.cancel(), not_run
+        return [], not_run
+
+    def _end_at_deadline(self) -> list[bytes]:
+        farewell, not_run = self._leave_attempt()
+        if isinstance(self._phase, Exchange):
+            self._fail(CallErrorKind.DEADLINE, not_run=not_run)
+        else:
+            self.outcome = Err(self._plan.error)
+        return farewell
+
+    def _fail(self, kind: CallErrorKind, *, not_run: bool) -> None:
+        self.outcome = Err(CallError(kind, not_run=not_run))
+
+
+def encode_request(request: CallRequest, left_s: float) -> bytes:
+    """Return the request with `left_s` to its deadline."""
+    left_ms = int(left_s * _MS_PER_S)
+    return encode_body(
+        Request(
+            request_id=request.request_id,
+            customer_id=request.customer_id,
+            operation=request.operation,
+            idempotent=request.idempotent,
+            deadline_ms=min(max(left_ms, 0), _MAX_DEADLINE_MS),
+            method=request.method,
+            path=request.path,
+            headers=request.headers,
+            body=request.body,
+        )
+    )
--- /dev/null
+++ b/greengagepath/flows.py
@@ -0,0 +1,97 @@
+"""State of a flow at the caller, without I/O."""
+
+from collections import OrderedDict
+
+from .acks import encode_final_ack
+from .call_types import ServiceAddress
+from .packets import Kind, ServiceDatagram, SizeCode
+
+# Requests of a flow whose late parts are still acknowledged.
+MAX_FINISHED = 32
+
+
+class Flow:
+    """An accepted flow: its token and its request numbers.
+
+    `heard_s` is when the last datagram of the flow came in.
+    """
+
+    __slots__ = (
+        '_finished',
+        '_next_number',
+        'flow_id',
+        'heard_s',
+        'is_usable',
+        'service',
+        'token',
+    )
+
+    def __init__(
+        self,
+        service: ServiceAddress,
+        flow_id: int,
+        token: bytes,
+        now_s: float,
+    ) -> None:
+        self.service = service
+        self.flow_id = flow_id
+        self.token = token
+        self.heard_s = now_s
+        self.is_usable = True
+        self._next_number = 1
+        self._finished: OrderedDict[int, int] = OrderedDict()
+
+    def take_number(self) -> int:
+        """Return the number of the next request."""
+        number = self._next_number
+        self._next_number += 1
+        return number
+
+    def owns(self, datagram: ServiceDatagram) -> bool:
+        """Return whether the datagram belongs to this flow."""
+        return (
+            datagram.flow_id == self.flow_id
+            and datagram.service_id == self.service.service_id
+            and datagram.token == self.token
+        )
+
+    def datagram(
+        self,
+        kind: Kind,
+        number: int,
+        body: bytes = b'',
+        size_code: SizeCode = SizeCode.UNKNOWN,
+    ) -> bytes:
+        """Return an encoded datagram of a kind without parts."""
+        return ServiceDatagram(
+            kind=kind,
+            service_id=self.service.service_id,
+            flow_id=self.flow_id,
+            token=self.token,
+            request_number=number,
+            size_code=size_code,
+            body=body,
+        ).encode()
+
+    def finish(self, number: int, part_count: int) -> None:
+        """Remember an answer that has arrived whole."""
+        self._finished[number] = part_count
+        while len(self._finished) > MAX_FINISHED:
+            self._finished.popitem(last=False)
+
+    def reply_to_late_part(self, datagram: ServiceDatagram) -> bytes | None:
+        """Return the ACK of a part of a finished answer, or None.
+
+        Without it a target whose last ACK was lost would send the
+        answer again until it gives up.
+        """
+        part_count = self._finished.get(datagram.request_number)
+        if part_count is None or datagram.kind is not Kind.ANSWER:
+            return None
+        if not self.owns(datagram):
+            return None
+        return self.datagram(
+            Kind.ANSWER_ACK,
+            datagram.request_number,
+            encode_final_ack(part_count),
+        )
