--- /dev/null
+++ b/greengagepath/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments in virtual time and wall-clock measurements."""
--- /dev/null
+++ b/greengagepath/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of a target for a new flow."""
