Add candidates by rendezvous hashing and the choice among them

Balancers need the same candidates for a flow from the same target set without agreeing on it, and a choice that sees load.

--- /dev/null
+++ b/tests/routing/test_candidates.py
@@ -0,0 +1,77 @@
+import random
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from greengagepath.routing.candidates import CandidateTable
+
+from .builders import build_target, build_targets
+
+FLOWS = 4000
+
+
+class CandidateTableTest(TestCase):
+    @given(
+        count=st.integers(1, 12),
+        flow_id=st.integers(0, 2**64 - 1),
+        seed=st.integers(0, 1000),
+    )
+    def test_order_of_input_does_not_matter(self, count, flow_id, seed):
+        # Guards against balancers that rank the same set differently.
+        targets = list(build_targets(count))
+        table = CandidateTable.build(targets)
+        random.Random(seed).shuffle(targets)
+        shuffled = CandidateTable.build(targets)
+        self.assertEqual(
+            table.candidates(flow_id, 3), shuffled.candidates(flow_id, 3)
+        )
+
+    @given(
+        count=st.integers(1, 12),
+        wanted=st.integers(1, 15),
+        flow_id=st.integers(0, 2**64 - 1),
+    )
+    def test_candidates_differ_and_extend_each_other(
+        self, count, wanted, flow_id
+    ):
+        # Guards against an alternate that is the failed target itself.
+        table = CandidateTable.build(build_targets(count))
+        found = table.candidates(flow_id, wanted)
+        self.assertEqual(min(count, wanted), len(set(found)))
+        self.assertEqual(found[:1], table.candidates(flow_id, 1))
+
+    @given(count=st.integers(2, 10), gone=st.integers(0, 9))
+    def test_only_flows_of_a_removed_target_move(self, count, gone):
+        # Guards against reshuffling flows between remaining targets.
+        targets = build_targets(count)
+        gone %= count
+        before = CandidateTable.build(targets)
+        after = CandidateTable.build(
+            target for number, target in enumerate(targets) if number != gone
+        )
+        for flow_id in range(100):
+            owner = before.candidates(flow_id, 1)[0]
+            if owner != targets[gone]:
+                self.assertEqual((owner,), after.candidates(flow_id, 1))
+
+    def test_weights_are_respected(self):
+        # Guards against a large target that gets a small one's share.
+        table = CandidateTable.build(
+            build_target(number, weight=2.0**number) for number in range(4)
+        )
+        owned = Counter(
+            table.candidates(flow_id, 1)[0].weight for flow_id in range(FLOWS)
+        )
+        for weight, flows in owned.items():
+            self.assertAlmostEqual(weight / 15, flows / FLOWS, delta=0.025)
+
+    def test_bad_sets_are_refused(self):
+        # Guards against a table with a division by zero or two owners.
+        self.assertRaises(
+            ValueError, CandidateTable.build, [build_target(1, weight=0.0)]
+        )
+        self.assertRaises(
+            ValueError, CandidateTable.build, [build_target(1), build_target(1)]
+        )
--- /dev/null
+++ b/tests/routing/test_choice.py
@@ -0,0 +1,147 @@
+from testtools import TestCase
+
+from greengagepath.generated.messages import SizeClass
+from greengagepath.routing.choice import (
+    NoTargetReason,
+    ProbeReply,
+    ProbeState,
+)
+from greengagepath.routing.choosers import ServiceChoosers
+from greengagepath.routing.targets import TargetState
+from greengagepath.timers import VirtualTimerService
+
+from .builders import (
+    SERVICE,
+    build_chooser,
+    build_shared,
+    build_target,
+    build_targets,
+    count_choices,
+)
+
+SHORT = SizeClass.short
+
+
+class TargetChooserTest(TestCase):
+    def test_leaving_and_silent_targets_get_no_new_flow(self):
+        # Guards against new work at a target that drains or is silent.
+        chooser = build_chooser(
+            (
+                build_target(1, state=TargetState.DRAINING),
+                build_target(2, state=TargetState.SUSPECT),
+                build_target(3),
+                build_target(4),
+            )
+        )
+        chooser.record_probe(
+            ProbeReply('target-4', 0, 0, 0, ProbeState.DRAINING)
+        )
+        counts = count_choices(chooser, SHORT, 200)
+        self.assertEqual({'target-3': 200}, counts)
+
+    def test_none_left_is_an_error(self):
+        # Guards against an exception when the last target leaves.
+        chooser = build_chooser((build_target(1),))
+        chooser.record_probe(
+            ProbeReply('target-1', 0, 0, 0, ProbeState.DRAINING)
+        )
+        problem = chooser.choose(1, SHORT).unwrap_err()
+        self.assertEqual(NoTargetReason.NONE_ALIVE, problem.reason)
+
+    def test_other_region_only_when_own_has_none(self):
+        # Guards against traffic that leaves the region needlessly.
+        far = build_target(1, region='sydney')
+        near = build_target(2)
+        chooser = build_chooser((far, near))
+        self.assertEqual({'target-2': 50}, count_choices(chooser, SHORT, 50))
+        chooser.replace_targets((far,))
+        self.assertEqual({'target-1': 50}, count_choices(chooser, SHORT, 50))
+
+    def test_loaded_target_is_avoided(self):
+        # Guards against a choice that ignores the probes.
+        chooser = build_chooser(build_targets(3))
+        for number in range(3):
+            queued = 50 if number == 1 else 0
+            chooser.record_probe(
+                ProbeReply(f'target-{number}', 2, queued, 10000)
+            )
+        counts = count_choices(chooser, SHORT, 40)
+        self.assertNotIn('target-1', counts)
+
+    def test_own_flows_count_until_the_next_probe(self):
+        # Guards against herding on the target with the best old probe.
+        chooser = build_chooser(build_targets(4))
+        chooser.record_probe(ProbeReply('target-0', 0, 0, 10000))
+        counts = count_choices(chooser, SHORT, 200)
+        self.assertLess(max(counts.values()), 80)
+
+    def test_new_target_ramps_up(self):
+        # Guards against a cold target that gets a full share at once.
+        timers = VirtualTimerService()
+        targets = build_targets(3)
+        chooser = build_chooser(targets, timers)
+        chooser.replace_targets((*targets, build_target(9)))
+        cold = count_choices(chooser, SHORT, 400).get('target-9', 0)
+        timers.advance(11)
+        for number in (0, 1, 2, 9):
+            chooser.record_probe(ProbeReply(f'target-{number}', 0, 0, 10000))
+        warm = count_choices(chooser, SHORT, 400)['target-9']
+        self.assertLess(cold, 60)
+        self.assertGreater(warm, 80)
+
+    def test_probe_rate_follows_new_flows(self):
+        # Guards against probes that exceed half the new flows.
+        timers = VirtualTimerService()
+        chooser = build_chooser(build_targets(7), timers)
+        sent = 0
+        for flow_id in range(1000):
+            chooser.choose(flow_id, SHORT)
+            sent += len(chooser.targets_to_probe())
+            timers.advance(0.01)
+        self.assertLessEqual(sent, 508)
+        self.assertGreater(sent, 450)
+
+
+class OutlierTest(TestCase):
+    def test_at_most_a_third_is_ejected(self):
+        # Guards against ejecting so many that the rest is overloaded.
+        chooser = build_chooser(build_targets(7))
+        for number in range(7):
+            for _ in range(20):
+                chooser.record_outcome(f'target-{number}', succeeded=False)
+        self.assertEqual(2, len(chooser.ejected))
+        counts = count_choices(chooser, SHORT, 300)
+        self.assertEqual(frozenset(), chooser.ejected & counts.keys())
+
+    def test_ejected_target_returns_through_probes(self):
+        # Guards against a target that stays out after it recovered.
+        timers = VirtualTimerService()
+        chooser = build_chooser(build_targets(3), timers)
+        for _ in range(5):
+            chooser.record_outcome('target-0', succeeded=False)
+        self.assertEqual({'target-0'}, chooser.ejected)
+        for _ in range(6):
+            timers.advance(0.5)
+            for target in chooser.targets_to_probe():
+                chooser.record_probe(ProbeReply(target.target_id, 0, 0, 1000))
+        self.assertEqual(frozenset(), chooser.ejected)
+
+
+class ServiceChoosersTest(TestCase):
+    def test_only_changed_services_are_rebuilt(self):
+        # Guards against rebuilding all tables for one change.
+        choosers = ServiceChoosers(build_shared())
+        by_service = {number: build_targets(3) for number in range(20)}
+        self.assertEqual(20, choosers.offer_targets(by_service))
+        self.assertEqual(0, choosers.rebuild_slice())
+        by_service[3] = build_targets(4)
+        self.assertEqual(1, choosers.offer_targets(by_service))
+
+    def test_choice_does_not_wait_for_the_rebuild(self):
+        # Guards against choosing from the old set after a change.
+        choosers = ServiceChoosers(build_shared())
+        choosers.offer_targets({SERVICE: (build_target(1),)})
+        self.assertTrue(choosers.choose(SERVICE, 1, SHORT).is_ok())
+        choosers.offer_targets({})
+        problem = choosers.choose(SERVICE, 1, SHORT).unwrap_err()
+        self.assertEqual(NoTargetReason.UNKNOWN_SERVICE, problem.reason)
