--- /dev/null
+++ b/greengagepath/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: generation, checks, files and versions."""
--- /dev/null
+++ b/greengagepath/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: thin shells of sockets around the decision modules."""
--- /dev/null
+++ b/greengagepath/settings.py
@@ -0,0 +1,151 @@
+"""Settings of a daemon, read from one TOML file."""
+
+import ipaddress
+from collections.abc import Iterator
+from datetime import datetime
+from pathlib import Path
+
+from msgspec import structs
+from result import Err, Ok, Result
+
+from .generated.settings import (
+    KeySettings,
+    Role,
+    Settings,
+    TargetSettings,
+    TlsSettings,
+)
+from .validation import (
+    SettingProblem,
+    TomlDocument,
+    convert_document,
+    read_toml,
+)
+
+_Finding = tuple[str, object, str]
+_IPV4 = 'an IPv4 address such as 10.0.0.7'
+
+
+def load_settings(
+    path: str | Path,
+) -> Result[Settings, list[SettingProblem]]:
+    """Return the checked settings, or all problems at once.
+
+    Paths of key and certificate files are relative to the folder of
+    the settings file and absolute in the result.
+    """
+    source = Path(path)
+    match read_toml(source):
+        case Err(problems):
+            return Err(problems)
+        case Ok(document):
+            return _check_document(document, source.absolute().parent)
+
+
+def _check_document(
+    document: TomlDocument, folder: Path
+) -> Result[Settings, list[SettingProblem]]:
+    match convert_document(document, Settings):
+        case Err(problems):
+            return Err(problems)
+        case Ok(settings):
+            findings = list(_find_contradictions(settings))
+            if findings:
+                return Err([document.problem(*entry) for entry in findings])
+            return Ok(_resolve_paths(settings, folder))
+
+
+def _find_contradictions(settings: Settings) -> Iterator[_Finding]:
+    yield from _check_addresses(settings)
+    yield from _check_role(settings)
+    yield from _check_keys(settings.keys)
+    url = settings.object_api.url
+    if not url.startswith('http://'):
+        yield 'object_api.url', url, 'a URL that starts with http://'
+    yield from _check_periods(settings)
+
+
+def _check_addresses(settings: Settings) -> Iterator[_Finding]:
+    hosts_by_key = {
+        'node.host': settings.node.host,
+        'fabric.host': settings.fabric.host,
+    }
+    if settings.target is not None:
+        hosts_by_key['target.host'] = settings.target.host
+    for key, host in hosts_by_key.items():
+        if not is_ipv4(host):
+            yield key, host, _IPV4
+
+
+def _check_role(settings: Settings) -> Iterator[_Finding]:
+    if settings.role is Role.agent and settings.target is None:
+        yield 'target', None, 'a table [target] for the role agent'
+    if settings.role is Role.balancer and settings.target is not None:
+        shown = _name_target(settings.target)
+        yield 'target', shown, 'no table [target] for the role balancer'
+
+
+def _check_keys(keys: list[KeySettings]) -> Iterator[_Finding]:
+    seen: set[int] = set()
+    for position, entry in enumerate(keys):
+        if entry.key_id in seen:
+            key = f'keys[{position}].key_id'
+            yield key, entry.key_id, 'a key_id that no other key has'
+        seen.add(entry.key_id)
+        if parse_end(entry.not_after) is None:
+            key = f'keys[{position}].not_after'
+            allowed = 'date and time with offset: 2027-01-31T00:00:00+00:00'
+            yield key, entry.not_after, allowed
+
+
+def _check_periods(settings: Settings) -> Iterator[_Finding]:
+    limits = settings.limits
+    if limits.lease_renew_s >= limits.lease_s:
+        allowed = f'below limits.lease_s = {limits.lease_s:g}'
+        yield 'limits.lease_renew_s', limits.lease_renew_s, allowed
+    if limits.heartbeat_s >= limits.suspect_after_s:
+        allowed = f'below limits.suspect_after_s = {limits.suspect_after_s:g}'
+        yield 'limits.heartbeat_s', limits.heartbeat_s, allowed
+
+
+def is_ipv4(host: str) -> bool:
+    """Return whether the text is an IPv4 address in dotted form."""
+    try:
+        ipaddress.IPv4Address(host)
+    except ValueError:
+        return False
+    return True
+
+
+def parse_end(not_after: str) -> float | None:
+    """Return seconds since the epoch, or None if malformed.
+
+    Empty text means no end and gives infinity. A time without offset
+    is malformed, because hosts may run in different time zones.
+    """
+    if not not_after:
+        return float('inf')
+    try:
+        end = datetime.fromisoformat(not_after)
+    except ValueError:
+        return None
+    return end.timestamp() if end.tzinfo else None
+
+
+def _name_target(target: TargetSettings) -> str:
+    return f'{target.host}:{target.port}'
+
+
+def _resolve_paths(settings: Settings, folder: Path) -> Settings:
+    keys = [
+        structs.replace(entry, secret_file=str(folder / entry.secret_file))
+        for entry in settings.keys
+    ]
+    tls = settings.tls
+    if tls is not None:
+        tls = TlsSettings(
+            certificate_file=str(folder / tls.certificate_file),
+            key_file=str(folder / tls.key_file),
+            authority_file=str(folder / tls.authority_file),
+        )
+    return structs.replace(settings, keys=keys, tls=tls)
--- /dev/null
+++ b/greengagepath/validation.py
@@ -0,0 +1,161 @@
+"""Checks of TOML input against generated classes.
+
+All problems of a file are found in one pass, each with file, line, key,
+value and allowed range; msgspec alone stops at the first.
+"""
+
+import re
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TypeVar
+
+import msgspec
+from result import Err, Ok, Result
+
+from .type_checks import MISSING, check_value, join_key
+
+Kind = TypeVar('Kind', bound=msgspec.Struct)
+
+MAX_SHOWN_CHARACTERS = 80
+_HEADER = re.compile(r'^\s*(\[\[?)\s*([^\[\]]+?)\s*\]\]?\s*(?:#.*)?$')
+_ASSIGNMENT = re.compile(r'^\s*([\w.-]+|"[^"]*"|\'[^\']*\')\s*=')
+_SYNTAX_LINE = re.compile(r'at line (\d+)')
+
+
+@dataclass(slots=True, frozen=True)
+class SettingProblem:
+    """One value that cannot be used.
+
+    `path` is the file, `shown` the value as written. `line` counts from
+    1 and is 0 where the file has no such line. `allowed` says which
+    values can be used instead.
+    """
+
+    path: str
+    line: int
+    key: str
+    shown: str
+    allowed: str
+
+    def __str__(self) -> str:
+        """Return one line for the operator."""
+        return (
+            f'{self.path}:{self.line}: {self.key} = {self.shown}:'
+            f' allowed: {self.allowed}'
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class TomlDocument:
+    """A parsed file and the line of each of its keys."""
+
+    path: str
+    raw: dict[str, Any]
+    lines_by_key: dict[str, int]
+
+    def problem(self, key: str, found: object, allowed: str) -> SettingProblem:
+        """Return a problem with the line of the key or its table."""
+        return SettingProblem(
+            path=self.path,
+            line=find_line(self.lines_by_key, key),
+            key=key,
+            shown=_show(found),
+            allowed=allowed,
+        )
+
+
+def read_toml(path: Path) -> Result[TomlDocument, list[SettingProblem]]:
+    """Parse a file; the error is its unreadable path or syntax."""
+    try:
+        text = path.read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as read_error:
+        problem = SettingProblem(
+            str(path), 0, 'file', str(read_error), 'a readable TOML file'
+        )
+        return Err([problem])
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as syntax_error:
+        return Err([_syntax_problem(path, text, str(syntax_error))])
+    return Ok(TomlDocument(str(path), raw, locate_keys(text)))
+
+
+def convert_document(
+    document: TomlDocument, kind: type[Kind]
+) -> Result[Kind, list[SettingProblem]]:
+    """Return the typed content, or every problem of the file."""
+    problems = [
+        document.problem(key, found, allowed)
+        for key, found, allowed in check_value(
+            document.raw, msgspec.inspect.type_info(kind), ''
+        )
+    ]
+    if problems:
+        return Err(problems)
+    try:
+        return Ok(msgspec.convert(document.raw, kind))
+    except msgspec.ValidationError as error:
+        return Err([document.problem('file', error, 'the documented types')])
+
+
+def locate_keys(text: str) -> dict[str, int]:
+    """Return the line of each table and assignment, by key path.
+
+    Keys inside inline tables are reported at the line of the table.
+    """
+    lines_by_key: dict[str, int] = {}
+    counts_by_key: dict[str, int] = {}
+    prefix = ''
+    for number, line in enumerate(text.splitlines(), start=1):
+        header = _HEADER.match(line)
+        if header:
+            is_array = header.group(1) == '[['
+            prefix = _header_key(header.group(2), is_array, counts_by_key)
+            lines_by_key.setdefault(prefix, number)
+            continue
+        assignment = _ASSIGNMENT.match(line)
+        if assignment:
+            name = assignment.group(1).strip('"\'')
+            lines_by_key.setdefault(join_key(prefix, name), number)
+    return lines_by_key
+
+
+def find_line(lines_by_key: dict[str, int], key: str) -> int:
+    """Return the line of the key or of the closest table around it."""
+    while key:
+        line = lines_by_key.get(key)
+        if line is not None:
+            return line
+        key = re.sub(r'(?:\[\d+\]|\.?[^.\[\]]+)$', '', key)
+    return 0
+
+
+def _syntax_problem(path: Path, text: str, message: str) -> SettingProblem:
+    position = _SYNTAX_LINE.search(message)
+    line = int(position.group(1)) if position else text.count('\n') + 1
+    return SettingProblem(str(path), line, 'syntax', message, 'valid TOML')
+
+
+def _header_key(
+    header: str, is_array: bool, counts_by_key: dict[str, int]
+) -> str:
+    key = ''
+    parts = [part.strip(' "\'') for part in header.split('.')]
+    for position, part in enumerate(parts, start=1):
+        key = join_key(key, part)
+        if is_array and position == len(parts):
+            counts_by_key[key] = counts_by_key.get(key, 0) + 1
+        count = counts_by_key.get(key)
+        if count is not None:
+            key = f'{key}[{count - 1}]'
+    return key
+
+
+def _show(found: object) -> str:
+    if found is MISSING:
+        return '(missing)'
+    shown = repr(found)
+    if len(shown) > MAX_SHOWN_CHARACTERS:
+        return f'{shown[:MAX_SHOWN_CHARACTERS]}…'
+    return shown
--- /dev/null
+++ b/tests/operator/builders.py
@@ -0,0 +1,44 @@
+"""Builders of files and values for the tests of the operator tools."""
+
+import os
+from pathlib import Path
+
+SECRET = 'ab' * 32
+OTHER_SECRET = 'cd' * 32
+SETTINGS = """
+role = "balancer"
+
+[node]
+member_id = "balancer-1"
+host = "127.0.0.1"
+data_port = 4000
+control_port = 4001
+region = "perth"
+availability_zone = "perth-a"
+
+[object_api]
+url = "http://127.0.0.1:4100"
+
+[fabric]
+host = "127.0.0.1"
+port = 4200
+
+[[keys]]
+key_id = 1
+secret_file = "tag.key"
+"""
+
+
+def write_settings(folder, text=SETTINGS, secret=SECRET):
+    """Write settings and a key file; return the path of the settings."""
+    Path(folder, 'tag.key').write_text(f'{secret}\n')
+    path = Path(folder, 'settings.toml')
+    path.write_text(text)
+    return path
+
+
+def age_file(path, seconds=10):
+    """Give a file an older time of change."""
+    status = Path(path).stat()
+    changed_s = status.st_mtime - seconds
+    os.utime(path, (changed_s, changed_s))
