--- a/greengagepath/settings.py
+++ b/greengagepath/settings.py
@@ -1,12 +1,13 @@
 """Settings of a daemon, read from one TOML file."""
 
 import ipaddress
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from datetime import datetime
 from pathlib import Path
+from typing import TypeVar
 
 from msgspec import structs
-from result import Err, Ok, Result
+from result import Result
 
 from .generated.settings import (
     KeySettings,
@@ -14,58 +15,84 @@
     Settings,
     TargetSettings,
     TlsSettings,
+    ToolSettings,
 )
+from .packets import Address
 from .validation import (
+    Finding,
     SettingProblem,
-    TomlDocument,
-    convert_document,
+    check_document,
     read_toml,
 )
 
-_Finding = tuple[str, object, str]
+_Kind = TypeVar('_Kind', Settings, ToolSettings)
+
+MAX_PORT = 65535
 _IPV4 = 'an IPv4 address such as 10.0.0.7'
 
 
 def load_settings(
     path: str | Path,
 ) -> Result[Settings, list[SettingProblem]]:
-    """Return the checked settings, or all problems at once.
+    """Return the checked settings of a daemon, or all problems at once.
 
     Paths of key and certificate files are relative to the folder of
     the settings file and absolute in the result.
     """
-    source = Path(path)
-    match read_toml(source):
-        case Err(problems):
-            return Err(problems)
-        case Ok(document):
-            return _check_document(document, source.absolute().parent)
+    return _load(Path(path), Settings, _find_contradictions)
 
 
-def _check_document(
-    document: TomlDocument, folder: Path
-) -> Result[Settings, list[SettingProblem]]:
-    match convert_document(document, Settings):
-        case Err(problems):
-            return Err(problems)
-        case Ok(settings):
-            findings = list(_find_contradictions(settings))
-            if findings:
-                return Err([document.problem(*entry) for entry in findings])
-            return Ok(_resolve_paths(settings, folder))
+def load_tool_settings(
+    path: str | Path,
+) -> Result[ToolSettings, list[SettingProblem]]:
+    """Return the settings of the command-line tool, as above."""
+    return _load(Path(path), ToolSettings, _find_tool_contradictions)
+
+
+def parse_address(text: str) -> Address | None:
+    """Return host and port of `10.0.0.7:4001`, or None if malformed."""
+    host, _, port = text.rpartition(':')
+    if not is_ipv4(host) or not port.isdecimal():
+        return None
+    number = int(port)
+    return (host, number) if 0 < number <= MAX_PORT else None
+
+
+def _load(
+    source: Path,
+    kind: type[_Kind],
+    find: Callable[[_Kind], Iterator[Finding]],
+) -> Result[_Kind, list[SettingProblem]]:
+    return (
+        read_toml(source)
+        .and_then(lambda document: check_document(document, kind, find))
+        .map(lambda found: _resolve_paths(found, source.absolute().parent))
+    )
 
 
-def _find_contradictions(settings: Settings) -> Iterator[_Finding]:
+def _find_contradictions(settings: Settings) -> Iterator[Finding]:
     yield from _check_addresses(settings)
     yield from _check_role(settings)
     yield from _check_keys(settings.keys)
-    url = settings.object_api.url
+    yield from _check_url(settings.object_api.url)
+    yield from _check_periods(settings)
+
+
+def _find_tool_contradictions(settings: ToolSettings) -> Iterator[Finding]:
+    yield from _check_keys(settings.keys)
+    yield from _check_url(settings.object_api.url)
+    for position, address in enumerate(settings.balancers):
+        if parse_address(address) is None:
+            allowed = 'address and control port such as 10.0.0.7:4001'
+            yield f'balancers[{position}]', address, allowed
+
+
+def _check_url(url: str) -> Iterator[Finding]:
     if not url.startswith('http://'):
         yield 'object_api.url', url, 'a URL that starts with http://'
-    yield from _check_periods(settings)
 
 
-def _check_addresses(settings: Settings) -> Iterator[_Finding]:
+def _check_addresses(settings: Settings) -> Iterator[Finding]:
     hosts_by_key = {
         'node.host': settings.node.host,
         'fabric.host': settings.fabric.host,
@@ -77,7 +104,7 @@
             yield key, host, _IPV4
 
 
-def _check_role(settings: Settings) -> Iterator[_Finding]:
+def _check_role(settings: Settings) -> Iterator[Finding]:
     if settings.role is Role.agent and settings.target is None:
         yield 'target', None, 'a table [target] for the role agent'
     if settings.role is Role.balancer and settings.target is not None:
@@ -85,7 +112,7 @@
         yield 'target', shown, 'no table [target] for the role balancer'
 
 
-def _check_keys(keys: list[KeySettings]) -> Iterator[_Finding]:
+def _check_keys(keys: list[KeySettings]) -> Iterator[Finding]:
     seen: set[int] = set()
     for position, entry in enumerate(keys):
         if entry.key_id in seen:
@@ -98,7 +125,7 @@
             yield key, entry.not_after, allowed
 
 
-def _check_periods(settings: Settings) -> Iterator[_Finding]:
+def _check_periods(settings: Settings) -> Iterator[Finding]:
     limits = settings.limits
     if limits.lease_renew_s >= limits.lease_s:
         allowed = f'below limits.lease_s = {limits.lease_s:g}'
@@ -136,7 +163,7 @@
     return f'{target.host}:{target.port}'
 
 
-def _resolve_paths(settings: Settings, folder: Path) -> Settings:
+def _resolve_paths(settings: _Kind, folder: Path) -> _Kind:
     keys = [
         structs.replace(entry, secret_file=str(folder / entry.secret_file))
         for entry in settings.keys
--- a/greengagepath/type_checks.py
+++ b/greengagepath/type_checks.py
@@ -8,7 +8,9 @@
 from .type_words import describe_type, without_none
 
 MISSING = object()
-Findings = Iterator[tuple[str, object, str]]
+# Key path, value found and allowed values.
+Finding = tuple[str, object, str]
+Findings = Iterator[Finding]
 
 
 def join_key(prefix: str, name: str) -> str:
--- a/greengagepath/validation.py
+++ b/greengagepath/validation.py
@@ -6,6 +6,7 @@
 
 import re
 import tomllib
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, TypeVar
@@ -13,7 +14,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .type_checks import MISSING, check_value, join_key
+from .type_checks import MISSING, Finding, check_value, join_key
 
 Kind = TypeVar('Kind', bound=msgspec.Struct)
 
@@ -99,6 +100,21 @@
         return Err([document.problem('file', error, 'the documented types')])
 
 
+def check_document(
+    document: TomlDocument,
+    kind: type[Kind],
+    find_contradictions: Callable[[Kind], Iterable[Finding]],
+) -> Result[Kind, list[SettingProblem]]:
+    """Convert, then look for values that do not fit together."""
+    converted = convert_document(document, kind)
+    if isinstance(converted, Err):
+        return converted
+    findings = list(find_contradictions(converted.ok_value))
+    if findings:
+        return Err([document.problem(*entry) for entry in findings])
+    return converted
+
+
 def locate_keys(text: str) -> dict[str, int]:
     """Return the line of each table and assignment, by key path.
 
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -15,7 +15,7 @@
 GENERATED_DIR = ROOT / 'greengagepath' / 'generated'
 # The schema's own root object of the messages carries no fields.
 ROOT_STRUCT = re.compile(
-    r'^class (?:Messages|SettingsFile)\(Struct\):\n    """\n.*\n    """\n\n\n',
+    r'^class (?:Messages|\w+File)\(Struct\):\n    """\n.*\n    """\n\n\n',
     re.MULTILINE,
 )
 TYPING_IMPORT = re.compile('^from typing import .*\n', re.MULTILINE)
