Add admission beside a target

The gate limits concurrency, queues fairly between customers by measured cost, runs short before long work and refuses what cannot meet its deadline.

--- /dev/null
+++ b/greengagepath/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission beside a target: limits, fair queueing and shedding."""
--- /dev/null
+++ b/greengagepath/admission/gate.py
@@ -0,0 +1,261 @@
+"""Gate in front of a back end: admits, queues, orders and refuses.
+
+The gate never hands out a request that it has refused.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from result import Err, Ok, Result
+
+from ..generated.messages import Limits, Refusal, RefusalReason, SizeClass
+from ..timers import TimerService
+from .fair_queue import FairQueue, QueuedRequest
+from .limiter import ConcurrencyLimiter
+from .running import RunningSet
+from .shedding import WorkAhead, expected_wait_s, is_hopeless
+from .size_classes import OperationCosts
+
+# Long work that has waited this long goes before short work, within the
+# slots that long work may use.
+LONG_AGING_S = 1.0
+# Share of its time limit after which long work ages, if that is sooner.
+LONG_AGING_SHARE = 0.25
+# Weight of a new sample in the latency that probes report.
+LATENCY_WEIGHT = 0.2
+MILLISECONDS = 1000
+
+
+@dataclass(slots=True, frozen=True)
+class Admitted:
+    """The request is queued; `expected_wait_s` in seconds."""
+
+    request_id: bytes
+    expected_wait_s: float
+
+
+@dataclass(slots=True, frozen=True)
+class GateLoad:
+    """What a probe reports; `latency_s` is the mean time in the gate."""
+
+    in_flight: int
+    queued: int
+    limit: int
+    latency_s: float
+    queue_length: int
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the queue has no place left."""
+        return self.queued >= max(self.queue_length, 1)
+
+
+@unique
+class CancelOutcome(Enum):
+    """What became of a request that its caller cancelled."""
+
+    REMOVED = 'removed'
+    RUNNING = 'running'
+    NOT_HELD = 'not_held'
+
+
+class AdmissionGate:
+    """Decides which requests run, and when; one for each agent.
+
+    `offer` queues or refuses, `next_request` hands out work when a slot
+    is free, `finish` or `release` frees the slot. Requests that leave
+    the queue without being handed out are returned by `take_refused`.
+    """
+
+    def __init__(self, timers: TimerService, limits: Limits) -> None:
+        self.costs = OperationCosts()
+        self._timers = timers
+        self._limits = limits
+        self._limiter = ConcurrencyLimiter(limits.slots)
+        self._queue = FairQueue()
+        self._running = RunningSet(timers)
+        self._refused: list[Refusal] = []
+        self._draining = False
+        self._latency_s = 0.0
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether all new requests are refused."""
+        return self._draining
+
+    def replace_limits(
+        self, limits: Limits, shares_by_customer: Mapping[int, float]
+    ) -> None:
+        """Take new limits and shares from the configuration."""
+        self._limits = limits
+        self._limiter.replace_slots(limits.slots)
+        self._queue.replace_shares(shares_by_customer)
+
+    def offer(self, request: QueuedRequest) -> Result[Admitted, Refusal]:
+        """Queue a request or say why it is not run."""
+        now_s = self._timers.now()
+        request.queued_s = now_s
+        request.size_class = self.costs.classify(
+            request.operation, request.size_class
+        )
+        request.expected_s = self.costs.expected_s(request.operation)
+        request.likely_s = self.costs.likely_s(request.operation)
+        if self._draining:
+            return Err(_refuse(request, RefusalReason.draining))
+        wait_s = self._expected_wait_s(request)
+        remaining_s = request.deadline_s - now_s
+        if is_hopeless(wait_s, request.likely_s, remaining_s):
+            return Err(_refuse(request, RefusalReason.deadline, wait_s))
+        if not self._make_room(request):
+            return Err(_refuse(request, RefusalReason.queue_full, wait_s))
+        self._queue.push(request)
+        return Ok(Admitted(request.request_id, wait_s))
+
+    def next_request(self) -> QueuedRequest | None:
+        """Hand out the next request to run, or None.
+
+        Requests whose deadline has passed, or cannot be met while other
+        work waits, are refused on the way.
+        """
+        while not self._draining:
+            request = self._pop()
+            if request is None:
+                return None
+            # While nothing else waits, a slot has no better use, and the
+            # expected cost is measured again.
+            needed_s = request.likely_s if len(self._queue) else 0.0
+            if request.deadline_s - self._timers.now() > needed_s:
+                self._running.start(request)
+                return request
+            self._queue.correct(request.customer_id, -request.expected_s)
+            self._refused.append(_refuse(request, RefusalReason.deadline))
+        return None
+
+    def finish(
+        self, request_id: bytes, duration_s: float, succeeded: bool
+    ) -> None:
+        """Free the slot of a request that ran for `duration_s`."""
+        in_flight = len(self._running)
+        request = self._running.end(request_id)
+        if request is None:
+            return
+        ratio = 1.0
+        if succeeded:
+            ratio = self.costs.record(request.operation, duration_s)
+        self._limiter.record(ratio, in_flight, succeeded)
+        self._queue.correct(
+            request.customer_id, duration_s - request.expected_s
+        )
+        latency_s = self._timers.now() - request.queued_s
+        self._latency_s += LATENCY_WEIGHT * (latency_s - self._latency_s)
+
+    def release(self, request_id: bytes) -> None:
+        """Free the slot of a request that the back end did not run."""
+        in_flight = len(self._running)
+        request = self._running.end(request_id)
+        if request is not None:
+            self._queue.correct(request.customer_id, -request.expected_s)
+            self._limiter.record(1.0, in_flight, succeeded=False)
+
+    def cancel(self, request_id: bytes) -> CancelOutcome:
+        """Remove a queued request; a running one keeps its slot."""
+        request = self._queue.remove(request_id)
+        if request is not None:
+            self._refused.append(_refuse(request, RefusalReason.cancelled))
+            return CancelOutcome.REMOVED
+        if request_id in self._running:
+            return CancelOutcome.RUNNING
+        return CancelOutcome.NOT_HELD
+
+    def start_draining(self) -> None:
+        """Refuse the queue and everything offered from now on."""
+        self._draining = True
+        for request in self._queue.queued():
+            self._queue.remove(request.request_id)
+            self._refused.append(_refuse(request, RefusalReason.draining))
+
+    def stop_draining(self) -> None:
+        """Admit again, after an operator has undone the draining."""
+        self._draining = False
+
+    def take_refused(self) -> list[Refusal]:
+        """Return the refusals since the last call."""
+        refused = self._refused
+        self._refused = []
+        return refused
+
+    def load(self) -> GateLoad:
+        """Return what a probe reports."""
+        return GateLoad(
+            in_flight=len(self._running),
+            queued=len(self._queue),
+            limit=self._limiter.limit,
+            latency_s=self._latency_s,
+            queue_length=self._limits.queue_length,
+        )
+
+    def _make_room(self, request: QueuedRequest) -> bool:
+        """Return whether the request can be queued.
+
+        A full queue gives up a request of the customer that holds most
+        for its share, so that one customer cannot keep others out.
+        """
+        if self._limits.queue_length == 0:
+            return self._has_free_slot(request.size_class)
+        if not self.load().is_full:
+            return True
+        evicted = self._queue.eviction_for(request.customer_id)
+        if evicted is None:
+            return False
+        self._queue.remove(evicted.request_id)
+        self._refused.append(_refuse(evicted, RefusalReason.queue_full))
+        return True
+
+    def _pop(self) -> QueuedRequest | None:
+        limit = self._limiter.limit
+        if not self._running.may_start(SizeClass.short, limit):
+            return None
+        if not self._running.may_start(SizeClass.long, limit):
+            return self._queue.pop(SizeClass.short)
+        first, second = SizeClass.short, SizeClass.long
+        oldest = self._queue.oldest(SizeClass.long)
+        if oldest and _is_aged(oldest, self._timers.now()):
+            first, second = second, first
+        return self._queue.pop(first) or self._queue.pop(second)
+
+    def _has_free_slot(self, size_class: SizeClass) -> bool:
+        limit = self._limiter.limit
+        if len(self._running) + len(self._queue) >= limit:
+            return False
+        return self._running.may_start(size_class, limit)
+
+    def _expected_wait_s(self, request: QueuedRequest) -> float:
+        customer_id = request.customer_id
+        size_class = request.size_class
+        return expected_wait_s(
+            WorkAhead(
+                size_class=size_class,
+                slots=self._running.slots_for(size_class, self._limiter.limit),
+                free=self._has_free_slot(size_class),
+                soonest_s=self._running.soonest_s(),
+                short_s=self._queue.work_ahead_s(customer_id, SizeClass.short),
+                long_s=self._queue.work_ahead_s(customer_id, SizeClass.long),
+            )
+        )
+
+
+def _is_aged(request: QueuedRequest, now_s: float) -> bool:
+    allowed_s = request.deadline_s - request.queued_s
+    aging_s = min(LONG_AGING_S, allowed_s * LONG_AGING_SHARE)
+    return now_s - request.queued_s >= aging_s
+
+
+def _refuse(
+    request: QueuedRequest, reason: RefusalReason, wait_s: float = 0.0
+) -> Refusal:
+    return Refusal(
+        reason=reason,
+        request_id=request.request_id,
+        retry_after_ms=int(wait_s * MILLISECONDS),
+    )
--- /dev/null
+++ b/tests/admission/test_parts.py
@@ -0,0 +1,60 @@
+from testtools import TestCase
+
+from greengagepath.admission.limiter import ConcurrencyLimiter
+from greengagepath.admission.retry_budget import RetryBudget
+from greengagepath.admission.size_classes import MAX_OPERATIONS, OperationCosts
+from greengagepath.generated.messages import SizeClass
+
+
+class LimiterTest(TestCase):
+    def test_limit_falls_with_latency_and_recovers(self):
+        # Guards against pushing more work into a back end that slows down.
+        limiter = ConcurrencyLimiter(slots=8)
+        for _ in range(60):
+            limiter.record(4.0, 8, succeeded=True)
+        low = limiter.limit
+        for _ in range(200):
+            limiter.record(1.0, 8, succeeded=True)
+        self.assertLess(low, 4)
+        self.assertEqual(8, limiter.limit)
+
+    def test_limit_is_at_least_one(self):
+        # Guards against an agent that never tries its back end again.
+        limiter = ConcurrencyLimiter(slots=2)
+        for _ in range(100):
+            limiter.record(1.0, 2, succeeded=False)
+        self.assertEqual(1, limiter.limit)
+
+
+class RetryBudgetTest(TestCase):
+    def test_retries_are_a_share_of_requests(self):
+        # Guards against retry storms.
+        budget = RetryBudget(share=0.1)
+        allowed = 0
+        for _ in range(1000):
+            budget.record_request()
+            allowed += budget.try_retry()
+        self.assertAlmostEqual(110, allowed, delta=2)
+
+    def test_no_share_allows_no_retry(self):
+        # Guards against a burst that a share of 0 should rule out.
+        self.assertFalse(RetryBudget(share=0).try_retry())
+
+
+class OperationCostsTest(TestCase):
+    def test_made_up_operations_are_bounded(self):
+        # Guards against memory that callers control.
+        costs = OperationCosts()
+        for number in range(2 * MAX_OPERATIONS):
+            costs.record(f'operation-{number}', 1.0)
+        self.assertLessEqual(len(costs._costs_by_operation), MAX_OPERATIONS + 1)
+
+    def test_rare_cheap_operation_does_not_make_the_rest_long(self):
+        # Guards against a health check that moves the boundary.
+        costs = OperationCosts()
+        costs.record('health', 0.0001)
+        for _ in range(100):
+            costs.record('status', 0.02)
+        self.assertEqual(
+            SizeClass.short, costs.classify('status', SizeClass.unknown)
+        )
