Add the caller's library

Cause: callers need one call that opens a flow, sends the request once to one owner, collects the whole answer, and retries only where this cannot run a request twice.

--- a/greengagepath/exchange.py
+++ b/greengagepath/exchange.py
@@ -252,6 +252,7 @@
             limit = count_parts(self._setup.limits.max_answer_bytes)
             if datagram.part_count > limit:
                 self.outcome = CallErrorKind.ANSWER_TOO_LARGE
+                self._replies.extend(self.cancel())
                 return
             self._receiver = PartReceiver(datagram.part_count)
         outcome = self._receiver.accept(
--- /dev/null
+++ b/greengagepath/flow_sockets.py
@@ -0,0 +1,111 @@
+"""UDP socket of one flow at the caller."""
+
+import socket
+from collections import Counter
+
+import gevent
+from gevent.socket import wait_read
+
+from .flows import Flow
+from .packets import MAX_DATAGRAM_BYTES, Address, decode_service_datagram
+
+# The kernel limits it to net.core.rmem_max.
+RECEIVE_BUFFER_BYTES = 1048576
+MAX_DRAINED = 64
+
+
+class FlowSocket:
+    """A connected socket; `events` counts datagrams it cannot send."""
+
+    __slots__ = ('_address', '_events', '_lingerer', '_socket', 'is_closed')
+
+    def __init__(self, address: Address, events: Counter[str]) -> None:
+        self._address = address
+        self._events = events
+        self._socket = _connect(address)
+        self._lingerer: gevent.Greenlet | None = None
+        self.is_closed = False
+
+    def move(self) -> None:
+        """Change to a new local port."""
+        self._socket.close()
+        self._socket = _connect(self._address)
+
+    def close(self) -> None:
+        """Close the socket, also while it lingers."""
+        self.stop_lingering()
+        self.is_closed = True
+        self._socket.close()
+
+    def send_all(self, datagrams: list[bytes]) -> None:
+        """Send datagrams; one that cannot be sent counts as lost."""
+        for datagram in datagrams:
+            try:
+                self._socket.send(datagram)
+            except OSError:
+                # A full buffer, or an ICMP error of an earlier datagram.
+                self._events['send_errors'] += 1
+
+    def wait(self, timeout_s: float) -> bool:
+        """Wait for a datagram; return False after the timeout."""
+        try:
+            wait_read(
+                self._socket.fileno(),
+                timeout=max(timeout_s, 0.0),
+                timeout_exc=TimeoutError(),
+            )
+        except TimeoutError:
+            return False
+        return True
+
+    def receive_some(self) -> list[bytes]:
+        """Return the datagrams that are there, 64 at most."""
+        received: list[bytes] = []
+        while len(received) < MAX_DRAINED:
+            try:
+                received.append(self._socket.recv(MAX_DATAGRAM_BYTES + 1))
+            except BlockingIOError:
+                break
+            except OSError:
+                # An ICMP error of an earlier datagram.
+                self._events['receive_errors'] += 1
+        return received
+
+    def linger(self, flow: Flow, limit_s: float | None = None) -> None:
+        """Acknowledge late parts; close after `limit_s` if given."""
+        self._lingerer = gevent.spawn(self._linger, flow, limit_s)
+
+    def stop_lingering(self) -> None:
+        """Leave datagrams that come in to the next call."""
+        if self._lingerer is not None:
+            self._lingerer.kill(block=False)
+        self._lingerer = None
+
+    def _linger(self, flow: Flow, limit_s: float | None) -> None:
+        if limit_s is None:
+            while True:
+                wait_read(self._socket.fileno())
+                self._reply_to_late_parts(flow)
+        with gevent.Timeout(limit_s, exception=False):
+            while True:
+                wait_read(self._socket.fileno())
+                self._reply_to_late_parts(flow)
+        self._lingerer = None
+        self.close()
+
+    def _reply_to_late_parts(self, flow: Flow) -> None:
+        for encoded in self.receive_some():
+            datagram = decode_service_datagram(encoded).ok()
+            reply = datagram and flow.reply_to_late_part(datagram)
+            if reply:
+                self.send_all([reply])
+
+
+def _connect(address: Address) -> socket.socket:
+    connected = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    connected.setblocking(False)
+    connected.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    )
+    connected.connect(address)
+    return connected
