--- a/tests/operator/builders.py
+++ b/tests/operator/builders.py
@@ -3,6 +3,11 @@
 import os
 from pathlib import Path
 
+from msgspec import structs
+
+from greengagepath.configuration.derivation import derive_services
+from greengagepath.configuration.questionnaire import load_answers
+
 SECRET = 'ab' * 32
 OTHER_SECRET = 'cd' * 32
 SETTINGS = """
@@ -42,3 +47,19 @@
     status = Path(path).stat()
     changed_s = status.st_mtime - seconds
     os.utime(path, (changed_s, changed_s))
+
+
+ROOT = Path(__file__).resolve().parents[2]
+COOPERATIVE = ROOT / 'examples' / 'cooperative.answers.toml'
+JINHUA = ROOT / 'examples' / 'jinhua.answers.toml'
+
+
+def build_services(name=COOPERATIVE):
+    """Return the services generated from a file of answers."""
+    return derive_services(load_answers(name).unwrap())
+
+
+def replace_limits(service, **limits):
+    """Return the service with some limits changed."""
+    changed = structs.replace(service.limits, **limits)
+    return structs.replace(service, limits=changed)
