Add the control plane: members, links, leases and configuration

Cause: balancers and agents need a shared view of targets and of the configuration over control links. The decisions have no I/O; the daemon adds websockets, HTTP and time.

--- /dev/null
+++ b/greengagepath/configuration/delta.py
@@ -0,0 +1,58 @@
+"""Differences between two configurations."""
+
+from operator import attrgetter
+
+from result import Err, Ok, Result
+
+from ..generated.messages import Configuration, ConfigurationDelta, Service
+
+# A delta with this base carries all services.
+FULL = 0
+
+
+def compute_delta(
+    base: Configuration | None, newer: Configuration
+) -> ConfigurationDelta:
+    """Return what turns `base` into `newer`; all of it without a base."""
+    held_by_id = _services_by_id(base)
+    newer_by_id = _services_by_id(newer)
+    return ConfigurationDelta(
+        base_version=FULL if base is None else base.version,
+        version=newer.version,
+        operation_id=newer.operation_id,
+        changed=[
+            service
+            for service in newer.services
+            if held_by_id.get(service.service_id) != service
+        ],
+        removed=sorted(held_by_id.keys() - newer_by_id.keys()),
+    )
+
+
+def apply_delta(
+    held: Configuration | None, delta: ConfigurationDelta
+) -> Result[Configuration, str]:
+    """Return the configuration after the delta, sorted by service id."""
+    services_by_id: dict[int, Service] = {}
+    if delta.base_version != FULL:
+        if held is None or held.version != delta.base_version:
+            return Err(f'base version {delta.base_version} is not held')
+        services_by_id = _services_by_id(held)
+    for removed_id in delta.removed:
+        services_by_id.pop(removed_id, None)
+    for added in delta.changed:
+        services_by_id[added.service_id] = added
+    services = sorted(services_by_id.values(), key=attrgetter('service_id'))
+    return Ok(
+        Configuration(
+            version=delta.version,
+            operation_id=delta.operation_id,
+            services=services,
+        )
+    )
+
+
+def _services_by_id(configuration: Configuration | None) -> dict[int, Service]:
+    if configuration is None:
+        return {}
+    return {service.service_id: service for service in configuration.services}
--- /dev/null
+++ b/greengagepath/daemon/control.py
@@ -0,0 +1,161 @@
+"""Control plane of a daemon: the nodes with real links and time."""
+
+import random
+import time
+from collections.abc import Callable
+
+from ..generated.messages import (
+    Configuration,
+    MemberKind,
+    MemberRecord,
+    MemberState,
+    Service,
+)
+from ..generated.settings import Settings
+from ..membership.agent_node import AgentNode
+from ..membership.balancer_node import (
+    BalancerListeners,
+    BalancerNode,
+    OnConfiguration,
+    OnTargets,
+)
+from ..membership.ports import NodePorts
+from ..object_api import HttpTransport, ObjectClient
+from ..tags import KeyRing
+from ..timers import LoopTimerService
+from ..tls import TlsContexts
+from .links import LinkOptions, WebsocketLinks
+
+
+class BalancerControl:
+    """Members, targets and configuration as one balancer sees them.
+
+    `on_targets` gets the targets of each service id, `on_configuration`
+    each configuration that comes into force. Both are called from the
+    greenlets of timers and links and must not block.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        keys: KeyRing,
+        timers: LoopTimerService,
+        on_targets: OnTargets,
+        on_configuration: OnConfiguration,
+        tls: TlsContexts | None = None,
+    ) -> None:
+        self._settings = settings
+        self.links = WebsocketLinks(LinkOptions(keys, settings.limits, tls))
+        self._transport = _make_transport(settings)
+        self.node = BalancerNode(
+            _record_of_balancer(settings),
+            _make_ports(settings, timers, self.links, self._transport),
+            BalancerListeners(on_targets, on_configuration),
+        )
+
+    def start(self) -> None:
+        """Listen for links; raises OSError if the port is taken."""
+        node = self._settings.node
+        self.links.deliver_to(self.node)
+        self.links.listen((node.host, node.control_port))
+        self.node.start()
+
+    def stop(self) -> None:
+        """Leave the overlay and close all links."""
+        self.node.stop()
+        self.links.stop()
+        self._transport.stop()
+
+    def records(self) -> tuple[MemberRecord, ...]:
+        """Return the records of all members, tombstones included."""
+        return self.node.table.records()
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force, None before the first."""
+        return self.node.spread.holder.current
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether a configuration is in force."""
+        return self.configuration is not None
+
+
+class AgentControl:
+    """Announces the target beside this agent and learns its service."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        keys: KeyRing,
+        timers: LoopTimerService,
+        record: MemberRecord,
+        on_service: Callable[[Service], None],
+        tls: TlsContexts | None = None,
+    ) -> None:
+        self.links = WebsocketLinks(LinkOptions(keys, settings.limits, tls))
+        self._transport = _make_transport(settings)
+        self.node = AgentNode(
+            record,
+            _make_ports(settings, timers, self.links, self._transport),
+            on_service,
+        )
+        self.links.deliver_to(self.node)
+
+    def start(self) -> None:
+        """Look for the homes and announce the target."""
+        self.node.start()
+
+    def stop(self) -> None:
+        """Announce that the target has left and close all links."""
+        self.node.stop()
+        self.links.stop()
+        self._transport.stop()
+
+    def set_state(self, state: MemberState) -> None:
+        """Publish a state of the target."""
+        self.node.set_state(state)
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether at least one home knows the target."""
+        return bool(self.node.own.record.homes)
+
+
+def _make_transport(settings: Settings) -> HttpTransport:
+    return HttpTransport(settings.object_api.url, settings.object_api.timeout_s)
+
+
+def _make_ports(
+    settings: Settings,
+    timers: LoopTimerService,
+    links: WebsocketLinks,
+    transport: HttpTransport,
+) -> NodePorts:
+    chance = random.Random()
+    return NodePorts(
+        timers=timers,
+        links=links,
+        store=ObjectClient(transport, timers, chance),
+        random=chance,
+        limits=settings.limits,
+    )
+
+
+def _record_of_balancer(settings: Settings) -> MemberRecord:
+    node = settings.node
+    now_s = time.time()
+    return MemberRecord(
+        member_id=node.member_id,
+        kind=MemberKind.balancer,
+        host=node.host,
+        data_port=node.data_port,
+        control_port=node.control_port,
+        region=node.region,
+        availability_zone=node.availability_zone,
+        # A restarted balancer must come after its own earlier records.
+        incarnation=int(now_s),
+        record_version=0,
+        state=MemberState.alive,
+        started_ms=int(now_s * 1000),
+    )
--- /dev/null
+++ b/greengagepath/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Membership: who exists, who watches whom, and how changes spread."""
--- /dev/null
+++ b/greengagepath/membership/agent_node.py
@@ -0,0 +1,231 @@
+"""Control plane of one agent, without sockets."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..generated.messages import (
+    ConfigurationDelta,
+    Hello,
+    LinkError,
+    MemberRecord,
+    MemberState,
+    Records,
+    Service,
+)
+from ..packets import Address
+from ..timers import Timer
+from .handshake import PROTOCOL_VERSION
+from .link_care import LinkCare
+from .overlay import rank_by_hash
+from .overlay_links import LinkKeeper
+from .own_record import OwnRecord
+from .peers import Peer, PeerRole, PeerTable
+from .ports import NodePorts
+from .records import is_balancer
+from .views import SeedReader
+
+STEP_S = 0.1
+# A balancer to which this many attempts failed is passed over.
+MAX_FAILURES = 2
+# After this time a balancer that was passed over is tried again.
+PASS_OVER_S = 30.0
+
+
+class AgentNode:
+    """Announces a target to its home balancers.
+
+    Implements `LinkEvents`. All calls come from one loop. A version of
+    the service lower than one seen before is ignored.
+    """
+
+    def __init__(
+        self,
+        record: MemberRecord,
+        ports: NodePorts,
+        on_service: Callable[[Service], None],
+    ) -> None:
+        self.peers = PeerTable()
+        self.own = OwnRecord(record, ports.timers, self._publish_own)
+        self.configuration_version = 0
+        self._ports = ports
+        self._on_service = on_service
+        self._keeper = LinkKeeper(self.peers, ports)
+        self._care = LinkCare(self.peers, ports)
+        self._choice = HomeChoice(record, ports, self._keeper)
+        self._timers: list[Timer] = []
+
+    def start(self) -> None:
+        """Read the seed and start the timers."""
+        timers = self._ports.timers
+        self._timers = [
+            timers.subscribe(STEP_S, self._step),
+            timers.subscribe(self._ports.limits.heartbeat_s, self._care.beat),
+        ]
+        self._step()
+
+    def stop(self) -> None:
+        """Say goodbye and close all links."""
+        for timer in self._timers:
+            timer.cancel()
+        self.own.update(state=MemberState.left)
+        for peer in self.peers:
+            self._ports.links.close(peer.link_id)
+
+    def set_state(self, state: MemberState) -> None:
+        """Publish a state of the target."""
+        self.own.update(state=state, draining=state is MemberState.draining)
+
+    def link_opened(self, link_id: int, *, outgoing: bool) -> None:
+        """Announce the target."""
+        now_s = self._ports.timers.now()
+        self.peers.open(Peer(link_id, outgoing, now_s))
+        self._ports.links.send(
+            link_id,
+            Hello(record=self.own.record, protocol_version=PROTOCOL_VERSION),
+        )
+
+    def link_closed(self, link_id: int) -> None:
+        """Forget the link and what was learnt on it."""
+        self._keeper.failed(link_id)
+        self._choice.forget(link_id)
+        self.peers.remove(link_id)
+        self._publish_homes()
+
+    def link_received(self, link_id: int, message: msgspec.Struct) -> None:
+        """Act on a message of a balancer."""
+        peer = self.peers.by_link(link_id)
+        if peer is None:
+            return
+        peer.last_heard_s = self._ports.timers.now()
+        match message:
+            case Hello():
+                self._receive_hello(peer, message.record)
+            case Records():
+                self._receive_records(link_id, message)
+            case ConfigurationDelta():
+                self._receive_delta(message)
+            case LinkError():
+                self._ports.links.close(link_id)
+
+    def _receive_hello(self, peer: Peer, record: MemberRecord) -> None:
+        earlier = self.peers.identify(peer, record, PeerRole.ZONE)
+        if earlier is not None:
+            self._ports.links.close(earlier.link_id)
+        self._keeper.succeeded(peer.link_id)
+        self._choice.learn(peer.link_id, [record])
+        self._publish_homes()
+
+    def _receive_records(self, link_id: int, message: Records) -> None:
+        """Take the candidates of a home, or a claim about this agent."""
+        candidates = []
+        for record in message.records:
+            if record.member_id == self.own.member_id:
+                self.own.dispute(record)
+            elif is_balancer(record):
+                candidates.append(record)
+        if candidates:
+            self._choice.learn(link_id, candidates)
+
+    def _receive_delta(self, delta: ConfigurationDelta) -> None:
+        if delta.version <= self.configuration_version:
+            return
+        self.configuration_version = delta.version
+        for service in delta.changed:
+            if service.service_id == self.own.record.service_id:
+                self._on_service(service)
+
+    def _step(self) -> None:
+        self._care.close_silent()
+        self.own.refute_pending()
+        self._keeper.adjust(self._choice.wanted_links())
+        self._publish_homes()
+
+    def _publish_homes(self) -> None:
+        """Name the balancers that watch this agent.
+
+        A link that is about to be closed does not count, so that its
+        end is not taken for the death of the target.
+        """
+        homes = sorted(
+            peer.member_id
+            for peer in self.peers.with_role(PeerRole.ZONE)
+            if peer.unwanted_since_s is None
+        )
+        self.own.update(homes=homes[: self._ports.limits.homes])
+
+    def _publish_own(self, record: MemberRecord) -> None:
+        for peer in self.peers:
+            if peer.role is not PeerRole.UNKNOWN:
+                self._ports.links.send(peer.link_id, Records(records=[record]))
+
+
+class HomeChoice:
+    """Which balancers an agent wants as homes.
+
+    What the homes said last is kept when all links are lost, so that an
+    agent finds other balancers also while the object API is down.
+    """
+
+    def __init__(
+        self, own: MemberRecord, ports: NodePorts, keeper: LinkKeeper
+    ) -> None:
+        self._own = own
+        self._ports = ports
+        self._keeper = keeper
+        self._balancers_by_link: dict[int, list[MemberRecord]] = {}
+        self._last_known: dict[str, MemberRecord] = {}
+        self._passed_over_s_by_id: dict[str, float] = {}
+        self._seeds = SeedReader(own.availability_zone, ports)
+        self._sample: list[Address] = []
+
+    def learn(self, link_id: int, balancers: list[MemberRecord]) -> None:
+        """Take the candidates that a home has sent."""
+        self._balancers_by_link[link_id] = balancers
+        self._last_known = {
+            record.member_id: record
+            for records in self._balancers_by_link.values()
+            for record in records
+        }
+
+    def forget(self, link_id: int) -> None:
+        """Drop what a home has sent whose link has closed."""
+        self._balancers_by_link.pop(link_id, None)
+
+    def wanted_links(self) -> dict[str, Address]:
+        """Return the homes, and seeds while no balancer answers."""
+        known = self._last_known
+        self._pass_over(known)
+        usable = known.keys() - self._passed_over_s_by_id.keys()
+        ranked = rank_by_hash(self._own.member_id, usable)
+        wanted = {
+            home: (known[home].host, known[home].control_port)
+            for home in ranked[: self._ports.limits.homes]
+        }
+        if self._balancers_by_link:
+            self._seeds.rest()
+            return wanted
+        return wanted | {
+            f'seed {entry}': entry for entry in self._sample_seeds()
+        }
+
+    def _pass_over(self, known: dict[str, MemberRecord]) -> None:
+        """Leave out balancers that do not answer, for a while."""
+        now_s = self._ports.timers.now()
+        for record in known.values():
+            address = (record.host, record.control_port)
+            if self._keeper.failures(address) > MAX_FAILURES:
+                self._passed_over_s_by_id.setdefault(record.member_id, now_s)
+        self._passed_over_s_by_id = {
+            member_id: since_s
+            for member_id, since_s in self._passed_over_s_by_id.items()
+            if now_s - since_s < PASS_OVER_S
+        }
+
+    def _sample_seeds(self) -> list[Address]:
+        """Choose a few seeds, so that none gets all new agents."""
+        found = self._seeds.addresses()
+        if not set(self._sample) <= set(found) or not self._sample:
+            count = min(self._ports.limits.homes, len(found))
+            self._sample = self._ports.random.sample(found, count)
+        return self._sample
--- /dev/null
+++ b/greengagepath/membership/balancer_node.py
@@ -0,0 +1,246 @@
+"""Control plane of one balancer, without sockets."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from ..configuration.spread import ConfigurationSpread
+from ..generated.messages import (
+    Configuration,
+    ConfigurationDelta,
+    ConfigurationOffer,
+    ConfigurationPull,
+    Digest,
+    Hello,
+    MemberRecord,
+    MemberState,
+    Pull,
+    Records,
+    StatusQuery,
+    StatusReply,
+)
+from ..packets import Address
+from ..timers import Timer
+from .bridge import BridgeParts, BridgeRole
+from .detector import FailureDetector
+from .exchange import RecordExchange
+from .handshake import Handshake
+from .homes import HomeDirectory
+from .link_care import LinkCare
+from .overlay_links import LinkKeeper
+from .own_record import OwnRecord
+from .peers import Peer, PeerRole, PeerTable
+from .ports import NodePorts
+from .table import MemberTable
+from .views import OnTargets, OverlayView, SeedReader, TargetReport, ZoneWatch
+
+STEP_S = 0.1
+# Scans of the whole table take about 1 ms at 3,320 members.
+SCAN_S = 0.5
+
+OnConfiguration = Callable[[Configuration], None]
+
+
+@dataclass(slots=True, frozen=True)
+class BalancerListeners:
+    """Who is told of new targets and configurations."""
+
+    on_targets: OnTargets
+    on_configuration: OnConfiguration
+
+
+class BalancerNode:
+    """Routes events between the decision modules of a balancer.
+
+    Implements `LinkEvents`. All calls come from one loop.
+    """
+
+    def __init__(
+        self,
+        record: MemberRecord,
+        ports: NodePorts,
+        listeners: BalancerListeners,
+    ) -> None:
+        self.table = MemberTable(ports.limits, ports.timers)
+        self.peers = PeerTable()
+        self.own = OwnRecord(record, ports.timers, self._publish_own)
+        self.spread = ConfigurationSpread(
+            self.table, self.peers, ports.links, self._configuration_applied
+        )
+        self.bridge = BridgeRole(
+            BridgeParts(self.own, self.table, self.peers, ports),
+            self.spread.offer,
+        )
+        self.care = LinkCare(self.peers, ports)
+        self._ports = ports
+        self._on_configuration = listeners.on_configuration
+        self._report = TargetReport(self.table, ports, listeners.on_targets)
+        self._exchange = RecordExchange(
+            self.own, self.table, self.peers, ports, self._report
+        )
+        self._handshake = Handshake(self.own, self.peers, ports)
+        self._homes = HomeDirectory(self.table, self.peers, ports, record)
+        self._watch = _Watch(self, ports)
+        self._timers: list[Timer] = []
+        self.table.merge(record)
+
+    def start(self) -> None:
+        """Read the seed and start the timers."""
+        timers = self._ports.timers
+        limits = self._ports.limits
+        self._timers = [
+            timers.subscribe(STEP_S, self._step),
+            timers.subscribe(SCAN_S, self._scan),
+            timers.subscribe(limits.heartbeat_s, self.care.beat),
+            timers.subscribe(limits.anti_entropy_s, self._compare_tables),
+        ]
+        self._step()
+
+    def stop(self) -> None:
+        """Say goodbye and close all links."""
+        for timer in self._timers:
+            timer.cancel()
+        self.bridge.stop()
+        self.own.update(state=MemberState.left)
+        self._exchange.dissemination.flush()
+        for peer in self.peers:
+            self._ports.links.close(peer.link_id)
+
+    def link_opened(self, link_id: int, *, outgoing: bool) -> None:
+        """Introduce this balancer, or close a link above the limit."""
+        self._handshake.open(link_id, outgoing=outgoing)
+
+    def link_closed(self, link_id: int) -> None:
+        """Forget the link."""
+        self._watch.keeper.failed(link_id)
+        self._homes.forget(link_id)
+        self.peers.remove(link_id)
+
+    def link_received(self, link_id: int, message: msgspec.Struct) -> None:
+        """Act on a message."""
+        peer = self.peers.by_link(link_id)
+        if peer is None:
+            return
+        peer.last_heard_s = self._ports.timers.now()
+        match message:
+            case Hello():
+                self._receive_hello(peer, message)
+            case Records() if peer.role is not PeerRole.UNKNOWN:
+                for record in message.records:
+                    self._exchange.merge(record, peer)
+            case Digest() if peer.is_balancer:
+                self._exchange.receive_digest(peer, message, self.spread)
+            case Pull() if peer.is_balancer:
+                found = self._exchange.dissemination.records_for(
+                    message.buckets
+                )
+                self._ports.links.send(link_id, found)
+            case _:
+                self._receive_other(link_id, message)
+
+    def _receive_other(self, link_id: int, message: msgspec.Struct) -> None:
+        """Act on what operator tools may send as well."""
+        match message:
+            case ConfigurationDelta():
+                self.spread.receive_delta(link_id, message)
+            case ConfigurationOffer():
+                self.spread.receive_offer(link_id, message.version)
+            case ConfigurationPull():
+                self.spread.send_since(link_id, message.held_version)
+            case StatusQuery():
+                self._answer_status(link_id, message)
+
+    def _answer_status(self, link_id: int, query: StatusQuery) -> None:
+        reply = StatusReply(
+            query_id=query.query_id,
+            configuration_version=self.spread.holder.version,
+            records=list(self.table.records()),
+        )
+        self._ports.links.send(link_id, reply)
+
+    def _receive_hello(self, peer: Peer, hello: Hello) -> None:
+        if not self._handshake.accept(peer, hello):
+            return
+        self._watch.keeper.succeeded(peer.link_id)
+        self._exchange.merge(hello.record, peer)
+        if peer.role is PeerRole.AGENT:
+            self._homes.tell(peer)
+            self.spread.send_service(peer)
+        elif peer.outgoing:
+            self._exchange.greet(peer, self.spread)
+
+    def _publish_own(self, record: MemberRecord) -> None:
+        self.table.merge(record)
+        self._exchange.dissemination.push(record)
+
+    def _configuration_applied(self, configuration: Configuration) -> None:
+        self.table.target_view.drained_ids = frozenset(
+            target_id
+            for service in configuration.services
+            for target_id in service.drained_targets
+        )
+        self.own.update(configuration_version=configuration.version)
+        self._on_configuration(configuration)
+        self._report.schedule()
+
+    def _compare_tables(self) -> None:
+        self._exchange.compare_tables(self.spread)
+
+    def _step(self) -> None:
+        """Notice silent members and links, keep links and the slot."""
+        for suspect in self._watch.silent_members():
+            self._exchange.pass_on(suspect, source=None)
+        self.care.close_silent()
+        self.own.refute_pending()
+        self.bridge.step()
+        self._watch.adjust_links()
+
+    def _scan(self) -> None:
+        """Expire suspects and tombstones, and see which zones are silent."""
+        for dead in self._watch.dead_members():
+            self._exchange.pass_on(dead, source=None)
+        if self._watch.zones.step():
+            self._report.schedule()
+        self._homes.tell_all()
+
+
+class _Watch:
+    """Which balancers to link to, and which members are silent."""
+
+    def __init__(self, node: BalancerNode, ports: NodePorts) -> None:
+        self._node = node
+        record = node.own.record
+        self.keeper = LinkKeeper(node.peers, ports)
+        self.zones = ZoneWatch(node.own, node.table, ports)
+        self._overlay = OverlayView(node.own, node.table, ports)
+        self._own_address = (record.host, record.control_port)
+        self._seeds = SeedReader(record.availability_zone, ports)
+        self._detector = FailureDetector(
+            record, node.table, node.peers, ports.timers, ports.limits
+        )
+
+    def silent_members(self) -> list[MemberRecord]:
+        """Suspect the silent members and return their records."""
+        return self._detector.check(
+            self._overlay.watched(), self._overlay.zone_balancer_ids()
+        )
+
+    def dead_members(self) -> list[MemberRecord]:
+        """Declare overdue suspects dead and return their records."""
+        return self._node.table.expire(self._detector.may_judge)
+
+    def adjust_links(self) -> None:
+        """Open and close links as the overlay and the slot ask for."""
+        self.keeper.adjust(self._wanted_links())
+
+    def _wanted_links(self) -> dict[str, Address]:
+        wanted = {
+            **self._overlay.wanted_links(),
+            **self._node.bridge.wanted_links(),
+        }
+        if self._node.peers.with_role(PeerRole.ZONE):
+            self._seeds.rest()
+            return wanted
+        seeds = set(self._seeds.addresses()) - {self._own_address}
+        return wanted | {f'seed {entry}': entry for entry in seeds}
--- /dev/null
+++ b/greengagepath/membership/detector.py
@@ -0,0 +1,137 @@
+"""Decides which members have been silent for too long."""
+
+from collections.abc import Iterable
+
+from ..generated.messages import MemberKind, MemberRecord
+from ..generated.settings import LimitSettings
+from ..timers import TimerService
+from .overlay import rank_by_hash
+from .peers import PeerTable
+from .records import is_gone
+from .table import MemberTable
+
+# A check that is later than this means that the process itself was
+# paused; the others have not been silent, it has not listened.
+PAUSE_S = 1.0
+# A member that refutes a suspicion is given twice the time before the
+# next one, up to this factor: its link to us is broken, not the member.
+MAX_PATIENCE = 16
+
+
+class FailureDetector:
+    """Tracks how long watched members have not been heard.
+
+    A balancer watches its overlay peers and the agents that name it as
+    a home. An agent all of whose homes have gone is watched by the
+    balancer that comes first for it.
+    """
+
+    def __init__(
+        self,
+        own: MemberRecord,
+        table: MemberTable,
+        peers: PeerTable,
+        timers: TimerService,
+        limits: LimitSettings,
+    ) -> None:
+        self._member_id = own.member_id
+        self._zone = own.availability_zone
+        self._table = table
+        self._peers = peers
+        self._timers = timers
+        self._limits = limits
+        self._heard_s_by_id: dict[str, float] = {}
+        self._patience_by_id: dict[str, int] = {}
+        self._checked_s = timers.now()
+
+    def check(
+        self, overlay_ids: Iterable[str], zone_balancer_ids: Iterable[str]
+    ) -> list[MemberRecord]:
+        """Suspect the silent ones; return their changed records."""
+        now_s = self._timers.now()
+        if now_s - self._checked_s > PAUSE_S:
+            self._forgive(now_s)
+        self._checked_s = now_s
+        watched = self._watched(overlay_ids, frozenset(zone_balancer_ids))
+        self._track(watched, now_s)
+        return self._suspect_silent(watched, now_s)
+
+    def may_judge(self, record: MemberRecord) -> bool:
+        """Return whether this balancer may declare the member dead.
+
+        Only members of the same zone, or a home, judge: from elsewhere a
+        partition looks the same as a death.
+        """
+        return (
+            record.availability_zone == self._zone
+            or self._member_id in record.homes
+        )
+
+    def _forgive(self, now_s: float) -> None:
+        for peer in self._peers:
+            peer.last_heard_s = now_s
+        for member_id in self._heard_s_by_id:
+            self._heard_s_by_id[member_id] = now_s
+
+    def _watched(
+        self, overlay_ids: Iterable[str], zone_balancer_ids: frozenset[str]
+    ) -> frozenset[str]:
+        agents = {
+            record.member_id
+            for record in self._table.records()
+            if record.kind is MemberKind.agent
+            and not is_gone(record)
+            and self._is_home(record, zone_balancer_ids)
+        }
+        return frozenset(agents.union(overlay_ids))
+
+    def _is_home(
+        self, record: MemberRecord, zone_balancer_ids: frozenset[str]
+    ) -> bool:
+        if self._member_id in record.homes:
+            return True
+        if record.availability_zone != self._zone:
+            return False
+        if any(self._is_present(home) for home in record.homes):
+            return False
+        ranked = rank_by_hash(record.member_id, zone_balancer_ids)
+        return ranked[:1] == [self._member_id]
+
+    def _is_present(self, member_id: str) -> bool:
+        held = self._table.get(member_id)
+        return held is not None and not is_gone(held)
+
+    def _track(self, watched: frozenset[str], now_s: float) -> None:
+        for member_id in self._heard_s_by_id.keys() - watched:
+            self._heard_s_by_id.pop(member_id)
+            self._patience_by_id.pop(member_id, None)
+        for member_id in watched:
+            peer = self._peers.by_member(member_id)
+            if peer is not None:
+                self._heard_s_by_id[member_id] = peer.last_heard_s
+            self._heard_s_by_id.setdefault(member_id, now_s)
+
+    def _suspect_silent(
+        self, watched: frozenset[str], now_s: float
+    ) -> list[MemberRecord]:
+        suspected = []
+        for member_id in watched:
+            patience = self._patience_by_id.get(member_id, 1)
+            silent_s = now_s - self._heard_s_by_id[member_id]
+            if silent_s < self._limits.suspect_after_s * patience:
+                self._calm(member_id, silent_s)
+                continue
+            record = self._table.suspect(member_id)
+            if record is not None:
+                suspected.append(record)
+                self._patience_by_id[member_id] = min(
+                    patience * 2, MAX_PATIENCE
+                )
+                self._heard_s_by_id[member_id] = now_s
+        return suspected
+
+    def _calm(self, member_id: str, silent_s: float) -> None:
+        if silent_s < self._limits.heartbeat_s:
+            has_link = self._peers.by_member(member_id) is not None
+            if has_link:
+                self._patience_by_id.pop(member_id, None)
--- /dev/null
+++ b/greengagepath/membership/exchange.py
@@ -0,0 +1,101 @@
+"""Exchange of records with other members."""
+
+from ..configuration.spread import ConfigurationSpread
+from ..generated.messages import (
+    Digest,
+    MemberRecord,
+    MemberState,
+    Pull,
+)
+from .dissemination import Dissemination
+from .own_record import OwnRecord
+from .peers import Peer, PeerRole, PeerTable
+from .ports import NodePorts
+from .records import is_gone
+from .table import CHANGES, MemberTable, MergeOutcome
+from .views import FirstSync, TargetReport
+
+
+class RecordExchange:
+    """Merges what arrives and passes on what is news."""
+
+    def __init__(
+        self,
+        own: OwnRecord,
+        table: MemberTable,
+        peers: PeerTable,
+        ports: NodePorts,
+        report: TargetReport,
+    ) -> None:
+        self._own = own
+        self._table = table
+        self._peers = peers
+        self._ports = ports
+        self._report = report
+        self._sync = FirstSync(ports)
+        self.dissemination = Dissemination(
+            table, peers, ports, own.record.availability_zone
+        )
+
+    def merge(self, record: MemberRecord, source: Peer) -> None:
+        """Take a record from a link, answer an old one with a newer."""
+        if record.member_id == self._own.member_id:
+            self._own.dispute(record)
+            return
+        outcome = self._table.merge(record)
+        if outcome in CHANGES:
+            self.pass_on(record, source)
+        elif outcome is MergeOutcome.STALE:
+            self._correct(record, source)
+
+    def pass_on(self, record: MemberRecord, source: Peer | None) -> None:
+        """Push a change, and tell the accused if it is linked here.
+
+        The member can then refute the suspicion.
+        """
+        self.dissemination.push(record, source)
+        subject = self._peers.by_member(record.member_id)
+        is_accused = is_gone(record) or record.state is MemberState.suspect
+        if is_accused and subject is not None and subject is not source:
+            self.dissemination.push_to(subject, record)
+        self._report.schedule()
+
+    def receive_digest(
+        self, peer: Peer, digest: Digest, spread: ConfigurationSpread
+    ) -> None:
+        """Compare tables and configuration versions with the sender."""
+        spread.receive_offer(peer.link_id, digest.configuration_version)
+        buckets = self.dissemination.differing_buckets(digest)
+        if buckets and not self._sync.is_running:
+            links = self._ports.links
+            links.send(peer.link_id, Pull(buckets=buckets))
+            links.send(peer.link_id, self.dissemination.records_for(buckets))
+
+    def greet(self, peer: Peer, spread: ConfigurationSpread) -> None:
+        """Compare tables over a new link."""
+        self._sync.delay(lambda: self.send_digest(peer, spread))
+
+    def send_digest(self, peer: Peer, spread: ConfigurationSpread) -> None:
+        """Start a comparison, unless the link has closed meanwhile."""
+        if self._peers.by_link(peer.link_id) is peer:
+            peer.needs_digest = False
+            digest = self.dissemination.make_digest(spread.holder.version)
+            self._ports.links.send(peer.link_id, digest)
+
+    def compare_tables(self, spread: ConfigurationSpread) -> None:
+        """Send a digest to one balancer, and where records were dropped."""
+        linked = self._peers.with_role(PeerRole.ZONE, PeerRole.BRIDGE)
+        chosen = [peer for peer in linked if peer.needs_digest]
+        if linked and not chosen:
+            chosen = [self._ports.random.choice(linked)]
+        for peer in chosen:
+            self.send_digest(peer, spread)
+
+    def _correct(self, record: MemberRecord, source: Peer) -> None:
+        """Send the newer record; agents are told only about themselves."""
+        held = self._table.get(record.member_id)
+        is_concerned = source.is_balancer or (
+            source.member_id == record.member_id
+        )
+        if held is not None and is_concerned:
+            self.dissemination.push_to(source, held)
--- /dev/null
+++ b/greengagepath/membership/homes.py
@@ -0,0 +1,55 @@
+"""What a balancer does for the agents that are linked to it."""
+
+from ..generated.messages import MemberRecord, Records
+from .overlay import rank_by_hash
+from .peers import Peer, PeerRole, PeerTable
+from .ports import NodePorts
+from .records import is_balancer
+from .table import MemberTable
+
+# Balancers that an agent is told of beyond its homes, to fall back on.
+SPARE_HOMES = 3
+
+
+class HomeDirectory:
+    """Tells agents which balancers come first as their homes."""
+
+    def __init__(
+        self,
+        table: MemberTable,
+        peers: PeerTable,
+        ports: NodePorts,
+        own: MemberRecord,
+    ) -> None:
+        self._table = table
+        self._peers = peers
+        self._ports = ports
+        self._zone = own.availability_zone
+        self._told_by_link: dict[int, list[tuple[str, int]]] = {}
+
+    def tell_all(self) -> None:
+        """Tell each agent what has changed for it."""
+        for peer in self._peers.with_role(PeerRole.AGENT):
+            self.tell(peer)
+
+    def tell(self, peer: Peer) -> None:
+        """Tell one agent its candidates, unless it knows them."""
+        candidates = self._candidates(peer.member_id)
+        told = [(entry.member_id, entry.incarnation) for entry in candidates]
+        if self._told_by_link.get(peer.link_id) != told:
+            self._told_by_link[peer.link_id] = told
+            self._ports.links.send(peer.link_id, Records(records=candidates))
+
+    def forget(self, link_id: int) -> None:
+        """Drop what was told on a link that has closed."""
+        self._told_by_link.pop(link_id, None)
+
+    def _candidates(self, agent_id: str) -> list[MemberRecord]:
+        balancers = {
+            record.member_id: record
+            for record in self._table.balancers()
+            if is_balancer(record) and record.availability_zone == self._zone
+        }
+        count = self._ports.limits.homes + SPARE_HOMES
+        ranked = rank_by_hash(agent_id, balancers)[:count]
+        return [balancers[member_id] for member_id in ranked]
--- /dev/null
+++ b/greengagepath/membership/overlay_links.py
@@ -0,0 +1,98 @@
+"""Keeps the links open that a balancer wants."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+from ..packets import Address
+from .peers import PeerTable
+from .ports import NodePorts
+
+# A link that is no longer wanted stays this long, because the views of
+# two balancers change at different moments.
+UNWANTED_S = 3.0
+FIRST_RETRY_S = 0.2
+MAX_DOUBLINGS = 6
+
+
+@dataclass(slots=True)
+class _Attempts:
+    """Connection attempts to one address since the last success."""
+
+    count: int = 0
+    next_s: float = 0
+    link_id: int | None = None
+
+
+class LinkKeeper:
+    """Connects to wanted addresses with jittered, growing pauses.
+
+    The number of attempts under way is the number of wanted addresses.
+    """
+
+    def __init__(self, peers: PeerTable, ports: NodePorts) -> None:
+        self._peers = peers
+        self._ports = ports
+        self._attempts_by_address: dict[Address, _Attempts] = {}
+
+    def adjust(self, addresses_by_member: Mapping[str, Address]) -> None:
+        """Open missing links to the wanted members, close unwanted ones.
+
+        Members that the caller does not know by id are keyed by any
+        unique text.
+        """
+        missing = {
+            address
+            for member_id, address in addresses_by_member.items()
+            if self._peers.by_member(member_id) is None
+        }
+        self._open(missing)
+        self._close_unwanted(addresses_by_member)
+
+    def failed(self, link_id: int) -> None:
+        """Note that an attempt failed or its link has closed."""
+        for attempts in self._attempts_by_address.values():
+            if attempts.link_id == link_id:
+                attempts.link_id = None
+
+    def succeeded(self, link_id: int) -> None:
+        """Note that the other side said Hello."""
+        for attempts in self._attempts_by_address.values():
+            if attempts.link_id == link_id:
+                attempts.count = 0
+
+    def failures(self, address: Address) -> int:
+        """Return the attempts since the last success."""
+        attempts = self._attempts_by_address.get(address)
+        return 0 if attempts is None else attempts.count
+
+    def _open(self, addresses: Iterable[Address]) -> None:
+        now_s = self._ports.timers.now()
+        wanted = frozenset(addresses)
+        for gone in self._attempts_by_address.keys() - wanted:
+            if self._attempts_by_address[gone].link_id is None:
+                self._attempts_by_address.pop(gone)
+        for address in sorted(wanted):
+            attempts = self._attempts_by_address.setdefault(
+                address, _Attempts()
+            )
+            if attempts.link_id is None and attempts.next_s <= now_s:
+                attempts.next_s = now_s + self._pause_s(attempts.count)
+                attempts.count += 1
+                attempts.link_id = self._ports.links.connect(address)
+
+    def _pause_s(self, count: int) -> float:
+        pause_s = FIRST_RETRY_S * 2 ** min(count, MAX_DOUBLINGS)
+        pause_s = min(pause_s, self._ports.limits.reconnect_max_s)
+        return pause_s * self._ports.random.uniform(0.5, 1)
+
+    def _close_unwanted(self, wanted_ids: Iterable[str]) -> None:
+        wanted = frozenset(wanted_ids)
+        now_s = self._ports.timers.now()
+        for peer in self._peers:
+            is_kept = not peer.outgoing or peer.member_id in wanted
+            if is_kept or not peer.is_balancer:
+                peer.unwanted_since_s = None
+            elif peer.unwanted_since_s is None:
+                peer.unwanted_since_s = now_s
+            elif now_s - peer.unwanted_since_s > UNWANTED_S:
+                self._ports.links.close(peer.link_id)
--- /dev/null
+++ b/greengagepath/membership/own_record.py
@@ -0,0 +1,73 @@
+"""The record that a process publishes of itself."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..generated.messages import MemberRecord
+from ..timers import TimerService
+from .records import order_of
+
+# Two processes with the same id refute each other without end; this
+# limits what that costs.
+MIN_REFUTATION_S = 0.5
+
+
+class OwnRecord:
+    """Raises the record version with each change and refutes others."""
+
+    def __init__(
+        self,
+        record: MemberRecord,
+        timers: TimerService,
+        on_change: Callable[[MemberRecord], None],
+    ) -> None:
+        self.record = record
+        self._timers = timers
+        self._on_change = on_change
+        self._claim: MemberRecord | None = None
+        self._refuted_s: float | None = None
+
+    @property
+    def member_id(self) -> str:
+        """The id of this process."""
+        return self.record.member_id
+
+    def update(self, **changes: object) -> None:
+        """Publish the changed fields, if they change anything."""
+        changed = msgspec.structs.replace(self.record, **changes)
+        if changed != self.record:
+            self._publish(changed, self.record.record_version + 1)
+
+    def dispute(self, claim: MemberRecord) -> None:
+        """Take note of what another process says of this one.
+
+        A claim that is newer than the own record, such as a suspicion,
+        is answered by a record that is newer still.
+        """
+        if order_of(claim) > order_of(self.record):
+            self._claim = claim
+            self.refute_pending()
+
+    def refute_pending(self) -> None:
+        """Refute the last claim, unless one was refuted just now."""
+        claim = self._claim
+        now_s = self._timers.now()
+        if claim is None or self._is_too_early(now_s):
+            return
+        self._claim = None
+        self._refuted_s = now_s
+        if order_of(claim) > order_of(self.record):
+            renewed = msgspec.structs.replace(
+                self.record, incarnation=claim.incarnation
+            )
+            self._publish(renewed, claim.record_version + 1)
+
+    def _is_too_early(self, now_s: float) -> bool:
+        if self._refuted_s is None:
+            return False
+        return now_s - self._refuted_s < MIN_REFUTATION_S
+
+    def _publish(self, record: MemberRecord, version: int) -> None:
+        self.record = msgspec.structs.replace(record, record_version=version)
+        self._on_change(self.record)
--- /dev/null
+++ b/greengagepath/membership/table.py
@@ -0,0 +1,240 @@
+"""Table of all members that a process knows of."""
+
+from collections.abc import Callable, Iterable, Mapping
+from enum import Enum, unique
+
+import msgspec
+
+from ..generated.messages import MemberKind, MemberRecord, MemberState
+from ..generated.settings import LimitSettings
+from ..routing.targets import TargetInfo
+from ..timers import TimerService
+from .records import (
+    BUCKETS,
+    bucket_of,
+    checksum_of,
+    is_balancer,
+    is_gone,
+    order_of,
+    target_of,
+)
+
+
+@unique
+class MergeOutcome(Enum):
+    """What became of an offered record."""
+
+    NEW = 'new'
+    UPDATED = 'updated'
+    # The table already holds exactly this record.
+    KNOWN = 'known'
+    # The table holds a newer record.
+    STALE = 'stale'
+    # The table is full, or the record is a tombstone of an unknown member.
+    REFUSED = 'refused'
+
+
+CHANGES = frozenset((MergeOutcome.NEW, MergeOutcome.UPDATED))
+
+
+class BucketChecksums:
+    """Exclusive-or of the checksums of the records in each bucket.
+
+    Tombstones do not count: one expires at a different moment at each
+    member, which would make equal tables differ for ever.
+    """
+
+    __slots__ = ('values_by_bucket',)
+
+    def __init__(self) -> None:
+        self.values_by_bucket = [0 for _ in range(BUCKETS)]
+
+    def toggle(self, record: MemberRecord) -> None:
+        """Add the record, or take it out again."""
+        if not is_gone(record):
+            bucket = bucket_of(record.member_id)
+            self.values_by_bucket[bucket] ^= checksum_of(record)
+
+
+class TargetView:
+    """How records of agents look to routing.
+
+    `drained_ids` are the targets that the configuration drains,
+    `unreachable_zones` those whose bridges are all silent.
+    """
+
+    def __init__(self) -> None:
+        self.drained_ids: frozenset[str] = frozenset()
+        self.unreachable_zones: frozenset[str] = frozenset()
+
+    def build(
+        self, records: Iterable[MemberRecord]
+    ) -> Mapping[int, tuple[TargetInfo, ...]]:
+        """Return the targets of each service, sorted by id."""
+        targets_by_service: dict[int, list[TargetInfo]] = {}
+        for record in sorted(records, key=lambda entry: entry.member_id):
+            if record.kind is MemberKind.agent and not is_gone(record):
+                target = self._describe(record)
+                targets = targets_by_service.setdefault(target.service, [])
+                targets.append(target)
+        return {
+            service: tuple(targets)
+            for service, targets in targets_by_service.items()
+        }
+
+    def _describe(self, record: MemberRecord) -> TargetInfo:
+        zone = record.availability_zone
+        return target_of(
+            record,
+            is_drained=record.member_id in self.drained_ids,
+            is_unreachable=zone in self.unreachable_zones,
+        )
+
+
+class MemberTable:
+    """Merges records by incarnation, record version and state.
+
+    Tombstones count against their own limit. `refused_records` counts
+    records that found the table full.
+    """
+
+    def __init__(self, limits: LimitSettings, timers: TimerService) -> None:
+        self._limits = limits
+        self._timers = timers
+        self._records_by_id: dict[str, MemberRecord] = {}
+        # Insertion order is order of death, so the oldest is first.
+        self._gone_since_by_id: dict[str, float] = {}
+        self._suspect_since_by_id: dict[str, float] = {}
+        self.checksums = BucketChecksums()
+        self.target_view = TargetView()
+        self.refused_records = 0
+        self.version = 0
+
+    def get(self, member_id: str) -> MemberRecord | None:
+        """Return the record of a member, tombstones included."""
+        return self._records_by_id.get(member_id)
+
+    def records(self) -> tuple[MemberRecord, ...]:
+        """Return all records, tombstones included."""
+        return tuple(self._records_by_id.values())
+
+    def balancers(self) -> list[MemberRecord]:
+        """Return the balancers that have not gone."""
+        return [
+            record
+            for record in self._records_by_id.values()
+            if is_balancer(record)
+        ]
+
+    def live_count(self) -> int:
+        """Return the number of members without tombstones."""
+        return len(self._records_by_id) - len(self._gone_since_by_id)
+
+    def merge(self, record: MemberRecord) -> MergeOutcome:
+        """Take the record if it is newer than the one held."""
+        held = self._records_by_id.get(record.member_id)
+        if held is None:
+            return self._insert(record)
+        if order_of(record) == order_of(held):
+            return MergeOutcome.KNOWN
+        if order_of(record) < order_of(held):
+            return MergeOutcome.STALE
+        self._store(record)
+        return MergeOutcome.UPDATED
+
+    def suspect(self, member_id: str) -> MemberRecord | None:
+        """Mark a member as suspect; return its record if that changed it."""
+        held = self._records_by_id.get(member_id)
+        if held is None or held.state not in _WATCHED_STATES:
+            return None
+        return self._replace_state(held, MemberState.suspect)
+
+    def expire(
+        self, may_judge: Callable[[MemberRecord], bool]
+    ) -> list[MemberRecord]:
+        """Turn overdue suspects into dead members and drop old tombstones.
+
+        Returns the records of the dead. Only suspects that `may_judge`
+        accepts are touched.
+        """
+        now_s = self._timers.now()
+        overdue = [
+            self._records_by_id[member_id]
+            for member_id, since_s in self._suspect_since_by_id.items()
+            if now_s - since_s >= self._limits.dead_after_s
+        ]
+        dead = [
+            self._replace_state(record, MemberState.dead)
+            for record in overdue
+            if may_judge(record)
+        ]
+        self._drop_tombstones(now_s)
+        return dead
+
+    def forget(self, member_ids: Iterable[str]) -> None:
+        """Drop members without a trace."""
+        for member_id in member_ids:
+            self._remove(member_id)
+
+    def records_in(self, buckets: Iterable[int]) -> list[MemberRecord]:
+        """Return the records in the buckets, tombstones included."""
+        wanted = frozenset(buckets)
+        return [
+            record
+            for record in self._records_by_id.values()
+            if bucket_of(record.member_id) in wanted
+        ]
+
+    def targets_by_service(self) -> Mapping[int, tuple[TargetInfo, ...]]:
+        """Return the targets of each service, sorted by id."""
+        return self.target_view.build(self._records_by_id.values())
+
+    def _insert(self, record: MemberRecord) -> MergeOutcome:
+        if is_gone(record):
+            return MergeOutcome.REFUSED
+        if self.live_count() >= self._limits.members:
+            self.refused_records += 1
+            return MergeOutcome.REFUSED
+        self._store(record)
+        return MergeOutcome.NEW
+
+    def _replace_state(
+        self, held: MemberRecord, state: MemberState
+    ) -> MemberRecord:
+        changed = msgspec.structs.replace(held, state=state)
+        self._store(changed)
+        return changed
+
+    def _store(self, record: MemberRecord) -> None:
+        member_id = record.member_id
+        self._remove(member_id)
+        self._records_by_id[member_id] = record
+        now_s = self._timers.now()
+        if is_gone(record):
+            self._gone_since_by_id[member_id] = now_s
+            return
+        self.checksums.toggle(record)
+        if record.state is MemberState.suspect:
+            self._suspect_since_by_id[member_id] = now_s
+
+    def _remove(self, member_id: str) -> None:
+        self.version += 1
+        held = self._records_by_id.pop(member_id, None)
+        if held is not None:
+            self.checksums.toggle(held)
+        self._gone_since_by_id.pop(member_id, None)
+        self._suspect_since_by_id.pop(member_id, None)
+
+    def _drop_tombstones(self, now_s: float) -> None:
+        excess = len(self._gone_since_by_id) - self._limits.tombstones
+        expired = [
+            member_id
+            for index, (member_id, since_s) in enumerate(
+                self._gone_since_by_id.items()
+            )
+            if index < excess or now_s - since_s > self._limits.tombstone_s
+        ]
+        self.forget(expired)
+
+
+_WATCHED_STATES = (MemberState.alive, MemberState.draining)
--- /dev/null
+++ b/greengagepath/membership/views.py
@@ -0,0 +1,188 @@
+"""What a balancer derives from its table, and when it looks again."""
+
+from collections.abc import Callable, Mapping
+
+from ..object_api import ObjectKind, ObjectOutcome
+from ..packets import Address
+from ..routing.targets import TargetInfo
+from ..timers import Timer
+from .bridge import addresses_of, unreachable_zones
+from .overlay import overlay_peers, predecessor
+from .own_record import OwnRecord
+from .ports import NodePorts
+from .table import MemberTable
+
+# Changes of the target set are reported together after this time.
+REPORT_S = 0.05
+# How long a new balancer asks only one neighbour for its records.
+FIRST_SYNC_S = 2.0
+# A zone counts as unreachable only after this time, so that a bridge
+# that is replaced does not change the state of its targets.
+UNREACHABLE_S = 5.0
+# Pauses between reads of the seed while no balancer answers. They grow,
+# so that a fleet that starts together stays under the object API's rate.
+FIRST_SEED_RETRY_S = 0.5
+MAX_SEED_RETRY_S = 8.0
+
+OnTargets = Callable[[Mapping[int, tuple[TargetInfo, ...]]], None]
+
+
+class FirstSync:
+    """Spreads a new balancer's first comparisons over its links.
+
+    Without it each neighbour would send the whole table at once.
+    """
+
+    def __init__(self, ports: NodePorts) -> None:
+        self._ports = ports
+        self._started_s: float | None = None
+        self._count = 0
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the first neighbour's records are still coming in."""
+        if self._started_s is None:
+            return False
+        return self._ports.timers.now() - self._started_s < FIRST_SYNC_S
+
+    def delay(self, send_digest: Callable[[], None]) -> None:
+        """Compare with the first neighbour now, with others later."""
+        if self._started_s is None:
+            self._started_s = self._ports.timers.now()
+            send_digest()
+            return
+        wait_s = FIRST_SYNC_S * self._ports.random.uniform(1, 2)
+        self._ports.timers.call_after(wait_s, send_digest)
+
+
+class OverlayView:
+    """The overlay among the living balancers of the own zone."""
+
+    def __init__(
+        self, own: OwnRecord, table: MemberTable, ports: NodePorts
+    ) -> None:
+        self._own = own
+        self._table = table
+        self._degree = ports.limits.overlay_degree
+        self._seen_version = -1
+        self._ids: frozenset[str] = frozenset()
+        self._wanted: frozenset[str] = frozenset()
+
+    def zone_balancer_ids(self) -> frozenset[str]:
+        """Return the balancers of the zone, this one included."""
+        self._refresh()
+        return self._ids
+
+    def watched(self) -> frozenset[str]:
+        """Return the balancers whose silence this one notices."""
+        others = self.zone_balancer_ids() - {self._own.member_id}
+        if not others:
+            return frozenset()
+        return self._wanted | {predecessor(self._own.member_id, others)}
+
+    def wanted_links(self) -> dict[str, Address]:
+        """Return the balancers to link to, by member id."""
+        self._refresh()
+        records = [self._table.get(entry) for entry in self._wanted]
+        return {
+            record.member_id: (record.host, record.control_port)
+            for record in records
+            if record is not None
+        }
+
+    def _refresh(self) -> None:
+        if self._seen_version == self._table.version:
+            return
+        self._seen_version = self._table.version
+        zone = self._own.record.availability_zone
+        ids = frozenset(
+            record.member_id
+            for record in self._table.balancers()
+            if record.availability_zone == zone
+        )
+        if ids != self._ids:
+            self._ids = ids
+            self._wanted = overlay_peers(self._own.member_id, ids, self._degree)
+
+
+class ZoneWatch:
+    """Marks zones as unreachable after `UNREACHABLE_S` without a link."""
+
+    def __init__(
+        self, own: OwnRecord, table: MemberTable, ports: NodePorts
+    ) -> None:
+        self._own = own
+        self._table = table
+        self._timers = ports.timers
+        self._silent_since_by_zone: dict[str, float] = {}
+
+    def step(self) -> bool:
+        """Return whether the set of unreachable zones has changed."""
+        now_s = self._timers.now()
+        silent = unreachable_zones(self._own.record, self._table)
+        self._silent_since_by_zone = {
+            zone: self._silent_since_by_zone.get(zone, now_s) for zone in silent
+        }
+        overdue = frozenset(
+            zone
+            for zone, since_s in self._silent_since_by_zone.items()
+            if now_s - since_s >= UNREACHABLE_S
+        )
+        view = self._table.target_view
+        is_changed = overdue != view.unreachable_zones
+        view.unreachable_zones = overdue
+        return is_changed
+
+
+class SeedReader:
+    """Reads the seed of a zone until a balancer in it answers."""
+
+    def __init__(self, zone: str, ports: NodePorts) -> None:
+        self._zone = zone
+        self._ports = ports
+        self._addresses: list[Address] = []
+        self._next_s = 0.0
+        self._pause_s = FIRST_SEED_RETRY_S
+
+    def addresses(self) -> list[Address]:
+        """Return what is known; read again if it is time to."""
+        now_s = self._ports.timers.now()
+        if now_s >= self._next_s:
+            jitter = self._ports.random.uniform(0.5, 1)
+            self._next_s = now_s + self._pause_s * jitter
+            self._pause_s = min(self._pause_s * 2, MAX_SEED_RETRY_S)
+            self._ports.store.read(ObjectKind.SEED, self._zone, self._learn)
+        return self._addresses
+
+    def rest(self) -> None:
+        """Start with a short pause the next time."""
+        self._pause_s = FIRST_SEED_RETRY_S
+
+    def _learn(self, outcome: ObjectOutcome) -> None:
+        if outcome.is_ok():
+            self._addresses = addresses_of(outcome.unwrap().body)
+
+
+class TargetReport:
+    """Tells routing of changed targets, several changes at a time."""
+
+    def __init__(
+        self, table: MemberTable, ports: NodePorts, on_targets: OnTargets
+    ) -> None:
+        self._table = table
+        self._timers = ports.timers
+        self._on_targets = on_targets
+        self._timer: Timer | None = None
+        self._last: Mapping[int, tuple[TargetInfo, ...]] = {}
+
+    def schedule(self) -> None:
+        """Report within `REPORT_S`."""
+        if self._timer is None:
+            self._timer = self._timers.call_after(REPORT_S, self._send)
+
+    def _send(self) -> None:
+        self._timer = None
+        targets = self._table.targets_by_service()
+        if targets != self._last:
+            self._last = targets
+            self._on_targets(targets)
