Add the commands of the tool

Cause: operators need init, check, apply, status, drain, undrain, call, report, demo and bench in one tool. Conclusion: against a stand-in object API and balancer over a real control link, a lost answer is no conflict, a second operator gets exit code 3 with the differences, drained targets survive an apply, and a balancer that keeps its version is named with exit code 5. The completion script is printed unwrapped, because cappa breaks it at the width of the terminal.

--- /dev/null
+++ b/greengagepath/__main__.py
@@ -0,0 +1,12 @@
+"""Entry point of the tool `greengagepath`."""
+
+from .cli.tool import run_tool
+
+
+def main() -> None:
+    """Run the command line and end with its exit code."""
+    raise SystemExit(int(run_tool()))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/greengagepath/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the tool, one for each module."""
--- /dev/null
+++ b/greengagepath/cli/apply.py
@@ -0,0 +1,140 @@
+"""`apply`: bring a configuration file into force."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+from result import Err, Ok
+
+from ..configuration.files import (
+    ConfigurationFile,
+    compute_digest,
+    format_configuration,
+    load_configuration,
+    update_base,
+)
+from ..configuration.rollout import ChangePlan, plan_file
+from ..exit_codes import ExitCode
+from ..output.console import make_console, print_error, print_problems
+from .changes import (
+    ChangeOptions,
+    report_conflict,
+    report_plan,
+    run_plan,
+)
+from .connections import Connections, open_connections
+from .options import (
+    DEFAULT_SETTINGS,
+    DEFAULT_WAIT_S,
+    JsonOption,
+    SettingsOption,
+    WaitOption,
+)
+
+
+@cappa.command(
+    help='Bring a configuration file into force on every balancer.',
+    description="""
+Shows the difference, writes it only if nobody has changed the
+configuration since the file was made, and waits until every balancer
+has it or says which has not. Drained targets are kept, see `drain`.
+Exit codes: 2 bad file, 3 conflict, 4 unreachable, 5 not in force in
+time.
+
+Examples:
+
+- `greengagepath apply configuration.toml --dry-run`
+- `greengagepath apply configuration.toml`
+- `greengagepath apply --fetch configuration.toml`
+""",
+)
+@dataclass
+class Apply:
+    """Options of `apply`."""
+
+    path: Annotated[
+        Path, cappa.Arg(value_name='FILE', help='Configuration file.')
+    ]
+    settings: SettingsOption = DEFAULT_SETTINGS
+    dry_run: Annotated[
+        bool, cappa.Arg(long=True, help='Only show the difference.')
+    ] = False
+    fetch: Annotated[
+        bool,
+        cappa.Arg(
+            long=True,
+            help='Write the stored configuration to FILE and end.',
+        ),
+    ] = False
+    base_version: Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            value_name='VERSION',
+            help='Apply over this version, whatever the file was made from.',
+        ),
+    ] = None
+    wait_s: WaitOption = DEFAULT_WAIT_S
+    as_json: JsonOption = False
+
+    def __call__(self) -> ExitCode:
+        """Run the command."""
+        with open_connections(self.settings) as opened:
+            match opened:
+                case Ok(connections):
+                    return self._run(connections)
+                case Err(problems):
+                    print_problems(problems)
+        return ExitCode.BAD_USAGE
+
+    def _run(self, connections: Connections) -> ExitCode:
+        if self.fetch:
+            return fetch_configuration(connections, self.path)
+        match load_configuration(self.path):
+            case Ok(content):
+                return self._apply(connections, content)
+            case Err(problems):
+                print_problems(problems)
+        return ExitCode.BAD_USAGE
+
+    def _apply(
+        self, connections: Connections, content: ConfigurationFile
+    ) -> ExitCode:
+        stored = connections.store.read()
+        if isinstance(stored, Err):
+            print_error(
+                f'the object API cannot be read: {stored.err_value}',
+                'nothing was changed; balancers keep what is in force',
+            )
+            return ExitCode.UNREACHABLE
+        planned = plan_file(stored.ok_value, content, self.base_version)
+        if isinstance(planned, Err):
+            report_conflict(planned.err_value, as_json=self.as_json)
+            return ExitCode.CONFLICT
+        return self._finish(connections, planned.ok_value)
+
+    def _finish(self, connections: Connections, plan: ChangePlan) -> ExitCode:
+        if self.dry_run:
+            report_plan(plan, as_json=self.as_json)
+            return ExitCode.OK
+        options = ChangeOptions(self.wait_s, self.as_json)
+        code = run_plan(connections, plan, options)
+        if code in {ExitCode.OK, ExitCode.TIMEOUT}:
+            update_base(self.path, compute_digest(plan.wanted.services))
+        return code
+
+
+def fetch_configuration(connections: Connections, path: Path) -> ExitCode:
+    """Write the stored configuration to a file."""
+    match connections.store.read():
+        case Ok(stored):
+            services = stored.configuration.services
+            base = compute_digest(services)
+            path.write_text(format_configuration(services, base))
+            version = stored.configuration.version
+            make_console().print(f'{path}: version {version}', markup=False)
+            return ExitCode.OK
+        case Err(reason):
+            print_error(f'the object API cannot be read: {reason}')
+    return ExitCode.UNREACHABLE
--- /dev/null
+++ b/greengagepath/cli/call.py
@@ -0,0 +1,209 @@
+"""`call`: one request through the system, as a caller sends it."""
+
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+from result import Err, Ok, Result
+
+from ..call_types import CallError, CallErrorKind, ServiceAddress
+from ..client import Client
+from ..configuration.files import load_configuration
+from ..exit_codes import ExitCode
+from ..generated.messages import Answer, Operation, Service, SizeClass
+from ..output.console import print_error, print_json, print_problems
+from ..packets import SizeCode
+from .connections import open_connections
+from .options import (
+    DEFAULT_SETTINGS,
+    ConfigurationOption,
+    JsonOption,
+    SettingsOption,
+)
+
+MS_PER_S = 1000
+_FIRST_ERROR_STATUS = 400
+_SIZE_CODES = {
+    SizeClass.unknown: SizeCode.UNKNOWN,
+    SizeClass.short: SizeCode.SHORT,
+    SizeClass.long: SizeCode.LONG,
+}
+_EXIT_CODES = {
+    CallErrorKind.DEADLINE: ExitCode.TIMEOUT,
+    CallErrorKind.UNREACHABLE: ExitCode.UNREACHABLE,
+}
+
+
+@cappa.command(
+    help='Send one request to a service and print the answer.',
+    description="""
+Method, deadline and whether the request may run twice come from the
+operation in the configuration. The body of the answer goes to the
+standard output. Exit codes: 1 refused or failed, 4 unreachable,
+5 deadline.
+
+Examples:
+
+- `greengagepath call licence-core status-check /status/1047 --customer
+  fremantle-taxis`
+- `greengagepath call order-desk stamping-order --customer taipei-shops
+  --data order.json`
+""",
+)
+@dataclass
+class Call:
+    """Options of `call`."""
+
+    service: Annotated[str, cappa.Arg(value_name='SERVICE', help='Its name.')]
+    operation: Annotated[
+        str, cappa.Arg(value_name='OPERATION', help='Its name.')
+    ]
+    path: Annotated[
+        str | None,
+        cappa.Arg(value_name='PATH', help='Path; else the path prefix.'),
+    ] = None
+    customer: Annotated[
+        str | None,
+        cappa.Arg(long=True, value_name='NAME', help='Else the first one.'),
+    ] = None
+    body_path: Annotated[
+        Path | None,
+        cappa.Arg(long='--data', value_name='FILE', help='Request body.'),
+    ] = None
+    deadline_ms: Annotated[
+        int | None,
+        cappa.Arg(long=True, value_name='MS', help='Else the operation says.'),
+    ] = None
+    configuration: ConfigurationOption = None
+    settings: SettingsOption = DEFAULT_SETTINGS
+    as_json: JsonOption = False
+
+    def __call__(self) -> ExitCode:
+        """Run the command."""
+        match load_services(self.configuration, self.settings):
+            case Ok(services):
+                return self._choose(services)
+            case Err(code):
+                return code
+        return ExitCode.FAILURE
+
+    def _choose(self, services: list[Service]) -> ExitCode:
+        service = _find(services, self.service, 'service')
+        if service is None:
+            return ExitCode.BAD_USAGE
+        operation = _find(service.operations, self.operation, 'operation')
+        customer = service.customers[0]
+        if self.customer is not None:
+            customer = _find(service.customers, self.customer, 'customer')
+        if operation is None or customer is None:
+            return ExitCode.BAD_USAGE
+        return self._call(service, operation, customer.customer_id)
+
+    def _call(
+        self, service: Service, operation: Operation, customer_id: int
+    ) -> ExitCode:
+        client = Client()
+        request = client.create_request(
+            customer_id,
+            operation.method,
+            self.path or operation.path_prefix,
+            operation=operation.name,
+            idempotent=operation.idempotent,
+            size_code=_SIZE_CODES[operation.size_class],
+            body=self.body_path.read_bytes() if self.body_path else b'',
+        )
+        address = ServiceAddress(
+            service.service_id, (service.host, service.port)
+        )
+        deadline_ms = self.deadline_ms or operation.deadline_ms
+        outcome = client.call(address, request, deadline_ms / MS_PER_S)
+        client.close()
+        return self._report(outcome, request.request_id)
+
+    def _report(
+        self, outcome: Result[Answer, CallError], request_id: bytes
+    ) -> ExitCode:
+        match outcome:
+            case Ok(answer):
+                return _report_answer(answer, as_json=self.as_json)
+            case Err(failure):
+                return _report_failure(failure, request_id)
+        return ExitCode.FAILURE
+
+
+def load_services(
+    configuration: Path | None, settings: Path
+) -> Result[list[Service], ExitCode]:
+    """Return services from a file or the object API.
+
+    What is wrong has been printed when the exit code is returned.
+    """
+    if configuration is not None:
+        match load_configuration(configuration):
+            case Ok(content):
+                return Ok(content.services)
+            case Err(problems):
+                print_problems(problems)
+                return Err(ExitCode.BAD_USAGE)
+    with open_connections(settings) as opened:
+        match opened:
+            case Ok(connections):
+                return (
+                    connections.store.read()
+                    .map(_list_services)
+                    .map_err(_report_unreadable)
+                )
+            case Err(problems):
+                print_problems(problems)
+    return Err(ExitCode.BAD_USAGE)
+
+
+def _list_services(stored) -> list[Service]:
+    return stored.configuration.services
+
+
+def _report_unreadable(reason: str) -> ExitCode:
+    advice = 'name a configuration file with --configuration'
+    print_error(f'the object API cannot be read: {reason}', advice)
+    return ExitCode.UNREACHABLE
+
+
+def _find(entries, name: str, kind: str):
+    for entry in entries:
+        if entry.name == name:
+            return entry
+    names = ', '.join(known.name for known in entries)
+    print_error(f'no {kind} is named {name}', f'there are: {names}')
+    return None
+
+
+def _report_answer(answer: Answer, *, as_json: bool) -> ExitCode:
+    if as_json:
+        print_json(
+            {
+                'status': answer.status,
+                'headers': answer.headers,
+                'bytes': len(answer.body),
+                'target': answer.target_id,
+                'request_id': answer.request_id.hex(),
+            }
+        )
+    else:
+        sys.stdout.buffer.write(answer.body)
+        sys.stdout.buffer.flush()
+    if answer.status < _FIRST_ERROR_STATUS:
+        return ExitCode.OK
+    print_error(f'the service answered with status {answer.status}')
+    return ExitCode.FAILURE
+
+
+def _report_failure(failure: CallError, request_id: bytes) -> ExitCode:
+    reason = failure.reason or failure.kind
+    verdict = 'did not run' if failure.not_run else 'may have run'
+    print_error(
+        f'{reason}: the request {verdict}',
+        f'its request_id in the logs is {request_id.hex()}',
+    )
+    return _EXIT_CODES.get(failure.kind, ExitCode.FAILURE)
--- /dev/null
+++ b/greengagepath/cli/draining.py
@@ -0,0 +1,125 @@
+"""What `drain` and `undrain` share."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from result import Err, Ok, Result
+
+from ..configuration.rollout import (
+    StoredConfiguration,
+    StoreUnreachable,
+    UnknownName,
+    plan_drain,
+)
+from ..exit_codes import ExitCode
+from ..generated.messages import MemberKind, Service
+from ..output.console import print_error, print_problems
+from .changes import ChangeOptions, run_plan
+from .connections import Connections, open_connections
+
+
+@dataclass(slots=True, frozen=True)
+class DrainRequest:
+    """Targets to drain or take back."""
+
+    targets: tuple[str, ...]
+    service: str | None
+    drained: bool
+
+
+def run_drain(
+    path: Path, request: DrainRequest, options: ChangeOptions
+) -> ExitCode:
+    """Change the drained targets of a service and wait."""
+    with open_connections(path) as opened:
+        match opened:
+            case Ok(connections):
+                return _change(connections, request, options)
+            case Err(problems):
+                print_problems(problems)
+    return ExitCode.BAD_USAGE
+
+
+def _change(
+    connections: Connections, request: DrainRequest, options: ChangeOptions
+) -> ExitCode:
+    stored = connections.store.read()
+    if isinstance(stored, Err):
+        print_error(f'the object API cannot be read: {stored.err_value}')
+        return ExitCode.UNREACHABLE
+    planned = find_service(connections, stored.ok_value, request).and_then(
+        lambda service: plan_drain(
+            stored.ok_value,
+            service.service_id,
+            request.targets,
+            drained=request.drained,
+        )
+    )
+    match planned:
+        case Ok(plan):
+            return run_plan(connections, plan, options)
+        case Err(UnknownName(message)):
+            print_error(message, 'see `greengagepath status --json`')
+            return ExitCode.BAD_USAGE
+        case Err(failure):
+            print_error(failure.reason, 'name the service with --service')
+    return ExitCode.UNREACHABLE
+
+
+def find_service(
+    connections: Connections,
+    stored: StoredConfiguration,
+    request: DrainRequest,
+) -> Result[Service, UnknownName | StoreUnreachable]:
+    """Return the one service that all targets belong to."""
+    services = stored.configuration.services
+    if request.service is not None:
+        return _find_by_name(services, request.service)
+    held = _find_by_drained(services, request.targets)
+    if held is not None:
+        return Ok(held)
+    return _find_by_records(connections, services, request.targets)
+
+
+def _find_by_name(
+    services: list[Service], name: str
+) -> Result[Service, UnknownName]:
+    for service in services:
+        if service.name == name:
+            return Ok(service)
+    names = ', '.join(entry.name for entry in services)
+    return Err(UnknownName(f'no service is named {name}, only {names}'))
+
+
+def _find_by_drained(
+    services: list[Service], targets: tuple[str, ...]
+) -> Service | None:
+    for service in services:
+        if set(targets) <= set(service.drained_targets):
+            return service
+    return None
+
+
+def _find_by_records(
+    connections: Connections,
+    services: list[Service],
+    targets: tuple[str, ...],
+) -> Result[Service, UnknownName | StoreUnreachable]:
+    reply = connections.query_any()
+    if isinstance(reply, Err):
+        return Err(StoreUnreachable(reply.err_value))
+    ids_by_target = {
+        record.member_id: record.service_id
+        for record in reply.ok_value.records
+        if record.kind == MemberKind.agent
+    }
+    unknown = [name for name in targets if name not in ids_by_target]
+    if unknown:
+        return Err(UnknownName(f'no target is named {", ".join(unknown)}'))
+    service_ids = {ids_by_target[name] for name in targets}
+    if len(service_ids) > 1:
+        return Err(UnknownName('the targets belong to several services'))
+    for service in services:
+        if service.service_id in service_ids:
+            return Ok(service)
+    return Err(UnknownName('the service of the targets is not configured'))
--- /dev/null
+++ b/greengagepath/cli/init.py
@@ -0,0 +1,135 @@
+"""`init`: from answers about a service to its configuration."""
+
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import msgspec
+import tomli_w
+from result import Err, Ok, Result
+
+from ..configuration.derivation import derive_services
+from ..configuration.explanations import explain_derived_values
+from ..configuration.files import format_configuration
+from ..configuration.questionnaire import (
+    find_contradictory_answers,
+    load_answers,
+)
+from ..exit_codes import ExitCode
+from ..generated.questionnaire import Answers
+from ..output.console import make_console, print_error, print_problems
+from ..validation import locate_keys
+from .options import DEFAULT_CONFIGURATION
+from .prompts import Cancelled, ask_answers
+
+
+@cappa.command(
+    help='Generate a configuration from answers about your services.',
+    description="""
+Without `--answers` the questions are asked on the terminal. Every
+derived value is explained, on the terminal and in the file.
+
+Examples:
+
+- `greengagepath init`
+- `greengagepath init --answers examples/cooperative.answers.toml`
+- `greengagepath init --save-answers team.answers.toml`
+""",
+)
+@dataclass
+class Init:
+    """Options of `init`."""
+
+    answers: Annotated[
+        Path | None,
+        cappa.Arg(
+            short=True,
+            long=True,
+            value_name='FILE',
+            help='Answers in TOML; asked on the terminal if left out.',
+        ),
+    ] = None
+    output: Annotated[
+        Path,
+        cappa.Arg(
+            short=True,
+            long=True,
+            value_name='FILE',
+            help='Configuration file to write.',
+        ),
+    ] = DEFAULT_CONFIGURATION
+    save_answers: Annotated[
+        Path | None,
+        cappa.Arg(
+            long=True,
+            value_name='FILE',
+            help='Also keep the answers, to change and use them again.',
+        ),
+    ] = None
+    force: Annotated[
+        bool, cappa.Arg(long=True, help='Overwrite files that exist.')
+    ] = False
+
+    def __call__(self) -> ExitCode:
+        """Run the command."""
+        for path in (self.output, self.save_answers):
+            if path is not None and path.exists() and not self.force:
+                print_error(f'{path} exists', 'use --force to overwrite it')
+                return ExitCode.BAD_USAGE
+        match self._find_answers():
+            case Ok(answers):
+                self._write(answers)
+                return ExitCode.OK
+            case Err(problems):
+                print_problems(problems)
+        return ExitCode.BAD_USAGE
+
+    def _find_answers(self) -> Result[Answers, list[object]]:
+        if self.answers is not None:
+            return load_answers(self.answers)
+        if not sys.stdin.isatty():
+            return Err(['no terminal to ask on; use --answers FILE'])
+        try:
+            return check_answers(ask_answers())
+        except Cancelled:
+            return Err(['cancelled, nothing was written'])
+
+    def _write(self, answers: Answers) -> None:
+        services = derive_services(answers)
+        notes = explain_derived_values(answers)
+        text = format_configuration(services, notes_by_key=notes)
+        self.output.write_text(text, encoding='utf-8')
+        if self.save_answers is not None:
+            saved = tomli_w.dumps(msgspec.to_builtins(answers))
+            self.save_answers.write_text(saved, encoding='utf-8')
+        console = make_console()
+        console.print(_render_notes(text, notes), markup=False)
+        console.print(
+            f'{self.output} is written; next: greengagepath apply'
+            f' {self.output} --dry-run',
+            markup=False,
+        )
+
+
+def check_answers(answers: Answers) -> Result[Answers, list[object]]:
+    """Return answers given on the terminal, or each contradiction."""
+    problems: list[object] = [
+        f'{key} = {found}: allowed: {allowed}'
+        for key, found, allowed in find_contradictory_answers(answers)
+    ]
+    return Err(problems) if problems else Ok(answers)
+
+
+def _render_notes(text: str, notes: dict[str, str]) -> str:
+    lines = text.splitlines()
+    lines_by_key = locate_keys(text)
+    shown = ['derived values:']
+    for key, note in notes.items():
+        number = lines_by_key.get(key)
+        if number is not None:
+            entry = lines[number - 1].partition('=')[2].strip()
+            shown.append(f'  {key} = {entry}')
+            shown.append(f'      {note}')
+    return '\n'.join(shown)
--- /dev/null
+++ b/greengagepath/cli/prompts.py
@@ -0,0 +1,109 @@
+"""Questions on the terminal, made from the schema of the answers."""
+
+from typing import Any
+
+import questionary
+from msgspec import NODEFAULT, convert, inspect
+
+from ..generated.questionnaire import Answers
+from ..type_checks import check_value
+from ..type_words import describe_type
+
+_QUESTIONS_BY_FIELD = {
+    'deployment': 'Name of the deployment',
+    'customers': 'customer, whose traffic gets a fair share',
+    'services': 'service, behind one address',
+    'operations': 'operation of the service',
+}
+
+
+class Cancelled(Exception):  # noqa: N818
+    """The operator has left the questionnaire."""
+
+
+def ask_answers() -> Answers:
+    """Ask all questions; raises `Cancelled` on Ctrl-C."""
+    asked = _ask_struct(inspect.type_info(Answers), '')
+    return convert(asked, Answers)
+
+
+def parse_answer(text: str, schema: inspect.Type) -> object:
+    """Return the typed value of a text answer, or the text itself."""
+    plain = schema.type if isinstance(schema, inspect.Metadata) else schema
+    try:
+        if isinstance(plain, inspect.IntType):
+            return int(text)
+        if isinstance(plain, inspect.FloatType):
+            return float(text)
+    except ValueError:
+        return text
+    return text
+
+
+def validate_answer(text: str, schema: inspect.Type) -> bool | str:
+    """Return whether the text can be used, or what can be."""
+    found = parse_answer(text, schema)
+    if any(check_value(found, schema, 'answer')):
+        return f'allowed: {describe_type(schema)}'
+    return True
+
+
+def _ask_struct(schema: inspect.Type, prefix: str) -> dict[str, Any]:
+    answers: dict[str, Any] = {}
+    for field in schema.fields:
+        name = field.encode_name
+        if isinstance(_plain(field.type), inspect.ListType):
+            answers[name] = _ask_list(field, f'{prefix}{name}')
+        else:
+            answers[name] = _ask_field(field, f'{prefix}{name}')
+    return answers
+
+
+def _ask_list(field: inspect.Field, key: str) -> list[dict[str, Any]]:
+    entries: list[dict[str, Any]] = []
+    item_schema = _plain(_plain(field.type).item_type)
+    subject = _QUESTIONS_BY_FIELD.get(field.encode_name, field.encode_name)
+    while not entries or _ask(questionary.confirm(f'Another {subject}?')):
+        questionary.print(f'{len(entries) + 1}. {subject}')
+        entries.append(_ask_struct(item_schema, f'{key}[{len(entries)}].'))
+    return entries
+
+
+def _ask_field(field: inspect.Field, key: str) -> object:
+    schema = field.type
+    plain = _plain(schema)
+    has_default = field.default is not NODEFAULT
+    default = field.default if has_default else None
+    message = f'{key}: {_describe(schema, field.encode_name)}'
+    if isinstance(plain, inspect.BoolType):
+        return _ask(questionary.confirm(message, default=bool(default)))
+    if isinstance(plain, inspect.EnumType):
+        choices = [str(entry.value) for entry in plain.cls]
+        return _ask(questionary.select(message, choices=choices))
+    text = _ask(
+        questionary.text(
+            message,
+            default='' if default is None else str(default),
+            validate=lambda entered: validate_answer(entered, schema),
+        )
+    )
+    return parse_answer(text, schema)
+
+
+def _ask(question: questionary.Question) -> Any:
+    answer = question.ask()
+    if answer is None:
+        raise Cancelled
+    return answer
+
+
+def _plain(schema: inspect.Type) -> Any:
+    return schema.type if isinstance(schema, inspect.Metadata) else schema
+
+
+def _describe(schema: inspect.Type, name: str) -> str:
+    extra: dict[str, Any] = {}
+    if isinstance(schema, inspect.Metadata):
+        extra = schema.extra_json_schema or {}
+    fallback = _QUESTIONS_BY_FIELD.get(name, name.replace('_', ' '))
+    return str(extra.get('description', fallback))
--- /dev/null
+++ b/greengagepath/cli/report.py
@@ -0,0 +1,173 @@
+"""`report`: service-level burn and the four measures."""
+
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Annotated
+
+import cappa
+import msgspec
+from result import Err, Ok, Result
+
+from ..exit_codes import ExitCode
+from ..generated.messages import Service
+from ..outcomes import (
+    RequestOutcome,
+    measure_outcomes,
+    read_outcomes,
+    tally_outcomes,
+)
+from ..output.burn import BurnReport, render_report
+from ..output.console import (
+    make_console,
+    print_error,
+    print_json,
+    print_problems,
+)
+from ..output.html_report import render_html
+from ..scrapes import (
+    Snapshot,
+    append_snapshots,
+    read_snapshots,
+    scrape,
+    tally_snapshots,
+)
+from ..slo import Tally, collect_objectives, compute_burn, compute_series
+from .call import load_services
+from .options import (
+    DEFAULT_SETTINGS,
+    ConfigurationOption,
+    JsonOption,
+    SettingsOption,
+)
+
+DEFAULT_HISTORY = Path('burn-history.jsonl')
+
+
+@cappa.command(
+    help='Show service-level burn for each service and customer.',
+    description="""
+Input are files of request outcomes in JSON lines, or `/metrics` of
+daemons; each scrape is added to a history, because windows need
+earlier totals. Run it every minute or so. Imbalance, head-of-line
+blocking and the peak need files of outcomes.
+
+Examples:
+
+- `greengagepath report outcomes.jsonl --html burn.html`
+- `greengagepath report --metrics http://10.0.0.7:9100/metrics`
+""",
+)
+@dataclass
+class Report:
+    """Options of `report`."""
+
+    files: Annotated[
+        list[Path],
+        cappa.Arg(
+            value_name='FILE',
+            num_args=-1,
+            help='Outcomes: time, service, customer, operation, outcome,'
+            ' latency_ms and target.',
+        ),
+    ] = field(default_factory=list)
+    urls: Annotated[
+        list[str],
+        cappa.Arg(
+            long='--metrics',
+            value_name='URL',
+            help='Scrape this daemon; repeat for more.',
+        ),
+    ] = field(default_factory=list)
+    history: Annotated[
+        Path,
+        cappa.Arg(long=True, value_name='FILE', help='Earlier scrapes.'),
+    ] = DEFAULT_HISTORY
+    html: Annotated[
+        Path | None,
+        cappa.Arg(long=True, value_name='FILE', help='Also write a page.'),
+    ] = None
+    configuration: ConfigurationOption = None
+    settings: SettingsOption = DEFAULT_SETTINGS
+    as_json: JsonOption = False
+
+    def __call__(self) -> ExitCode:
+        """Run the command."""
+        if not self.files and not self.urls:
+            print_error('no input', 'name files of outcomes or --metrics URL')
+            return ExitCode.BAD_USAGE
+        match load_services(self.configuration, self.settings):
+            case Ok(services):
+                return self._run(services)
+            case Err(code):
+                return code
+        return ExitCode.FAILURE
+
+    def _run(self, services: list[Service]) -> ExitCode:
+        outcomes: list[RequestOutcome] = []
+        for path in self.files:
+            match read_outcomes(path):
+                case Ok(found):
+                    outcomes.extend(found)
+                case Err(errors):
+                    print_problems(errors)
+                    return ExitCode.BAD_USAGE
+        snapshots: list[Snapshot] = []
+        if self.urls:
+            match scrape_all(self.urls, self.history):
+                case Ok(found):
+                    snapshots = found
+                case Err(reasons):
+                    print_problems(reasons)
+                    return ExitCode.UNREACHABLE
+        self._show(make_report(services, outcomes, snapshots))
+        return ExitCode.OK
+
+    def _show(self, report: BurnReport) -> None:
+        if self.as_json:
+            print_json(msgspec.to_builtins(report, str_keys=True))
+        else:
+            make_console().print(render_report(report))
+        if self.html is not None:
+            self.html.write_text(render_html(report), encoding='utf-8')
+
+
+def scrape_all(
+    urls: list[str], history: Path
+) -> Result[list[Snapshot], list[str]]:
+    """Scrape daemons and return their whole history.
+
+    A daemon that does not answer is named and left out; the error is
+    that none has answered, or that the history cannot be read.
+    """
+    held = read_snapshots(history)
+    if isinstance(held, Err):
+        return Err([held.err_value])
+    scraped = [scrape(url) for url in urls]
+    reasons = [found.err_value for found in scraped if isinstance(found, Err)]
+    fresh = [found.ok_value for found in scraped if isinstance(found, Ok)]
+    if not fresh:
+        return Err(reasons)
+    print_problems(reasons)
+    append_snapshots(history, fresh)
+    earlier = [entry for entry in held.ok_value if entry.source in urls]
+    return Ok(earlier + fresh)
+
+
+def make_report(
+    services: list[Service],
+    outcomes: list[RequestOutcome],
+    snapshots: list[Snapshot],
+) -> BurnReport:
+    """Return the report; windows end at the last request or scrape."""
+    objectives = collect_objectives(services)
+    tallies: list[Tally] = tally_outcomes(outcomes, objectives)
+    tallies.extend(tally_snapshots(snapshots, objectives))
+    moments = [entry.time for entry in (*outcomes, *snapshots)]
+    now_s = max(moments, default=time.time())
+    return BurnReport(
+        now_s=now_s,
+        burn=compute_burn(tallies, objectives, now_s),
+        measures=measure_outcomes(outcomes, services),
+        series=compute_series(tallies, objectives),
+    )
--- /dev/null
+++ b/greengagepath/cli/tool.py
@@ -0,0 +1,86 @@
+"""The tool `greengagepath`: its commands and how they are run."""
+
+import os
+import sys
+from dataclasses import dataclass
+from importlib.metadata import PackageNotFoundError, version
+
+import cappa
+from rich.console import Console
+
+from ..exit_codes import ExitCode
+from ..generated.settings import LogSettings
+from ..logs import configure_logs
+from .apply import Apply
+from .bench import Bench
+from .call import Call
+from .check import Check
+from .demo import Demo
+from .drain import Drain
+from .init import Init
+from .report import Report
+from .status import Status
+from .undrain import Undrain
+
+SCRIPT_COLUMNS = 1000
+
+
+@cappa.command(
+    name='greengagepath',
+    help='Operate the layer-4 load balancer greengagepath.',
+    description="""
+Start with `init`, then `apply`, then `status`. Shell completion:
+`greengagepath --completion generate >> ~/.bashrc`.
+""",
+)
+@dataclass
+class Tool:
+    """The commands."""
+
+    command: cappa.Subcommands[
+        Init
+        | Check
+        | Apply
+        | Status
+        | Drain
+        | Undrain
+        | Call
+        | Report
+        | Demo
+        | Bench
+    ]
+
+
+def run_tool(arguments: list[str] | None = None) -> ExitCode:
+    """Run a command line, by default that of the process.
+
+    Raises SystemExit for help and for wrong usage.
+    """
+    # Libraries warn on the same stream as the tool's own messages.
+    configure_logs(LogSettings(level='error', style='text'), 'tool', '-')
+    outcome = cappa.invoke(
+        Tool,
+        argv=arguments,
+        version=_find_version(),
+        output=_make_output(arguments or sys.argv[1:]),
+        color=sys.stdout.isatty() and 'NO_COLOR' not in os.environ,
+    )
+    return ExitCode(outcome)
+
+
+def _make_output(arguments: list[str]) -> cappa.Output:
+    is_script = any(entry.startswith('--completion') for entry in arguments)
+    if not is_script:
+        return cappa.Output()
+    # The shell must get the lines of its script unbroken.
+    console = Console(
+        file=sys.stdout, theme=cappa.output.theme, width=SCRIPT_COLUMNS
+    )
+    return cappa.Output(output_console=console)
+
+
+def _find_version() -> str:
+    try:
+        return version('greengagepath')
+    except PackageNotFoundError:
+        return 'unknown'
--- /dev/null
+++ b/greengagepath/output/__init__.py
@@ -0,0 +1,1 @@
+"""What the tool shows: tables, JSON, plots and HTML."""
--- a/greengagepath/type_checks.py
+++ b/greengagepath/type_checks.py
@@ -54,7 +54,7 @@
     found: list[Any], schema: inspect.ListType, key: str
 ) -> Findings:
     if not _has_length(found, schema):
-        yield key, f'{len(found)} entries', describe_type(schema)
+        yield key, found, describe_type(schema)
     for position, entry in enumerate(found):
         yield from check_value(entry, schema.item_type, f'{key}[{position}]')
 
--- a/tests/operator/builders.py
+++ b/tests/operator/builders.py
@@ -63,3 +63,13 @@
     """Return the service with some limits changed."""
     changed = structs.replace(service.limits, **limits)
     return structs.replace(service, limits=changed)
+
+
+def write_tool_settings(folder, url, *balancers):
+    """Write settings of the tool and its key; return their path."""
+    named = ', '.join(f'"{address}"' for address in balancers)
+    keys = SETTINGS.split('[[keys]]')[1]
+    return write_settings(
+        folder,
+        f'balancers = [{named}]\n[object_api]\nurl = "{url}"\n[[keys]]{keys}',
+    )
--- /dev/null
+++ b/tests/operator/test_cli.py
@@ -0,0 +1,298 @@
+import io
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import tomllib
+from contextlib import redirect_stderr, redirect_stdout
+from pathlib import Path
+
+from msgspec import structs
+from testtools import TestCase
+
+from greengagepath.cli.tool import run_tool
+from greengagepath.exit_codes import ExitCode
+from greengagepath.keys import load_keys
+from greengagepath.settings import load_tool_settings
+
+from .builders import (
+    COOPERATIVE,
+    OTHER_SECRET,
+    ROOT,
+    SECRET,
+    write_tool_settings,
+)
+from .fakes import build_balancer
+from .stand_ins import Balancer, ObjectApi
+
+CURRENT = '/objects/configuration/current'
+
+
+class CommandTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        self.file = self.folder / 'configuration.toml'
+
+    def run_command(self, *arguments):
+        self.out = io.StringIO()
+        self.err = io.StringIO()
+        with redirect_stdout(self.out), redirect_stderr(self.err):
+            return run_tool([str(entry) for entry in arguments])
+
+    def init(self, *arguments):
+        return self.run_command(
+            'init', '--answers', COOPERATIVE, '--output', self.file, *arguments
+        )
+
+
+class FilesTest(CommandTest):
+    def test_init_explains_and_check_accepts(self):
+        # Guards against generated files that the tool itself refuses.
+        self.assertEqual(ExitCode.OK, self.init())
+        self.assertIn('queue_length', self.out.getvalue())
+        self.assertIn('# answer connections_per_target', self.file.read_text())
+        code = self.run_command('check', self.file, COOPERATIVE)
+        self.assertEqual(ExitCode.OK, code)
+
+    def test_init_keeps_files_that_exist(self):
+        # Guards against an edited configuration that is overwritten.
+        self.file.write_text('edited')
+        self.assertEqual(ExitCode.BAD_USAGE, self.init())
+        self.assertEqual('edited', self.file.read_text())
+        self.assertEqual(ExitCode.OK, self.init('--force'))
+
+    def test_init_names_the_contradicting_question(self):
+        # Guards against a refusal that does not say what to change.
+        answers = self.folder / 'answers.toml'
+        text = COOPERATIVE.read_text()
+        answers.write_text(text.replace('typical_ms = 20', 'typical_ms = 9999'))
+        code = self.run_command(
+            'init', '--answers', answers, '--output', self.file
+        )
+        self.assertEqual(ExitCode.BAD_USAGE, code)
+        self.assertIn('operations[0].deadline_ms', self.err.getvalue())
+        self.assertFalse(self.file.exists())
+
+    def test_check_reports_all_files(self):
+        # Guards against a check that stops at the first bad file.
+        first, second = self.folder / 'a.toml', self.folder / 'b.toml'
+        first.write_text('role = 1\n')
+        second.write_text('services = []\n')
+        code = self.run_command('check', first, second)
+        self.assertEqual(ExitCode.BAD_USAGE, code)
+        self.assertIn('a.toml:1: role = 1', self.err.getvalue())
+        self.assertIn('b.toml:1: services = []', self.err.getvalue())
+
+    def test_output_without_terminal_has_no_colours(self):
+        # Guards against escape codes in logs and pipes.
+        self.init()
+        self.run_command('check', self.folder / 'missing.toml')
+        self.assertNotIn('\x1b', self.out.getvalue() + self.err.getvalue())
+
+    def test_usage_errors_and_completion_of_the_process(self):
+        # Guards against exit codes and shell scripts that a terminal's
+        # width changes; runs the entry point as users do.
+        environment = {**os.environ, 'SHELL': 'bash', 'PYTHONPATH': str(ROOT)}
+        command = [sys.executable, '-m', 'greengagepath']
+        bad = subprocess.run(
+            [*command, 'apply'],
+            env=environment,
+            capture_output=True,
+            check=False,
+        )
+        self.assertEqual(ExitCode.BAD_USAGE, bad.returncode)
+        script = subprocess.run(
+            [*command, '--completion', 'generate'],
+            env=environment,
+            capture_output=True,
+            check=True,
+            text=True,
+        )
+        checked = subprocess.run(
+            ['bash', '-n'], input=script.stdout, text=True, check=False
+        )
+        self.assertEqual(0, checked.returncode)
+        self.assertIn('" COMPLETION_LOCATION=', script.stdout)
+
+
+class ApplyTest(CommandTest):
+    def setUp(self):
+        super().setUp()
+        self.api = ObjectApi()
+        self.addCleanup(self.api.close)
+        self.settings = write_tool_settings(self.folder, self.api.url)
+        keys = load_keys(load_tool_settings(self.settings).unwrap()).unwrap()
+        self.balancer = Balancer(keys)
+        self.addCleanup(self.balancer.close)
+        write_tool_settings(self.folder, self.api.url, self.balancer.name)
+        self.init()
+
+    def run_with(self, command, *arguments):
+        return self.run_command(
+            command, *arguments, '--settings', self.settings
+        )
+
+    def apply(self, *arguments):
+        return self.run_with('apply', self.file, '--wait-s', 1, *arguments)
+
+    def edit(self, before, after):
+        text = self.file.read_text()
+        self.assertIn(before, text)
+        self.file.write_text(text.replace(before, after))
+
+    def test_dry_run_changes_nothing(self):
+        # Guards against a dry run that writes.
+        self.assertEqual(ExitCode.OK, self.apply('--dry-run'))
+        self.assertIn('+ services.licence-core.port', self.out.getvalue())
+        self.assertEqual({}, self.api.objects)
+
+    def test_apply_brings_into_force_and_can_be_repeated(self):
+        # Guards against a file that is stale after its own `apply`.
+        self.assertEqual(ExitCode.OK, self.apply())
+        self.assertIn('version 1 is in force on all 1', self.out.getvalue())
+        self.assertEqual(1, self.balancer.version)
+        self.edit('queue_length = 200', 'queue_length = 100')
+        self.assertEqual(ExitCode.OK, self.apply())
+        self.assertEqual(2, self.balancer.version)
+        self.assertEqual(ExitCode.OK, self.apply())
+        self.assertEqual(2, self.api.writes)
+
+    def test_lost_answer_of_the_write_is_no_conflict(self):
+        # Guards against an own write that is taken for another's.
+        self.api.lose_next = 1
+        self.assertEqual(ExitCode.OK, self.apply())
+        self.assertEqual(1, self.api.writes)
+
+    def test_second_operator_gets_a_conflict_and_can_go_on(self):
+        # Guards against changes that are lost without notice.
+        self.apply()
+        other = self.folder / 'other.toml'
+        other.write_text(self.file.read_text())
+        self.edit('queue_length = 200', 'queue_length = 100')
+        self.apply()
+        other.write_text(other.read_text().replace('max_flows = 2000', ''))
+        code = self.run_with('apply', other)
+        self.assertEqual(ExitCode.CONFLICT, code)
+        self.assertIn('queue_length: 100 -> 200', self.out.getvalue())
+        self.assertIn('--base-version 2', self.err.getvalue())
+        self.assertEqual(2, self.api.writes)
+        code = self.run_with('apply', other, '--base-version', 2)
+        self.assertEqual(ExitCode.OK, code)
+
+    def test_fetched_file_can_be_applied(self):
+        # Guards against a dead end after a conflict.
+        self.apply()
+        self.assertEqual(ExitCode.OK, self.apply('--fetch'))
+        self.edit('queue_length = 200', 'queue_length = 100')
+        self.assertEqual(ExitCode.OK, self.apply())
+
+    def test_balancer_that_keeps_its_version_is_named(self):
+        # Guards against success while a balancer has the old version.
+        self.balancer.is_stuck = True
+        self.assertEqual(ExitCode.TIMEOUT, self.apply('--json'))
+        report = json.loads(self.out.getvalue())
+        self.assertEqual(1, report['version'])
+        self.assertEqual(1, len(report['behind']))
+        self.assertIn('still has version 0', self.err.getvalue())
+
+    def test_store_down_changes_nothing(self):
+        # Guards against an outage that is reported as anything else.
+        self.api.close()
+        self.assertEqual(ExitCode.UNREACHABLE, self.apply())
+        self.assertIn('nothing was changed', self.err.getvalue())
+        self.assertEqual('', tomllib.loads(self.file.read_text())['base'])
+
+    def test_drain_finds_the_service_and_survives_apply(self):
+        # Guards against a drained target that an `apply` takes back.
+        self.apply()
+        stored = self.api.objects[CURRENT]['body']['services'][0]
+        record = build_balancer(('127.0.0.1', 9), 0)
+        self.balancer.targets = [
+            structs.replace(
+                record,
+                kind='agent',
+                member_id='core-1',
+                service_id=stored['service_id'],
+            )
+        ]
+        self.assertEqual(ExitCode.OK, self.run_with('drain', 'core-1'))
+        self.edit('queue_length = 200', 'queue_length = 100')
+        self.assertEqual(ExitCode.OK, self.apply())
+        self.assertEqual(['core-1'], self.drained())
+        self.assertEqual(ExitCode.OK, self.run_with('undrain', 'core-1'))
+        self.assertEqual([], self.drained())
+        code = self.run_with('drain', 'nobody')
+        self.assertEqual(ExitCode.BAD_USAGE, code)
+
+    def drained(self):
+        services = self.api.objects[CURRENT]['body']['services']
+        return services[0]['drained_targets']
+
+    def test_status_shows_the_fleet_with_the_store_down(self):
+        # Guards against a status that needs the object API.
+        self.apply()
+        self.api.close()
+        self.assertEqual(ExitCode.OK, self.run_with('status'))
+        self.assertIn('has version 1 in force', self.out.getvalue())
+        self.run_with('status', '--json')
+        reply = json.loads(self.out.getvalue())
+        self.assertEqual(1, reply['configuration_version'])
+
+    def test_wrong_key_is_refused(self):
+        # Guards against a tool of another system that is obeyed.
+        (self.folder / 'tag.key').write_text(OTHER_SECRET)
+        self.assertEqual(ExitCode.UNREACHABLE, self.run_with('status'))
+        (self.folder / 'tag.key').write_text(SECRET)
+        self.assertEqual(ExitCode.OK, self.run_with('status'))
+
+
+class ReportTest(CommandTest):
+    def setUp(self):
+        super().setUp()
+        self.init()
+        self.outcomes = self.folder / 'outcomes.jsonl'
+        lines = [
+            {
+                'time': 1000.0 + number,
+                'service': 'licence-core',
+                'customer': '<b>firm</b>',
+                'operation': 'status-check',
+                'outcome': 'refused' if number < 2 else 'answered',
+                'latency_ms': 20,
+            }
+            for number in range(10)
+        ]
+        text = '\n'.join(json.dumps(line) for line in lines)
+        self.outcomes.write_text(text)
+
+    def report(self, *arguments):
+        return self.run_command(
+            'report', self.outcomes, '--configuration', self.file, *arguments
+        )
+
+    def test_json_holds_the_rates(self):
+        # Guards against figures that only the table shows; 2 of 10 are
+        # bad where 0.1% may be.
+        self.assertEqual(ExitCode.OK, self.report('--json'))
+        report = json.loads(self.out.getvalue())
+        row = report['burn'][0]
+        self.assertAlmostEqual(200, row['rates_by_window_s']['300'])
+        self.assertEqual(['fast', 'slow'], row['alerts'])
+
+    def test_page_is_self_contained_and_escaped(self):
+        # Guards against a page that loads files or runs names as HTML.
+        page = self.folder / 'burn.html'
+        self.assertEqual(ExitCode.OK, self.report('--html', page))
+        text = page.read_text()
+        self.assertEqual(2, text.count('src="data:image/svg+xml;base64,'))
+        self.assertEqual(2, text.count('src='))
+        self.assertNotIn('<b>firm', text)
+        self.assertIn('service-level burn', self.out.getvalue())
+
+    def test_malformed_lines_are_named(self):
+        # Guards against a report over a part of the input.
+        self.outcomes.write_text('{"time": 1}\n')
+        self.assertEqual(ExitCode.BAD_USAGE, self.report())
+        self.assertIn('outcomes.jsonl:1:', self.err.getvalue())
