Add the simulation of the naive balancer and of ours

The benchmark needs both systems on the same flows, with the real chooser, gate, tokens and retry budget. Both run in virtual time from a seed.

--- /dev/null
+++ b/greengagepath/bench/fakes.py
@@ -0,0 +1,239 @@
+"""Stand-ins in virtual time: fabric, object API, back end, records.
+
+They hold what is outside the system and is the same for the naive
+balancer and ours.
+"""
+
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum, unique
+
+from result import Err, Ok, Result
+
+from ..timers import Callback, TimerService
+from .scenarios import SLOTS
+from .workload import RequestSpec
+
+# A cold back end starts at a third of its speed and warms up.
+COLD_SPEED = 0.33
+WARM_UP_S = 8.0
+# The fabric sprays to a dead balancer until it notices.
+FABRIC_NOTICE_S = 0.5
+
+
+class BackEnd:
+    """Runs requests in its slots and counts runs by request id.
+
+    `work_done_s` and `busy_s` are in seconds at speed 1 and of a slot.
+    """
+
+    def __init__(
+        self, timers: TimerService, speed: float, started_s: float | None
+    ) -> None:
+        self._timers = timers
+        self._started_s = started_s
+        self.speed = speed
+        self.slots = SLOTS
+        self.running = 0
+        self.work_done_s = 0.0
+        self.is_dead = False
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether another request may start."""
+        return self.running < self.slots
+
+    def run(
+        self, request: RequestSpec, done: Callable[[RequestSpec, float], None]
+    ) -> None:
+        """Take a slot; call `done` with the duration in s at the end."""
+        if not self.has_free_slot:
+            raise AssertionError('the back end has no free slot')
+        self.running += 1
+        duration_s = request.work_s / self._present_speed()
+        self._timers.call_after(
+            duration_s, lambda: self._end(request, duration_s, done)
+        )
+
+    def _end(
+        self,
+        request: RequestSpec,
+        duration_s: float,
+        done: Callable[[RequestSpec, float], None],
+    ) -> None:
+        if self.is_dead:
+            return
+        self.running -= 1
+        self.work_done_s += request.work_s
+        done(request, duration_s)
+
+    def _present_speed(self) -> float:
+        if self._started_s is None:
+            return self.speed
+        age_s = self._timers.now() - self._started_s
+        warmth = min(age_s / WARM_UP_S, 1.0)
+        return self.speed * (COLD_SPEED + (1 - COLD_SPEED) * warmth)
+
+
+class Fabric:
+    """Sprays each packet to any balancer, also to one just dead."""
+
+    def __init__(
+        self, timers: TimerService, drawn: random.Random, delay_s: float
+    ) -> None:
+        self._timers = timers
+        self._random = drawn
+        self._delay_s = delay_s
+        self._balancers: list[object] = []
+        self.dead: set[int] = set()
+
+    def add_balancer(self, balancer: object) -> None:
+        """Send a part of the packets to this balancer from now on."""
+        self._balancers.append(balancer)
+
+    def kill_first(self) -> None:
+        """Kill a balancer; packets sent to it are lost until noticed."""
+        victim = self._balancers[0]
+        self.dead.add(id(victim))
+        self._timers.call_after(
+            FABRIC_NOTICE_S, lambda: self._balancers.remove(victim)
+        )
+
+    def spray(self, deliver: Callable[[object], None]) -> None:
+        """Call `deliver` with a balancer after the delay."""
+        balancer = self._random.choice(self._balancers)
+        if id(balancer) not in self.dead:
+            self._timers.call_after(self._delay_s, lambda: deliver(balancer))
+
+
+@unique
+class ObjectProblem(StrEnum):
+    """Why a call to the object API failed."""
+
+    DOWN = 'down'
+    CONFLICT = 'conflict'
+
+
+@dataclass(slots=True, frozen=True)
+class StoredObject:
+    """A version of an object."""
+
+    version: int
+    body: object
+
+
+class FakeObjectApi:
+    """Versioned objects with conditional updates and watches.
+
+    `delay_s` returns the delay of the next notice to a watcher, so
+    that watchers learn of a version at different times.
+    """
+
+    def __init__(
+        self, timers: TimerService, delay_s: Callable[[], float]
+    ) -> None:
+        self._timers = timers
+        self._delay_s = delay_s
+        self._objects_by_name: dict[str, StoredObject] = {}
+        self._watchers: list[Callable[[str, StoredObject], None]] = []
+        self.is_down = False
+        self.calls = 0
+
+    def read(self, name: str) -> Result[StoredObject | None, ObjectProblem]:
+        """Return the present version, None if there is none."""
+        self.calls += 1
+        if self.is_down:
+            return Err(ObjectProblem.DOWN)
+        return Ok(self._objects_by_name.get(name))
+
+    def write(
+        self, name: str, body: object, if_version: int
+    ) -> Result[StoredObject, ObjectProblem]:
+        """Replace the object if its version is still `if_version`."""
+        self.calls += 1
+        if self.is_down:
+            return Err(ObjectProblem.DOWN)
+        held = self._objects_by_name.get(name, StoredObject(0, None))
+        if held.version != if_version:
+            return Err(ObjectProblem.CONFLICT)
+        stored = StoredObject(held.version + 1, body)
+        self._objects_by_name[name] = stored
+        for watcher in self._watchers:
+            self._notify(watcher, name, stored)
+        return Ok(stored)
+
+    def watch(self, watcher: Callable[[str, StoredObject], None]) -> None:
+        """Call `watcher` with each new version, late."""
+        self.calls += 1
+        self._watchers.append(watcher)
+
+    def _notify(
+        self,
+        watcher: Callable[[str, StoredObject], None],
+        name: str,
+        stored: StoredObject,
+    ) -> None:
+        notice: Callback = lambda: watcher(name, stored)  # noqa: E731
+        self._timers.call_after(self._delay_s(), notice)
+
+
+@unique
+class Fate(StrEnum):
+    """How a request ended for its caller."""
+
+    ANSWERED = 'answered'
+    REFUSED = 'refused'
+    TIMED_OUT = 'timed_out'
+
+
+@dataclass(slots=True, frozen=True)
+class RequestOutcome:
+    """End of a request; times in seconds of the run.
+
+    `decided_s` is how long the last refusal took to reach the caller.
+    """
+
+    request: RequestSpec
+    fate: Fate
+    ended_s: float
+    decided_s: float = 0.0
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the whole answer came before the deadline."""
+        return self.fate == Fate.ANSWERED and self.ended_s <= self.request.end_s
+
+    @property
+    def taken_s(self) -> float:
+        """Seconds from the request to its end."""
+        return self.ended_s - self.request.at_s
+
+
+@dataclass(slots=True)
+class Ledger:
+    """What the experiments count, outside both systems.
+
+    The owner of a flow is the target that its first packet reached. A
+    flow is broken when a later packet reaches another target although
+    the owner is still there.
+    """
+
+    outcomes: list[RequestOutcome] = field(default_factory=list)
+    owners_by_flow: dict[int, str] = field(default_factory=dict)
+    broken_flows: set[int] = field(default_factory=set)
+    dead_targets: set[str] = field(default_factory=set)
+    runs_by_request: Counter[bytes] = field(default_factory=Counter)
+
+    def record_packet(self, flow_id: int, target_id: str) -> None:
+        """Note where a packet of an established flow arrived."""
+        owner = self.owners_by_flow.setdefault(flow_id, target_id)
+        if owner == target_id or owner in self.dead_targets:
+            return
+        self.broken_flows.add(flow_id)
+
+    @property
+    def broken_share(self) -> float:
+        """Broken flows over all flows."""
+        return len(self.broken_flows) / max(len(self.owners_by_flow), 1)
--- /dev/null
+++ b/greengagepath/bench/measures.py
@@ -0,0 +1,143 @@
+"""Figures computed from the outcome of a run."""
+
+import itertools
+import math
+import statistics
+from collections import defaultdict
+from collections.abc import Iterable
+
+from .fakes import Fate, RequestOutcome
+from .simulation import RunOutcome
+
+_TAIL = 0.99
+
+
+def measure_imbalance(run: RunOutcome) -> float:
+    """Return the largest variation of work per capacity of a service.
+
+    The coefficient of variation over the targets of each service; the
+    largest of the services counts.
+    """
+    loads_by_service: dict[int, list[float]] = defaultdict(list)
+    for target_id, work_s in run.work_by_target.items():
+        service = run.service_by_target[target_id]
+        load = work_s / run.capacity_by_target[target_id]
+        loads_by_service[service].append(load)
+    return max(
+        statistics.pstdev(loads) / statistics.fmean(loads)
+        for loads in loads_by_service.values()
+    )
+
+
+def percentile(samples: Iterable[float], share: float) -> float:
+    """Return the smallest sample that `share` of them do not exceed."""
+    ordered = sorted(samples)
+    return ordered[max(math.ceil(len(ordered) * share) - 1, 0)]
+
+
+def measure_short_tail_s(
+    outcomes: Iterable[RequestOutcome], from_s: float, service: int
+) -> float:
+    """Return the 99th percentile of short work of a service, in s."""
+    return percentile(
+        (
+            ended.taken_s
+            for ended in outcomes
+            if ended.request.is_short
+            and ended.request.service == service
+            and ended.request.at_s >= from_s
+        ),
+        _TAIL,
+    )
+
+
+def list_between(
+    outcomes: Iterable[RequestOutcome], start_s: float, end_s: float
+) -> list[RequestOutcome]:
+    """Return the outcomes of requests sent in the interval."""
+    return [
+        ended for ended in outcomes if start_s <= ended.request.at_s < end_s
+    ]
+
+
+def measure_in_time(outcomes: Iterable[RequestOutcome]) -> float:
+    """Return the share of requests answered before their deadline."""
+    return statistics.fmean(ended.in_time for ended in outcomes)
+
+
+def sum_goodput_s(
+    outcomes: Iterable[RequestOutcome], start_s: float, end_s: float
+) -> float:
+    """Return work answered in time in the interval, in s at speed 1."""
+    return sum(
+        ended.request.work_s
+        for ended in outcomes
+        if ended.in_time and start_s <= ended.ended_s < end_s
+    )
+
+
+def measure_customer_gap(
+    outcomes: Iterable[RequestOutcome], capacity_s: float
+) -> float:
+    """Return the largest gap between customers in served fair share.
+
+    The fair share of a customer is its demand, or an equal part of
+    what others leave of `capacity_s`. Gap 0 means that all got the same
+    part of their fair share.
+    """
+    demand: dict[int, float] = defaultdict(float)
+    served: dict[int, float] = defaultdict(float)
+    for ended in outcomes:
+        customer_id = ended.request.customer_id
+        demand[customer_id] += ended.request.work_s
+        served[customer_id] += ended.request.work_s * ended.in_time
+    fair = _fill_evenly(demand, capacity_s)
+    parts = [min(served[one] / fair[one], 1.0) for one in demand]
+    return max(parts) - min(parts)
+
+
+def measure_recovery_s(
+    outcomes: Iterable[RequestOutcome], crest_end_s: float, goal: float
+) -> float:
+    """Return how long after the crest requests keep missing the goal.
+
+    Looks at half-second intervals of sending; recovered when the share
+    answered in time stays at `goal` or above.
+    """
+    in_time_by_step: dict[int, list[bool]] = defaultdict(list)
+    for ended in outcomes:
+        step = int((ended.request.at_s - crest_end_s) // RECOVERY_STEP_S)
+        if step >= 0:
+            in_time_by_step[step].append(ended.in_time)
+    missed = [
+        step
+        for step, flags in in_time_by_step.items()
+        if statistics.fmean(flags) < goal
+    ]
+    return (max(missed, default=-1) + 1) * RECOVERY_STEP_S
+
+
+def measure_refusal_s(outcomes: Iterable[RequestOutcome]) -> float:
+    """Return the 99th percentile of the delay of refusals, in s."""
+    delays = [
+        ended.decided_s for ended in outcomes if ended.fate == Fate.REFUSED
+    ]
+    return percentile(delays, _TAIL) if delays else 0.0
+
+
+RECOVERY_STEP_S = 0.5
+
+
+def _fill_evenly(
+    demand: dict[int, float], capacity_s: float
+) -> dict[int, float]:
+    """Return the max-min fair shares of the capacity."""
+    left_s = capacity_s
+    fair: dict[int, float] = {}
+    ordered = sorted(demand.items(), key=lambda entry: entry[1])
+    for place, (customer_id, wanted_s) in zip(
+        itertools.count(), ordered, strict=False
+    ):
+        fair[customer_id] = min(wanted_s, left_s / (len(ordered) - place))
+        left_s -= fair[customer_id]
+    return fair
--- /dev/null
+++ b/greengagepath/bench/naive.py
@@ -0,0 +1,160 @@
+"""The naive balancer that ours is measured against.
+
+Modulo hash over the live targets, first-in first-out queues, immediate
+retry, no flow ownership. It is kept as small as it can honestly be.
+"""
+
+from collections import deque
+from collections.abc import Callable
+from functools import partial
+
+import xxhash
+
+from ..timers import VirtualTimerService
+from .fakes import BackEnd, Fabric, Fate, Ledger, RequestOutcome
+from .scenarios import QUEUE_LENGTH
+from .workload import RequestSpec
+
+MAX_ATTEMPTS = 3
+# Parts of the deadline after which an attempt is given up.
+ATTEMPT_SHARE = 1 / MAX_ATTEMPTS
+_FLOW_ID_BYTES = 8
+
+
+class NaiveBalancer:
+    """Sends every packet to `hash(flow) % len(live targets)`."""
+
+    def __init__(self) -> None:
+        self._agents_by_service: dict[int, list[NaiveAgent]] = {}
+
+    def replace_targets(
+        self, agents_by_service: dict[int, list['NaiveAgent']]
+    ) -> None:
+        """Take the live targets, in order of their ids."""
+        self._agents_by_service = agents_by_service
+
+    def find_agent(self, service: int, flow_id: int) -> 'NaiveAgent':
+        """Return where a packet of the flow goes now."""
+        agents = self._agents_by_service[service]
+        packed = flow_id.to_bytes(_FLOW_ID_BYTES, 'big')
+        return agents[xxhash.xxh3_64_intdigest(packed) % len(agents)]
+
+
+class NaiveAgent:
+    """First-in first-out queue in front of a back end."""
+
+    def __init__(self, target_id: str, back_end: BackEnd) -> None:
+        self.target_id = target_id
+        self.back_end = back_end
+        self._queue: deque[tuple[RequestSpec, Reply]] = deque()
+
+    def receive(self, request: RequestSpec, reply: 'Reply') -> None:
+        """Run, queue or refuse a request."""
+        if self.back_end.is_dead:
+            return
+        if len(self._queue) >= QUEUE_LENGTH:
+            reply(Fate.REFUSED)
+            return
+        self._queue.append((request, reply))
+        self._pump()
+
+    def _pump(self) -> None:
+        while self._queue and self.back_end.has_free_slot:
+            request, reply = self._queue.popleft()
+            self.back_end.run(request, partial(self._finish, reply))
+
+    def _finish(
+        self, reply: 'Reply', request: RequestSpec, duration_s: float
+    ) -> None:
+        reply(Fate.ANSWERED)
+        self._pump()
+
+
+Reply = Callable[[Fate], None]
+
+
+class NaiveCall:
+    """One request of a caller, with its attempts."""
+
+    def __init__(self, caller: 'NaiveCaller', request: RequestSpec) -> None:
+        self._caller = caller
+        self._request = request
+        self._attempts = 0
+        self._ended = False
+
+    def attempt(self) -> None:
+        """Send the request again, at once."""
+        if self._ended:
+            return
+        if self._attempts >= MAX_ATTEMPTS:
+            return
+        self._attempts += 1
+        sent_s = self._caller.timers.now()
+        self._caller.send(self._request, lambda fate: self._end(fate, sent_s))
+        self._caller.timers.call_after(
+            self._request.operation.deadline_s * ATTEMPT_SHARE, self.attempt
+        )
+
+    def give_up(self) -> None:
+        """End the call at its deadline."""
+        self._end(Fate.TIMED_OUT, self._request.at_s)
+
+    def _end(self, fate: Fate, sent_s: float) -> None:
+        if self._ended:
+            return
+        if fate == Fate.REFUSED and self._attempts < MAX_ATTEMPTS:
+            self.attempt()
+            return
+        self._ended = True
+        now_s = self._caller.timers.now()
+        self._caller.ledger.outcomes.append(
+            RequestOutcome(self._request, fate, now_s, now_s - sent_s)
+        )
+
+
+class NaiveCaller:
+    """Sends requests through the fabric and acknowledges answers."""
+
+    def __init__(
+        self,
+        timers: VirtualTimerService,
+        fabric: Fabric,
+        ledger: Ledger,
+        delay_s: float,
+    ) -> None:
+        self.timers = timers
+        self.ledger = ledger
+        self._fabric = fabric
+        self._delay_s = delay_s
+
+    def start(self, request: RequestSpec) -> None:
+        """Begin a request at its time."""
+        call = NaiveCall(self, request)
+        self.timers.call_after(request.operation.deadline_s, call.give_up)
+        call.attempt()
+
+    def send(self, request: RequestSpec, reply: Reply) -> None:
+        """Send one attempt; `reply` is called when it is answered."""
+        self._fabric.spray(partial(self._deliver, request, reply))
+
+    def _deliver(
+        self, request: RequestSpec, reply: Reply, balancer: NaiveBalancer
+    ) -> None:
+        agent = self._route(request, balancer)
+        agent.receive(request, partial(self._answer, request, reply))
+
+    def _answer(self, request: RequestSpec, reply: Reply, fate: Fate) -> None:
+        self.timers.call_after(
+            self._delay_s, partial(self._receive, request, reply, fate)
+        )
+
+    def _receive(self, request: RequestSpec, reply: Reply, fate: Fate) -> None:
+        self._fabric.spray(partial(self._route, request))
+        reply(fate)
+
+    def _route(
+        self, request: RequestSpec, balancer: NaiveBalancer
+    ) -> NaiveAgent:
+        agent = balancer.find_agent(request.service, request.flow_id)
+        self.ledger.record_packet(request.flow_id, agent.target_id)
+        return agent
--- /dev/null
+++ b/greengagepath/bench/scenarios.py
@@ -0,0 +1,168 @@
+"""Inputs of the experiments: services, targets, callers and load."""
+
+from dataclasses import dataclass
+
+from ..generated.messages import SizeClass
+
+# Long work takes this many times as long as short work.
+LONG_FACTOR = 50.0
+
+
+@dataclass(slots=True, frozen=True)
+class OperationSpec:
+    """An operation; `mean_work_s` at a target of speed 1.
+
+    `weight` is its rate relative to the service's other operations.
+    """
+
+    name: str
+    weight: float
+    mean_work_s: float
+    deadline_s: float
+    size_class: SizeClass = SizeClass.short
+
+    @property
+    def is_long(self) -> bool:
+        """Whether it is long work."""
+        return self.size_class == SizeClass.long
+
+
+@dataclass(slots=True, frozen=True)
+class ServiceSpec:
+    """A service; one target for each of `speeds`, with 2 slots each."""
+
+    service: int
+    name: str
+    speeds: tuple[float, ...]
+    operations: tuple[OperationSpec, ...]
+
+    @property
+    def capacity(self) -> float:
+        """Work in seconds at speed 1 that the targets do in a second."""
+        return sum(self.speeds) * SLOTS
+
+    @property
+    def mean_work_s(self) -> float:
+        """Mean work of a request in seconds at speed 1."""
+        weights = [operation.weight for operation in self.operations]
+        works = [one.weight * one.mean_work_s for one in self.operations]
+        return sum(works) / sum(weights)
+
+
+@dataclass(slots=True, frozen=True)
+class ScenarioSpec:
+    """A deployment; delays are one way, in seconds."""
+
+    name: str
+    client_delay_s: float
+    zone_delay_s: float
+    services: tuple[ServiceSpec, ...]
+    customers: tuple[int, ...]
+    # Part of short requests that turn out to be stragglers.
+    straggler_share: float
+
+
+SLOTS = 2
+QUEUE_LENGTH = 64
+BALANCERS = 3
+ZONES = ('zone-1', 'zone-2', 'zone-3')
+REGION = 'region-1'
+# Speeds differ by 4 times; nobody announces them as weights.
+SEVEN_SPEEDS = (1.0, 1.0, 2.0, 2.0, 3.0, 4.0, 4.0)
+THREE_SPEEDS = (1.0, 2.0, 4.0)
+_SHORT_S = 0.04
+_LONG_S = _SHORT_S * LONG_FACTOR
+
+# Requests answered while someone waits, and those that may queue.
+_PATIENCE_S = 1.5
+_SHEET_PATIENCE_S = 2.0
+_LODGING_PATIENCE_S = 4.0
+_LIST_PATIENCE_S = 30.0
+_BUNDLE_PATIENCE_S = 60.0
+# Rates relative to the service's long operation.
+_STATUS_RATE = 150
+_RENEWAL_RATE = 49
+_INDEX_RATE = 99
+_CATALOGUE_RATE = 170
+_ORDER_RATE = 29
+_SHEET_RATE = 49
+_ZONE_DELAY_S = 0.001
+_STRAGGLER_SHARE = 0.001
+
+COOPERATIVE = ScenarioSpec(
+    name='cooperative',
+    client_delay_s=3 * _ZONE_DELAY_S,
+    zone_delay_s=_ZONE_DELAY_S,
+    services=(
+        ServiceSpec(
+            service=1,
+            name='licence-core',
+            speeds=SEVEN_SPEEDS,
+            operations=(
+                OperationSpec('status', _STATUS_RATE, _SHORT_S, _PATIENCE_S),
+                OperationSpec(
+                    'renewal', _RENEWAL_RATE, _SHORT_S * 2, _LODGING_PATIENCE_S
+                ),
+                OperationSpec(
+                    'history', 1, _LONG_S, _LIST_PATIENCE_S, SizeClass.long
+                ),
+            ),
+        ),
+        ServiceSpec(
+            service=2,
+            name='report-desk',
+            speeds=THREE_SPEEDS,
+            operations=(
+                OperationSpec(
+                    'index', _INDEX_RATE, _SHORT_S, _SHEET_PATIENCE_S
+                ),
+                OperationSpec(
+                    'bundle', 1, _LONG_S, _BUNDLE_PATIENCE_S, SizeClass.long
+                ),
+            ),
+        ),
+    ),
+    customers=(1, 2, 3, 4),
+    straggler_share=_STRAGGLER_SHARE,
+)
+
+JINHUA = ScenarioSpec(
+    name='jinhua',
+    client_delay_s=_ZONE_DELAY_S,
+    zone_delay_s=_ZONE_DELAY_S,
+    services=(
+        ServiceSpec(
+            service=1,
+            name='order-desk',
+            speeds=SEVEN_SPEEDS,
+            operations=(
+                OperationSpec(
+                    'catalogue', _CATALOGUE_RATE, _SHORT_S, _PATIENCE_S
+                ),
+                OperationSpec(
+                    'order', _ORDER_RATE, _SHORT_S * 2, _LODGING_PATIENCE_S
+                ),
+                OperationSpec(
+                    'stock-list', 1, _LONG_S, _LIST_PATIENCE_S, SizeClass.long
+                ),
+            ),
+        ),
+        ServiceSpec(
+            service=2,
+            name='proof-render',
+            speeds=THREE_SPEEDS,
+            operations=(
+                OperationSpec(
+                    'sheet', _SHEET_RATE, _SHORT_S, _SHEET_PATIENCE_S
+                ),
+                OperationSpec(
+                    'render', 1, _LONG_S, _BUNDLE_PATIENCE_S, SizeClass.long
+                ),
+            ),
+        ),
+    ),
+    customers=(1, 2, 3, 4, 5, 6),
+    straggler_share=_STRAGGLER_SHARE,
+)
+
+SCENARIOS = (COOPERATIVE, JINHUA)
--- /dev/null
+++ b/tests/bench/test_simulation.py
@@ -0,0 +1,72 @@
+from collections import Counter
+
+from testtools import TestCase
+
+from greengagepath.bench.fakes import Fate, Ledger
+from greengagepath.bench.simulation import Change, ChangeKind
+from greengagepath.bench.systems import NaiveSimulation, OursSimulation
+from greengagepath.bench.workload import WorkloadBuilder
+
+from .builders import build_plan, build_setup
+
+
+class SimulationTest(TestCase):
+    def test_same_seed_gives_the_same_run(self):
+        # Guards against figures that depend on the machine or the order
+        # of a set.
+        for kind in (NaiveSimulation, OursSimulation):
+            first = kind(build_setup()).run()
+            second = kind(build_setup()).run()
+            self.assertEqual(first.work_by_target, second.work_by_target)
+            self.assertEqual(first.ledger.outcomes, second.ledger.outcomes)
+
+    def test_both_systems_get_the_same_requests(self):
+        # Guards against a comparison on different inputs.
+        setup = build_setup()
+        built = WorkloadBuilder(setup.scenario, setup.plan, 1).build()
+        expected = Counter(request.request_id for request in built)
+        for kind in (NaiveSimulation, OursSimulation):
+            outcomes = kind(setup).run().ledger.outcomes
+            seen = Counter(one.request.request_id for one in outcomes)
+            self.assertEqual(Counter(), seen - expected)
+
+    def test_offered_load_matches_the_plan(self):
+        # Guards against a load that is not the stated part of capacity.
+        plan = build_plan(end_s=60.0, load=0.5)
+        setup = build_setup(plan=plan)
+        built = WorkloadBuilder(setup.scenario, plan, 1).build()
+        capacity = sum(one.capacity for one in setup.scenario.services)
+        load = sum(request.work_s for request in built) / 60.0 / capacity
+        self.assertAlmostEqual(0.5, load, delta=0.05)
+
+    def test_ours_runs_each_request_once_and_none_refused(self):
+        # Guards against a fake that hides duplicated or refused work.
+        changes = (
+            Change(2.0, ChangeKind.DRAIN, 1, 0),
+            Change(3.0, ChangeKind.KILL_BALANCER),
+        )
+        ledger = OursSimulation(build_setup(changes=changes)).run().ledger
+        self.assertEqual({1}, set(ledger.runs_by_request.values()))
+        refused = {
+            one.request.request_id
+            for one in ledger.outcomes
+            if one.fate == Fate.REFUSED
+        }
+        self.assertEqual(set(), refused & ledger.runs_by_request.keys())
+
+
+class LedgerTest(TestCase):
+    def test_packet_at_another_target_breaks_the_flow(self):
+        # Guards against a ledger that never reports a broken flow.
+        ledger = Ledger()
+        ledger.record_packet(1, 'a')
+        ledger.record_packet(2, 'b')
+        ledger.record_packet(1, 'b')
+        self.assertEqual({1}, ledger.broken_flows)
+
+    def test_flow_of_a_dead_target_is_not_broken_by_moving(self):
+        # Guards against blaming the balancer for a lost target.
+        ledger = Ledger(dead_targets={'a'})
+        ledger.record_packet(1, 'a')
+        ledger.record_packet(1, 'b')
+        self.assertEqual(set(), ledger.broken_flows)
