Add the agent's flows and request table, not yet tested

Cause: an agent has to decide for each datagram, without sockets, what runs, what is refused and what is told to callers.

Conclusion: linted only; the daemon and the state machine follow.

--- a/greengagepath/admission/gate.py
+++ b/greengagepath/admission/gate.py
@@ -23,7 +23,7 @@
 # Share of its time limit after which long work ages, if that is sooner.
 LONG_AGING_SHARE = 0.25
 # Weight of a new sample in the latency that probes report.
-LATENCY_WEIGHT = 0.2
+LATENCY_WEIGHT = 0.05
 MILLISECONDS = 1000
 
 
@@ -37,7 +37,7 @@
 
 @dataclass(slots=True, frozen=True)
 class GateLoad:
-    """What a probe reports; `latency_s` is the mean time in the gate."""
+    """What a probe reports; `latency_s` is the mean time of a run."""
 
     in_flight: int
     queued: int
@@ -66,6 +66,7 @@
     `offer` queues or refuses, `next_request` hands out work when a slot
     is free, `finish` or `release` frees the slot. Requests that leave
     the queue without being handed out are returned by `take_refused`.
+    `running` holds the requests that have a slot.
     """
 
     def __init__(self, timers: TimerService, limits: Limits) -> None:
@@ -74,7 +75,7 @@
         self._limits = limits
         self._limiter = ConcurrencyLimiter(limits.slots)
         self._queue = FairQueue()
-        self._running = RunningSet(timers)
+        self.running = RunningSet(timers)
         self._refused: list[Refusal] = []
         self._draining = False
         self._latency_s = 0.0
@@ -126,7 +127,7 @@
             # expected cost is measured again.
             needed_s = request.likely_s if len(self._queue) else 0.0
             if request.deadline_s - self._timers.now() > needed_s:
-                self._running.start(request)
+                self.running.start(request)
                 return request
             self._queue.correct(request.customer_id, -request.expected_s)
             self._refused.append(_refuse(request, RefusalReason.deadline))
@@ -136,8 +137,8 @@
         self, request_id: bytes, duration_s: float, succeeded: bool
     ) -> None:
         """Free the slot of a request that ran for `duration_s`."""
-        in_flight = len(self._running)
-        request = self._running.end(request_id)
+        in_flight = len(self.running)
+        request = self.running.end(request_id)
         if request is None:
             return
         ratio = 1.0
@@ -147,13 +148,14 @@
         self._queue.correct(
             request.customer_id, duration_s - request.expected_s
         )
-        latency_s = self._timers.now() - request.queued_s
-        self._latency_s += LATENCY_WEIGHT * (latency_s - self._latency_s)
+        if not self._latency_s:
+            self._latency_s = duration_s
+        self._latency_s += LATENCY_WEIGHT * (duration_s - self._latency_s)
 
     def release(self, request_id: bytes) -> None:
         """Free the slot of a request that the back end did not run."""
-        in_flight = len(self._running)
-        request = self._running.end(request_id)
+        in_flight = len(self.running)
+        request = self.running.end(request_id)
         if request is not None:
             self._queue.correct(request.customer_id, -request.expected_s)
             self._limiter.record(1.0, in_flight, succeeded=False)
@@ -164,7 +166,7 @@
         if request is not None:
             self._refused.append(_refuse(request, RefusalReason.cancelled))
             return CancelOutcome.REMOVED
-        if request_id in self._running:
+        if request_id in self.running:
             return CancelOutcome.RUNNING
         return CancelOutcome.NOT_HELD
 
@@ -188,7 +190,7 @@
     def load(self) -> GateLoad:
         """Return what a probe reports."""
         return GateLoad(
-            in_flight=len(self._running),
+            in_flight=len(self.running),
             queued=len(self._queue),
             limit=self._limiter.limit,
             latency_s=self._latency_s,
@@ -214,9 +216,9 @@
 
     def _pop(self) -> QueuedRequest | None:
         limit = self._limiter.limit
-        if not self._running.may_start(SizeClass.short, limit):
+        if not self.running.may_start(SizeClass.short, limit):
             return None
-        if not self._running.may_start(SizeClass.long, limit):
+        if not self.running.may_start(SizeClass.long, limit):
             return self._queue.pop(SizeClass.short)
         first, second = SizeClass.short, SizeClass.long
         oldest = self._queue.oldest(SizeClass.long)
@@ -226,9 +228,9 @@
 
     def _has_free_slot(self, size_class: SizeClass) -> bool:
         limit = self._limiter.limit
-        if len(self._running) + len(self._queue) >= limit:
+        if len(self.running) + len(self._queue) >= limit:
             return False
-        return self._running.may_start(size_class, limit)
+        return self.running.may_start(size_class, limit)
 
     def _expected_wait_s(self, request: QueuedRequest) -> float:
         customer_id = request.customer_id
@@ -236,9 +238,9 @@
         return expected_wait_s(
             WorkAhead(
                 size_class=size_class,
-                slots=self._running.slots_for(size_class, self._limiter.limit),
+                slots=self.running.slots_for(size_class, self._limiter.limit),
                 free=self._has_free_slot(size_class),
-                soonest_s=self._running.soonest_s(),
+                soonest_s=self.running.soonest_s(),
                 short_s=self._queue.work_ahead_s(customer_id, SizeClass.short),
                 long_s=self._queue.work_ahead_s(customer_id, SizeClass.long),
             )
--- /dev/null
+++ b/greengagepath/agent_flows.py
@@ -0,0 +1,219 @@
+"""Decisions of an agent for each datagram, without I/O.
+
+The owner passes datagrams to `receive`, calls `tick` every `TICK_S`,
+runs what `desk.next_work` hands out, reports to `desk.complete`, and
+sends what `take_outgoing` and `answer_parts` return.
+"""
+
+from collections import Counter
+from collections.abc import Iterator
+from random import Random
+
+from result import Err, Ok
+
+from .admission.gate import AdmissionGate
+from .admission.retry_budget import RetryBudget
+from .agent_openings import Openings
+from .agent_outcomes import AgentParts, OutcomeReporter
+from .agent_replies import AgentIdentity, Arrival, Outgoing, Replies
+from .agent_requests import FlowRequests
+from .answer_transfers import AnswerTransfers
+from .envelopes import Envelope, open_envelope
+from .flow_table import FlowTable
+from .generated.messages import Service
+from .operation_match import ServiceView
+from .packets import (
+    Address,
+    DropReason,
+    Kind,
+    decode_service_datagram,
+)
+from .replay_windows import ReplayWindows
+from .requests_table import RequestTable
+from .tags import KeyRing
+from .timers import TimerService
+from .tokens import TokenClaims, verify_token
+
+TICK_S = 0.01
+SWEEP_S = 5.0
+# Answers of the largest size that may be kept at once.
+ANSWERS_KEPT = 2
+# Kinds that ask what became of a request, or ask to run it.
+_ASKING = frozenset((Kind.REQUEST, Kind.CANCEL, Kind.PING))
+
+
+class AgentFlows:
+    """The flows and requests of one agent.
+
+    `drops` counts datagrams dropped by reason, `events` what was done to
+    flows and answers.
+    """
+
+    def __init__(
+        self,
+        identity: AgentIdentity,
+        keys: KeyRing,
+        timers: TimerService,
+        service: Service,
+        random: Random,
+    ) -> None:
+        limits = service.limits
+        self.drops: Counter[DropReason] = Counter()
+        self.events: Counter[str] = Counter()
+        self.flows = FlowTable(timers, limits.max_flows)
+        self.table = RequestTable(
+            self.flows,
+            limits.request_records,
+            ANSWERS_KEPT * limits.max_answer_bytes,
+        )
+        self.transfers = AnswerTransfers(timers)
+        self.gate = AdmissionGate(timers, limits)
+        self._identity = identity
+        self._keys = keys
+        self._timers = timers
+        self._swept_s = timers.now()
+        self._windows = ReplayWindows()
+        self._replies = Replies(identity, keys, self.flows)
+        self._parts = AgentParts(
+            timers=timers,
+            random=random,
+            gate=self.gate,
+            table=self.table,
+            transfers=self.transfers,
+            flows=self.flows,
+            replies=self._replies,
+            budget=RetryBudget(limits.retry_share),
+            view=ServiceView(service),
+        )
+        self.reporter = OutcomeReporter(self._parts)
+        self._requests = FlowRequests(
+            self._parts, self.reporter, limits, self.drops
+        )
+        self.desk = self._requests.desk
+        self._openings = Openings(
+            self._parts, keys, self.desk, self.drops, self.events
+        )
+        self.replace_service(service)
+
+    @property
+    def is_draining(self) -> bool:
+        """Whether new work is refused."""
+        return self.gate.is_draining
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request runs and no answer is on its way."""
+        return not (len(self.desk) or len(self.transfers))
+
+    def replace_service(self, service: Service) -> None:
+        """Take a new configuration of the service."""
+        limits = service.limits
+        view = ServiceView(service)
+        self._parts.view = view
+        self._parts.budget.replace_share(limits.retry_share)
+        self.gate.replace_limits(limits, view.shares_by_customer)
+        self.flows.max_active = limits.max_flows
+        self.table.records.max_records = limits.request_records
+        self.table.max_answer_bytes = ANSWERS_KEPT * limits.max_answer_bytes
+        self._requests.replace_limits(limits)
+
+    def start_draining(self) -> None:
+        """Refuse what does not run yet, and hand off each OPEN."""
+        self.desk.start_draining()
+
+    def stop_draining(self) -> None:
+        """Accept again."""
+        self.gate.stop_draining()
+
+    def receive(self, sealed: bytes, source: Address) -> None:
+        """Take a datagram; never raises on bad input.
+
+        `source` is the address of the socket that sent it.
+        """
+        match open_envelope(self._keys, sealed):
+            case Err(reason):
+                self.drops[reason] += 1
+            case Ok((envelope, encoded)):
+                self._receive_opened(envelope, encoded, source)
+
+    def tick(self) -> None:
+        """Do what is due: ACKs, retransmissions, expiry."""
+        now_s = self._timers.now()
+        self._requests.send_due_acks()
+        for transfer in self.transfers.check_due():
+            self.events['answers_abandoned'] += 1
+            self.table.records.settle(transfer.record)
+        if now_s >= self._swept_s + SWEEP_S:
+            self._swept_s = now_s
+            self._requests.reassembly.expire()
+            self.flows.expire()
+            self.table.records.expire()
+
+    def take_outgoing(self) -> list[Outgoing]:
+        """Return the datagrams to send, except parts of answers."""
+        return self._replies.take()
+
+    def answer_parts(self, max_count: int) -> Iterator[Outgoing]:
+        """Return at most `max_count` parts of answers to send now."""
+        for transfer, datagram in self.transfers.next_parts(max_count):
+            yield from self._replies.to_flow(transfer.route, datagram)
+
+    def _receive_opened(
+        self, envelope: Envelope, encoded: bytes, source: Address
+    ) -> None:
+        if not self._windows.accept(envelope.sender, envelope.sequence):
+            self.drops[DropReason.REPLAYED] += 1
+            return
+        match decode_service_datagram(encoded):
+            case Err(reason):
+                self.drops[reason] += 1
+            case Ok(datagram):
+                self._dispatch(Arrival(envelope, datagram), source)
+
+    def _dispatch(self, arrival: Arrival, source: Address) -> None:
+        if arrival.datagram.service_id != self._identity.service_id:
+            self.drops[DropReason.UNKNOWN_SERVICE] += 1
+            return
+        match arrival.datagram.kind:
+            case Kind.OPEN:
+                self._openings.take_open(arrival)
+            case Kind.PROBE:
+                self._openings.take_probe(arrival, source)
+            case Kind.REQUEST | Kind.ANSWER_ACK | Kind.CANCEL | Kind.PING:
+                self._check_token(arrival)
+            case _:
+                self.drops[DropReason.UNKNOWN_KIND] += 1
+
+    def _check_token(self, arrival: Arrival) -> None:
+        datagram = arrival.datagram
+        claims = verify_token(
+            self._keys, datagram.service_id, datagram.flow_id, datagram.token
+        )
+        if claims is None or claims.address != self._identity.address:
+            self.drops[DropReason.BAD_TOKEN] += 1
+        elif self._is_forgotten(claims, datagram.flow_id):
+            if datagram.kind in _ASKING:
+                self._replies.reply(arrival, Kind.UNKNOWN_OUTCOME)
+        else:
+            self._take_flow(arrival, claims)
+
+    def _is_forgotten(self, claims: TokenClaims, flow_id: int) -> bool:
+        """Return whether requests of the flow are no longer known."""
+        if claims.incarnation != self._identity.incarnation:
+            return True
+        is_held = self.flows.find(flow_id) is not None
+        return not (is_held or self.flows.is_known(claims.issued_s))
+
+    def _take_flow(self, arrival: Arrival, claims: TokenClaims) -> None:
+        datagram = arrival.datagram
+        entry = self.flows.touch(
+            datagram.flow_id, claims.issued_s, arrival.envelope.caller
+        )
+        if entry is None:
+            if datagram.kind in _ASKING:
+                # The flow has begun nothing, and never will.
+                self._replies.refuse_flow(arrival)
+            return
+        self._requests.receive(
+            arrival, is_open=self.flows.is_open(claims.issued_s)
+        )
--- /dev/null
+++ b/greengagepath/agent_openings.py
@@ -0,0 +1,103 @@
+"""Datagrams of an agent that belong to no accepted flow yet."""
+
+import struct
+from collections import Counter
+
+from .agent_outcomes import AgentParts
+from .agent_replies import Arrival
+from .agent_work import WorkDesk
+from .generated.messages import RefusalReason
+from .packets import TOKEN_BYTES, Address, DropReason, Kind
+from .routing.choice import ProbeState
+from .tags import KeyRing
+from .tokens import TokenClaims, issue_token
+
+MAX_HAND_OFFS = 2
+# A back end of which more requests fail is reported as failing.
+FAILING_SHARE = 0.5
+# In flight, queued, latency estimate in microseconds, state.
+_PROBE_REPLY = struct.Struct('!HHIB')
+_MAX_U16 = 0xFFFF
+_MAX_U32 = 0xFFFFFFFF
+_MICROSECONDS = 1000000
+
+
+class Openings:
+    """Accepts flows, hands them off or refuses them; answers probes.
+
+    `drops` and `events` are the counters of the owner.
+    """
+
+    def __init__(
+        self,
+        parts: AgentParts,
+        keys: KeyRing,
+        desk: WorkDesk,
+        drops: Counter[DropReason],
+        events: Counter[str],
+    ) -> None:
+        self._parts = parts
+        self._keys = keys
+        self._desk = desk
+        self._drops = drops
+        self._events = events
+
+    def take_open(self, arrival: Arrival) -> None:
+        """Accept, hand off to an alternate, or refuse an OPEN."""
+        if len(arrival.datagram.body) < TOKEN_BYTES:
+            # The ACCEPT would be longer than the OPEN.
+            self._drops[DropReason.TRUNCATED] += 1
+        elif arrival.envelope.hops > MAX_HAND_OFFS:
+            self._drops[DropReason.TOO_MANY_HOPS] += 1
+        else:
+            reason = self._refusal_of_open()
+            if reason is None:
+                self._accept(arrival)
+            else:
+                self._pass_on(arrival, reason)
+
+    def take_probe(self, arrival: Arrival, source: Address) -> None:
+        """Answer a probe to the socket at `source`."""
+        load = self._parts.gate.load()
+        state = ProbeState.ACCEPTING
+        if self._desk.failed_share > FAILING_SHARE:
+            state = ProbeState.FAILING
+        if self._parts.gate.is_draining:
+            state = ProbeState.DRAINING
+        body = _PROBE_REPLY.pack(
+            min(load.in_flight, _MAX_U16),
+            min(load.queued, _MAX_U16),
+            min(int(load.latency_s * _MICROSECONDS), _MAX_U32),
+            state,
+        )
+        self._parts.replies.reply_probe(arrival, source, body)
+
+    def _refusal_of_open(self) -> RefusalReason | None:
+        if self._parts.gate.is_draining:
+            return RefusalReason.draining
+        if self._parts.gate.load().is_full:
+            return RefusalReason.queue_full
+        return RefusalReason.table_full if self._parts.flows.is_full else None
+
+    def _pass_on(self, arrival: Arrival, reason: RefusalReason) -> None:
+        envelope = arrival.envelope
+        if envelope.alternates and envelope.hops < MAX_HAND_OFFS:
+            self._events['handed_off'] += 1
+            self._parts.replies.hand_off(arrival)
+        else:
+            self._parts.replies.refuse_open(arrival, reason)
+
+    def _accept(self, arrival: Arrival) -> None:
+        self._events['opened'] += 1
+        identity = self._parts.replies.identity
+        token = issue_token(
+            self._keys,
+            identity.service_id,
+            arrival.datagram.flow_id,
+            TokenClaims(
+                address=identity.address,
+                incarnation=identity.incarnation,
+                issued_s=int(self._parts.timers.now()),
+            ),
+        )
+        self._parts.replies.reply(arrival, Kind.ACCEPT, token)
--- /dev/null
+++ b/greengagepath/agent_outcomes.py
@@ -0,0 +1,128 @@
+"""What callers are told of their requests."""
+
+from collections import Counter
+from dataclasses import dataclass
+from random import Random
+
+from .admission.gate import AdmissionGate
+from .admission.retry_budget import RetryBudget
+from .agent_replies import Replies, Route
+from .answer_transfers import AnswerTransfer, AnswerTransfers
+from .codec import encode_body
+from .flow_table import FlowTable
+from .generated.messages import Answer, Refusal, RefusalReason
+from .operation_match import ServiceView
+from .packets import Kind
+from .request_records import RequestRecord, RequestState
+from .requests_table import RequestTable
+from .timers import TimerService
+from .transfer import PartSender
+from .work import Answered, Work
+
+
+@dataclass(slots=True)
+class AgentParts:
+    """The parts of an agent that share its state."""
+
+    timers: TimerService
+    random: Random
+    flows: FlowTable
+    gate: AdmissionGate
+    table: RequestTable
+    transfers: AnswerTransfers
+    replies: Replies
+    budget: RetryBudget
+    view: ServiceView
+
+
+class OutcomeReporter:
+    """Records outcomes in the request table and tells the callers.
+
+    `outcomes` counts (customer, operation, outcome), `refusals` counts
+    reasons.
+    """
+
+    def __init__(self, parts: AgentParts) -> None:
+        self.outcomes: Counter[tuple[str, str, str]] = Counter()
+        self.refusals: Counter[RefusalReason] = Counter()
+        self._parts = parts
+
+    def refuse_unseen(self, route: Route, reason: RefusalReason) -> None:
+        """Refuse an attempt that has not arrived as a whole."""
+        refusal = Refusal(reason=reason)
+        self._parts.table.refuse_unseen(route.attempt, refusal)
+        self.send_refusal(route, refusal)
+
+    def refuse(
+        self, work: Work, reason: RefusalReason, retry_after_ms: int
+    ) -> None:
+        """Tell that an admitted request was not run."""
+        refusal = Refusal(
+            reason=reason,
+            request_id=work.request.request_id,
+            retry_after_ms=retry_after_ms,
+        )
+        self._count(work, 'refused')
+        self._parts.table.refuse(work.record, refusal)
+        self.send_refusal(work.route, refusal)
+
+    def answer(self, work: Work, outcome: Answered) -> None:
+        """Start to send an answer."""
+        self._count(work, 'answered')
+        payload = encode_body(
+            Answer(
+                request_id=work.request.request_id,
+                status=outcome.status,
+                headers=outcome.headers,
+                body=outcome.body,
+                target_id=self._parts.replies.identity.target_id,
+            )
+        )
+        self._parts.table.answer(work.record, payload)
+        self._start_transfer(work.record, work.route)
+
+    def lose(self, work: Work) -> None:
+        """Tell that a request may have run."""
+        self._count(work, 'unknown')
+        self._parts.table.lose(work.record)
+        self._parts.replies.send(work.route, Kind.UNKNOWN_OUTCOME)
+
+    def repeat(self, record: RequestRecord, route: Route) -> None:
+        """Tell the caller again what became of an attempt."""
+        match record.state:
+            case RequestState.REFUSED if record.refusal is not None:
+                self._parts.replies.send(
+                    route, Kind.REFUSE, encode_body(record.refusal)
+                )
+            case RequestState.UNKNOWN:
+                self._parts.replies.send(route, Kind.UNKNOWN_OUTCOME)
+            case RequestState.ANSWERED:
+                self._parts.table.records.reopen(record)
+                self._start_transfer(record, route)
+
+    def stop_answer(self, record: RequestRecord) -> None:
+        """Drop an answer that the caller does not want any more."""
+        self._parts.transfers.stop(record.attempt)
+        self._parts.table.acknowledge(record)
+
+    def send_refusal(self, route: Route, refusal: Refusal) -> None:
+        """Tell that an attempt was not run."""
+        self.refusals[refusal.reason] += 1
+        self._parts.replies.send(route, Kind.REFUSE, encode_body(refusal))
+
+    def _start_transfer(self, record: RequestRecord, route: Route) -> None:
+        if record.answer is None:
+            return
+        self._parts.transfers.start(
+            AnswerTransfer(
+                record=record,
+                sender=PartSender(record.answer, self._parts.timers.now()),
+                service_id=self._parts.replies.identity.service_id,
+                route=route,
+            )
+        )
+
+    def _count(self, work: Work, outcome: str) -> None:
+        view = self._parts.view
+        customer = view.customer_name(work.request.customer_id)
+        self.outcomes[customer, view.label(work.request), outcome] += 1
--- /dev/null
+++ b/greengagepath/operation_match.py
@@ -0,0 +1,72 @@
+"""Which configured operation and customer a request belongs to."""
+
+from .generated.messages import Operation, Request, Service, SizeClass
+from .packets import SizeCode
+
+OTHER = 'other'
+_SIZE_CLASSES = {
+    SizeCode.UNKNOWN: SizeClass.unknown,
+    SizeCode.SHORT: SizeClass.short,
+    SizeCode.LONG: SizeClass.long,
+}
+
+
+class ServiceView:
+    """What an agent looks up in the configuration of its service."""
+
+    def __init__(self, service: Service) -> None:
+        self.service = service
+        self._operations = sorted(
+            service.operations,
+            key=lambda operation: len(operation.path_prefix),
+            reverse=True,
+        )
+        self._names_by_customer = {
+            customer.customer_id: customer.name
+            for customer in service.customers
+        }
+
+    @property
+    def shares_by_customer(self) -> dict[int, float]:
+        """Shares in the fair queue."""
+        return {
+            customer.customer_id: customer.share
+            for customer in self.service.customers
+        }
+
+    def match(self, request: Request) -> Operation | None:
+        """Return the operation with the longest matching prefix."""
+        for operation in self._operations:
+            if operation.method == request.method and (
+                request.path.startswith(operation.path_prefix)
+            ):
+                return operation
+        return None
+
+    def operation_name(self, request: Request) -> str:
+        """Return the configured name, else what the caller says."""
+        operation = self.match(request)
+        return operation.name if operation else request.operation
+
+    def label(self, request: Request) -> str:
+        """Return the operation as a label of bounded cardinality."""
+        operation = self.match(request)
+        return operation.name if operation else OTHER
+
+    def customer_name(self, customer_id: int) -> str:
+        """Return the customer as a label of bounded cardinality."""
+        return self._names_by_customer.get(customer_id, OTHER)
+
+    def is_idempotent(self, request: Request) -> bool:
+        """Return whether both the caller and the configuration say so."""
+        operation = self.match(request)
+        return request.idempotent and (
+            operation is None or operation.idempotent
+        )
+
+    def size_class(self, request: Request, size_code: SizeCode) -> SizeClass:
+        """Return the configured class, else the one in the datagram."""
+        operation = self.match(request)
+        if operation and operation.size_class != SizeClass.unknown:
+            return operation.size_class
+        return _SIZE_CLASSES[size_code]
--- /dev/null
+++ b/greengagepath/reassembly.py
@@ -0,0 +1,101 @@
+"""Requests whose parts have not all arrived yet."""
+
+from collections import OrderedDict
+from dataclasses import dataclass
+
+from .agent_replies import Route
+from .request_records import Attempt
+from .timers import TimerService
+from .transfer import PART_BYTES, PartReceiver, count_parts
+
+# Room for the fields of a request beside its body.
+ENVELOPE_ROOM_BYTES = 16384
+# A caller sends missing parts again several times within this time.
+STALLED_S = 15.0
+
+
+@dataclass(slots=True)
+class Partial:
+    """A request in arrival; `heard_s` is when its last part came."""
+
+    receiver: PartReceiver
+    route: Route
+    heard_s: float
+
+
+class Reassembly:
+    """Bounded set of partly received requests.
+
+    `max_request_bytes` bounds one request, `max_total_bytes` the parts
+    that all of them may come to hold.
+    """
+
+    def __init__(
+        self,
+        timers: TimerService,
+        max_request_bytes: int,
+        max_total_bytes: int,
+    ) -> None:
+        self._timers = timers
+        self.replace_limits(max_request_bytes, max_total_bytes)
+        self._partials_by_attempt: OrderedDict[Attempt, Partial] = OrderedDict()
+        self.reserved_bytes = 0
+
+    def __len__(self) -> int:
+        """Return the number of requests in arrival."""
+        return len(self._partials_by_attempt)
+
+    def replace_limits(
+        self, max_request_bytes: int, max_total_bytes: int
+    ) -> None:
+        """Take new limits from the configuration."""
+        self._max_parts = count_parts(max_request_bytes + ENVELOPE_ROOM_BYTES)
+        self._max_total_bytes = max_total_bytes
+
+    def is_acceptable(self, part_count: int) -> bool:
+        """Return whether a request of so many parts is allowed."""
+        return 1 <= part_count <= self._max_parts
+
+    def receiver_for(
+        self, route: Route, part_count: int
+    ) -> PartReceiver | None:
+        """Return the receiver of an attempt, or None without room.
+
+        `is_acceptable` must hold for `part_count`.
+        """
+        attempt = route.attempt
+        now_s = self._timers.now()
+        partial = self._partials_by_attempt.get(attempt)
+        if partial is None:
+            needed_bytes = part_count * PART_BYTES
+            if self.reserved_bytes + needed_bytes > self._max_total_bytes:
+                return None
+            partial = Partial(PartReceiver(part_count), route, now_s)
+            self._partials_by_attempt[attempt] = partial
+            self.reserved_bytes += needed_bytes
+        partial.heard_s = now_s
+        self._partials_by_attempt.move_to_end(attempt)
+        return partial.receiver
+
+    def discard(self, attempt: Attempt) -> None:
+        """Forget the parts of an attempt."""
+        partial = self._partials_by_attempt.pop(attempt, None)
+        if partial is not None:
+            self.reserved_bytes -= partial.receiver.part_count * PART_BYTES
+
+    def due_acks(self) -> list[Partial]:
+        """Return the requests whose ACK is due."""
+        now_s = self._timers.now()
+        return [
+            partial
+            for partial in self._partials_by_attempt.values()
+            if partial.receiver.is_ack_due(now_s)
+        ]
+
+    def expire(self) -> None:
+        """Forget requests whose parts no longer arrive."""
+        stalled_since_s = self._timers.now() - STALLED_S
+        for attempt, partial in tuple(self._partials_by_attempt.items()):
+            if partial.heard_s > stalled_since_s:
+                return
+            self.discard(attempt)
