--- a/greengagepath/agent_flows.py
+++ b/greengagepath/agent_flows.py
@@ -90,6 +90,7 @@
             self._parts, self.reporter, limits, self.drops
         )
         self.desk = self._requests.desk
+        self.reassembly = self._requests.reassembly
         self._openings = Openings(
             self._parts, keys, self.desk, self.drops, self.events
         )
@@ -105,6 +106,11 @@
         """Whether no request runs and no answer is on its way."""
         return not (len(self.desk) or len(self.transfers))
 
+    @property
+    def view(self) -> ServiceView:
+        """The configuration of the service."""
+        return self._parts.view
+
     def replace_service(self, service: Service) -> None:
         """Take a new configuration of the service."""
         limits = service.limits
@@ -145,7 +151,8 @@
             self.table.records.settle(transfer.record)
         if now_s >= self._swept_s + SWEEP_S:
             self._swept_s = now_s
-            self._requests.reassembly.expire()
+            self.desk.forgive()
+            self.reassembly.expire()
             self.flows.expire()
             self.table.records.expire()
 
--- a/greengagepath/agent_work.py
+++ b/greengagepath/agent_work.py
@@ -40,6 +40,7 @@
         self._reporter = reporter
         self._works_by_key: dict[bytes, Work] = {}
         self._cancelled: list[Work] = []
+        self._runs = 0
 
     def __len__(self) -> int:
         """Return the number of admitted requests without an outcome."""
@@ -92,11 +93,11 @@
                     work.key, duration_s, status not in OVERLOADED
                 )
                 self._count_failure(status >= SERVER_ERROR)
-                self._end(work)
+                self._works_by_key.pop(work.key, None)
                 self._reporter.answer(work, outcome)
-            case NotRun(is_shed=is_shed):
+            case NotRun(reason=reason):
                 self._parts.gate.release(work.key)
-                self._count_failure(failed=not is_shed)
+                self._count_failure(reason is RefusalReason.no_target)
                 self._retry_or_refuse(work, outcome)
             case OutcomeUnknown():
                 self._parts.gate.finish(
@@ -104,7 +105,7 @@
                 )
                 if not work.is_cancelled:
                     self._count_failure(failed=True)
-                self._end(work)
+                self._works_by_key.pop(work.key, None)
                 self._reporter.lose(work)
 
     def cancel(self, record: RequestRecord, route: Route) -> None:
@@ -140,6 +141,16 @@
             if work.key not in self._parts.gate.running:
                 self._refuse(work, RefusalReason.draining)
 
+    def forgive(self) -> None:
+        """Halve the share of failures if there was no run lately.
+
+        A target that is avoided for its failures would otherwise never
+        be tried again.
+        """
+        if not self._runs:
+            self.failed_share /= 2
+        self._runs = 0
+
     def _offer(self, work: Work) -> None:
         offered = self._parts.gate.offer(work.queued)
         self._report_refused()
@@ -161,15 +172,19 @@
             self._refuse(work, RefusalReason.cancelled)
         elif self._parts.gate.is_draining:
             self._refuse(work, RefusalReason.draining)
-        elif work.retries < MAX_RETRIES and retry_s < work.deadline_s:
+        elif (
+            outcome.reason is not RefusalReason.bad_request
+            and work.retries < MAX_RETRIES
+            and retry_s < work.deadline_s
+        ):
             self._retry(work, delay_s, outcome)
         else:
-            self._refuse(work, _reason_of(outcome))
+            self._refuse(work, outcome.reason)
 
     def _retry(self, work: Work, delay_s: float, outcome: NotRun) -> None:
         if not self._parts.budget.try_retry():
             self.events['retries_suppressed'] += 1
-            self._refuse(work, _reason_of(outcome))
+            self._refuse(work, outcome.reason)
             return
         self.events['retries'] += 1
         work.retries += 1
@@ -184,13 +199,11 @@
     def _refuse(
         self, work: Work, reason: RefusalReason, retry_after_ms: int = 0
     ) -> None:
-        self._end(work)
-        self._reporter.refuse(work, reason, retry_after_ms)
-
-    def _end(self, work: Work) -> None:
         self._works_by_key.pop(work.key, None)
+        self._reporter.refuse(work, reason, retry_after_ms)
 
     def _count_failure(self, failed: bool) -> None:
+        self._runs += 1
         self.failed_share += FAILURE_WEIGHT * (failed - self.failed_share)
 
 
@@ -221,9 +234,3 @@
     return attempt.flow_id.to_bytes(
         _KEY_BYTES_OF_FLOW, 'big'
     ) + attempt.request_number.to_bytes(_KEY_BYTES_OF_NUMBER, 'big')
-
-
-def _reason_of(outcome: NotRun) -> RefusalReason:
-    if outcome.is_shed:
-        return RefusalReason.queue_full
-    return RefusalReason.no_target
--- /dev/null
+++ b/greengagepath/daemon/agent_socket.py
@@ -0,0 +1,57 @@
+"""UDP socket of an agent."""
+
+import socket
+from collections.abc import Iterator
+
+from gevent.socket import wait_read
+
+from ..agent_replies import Outgoing
+from ..packets import Address
+
+# Asked of the kernel, which limits it to net.core.rmem_max.
+SOCKET_BUFFER_BYTES = 4194304
+RECEIVE_BYTES = 65535
+# Datagrams taken from the socket before other greenlets run.
+RECEIVE_BATCH = 64
+
+
+class AgentSocket:
+    """A bound socket that never blocks the loop.
+
+    Raises OSError if the address cannot be bound. `received` and
+    `send_errors` count datagrams.
+    """
+
+    def __init__(self, address: Address) -> None:
+        self.received = 0
+        self.send_errors = 0
+        self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        for option in (socket.SO_RCVBUF, socket.SO_SNDBUF):
+            self._socket.setsockopt(
+                socket.SOL_SOCKET, option, SOCKET_BUFFER_BYTES
+            )
+        self._socket.setblocking(False)
+        self._socket.bind(address)
+
+    def receive(self) -> Iterator[tuple[bytes, Address]]:
+        """Wait for datagrams; return a batch with their sources."""
+        wait_read(self._socket.fileno())
+        for _ in range(RECEIVE_BATCH):
+            try:
+                datagram = self._socket.recvfrom(RECEIVE_BYTES)
+            except OSError:
+                # Nothing more, or an ICMP error of an earlier datagram.
+                return
+            self.received += 1
+            yield datagram
+
+    def send(self, outgoing: Outgoing) -> None:
+        """Send; a datagram that cannot be sent counts as lost."""
+        try:
+            self._socket.sendto(outgoing.payload, outgoing.address)
+        except OSError:
+            self.send_errors += 1
+
+    def close(self) -> None:
+        """Close the socket."""
+        self._socket.close()
--- a/greengagepath/flow_table.py
+++ b/greengagepath/flow_table.py
@@ -16,14 +16,15 @@
 FLOW_LIFETIME_S = 600.0
 # How long after that an old request is still known to be refused.
 FLOW_GRACE_S = 60.0
-# A flow without a datagram for this long does not count as active.
-IDLE_S = 60.0
+# A flow without open requests that was silent for this long does not
+# count as active; most flows carry one request.
+IDLE_S = 1.0
 # Datagrams of the previous address may still arrive this long after the
 # caller has moved; they do not move the flow back.
 REORDER_S = 1.0
-# Entries for each flow that may be active at once; idle and finished
-# flows keep one of about 400 B until their token is too old.
-ENTRIES_PER_ACTIVE_FLOW = 64
+# Idle and finished flows keep an entry, of about 500 B, until their
+# token is too old or the place is needed.
+ENTRIES_PER_ACTIVE_FLOW = 16
 
 
 class RequestWindow(ReplayWindow):
@@ -41,7 +42,11 @@
 
 @dataclass(slots=True)
 class FlowEntry:
-    """What the agent keeps of a flow; `issued_s` is the token's."""
+    """What the agent keeps of a flow.
+
+    `issued_s` is when its token was issued, later if the flow was in use
+    when it should have been forgotten.
+    """
 
     issued_s: int
     caller: Address
@@ -67,7 +72,8 @@
     """Bounded table of flows by flow id.
 
     `max_active` bounds the flows that have open requests or have been
-    heard from lately, `capacity` all entries.
+    heard from lately, `capacity` all entries. A full table forgets idle
+    flows, those with the oldest tokens first.
     """
 
     def __init__(self, timers: TimerService, max_active: int) -> None:
@@ -77,8 +83,10 @@
         # Last datagram of each active flow, the longest ago first.
         self._heard_by_flow: OrderedDict[int, float] = OrderedDict()
         self._flows_by_issue: dict[int, list[int]] = {}
-        # Tokens issued until then get no entry any more.
+        # Tokens issued until then get no entry; their flows began nothing.
         self._closed_until_s = -1
+        # Flows with tokens issued until then may have been forgotten.
+        self._forgotten_until_s = -1
 
     def __len__(self) -> int:
         """Return the number of entries."""
@@ -97,10 +105,7 @@
     @property
     def is_full(self) -> bool:
         """Whether the table takes no further flow."""
-        return (
-            self.active >= self.max_active
-            or len(self._entries_by_flow) >= self.capacity
-        )
+        return self.active >= self.max_active
 
     def find(self, flow_id: int) -> FlowEntry | None:
         """Return the entry of a flow."""
@@ -118,7 +123,7 @@
         entry = self._entries_by_flow.get(flow_id)
         now_s = self._timers.now()
         if entry is None:
-            if self.is_full:
+            if self.is_full or not self._make_room():
                 self._closed_until_s = int(now_s)
             if issued_s <= self._closed_until_s:
                 return None
@@ -138,7 +143,9 @@
         return self._timers.now() < issued_s + FLOW_LIFETIME_S
 
     def is_known(self, issued_s: int) -> bool:
-        """Return whether all requests of such a flow are still known."""
+        """Return whether a flow without entry has begun nothing."""
+        if issued_s <= self._forgotten_until_s:
+            return False
         return self._timers.now() < issued_s + FLOW_LIFETIME_S + FLOW_GRACE_S
 
     def expire(self) -> None:
@@ -165,15 +172,32 @@
             if entry is not None and entry.open_requests:
                 self._heard_by_flow[flow_id] = now_s
 
-    def _forget(self, flow_id: int, issued_s: int) -> None:
+    def _make_room(self) -> bool:
+        if len(self) < self.capacity:
+            return True
+        now_s = int(self._timers.now())
+        for issued_s in sorted(self._flows_by_issue):
+            if issued_s < now_s and self._forget_one(issued_s):
+                self._forgotten_until_s = max(self._forgotten_until_s, issued_s)
+                return True
+        return False
+
+    def _forget_one(self, issued_s: int) -> bool:
+        flow_ids = self._flows_by_issue[issued_s]
+        while flow_ids:
+            if self._forget(flow_ids.pop(), issued_s):
+                return True
+        self._flows_by_issue.pop(issued_s)
+        return False
+
+    def _forget(self, flow_id: int, issued_s: int) -> bool:
         entry = self._entries_by_flow.get(flow_id)
         if entry is None or entry.issued_s > issued_s:
-            return
-        if entry.open_requests:
-            # Looked at again in a second of its own.
-            later_s = int(self._timers.now())
-            self._remember_issue(flow_id, later_s)
-            entry.issued_s = later_s
-            return
+            return False
+        if entry.open_requests or flow_id in self._heard_by_flow:
+            # Looked at again when the present second is looked at.
+            entry.issued_s = int(self._timers.now())
+            self._remember_issue(flow_id, entry.issued_s)
+            return False
         self._entries_by_flow.pop(flow_id)
-        self._heard_by_flow.pop(flow_id, None)
+        return True
--- a/greengagepath/operation_match.py
+++ b/greengagepath/operation_match.py
@@ -57,6 +57,11 @@
         """Return the customer as a label of bounded cardinality."""
         return self._names_by_customer.get(customer_id, OTHER)
 
+    def customer_header(self, request: Request) -> str:
+        """Return the customer as the back end is told."""
+        customer_id = request.customer_id
+        return self._names_by_customer.get(customer_id, str(customer_id))
+
     def is_idempotent(self, request: Request) -> bool:
         """Return whether both the caller and the configuration say so."""
         operation = self.match(request)
--- a/greengagepath/reassembly.py
+++ b/greengagepath/reassembly.py
@@ -50,7 +50,7 @@
     ) -> None:
         """Take new limits from the configuration."""
         self._max_parts = count_parts(max_request_bytes + ENVELOPE_ROOM_BYTES)
-        self._max_total_bytes = max_total_bytes
+        self.max_total_bytes = max_total_bytes
 
     def is_acceptable(self, part_count: int) -> bool:
         """Return whether a request of so many parts is allowed."""
@@ -68,7 +68,7 @@
         partial = self._partials_by_attempt.get(attempt)
         if partial is None:
             needed_bytes = part_count * PART_BYTES
-            if self.reserved_bytes + needed_bytes > self._max_total_bytes:
+            if self.reserved_bytes + needed_bytes > self.max_total_bytes:
                 return None
             partial = Partial(PartReceiver(part_count), route, now_s)
             self._partials_by_attempt[attempt] = partial
--- a/greengagepath/work.py
+++ b/greengagepath/work.py
@@ -4,7 +4,7 @@
 
 from .admission.fair_queue import QueuedRequest
 from .agent_replies import Route
-from .generated.messages import Request
+from .generated.messages import RefusalReason, Request
 from .request_records import RequestRecord
 
 
@@ -48,12 +48,12 @@
 class NotRun:
     """The back end has certainly not run the request.
 
-    `is_shed` tells a refusal by the back end from a connection that
-    failed before it took any byte.
+    `reason` is what the caller is told: that the back end shed it, that
+    no connection took any byte of it, or that it cannot be sent.
     """
 
     cause: str
-    is_shed: bool = False
+    reason: RefusalReason = RefusalReason.no_target
 
 
 @dataclass(slots=True, frozen=True)
