--- a/tests/agent/surroundings.py
+++ b/tests/agent/surroundings.py
@@ -8,8 +8,7 @@
 from collections import Counter
 from pathlib import Path
 
-import gevent
-from gevent import socket
+from gevent import Timeout, killall, sleep, socket, spawn
 from gevent.pywsgi import WSGIServer
 
 from greengagepath.call_types import ServiceAddress
@@ -56,7 +55,7 @@
         self.runs[environ['HTTP_X_REQUEST_ID']] += 1
         body = environ['wsgi.input'].read()
         if action == 'sleep':
-            gevent.sleep(float(arguments[0]))
+            sleep(float(arguments[0]))
         if action == 'bytes':
             body = os.urandom(1024) * (int(arguments[0]) // 1024)
         start_response(
@@ -80,8 +79,8 @@
         self.keys = KeyRing([Key(1, SECRET)], time.time)
         self.sequence = 0
         self.greenlets = [
-            gevent.spawn(self._forward),
-            gevent.spawn(self._deliver),
+            spawn(self._forward),
+            spawn(self._deliver),
         ]
 
     @property
@@ -89,7 +88,7 @@
         return ServiceAddress(SERVICE_ID, self.service.getsockname())
 
     def close(self):
-        gevent.killall(self.greenlets)
+        killall(self.greenlets)
         self.service.close()
         self.fabric.close()
 
@@ -144,9 +143,9 @@
             )
 
     def wait(self, timeout_s):
-        with gevent.Timeout(timeout_s):
+        with Timeout(timeout_s):
             while self.process.poll() is None:
-                gevent.sleep(0.02)
+                sleep(0.02)
         return self.process.returncode
 
     def end(self):
