--- a/greengagepath/bench/wall_clock.py
+++ b/greengagepath/bench/wall_clock.py
@@ -13,13 +13,13 @@
 from dataclasses import dataclass
 from functools import partial
 from random import Random
-from socket import AF_INET, SOCK_DGRAM, socket
 
 from result import Err, Result
 
 from ..daemon.datapath import MAX_DRAINED, drain_socket, open_data_socket
 from ..daemon.target_sockets import TargetSockets
 from ..generated.messages import SizeClass
+from ..native_sockets import open_udp_socket
 from ..packet_router import PacketRouter, RouterParts
 from ..packets import (
     FLOW_KEY_END,
@@ -163,7 +163,7 @@
     ) -> None:
         self._inbox = stack.enter_context(open_data_socket((LOCALHOST, 0)))
         self._target = stack.enter_context(open_data_socket((LOCALHOST, 0)))
-        self._outbox = stack.enter_context(socket(AF_INET, SOCK_DGRAM))
+        self._outbox = stack.enter_context(open_udp_socket())
         sockets = TargetSockets(self._inbox, FLOWS)
         stack.callback(sockets.close)
         self.connect = sockets.connect
--- /dev/null
+++ b/greengagepath/daemon/balancer.py
@@ -0,0 +1,197 @@
+"""The balancer: data path and control plane in one process."""
+
+import logging
+import random
+import signal
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+import gevent
+from gevent.event import Event
+
+from ..exit_codes import ExitCode
+from ..generated.messages import Configuration
+from ..generated.settings import Settings
+from ..logs import log_event
+from ..packet_router import PacketRouter, RouterParts
+from ..routing.choice import ChooserServices, Place
+from ..routing.choosers import ServiceChoosers
+from ..routing.targets import TargetInfo
+from ..tags import KeyRing
+from ..timers import LoopTimerService
+from ..tls import TlsContexts
+from .balancer_metrics import BalancerMetrics
+from .control import BalancerControl
+from .datapath import DataPath, open_data_socket
+from .http_status import StatusServer
+from .target_sockets import TargetSockets, limit_target_sockets
+
+KEY_CHECK_S = 1.0
+# Pause between slices of building the tables of targets.
+SLICE_PAUSE_S = 0.005
+# The fabric looks at /readyz a few times a second; until then it still
+# sends datagrams to a balancer that leaves.
+MIN_DRAIN_S = 1.0
+_logger = logging.getLogger(__name__)
+
+
+class Balancer:
+    """One balancer process; `run` returns when it has ended.
+
+    Raises OSError if the data port is taken.
+    """
+
+    def __init__(
+        self, settings: Settings, keys: KeyRing, tls: TlsContexts | None
+    ) -> None:
+        self._settings = settings
+        self._timers = LoopTimerService()
+        source = random.SystemRandom()
+        node = settings.node
+        self._choosers = ServiceChoosers(
+            ChooserServices(
+                Place(node.region, node.availability_zone),
+                self._timers,
+                source,
+            )
+        )
+        address = (node.host, node.data_port)
+        data_socket = open_data_socket(address)
+        sockets = TargetSockets(data_socket, limit_target_sockets())
+        router = PacketRouter(
+            RouterParts(
+                keys=keys,
+                choosers=self._choosers,
+                timers=self._timers,
+                random=source,
+                connect=sockets.connect,
+                send_probe=data_socket.sendto,
+                own_address=address,
+                verified_tokens=settings.limits.verified_tokens,
+                probes_per_s=settings.limits.probes_per_s,
+            )
+        )
+        self._path = DataPath(data_socket, sockets, router, self._timers)
+        self._control = BalancerControl(
+            settings,
+            keys,
+            self._timers,
+            self._take_targets,
+            self._take_configuration,
+            tls,
+        )
+        self._metrics = BalancerMetrics(self._path, self._control, self._timers)
+        self._slice_is_due = False
+        self._signals = 0
+        self._failed = False
+        self._stopped = Event()
+
+    def run(self) -> ExitCode:
+        """Serve until the process is told to end."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            gevent.signal_handler(number, self._take_signal)
+        self._timers.start().link_exception(self._fail)
+        self._path.start().link_exception(self._fail)
+        self._metrics.start()
+        status = self._serve_status()
+        self._control.start()
+        log_event(_logger, 'balancer.started')
+        self._stopped.wait()
+        code = self._end()
+        if status is not None:
+            status.stop()
+        return code
+
+    def reload_with(self, reload_if_changed: Callable[[], bool]) -> None:
+        """Read changed key files again while the balancer runs."""
+        self._timers.subscribe(KEY_CHECK_S, reload_if_changed)
+
+    def _serve_status(self) -> StatusServer | None:
+        node = self._settings.node
+        if not node.metrics_port:
+            return None
+        status = StatusServer(
+            (node.host, node.metrics_port),
+            self._metrics.metrics,
+            self._find_obstacles,
+        )
+        status.start()
+        return status
+
+    def _find_obstacles(self) -> list[str]:
+        obstacles = []
+        if not self._control.is_ready:
+            obstacles.append('no configuration')
+        if self._signals:
+            obstacles.append('draining')
+        return obstacles
+
+    def _take_targets(
+        self, targets_by_service: Mapping[int, tuple[TargetInfo, ...]]
+    ) -> None:
+        self._choosers.offer_targets(targets_by_service)
+        self._path.use_services(tuple(sorted(targets_by_service)))
+        self._metrics.count_targets(
+            Counter(
+                (str(target.service), target.state)
+                for targets in targets_by_service.values()
+                for target in targets
+            )
+        )
+        if not self._slice_is_due:
+            self._slice_is_due = True
+            self._timers.call_after(0.0, self._rebuild_slice)
+
+    def _rebuild_slice(self) -> None:
+        self._slice_is_due = self._choosers.rebuild_slice() > 0
+        if self._slice_is_due:
+            self._timers.call_after(SLICE_PAUSE_S, self._rebuild_slice)
+
+    def _take_configuration(self, configuration: Configuration) -> None:
+        self._path.router.use_configuration(configuration)
+        log_event(_logger, 'balancer.configured', version=configuration.version)
+
+    def _fail(self, greenlet: gevent.Greenlet) -> None:
+        """End the process: an exception here is a broken invariant."""
+        log_event(
+            _logger,
+            'balancer.failed',
+            level=logging.CRITICAL,
+            cause=repr(greenlet.exception),
+        )
+        self._failed = True
+        self._stopped.set()
+
+    def _take_signal(self) -> None:
+        self._signals += 1
+        if self._signals > 1:
+            self._stopped.set()
+            return
+        log_event(_logger, 'balancer.draining')
+        self._metrics.metrics.set_gauge('draining', 1)
+        gevent.spawn(self._drain).link_exception(self._fail)
+
+    def _drain(self) -> None:
+        self._control.stop()
+        limit_s = self._settings.limits.shutdown_s
+        gevent.sleep(min(MIN_DRAIN_S, limit_s))
+        self._path.drain(max(limit_s - MIN_DRAIN_S, 0.0))
+        self._stopped.set()
+
+    def _end(self) -> ExitCode:
+        if not self._signals:
+            self._control.stop()
+        pending = len(self._path.router.probes)
+        left = self._path.stop()
+        self._timers.stop()
+        log_event(
+            _logger,
+            'balancer.stopped',
+            level=logging.WARNING if left else logging.INFO,
+            datagrams_left=left,
+            probes_left=pending,
+            forwarded=sum(self._path.router.counters.forwarded),
+        )
+        if self._failed:
+            return ExitCode.INVARIANT_VIOLATED
+        return ExitCode.FAILURE if left else ExitCode.OK
--- /dev/null
+++ b/greengagepath/daemon/balancer_metrics.py
@@ -0,0 +1,117 @@
+"""Metrics of a balancer, copied from its parts when they are read."""
+
+from collections import Counter
+
+from ..generated.messages import MemberKind, MemberState
+from ..metrics import Metrics
+from ..packets import Kind
+from ..probing import MAX_PENDING
+from ..routing.targets import TargetState
+from ..timers import TimerService
+from .control import BalancerControl
+from .datapath import DataPath
+
+# How often the lateness of the loop is sampled.
+DELAY_SAMPLE_S = 0.1
+
+
+class BalancerMetrics:
+    """Reads the data path and the control plane of one balancer."""
+
+    def __init__(
+        self, path: DataPath, control: BalancerControl, timers: TimerService
+    ) -> None:
+        self.metrics = Metrics()
+        self._path = path
+        self._control = control
+        self._timers = timers
+        self._target_counts: Counter[tuple[str, TargetState]] = Counter()
+        self._sample_due_s = timers.now()
+        self.metrics.before_render(self._copy)
+
+    def start(self) -> None:
+        """Start to sample the lateness of the event loop."""
+        self._schedule_sample()
+
+    def count_targets(self, counts: Counter[tuple[str, TargetState]]) -> None:
+        """Take the number of targets by service and state."""
+        gone = self._target_counts.keys() - counts.keys()
+        self._target_counts = counts
+        for service, state in gone:
+            self._target_counts[(service, state)] = 0
+
+    def _schedule_sample(self) -> None:
+        self._sample_due_s = self._timers.now() + DELAY_SAMPLE_S
+        self._timers.call_after(DELAY_SAMPLE_S, self._sample_delay)
+
+    def _sample_delay(self) -> None:
+        late_s = max(self._timers.now() - self._sample_due_s, 0.0)
+        self.metrics.observe('event_loop_delay_seconds', late_s)
+        self._schedule_sample()
+
+    def _copy(self) -> None:
+        self._copy_datagrams()
+        self._copy_fills()
+        self._copy_members()
+        configuration = self._control.configuration
+        version = configuration.version if configuration else 0
+        self.metrics.set_gauge('configuration_version', version)
+        for (service, state), count in self._target_counts.items():
+            self.metrics.set_gauge(
+                'targets', count, service=service, state=str(state)
+            )
+
+    def _copy_datagrams(self) -> None:
+        counters = self._path.router.counters
+        metrics = self.metrics
+        metrics.set_counter(
+            'datagrams_received_total', self._path.received, kind='all'
+        )
+        for kind in Kind:
+            forwarded = counters.forwarded[kind]
+            if forwarded:
+                metrics.set_counter(
+                    'datagrams_forwarded_total',
+                    forwarded,
+                    kind=kind.name.lower(),
+                )
+        for reason, dropped in counters.dropped.items():
+            metrics.set_counter(
+                'datagrams_dropped_total', dropped, reason=str(reason)
+            )
+        metrics.set_counter(
+            'datagrams_dropped_total',
+            counters.send_failures,
+            reason='send_error',
+        )
+        for outcome, probes in (
+            ('sent', counters.probes_sent),
+            ('answered', counters.probes_answered),
+            ('lost', counters.probes_lost),
+        ):
+            metrics.set_counter('probes_total', probes, outcome=outcome)
+
+    def _copy_fills(self) -> None:
+        router = self._path.router
+        cache = router.forwarder.cache
+        fill = self.metrics.set_fill
+        fill('verified_tokens', len(cache), cache.capacity)
+        fill('pending_probes', len(router.probes), MAX_PENDING)
+        fill(
+            'target_sockets',
+            len(self._path.sockets),
+            self._path.sockets.limit,
+        )
+
+    def _copy_members(self) -> None:
+        counts = Counter(
+            (record.kind, record.state) for record in self._control.records()
+        )
+        for kind in MemberKind:
+            for state in MemberState:
+                self.metrics.set_gauge(
+                    'members',
+                    counts[(kind, state)],
+                    kind=str(kind),
+                    state=str(state),
+                )
--- a/greengagepath/daemon/datapath.py
+++ b/greengagepath/daemon/datapath.py
@@ -9,6 +9,7 @@
 from gevent.socket import wait_read
 
 from ..logs import log_event
+from ..native_sockets import open_udp_socket
 from ..packet_router import PacketRouter
 from ..packets import MAX_PACKET_BYTES, Address
 from ..timers import Timer, TimerService
@@ -45,7 +46,7 @@
         timers: TimerService,
     ) -> None:
         self.router = router
-        self._sockets = sockets
+        self.sockets = sockets
         self.received = 0
         self._socket = data_socket
         self._timers = timers
@@ -54,8 +55,8 @@
         self._service_ids: tuple[int, ...] = ()
         self._turn = cycle(self._service_ids)
 
-    def start(self) -> None:
-        """Start the loop and the periodic checks."""
+    def start(self) -> gevent.Greenlet:
+        """Start the loop and the periodic checks; return the loop."""
         self._loop = gevent.spawn(self._run)
         self._subscriptions = [
             self._timers.subscribe(
@@ -64,6 +65,7 @@
             self._timers.subscribe(PROBE_CHECK_S, self._check_probes),
             self._timers.subscribe(SOCKET_CHECK_S, self._renew_sockets),
         ]
+        return self._loop
 
     def use_services(self, service_ids: tuple[int, ...]) -> None:
         """Take the services whose targets are probed."""
@@ -93,7 +95,7 @@
             self._loop.kill()
         left = self._count_left()
         self._socket.close()
-        self._sockets.close()
+        self.sockets.close()
         return left
 
     def _run(self) -> None:
@@ -112,9 +114,9 @@
 
     def _renew_sockets(self) -> None:
         # Sockets of targets that have left make room for those in use.
-        if self._sockets.is_full:
+        if self.sockets.is_full:
             self.router.forwarder.forget_targets()
-            self._sockets.close()
+            self.sockets.close()
 
     def _count_left(self) -> int:
         left = 0
@@ -151,10 +153,6 @@
 
 def open_data_socket(address: Address) -> socket.socket:
     """Return the bound socket; raises OSError if the port is taken."""
-    data_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    data_socket.setblocking(False)
-    data_socket.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-    )
+    data_socket = open_udp_socket(RECEIVE_BUFFER_BYTES)
     data_socket.bind(address)
     return data_socket
--- a/greengagepath/daemon/target_sockets.py
+++ b/greengagepath/daemon/target_sockets.py
@@ -8,6 +8,7 @@
 import resource
 import socket
 
+from ..native_sockets import open_udp_socket
 from ..packets import Address
 from ..tokens import Send
 
@@ -19,7 +20,7 @@
 
     def __init__(self, fallback: socket.socket, limit: int) -> None:
         self._fallback = fallback
-        self._limit = limit
+        self.limit = limit
         self._sockets: list[socket.socket] = []
 
     def __len__(self) -> int:
@@ -29,7 +30,7 @@
     @property
     def is_full(self) -> bool:
         """Return whether new targets share the fallback."""
-        return len(self._sockets) >= self._limit
+        return len(self._sockets) >= self.limit
 
     def connect(self, address: Address) -> Send:
         """Return a function that sends datagrams to the address."""
@@ -38,7 +39,7 @@
                 return self._open(address)
             except OSError:
                 # Out of file descriptors: others need the rest more.
-                self._limit = len(self._sockets)
+                self.limit = len(self._sockets)
         return lambda packet: self._fallback.sendto(packet, address)
 
     def close(self) -> None:
@@ -48,8 +49,7 @@
         self._sockets.clear()
 
     def _open(self, address: Address) -> Send:
-        connected = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        connected.setblocking(False)
+        connected = open_udp_socket()
         connected.connect(address)
         self._sockets.append(connected)
         return connected.send
--- a/greengagepath/exchange.py
+++ b/greengagepath/exchange.py
@@ -199,7 +199,9 @@
             case Kind.REFUSE:
                 self._take_refusal(datagram.body)
             case Kind.UNKNOWN_OUTCOME:
-                self.outcome = OutcomeUnknown()
+                # A new target says so to a PING on an old flow as well.
+                sent = self.was_sent
+                self.outcome = OutcomeUnknown() if sent else FlowLost()
             case _:
                 self._setup.drops[CallDrop.UNEXPECTED_KIND] += 1
 
--- a/greengagepath/flow_sockets.py
+++ b/greengagepath/flow_sockets.py
@@ -7,6 +7,7 @@
 from gevent.socket import wait_read
 
 from .flows import Flow
+from .native_sockets import open_udp_socket
 from .packets import MAX_DATAGRAM_BYTES, Address, decode_service_datagram
 
 # The kernel limits it to net.core.rmem_max.
@@ -105,10 +106,6 @@
 
 
 def _connect(address: Address) -> socket.socket:
-    connected = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    connected.setblocking(False)
-    connected.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-    )
+    connected = open_udp_socket(RECEIVE_BUFFER_BYTES)
     connected.connect(address)
     return connected
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -166,6 +166,19 @@
         self.assertTrue(world.run().is_ok())
         self.assertLess(world.ended_s, 2.0)
 
+    def test_restarted_target_of_an_idle_flow(self):
+        # Guards against "may have run" for a request that was not sent.
+        targets = [FakeTarget('a')]
+        flow = Flow(SERVICE, 5, b'old'.ljust(32, b'.'), -10.0)
+        world = build_world(targets, flow=flow)
+        restarted = FakeTarget('old')
+        restarted.receive = lambda datagram, now_s, reply, later: reply(
+            restarted.reply_to(datagram, Kind.UNKNOWN_OUTCOME)
+        )
+        world.targets_by_token[flow.token] = restarted
+        self.assertTrue(world.run().is_ok())
+        self.assertEqual(1, targets[0].runs.total())
+
 
 class EndTest(TestCase):
     def test_deadline_cancels(self):
