Report a port that is taken as a wrong setting

Cause: with the control or metrics port taken, the balancer ended with a traceback and exit code 1 instead of the name of the setting and 2.

Conclusion: the test now covers all three ports, and picks its ports below the ephemeral range, where other connections cannot take them.

--- a/greengagepath/daemon/balancer.py
+++ b/greengagepath/daemon/balancer.py
@@ -36,9 +36,9 @@
 
 
 class Balancer:
-    """One balancer process; `run` returns when it has ended.
+    """One balancer process.
 
-    Raises OSError if the data port is taken.
+    The constructor and `start` raise OSError if a port is taken.
     """
 
     def __init__(
@@ -81,42 +81,45 @@
             tls,
         )
         self._metrics = BalancerMetrics(self._path, self._control, self._timers)
+        self._status: StatusServer | None = None
         self._slice_is_due = False
         self._signals = 0
         self._failed = False
         self._stopped = Event()
 
-    def run(self) -> ExitCode:
-        """Serve until the process is told to end."""
+    def start(self) -> None:
+        """Open all ports and start to serve."""
         for number in (signal.SIGTERM, signal.SIGINT):
             gevent.signal_handler(number, self._take_signal)
+        self._serve_status()
         self._timers.start().link_exception(self._fail)
+        self._control.start()
         self._path.start().link_exception(self._fail)
         self._metrics.start()
-        status = self._serve_status()
-        self._control.start()
         log_event(_logger, 'balancer.started')
+
+    def wait(self) -> ExitCode:
+        """Serve until the process is told to end."""
         self._stopped.wait()
         code = self._end()
-        if status is not None:
-            status.stop()
+        if self._status is not None:
+            self._status.stop()
         return code
 
     def reload_with(self, reload_if_changed: Callable[[], bool]) -> None:
         """Read changed key files again while the balancer runs."""
         self._timers.subscribe(KEY_CHECK_S, reload_if_changed)
 
-    def _serve_status(self) -> StatusServer | None:
+    def _serve_status(self) -> None:
         node = self._settings.node
         if not node.metrics_port:
-            return None
-        status = StatusServer(
+            return
+        self._status = StatusServer(
             (node.host, node.metrics_port),
             self._metrics.metrics,
             self._find_obstacles,
         )
-        status.start()
-        return status
+        self._status.start()
 
     def _find_obstacles(self) -> list[str]:
         obstacles = []
--- a/greengagepath/daemon/balancer_start.py
+++ b/greengagepath/daemon/balancer_start.py
@@ -36,7 +36,12 @@
     balancer.reload_with(reloader.reload_if_changed)
     if tls.ok_value is not None:
         balancer.reload_with(tls.ok_value.reload_if_changed)
-    return balancer.run()
+    try:
+        balancer.start()
+    except OSError as error:
+        ports = 'node.metrics_port or node.control_port'
+        return _refuse_settings([f'{ports}: {error}'])
+    return balancer.wait()
 
 
 def _refuse_settings(problems: Iterable[object]) -> ExitCode:
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,6 +1,7 @@
 """The daemon as a process on 127.0.0.1, without an object API."""
 
 import json
+import random
 import signal
 import socket
 import subprocess
@@ -47,18 +48,30 @@
 """
 PORTS = ('data_port', 'control_port', 'metrics_port', 'unused_port')
 START_LIMIT_S = 10.0
+DGRAM = socket.SOCK_DGRAM
 
 
 def find_ports():
-    probes = [socket.socket() for _ in PORTS]
-    for bound in probes:
-        bound.bind(('127.0.0.1', 0))
-    ports = [found.getsockname()[1] for found in probes]
-    for closed in probes:
-        closed.close()
+    # Below the range of ephemeral ports, so that no connection of
+    # another test takes a port before the balancer binds it.
+    ports = []
+    while len(ports) < len(PORTS):
+        port = random.randrange(20000, 32000)
+        with socket.socket() as probe, socket.socket(type=DGRAM) as data_probe:
+            if port not in ports and is_free(port, probe, data_probe):
+                ports.append(port)
     return dict(zip(PORTS, ports, strict=True))
 
 
+def is_free(port, *probes):
+    try:
+        for each in probes:
+            each.bind(('127.0.0.1', port))
+    except OSError:
+        return False
+    return True
+
+
 @pytest.mark.processes
 class BalancerProcessTest(TestCase):
     def setUp(self):
@@ -70,7 +83,7 @@
         self.keys = build_keys()
         secret = build_key().secret.hex()
         (self.folder / 'key').write_text(secret, encoding='ascii')
-        self.target = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.target = socket.socket(type=DGRAM)
         self.addCleanup(self.target.close)
         self.target.bind(('127.0.0.1', 0))
         self.target.settimeout(5.0)
@@ -172,11 +185,15 @@
         self.assertIn('node.control_port', problems)
 
     def test_port_that_is_taken(self):
-        # Guards against a process that runs without its data port.
-        taken = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        self.addCleanup(taken.close)
-        taken.bind(('127.0.0.1', self.ports['data_port']))
-        process = self.start()
-        problems = process.communicate(timeout=20)[1]
-        self.assertEqual(ExitCode.BAD_USAGE, process.returncode)
-        self.assertIn('node.data_port', problems)
+        # Guards against a process that runs without one of its ports.
+        for name, kind in (
+            ('data_port', DGRAM),
+            ('control_port', socket.SOCK_STREAM),
+            ('metrics_port', socket.SOCK_STREAM),
+        ):
+            with socket.socket(type=kind) as taken:
+                taken.bind(('127.0.0.1', self.ports[name]))
+                process = self.start()
+                problems = process.communicate(timeout=20)[1]
+            self.assertEqual(ExitCode.BAD_USAGE, process.returncode)
+            self.assertIn(f'node.{name}', problems)
