--- a/tests/test_pacing.py
+++ b/tests/test_pacing.py
@@ -42,10 +42,10 @@
         for _ in range(20000):
             taken, datagram = pacing.take(0.0)
             totals[taken] += len(datagram)
-        fair = totals[1]
-        for other in range(2, len(sizes)):
-            self.assertAlmostEqual(1.0, totals[other] / fair, delta=0.05)
-        self.assertAlmostEqual(weight, totals[0] / fair, delta=0.05 * weight)
+        weighted = totals.pop(0)
+        fair = min(totals.values())
+        self.assertLess(max(totals.values()) / fair, 1.05)
+        self.assertAlmostEqual(weight, weighted / fair, delta=0.05 * weight)
 
     def test_idle_flow_waits_for_activation(self):
         # Guards against polling flows whose window is full.
