--- /dev/null
+++ b/greengagepath/emulator/processes.py
@@ -0,0 +1,129 @@
+"""Processes that the demo starts, and ports for them."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+POLL_S = 0.05
+STOP_TIMEOUT_S = 8.0
+LOCAL_HOST = '127.0.0.1'
+
+
+class StartError(RuntimeError):
+    """A process of the demo did not become ready."""
+
+
+class ProcessGroup:
+    """Starts processes by name and ends those it started."""
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self.processes_by_name: dict[str, subprocess.Popen[bytes]] = {}
+
+    def start(self, name: str, module: str, *arguments: str) -> None:
+        """Start `python -m module`; its output goes to `name`.log."""
+        with (self._folder / f'{name}.log').open('ab') as log:
+            self.processes_by_name[name] = subprocess.Popen(
+                [sys.executable, '-m', module, *arguments],
+                stdout=log,
+                stderr=log,
+                stdin=subprocess.DEVNULL,
+                cwd=self._folder,
+                env=_make_environment(),
+            )
+
+    def send_signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one process that was started here."""
+        self.processes_by_name[name].send_signal(number)
+
+    def wait(self, name: str, timeout_s: float) -> int | None:
+        """Return the exit code, or None if it still runs."""
+        try:
+            return self.processes_by_name[name].wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def is_running(self, name: str) -> bool:
+        """Return whether the process has not ended."""
+        return self.processes_by_name[name].poll() is None
+
+    def stop_all(self) -> None:
+        """End all processes, those that do not react by SIGKILL."""
+        running = [
+            process
+            for process in self.processes_by_name.values()
+            if process.poll() is None
+        ]
+        for process in running:
+            # Processes paused by a test take no other signal.
+            process.send_signal(signal.SIGCONT)
+            process.terminate()
+            process.send_signal(signal.SIGTERM)
+        end_s = time.monotonic() + STOP_TIMEOUT_S
+        for process in running:
+            _wait_or_kill(process, end_s - time.monotonic())
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that are free for TCP and UDP on 127.0.0.1."""
+    held: list[socket.socket] = []
+    ports: list[int] = []
+    while len(ports) < count:
+        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        stream.bind((LOCAL_HOST, 0))
+        held.append(stream)
+        port = stream.getsockname()[1]
+        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        held.append(datagram)
+        try:
+            datagram.bind((LOCAL_HOST, port))
+        except OSError:
+            continue
+        ports.append(port)
+    for opened in held:
+        opened.close()
+    return ports
+
+
+def wait_until(
+    condition: Callable[[], bool], what: str, timeout_s: float
+) -> None:
+    """Poll until the condition holds; raises StartError if it does not."""
+    end_s = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > end_s:
+            raise StartError(f'{what} not reached within {timeout_s} s')
+        time.sleep(POLL_S)
+
+
+def run_tool(folder: Path, *arguments: str) -> subprocess.CompletedProcess:
+    """Run the command-line tool and return what it printed."""
+    return subprocess.run(
+        [sys.executable, '-m', 'greengagepath', *arguments],
+        cwd=folder,
+        env=_make_environment(),
+        capture_output=True,
+        text=True,
+        check=False,
+        stdin=subprocess.DEVNULL,
+    )
+
+
+def _make_environment() -> dict[str, str]:
+    root = str(Path(__file__).resolve().parents[2])
+    paths = [root, os.environ.get('PYTHONPATH', '')]
+    joined = os.pathsep.join(path for path in paths if path)
+    return {**os.environ, 'PYTHONPATH': joined}
+
+
+def _wait_or_kill(process: subprocess.Popen[bytes], timeout_s: float) -> None:
+    try:
+        process.wait(max(timeout_s, 0.0))
+    except subprocess.TimeoutExpired:
+        process.kill()
+        process.wait()
--- /dev/null
+++ b/greengagepath/emulator/settings_files.py
@@ -0,0 +1,110 @@
+"""Settings files of the processes of a deployment."""
+
+import secrets
+from dataclasses import dataclass
+from pathlib import Path
+
+import tomli_w
+
+from .processes import LOCAL_HOST
+
+REGION = 'region-1'
+KEY_BYTES = 32
+
+
+@dataclass(slots=True, frozen=True)
+class BalancerProcess:
+    """Ports of a balancer and its place."""
+
+    name: str
+    data_port: int
+    control_port: int
+    status_port: int
+    availability_zone: str
+
+
+@dataclass(slots=True, frozen=True)
+class TargetProcess:
+    """Ports of an agent and of the back end beside it."""
+
+    name: str
+    service_id: int
+    back_end_port: int
+    data_port: int
+    control_port: int
+    status_port: int
+    availability_zone: str
+    speed: float
+
+
+class SettingsFiles:
+    """Writes settings files that share one key and one platform."""
+
+    def __init__(
+        self, folder: Path, platform_port: int, answer_port: int
+    ) -> None:
+        self._folder = folder
+        self._platform_port = platform_port
+        self._answer_port = answer_port
+        secret = secrets.token_bytes(KEY_BYTES).hex()
+        (folder / 'tag.key').write_text(secret)
+
+    def write_balancer(self, balancer: BalancerProcess) -> Path:
+        """Write the settings of a balancer; return the path."""
+        settings = {
+            'role': 'balancer',
+            'node': _describe_node(balancer),
+            **self._describe_shared(),
+        }
+        return self._write(balancer.name, settings)
+
+    def write_agent(self, target: TargetProcess, slots: int) -> Path:
+        """Write the settings of an agent; return the path."""
+        settings = {
+            'role': 'agent',
+            'node': _describe_node(target),
+            'target': {
+                'service_id': target.service_id,
+                'host': LOCAL_HOST,
+                'port': target.back_end_port,
+                'weight': target.speed,
+                'slots': slots,
+            },
+            **self._describe_shared(),
+        }
+        return self._write(target.name, settings)
+
+    def write_tool(self, control_ports: list[int]) -> Path:
+        """Write the settings of the tool; return the path."""
+        addresses = [f'{LOCAL_HOST}:{port}' for port in control_ports]
+        settings = {**self._describe_shared(), 'balancers': addresses}
+        settings.pop('fabric')
+        return self._write('greengagepath', settings)
+
+    def _write(self, name: str, settings: dict[str, object]) -> Path:
+        path = self._folder / f'{name}.toml'
+        path.write_text(tomli_w.dumps(settings))
+        return path
+
+    def _describe_shared(self) -> dict[str, object]:
+        key_path = str(self._folder / 'tag.key')
+        url = f'http://{LOCAL_HOST}:{self._platform_port}'
+        return {
+            'object_api': {'url': url},
+            'fabric': {'host': LOCAL_HOST, 'port': self._answer_port},
+            'keys': [{'key_id': 1, 'secret_file': key_path}],
+        }
+
+
+def _describe_node(
+    process: BalancerProcess | TargetProcess,
+) -> dict[str, object]:
+    return {
+        'member_id': process.name,
+        'host': LOCAL_HOST,
+        'data_port': process.data_port,
+        'control_port': process.control_port,
+        'metrics_port': process.status_port,
+        'region': REGION,
+        'availability_zone': process.availability_zone,
+    }
--- /dev/null
+++ b/tests/test_emulator.py
@@ -0,0 +1,173 @@
+import random
+from http import HTTPStatus
+
+import msgspec
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from greengagepath.emulator.backend import Run, checksum, make_body
+from greengagepath.emulator.http_server import Call
+from greengagepath.emulator.load import CallOutcome
+from greengagepath.emulator.object_store import ObjectStore
+from greengagepath.emulator.platform import Platform
+from greengagepath.emulator.verdict import Verdict, count_outcomes, judge
+
+KEY = ('configuration', 'current')
+
+
+class FakeConnection:
+    def __init__(self):
+        self.is_closed = False
+
+    def shutdown(self, how):
+        self.is_closed = True
+
+
+def make_call(method='GET', body=b'', version=0, query=None, path=None):
+    return Call(
+        method=method,
+        path=path or '/objects/configuration/current',
+        query=query or {},
+        headers={'if-match': str(version)},
+        body=body,
+        connection=FakeConnection(),
+    )
+
+
+def make_outcome(request_id, **changes):
+    outcome = CallOutcome(
+        time=1.0,
+        service='licence-core',
+        customer='swan-river-cabs',
+        operation='renewal',
+        outcome='answered',
+        latency_ms=5.0,
+        request_id=request_id,
+        idempotent=False,
+        whole=True,
+    )
+    return msgspec.structs.replace(outcome, **changes)
+
+
+def make_run(request_id, service_id='7'):
+    return Run(
+        request_id=request_id,
+        service_id=service_id,
+        customer='1',
+        started_ms=1.0,
+        path='/renewals',
+    )
+
+
+def make_verdict(outcomes, runs):
+    return judge(
+        Verdict(
+            scenario='cooperative',
+            seed=1,
+            config_in_force_ms=100,
+            drain_new_work_after_ms=0,
+            **count_outcomes(outcomes, {'7': runs}),
+        )
+    )
+
+
+class ObjectStoreTest(TestCase):
+    @given(st.lists(st.integers(0, 4), max_size=20))
+    def test_only_a_matching_version_replaces_an_object(self, expected):
+        # Guards against a stand-in that lets racing writers both win.
+        store = ObjectStore()
+        current = 0
+        for version in expected:
+            outcome = store.write(KEY, version, {'writer': version})
+            self.assertEqual(version == current, outcome.is_ok())
+            if outcome.is_ok():
+                current = outcome.unwrap().version
+
+    def test_watch_returns_a_version_that_is_already_there(self):
+        # Guards against a watch that waits for a change it has missed.
+        store = ObjectStore()
+        store.write(KEY, 0, 'first')
+        self.assertEqual('first', store.watch(KEY, 0, wait_s=0).body)
+        self.assertIsNone(store.watch(KEY, 1, wait_s=0))
+
+
+class PlatformTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.platform = Platform(random.Random(1))
+
+    def set_faults(self, body):
+        self.platform.answer(make_call('POST', body, path='/control/faults'))
+
+    def test_lost_answer_leaves_the_write_in_place(self):
+        # Guards against a fault that loses the write with its answer.
+        self.set_faults(b'{"lose_answers": 1.0}')
+        call = make_call('PUT', b'{"services": []}')
+        self.platform.answer(call)
+        self.assertTrue(call.connection.is_closed)
+        self.assertEqual(1, self.platform.store.read(KEY).version)
+
+    def test_store_that_is_down_closes_the_connection(self):
+        # Guards against an outage that still takes writes.
+        self.set_faults(b'{"down": true}')
+        call = make_call('PUT', b'1')
+        self.platform.answer(call)
+        self.assertTrue(call.connection.is_closed)
+        self.assertIsNone(self.platform.store.read(KEY))
+
+    def test_conflict_carries_the_current_object(self):
+        # Guards against operators who cannot see what they raced with.
+        self.platform.answer(make_call('PUT', b'"mine"'))
+        reply = self.platform.answer(make_call('PUT', b'"theirs"'))
+        status = HTTPStatus.PRECONDITION_FAILED
+        self.assertTrue(reply.status.startswith(str(status.value)))
+        self.assertIn(b'"mine"', reply.body)
+
+
+class VerdictTest(TestCase):
+    def test_clean_run_holds(self):
+        # Guards against a verdict that fails on a faultless run.
+        outcomes = [make_outcome('a'), make_outcome('b')]
+        runs = [make_run('a'), make_run('b')]
+        self.assertTrue(make_verdict(outcomes, runs).held)
+
+    def test_each_violation_is_found(self):
+        # Guards against figures that a broken system would pass.
+        refused = make_outcome(
+            'a', whole=False, not_run=True, outcome='refused'
+        )
+        unknown = make_outcome('a', whole=False, outcome='unknown')
+        wrong = make_outcome('a', wrong_caller=True)
+        run = make_run('a')
+        cases = (
+            ('refused_but_run', [refused], [run]),
+            ('run_more_than_once', [make_outcome('a')], [run, run]),
+            ('lost', [unknown], [run]),
+            ('broken_flows', [unknown], [run]),
+            ('wrong_caller', [wrong], [run]),
+            ('wrong_service', [make_outcome('a')], [make_run('a', '8')]),
+        )
+        for name, outcomes, runs in cases:
+            verdict = make_verdict(outcomes, runs)
+            self.assertEqual(1, getattr(verdict, name), name)
+            self.assertFalse(verdict.held, name)
+
+    def test_idempotent_request_may_run_again(self):
+        # Guards against counting an allowed retry as a violation.
+        outcome = make_outcome('a', idempotent=True)
+        verdict = make_verdict([outcome], [make_run('a'), make_run('a')])
+        self.assertEqual(0, verdict.run_more_than_once)
+
+    def test_late_configuration_fails_the_run(self):
+        # Guards against a limit that is never compared.
+        verdict = make_verdict([make_outcome('a')], [make_run('a')])
+        late = msgspec.structs.replace(verdict, config_in_force_ms=3001.0)
+        self.assertFalse(judge(late).held)
+
+
+class AnswerBodyTest(TestCase):
+    def test_answers_of_two_requests_differ(self):
+        # Guards against a checksum that cannot tell answers apart.
+        bodies = {checksum(make_body(name, 1000)) for name in ('aa', 'bb')}
+        self.assertEqual(2, len(bodies))
