--- a/greengagepath/emulator/deployment.py
+++ b/greengagepath/emulator/deployment.py
@@ -138,12 +138,12 @@
     def restart(self, name: str) -> None:
         """Start the daemon of a balancer or of a target's agent."""
         balancer = self.balancers_by_name.get(name)
-        if balancer is not None:
-            path = self._settings_files.write_balancer(balancer)
-        else:
+        if balancer is None:
             target = self.targets_by_name[name]
             slots = self._find_service(target.service_id).limits.slots
             path = self._settings_files.write_agent(target, slots)
+        else:
+            path = self._settings_files.write_balancer(balancer)
         self.processes.start(name, DAEMON, '--config', str(path))
 
     def wait_until_ready(self, name: str) -> None:
