Test the control plane under faults in virtual time

Cause: failures were only reasoned about. A process that starts during an outage of the object API could find nobody; node.seeds in the settings names addresses for that case.

--- /dev/null
+++ b/greengagepath/bench/virtual_links.py
@@ -0,0 +1,234 @@
+"""Control links in virtual time, with the faults of real ones."""
+
+import itertools
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import msgspec
+
+from ..codec import encode_link_message
+from ..membership.ports import LinkEvents
+from ..packets import Address
+from ..timers import VirtualTimerService
+from .virtual_processes import ProcessClock
+
+CONNECT_TIMEOUT_S = 2.0
+# Key id, sequence and tag of a frame 25 B, websocket header with mask
+# 8 B, TCP and IP headers 52 B for the segment and as much for its
+# acknowledgement.
+FRAME_OVERHEAD_BYTES = 137
+
+
+@dataclass(slots=True)
+class Traffic:
+    """What one process has sent and received on its links."""
+
+    sent_messages: int = 0
+    sent_bytes: int = 0
+    received_messages: int = 0
+    received_bytes: int = 0
+    sent_by_type: dict[str, int] = field(default_factory=dict)
+
+    def count_sent(self, message: msgspec.Struct, *, encodes: bool) -> int:
+        """Count a message; return its size, 0 if it is not encoded."""
+        kind = type(message).__name__
+        size = 0
+        if encodes:
+            size = len(encode_link_message(message)) + FRAME_OVERHEAD_BYTES
+        self.sent_messages += 1
+        self.sent_bytes += size
+        self.sent_by_type[kind] = self.sent_by_type.get(kind, 0) + size
+        return size
+
+
+@dataclass(slots=True, eq=False)
+class Endpoint:
+    """One end of a link; `held` waits for a pause or partition to end."""
+
+    owner: 'VirtualLinks'
+    link_id: int
+    other: 'Endpoint | None' = None
+    is_open: bool = True
+    is_silenced: bool = False
+    held: deque[Callable[[], None]] = field(default_factory=deque)
+
+
+class VirtualNetwork:
+    """Delivers messages between the processes that are attached to it.
+
+    `is_blocked` tells whether two places cannot reach each other. With
+    `counts_bytes` every message is encoded to learn its size.
+    """
+
+    def __init__(
+        self,
+        timers: VirtualTimerService,
+        latency_s: float = 0.001,
+        *,
+        counts_bytes: bool = False,
+    ) -> None:
+        self.timers = timers
+        self.latency_s = latency_s
+        self.counts_bytes = counts_bytes
+        self.links_by_address: dict[Address, VirtualLinks] = {}
+        self._blocked: set[frozenset[str]] = set()
+
+    def block(self, place: str, other: str) -> None:
+        """Cut two places off from each other."""
+        self._blocked.add(frozenset((place, other)))
+
+    def unblock(self, place: str, other: str) -> None:
+        """End a partition; what was held is delivered."""
+        self._blocked.discard(frozenset((place, other)))
+        for links in tuple(self.links_by_address.values()):
+            links.release()
+
+    def is_blocked(self, place: str, other: str) -> bool:
+        """Return whether a partition lies between the places."""
+        return frozenset((place, other)) in self._blocked
+
+
+class VirtualLinks:
+    """Implements `LinkService` for one process at one place."""
+
+    def __init__(
+        self, network: VirtualNetwork, clock: ProcessClock, place: str
+    ) -> None:
+        self.clock = clock
+        self.place = place
+        self.traffic = Traffic()
+        self.events: LinkEvents | None = None
+        self.network = network
+        self._ids = itertools.count(1)
+        self.ends_by_link: dict[int, Endpoint] = {}
+
+    def listen(self, address: Address, events: LinkEvents) -> None:
+        """Accept links at the address."""
+        self.events = events
+        self.network.links_by_address[address] = self
+
+    def connect(self, address: Address) -> int:
+        """Open a link; it fails at once if nothing listens there."""
+        end = self._create()
+        self.network.timers.call_after(
+            self.network.latency_s, lambda: self._reach(end, address)
+        )
+        return end.link_id
+
+    def send(self, link_id: int, message: msgspec.Struct) -> bool:
+        """Send a message to the other end."""
+        end = self.ends_by_link.get(link_id)
+        if end is None or end.other is None or not end.is_open:
+            return False
+        size = self.traffic.count_sent(
+            message, encodes=self.network.counts_bytes
+        )
+        if not end.is_silenced:
+            end.other.owner.arrive(
+                end, lambda other: other.receive(end.other, message, size)
+            )
+        return True
+
+    def close(self, link_id: int) -> None:
+        """Close the link; the other end learns it as it would a FIN."""
+        end = self.ends_by_link.get(link_id)
+        if end is not None and end.is_open:
+            self._end(end)
+            self._tell_other(end)
+
+    def silence(self, link_id: int) -> None:
+        """Lose all that is sent on this link, both ways, from now on."""
+        end = self.ends_by_link[link_id]
+        end.is_silenced = True
+        if end.other is not None:
+            end.other.is_silenced = True
+
+    def die(self, *, silently: bool) -> None:
+        """End the process; its host sends no FIN if it dies silently."""
+        self.clock.is_dead = True
+        for end in tuple(self.ends_by_link.values()):
+            end.is_open = False
+            if not silently:
+                self._tell_other(end)
+        self.ends_by_link.clear()
+
+    def release(self) -> None:
+        """Deliver what was held, as far as it can be by now."""
+        for end in tuple(self.ends_by_link.values()):
+            while end.held and _is_reachable(end):
+                end.held.popleft()()
+
+    def arrive(
+        self, source: Endpoint, act: Callable[['VirtualLinks'], None]
+    ) -> None:
+        """Act at this end after the latency, in the order of sending."""
+        self.network.timers.call_after(
+            self.network.latency_s,
+            lambda: self._deliver(source.other, act),
+        )
+
+    def receive(
+        self, end: Endpoint, message: msgspec.Struct, size: int
+    ) -> None:
+        """Hand a message that has arrived to the process."""
+        if end.is_open and self.events is not None:
+            self.traffic.received_messages += 1
+            self.traffic.received_bytes += size
+            self.events.link_received(end.link_id, message)
+
+    def _deliver(
+        self, end: Endpoint, act: Callable[['VirtualLinks'], None]
+    ) -> None:
+        if end.held or not _is_reachable(end):
+            end.held.append(lambda: act(self))
+        else:
+            act(self)
+
+    def _create(self) -> Endpoint:
+        end = Endpoint(self, next(self._ids))
+        self.ends_by_link[end.link_id] = end
+        return end
+
+    def _reach(self, end: Endpoint, address: Address) -> None:
+        """Finish a connection attempt."""
+        other = self.network.links_by_address.get(address)
+        if other is None or other.clock.is_dead:
+            self._end(end)
+            return
+        is_blocked = self.network.is_blocked(self.place, other.place)
+        if is_blocked or not other.clock.is_running:
+            self.network.timers.call_after(
+                CONNECT_TIMEOUT_S, lambda: self._end(end)
+            )
+            return
+        if end.is_open and self.clock.is_running:
+            self._join(end, other)
+
+    def _join(self, end: Endpoint, other: 'VirtualLinks') -> None:
+        far = other._create()
+        end.other = far
+        far.other = end
+        other.events.link_opened(far.link_id, outgoing=False)
+        self.events.link_opened(end.link_id, outgoing=True)
+
+    def _end(self, end: Endpoint) -> None:
+        """Close this end and tell the process soon."""
+        if end.is_open:
+            end.is_open = False
+            self.ends_by_link.pop(end.link_id, None)
+            self.clock.call_after(
+                0, lambda: self.events.link_closed(end.link_id)
+            )
+
+    def _tell_other(self, end: Endpoint) -> None:
+        if end.other is not None and not end.is_silenced:
+            end.other.owner.arrive(end, lambda other: other._end(end.other))
+
+
+def _is_reachable(end: Endpoint) -> bool:
+    """Return whether what was sent to this end can arrive."""
+    owner = end.owner
+    if owner.clock.is_paused:
+        return False
+    return not owner.network.is_blocked(owner.place, end.other.owner.place)
--- /dev/null
+++ b/greengagepath/bench/virtual_processes.py
@@ -0,0 +1,57 @@
+"""Processes in virtual time that can be paused and killed."""
+
+from collections.abc import Callable
+
+from ..timers import Timer, TimerService, VirtualTimerService
+
+Callback = Callable[[], None]
+
+
+class ProcessClock(TimerService):
+    """The timers of one process.
+
+    While the process is paused, due callbacks wait; on resume each runs
+    once, as those of a real loop do. After its death none runs.
+    """
+
+    def __init__(self, world: VirtualTimerService) -> None:
+        super().__init__()
+        self._world = world
+        self._waiting_by_callback: dict[Callback, None] = {}
+        self.is_paused = False
+        self.is_dead = False
+
+    @property
+    def is_running(self) -> bool:
+        """Whether the process reacts to anything."""
+        return not (self.is_paused or self.is_dead)
+
+    def now(self) -> float:
+        """Return the virtual time, which counts pauses."""
+        return self._world.now()
+
+    def call_after(self, delay_s: float, callback: Callback) -> Timer:
+        """Call once after `delay_s` seconds."""
+        return self._world.call_after(delay_s, self._guard(callback))
+
+    def subscribe(self, period_s: float, callback: Callback) -> Timer:
+        """Call every `period_s` seconds."""
+        return self._world.subscribe(period_s, self._guard(callback))
+
+    def run(self, callback: Callback) -> None:
+        """Run now, or on resume, or never, as the process stands."""
+        if self.is_running:
+            callback()
+        elif not self.is_dead:
+            self._waiting_by_callback[callback] = None
+
+    def resume(self) -> None:
+        """Run what became due during the pause."""
+        self.is_paused = False
+        waiting = tuple(self._waiting_by_callback)
+        self._waiting_by_callback.clear()
+        for callback in waiting:
+            self.run(callback)
+
+    def _guard(self, callback: Callback) -> Callback:
+        return lambda: self.run(callback)
--- a/greengagepath/daemon/control.py
+++ b/greengagepath/daemon/control.py
@@ -21,6 +21,7 @@
 )
 from ..membership.ports import NodePorts
 from ..object_api import HttpTransport, ObjectClient
+from ..packets import Address
 from ..tags import KeyRing
 from ..timers import LoopTimerService
 from ..tls import TlsContexts
@@ -139,9 +140,17 @@
         store=ObjectClient(transport, timers, chance),
         random=chance,
         limits=settings.limits,
+        fallback_seeds=tuple(
+            _parse_seed(entry) for entry in settings.node.seeds
+        ),
     )
 
 
+def _parse_seed(seed: str) -> Address:
+    host, port = seed.rsplit(':', 1)
+    return host, int(port)
+
+
 def _record_of_balancer(settings: Settings) -> MemberRecord:
     node = settings.node
     now_s = time.time()
--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -132,10 +132,7 @@
             case Digest() if peer.is_balancer:
                 self._exchange.receive_digest(peer, message, self.spread)
             case Pull() if peer.is_balancer:
-                found = self._exchange.dissemination.records_for(
-                    message.buckets
-                )
-                self._ports.links.send(link_id, found)
+                self._exchange.dissemination.send_buckets(peer, message.buckets)
             case _:
                 self._receive_other(link_id, message)
 
@@ -191,15 +188,15 @@
         """Notice silent members and links, keep links and the slot."""
         for suspect in self._watch.silent_members():
             self._exchange.pass_on(suspect, source=None)
+        for dead in self._watch.dead_members():
+            self._exchange.pass_on(dead, source=None)
         self.care.close_silent()
         self.own.refute_pending()
         self.bridge.step()
         self._watch.adjust_links()
 
     def _scan(self) -> None:
-        """Expire suspects and tombstones, and see which zones are silent."""
-        for dead in self._watch.dead_members():
-            self._exchange.pass_on(dead, source=None)
+        """See which zones are silent, and tell agents of new homes."""
         if self._watch.zones.step():
             self._report.schedule()
         self._homes.tell_all()
--- a/greengagepath/membership/bridge.py
+++ b/greengagepath/membership/bridge.py
@@ -79,6 +79,11 @@
         """Whether this balancer may write right now."""
         return self._lease is not None and self._lease.is_held()
 
+    @property
+    def lease_name(self) -> str:
+        """The lease this balancer holds or applies for, if any."""
+        return '' if self._lease is None else self._lease.terms.name
+
     def step(self) -> None:
         """Take, keep or give up a slot, and do a bridge's work."""
         if not self.is_bridge:
@@ -249,6 +254,7 @@
             self._zone,
             StoredObject(stored.version, body),
             lambda written: self._remember(wanted, written),
+            may_send=lease.is_held,
         )
 
     def _remember(
--- a/greengagepath/membership/dissemination.py
+++ b/greengagepath/membership/dissemination.py
@@ -12,6 +12,8 @@
 # Changes wait this long for others. Ten hops of 20 ms keep a change
 # well under the second that is left of the 5 s for a dead target.
 FLUSH_S = 0.02
+# Records in one message; a schema limit of 10,000 bounds what arrives.
+MAX_RECORDS = 1000
 
 
 class Dissemination:
@@ -91,9 +93,12 @@
             if ours_by_bucket[bucket] != theirs_by_bucket.get(bucket, 0)
         ]
 
-    def records_for(self, buckets: Iterable[int]) -> Records:
-        """Return the records of the buckets, tombstones included."""
-        return Records(records=self._table.records_in(buckets))
+    def send_buckets(self, peer: Peer, buckets: Iterable[int]) -> None:
+        """Send the records of the buckets, tombstones included."""
+        found = self._table.records_in(buckets)
+        for start in range(0, len(found), MAX_RECORDS):
+            batch = found[start : start + MAX_RECORDS]
+            self._ports.links.send(peer.link_id, Records(records=batch))
 
     def _carries(self, peer: Peer, record: MemberRecord) -> bool:
         return (
--- a/greengagepath/membership/exchange.py
+++ b/greengagepath/membership/exchange.py
@@ -67,9 +67,8 @@
         spread.receive_offer(peer.link_id, digest.configuration_version)
         buckets = self.dissemination.differing_buckets(digest)
         if buckets and not self._sync.is_running:
-            links = self._ports.links
-            links.send(peer.link_id, Pull(buckets=buckets))
-            links.send(peer.link_id, self.dissemination.records_for(buckets))
+            self._ports.links.send(peer.link_id, Pull(buckets=buckets))
+            self.dissemination.send_buckets(peer, buckets)
 
     def greet(self, peer: Peer, spread: ConfigurationSpread) -> None:
         """Compare tables over a new link."""
--- a/greengagepath/membership/ports.py
+++ b/greengagepath/membership/ports.py
@@ -40,10 +40,14 @@
 
 @dataclass(slots=True, frozen=True)
 class NodePorts:
-    """Surroundings of a node: time, links, store, chance and limits."""
+    """Surroundings of a node: time, links, store, chance and limits.
+
+    `fallback_seeds` are tried while the object API does not answer.
+    """
 
     timers: TimerService
     links: LinkService
     store: ObjectClient
     random: random.Random
     limits: LimitSettings
+    fallback_seeds: tuple[Address, ...] = ()
--- a/greengagepath/membership/table.py
+++ b/greengagepath/membership/table.py
@@ -227,13 +227,12 @@
 
     def _drop_tombstones(self, now_s: float) -> None:
         excess = len(self._gone_since_by_id) - self._limits.tombstones
-        expired = [
-            member_id
-            for index, (member_id, since_s) in enumerate(
-                self._gone_since_by_id.items()
-            )
-            if index < excess or now_s - since_s > self._limits.tombstone_s
-        ]
+        expired = []
+        for member_id, since_s in self._gone_since_by_id.items():
+            is_old = now_s - since_s > self._limits.tombstone_s
+            if len(expired) >= excess and not is_old:
+                break
+            expired.append(member_id)
         self.forget(expired)
 
 
--- a/greengagepath/membership/views.py
+++ b/greengagepath/membership/views.py
@@ -46,9 +46,11 @@
         return self._ports.timers.now() - self._started_s < FIRST_SYNC_S
 
     def delay(self, send_digest: Callable[[], None]) -> None:
-        """Compare with the first neighbour now, with others later."""
-        if self._started_s is None:
+        """Compare now, but after the first neighbour's records came."""
+        is_first = self._started_s is None
+        if is_first:
             self._started_s = self._ports.timers.now()
+        if is_first or not self.is_running:
             send_digest()
             return
         wait_s = FIRST_SYNC_S * self._ports.random.uniform(1, 2)
@@ -161,6 +163,8 @@
     def _learn(self, outcome: ObjectOutcome) -> None:
         if outcome.is_ok():
             self._addresses = addresses_of(outcome.unwrap().body)
+        elif not self._addresses:
+            self._addresses = list(self._ports.fallback_seeds)
 
 
 class TargetReport:
--- a/greengagepath/object_api.py
+++ b/greengagepath/object_api.py
@@ -103,6 +103,10 @@
         """Call `on_answer` once with the answer or the problem."""
 
 
+def _always() -> bool:
+    return True
+
+
 class ObjectClient:
     """Reads, conditional writes and watches with limited retries."""
 
@@ -154,10 +158,12 @@
         name: str,
         changed: StoredObject,
         on_outcome: OnOutcome,
+        may_send: Callable[[], bool] = _always,
     ) -> None:
         """Write the body if the object still has the version given.
 
-        A body without an operation id gets a random one.
+        A body without an operation id gets a random one. `may_send` is
+        asked before each attempt; a lease holder passes its lease.
         """
         operation_id = str(
             changed.body.get(OPERATION_ID)
@@ -169,9 +175,14 @@
             body=body,
             expected_version=changed.version,
         )
-        self._attempt(_Attempt(call, _WriteCheck(body), on_outcome))
+        self._attempt(
+            _Attempt(call, _WriteCheck(body), on_outcome, may_send=may_send)
+        )
 
     def _attempt(self, attempt: '_Attempt') -> None:
+        if not attempt.may_send():
+            attempt.on_outcome(Err(Unreachable('no longer allowed to write')))
+            return
         self._transport.send(
             attempt.call, lambda answer: self._finish(attempt, answer)
         )
@@ -203,6 +214,7 @@
     interpret: Callable[[ObjectAnswer], ObjectOutcome]
     on_outcome: OnOutcome
     number: int = 1
+    may_send: Callable[[], bool] = _always
 
 
 @dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/tests/control/test_control_scenarios.py
@@ -0,0 +1,234 @@
+"""Single failures over the real decision modules in virtual time."""
+
+from testtools import TestCase
+
+from greengagepath.generated.messages import MemberState
+from greengagepath.routing.targets import TargetState
+from tests.control.builders import (
+    make_configuration,
+    make_fleet,
+    make_service,
+)
+from tests.control.operators import Operator
+
+OUTAGE_S = 600
+
+
+def find_targets(balancer):
+    return {
+        target.target_id: target
+        for targets in balancer.targets.values()
+        for target in targets
+    }
+
+
+def name_seeds(fleet):
+    """Give processes that start later the addresses of two balancers."""
+    records = [entry.record for entry in fleet.running_balancers()]
+    fleet.fallback_seeds = tuple(
+        (record.host, record.control_port) for record in records[:2]
+    )
+
+
+class MembershipTest(TestCase):
+    def test_dead_target_disappears_within_5_s(self):
+        # Guards against a silent host that keeps receiving new flows.
+        fleet = make_fleet()
+        fleet.kill(fleet.agents['a0'], silently=True)
+        fleet.advance(5)
+        for balancer in fleet.running_balancers():
+            self.assertNotIn('a0', balancer.target_ids())
+
+    def test_target_disappears_also_when_its_homes_die_with_it(self):
+        # Guards against an agent that nobody watches any more.
+        fleet = make_fleet(balancers=8)
+        agent = fleet.agents['a0']
+        for home in agent.node.own.record.homes:
+            fleet.kill(fleet.balancers[home], silently=True)
+        fleet.kill(agent, silently=True)
+        fleet.advance(12)
+        for balancer in fleet.running_balancers():
+            self.assertNotIn('a0', balancer.target_ids())
+
+    def test_paused_agent_comes_back(self):
+        # Guards against a live target that is removed for good.
+        fleet = make_fleet()
+        fleet.pause(fleet.agents['a0'])
+        fleet.advance(30)
+        self.assertNotIn('a0', fleet.balancers['b1'].target_ids())
+        fleet.resume(fleet.agents['a0'])
+        fleet.advance(3)
+        for balancer in fleet.running_balancers():
+            state = find_targets(balancer)['a0'].state
+            self.assertIs(TargetState.ALIVE, state)
+
+    def test_paused_balancer_accuses_nobody(self):
+        # Guards against a process that takes its own pause for the
+        # silence of all others.
+        fleet = make_fleet(balancers=6, zones=1)
+        fleet.pause(fleet.balancers['b0'])
+        fleet.advance(2.5)
+        versions = {
+            member_id: entry.node.own.record.record_version
+            for member_id, entry in fleet.agents.items()
+        }
+        fleet.resume(fleet.balancers['b0'])
+        fleet.advance(5)
+        for member_id, entry in fleet.agents.items():
+            record = entry.node.own.record
+            self.assertEqual(versions[member_id], record.record_version)
+
+    def test_silenced_link_is_replaced(self):
+        # Guards against a connection that stays open but carries nothing.
+        fleet = make_fleet(balancers=2, agents=1, zones=1)
+        links = fleet.agents['a0'].links
+        links.silence(next(iter(links.ends_by_link)))
+        fleet.advance(8)
+        homes = fleet.agents['a0'].node.own.record.homes
+        self.assertEqual(['b0', 'b1'], homes)
+        for balancer in fleet.running_balancers():
+            self.assertIn('a0', balancer.target_ids())
+
+    def test_partitioned_zone_is_unreachable_but_not_dead(self):
+        # Guards against a partition that removes a whole zone's targets.
+        fleet = make_fleet()
+        fleet.network.block('z0', 'z1')
+        fleet.advance(120)
+        for balancer in fleet.running_balancers():
+            zone = balancer.record.availability_zone
+            states = {
+                (target.availability_zone == zone, target.state)
+                for target in find_targets(balancer).values()
+            }
+            self.assertEqual(
+                {(True, TargetState.ALIVE), (False, TargetState.SUSPECT)},
+                states,
+            )
+        fleet.add_agent('a9', 'z0')
+        fleet.network.unblock('z0', 'z1')
+        fleet.advance(20)
+        for healed in fleet.running_balancers():
+            found = find_targets(healed).values()
+            states = {target.state for target in found}
+            self.assertEqual({TargetState.ALIVE}, states)
+        self.assertIn('a9', fleet.balancers['b1'].target_ids())
+
+    def test_suspect_zone_member_is_not_judged_from_elsewhere(self):
+        # Guards against a partition that begins during a suspicion: the
+        # refutation cannot cross it.
+        fleet = make_fleet()
+        agent = fleet.agents['a0']
+        fleet.pause(agent)
+        fleet.advance(3.2)
+        fleet.network.block('z0', 'z1')
+        fleet.resume(agent)
+        fleet.advance(60)
+        far = find_targets(fleet.balancers['b1'])
+        self.assertIn('a0', far)
+
+    def test_membership_changes_while_the_store_is_down(self):
+        # Guards against membership that needs the object API.
+        fleet = make_fleet()
+        fleet.store.faults.is_down = True
+        fleet.advance(OUTAGE_S / 2)
+        fleet.kill(fleet.agents['a0'], silently=True)
+        bridge = next(
+            entry
+            for entry in fleet.running_balancers()
+            if entry.node.own.record.bridge_slot
+        )
+        fleet.kill(bridge, silently=False)
+        fleet.advance(OUTAGE_S / 4)
+        fleet.agents['a1'].node.set_state(MemberState.draining)
+        name_seeds(fleet)
+        fleet.add_agent('a0', 'z0')
+        fleet.advance(OUTAGE_S / 4)
+        for balancer in fleet.running_balancers():
+            found = find_targets(balancer)
+            self.assertEqual(6, len(found))
+            self.assertIs(TargetState.DRAINING, found['a1'].state)
+
+    def test_agent_finds_homes_again_while_the_store_is_down(self):
+        # Guards against an agent that forgets the balancers it knew.
+        fleet = make_fleet(balancers=6, agents=1, zones=1)
+        fleet.store.faults.is_down = True
+        for home in fleet.agents['a0'].node.own.record.homes:
+            fleet.kill(fleet.balancers[home], silently=False)
+        fleet.advance(10)
+        self.assertEqual(2, len(fleet.agents['a0'].node.own.record.homes))
+
+    def test_calls_to_the_store_do_not_grow_with_the_fleet(self):
+        # Guards against members that each talk to the object API.
+        counts = []
+        for members in (6, 18):
+            fleet = make_fleet(balancers=members, agents=members)
+            before = fleet.store.calls
+            fleet.advance(120)
+            counts.append(fleet.store.calls - before)
+        self.assertAlmostEqual(counts[0], counts[1], delta=counts[0] / 10)
+
+
+class ConfigurationTest(TestCase):
+    def test_missing_base_is_pulled(self):
+        # Guards against a balancer that skipped a version and waits for
+        # the next comparison of tables.
+        fleet = make_fleet()
+        spread = fleet.balancers['b0'].node.spread
+        spread.holder.offer(make_configuration(5))
+        spread.offer(make_configuration(6, make_service(1)))
+        fleet.advance(1)
+        for balancer in fleet.running_balancers():
+            self.assertEqual(6, balancer.node.spread.holder.version)
+            services = balancer.node.spread.holder.current.services
+            self.assertEqual([make_service(1)], services)
+
+    def test_started_balancer_gets_it_while_the_store_is_down(self):
+        # Guards against a balancer that is not ready for the length of
+        # an outage of the object API.
+        fleet = make_fleet(zones=1)
+        fleet.balancers['b0'].node.spread.offer(make_configuration(3))
+        fleet.advance(1)
+        old = fleet.balancers['b1']
+        fleet.kill(old, silently=False)
+        fleet.store.faults.is_down = True
+        fleet.advance(60)
+        name_seeds(fleet)
+        started = fleet.add_balancer('b1', 'z0')
+        fleet.advance(5)
+        self.assertEqual(3, started.node.spread.holder.version)
+
+    def test_agent_learns_that_it_is_drained(self):
+        # Guards against a drained target that its agent knows nothing of.
+        fleet = make_fleet()
+        drained = make_service(1, drained_targets=['a0'])
+        spread = fleet.balancers['b1'].node.spread
+        spread.offer(make_configuration(1, drained, make_service(2)))
+        fleet.advance(3)
+        self.assertEqual([drained], fleet.agents['a0'].services)
+        for balancer in fleet.running_balancers():
+            state = find_targets(balancer)['a0'].state
+            self.assertIs(TargetState.DRAINING, state)
+
+    def test_second_of_two_operators_gets_a_conflict(self):
+        # Guards against two changes of which one is lost silently.
+        fleet = make_fleet()
+        operators = [Operator(fleet, 'o1'), Operator(fleet, 'o2')]
+        for operator in operators:
+            operator.apply([make_service(1)], [fleet.balancers['b0']])
+        fleet.advance(5)
+        accepted = [len(entry.accepted) for entry in operators]
+        self.assertEqual([0, 1], sorted(accepted))
+
+    def test_lost_answer_of_a_write_is_recognised(self):
+        # Guards against an accepted change that is reported as a
+        # conflict with itself.
+        fleet = make_fleet()
+        fleet.store.faults.lose_answers = 1
+        operator = Operator(fleet, 'o1')
+        operator.apply([make_service(1)], [fleet.balancers['b0']])
+        fleet.advance(1)
+        fleet.store.faults.lose_answers = 0
+        fleet.advance(10)
+        self.assertEqual(1, len(operator.accepted))
+        for balancer in fleet.running_balancers():
+            self.assertEqual(1, balancer.node.spread.holder.version)
