Test the agent's decisions, back-end client and process

Cause: outcomes have to be told truthfully whatever the back end does with its connection, and a process has to drain and restart safely.

--- /dev/null
+++ b/tests/agent/test_agent_flows.py
@@ -0,0 +1,279 @@
+from testtools import TestCase
+
+from greengagepath.agent_openings import MAX_HAND_OFFS
+from greengagepath.envelopes import Envelope, seal_envelope
+from greengagepath.flow_table import FLOW_LIFETIME_S, IDLE_S, REORDER_S
+from greengagepath.generated.messages import (
+    Limits,
+    Operation,
+    Refusal,
+    RefusalReason,
+    SizeClass,
+)
+from greengagepath.packets import DropReason, Kind, ServiceDatagram
+from greengagepath.routing.choice import ProbeState
+
+from .world import (
+    BALANCER,
+    OTHER_AGENT,
+    SERVICE_ID,
+    World,
+    build_service,
+)
+
+
+class AgentFlowsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = World()
+        self.agent = self.world.agent
+
+    def test_request_is_answered(self):
+        # Guards against an agent that does not serve at all.
+        attempt = self.world.request(self.world.open_flow(), parts=3)
+        self.world.finish(0, 'answered', b'done')
+        answer = self.world.answers_by_attempt[attempt]
+        self.assertEqual((200, b'done'), (answer.status, answer.body))
+        self.assertEqual('target-1', answer.target_id)
+        self.world.acknowledge(attempt)
+        self.assertTrue(self.agent.is_idle)
+        self.assertEqual(0, self.agent.table.records.answer_bytes)
+
+    def test_lost_refusal_is_repeated_on_ping(self):
+        # Guards against a caller that waits for a datagram that was lost.
+        attempt = self.world.request(self.world.open_flow(), deadline_ms=0)
+        self.world.replies_by_attempt.clear()
+        self.world.tell(self.world.flows[0], Kind.PING, attempt[1])
+        reasons = [
+            reply.reason
+            for reply in self.world.replies_by_attempt[attempt]
+            if isinstance(reply, Refusal)
+        ]
+        self.assertEqual([RefusalReason.deadline], reasons)
+
+    def test_lost_parts_of_an_answer_are_sent_again(self):
+        # Guards against an answer that stays incomplete.
+        attempt = self.world.request(self.world.open_flow())
+        self.world.finish(0, 'answered', bytes(4000))
+        self.world.receivers_by_attempt.clear()
+        self.world.answers_by_attempt.clear()
+        self.world.advance_ticking(3.0)
+        self.assertIn(attempt, self.world.answers_by_attempt)
+
+    def test_answer_is_kept_for_a_caller_that_returns(self):
+        # Guards against an answer that is lost while its caller is away.
+        attempt = self.world.request(self.world.open_flow())
+        self.world.finish(0, 'answered', b'kept')
+        self.world.advance_ticking(20.0)
+        self.assertTrue(self.agent.is_idle)
+        self.world.answers_by_attempt.clear()
+        self.world.tell(self.world.flows[0], Kind.PING, attempt[1])
+        self.assertEqual(b'kept', self.world.answers_by_attempt[attempt].body)
+
+    def test_token_of_earlier_incarnation_has_unknown_outcome(self):
+        # Guards against a restarted agent that runs old requests again.
+        flow = self.world.open_flow()
+        self.world.restart()
+        attempt = self.world.request(flow)
+        self.assertEqual(
+            [Kind.UNKNOWN_OUTCOME], self.world.replies_by_attempt[attempt]
+        )
+        self.assertEqual([], self.world.running)
+
+    def test_old_flow_begins_no_request(self):
+        # Guards against requests that outlive the record of their flow.
+        flow = self.world.open_flow()
+        self.world.advance(FLOW_LIFETIME_S + 1)
+        attempt = self.world.request(flow)
+        refusal = self.world.replies_by_attempt[attempt][-1]
+        self.assertEqual(RefusalReason.flow_expired, refusal.reason)
+
+    def test_second_attempt_of_a_running_request_does_not_run(self):
+        # Guards against at-most-once by flow only.
+        first = self.world.request(self.world.open_flow())
+        other = self.world.open_flow()
+        again = self.world.request(
+            other, request=self.world.requests_by_attempt[first]
+        )
+        self.assertEqual(1, len(self.world.running))
+        self.assertIn(
+            Kind.UNKNOWN_OUTCOME, self.world.replies_by_attempt[again]
+        )
+
+    def test_answers_go_to_the_newest_address(self):
+        # Guards against answers to a port that the caller has left, and
+        # against a late datagram of that port that moves the flow back.
+        flow = self.world.open_flow(('198.51.100.1', 1))
+        attempt = self.world.request(flow)
+        flow.caller = ('198.51.100.1', 2)
+        flow.callers = {flow.caller}
+        self.world.tell(flow, Kind.PING, attempt[1])
+        late = self.world.datagram(flow, Kind.CANCEL, 99)
+        entry = self.agent.flows.find(flow.flow_id)
+        self.agent.receive(self._seal(late, ('198.51.100.1', 1)), BALANCER)
+        self.assertEqual(flow.caller, entry.caller)
+        self.world.timers.advance(REORDER_S)
+        self.agent.receive(self._seal(late, ('198.51.100.1', 1)), BALANCER)
+        self.assertEqual(('198.51.100.1', 1), entry.caller)
+
+    def test_replayed_envelope_is_dropped(self):
+        # Guards against replays between the system's processes.
+        self.world.open_flow()
+        self.world.receive(self.world.sealed[-1])
+        self.assertEqual(1, self.agent.drops[DropReason.REPLAYED])
+
+    def test_foreign_and_malformed_datagrams_are_counted(self):
+        # Guards against datagrams that end the process or get a reply.
+        flow = self.world.open_flow()
+        sealed = self.world.sealed[-1]
+        wrong_service = ServiceDatagram(Kind.OPEN, 8, 1, body=bytes(32))
+        self.world.send(wrong_service, flow.caller)
+        short = ServiceDatagram(Kind.OPEN, SERVICE_ID, 1)
+        self.world.send(short, flow.caller)
+        flow.token = bytes(16) + flow.token[16:]
+        self.world.tell(flow, Kind.PING, 1)
+        for datagram in (b'', b'x', sealed[:40], sealed[:-1]):
+            self.agent.receive(datagram, BALANCER)
+        self.assertEqual(
+            {
+                DropReason.UNKNOWN_SERVICE: 1,
+                DropReason.TRUNCATED: 4,
+                DropReason.BAD_TOKEN: 1,
+                DropReason.BAD_TAG: 1,
+            },
+            dict(self.agent.drops),
+        )
+
+    def test_open_is_handed_off_when_draining(self):
+        # Guards against new flows at a leaving target.
+        self.agent.start_draining()
+        self.world.open_flow(alternates=(OTHER_AGENT, BALANCER))
+        outgoing, datagram = self.world.to_peers[-1]
+        self.assertEqual(OTHER_AGENT, outgoing.address)
+        self.assertEqual(Kind.OPEN, datagram.kind)
+        self.assertEqual([], self.world.flows)
+
+    def test_open_is_refused_after_the_last_hand_off(self):
+        # Guards against an OPEN that circulates.
+        self.agent.start_draining()
+        self.world.open_flow(alternates=(OTHER_AGENT,), hops=MAX_HAND_OFFS)
+        self.assertEqual([], self.world.to_peers)
+        self.assertIn([Kind.REFUSE], self.world.replies_by_attempt.values())
+
+    def test_probe_reports_the_load(self):
+        # Guards against balancers that choose by wrong figures.
+        flow = self.world.open_flow()
+        for _ in range(3):
+            self.world.request(flow)
+        self.world.finish(0, 'answered')
+        probe = ServiceDatagram(Kind.PROBE, SERVICE_ID, 55)
+        self.world.send(probe, BALANCER)
+        outgoing, reply = self.world.to_peers[-1]
+        self.assertEqual(BALANCER, outgoing.address)
+        self.assertEqual((Kind.PROBE_REPLY, 55), (reply.kind, reply.flow_id))
+        self.assertEqual(2, int.from_bytes(reply.body[:2], 'big'))
+        self.assertEqual(ProbeState.ACCEPTING, reply.body[-1])
+
+    def test_running_request_is_cancelled_at_the_back_end(self):
+        # Guards against "not run" for a request that had begun.
+        attempt = self.world.request(self.world.open_flow())
+        self.world.tell(self.world.flows[0], Kind.CANCEL, attempt[1])
+        self.assertEqual(self.world.running, self.world.cancelled)
+        self.world.finish(0, 'unknown')
+        self.assertEqual(
+            Kind.UNKNOWN_OUTCOME, self.world.replies_by_attempt[attempt][-1]
+        )
+
+    def test_work_that_was_not_run_is_tried_again_within_the_budget(self):
+        # Guards against retry storms and against giving up at once.
+        attempt = self.world.request(self.world.open_flow())
+        for _ in range(3):
+            self.world.finish(0, 'not_run')
+            self.world.advance(0.2)
+        self.assertEqual(3, self.world.started_by_attempt[attempt])
+        refusal = self.world.replies_by_attempt[attempt][-1]
+        self.assertEqual(RefusalReason.no_target, refusal.reason)
+
+    def test_full_request_table_refuses(self):
+        # Guards against a table that forgets what still runs.
+        world = World(Limits(slots=1, queue_length=5, request_records=2))
+        flow = world.open_flow()
+        attempts = [world.request(flow) for _ in range(3)]
+        refusal = world.replies_by_attempt[attempts[2]][-1]
+        self.assertEqual(RefusalReason.table_full, refusal.reason)
+
+    def test_unfetched_answers_hold_back_new_work(self):
+        # Guards against memory without bound for answers.
+        world = World(Limits(slots=2, max_answer_bytes=1024))
+        flow = world.open_flow()
+        for _ in range(4):
+            world.request(flow)
+        world.finish(0, 'answered', bytes(1000))
+        world.finish(0, 'answered', bytes(1000))
+        world.finish(0, 'answered', bytes(1000))
+        self.assertEqual([], world.running)
+        for number in (1, 2):
+            world.acknowledge((flow.flow_id, number))
+        world.pump()
+        self.assertEqual(1, len(world.running))
+
+    def test_operation_comes_from_the_configuration(self):
+        # Guards against callers that declare long work as short.
+        operation = Operation(
+            name='order',
+            method='POST',
+            path_prefix='/orders',
+            idempotent=False,
+            size_class=SizeClass.long,
+        )
+        world = World(service=build_service(operations=[operation]))
+        world.request(world.open_flow(), idempotent=True)
+        work = world.running[0]
+        self.assertEqual(SizeClass.long, work.queued.size_class)
+        self.assertFalse(world.agent.view.is_idempotent(work.request))
+
+    def _seal(self, datagram, caller):
+        """Return the datagram as a balancer forwards it."""
+        self.world.sequence += 1
+        envelope = Envelope(5, self.world.sequence, caller, ('192.0.2.7', 80))
+        return seal_envelope(self.world.keys, envelope, datagram.encode())
+
+
+class FlowTableTest(TestCase):
+    def test_full_table_never_runs_what_it_refused(self):
+        # Guards against a refused request that runs once there is room.
+        world = World()
+        flows = [world.open_flow() for _ in range(7)]
+        attempts = [world.request(flow) for flow in flows]
+        refusal = world.replies_by_attempt[attempts[6]][-1]
+        self.assertEqual(RefusalReason.flow_expired, refusal.reason)
+        while world.running:
+            world.finish(0, 'answered')
+        for attempt in world.answers_by_attempt:
+            world.acknowledge(attempt)
+        world.advance(10 * IDLE_S)
+        datagram, caller = world.sent[13]
+        self.assertEqual(flows[6].flow_id, datagram.flow_id)
+        world.send(datagram, caller)
+        self.assertEqual([], world.running)
+        self.assertNotIn(attempts[6], world.started_by_attempt)
+
+    def test_forgotten_flow_runs_nothing_again(self):
+        # Guards against a duplicate that comes after its flow has given
+        # way to others.
+        world = World()
+        for _ in range(6 * 16 + 10):
+            attempt = world.request(world.open_flow())
+            world.finish(0, 'answered')
+            world.acknowledge(attempt)
+            world.advance(IDLE_S + 1)
+        self.assertLessEqual(len(world.agent.flows), 6 * 16)
+        first, caller = world.sent[1]
+        self.assertEqual(Kind.REQUEST, first.kind)
+        self.assertIsNone(world.agent.flows.find(first.flow_id))
+        world.send(first, caller)
+        self.assertEqual([], world.running)
+        self.assertEqual(
+            Kind.UNKNOWN_OUTCOME,
+            world.replies_by_attempt[first.flow_id, 1][-1],
+        )
