--- /dev/null
+++ b/greengagepath/bench/experiments.py
@@ -0,0 +1,288 @@
+"""The experiments of `make bench` and their bounds.
+
+Bounds come from the targets of the design page, section 1, and are
+never taken from measured figures.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum, unique
+
+from .fakes import RequestOutcome
+from .measures import (
+    list_between,
+    measure_customer_gap,
+    measure_imbalance,
+    measure_in_time,
+    measure_recovery_s,
+    measure_refusal_s,
+    measure_short_tail_s,
+    sum_goodput_s,
+)
+from .scenarios import SCENARIOS, ScenarioSpec
+from .simulation import Change, ChangeKind, RunOutcome, RunSetup
+from .systems import NaiveSimulation, OursSimulation
+from .workload import LoadPhase, LoadPlan
+
+SEED = 1
+CREST_LOAD = 3.0
+CREST_START_S = 10.0
+CREST_END_S = 20.0
+CREST_RUN_S = 30.0
+USUAL_LOAD = 0.6
+HIGH_LOAD = 0.7
+# From 0.41 on, the naive balancer overloads the slowest targets even
+# without long work, and its ratio would say nothing about blocking.
+BLOCKING_LOAD = 0.4
+WARM_UP_S = 15.0
+STEADY_RUN_S = 45.0
+CHANGES_RUN_S = 40.0
+RECOVERY_LIMIT_S = 2.0
+# Within this share of the requests in time, service is back to normal.
+NORMAL_SHARE = 0.99
+GOODPUT_BOUND = 0.9
+BLOCKING_BOUND = 1.5
+
+
+@unique
+class Better(Enum):
+    """Which side of the bound is good."""
+
+    LOWER = 'lower'
+    HIGHER = 'higher'
+
+
+@dataclass(slots=True, frozen=True)
+class Measure:
+    """A measured quantity; `bound` is None if no target is set."""
+
+    name: str
+    unit: str
+    better: Better
+    bound: float | None
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    """A figure of both systems, on the same inputs."""
+
+    measure: Measure
+    scenario: str
+    naive: float
+    ours: float
+    seed: int
+
+    @property
+    def ratio(self) -> float | None:
+        """Naive over ours; None if ours is 0."""
+        return round(self.naive / self.ours, _DIGITS) if self.ours else None
+
+    @property
+    def is_met(self) -> bool:
+        """Whether ours meets the bound."""
+        if self.measure.bound is None:
+            return True
+        if self.measure.better == Better.LOWER:
+            return self.ours <= self.measure.bound
+        return self.ours >= self.measure.bound
+
+
+_DIGITS = 4
+_QUALITY_CAPACITY = (CREST_END_S - CREST_START_S) * GOODPUT_BOUND
+_SWING_USUAL = USUAL_LOAD * (CREST_START_S + CREST_RUN_S - CREST_END_S)
+_SWING_CREST = CREST_LOAD * (CREST_END_S - CREST_START_S)
+# What 90% of the capacity at the crest, all requests before it and all
+# but those of the recovery after it, are of the requests of the swing.
+QUALITY_BOUND = (
+    _SWING_USUAL - USUAL_LOAD * RECOVERY_LIMIT_S + _QUALITY_CAPACITY
+) / (_SWING_USUAL + _SWING_CREST)
+
+BROKEN_FLOWS = Measure('broken_flows', 'share', Better.LOWER, 0.0)
+IMBALANCE = Measure('imbalance', 'variation', Better.LOWER, 0.1)
+CUSTOMER_GAP = Measure('imbalance_customers', 'gap', Better.LOWER, 0.1)
+CREST_QUALITY = Measure(
+    'crest_quality', 'share', Better.HIGHER, round(QUALITY_BOUND, _DIGITS)
+)
+CREST_GOODPUT = Measure(
+    'crest_goodput', 'of capacity', Better.HIGHER, GOODPUT_BOUND
+)
+CREST_RECOVERY = Measure('crest_recovery', 's', Better.LOWER, RECOVERY_LIMIT_S)
+CREST_REFUSAL = Measure('crest_refusal', 's', Better.LOWER, None)
+HEAD_OF_LINE = Measure('head_of_line', 'ratio', Better.LOWER, BLOCKING_BOUND)
+
+STEADY = LoadPlan((LoadPhase(STEADY_RUN_S, HIGH_LOAD),))
+WITH_LONG = LoadPlan((LoadPhase(STEADY_RUN_S, BLOCKING_LOAD),))
+WITHOUT_LONG = LoadPlan(WITH_LONG.phases, with_long_work=False)
+UNDER_CHANGES = LoadPlan((LoadPhase(CHANGES_RUN_S, USUAL_LOAD),))
+# All kinds of changes to both services, one every few seconds.
+CHANGE_GAP_S = 3.0
+CHANGES = tuple(
+    Change((step + 1) * CHANGE_GAP_S, kind, service, number)
+    for step, (kind, service, number) in enumerate(
+        (
+            (ChangeKind.JOIN, 1, 2),
+            (ChangeKind.DRAIN, 1, 0),
+            (ChangeKind.JOIN, 2, 2),
+            (ChangeKind.KILL_BALANCER, 1, 0),
+            (ChangeKind.DRAIN, 1, 5),
+            (ChangeKind.ADD_BALANCER, 1, 0),
+            (ChangeKind.JOIN, 1, 4),
+            (ChangeKind.DISAPPEAR, 1, 1),
+            (ChangeKind.DRAIN, 2, 0),
+            (ChangeKind.JOIN, 1, 1),
+        )
+    )
+)
+
+
+def run_experiments(seed: int = SEED) -> Iterator[Row]:
+    """Run all experiments in both scenarios."""
+    for scenario in SCENARIOS:
+        yield from run_scenario(scenario, seed)
+
+
+def run_scenario(scenario: ScenarioSpec, seed: int) -> Iterator[Row]:
+    """Run the experiments of one scenario."""
+    comparison = Comparison(scenario, seed)
+    yield comparison.compare_broken_flows()
+    yield comparison.compare_imbalance()
+    yield comparison.compare_head_of_line()
+    yield from comparison.compare_crest()
+    yield comparison.compare_customers()
+
+
+@dataclass(slots=True, frozen=True)
+class Pair:
+    """The same run of both systems."""
+
+    naive: RunOutcome
+    ours: RunOutcome
+
+
+class Comparison:
+    """Runs both systems on the inputs of one scenario and seed."""
+
+    def __init__(self, scenario: ScenarioSpec, seed: int) -> None:
+        self._scenario = scenario
+        self._seed = seed
+
+    def compare_broken_flows(self) -> Row:
+        """Targets and balancers change under load."""
+        pair = self._run(UNDER_CHANGES, CHANGES)
+        return self._make_row(
+            BROKEN_FLOWS,
+            pair.naive.ledger.broken_share,
+            pair.ours.ledger.broken_share,
+        )
+
+    def compare_imbalance(self) -> Row:
+        """Steady load on targets of different speed, after warm-up."""
+        pair = self._run(STEADY)
+        return self._make_row(
+            IMBALANCE,
+            measure_imbalance(pair.naive),
+            measure_imbalance(pair.ours),
+        )
+
+    def compare_head_of_line(self) -> Row:
+        """Short work with long work present and without."""
+        mixed = self._run(WITH_LONG)
+        alone = self._run(WITHOUT_LONG)
+        return self._make_row(
+            HEAD_OF_LINE,
+            self._measure_blocking(mixed.naive, alone.naive),
+            self._measure_blocking(mixed.ours, alone.ours),
+        )
+
+    def compare_crest(self) -> Iterator[Row]:
+        """Three times the capacity for 10 s."""
+        pair = self._run(make_crest())
+        naive = pair.naive.ledger.outcomes
+        ours = pair.ours.ledger.outcomes
+        yield self._make_row(
+            CREST_QUALITY, measure_in_time(naive), measure_in_time(ours)
+        )
+        yield self._make_row(
+            CREST_GOODPUT,
+            self._measure_goodput(naive),
+            self._measure_goodput(ours),
+        )
+        yield self._make_row(
+            CREST_RECOVERY,
+            measure_recovery_s(naive, CREST_END_S, NORMAL_SHARE),
+            measure_recovery_s(ours, CREST_END_S, NORMAL_SHARE),
+        )
+        yield self._make_row(
+            CREST_REFUSAL, measure_refusal_s(naive), measure_refusal_s(ours)
+        )
+
+    def compare_customers(self) -> Row:
+        """A crest; one customer sends as much as all others together."""
+        others = len(self._scenario.customers) - 1
+        weights = (float(others), *(1.0 for _ in range(others)))
+        pair = self._run(make_crest(weights))
+        return self._make_row(
+            CUSTOMER_GAP,
+            self._measure_gap(pair.naive),
+            self._measure_gap(pair.ours),
+        )
+
+    def _run(self, plan: LoadPlan, changes: tuple[Change, ...] = ()) -> Pair:
+        setup = RunSetup(self._scenario, plan, self._seed, changes, WARM_UP_S)
+        return Pair(NaiveSimulation(setup).run(), OursSimulation(setup).run())
+
+    def _make_row(self, measure: Measure, naive: float, ours: float) -> Row:
+        return Row(
+            measure,
+            self._scenario.name,
+            round(naive, _DIGITS),
+            round(ours, _DIGITS),
+            self._seed,
+        )
+
+    def _measure_blocking(self, mixed: RunOutcome, alone: RunOutcome) -> float:
+        """Return the ratio of the service with the most blocking."""
+        return max(
+            measure_short_tail_s(
+                mixed.ledger.outcomes, WARM_UP_S, service.service
+            )
+            / measure_short_tail_s(
+                alone.ledger.outcomes, WARM_UP_S, service.service
+            )
+            for service in self._scenario.services
+        )
+
+    def _measure_goodput(self, outcomes: list[RequestOutcome]) -> float:
+        capacity = sum(one.capacity for one in self._scenario.services)
+        span_s = CREST_END_S - CREST_START_S
+        done_s = sum_goodput_s(outcomes, CREST_START_S, CREST_END_S)
+        return done_s / (capacity * span_s)
+
+    def _measure_gap(self, run: RunOutcome) -> float:
+        """Return the gap of the service that treats customers worst."""
+        span_s = CREST_END_S - CREST_START_S
+        crest = list_between(run.ledger.outcomes, CREST_START_S, CREST_END_S)
+        return max(
+            measure_customer_gap(
+                [
+                    outcome
+                    for outcome in crest
+                    if outcome.request.service == service.service
+                ],
+                service.capacity * span_s,
+            )
+            for service in self._scenario.services
+        )
+
+
+def make_crest(customer_weights: tuple[float, ...] = ()) -> LoadPlan:
+    """Return the load of a demand swing."""
+    return LoadPlan(
+        phases=(
+            LoadPhase(CREST_START_S, USUAL_LOAD),
+            LoadPhase(CREST_END_S, CREST_LOAD),
+            LoadPhase(CREST_RUN_S, USUAL_LOAD),
+        ),
+        customer_weights=customer_weights,
+        single_requests=True,
+    )
