Let an isolated balancer link to other zones without a lease

The zone's seed and its bridge lease were those of the dead one, so for up to lease_s = 15 s the new balancer had neither records nor a configuration. A balancer without neighbours in its own zone now reads the seeds of other zones and watches the configuration like a bridge, but writes nothing.

--- a/greengagepath/membership/bridge.py
+++ b/greengagepath/membership/bridge.py
@@ -93,9 +93,10 @@
         self._directory.update_reached()
         if self.is_bridge:
             self._yield_to_rival()
-        if self.is_bridge:
+        if self._links_zones():
             self._watch.step()
             self._directory.step()
+        if self.is_bridge:
             self._write_seed()
 
     def stop(self) -> None:
@@ -105,7 +106,21 @@
 
     def wanted_links(self) -> Mapping[str, Address]:
         """Return the balancers of other zones to link to, by member id."""
-        return self._directory.wanted_links() if self.is_bridge else {}
+        return self._directory.wanted_links() if self._links_zones() else {}
+
+    def _links_zones(self) -> bool:
+        """Return whether to link to other zones and to watch.
+
+        A balancer that finds nobody in its own zone does so without a
+        slot: the lease of a bridge that has died lasts up to `lease_s`,
+        and until then nobody else would bring it records and the
+        configuration.
+        """
+        if self.is_bridge:
+            return True
+        return self._is_settled() and not self._parts.peers.with_role(
+            PeerRole.ZONE
+        )
 
     def _choose_slot(self) -> None:
         """Apply for the first slot for which this balancer comes first."""
