--- a/greengagepath/membership/bridge.py
+++ b/greengagepath/membership/bridge.py
@@ -346,7 +346,10 @@
         now_s = self._parts.ports.timers.now()
         if now_s >= self._next_s:
             jitter = self._parts.ports.random.uniform(0.5, 1)
-            self._next_s = now_s + DISCOVERY_S * jitter
+            # Zones that start together read before the others' seeds
+            # are written, so a lonely one looks again soon.
+            period_s = DISCOVERY_S if self._linked_zones() else SEED_CHECK_S
+            self._next_s = now_s + period_s * jitter
             self._parts.ports.store.list_names(ObjectKind.SEED, self._learn)
 
     def update_reached(self) -> None:
