--- a/greengagepath/cli/prompts.py
+++ b/greengagepath/cli/prompts.py
@@ -50,15 +50,17 @@
 
 def _ask_struct(schema: inspect.Type, prefix: str) -> dict[str, Any]:
     answers: dict[str, Any] = {}
-    for field in schema.fields:
-        name = field.encode_name
-        if isinstance(_plain(field.type), inspect.ListType):
-            answers[name] = _ask_list(field, f'{prefix}{name}')
-        else:
-            answers[name] = _ask_field(field, f'{prefix}{name}')
+    # Lists last, so that a service is described before its operations.
+    for field in sorted(schema.fields, key=_is_list):
+        ask = _ask_list if _is_list(field) else _ask_field
+        answers[field.encode_name] = ask(field, f'{prefix}{field.encode_name}')
     return answers
 
 
+def _is_list(field: inspect.Field) -> bool:
+    return isinstance(_plain(field.type), inspect.ListType)
+
+
 def _ask_list(field: inspect.Field, key: str) -> list[dict[str, Any]]:
     entries: list[dict[str, Any]] = []
     item_schema = _plain(_plain(field.type).item_type)
