--- a/greengagepath/keys.py
+++ b/greengagepath/keys.py
@@ -96,11 +96,15 @@
         Call it about once a second; it costs one `stat` for each file.
         A file that cannot be used is tried again only when it changes.
         """
+        return self.has_changed() and self.reload()
+
+    def has_changed(self) -> bool:
+        """Return whether a file has changed since the last call."""
         stamps = {path: _read_stamp(path) for path in self._stamps}
         if stamps == self._stamps:
             return False
         self._stamps = stamps
-        return self.reload()
+        return True
 
     def _read_stamps(self, settings: Settings) -> dict[Path, _Stamp]:
         paths = [Path(entry.secret_file) for entry in settings.keys]
--- a/greengagepath/tls.py
+++ b/greengagepath/tls.py
@@ -50,11 +50,15 @@
 
     def reload_if_changed(self) -> bool:
         """Reload if a file has a new time of change or size."""
+        return self.has_changed() and self.reload()
+
+    def has_changed(self) -> bool:
+        """Return whether a file has changed since the last call."""
         stamps = _read_stamps(self._settings)
         if stamps == self._stamps:
             return False
         self._stamps = stamps
-        return self.reload()
+        return True
 
     def _use_latest(
         self, connection: ssl.SSLObject, _name: str | None, _context: object
--- a/tests/operator/test_cli.py
+++ b/tests/operator/test_cli.py
@@ -8,12 +8,15 @@
 from contextlib import redirect_stderr, redirect_stdout
 from pathlib import Path
 
+import gevent
 from msgspec import structs
 from testtools import TestCase
 
 from greengagepath.cli.tool import run_tool
+from greengagepath.daemon.http_status import StatusServer
 from greengagepath.exit_codes import ExitCode
 from greengagepath.keys import load_keys
+from greengagepath.metrics import Metrics
 from greengagepath.settings import load_tool_settings
 
 from .builders import (
@@ -291,6 +294,59 @@
         self.assertNotIn('<b>firm', text)
         self.assertIn('service-level burn', self.out.getvalue())
 
+    def test_scrapes_become_a_history(self):
+        # Guards against totals since start that raise an alert, and
+        # against a scrape that is forgotten by the next one.
+        metrics = Metrics()
+        labels = {
+            'service': 'licence-core',
+            'customer': 'firm',
+            'operation': 'status-check',
+        }
+        metrics.add('requests_total', 100, outcome='failed', **labels)
+        server = StatusServer(('127.0.0.1', 0), metrics, list)
+        server.start()
+        self.addCleanup(server.stop)
+        url = f'http://127.0.0.1:{server.port}/metrics'
+        history = self.folder / 'history.jsonl'
+        first = self.scrape(url, history)
+        self.assertEqual((0, 100), (first['good'], first['total']))
+        self.assertIsNone(first['rates_by_window_s']['300'])
+        metrics.add('requests_total', 50, outcome='answered', **labels)
+        for _ in range(50):
+            metrics.observe('request_duration_seconds', 0.02, **labels)
+        second = self.scrape(url, history)
+        self.assertEqual((50, 150), (second['good'], second['total']))
+        self.assertEqual(0, second['rates_by_window_s']['300'])
+        code = self.run_command(
+            'report',
+            '--metrics',
+            'http://127.0.0.1:1/metrics',
+            '--configuration',
+            self.file,
+            '--history',
+            history,
+        )
+        self.assertEqual(ExitCode.UNREACHABLE, code)
+
+    def scrape(self, url, history):
+        # The server needs the loop that the command's read would block.
+        code = gevent.get_hub().threadpool.apply(
+            self.run_command,
+            (
+                'report',
+                '--metrics',
+                url,
+                '--json',
+                '--configuration',
+                self.file,
+                '--history',
+                history,
+            ),
+        )
+        self.assertEqual(ExitCode.OK, code)
+        return json.loads(self.out.getvalue())['burn'][0]
+
     def test_malformed_lines_are_named(self):
         # Guards against a report over a part of the input.
         self.outcomes.write_text('{"time": 1}\n')
