Test refusal, sharing and records where a fault passed unseen

Cause: of 50 deliberate faults, those in the window of request numbers, in retries after a cancellation and in the order between customers made no check fail.

Conclusion: each has a check of its own now.

--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -1,3 +1,5 @@
+from collections import Counter
+
 from hypothesis import given
 from hypothesis import strategies as st
 from testtools import TestCase
@@ -62,6 +64,9 @@
             {refusal.reason for refusal in self.back_end.refused},
         )
         self.assertEqual(4, len(self.back_end.refused))
+        self.gate.stop_draining()
+        self.back_end.pump()
+        self.assertEqual(2, len(self.back_end.started))
 
     def test_cancel_tells_queued_from_running(self):
         # Guards against "not run" for a request that runs.
@@ -130,15 +135,44 @@
                 time_limit_s=2.0,
             )
         back_end.timers.advance(20)
-        cost_by_customer = dict.fromkeys(range(1, 5), 0.0)
-        for request in back_end.started:
-            cost_by_customer[request.customer_id] += request.payload
+        cost_by_customer = self._cost_by_customer(back_end.started)
         greedy = cost_by_customer.pop(1)
         # Two slots for 20 s, shared by four customers: 10 s each.
         self.assertLess(greedy, 10 * 1.1)
         for cost_s in cost_by_customer.values():
             self.assertGreater(cost_s, 10 * 0.9)
 
+    def test_long_queue_is_served_by_share(self):
+        # Guards against service in order of arrival while the queue has
+        # room for everybody.
+        back_end = FakeBackEnd(queue_length=100000)
+        back_end.poisson(600, 10, mean_s=0.02, customer_id=1)
+        back_end.poisson(60, 10, mean_s=0.02, customer_id=2)
+        back_end.timers.advance(10)
+        costs = self._cost_by_customer(back_end.started)
+        self.assertAlmostEqual(costs[1], costs[2], delta=1)
+
+    def test_shares_of_customers_weigh(self):
+        # Guards against shares of the configuration that have no effect.
+        back_end = FakeBackEnd(queue_length=100000)
+        back_end.gate.replace_limits(back_end.limits, {1: 3.0, 2: 1.0})
+        for customer_id in (1, 2):
+            back_end.poisson(200, 10, mean_s=0.02, customer_id=customer_id)
+        back_end.timers.advance(10)
+        costs = self._cost_by_customer(back_end.started)
+        self.assertAlmostEqual(3, costs[1] / costs[2], delta=0.4)
+
+    def test_idle_time_is_not_saved_up(self):
+        # Guards against a customer that returns and takes all slots.
+        back_end = FakeBackEnd(queue_length=100000)
+        back_end.poisson(200, 20, mean_s=0.02, customer_id=1)
+        back_end.poisson(200, 20, mean_s=0.02, customer_id=2, start_s=15)
+        back_end.timers.advance(15)
+        started = len(back_end.started)
+        back_end.timers.advance(4)
+        costs = self._cost_by_customer(back_end.started[started:])
+        self.assertAlmostEqual(costs[1], costs[2], delta=1)
+
     def test_idle_capacity_goes_to_who_asks(self):
         # Guards against a queue that leaves slots idle.
         back_end = FakeBackEnd()
@@ -147,6 +181,12 @@
         busy_s = sum(request.payload for request in back_end.started)
         self.assertGreater(busy_s, 0.95 * 40)
 
+    def _cost_by_customer(self, requests):
+        costs = Counter()
+        for request in requests:
+            costs[request.customer_id] += request.payload
+        return costs
+
 
 class HeadOfLineTest(TestCase):
     def test_short_work_does_not_wait_for_long_work(self):
--- a/tests/agent/test_agent_flows.py
+++ b/tests/agent/test_agent_flows.py
@@ -194,6 +194,61 @@
         refusal = self.world.replies_by_attempt[attempt][-1]
         self.assertEqual(RefusalReason.no_target, refusal.reason)
 
+    def test_cancelled_request_is_not_tried_again(self):
+        # Guards against a run after the caller was told "not run".
+        attempt = self.world.request(self.world.open_flow())
+        self.world.finish(0, 'not_run')
+        self.world.tell(self.world.flows[0], Kind.CANCEL, attempt[1])
+        self.world.advance(1.0)
+        refusal = self.world.replies_by_attempt[attempt][-1]
+        self.assertEqual(RefusalReason.cancelled, refusal.reason)
+        self.assertEqual(1, self.world.started_by_attempt[attempt])
+
+    def test_duplicate_of_a_refused_request_is_refused_again(self):
+        # Guards against an unknown outcome where the refusal was lost.
+        self.world.request(self.world.open_flow(), deadline_ms=0)
+        datagram, caller = self.world.sent[-1]
+        self.world.send(datagram, caller)
+        replies = self.world.replies_by_attempt[datagram.flow_id, 1]
+        refusals = [entry for entry in replies if isinstance(entry, Refusal)]
+        self.assertEqual(2, len(refusals))
+
+    def test_duplicate_of_a_running_request_is_acknowledged(self):
+        # Guards against a caller that sends a long request over and over.
+        self.world.request(self.world.open_flow())
+        datagram, caller = self.world.sent[-1]
+        self.world.send(datagram, caller)
+        replies = self.world.replies_by_attempt[datagram.flow_id, 1]
+        self.assertEqual([Kind.REQUEST_ACK, Kind.REQUEST_ACK], replies)
+        self.assertEqual(1, len(self.world.running))
+
+    def test_request_runs_once_after_its_record_has_given_way(self):
+        # Guards against at-most-once that ends with the record.
+        world = World(Limits(slots=2, request_records=1))
+        flow = world.open_flow()
+        for _ in range(2):
+            attempt = world.request(flow)
+            world.finish(0, 'answered')
+            world.acknowledge(attempt)
+        self.assertIsNone(world.agent.table.find((flow.flow_id, 1)))
+        datagram, caller = world.sent[1]
+        world.send(datagram, caller)
+        self.assertEqual([], world.running)
+        self.assertIn(
+            Kind.UNKNOWN_OUTCOME, world.replies_by_attempt[flow.flow_id, 1]
+        )
+
+    def test_cancel_that_overtakes_its_request_holds(self):
+        # Guards against a request that runs after its cancellation.
+        flow = self.world.open_flow()
+        self.world.tell(flow, Kind.CANCEL, flow.next_number)
+        attempt = self.world.request(flow)
+        reasons = {
+            entry.reason for entry in self.world.replies_by_attempt[attempt]
+        }
+        self.assertEqual({RefusalReason.cancelled}, reasons)
+        self.assertEqual([], self.world.running)
+
     def test_full_request_table_refuses(self):
         # Guards against a table that forgets what still runs.
         world = World(Limits(slots=1, queue_length=5, request_records=2))
--- a/tests/agent/test_agent_machine.py
+++ b/tests/agent/test_agent_machine.py
@@ -43,6 +43,13 @@
             deadline_ms=deadline_ms,
         )
 
+    @precondition(lambda machine: machine.world.flows)
+    @rule(position=POSITION, count=st.integers(4, 7))
+    def burst(self, position, count):
+        for number in range(count):
+            flow = self._pick(self.world.flows, position + number)
+            self.world.request(flow)
+
     @precondition(lambda machine: machine._retriable())
     @rule(position=POSITION, flow=POSITION)
     def retry_on_another_flow(self, position, flow):
@@ -122,14 +129,12 @@
 
     @rule()
     def drain(self):
-        self.world.agent.start_draining()
-        self.world.pump()
+        self.world.drain()
 
-    @precondition(lambda machine: machine.world.agent.is_draining)
+    @precondition(lambda machine: machine.world.draining)
     @rule()
     def undrain(self):
-        self.world.agent.stop_draining()
-        self.world.pump()
+        self.world.undrain()
 
     @rule()
     def restart(self):
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -122,6 +122,7 @@
         """Replace the agent; what runs goes on unseen."""
         self.incarnation += 1
         self.running = []
+        self.draining = False
         self.agent = AgentFlows(
             AgentIdentity(
                 service_id=SERVICE_ID,
@@ -244,6 +245,16 @@
                 self.agent.desk.complete(work, OutcomeUnknown('reset'))
         self.pump()
 
+    def drain(self):
+        self.draining = True
+        self.agent.start_draining()
+        self.pump()
+
+    def undrain(self):
+        self.draining = False
+        self.agent.stop_draining()
+        self.pump()
+
     def advance(self, duration_s):
         """Move time; the agent ticks at least at the end."""
         self.timers.advance(duration_s)
@@ -258,7 +269,7 @@
     def pump(self):
         work = self.agent.desk.next_work()
         while work is not None:
-            if self.agent.is_draining:
+            if self.draining:
                 raise AssertionError('a draining target started new work')
             self.running.append(work)
             self.started_by_attempt[tuple(work.record.attempt)] += 1
