Tell a missed deadline from overload

Cause: a run that the deadline ended counted as a failure and lowered the concurrency limit, on a target of two slots to one, just when every slot is needed.

--- a/greengagepath/admission/gate.py
+++ b/greengagepath/admission/gate.py
@@ -66,7 +66,8 @@
     `offer` queues or refuses, `next_request` hands out work when a slot
     is free, `finish` or `release` frees the slot. Requests that leave
     the queue without being handed out are returned by `take_refused`.
-    `running` holds the requests that have a slot.
+    `running` holds the requests that have a slot; while `is_draining`
+    all new requests are refused.
     """
 
     def __init__(self, timers: TimerService, limits: Limits) -> None:
@@ -77,14 +78,9 @@
         self._queue = FairQueue()
         self.running = RunningSet(timers)
         self._refused: list[Refusal] = []
-        self._draining = False
+        self.is_draining = False
         self._latency_s = 0.0
 
-    @property
-    def is_draining(self) -> bool:
-        """Whether all new requests are refused."""
-        return self._draining
-
     def replace_limits(
         self, limits: Limits, shares_by_customer: Mapping[int, float]
     ) -> None:
@@ -102,7 +98,7 @@
         )
         request.expected_s = self.costs.expected_s(request.operation)
         request.likely_s = self.costs.likely_s(request.operation)
-        if self._draining:
+        if self.is_draining:
             return Err(_refuse(request, RefusalReason.draining))
         wait_s = self._expected_wait_s(request)
         remaining_s = request.deadline_s - now_s
@@ -119,7 +115,7 @@
         Requests whose deadline has passed, or cannot be met while other
         work waits, are refused on the way.
         """
-        while not self._draining:
+        while not self.is_draining:
             request = self._pop()
             if request is None:
                 return None
@@ -152,6 +148,21 @@
             self._latency_s = duration_s
         self._latency_s += LATENCY_WEIGHT * (duration_s - self._latency_s)
 
+    def abandon(self, request_id: bytes, duration_s: float) -> None:
+        """Free the slot of a request that was stopped after a time.
+
+        A deadline or a caller that gives up is no sign of overload. The
+        duration says only that the cost is not lower.
+        """
+        request = self.running.end(request_id)
+        if request is None:
+            return
+        if duration_s > request.expected_s:
+            self.costs.record(request.operation, duration_s)
+        self._queue.correct(
+            request.customer_id, duration_s - request.expected_s
+        )
+
     def release(self, request_id: bytes) -> None:
         """Free the slot of a request that the back end did not run."""
         in_flight = len(self.running)
@@ -172,14 +183,14 @@
 
     def start_draining(self) -> None:
         """Refuse the queue and everything offered from now on."""
-        self._draining = True
+        self.is_draining = True
         for request in self._queue.queued():
             self._queue.remove(request.request_id)
             self._refused.append(_refuse(request, RefusalReason.draining))
 
     def stop_draining(self) -> None:
         """Admit again, after an operator has undone the draining."""
-        self._draining = False
+        self.is_draining = False
 
     def take_refused(self) -> list[Refusal]:
         """Return the refusals since the last call."""
--- a/greengagepath/agent_flows.py
+++ b/greengagepath/agent_flows.py
@@ -151,7 +151,7 @@
             self.table.records.settle(transfer.record)
         if now_s >= self._swept_s + SWEEP_S:
             self._swept_s = now_s
-            self.desk.forgive()
+            self.desk.failures.forgive()
             self.reassembly.expire()
             self.flows.expire()
             self.table.records.expire()
--- a/greengagepath/agent_openings.py
+++ b/greengagepath/agent_openings.py
@@ -60,7 +60,7 @@
         """Answer a probe to the socket at `source`."""
         load = self._parts.gate.load()
         state = ProbeState.ACCEPTING
-        if self._desk.failed_share > FAILING_SHARE:
+        if self._desk.failures.share > FAILING_SHARE:
             state = ProbeState.FAILING
         if self._parts.gate.is_draining:
             state = ProbeState.DRAINING
--- a/greengagepath/agent_work.py
+++ b/greengagepath/agent_work.py
@@ -19,28 +19,52 @@
 MAX_RETRIES = 2
 BACKOFF_S = 0.02
 # Answers by which a back end or a proxy of it says that it is overloaded.
-OVERLOADED = frozenset((502, 503, 504))
+# A 504 after the deadline says nothing of the load.
+OVERLOADED = frozenset((502, 503))
 SERVER_ERROR = 500
 FAILURE_WEIGHT = 0.1
 _KEY_BYTES_OF_FLOW = 8
 _KEY_BYTES_OF_NUMBER = 4
 
 
+class FailureShare:
+    """Recent share of runs that the back end failed."""
+
+    __slots__ = ('_runs', 'share')
+
+    def __init__(self) -> None:
+        self.share = 0.0
+        self._runs = 0
+
+    def record(self, failed: bool) -> None:
+        """Take the end of a run."""
+        self._runs += 1
+        self.share += FAILURE_WEIGHT * (failed - self.share)
+
+    def forgive(self) -> None:
+        """Halve the share if there was no run since the last call.
+
+        A target that is avoided for its failures would otherwise never
+        be tried again.
+        """
+        if not self._runs:
+            self.share /= 2
+        self._runs = 0
+
+
 class WorkDesk:
     """Offers requests to the gate and takes how their runs end.
 
-    `events` counts retries, `failed_share` is the recent share of runs
-    that the back end failed.
+    `events` counts retries, `failures` the runs that the back end failed.
     """
 
     def __init__(self, parts: AgentParts, reporter: OutcomeReporter) -> None:
         self.events: Counter[str] = Counter()
-        self.failed_share = 0.0
+        self.failures = FailureShare()
         self._parts = parts
         self._reporter = reporter
         self._works_by_key: dict[bytes, Work] = {}
         self._cancelled: list[Work] = []
-        self._runs = 0
 
     def __len__(self) -> int:
         """Return the number of admitted requests without an outcome."""
@@ -92,22 +116,27 @@
                 self._parts.gate.finish(
                     work.key, duration_s, status not in OVERLOADED
                 )
-                self._count_failure(status >= SERVER_ERROR)
+                self.failures.record(status >= SERVER_ERROR)
                 self._works_by_key.pop(work.key, None)
                 self._reporter.answer(work, outcome)
             case NotRun(reason=reason):
                 self._parts.gate.release(work.key)
-                self._count_failure(reason is RefusalReason.no_target)
+                self.failures.record(reason is RefusalReason.no_target)
                 self._retry_or_refuse(work, outcome)
             case OutcomeUnknown():
-                self._parts.gate.finish(
-                    work.key, duration_s, succeeded=work.is_cancelled
-                )
-                if not work.is_cancelled:
-                    self._count_failure(failed=True)
+                self._free_slot(work, duration_s)
                 self._works_by_key.pop(work.key, None)
                 self._reporter.lose(work)
 
+    def _free_slot(self, work: Work, duration_s: float) -> None:
+        """Free the slot of a run without an answer."""
+        is_late = self._parts.timers.now() >= work.deadline_s
+        if work.is_cancelled or is_late:
+            self._parts.gate.abandon(work.key, duration_s)
+        else:
+            self._parts.gate.finish(work.key, duration_s, succeeded=False)
+            self.failures.record(failed=True)
+
     def cancel(self, record: RequestRecord, route: Route) -> None:
         """Cancel an attempt on behalf of its caller."""
         if record.state is RequestState.ANSWERED:
@@ -141,16 +170,6 @@
             if work.key not in self._parts.gate.running:
                 self._refuse(work, RefusalReason.draining)
 
-    def forgive(self) -> None:
-        """Halve the share of failures if there was no run lately.
-
-        A target that is avoided for its failures would otherwise never
-        be tried again.
-        """
-        if not self._runs:
-            self.failed_share /= 2
-        self._runs = 0
-
     def _offer(self, work: Work) -> None:
         offered = self._parts.gate.offer(work.queued)
         self._report_refused()
@@ -202,10 +221,6 @@
         self._works_by_key.pop(work.key, None)
         self._reporter.refuse(work, reason, retry_after_ms)
 
-    def _count_failure(self, failed: bool) -> None:
-        self._runs += 1
-        self.failed_share += FAILURE_WEIGHT * (failed - self.failed_share)
-
 
 def _make_work(
     arrival: Arrival,
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -85,6 +85,26 @@
         self.back_end.timers.advance(10)
         self.assertEqual(2, len(self.back_end.started))
 
+    def test_missed_deadlines_do_not_lower_the_limit(self):
+        # Guards against a limit that falls at the crest, when late
+        # answers are frequent and every slot is needed.
+        for _ in range(50):
+            request = build_request()
+            self.gate.offer(request)
+            self.gate.next_request()
+            self.gate.abandon(request.request_id, 1.0)
+        self.assertEqual((0, 2), _in_flight_and_limit(self.gate))
+        self.assertGreater(self.gate.costs.expected_s('status'), 0.5)
+
+    def test_shed_requests_lower_the_limit(self):
+        # Guards against more work for a back end that turns it down.
+        for _ in range(5):
+            request = build_request()
+            self.gate.offer(request)
+            self.gate.next_request()
+            self.gate.release(request.request_id)
+        self.assertEqual((0, 1), _in_flight_and_limit(self.gate))
+
     def test_single_slot_runs_long_work(self):
         # Guards against long work that starves on a target of one slot.
         back_end = FakeBackEnd(slots=1)
@@ -287,5 +307,10 @@
         self.assertEqual(refused, len(back_end.refused))
 
 
+def _in_flight_and_limit(gate):
+    load = gate.load()
+    return load.in_flight, load.limit
+
+
 def _percentile(samples, share):
     return sorted(samples)[int(len(samples) * share)]
--- a/tests/agent/test_agent_flows.py
+++ b/tests/agent/test_agent_flows.py
@@ -174,6 +174,23 @@
         self.assertEqual(2, int.from_bytes(reply.body[:2], 'big'))
         self.assertEqual(ProbeState.ACCEPTING, reply.body[-1])
 
+    def test_failing_back_end_is_reported_and_forgiven(self):
+        # Guards against a target that fails unseen, and against one that
+        # is avoided for ever.
+        flow = self.world.open_flow()
+        states = []
+        for _ in range(10):
+            self.world.request(flow)
+            self.world.finish(0, 'unknown')
+        for _ in range(2):
+            self.world.send(
+                ServiceDatagram(Kind.PROBE, SERVICE_ID, 1), BALANCER
+            )
+            states.append(self.world.to_peers[-1][1].body[-1])
+            for _ in range(3):
+                self.world.advance(5.0)
+        self.assertEqual([ProbeState.FAILING, ProbeState.ACCEPTING], states)
+
     def test_running_request_is_cancelled_at_the_back_end(self):
         # Guards against "not run" for a request that had begun.
         attempt = self.world.request(self.world.open_flow())
