--- a/greengagepath/leases.py
+++ b/greengagepath/leases.py
@@ -142,6 +142,9 @@
     def _is_free(self, stored: StoredObject) -> bool:
         if stored.version == 0 or stored.body.get(_RELEASED):
             return True
+        if stored.body.get(_HOLDER) == self.terms.process_id:
+            # An own write whose answer and all repetitions were lost.
+            return True
         now_s = self._timers.now()
         sighting = self._sighting
         if sighting is None or sighting.stored.version != stored.version:
--- a/greengagepath/membership/bridge.py
+++ b/greengagepath/membership/bridge.py
@@ -32,6 +32,7 @@
 # Pause after a failed watch, so that an outage is not met with a storm.
 WATCH_PAUSE_S = 2.0
 SEED_CHECK_S = 5.0
+RUN_ID_BITS = 64
 _TOKEN = 'fencing_token'
 
 
@@ -62,6 +63,8 @@
         self._parts = parts
         self._zone = parts.own.record.availability_zone
         self._started_s = parts.ports.timers.now()
+        # Differs between two runs of the same member.
+        self._run_id = parts.ports.random.getrandbits(RUN_ID_BITS)
         self._on_configuration = on_configuration
         self._lease: Lease | None = None
         self._slot = 0
@@ -152,7 +155,7 @@
         return Lease(
             LeaseTerms(
                 name=f'bridge-{self._zone}-{slot}',
-                process_id=f'{own.member_id}/{own.incarnation}',
+                process_id=f'{own.member_id}/{self._run_id}',
                 duration_s=limits.lease_s,
                 renew_s=limits.lease_renew_s,
             ),
@@ -202,6 +205,11 @@
             self._seeds.step(self._lease)
 
 
+class _SeedBody(msgspec.Struct):
+    addresses: list[Address]
+    fencing_token: int = 0
+
+
 class SeedWriter:
     """Keeps the seed object of the zone in line with its balancers."""
 
@@ -245,7 +253,7 @@
             self.refused_writes += 1
             return
         stored = outcome.unwrap()
-        if int(str(stored.body.get(_TOKEN, 0))) > lease.fencing_token:
+        if _token_of(stored.body) > lease.fencing_token:
             self.refused_writes += 1
             return
         body = {'addresses': wanted, _TOKEN: lease.fencing_token}
@@ -385,14 +393,19 @@
         return None
 
 
+def _token_of(body: object) -> int:
+    try:
+        return msgspec.convert(body, _SeedBody).fencing_token
+    except msgspec.ValidationError:
+        return 0
+
+
 def addresses_of(body: object) -> list[Address]:
-    """Return the addresses in the body of a seed object."""
-    entries = body.get('addresses', ()) if isinstance(body, dict) else ()
-    return [
-        (str(entry[0]), int(entry[1]))
-        for entry in entries
-        if isinstance(entry, list) and len(entry) == 2
-    ]
+    """Return the addresses in a seed object, none if it is not valid."""
+    try:
+        return msgspec.convert(body, _SeedBody).addresses
+    except msgspec.ValidationError:
+        return []
 
 
 def unreachable_zones(own: MemberRecord, table: MemberTable) -> frozenset[str]:
--- a/tests/control/test_control_machine.py
+++ b/tests/control/test_control_machine.py
@@ -46,6 +46,10 @@
         self.dead_targets = {}
         self.highest_by_process = {}
         self.watch_writes()
+        for port in (1, 2):
+            balancer = self.pick(self.fleet.running_balancers(), seed)
+            self.operators[0].apply([make_service(1, port=port)], [balancer])
+            self.fleet.advance(1)
 
     def now(self):
         return self.fleet.timers.now()
--- a/tests/control/test_control_scenarios.py
+++ b/tests/control/test_control_scenarios.py
@@ -182,6 +182,24 @@
             services = balancer.node.spread.holder.current.services
             self.assertEqual([make_service(1)], services)
 
+    def test_old_version_never_comes_back(self):
+        # Guards against a late tool, a stale read and a late neighbour
+        # that bring an earlier version back into force.
+        fleet = make_fleet()
+        operator = Operator(fleet, 'o1')
+        balancer = fleet.balancers['b0']
+        for port in (1, 2):
+            operator.apply([make_service(1, port=port)], [balancer])
+            fleet.advance(2)
+        operator.hand_over(operator.accepted[0], [balancer])
+        fleet.balancers['b1'].node.spread.offer(operator.accepted[0])
+        fleet.advance(15)
+        for entry in fleet.running_balancers():
+            versions = [found.version for found in entry.configurations]
+            self.assertEqual([1, 2], versions)
+            holder = entry.node.spread.holder
+            self.assertEqual(operator.accepted[1], holder.current)
+
     def test_started_balancer_gets_it_while_the_store_is_down(self):
         # Guards against a balancer that is not ready for the length of
         # an outage of the object API.
--- /dev/null
+++ b/tests/control/test_leases.py
@@ -0,0 +1,186 @@
+import random
+
+from testtools import TestCase
+
+from greengagepath.bench.virtual_processes import ProcessClock
+from greengagepath.bench.virtual_store import VirtualStore, VirtualTransport
+from greengagepath.generated.messages import MemberState
+from greengagepath.leases import Lease, LeaseTerms
+from greengagepath.object_api import ObjectClient
+from greengagepath.timers import VirtualTimerService
+from tests.control.builders import make_fleet
+
+DURATION_S = 15
+RENEW_S = 5
+
+
+class Holder:
+    def __init__(self, timers, store, name):
+        self.clock = ProcessClock(timers)
+        self.transport = VirtualTransport(store, self.clock, name)
+        chance = random.Random(name)
+        self.lease = Lease(
+            LeaseTerms('bridge-z0-1', name, DURATION_S, RENEW_S),
+            ObjectClient(self.transport, self.clock, chance),
+            self.clock,
+            chance,
+            lambda: None,
+        )
+        self.clock.subscribe(0.1, self.lease.step)
+
+
+class LeaseTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.timers = VirtualTimerService(100)
+        self.store = VirtualStore(self.timers, random.Random(1))
+        self.first = self.add('first')
+        self.timers.advance(1)
+        self.second = self.add('second')
+
+    def add(self, name):
+        return Holder(self.timers, self.store, name)
+
+    def holders(self):
+        return [
+            entry
+            for entry in (self.first, self.second)
+            if entry.lease.is_held()
+        ]
+
+    def advance_checked(self, duration_s):
+        for _ in range(int(duration_s * 10)):
+            self.timers.advance(0.1)
+            self.assertLessEqual(len(self.holders()), 1)
+
+    def test_renewing_holder_keeps_it(self):
+        # Guards against a lease that is taken from a healthy holder.
+        self.advance_checked(100)
+        self.assertEqual([self.first], self.holders())
+
+    def test_paused_holder_loses_it_unaware(self):
+        # Guards against a paused process that still takes itself for the
+        # holder when it goes on, and against a second holder before that.
+        self.first.clock.is_paused = True
+        self.advance_checked(40)
+        self.assertEqual([self.second], self.holders())
+        earlier, later = (
+            entry.lease.fencing_token for entry in (self.first, self.second)
+        )
+        self.assertGreater(later, earlier)
+        self.first.clock.resume()
+        self.advance_checked(20)
+        self.assertEqual([self.second], self.holders())
+
+    def test_short_pause_leaves_one_holder(self):
+        # Guards against an observer that does not wait for the whole
+        # duration before it takes the lease over.
+        self.first.clock.is_paused = True
+        self.advance_checked(DURATION_S - RENEW_S - 2)
+        self.first.clock.resume()
+        self.advance_checked(30)
+        self.assertEqual([self.first], self.holders())
+
+    def test_silent_store_ends_the_lease(self):
+        # Guards against a holder that cannot renew and goes on writing.
+        self.store.faults.is_down = True
+        self.advance_checked(DURATION_S + 1)
+        self.assertEqual([], self.holders())
+        self.store.faults.is_down = False
+        self.advance_checked(30)
+        self.assertEqual(1, len(self.holders()))
+
+    def test_lost_answer_still_gives_the_lease(self):
+        # Guards against a holder that waits for its own lease to expire.
+        self.store.faults.lose_answers = 1
+        self.first.clock.is_dead = True
+        self.advance_checked(DURATION_S * 2)
+        self.store.faults.lose_answers = 0
+        self.advance_checked(RENEW_S * 2)
+        self.assertEqual([self.second], self.holders())
+
+    def test_released_lease_is_taken_at_once(self):
+        # Guards against a planned restart that costs a whole duration.
+        self.first.lease.release()
+        self.first.clock.is_dead = True
+        self.advance_checked(RENEW_S + 1)
+        self.assertEqual([self.second], self.holders())
+
+
+class SeedWriteTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.fleet = make_fleet(balancers=3, agents=0, zones=1)
+        self.holder = next(
+            entry
+            for entry in self.fleet.running_balancers()
+            if entry.node.own.record.bridge_slot == 1
+        )
+
+    def count_writes(self):
+        return sum(
+            write.key[0] == 'seed' and write.writer == self.name()
+            for write in self.fleet.store.writes
+        )
+
+    def name(self):
+        return self.holder.record.member_id
+
+    def start_seed_check(self):
+        """Make the holder want to write; return once it has read."""
+        reads = []
+        self.holder.transport.on_send = lambda call: reads.append(call.path)
+        self.fleet.add_balancer('b9', 'z0')
+        while '/objects/seed/z0' not in reads:
+            self.fleet.advance(0.001)
+
+    def test_lease_is_checked_between_read_and_write(self):
+        # Guards against a write after a pause inside the operation.
+        before = self.count_writes()
+        self.fleet.store.faults.delay_s = 1.5
+        self.start_seed_check()
+        self.fleet.pause(self.holder)
+        self.fleet.advance(60)
+        self.fleet.store.faults.delay_s = 0
+        self.fleet.resume(self.holder)
+        self.fleet.advance(0.1)
+        self.assertEqual(before, self.count_writes())
+
+    def test_retry_of_a_write_checks_the_lease(self):
+        # Guards against a retry that outlives the lease of its writer.
+        sent = []
+        self.start_seed_check()
+        self.holder.transport.on_send = lambda call: sent.append(
+            (call.body, self.holder.node.bridge.holds_lease)
+        )
+        self.fleet.store.faults.lose_answers = 1
+        self.fleet.advance(1)
+        self.fleet.pause(self.holder)
+        self.fleet.advance(60)
+        self.fleet.resume(self.holder)
+        self.fleet.advance(20)
+        seeds = [held for body, held in sent if body and 'addresses' in body]
+        self.assertEqual([True], seeds)
+
+    def test_older_token_does_not_overwrite(self):
+        # Guards against an earlier holder that undoes a later one's seed.
+        seed = ('seed', 'z0')
+        version, body = self.fleet.store.objects_by_key[seed]
+        self.fleet.store.objects_by_key[seed] = (
+            version,
+            {**body, 'fencing_token': body['fencing_token'] + 1},
+        )
+        before = self.count_writes()
+        self.start_seed_check()
+        self.fleet.advance(10)
+        self.assertEqual(before, self.count_writes())
+
+    def test_suspected_bridge_keeps_its_slot(self):
+        # Guards against slots that move with every lost heartbeat.
+        self.fleet.pause(self.holder)
+        self.fleet.advance(3.5)
+        self.fleet.resume(self.holder)
+        self.fleet.advance(10)
+        record = self.holder.node.own.record
+        self.assertEqual(1, record.bridge_slot)
+        self.assertIs(MemberState.alive, record.state)
