Scan the member table only after changes

Cause: each step scanned all records of the table several times. Conclusion: balancers, watched agents and silent zones are computed once for each version of the table.

--- a/greengagepath/bench/virtual_links.py
+++ b/greengagepath/bench/virtual_links.py
@@ -7,8 +7,10 @@
 
 import msgspec
 
-from ..codec import encode_link_message
+from ..codec import encode_body, encode_link_message
+from ..generated.messages import Heartbeat, MemberRecord, Records
 from ..membership.ports import LinkEvents
+from ..membership.records import order_of
 from ..packets import Address
 from ..timers import VirtualTimerService
 from .virtual_processes import ProcessClock
@@ -18,6 +20,8 @@
 # 8 B, TCP and IP headers 52 B for the segment and as much for its
 # acknowledgement.
 FRAME_OVERHEAD_BYTES = 137
+# Sequence of a heartbeat after a day; its CBOR form has 5 B.
+MANY_BEATS = 86400
 
 
 @dataclass(slots=True)
@@ -30,18 +34,46 @@
     received_bytes: int = 0
     sent_by_type: dict[str, int] = field(default_factory=dict)
 
-    def count_sent(self, message: msgspec.Struct, *, encodes: bool) -> int:
-        """Count a message; return its size, 0 if it is not encoded."""
+    def count_sent(self, message: msgspec.Struct, size: int) -> None:
+        """Count a message of `size` bytes."""
         kind = type(message).__name__
-        size = 0
-        if encodes:
-            size = len(encode_link_message(message)) + FRAME_OVERHEAD_BYTES
         self.sent_messages += 1
         self.sent_bytes += size
         self.sent_by_type[kind] = self.sent_by_type.get(kind, 0) + size
+
+
+class MessageSizes:
+    """Sizes on the wire; each version of a record is encoded once."""
+
+    def __init__(self) -> None:
+        self._sizes_by_record: dict[tuple[object, ...], int] = {}
+        self._empty_bytes = _count_bytes(Records(records=[]))
+        self._heartbeat_bytes = _count_bytes(Heartbeat(sequence=MANY_BEATS))
+
+    def count(self, message: msgspec.Struct) -> int:
+        """Return bytes with all headers."""
+        match message:
+            case Heartbeat():
+                return self._heartbeat_bytes
+            case Records():
+                return self._empty_bytes + sum(
+                    self._count_record(record) for record in message.records
+                )
+        return _count_bytes(message)
+
+    def _count_record(self, record: MemberRecord) -> int:
+        key = (record.member_id, *order_of(record))
+        size = self._sizes_by_record.get(key)
+        if size is None:
+            size = len(encode_body(record))
+            self._sizes_by_record[key] = size
         return size
 
 
+def _count_bytes(message: msgspec.Struct) -> int:
+    return len(encode_link_message(message)) + FRAME_OVERHEAD_BYTES
+
+
 @dataclass(slots=True, eq=False)
 class Endpoint:
     """One end of a link; `held` waits for a pause or partition to end."""
@@ -58,7 +90,7 @@
     """Delivers messages between the processes that are attached to it.
 
     `is_blocked` tells whether two places cannot reach each other. With
-    `counts_bytes` every message is encoded to learn its size.
+    `counts_bytes` the sizes of messages are counted.
     """
 
     def __init__(
@@ -70,10 +102,14 @@
     ) -> None:
         self.timers = timers
         self.latency_s = latency_s
-        self.counts_bytes = counts_bytes
+        self._sizes = MessageSizes() if counts_bytes else None
         self.links_by_address: dict[Address, VirtualLinks] = {}
         self._blocked: set[frozenset[str]] = set()
 
+    def count_bytes(self, message: msgspec.Struct) -> int:
+        """Return the size on the wire, 0 if sizes are not counted."""
+        return 0 if self._sizes is None else self._sizes.count(message)
+
     def block(self, place: str, other: str) -> None:
         """Cut two places off from each other."""
         self._blocked.add(frozenset((place, other)))
@@ -121,9 +157,8 @@
         end = self.ends_by_link.get(link_id)
         if end is None or end.other is None or not end.is_open:
             return False
-        size = self.traffic.count_sent(
-            message, encodes=self.network.counts_bytes
-        )
+        size = self.network.count_bytes(message)
+        self.traffic.count_sent(message, size)
         if not end.is_silenced:
             end.other.owner.arrive(
                 end, lambda other: other.receive(end.other, message, size)
@@ -175,7 +210,9 @@
         if end.is_open and self.events is not None:
             self.traffic.received_messages += 1
             self.traffic.received_bytes += size
-            self.events.link_received(end.link_id, message)
+            self.clock.run(
+                lambda: self.events.link_received(end.link_id, message)
+            )
 
     def _deliver(
         self, end: Endpoint, act: Callable[['VirtualLinks'], None]
--- a/greengagepath/bench/virtual_processes.py
+++ b/greengagepath/bench/virtual_processes.py
@@ -1,5 +1,6 @@
 """Processes in virtual time that can be paused and killed."""
 
+import time
 from collections.abc import Callable
 
 from ..timers import Timer, TimerService, VirtualTimerService
@@ -20,6 +21,8 @@
         self._waiting_by_callback: dict[Callback, None] = {}
         self.is_paused = False
         self.is_dead = False
+        # Real seconds that the process's own code has used.
+        self.busy_s = 0.0
 
     @property
     def is_running(self) -> bool:
@@ -41,7 +44,9 @@
     def run(self, callback: Callback) -> None:
         """Run now, or on resume, or never, as the process stands."""
         if self.is_running:
+            started_s = time.perf_counter()
             callback()
+            self.busy_s += time.perf_counter() - started_s
         elif not self.is_dead:
             self._waiting_by_callback[callback] = None
 
--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -192,11 +192,11 @@
             self._exchange.pass_on(dead, source=None)
         self.care.close_silent()
         self.own.refute_pending()
-        self.bridge.step()
         self._watch.adjust_links()
 
     def _scan(self) -> None:
-        """See which zones are silent, and tell agents of new homes."""
+        """Keep the slot, see silent zones, tell agents of new homes."""
+        self.bridge.step()
         if self._watch.zones.step():
             self._report.schedule()
         self._homes.tell_all()
--- a/greengagepath/membership/detector.py
+++ b/greengagepath/membership/detector.py
@@ -43,6 +43,8 @@
         self._heard_s_by_id: dict[str, float] = {}
         self._patience_by_id: dict[str, int] = {}
         self._checked_s = timers.now()
+        self._seen_version = -1
+        self._agents: frozenset[str] = frozenset()
 
     def check(
         self, overlay_ids: Iterable[str], zone_balancer_ids: Iterable[str]
@@ -52,7 +54,11 @@
         if now_s - self._checked_s > PAUSE_S:
             self._forgive(now_s)
         self._checked_s = now_s
-        watched = self._watched(overlay_ids, frozenset(zone_balancer_ids))
+        if self._seen_version != self._table.version:
+            self._seen_version = self._table.version
+            zone_ids = frozenset(zone_balancer_ids)
+            self._agents = self._watched_agents(zone_ids)
+        watched = self._agents.union(overlay_ids)
         self._track(watched, now_s)
         return self._suspect_silent(watched, now_s)
 
@@ -73,17 +79,16 @@
         for member_id in self._heard_s_by_id:
             self._heard_s_by_id[member_id] = now_s
 
-    def _watched(
-        self, overlay_ids: Iterable[str], zone_balancer_ids: frozenset[str]
+    def _watched_agents(
+        self, zone_balancer_ids: frozenset[str]
     ) -> frozenset[str]:
-        agents = {
+        return frozenset(
             record.member_id
             for record in self._table.records()
             if record.kind is MemberKind.agent
             and not is_gone(record)
             and self._is_home(record, zone_balancer_ids)
-        }
-        return frozenset(agents.union(overlay_ids))
+        )
 
     def _is_home(
         self, record: MemberRecord, zone_balancer_ids: frozenset[str]
--- a/greengagepath/membership/homes.py
+++ b/greengagepath/membership/homes.py
@@ -4,7 +4,6 @@
 from .overlay import rank_by_hash
 from .peers import Peer, PeerRole, PeerTable
 from .ports import NodePorts
-from .records import is_balancer
 from .table import MemberTable
 
 # Balancers that an agent is told of beyond its homes, to fall back on.
@@ -25,10 +24,14 @@
         self._peers = peers
         self._ports = ports
         self._zone = own.availability_zone
+        self._seen_version = -1
         self._told_by_link: dict[int, list[tuple[str, int]]] = {}
 
     def tell_all(self) -> None:
         """Tell each agent what has changed for it."""
+        if self._seen_version == self._table.version:
+            return
+        self._seen_version = self._table.version
         for peer in self._peers.with_role(PeerRole.AGENT):
             self.tell(peer)
 
@@ -48,7 +51,7 @@
         balancers = {
             record.member_id: record
             for record in self._table.balancers()
-            if is_balancer(record) and record.availability_zone == self._zone
+            if record.availability_zone == self._zone
         }
         count = self._ports.limits.homes + SPARE_HOMES
         ranked = rank_by_hash(agent_id, balancers)[:count]
--- a/greengagepath/membership/table.py
+++ b/greengagepath/membership/table.py
@@ -109,6 +109,9 @@
         self.target_view = TargetView()
         self.refused_records = 0
         self.version = 0
+        # Asked for several times a second, changed a few times a minute.
+        self._balancers: tuple[MemberRecord, ...] = ()
+        self._balancers_version = -1
 
     def get(self, member_id: str) -> MemberRecord | None:
         """Return the record of a member, tombstones included."""
@@ -118,13 +121,14 @@
         """Return all records, tombstones included."""
         return tuple(self._records_by_id.values())
 
-    def balancers(self) -> list[MemberRecord]:
+    def balancers(self) -> tuple[MemberRecord, ...]:
         """Return the balancers that have not gone."""
-        return [
-            record
-            for record in self._records_by_id.values()
-            if is_balancer(record)
-        ]
+        if self._balancers_version != self.version:
+            self._balancers_version = self.version
+            self._balancers = tuple(
+                filter(is_balancer, self._records_by_id.values())
+            )
+        return self._balancers
 
     def live_count(self) -> int:
         """Return the number of members without tombstones."""
--- a/greengagepath/membership/views.py
+++ b/greengagepath/membership/views.py
@@ -117,13 +117,19 @@
         self._table = table
         self._timers = ports.timers
         self._silent_since_by_zone: dict[str, float] = {}
+        self._silent: frozenset[str] = frozenset()
+        self._seen_version = -1
 
     def step(self) -> bool:
         """Return whether the set of unreachable zones has changed."""
         now_s = self._timers.now()
-        silent = unreachable_zones(self._own.record, self._table)
+        if self._seen_version != self._table.version:
+            self._seen_version = self._table.version
+            self._silent = unreachable_zones(self._own.record, self._table)
+        since_s_by_zone = self._silent_since_by_zone
         self._silent_since_by_zone = {
-            zone: self._silent_since_by_zone.get(zone, now_s) for zone in silent
+            zone: since_s_by_zone.get(zone, now_s)
+            for zone in self._silent
         }
         overdue = frozenset(
             zone
