--- a/greengagepath/cli/demo.py
+++ b/greengagepath/cli/demo.py
@@ -8,7 +8,7 @@
 from ..exit_codes import ExitCode
 from .options import JsonOption
 
-DEFAULT_SECONDS = 20
+DEFAULT_SECONDS = 12
 MAX_SECONDS = 60
 
 
--- a/greengagepath/emulator/backend.py
+++ b/greengagepath/emulator/backend.py
@@ -138,7 +138,7 @@
     def _describe(self, run: Run, body: bytes) -> tuple[tuple[str, str], ...]:
         return (
             ('X-Checksum', checksum(body)),
-            ('X-Request-Id', run.request_id),
+            ('X-Run-Of', run.request_id),
             ('X-Service', str(self._options.service)),
         )
 
--- a/greengagepath/emulator/demo.py
+++ b/greengagepath/emulator/demo.py
@@ -29,7 +29,7 @@
 from .deployment import Deployment
 from .load import CallOutcome, LoadOperation, LoadPlan
 from .processes import LOCAL_HOST, StartError, wait_until
-from .verdict import Verdict, count_outcomes, judge
+from .verdict import Verdict, count_outcomes, is_lost, judge
 
 LOAD_TIMEOUT_S = 60.0
 IN_FORCE_TIMEOUT_S = 10.0
@@ -40,7 +40,7 @@
 USUAL_ANSWER_SHARE = 0.125
 MAX_USUAL_ANSWER_BYTES = 1_000_000
 BYTES_PER_KB = 1024
-HELD_FLOWS = 4
+HELD_FLOWS = 12
 KILL_SHARE = 0.2
 LARGE_ANSWER_LEAD_S = 0.3
 _SIZE_CODES = {
@@ -104,6 +104,8 @@
         events = timeline.run(options.seconds)
     console.print('waiting for the last answers')
     outcomes = collect_outcomes(deployment, names)
+    for outcome in filter(is_lost, outcomes):
+        console.print('lost:', msgspec.to_builtins(outcome))
     return _judge_run(deployment, outcomes, events)
 
 
--- a/greengagepath/emulator/load.py
+++ b/greengagepath/emulator/load.py
@@ -190,7 +190,7 @@
             request_id=request_id,
             idempotent=operation.idempotent,
             whole=whole,
-            wrong_caller=is_ok and headers.get('x-request-id') != request_id,
+            wrong_caller=is_ok and headers.get('x-run-of') != request_id,
             wrong_service=is_ok
             and headers.get('x-service') != str(operation.service_id),
             answer_bytes=len(answer.body),
--- a/greengagepath/emulator/processes.py
+++ b/greengagepath/emulator/processes.py
@@ -10,7 +10,6 @@
 from pathlib import Path
 
 POLL_S = 0.05
-STOP_TIMEOUT_S = 8.0
 LOCAL_HOST = '127.0.0.1'
 
 
@@ -53,20 +52,16 @@
         return self.processes_by_name[name].poll() is None
 
     def stop_all(self) -> None:
-        """End all processes, those that do not react by SIGKILL."""
+        """Kill what still runs; there is no work left to finish."""
         running = [
             process
             for process in self.processes_by_name.values()
             if process.poll() is None
         ]
         for process in running:
-            # Processes paused by a test take no other signal.
-            process.send_signal(signal.SIGCONT)
-            process.terminate()
-            process.send_signal(signal.SIGTERM)
-        end_s = time.monotonic() + STOP_TIMEOUT_S
+            process.kill()
         for process in running:
-            _wait_or_kill(process, end_s - time.monotonic())
+            process.wait()
 
 
 def find_free_ports(count: int) -> list[int]:
@@ -119,11 +114,3 @@
     paths = [root, os.environ.get('PYTHONPATH', '')]
     joined = os.pathsep.join(path for path in paths if path)
     return {**os.environ, 'PYTHONPATH': joined}
-
-
-def _wait_or_kill(process: subprocess.Popen[bytes], timeout_s: float) -> None:
-    try:
-        process.wait(max(timeout_s, 0.0))
-    except subprocess.TimeoutExpired:
-        process.kill()
-        process.wait()
