Test the tool against real control planes, with and without TLS

Cause: the stand-in balancer shows the tool's side of the links only. Conclusion: apply and drain reach three balancers over the overlay and say so; links with TLS refuse a tool without a certificate of the authority.

--- /dev/null
+++ b/tests/operator/fleet.py
@@ -0,0 +1,72 @@
+"""Control planes of three balancers and an agent, for `test_fleet`.
+
+Runs as `python -m gevent.monkey fleet.py [FOLDER]` until its input
+closes; the first line it prints is a JSON object with the ports. With a
+folder of certificates the links use TLS.
+"""
+
+import json
+import sys
+import time
+
+from gevent.fileobject import FileObject
+
+from greengagepath.daemon.control import AgentControl, BalancerControl
+from greengagepath.generated.settings import TlsSettings
+from greengagepath.tags import Key, KeyRing
+from greengagepath.timers import LoopTimerService
+from greengagepath.tls import TlsContexts
+from tests.control.http_store import HttpStore
+from tests.control.processes import (
+    HOST,
+    free_ports,
+    make_agent_record,
+    make_settings,
+)
+from tests.operator.builders import SECRET
+
+
+def make_tls(folder):
+    names = ('certificate_file', 'key_file', 'authority_file')
+    paths = {name: f'{folder}/{name}' for name in names}
+    return TlsContexts(TlsSettings(**paths))
+
+
+def run_fleet(tls=None):
+    object_port, agent_port, *ports = free_ports(5)
+    store = HttpStore()
+    store.serve(HOST, object_port)
+    keys = KeyRing([Key(1, bytes.fromhex(SECRET))], time.time)
+    timers = LoopTimerService()
+    timers.start()
+    members = [
+        BalancerControl(
+            make_settings(f'b{port}', 'balancer', port, object_port),
+            keys,
+            timers,
+            lambda found: None,
+            lambda found: None,
+            tls,
+        )
+        for port in ports
+    ]
+    members.append(
+        AgentControl(
+            make_settings('a1', 'agent', agent_port, object_port),
+            keys,
+            timers,
+            make_agent_record('a1', agent_port),
+            lambda service: None,
+            tls,
+        )
+    )
+    for member in members:
+        member.start()
+    report = json.dumps({'object_api': object_port, 'balancers': ports})
+    sys.stdout.write(f'{report}\n')
+    sys.stdout.flush()
+    FileObject(sys.stdin).read()
+
+
+if __name__ == '__main__':
+    run_fleet(*map(make_tls, sys.argv[1:]))
--- /dev/null
+++ b/tests/operator/test_fleet.py
@@ -0,0 +1,111 @@
+import json
+import os
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from greengagepath.exit_codes import ExitCode
+
+from .builders import ROOT, write_tool_settings
+from .certificates import Authority
+from .test_cli import CommandTest
+
+SCRIPT = Path(__file__).with_name('fleet.py')
+LIMIT_S = 10
+
+
+@pytest.mark.processes
+class FleetTest(CommandTest):
+    """Commands against the control planes of real balancers."""
+
+    def start_fleet(self, *arguments):
+        self.fleet = subprocess.Popen(
+            [sys.executable, '-m', 'gevent.monkey', str(SCRIPT), *arguments],
+            env={**os.environ, 'PYTHONPATH': str(ROOT)},
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
+        self.addCleanup(self.fleet.communicate, timeout=LIMIT_S)
+        ports = json.loads(self.fleet.stdout.readline())
+        self.settings = write_tool_settings(
+            self.folder,
+            f'http://127.0.0.1:{ports["object_api"]}',
+            *(f'127.0.0.1:{port}' for port in ports['balancers']),
+        )
+        self.init()
+
+    def run_json(self, command, *arguments):
+        code = self.run_command(
+            command, *arguments, '--json', '--settings', self.settings
+        )
+        return code, json.loads(self.out.getvalue() or 'null')
+
+    def wait_for_records(self, count):
+        deadline_s = time.monotonic() + LIMIT_S
+        while time.monotonic() < deadline_s:
+            _, status = self.run_json('status')
+            if status is not None and len(status['records']) == count:
+                return
+            time.sleep(0.05)
+        self.fail(f'{count} members did not find each other')
+
+    def test_versions_reach_every_balancer(self):
+        # Guards against a tool that works with stand-ins only: links,
+        # deltas, the object API, and the proof that a version is in
+        # force on balancers it did not reach directly.
+        self.start_fleet()
+        self.wait_for_records(4)
+        code, first = self.run_json('apply', self.file)
+        self.assertEqual(ExitCode.OK, code)
+        self.assertEqual((1, 3), (first['version'], first['in_force']))
+        code, drained = self.run_json(
+            'drain', 'a1', '--service', 'licence-core'
+        )
+        self.assertEqual(ExitCode.OK, code)
+        self.assertEqual(3, drained['in_force'])
+        self.assertGreater(drained['version'], first['version'])
+        # The target for any accepted version is 3 s.
+        self.assertLess(max(first['took_ms'], drained['took_ms']), 3000)
+        _, status = self.run_json('status')
+        versions = {
+            record['configuration_version']
+            for record in status['records']
+            if record['kind'] == 'balancer'
+        }
+        self.assertEqual({drained['version']}, versions)
+
+    def test_links_need_a_certificate_of_the_authority(self):
+        # Guards against TLS that is configured and not used, and against
+        # a tool of another authority that is answered.
+        certificates = self.folder / 'certificates'
+        certificates.mkdir()
+        tls = Authority('system').write(certificates)
+        self.start_fleet(str(certificates))
+        code, _ = self.run_json('status')
+        self.assertEqual(ExitCode.UNREACHABLE, code)
+        self.add_tls(tls)
+        self.wait_for_records(4)
+        code, applied = self.run_json('apply', self.file)
+        self.assertEqual(ExitCode.OK, code)
+        self.assertEqual(3, applied['in_force'])
+        other = self.folder / 'other'
+        other.mkdir()
+        Authority('other').write(other)
+        self.settings.write_text(
+            self.settings.read_text().replace(str(certificates), str(other))
+        )
+        code, _ = self.run_json('status')
+        self.assertEqual(ExitCode.UNREACHABLE, code)
+
+    def add_tls(self, tls):
+        lines = [
+            f'{name} = "{path}"'
+            for name, path in msgspec.to_builtins(tls).items()
+        ]
+        text = self.settings.read_text()
+        joined = '\n'.join([text, '[tls]', *lines, ''])
+        self.settings.write_text(joined)
