Report versions in force in columns; measure the capacity

Cause: each configuration change made every balancer publish its whole record, about 330 B over every link of the overlay.

--- /dev/null
+++ b/greengagepath/bench/capacity_page.py
@@ -0,0 +1,145 @@
+"""Writes the measured tables of docs/CAPACITY.md."""
+
+from pathlib import Path
+
+from .capacity_points import (
+    DESIGN_AGENTS,
+    DESIGN_BALANCERS,
+    Reading,
+    SizePoint,
+    at_design_rates,
+    fit,
+)
+from .wire_cost import WireCost
+
+PAGE = Path(__file__).resolve().parents[2] / 'docs' / 'CAPACITY.md'
+BEGIN = '<!-- measured control plane: begin -->'
+END = '<!-- measured control plane: end -->'
+ROLES = ('balancer', 'bridge', 'agent')
+LIMIT_BYTES_PER_S = 18000
+LIMIT_CORE_SHARE = 0.039
+LIMIT_MEMORY_BYTES = 128_000_000
+MS = 1000
+MICROSECONDS = 1_000_000
+MEGABYTE = 1_000_000
+
+
+def write_page(
+    points: list[SizePoint], cost: WireCost, process_bytes: int
+) -> None:
+    """Replace what stands between the marks of the page.
+
+    `process_bytes` is the memory of a process that holds no members.
+    """
+    before, rest = PAGE.read_text().split(BEGIN)
+    _, after = rest.split(END)
+    lines = [
+        *_measured_rows(points),
+        '',
+        *_fleet_rows(points),
+        '',
+        *_design_rows(points, cost, process_bytes),
+    ]
+    table = '\n'.join(lines)
+    PAGE.write_text(f'{before}{BEGIN}\n\n{table}\n\n{END}{after}')
+
+
+def _measured_rows(points: list[SizePoint]) -> list[str]:
+    rows = [
+        'Means for one process, bytes sent and received together:',
+        '',
+        (
+            '| role | balancers + agents | idle B/s | idle messages/s | '
+            'idle decisions ms/s | one change, B | one replaced target, B |'
+        ),
+        '| --- | --- | --- | --- | --- | --- | --- |',
+    ]
+    for role in ROLES:
+        for point in points:
+            found = point.roles[role]
+            rows.append(
+                f'| {role} | {point.balancers} + {point.agents} '
+                f'| {found.idle.total_bytes:,.0f} '
+                f'| {found.idle.messages:.1f} '
+                f'| {found.idle.busy_s * MS:.2f} '
+                f'| {found.change.total_bytes:,.0f} '
+                f'| {found.restart.total_bytes:,.0f} |'
+            )
+    return rows
+
+
+def _fleet_rows(points: list[SizePoint]) -> list[str]:
+    rows = [
+        (
+            '| balancers + agents | calls to the object API, 1/s | '
+            'configuration in force everywhere after | '
+            'member table of one balancer |'
+        ),
+        '| --- | --- | --- | --- |',
+    ]
+    rows += [
+        f'| {point.balancers} + {point.agents} | {point.calls_per_s:.1f} '
+        f'| {point.in_force_s:.2f} s | {point.table_bytes:,} B |'
+        for point in points
+    ]
+    return rows
+
+
+def _design_rows(
+    points: list[SizePoint], cost: WireCost, process_bytes: int
+) -> list[str]:
+    table = fit(points, lambda point: point.table_bytes)
+    calls = fit(points, lambda point: point.calls_per_s)
+    memory = process_bytes + table.at_design
+    rows = [
+        (
+            f'At {DESIGN_BALANCERS} balancers and {DESIGN_AGENTS} agents, from '
+            'the lines through these points and the rates of a day. A message '
+            f'costs {cost.message_s * MICROSECONDS:.0f} us at each end: '
+            f'{cost.frame_s * MICROSECONDS:.0f} us for the frame, '
+            f'{cost.record_s * MICROSECONDS:.0f} us for a record, '
+            f'{cost.socket_s * MICROSECONDS:.0f} us for websocket and kernel.'
+        ),
+        '',
+        (
+            '| role | control bytes/s (limit 18,000) | messages/s | '
+            'share of a core (limit 3.9%) | within the limits |'
+        ),
+        '| --- | --- | --- | --- | --- |',
+    ]
+    rows += [_design_row(points, role, cost) for role in ROLES]
+    return [
+        *rows,
+        '',
+        (
+            f'Memory of a balancer: {process_bytes / MEGABYTE:.0f} MB for the '
+            f'process without members and {table.at_design / MEGABYTE:.1f} MB '
+            f'for its table, {memory / MEGABYTE:.0f} MB of 128 MB'
+            f'{"" if memory <= LIMIT_MEMORY_BYTES else ": over the limit"}. '
+            f'Calls to the object API: {calls.at_design:.1f} per second.'
+        ),
+    ]
+
+
+def _design_row(points: list[SizePoint], role: str, cost: WireCost) -> str:
+    bytes_per_s = at_design_rates(points, role, _total_bytes)
+    messages_per_s = at_design_rates(points, role, _messages)
+    share = at_design_rates(points, role, _busy_s)
+    share += messages_per_s * cost.message_s
+    is_within = bytes_per_s <= LIMIT_BYTES_PER_S and share <= LIMIT_CORE_SHARE
+    return (
+        f'| {role} | {bytes_per_s:,.0f} | {messages_per_s:.1f} '
+        f'| {share:.2%} | {"yes" if is_within else "no"} |'
+    )
+
+
+def _total_bytes(found: Reading) -> float:
+    return found.total_bytes
+
+
+def _messages(found: Reading) -> float:
+    return found.messages
+
+
+def _busy_s(found: Reading) -> float:
+    return found.busy_s
--- a/greengagepath/codec.py
+++ b/greengagepath/codec.py
@@ -13,6 +13,7 @@
 LINK_MESSAGES = (
     messages.Hello,
     messages.Records,
+    messages.Versions,
     messages.Digest,
     messages.Pull,
     messages.Heartbeat,
--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -19,6 +19,7 @@
     Records,
     StatusQuery,
     StatusReply,
+    Versions,
 )
 from ..packets import Address
 from ..timers import Timer
@@ -129,6 +130,8 @@
             case Records() if peer.role is not PeerRole.UNKNOWN:
                 for record in message.records:
                     self._exchange.merge(record, peer)
+            case Versions() if peer.is_balancer:
+                self._exchange.merge_versions(message, peer)
             case Digest() if peer.is_balancer:
                 self._exchange.receive_digest(peer, message, self.spread)
             case Pull() if peer.is_balancer:
@@ -177,7 +180,7 @@
             for service in configuration.services
             for target_id in service.drained_targets
         )
-        self.own.update(configuration_version=configuration.version)
+        self._exchange.publish_version(configuration.version)
         self._on_configuration(configuration)
         self._report.schedule()
 
--- a/greengagepath/membership/dissemination.py
+++ b/greengagepath/membership/dissemination.py
@@ -2,7 +2,13 @@
 
 from collections.abc import Iterable
 
-from ..generated.messages import Digest, DigestEntry, MemberRecord, Records
+from ..generated.messages import (
+    Digest,
+    DigestEntry,
+    MemberRecord,
+    Records,
+    Versions,
+)
 from ..timers import Timer
 from .peers import Peer, PeerRole, PeerTable
 from .ports import NodePorts
@@ -12,6 +18,9 @@
 # Changes wait this long for others. Ten hops of 20 ms keep a change
 # well under the second that is left of the 5 s for a dead target.
 FLUSH_S = 0.02
+# An operator waits for the versions in force; at 520 balancers the
+# reports of each change are most of the traffic, so they are batched.
+FLUSH_VERSIONS_S = 0.3
 # Records in one message; a schema limit of 10,000 bounds what arrives.
 MAX_RECORDS = 1000
 
@@ -32,6 +41,7 @@
         self._ports = ports
         self._zone = zone
         self._flush_timer: Timer | None = None
+        self._versions_timer: Timer | None = None
         self.dropped_records = 0
 
     def push(self, record: MemberRecord, source: Peer | None = None) -> None:
@@ -56,6 +66,24 @@
                 FLUSH_S, self.flush
             )
 
+    def push_version(
+        self, record: MemberRecord, source: Peer | None = None
+    ) -> None:
+        """Queue a risen configuration version for all links but one.
+
+        These wait longer than records: what comes from the other end
+        meanwhile need not be sent to it.
+        """
+        for peer in self._peers.with_role(PeerRole.ZONE, PeerRole.BRIDGE):
+            if peer is not source and self._carries(peer, record):
+                peer.raised.add(record.member_id)
+        if source is not None:
+            source.raised.discard(record.member_id)
+        if self._versions_timer is None:
+            self._versions_timer = self._ports.timers.call_after(
+                FLUSH_VERSIONS_S, self._flush_versions
+            )
+
     def flush(self) -> None:
         """Send what is queued."""
         self._flush_timer = None
@@ -68,6 +96,26 @@
                 ):
                     peer.needs_digest = True
 
+    def _flush_versions(self) -> None:
+        self._versions_timer = None
+        for peer in self._peers:
+            found = [self._table.get(entry) for entry in sorted(peer.raised)]
+            peer.raised.clear()
+            records = [entry for entry in found if entry is not None]
+            if records:
+                self._send_versions(peer, records)
+
+    def _send_versions(self, peer: Peer, records: list[MemberRecord]) -> None:
+        message = Versions(
+            member_ids=[entry.member_id for entry in records],
+            incarnations=[entry.incarnation for entry in records],
+            configuration_versions=[
+                entry.configuration_version for entry in records
+            ],
+        )
+        if not self._ports.links.send(peer.link_id, message):
+            peer.needs_digest = True
+
     def make_digest(self, configuration_version: int) -> Digest:
         """Return the checksums of all buckets that hold records."""
         return Digest(
--- a/greengagepath/membership/exchange.py
+++ b/greengagepath/membership/exchange.py
@@ -6,6 +6,7 @@
     MemberRecord,
     MemberState,
     Pull,
+    Versions,
 )
 from .dissemination import Dissemination
 from .own_record import OwnRecord
@@ -45,9 +46,34 @@
         outcome = self._table.merge(record)
         if outcome in CHANGES:
             self.pass_on(record, source)
+        elif outcome is MergeOutcome.VERSION:
+            self.dissemination.push_version(record, source)
         elif outcome is MergeOutcome.STALE:
             self._correct(record, source)
 
+    def merge_versions(self, versions: Versions, source: Peer) -> None:
+        """Take versions in force from a link and pass on what is news."""
+        columns = zip(
+            versions.member_ids,
+            versions.incarnations,
+            versions.configuration_versions,
+            strict=False,
+        )
+        for member_id, incarnation, version in columns:
+            source.raised.discard(member_id)
+            if self._table.raise_version(member_id, incarnation, version):
+                record = self._table.get(member_id)
+                self.dissemination.push_version(record, source)
+
+    def publish_version(self, configuration_version: int) -> None:
+        """Report the own version in force."""
+        own = self._own
+        own.raise_version(configuration_version)
+        self._table.raise_version(
+            own.member_id, own.record.incarnation, configuration_version
+        )
+        self.dissemination.push_version(own.record)
+
     def pass_on(self, record: MemberRecord, source: Peer | None) -> None:
         """Push a change, and tell the accused if it is linked here.
 
--- a/greengagepath/membership/own_record.py
+++ b/greengagepath/membership/own_record.py
@@ -39,6 +39,12 @@
         if changed != self.record:
             self._publish(changed, self.record.record_version + 1)
 
+    def raise_version(self, configuration_version: int) -> None:
+        """Note the version in force; it needs no new record version."""
+        self.record = msgspec.structs.replace(
+            self.record, configuration_version=configuration_version
+        )
+
     def dispute(self, claim: MemberRecord) -> None:
         """Take note of what another process says of this one.
 
--- a/greengagepath/membership/peers.py
+++ b/greengagepath/membership/peers.py
@@ -23,7 +23,8 @@
 class Peer:
     """One open link.
 
-    `pending` holds the records to be sent, the newest of each member.
+    `pending` holds the records to be sent, the newest of each member,
+    `raised` the members of which only the configuration version rose.
     `needs_digest` is set when records had to be dropped.
     """
 
@@ -33,6 +34,7 @@
     role: PeerRole = PeerRole.UNKNOWN
     member_id: str = ''
     pending: dict[str, MemberRecord] = field(default_factory=dict)
+    raised: set[str] = field(default_factory=set)
     needs_digest: bool = False
     unwanted_since_s: float | None = None
 
--- a/greengagepath/membership/table.py
+++ b/greengagepath/membership/table.py
@@ -26,6 +26,8 @@
 
     NEW = 'new'
     UPDATED = 'updated'
+    # Only the configuration version in force is higher.
+    VERSION = 'version'
     # The table already holds exactly this record.
     KNOWN = 'known'
     # The table holds a newer record.
@@ -130,21 +132,45 @@
             )
         return self._balancers
 
-    def live_count(self) -> int:
-        """Return the number of members without tombstones."""
-        return len(self._records_by_id) - len(self._gone_since_by_id)
-
     def merge(self, record: MemberRecord) -> MergeOutcome:
         """Take the record if it is newer than the one held."""
         held = self._records_by_id.get(record.member_id)
         if held is None:
             return self._insert(record)
-        if order_of(record) == order_of(held):
-            return MergeOutcome.KNOWN
+        if order_of(record) > order_of(held):
+            self._store(_with_higher_version(record, held))
+            return MergeOutcome.UPDATED
+        if self.raise_version(
+            record.member_id, record.incarnation, record.configuration_version
+        ):
+            return MergeOutcome.VERSION
         if order_of(record) < order_of(held):
             return MergeOutcome.STALE
-        self._store(record)
-        return MergeOutcome.UPDATED
+        return MergeOutcome.KNOWN
+
+    def raise_version(
+        self, member_id: str, incarnation: int, configuration_version: int
+    ) -> bool:
+        """Take a higher configuration version; return whether it was.
+
+        Does not count as a change of the table: 520 balancers report
+        each new configuration, and nothing is derived from it.
+        """
+        held = self._records_by_id.get(member_id)
+        is_news = (
+            held is not None
+            and not is_gone(held)
+            and held.incarnation == incarnation
+            and held.configuration_version < configuration_version
+        )
+        if is_news:
+            raised = msgspec.structs.replace(
+                held, configuration_version=configuration_version
+            )
+            self.checksums.toggle(held)
+            self.checksums.toggle(raised)
+            self._records_by_id[member_id] = raised
+        return is_news
 
     def suspect(self, member_id: str) -> MemberRecord | None:
         """Mark a member as suspect; return its record if that changed it."""
@@ -196,7 +222,8 @@
     def _insert(self, record: MemberRecord) -> MergeOutcome:
         if is_gone(record):
             return MergeOutcome.REFUSED
-        if self.live_count() >= self._limits.members:
+        live = len(self._records_by_id) - len(self._gone_since_by_id)
+        if live >= self._limits.members:
             self.refused_records += 1
             return MergeOutcome.REFUSED
         self._store(record)
@@ -240,4 +267,16 @@
         self.forget(expired)
 
 
+def _with_higher_version(
+    record: MemberRecord, held: MemberRecord
+) -> MemberRecord:
+    """Keep a version that was reported on its own in the meantime."""
+    is_lower = record.configuration_version < held.configuration_version
+    if record.incarnation == held.incarnation and is_lower:
+        return msgspec.structs.replace(
+            record, configuration_version=held.configuration_version
+        )
+    return record
+
+
 _WATCHED_STATES = (MemberState.alive, MemberState.draining)
