--- a/greengagepath/membership/bridge.py
+++ b/greengagepath/membership/bridge.py
@@ -96,9 +96,10 @@
         self._directory.update_reached()
         if self.is_bridge:
             self._yield_to_rival()
-        if self.is_bridge:
+        if self._links_zones():
             self._watch.step()
             self._directory.step()
+        if self.is_bridge:
             self._write_seed()
 
     def stop(self) -> None:
@@ -108,7 +109,21 @@
 
     def wanted_links(self) -> Mapping[str, Address]:
         """Return the balancers of other zones to link to, by member id."""
-        return self._directory.wanted_links() if self.is_bridge else {}
+        return self._directory.wanted_links() if self._links_zones() else {}
+
+    def _links_zones(self) -> bool:
+        """Return whether to link to other zones and to watch.
+
+        A balancer that finds nobody in its own zone does so without a
+        slot: the lease of a bridge that has died lasts up to `lease_s`,
+        and until then nobody else would bring it records and the
+        configuration.
+        """
+        if self.is_bridge:
+            return True
+        return self._is_settled() and not self._parts.peers.with_role(
+            PeerRole.ZONE
+        )
 
     def _choose_slot(self) -> None:
         """Apply for the first slot for which this balancer comes first."""
@@ -339,7 +354,10 @@
         now_s = self._parts.ports.timers.now()
         if now_s >= self._next_s:
             jitter = self._parts.ports.random.uniform(0.5, 1)
-            self._next_s = now_s + DISCOVERY_S * jitter
+            # Zones that start together read before the others' seeds
+            # are written, so a lonely one looks again soon.
+            period_s = DISCOVERY_S if self._linked_zones() else SEED_CHECK_S
+            self._next_s = now_s + period_s * jitter
             self._parts.ports.store.list_names(ObjectKind.SEED, self._learn)
 
     def update_reached(self) -> None:
