--- a/greengagepath/flow_sockets.py
+++ b/greengagepath/flow_sockets.py
@@ -7,6 +7,7 @@
 from gevent.socket import wait_read
 
 from .flows import Flow
+from .native_sockets import open_udp_socket
 from .packets import MAX_DATAGRAM_BYTES, Address, decode_service_datagram
 
 # The kernel limits it to net.core.rmem_max.
@@ -77,9 +78,12 @@
 
     def stop_lingering(self) -> None:
         """Leave datagrams that come in to the next call."""
-        if self._lingerer is not None:
-            self._lingerer.kill(block=False)
+        lingerer = self._lingerer
         self._lingerer = None
+        if lingerer is not None:
+            # Blocks until the greenlet has stopped its watcher: libev
+            # aborts the process if a watched descriptor is closed.
+            lingerer.kill()
 
     def _linger(self, flow: Flow, limit_s: float | None) -> None:
         if limit_s is None:
@@ -102,10 +106,6 @@
 
 
 def _connect(address: Address) -> socket.socket:
-    connected = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    connected.setblocking(False)
-    connected.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
-    )
+    connected = open_udp_socket(RECEIVE_BUFFER_BYTES)
     connected.connect(address)
     return connected
