--- a/greengagepath/agent_flows.py
+++ b/greengagepath/agent_flows.py
@@ -72,7 +72,7 @@
         self._keys = keys
         self._timers = timers
         self._swept_s = timers.now()
-        self._windows = ReplayWindows()
+        self.windows = ReplayWindows()
         self._replies = Replies(identity, keys, self.flows)
         self._parts = AgentParts(
             timers=timers,
@@ -170,7 +170,7 @@
     def _receive_opened(
         self, envelope: Envelope, encoded: bytes, source: Address
     ) -> None:
-        if not self._windows.accept(envelope.sender, envelope.sequence):
+        if not self.windows.accept(envelope.sender, envelope.sequence):
             self.drops[DropReason.REPLAYED] += 1
             return
         match decode_service_datagram(encoded):
--- a/greengagepath/daemon/agent_metrics.py
+++ b/greengagepath/daemon/agent_metrics.py
@@ -136,4 +136,5 @@
             reassembly.reserved_bytes,
             reassembly.max_total_bytes,
         )
+        fill('replay_windows', len(flows.windows), flows.windows.max_senders)
         fill('connections', len(self._pool), self._pool.max_connections)
--- a/greengagepath/replay_windows.py
+++ b/greengagepath/replay_windows.py
@@ -14,7 +14,7 @@
     """
 
     def __init__(self, max_senders: int = MAX_SENDERS) -> None:
-        self._max_senders = max_senders
+        self.max_senders = max_senders
         self._windows_by_sender: OrderedDict[int, ReplayWindow] = OrderedDict()
 
     def __len__(self) -> int:
@@ -25,7 +25,7 @@
         """Return whether the sender's number is new, and remember it."""
         window = self._windows_by_sender.get(sender)
         if window is None:
-            if len(self) >= self._max_senders:
+            if len(self) >= self.max_senders:
                 self._windows_by_sender.popitem(last=False)
             window = ReplayWindow()
             self._windows_by_sender[sender] = window
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -116,6 +116,7 @@
         self.sent = []
         self.sealed = []
         self.to_peers = []
+        self.outcomes = []
         self.restart()
 
     def restart(self):
@@ -237,12 +238,14 @@
         work = self.running.pop(position % len(self.running))
         match kind:
             case 'answered':
-                self.agent.desk.complete(work, Answered(200, body=body))
+                outcome = Answered(200, body=body)
             case 'not_run':
                 self.turned_down_by_attempt[tuple(work.record.attempt)] += 1
-                self.agent.desk.complete(work, NotRun('refused connection'))
+                outcome = NotRun('refused connection')
             case 'unknown':
-                self.agent.desk.complete(work, OutcomeUnknown('reset'))
+                outcome = OutcomeUnknown('reset')
+        self.outcomes.append(outcome)
+        self.agent.desk.complete(work, outcome)
         self.pump()
 
     def drain(self):
