--- a/greengagepath/membership/bridge.py
+++ b/greengagepath/membership/bridge.py
@@ -32,6 +32,7 @@
 # Pause after a failed watch, so that an outage is not met with a storm.
 WATCH_PAUSE_S = 2.0
 SEED_CHECK_S = 5.0
+RUN_ID_BITS = 64
 _TOKEN = 'fencing_token'
 
 
@@ -62,6 +63,8 @@
         self._parts = parts
         self._zone = parts.own.record.availability_zone
         self._started_s = parts.ports.timers.now()
+        # Differs between two runs of the same member.
+        self._run_id = parts.ports.random.getrandbits(RUN_ID_BITS)
         self._on_configuration = on_configuration
         self._lease: Lease | None = None
         self._slot = 0
@@ -79,6 +82,11 @@
         """Whether this balancer may write right now."""
         return self._lease is not None and self._lease.is_held()
 
+    @property
+    def lease_name(self) -> str:
+        """The lease this balancer holds or applies for, if any."""
+        return '' if self._lease is None else self._lease.terms.name
+
     def step(self) -> None:
         """Take, keep or give up a slot, and do a bridge's work."""
         if not self.is_bridge:
@@ -88,9 +96,10 @@
         self._directory.update_reached()
         if self.is_bridge:
             self._yield_to_rival()
-        if self.is_bridge:
+        if self._links_zones():
             self._watch.step()
             self._directory.step()
+        if self.is_bridge:
             self._write_seed()
 
     def stop(self) -> None:
@@ -100,7 +109,21 @@
 
     def wanted_links(self) -> Mapping[str, Address]:
         """Return the balancers of other zones to link to, by member id."""
-        return self._directory.wanted_links() if self.is_bridge else {}
+        return self._directory.wanted_links() if self._links_zones() else {}
+
+    def _links_zones(self) -> bool:
+        """Return whether to link to other zones and to watch.
+
+        A balancer that finds nobody in its own zone does so without a
+        slot: the lease of a bridge that has died lasts up to `lease_s`,
+        and until then nobody else would bring it records and the
+        configuration.
+        """
+        if self.is_bridge:
+            return True
+        return self._is_settled() and not self._parts.peers.with_role(
+            PeerRole.ZONE
+        )
 
     def _choose_slot(self) -> None:
         """Apply for the first slot for which this balancer comes first."""
@@ -147,7 +170,7 @@
         return Lease(
             LeaseTerms(
                 name=f'bridge-{self._zone}-{slot}',
-                process_id=f'{own.member_id}/{own.incarnation}',
+                process_id=f'{own.member_id}/{self._run_id}',
                 duration_s=limits.lease_s,
                 renew_s=limits.lease_renew_s,
             ),
@@ -197,6 +220,11 @@
             self._seeds.step(self._lease)
 
 
+class _SeedBody(msgspec.Struct):
+    addresses: list[Address]
+    fencing_token: int = 0
+
+
 class SeedWriter:
     """Keeps the seed object of the zone in line with its balancers."""
 
@@ -240,7 +268,7 @@
             self.refused_writes += 1
             return
         stored = outcome.unwrap()
-        if int(str(stored.body.get(_TOKEN, 0))) > lease.fencing_token:
+        if _token_of(stored.body) > lease.fencing_token:
             self.refused_writes += 1
             return
         body = {'addresses': wanted, _TOKEN: lease.fencing_token}
@@ -249,6 +277,7 @@
             self._zone,
             StoredObject(stored.version, body),
             lambda written: self._remember(wanted, written),
+            may_send=lease.is_held,
         )
 
     def _remember(
@@ -325,7 +354,10 @@
         now_s = self._parts.ports.timers.now()
         if now_s >= self._next_s:
             jitter = self._parts.ports.random.uniform(0.5, 1)
-            self._next_s = now_s + DISCOVERY_S * jitter
+            # Zones that start together read before the others' seeds
+            # are written, so a lonely one looks again soon.
+            period_s = DISCOVERY_S if self._linked_zones() else SEED_CHECK_S
+            self._next_s = now_s + period_s * jitter
             self._parts.ports.store.list_names(ObjectKind.SEED, self._learn)
 
     def update_reached(self) -> None:
@@ -379,14 +411,19 @@
         return None
 
 
+def _token_of(body: object) -> int:
+    try:
+        return msgspec.convert(body, _SeedBody).fencing_token
+    except msgspec.ValidationError:
+        return 0
+
+
 def addresses_of(body: object) -> list[Address]:
-    """Return the addresses in the body of a seed object."""
-    entries = body.get('addresses', ()) if isinstance(body, dict) else ()
-    return [
-        (str(entry[0]), int(entry[1]))
-        for entry in entries
-        if isinstance(entry, list) and len(entry) == 2
-    ]
+    """Return the addresses in a seed object, none if it is not valid."""
+    try:
+        return msgspec.convert(body, _SeedBody).addresses
+    except msgspec.ValidationError:
+        return []
 
 
 def unreachable_zones(own: MemberRecord, table: MemberTable) -> frozenset[str]:
--- a/greengagepath/membership/views.py
+++ b/greengagepath/membership/views.py
@@ -46,9 +46,11 @@
         return self._ports.timers.now() - self._started_s < FIRST_SYNC_S
 
     def delay(self, send_digest: Callable[[], None]) -> None:
-        """Compare with the first neighbour now, with others later."""
-        if self._started_s is None:
+        """Compare now, but after the first neighbour's records came."""
+        is_first = self._started_s is None
+        if is_first:
             self._started_s = self._ports.timers.now()
+        if is_first or not self.is_running:
             send_digest()
             return
         wait_s = FIRST_SYNC_S * self._ports.random.uniform(1, 2)
@@ -115,13 +117,18 @@
         self._table = table
         self._timers = ports.timers
         self._silent_since_by_zone: dict[str, float] = {}
+        self._silent: frozenset[str] = frozenset()
+        self._seen_version = -1
 
     def step(self) -> bool:
         """Return whether the set of unreachable zones has changed."""
         now_s = self._timers.now()
-        silent = unreachable_zones(self._own.record, self._table)
+        if self._seen_version != self._table.version:
+            self._seen_version = self._table.version
+            self._silent = unreachable_zones(self._own.record, self._table)
+        since_s_by_zone = self._silent_since_by_zone
         self._silent_since_by_zone = {
-            zone: self._silent_since_by_zone.get(zone, now_s) for zone in silent
+            zone: since_s_by_zone.get(zone, now_s) for zone in self._silent
         }
         overdue = frozenset(
             zone
@@ -161,6 +168,8 @@
     def _learn(self, outcome: ObjectOutcome) -> None:
         if outcome.is_ok():
             self._addresses = addresses_of(outcome.unwrap().body)
+        elif not self._addresses:
+            self._addresses = list(self._ports.fallback_seeds)
 
 
 class TargetReport:
