Make the report fit a terminal of 80 columns

Cause: with all columns in one table, names were cut to three characters. Conclusion: one table for each service; the objective is on the page and in JSON. Tables in files and pipes are 140 columns wide.

--- a/greengagepath/cli/changes.py
+++ b/greengagepath/cli/changes.py
@@ -48,7 +48,7 @@
     print_changes(plan.changes)
     held = plan.stored.configuration.version
     count = len(plan.changes)
-    make_console().print(f'{count} fields differ from version {held}')
+    make_console().print(f'fields that differ from version {held}: {count}')
 
 
 def report_conflict(conflict: ChangeConflict, *, as_json: bool) -> None:
@@ -59,7 +59,7 @@
         print_changes(conflict.changes)
     print_error(
         f'version {conflict.held_version} was stored by somebody else,'
-        f' nothing was written; {len(conflict.changes)} fields differ',
+        f' nothing was written; fields that differ: {len(conflict.changes)}',
         'compare, then apply again with'
         f' --base-version {conflict.held_version}, or start from'
         ' `greengagepath apply --fetch FILE`',
--- a/greengagepath/membership/views.py
+++ b/greengagepath/membership/views.py
@@ -128,8 +128,7 @@
             self._silent = unreachable_zones(self._own.record, self._table)
         since_s_by_zone = self._silent_since_by_zone
         self._silent_since_by_zone = {
-            zone: since_s_by_zone.get(zone, now_s)
-            for zone in self._silent
+            zone: since_s_by_zone.get(zone, now_s) for zone in self._silent
         }
         overdue = frozenset(
             zone
--- a/greengagepath/output/burn.py
+++ b/greengagepath/output/burn.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
+from rich.box import SIMPLE_HEAD
 from rich.console import Group, RenderableType
 from rich.table import Table
 
@@ -18,21 +19,20 @@
     'crest_quality',
     'head_of_line',
 )
+# The terminal's table starts after service and objective.
+TERMINAL_FROM = 2
+_WRAPPED_COLUMNS = ('customer', 'operation', *MEASURE_NAMES)
 _RATE_COLUMNS = tuple(
-    f'burn {seconds // SECONDS_PER_MINUTE} min' for seconds in WINDOW_SECONDS
+    f'{seconds // SECONDS_PER_MINUTE}m' for seconds in WINDOW_SECONDS
 )
 BURN_COLUMNS = (
     'service',
+    'objective',
     'customer',
     'operation',
-    'objective',
     'good',
-    'total',
-    *(
-        f'burn {seconds // SECONDS_PER_MINUTE} min'
-        for seconds in WINDOW_SECONDS
-    ),
-    'budget left',
+    *_RATE_COLUMNS,
+    'left',
     'alerts',
 )
 MEASURE_COLUMNS = ('service', 'customer', 'requests', *MEASURE_NAMES)
@@ -55,14 +55,13 @@
     ]
     return [
         row.service,
+        f'{row.target_share:.4g} in {row.threshold_ms} ms',
         row.customer,
         row.operation,
-        f'{row.target_share:.4g} in {row.threshold_ms} ms',
-        str(row.good),
-        str(row.total),
+        f'{row.good}/{row.total}',
         *rates,
-        f'{row.budget_left:.1%}',
-        ', '.join(row.alerts),
+        f'{row.budget_left:.0%}',
+        ' '.join(row.alerts),
     ]
 
 
@@ -73,23 +72,49 @@
 
 
 def render_report(report: BurnReport) -> RenderableType:
-    """Return the tables for the terminal."""
-    burn = _make_table('service-level burn', BURN_COLUMNS)
-    for row in report.burn:
-        style = 'red' if row.alerts else None
-        burn.add_row(*list_burn_cells(row), style=style)
-    if not report.measures:
-        return burn
-    measures = _make_table('measures', MEASURE_COLUMNS)
-    for measure in report.measures:
-        measures.add_row(*list_measure_cells(measure))
-    return Group(burn, measures)
+    """Return the tables for the terminal, two for each service."""
+    parts: list[RenderableType] = []
+    for name in sorted({row.service for row in report.burn}):
+        rows = [row for row in report.burn if row.service == name]
+        parts.append(_render_burn(name, rows))
+    for name in sorted({row.service for row in report.measures}):
+        measured = [row for row in report.measures if row.service == name]
+        parts.append(_render_measures(name, measured))
+    return Group(*parts) if parts else 'no requests with an objective'
+
+
+def _render_burn(service: str, rows: Iterable[BurnRow]) -> Table:
+    # The service is the title and the objective is left to the page and
+    # to JSON, because the rest has to fit a terminal.
+    columns = BURN_COLUMNS[TERMINAL_FROM:]
+    table = _make_table(f'{service}: burn rate by window', columns)
+    for row in rows:
+        cells = list_burn_cells(row)[TERMINAL_FROM:]
+        table.add_row(*cells, style='red' if row.alerts else None)
+    return table
+
+
+def _render_measures(service: str, rows: Iterable[MeasureRow]) -> Table:
+    table = _make_table(f'{service}: measures', MEASURE_COLUMNS[1:])
+    for row in rows:
+        table.add_row(*list_measure_cells(row)[1:])
+    return table
 
 
 def _make_table(title: str, columns: Iterable[str]) -> Table:
-    table = Table(title=title)
+    table = Table(
+        title=title,
+        title_justify='left',
+        box=SIMPLE_HEAD,
+        padding=(0, 1, 0, 0),
+        pad_edge=False,
+    )
     for column in columns:
-        table.add_column(column)
+        table.add_column(
+            column.replace('_', ' '),
+            overflow='fold',
+            no_wrap=column not in _WRAPPED_COLUMNS,
+        )
     return table
 
 
--- a/greengagepath/output/console.py
+++ b/greengagepath/output/console.py
@@ -1,5 +1,6 @@
 """Consoles of the tool; colours only on a terminal, see NO_COLOR."""
 
+import sys
 from collections.abc import Iterable
 
 import msgspec
@@ -8,10 +9,14 @@
 
 from ..configuration.diff import ABSENT, FieldChange
 
+# Width of tables in files and pipes, which have none of their own.
+FILE_COLUMNS = 140
+
 
 def make_console() -> Console:
     """Return a console on the standard output of this moment."""
-    return Console(highlight=False, soft_wrap=True)
+    width = None if sys.stdout.isatty() else FILE_COLUMNS
+    return Console(highlight=False, soft_wrap=True, width=width)
 
 
 def print_error(message: object, advice: str = '') -> None:
