Test that an idle customer saves up no time

Cause: the check passed with the fault it is for, because the customer was new to the queue.

Conclusion: fails now when a line keeps its old start tag.

--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -185,6 +185,7 @@
     def test_idle_time_is_not_saved_up(self):
         # Guards against a customer that returns and takes all slots.
         back_end = FakeBackEnd(queue_length=100000)
+        back_end.offer_at(0, customer_id=2, payload=0.02)
         back_end.poisson(200, 20, mean_s=0.02, customer_id=1)
         back_end.poisson(200, 20, mean_s=0.02, customer_id=2, start_s=15)
         back_end.timers.advance(15)
