Send idempotent short requests a second time when they take too long

A second attempt on a new flow starts after twice the usual 95th percentile, at most half of the deadline, within the retry budget, never for non-idempotent or long requests; the first answer is taken and the other attempt cancelled.

--- a/greengagepath/bench/runner.py
+++ b/greengagepath/bench/runner.py
@@ -81,7 +81,7 @@
         'wall_clock': report.wall_clock,
         'missed': report.missed,
     }
-    path.write_text(json.dumps(document, indent=2) + '\n')
+    path.write_text(f'{json.dumps(document, indent=2)}\n')
     return path
 
 
--- a/greengagepath/client.py
+++ b/greengagepath/client.py
@@ -16,6 +16,7 @@
 from result import Err, Ok
 
 from .admission.retry_budget import RetryBudget
+from .attempts import cancel_attempts, read_outcome, take_first_answer
 from .call_types import (
     CallError,
     CallErrorKind,
@@ -27,6 +28,7 @@
 from .calls import Call, CallOutcome
 from .flow_sockets import FlowSocket
 from .flows import Flow
+from .hedging import HedgeDelays
 from .packets import SizeCode
 
 REQUEST_ID_BYTES = 16
@@ -84,11 +86,7 @@
 
     def wait(self) -> CallOutcome:
         """Return the outcome once the call has ended."""
-        outcome = self._greenlet.get()
-        if isinstance(outcome, gevent.GreenletExit):
-            # Cancelled before the greenlet ran for the first time.
-            return Err(CallError(CallErrorKind.CANCELLED, not_run=True))
-        return outcome
+        return read_outcome(self._greenlet)
 
 
 class Client:
@@ -107,6 +105,7 @@
         self._clock = clock
         self._slots = BoundedSemaphore(max_calls)
         self._lingering: deque[FlowSocket] = deque()
+        self._hedge_delays = HedgeDelays()
 
     def create_request(
         self,
@@ -150,6 +149,8 @@
             return _not_started()
         with ExitStack() as stack:
             stack.callback(self._slots.release)
+            if request.idempotent and request.size_code is not SizeCode.LONG:
+                return self._call_hedged(held, service, request, end_s)
             return self._call_on(held, service, request, end_s)
 
     def start(
@@ -173,6 +174,33 @@
         while self._lingering:
             self._lingering.popleft().close()
 
+    def _call_hedged(
+        self,
+        held: HeldFlow | None,
+        service: ServiceAddress,
+        request: CallRequest,
+        end_s: float,
+    ) -> CallOutcome:
+        """Send a request that takes unusually long to a second target."""
+        started_s = self._clock()
+        first = gevent.spawn(self._call_on, held, service, request, end_s)
+        attempts = [first]
+        left_s = end_s - started_s
+        try:
+            first.join(self._hedge_delays.delay_s(request.operation, left_s))
+            if not first.dead and self.setup.allowance.try_retry():
+                self.setup.events['hedges'] += 1
+                attempts.append(
+                    gevent.spawn(self._call_once, service, request, end_s)
+                )
+            outcome = take_first_answer(attempts)
+        except gevent.GreenletExit:
+            return cancel_attempts(attempts)
+        if isinstance(outcome, Ok):
+            latency_s = self._clock() - started_s
+            self._hedge_delays.record(request.operation, latency_s)
+        return outcome
+
     def _call_on(
         self,
         held: HeldFlow | None,
--- /dev/null
+++ b/tests/test_hedging.py
@@ -0,0 +1,111 @@
+"""Second attempts of idempotent requests, against slow targets."""
+
+import time
+
+import gevent
+from testtools import TestCase
+
+from greengagepath.call_types import CallErrorKind
+from greengagepath.client import Client, create_setup
+from greengagepath.hedging import MIN_SAMPLES, HedgeDelays
+from greengagepath.packets import SizeCode
+from tests.call_builders import FakeTarget
+from tests.test_client import SocketTarget
+
+SLOW_S = 5.0
+DEADLINE_S = 1.0
+
+
+class AlternatingTargets:
+    """Gives each new flow to the next of several targets."""
+
+    def __init__(self, *targets):
+        self.targets = targets
+        self.targets_by_flow = {}
+
+    def receive(self, datagram, *arguments):
+        count = len(self.targets_by_flow)
+        target = self.targets_by_flow.setdefault(
+            datagram.flow_id, self.targets[count % len(self.targets)]
+        )
+        target.receive(datagram, *arguments)
+
+    def check_timeouts(self, now_s):
+        for target in self.targets:
+            target.check_timeouts(now_s)
+
+
+class HedgedCallTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.slow = FakeTarget('slow', 100, SLOW_S)
+        self.fast = FakeTarget('fast', 100)
+        self.server = SocketTarget(AlternatingTargets(self.slow, self.fast))
+        self.addCleanup(self.server.close)
+        self.client = Client(create_setup(seed=1))
+        self.addCleanup(self.client.close)
+
+    def start(self, **fields):
+        request = self.client.create_request(1, 'GET', '/status', **fields)
+        return self.client.start(self.server.service, request, DEADLINE_S)
+
+    def test_straggler_is_answered_by_a_second_target(self):
+        # Guards against a short look-up that is lost to one slow run.
+        started_s = time.monotonic()
+        outcome = self.start(idempotent=True).wait()
+        self.assertTrue(outcome.is_ok())
+        self.assertLess(time.monotonic() - started_s, DEADLINE_S)
+        self.assertEqual(1, self.client.setup.events['hedges'])
+        gevent.sleep(0.05)
+        self.assertTrue(self.slow.cancelled)
+
+    def test_non_idempotent_request_has_one_attempt(self):
+        # Guards against an order that runs on two targets.
+        outcome = self.start(idempotent=False).wait()
+        self.assertEqual(CallErrorKind.DEADLINE, outcome.unwrap_err().kind)
+        self.assertFalse(outcome.unwrap_err().not_run)
+        self.assertEqual(1, self.slow.runs.total())
+        self.assertEqual(0, self.fast.runs.total())
+
+    def test_long_work_is_not_hedged(self):
+        # Guards against doubling the work that loads targets most.
+        self.start(idempotent=True, size_code=SizeCode.LONG).wait()
+        self.assertEqual(0, self.fast.runs.total())
+
+    def test_spent_budget_allows_no_second_attempt(self):
+        # Guards against hedges that double the load of an overload.
+        allowance = self.client.setup.allowance
+        while allowance.tokens >= 1:
+            allowance.try_retry()
+        outcome = self.start(idempotent=True).wait()
+        self.assertTrue(outcome.is_err())
+        self.assertEqual(0, self.client.setup.events['hedges'])
+
+    def test_cancellation_ends_both_attempts(self):
+        # Guards against a second attempt that outlives its caller.
+        self.fast.duration_s = SLOW_S
+        call = self.start(idempotent=True)
+        gevent.sleep(DEADLINE_S / 2)
+        call.cancel()
+        error = call.wait().unwrap_err()
+        self.assertEqual(CallErrorKind.CANCELLED, error.kind)
+        gevent.sleep(0.05)
+        self.assertTrue(self.slow.cancelled)
+        self.assertTrue(self.fast.cancelled)
+
+
+class HedgeDelaysTest(TestCase):
+    def test_delay_follows_the_usual_latency(self):
+        # Guards against hedges of requests that take their usual time.
+        delays = HedgeDelays()
+        for _ in range(MIN_SAMPLES):
+            delays.record('status', 0.2)
+        self.assertGreaterEqual(delays.delay_s('status', 10.0), 0.4)
+        self.assertLess(delays.delay_s('status', 10.0), 0.5)
+
+    def test_half_of_the_deadline_is_left(self):
+        # Guards against a second attempt that comes too late to help.
+        delays = HedgeDelays()
+        for _ in range(MIN_SAMPLES):
+            delays.record('status', 0.9)
+        self.assertEqual(0.5, delays.delay_s('status', 1.0))
