Keep the demo's load below the capacity that is left after the drain

That queued requests end at their deadline instead of being refused a little earlier is a fault of its own, to be mended in the agent.

--- a/greengagepath/emulator/demo.py
+++ b/greengagepath/emulator/demo.py
@@ -41,6 +41,9 @@
 MAX_USUAL_ANSWER_BYTES = 1_000_000
 BYTES_PER_KB = 1024
 HELD_FLOWS = 12
+# Share of the usual rates, so that the targets that are left after the
+# drain of the fastest one still have capacity to spare.
+LOAD_SHARE = 0.6
 KILL_SHARE = 0.2
 LARGE_ANSWER_LEAD_S = 0.3
 _SIZE_CODES = {
@@ -213,13 +216,14 @@
     }
     names = []
     customers = deployment.services[0].customers
+    shares = sum(customer.share for customer in customers)
     for position, customer in enumerate(customers):
         operations = [
             _plan_operation(
                 service,
                 operation,
                 answers_by_operation[service.name, operation.name],
-                share=1 / len(customers),
+                share=LOAD_SHARE * customer.share / shares,
             )
             for service in deployment.services
             for operation in service.operations
--- a/greengagepath/emulator/load.py
+++ b/greengagepath/emulator/load.py
@@ -7,6 +7,7 @@
 """
 
 import random
+import sys
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -242,6 +243,9 @@
     client.close()
     lines = (msgspec.json.encode(outcome) for outcome in generator.outcomes)
     options.output.write_bytes(b'\n'.join(lines))
+    # The caller's own counters help to find out why a request was lost.
+    sys.stderr.write(f'events {dict(client.setup.events)}\n')
+    sys.stderr.write(f'drops {dict(client.setup.drops)}\n')
 
 
 if __name__ == '__main__':
