--- a/greengagepath/emulator/demo.py
+++ b/greengagepath/emulator/demo.py
@@ -206,8 +206,15 @@
         )
 
 
-def start_load(deployment: Deployment, seconds: float) -> list[str]:
-    """Start one load process for each customer; return their names."""
+def start_load(
+    deployment: Deployment,
+    seconds: float,
+    load_share: float = LOAD_SHARE,
+) -> list[str]:
+    """Start one load process for each customer; return their names.
+
+    `load_share` is the share of the usual rates.
+    """
     answers = load_answers(deployment.folder / 'answers.toml').unwrap()
     answers_by_operation = {
         (service.name, operation.name): operation
@@ -223,7 +230,7 @@
                 service,
                 operation,
                 answers_by_operation[service.name, operation.name],
-                share=LOAD_SHARE * customer.share / shares,
+                share=load_share * customer.share / shares,
             )
             for service in deployment.services
             for operation in service.operations
--- a/greengagepath/emulator/deployment.py
+++ b/greengagepath/emulator/deployment.py
@@ -39,6 +39,8 @@
 STRAGGLER_SHARE = 0.002
 START_TIMEOUT_S = 20.0
 SEED_BITS = 32
+# More than any service of the examples has.
+ALL_TARGETS = 1000
 # The demo fetches an answer of 20 MB from the service with long work.
 LARGE_FROM_KB = 16_384
 LARGEST_ANSWER_KB = 24_000
@@ -56,9 +58,19 @@
 
 
 class Deployment:
-    """The processes of one deployment."""
-
-    def __init__(self, folder: Path, scenario: str, seed: int) -> None:
+    """The processes of one deployment.
+
+    `max_targets` limits the targets of each service.
+    """
+
+    def __init__(
+        self,
+        folder: Path,
+        scenario: str,
+        seed: int,
+        max_targets: int = ALL_TARGETS,
+    ) -> None:
+        self._max_targets = max_targets
         self.folder = folder
         self.scenario = scenario
         self.seed = seed
@@ -209,7 +221,8 @@
             entry.name: entry.targets for entry in answers.services
         }
         for service in self.services:
-            for _ in range(counts_by_name[service.name]):
+            count = min(counts_by_name[service.name], self._max_targets)
+            for _ in range(count):
                 self.start_target(service.service_id)
 
     def _start_back_end(self, target: TargetProcess, *, cold: bool) -> None:
