Keep the base of a file in step with what was stored

Cause: a version that was stored while no balancer could be asked left the old base in the file, so the next edit met a conflict with its own write. Conclusion: apply reports whether the version is stored, apart from its exit code; the case has a test.

--- a/greengagepath/cli/apply.py
+++ b/greengagepath/cli/apply.py
@@ -119,10 +119,10 @@
             report_plan(plan, as_json=self.as_json)
             return ExitCode.OK
         options = ChangeOptions(self.wait_s, self.as_json)
-        code = run_plan(connections, plan, options)
-        if code in {ExitCode.OK, ExitCode.TIMEOUT}:
+        finished = run_plan(connections, plan, options)
+        if finished.is_stored:
             update_base(self.path, compute_digest(plan.wanted.services))
-        return code
+        return finished.code
 
 
 def fetch_configuration(connections: Connections, path: Path) -> ExitCode:
--- a/greengagepath/cli/changes.py
+++ b/greengagepath/cli/changes.py
@@ -35,6 +35,14 @@
     as_json: bool
 
 
+@dataclass(slots=True, frozen=True)
+class ChangeResult:
+    """How a change ended; it may be stored and not yet in force."""
+
+    code: ExitCode
+    is_stored: bool
+
+
 def report_plan(plan: ChangePlan, *, as_json: bool) -> None:
     """Show what a change would do."""
     if as_json:
@@ -68,8 +76,8 @@
 
 def run_plan(
     connections: Connections, plan: ChangePlan, options: ChangeOptions
-) -> ExitCode:
-    """Write a plan and wait until it is in force; return the exit code.
+) -> ChangeResult:
+    """Write a plan and wait until it is in force.
 
     A plan without changes only waits for the version that is stored.
     """
@@ -81,7 +89,9 @@
     if plan.changes:
         written = write_plan(connections.store, plan)
         if isinstance(written, Err):
-            return _report_failure(written.err_value, as_json=options.as_json)
+            failure = written.err_value
+            code = _report_failure(failure, as_json=options.as_json)
+            return ChangeResult(code, is_stored=False)
         version = plan.wanted.version
         failures = hand_over(
             connections.balancers,
@@ -97,7 +107,7 @@
     )
     took_ms = round((connections.timers.now() - start_s) * MS_PER_S)
     _report_spread(outcome, failures, (version, took_ms), options)
-    return _choose_code(outcome)
+    return ChangeResult(_choose_code(outcome), is_stored=True)
 
 
 def _report_failure(failure: object, *, as_json: bool) -> ExitCode:
--- a/greengagepath/cli/draining.py
+++ b/greengagepath/cli/draining.py
@@ -57,7 +57,7 @@
     )
     match planned:
         case Ok(plan):
-            return run_plan(connections, plan, options)
+            return run_plan(connections, plan, options).code
         case Err(UnknownName(message)):
             print_error(message, 'see `greengagepath status --json`')
             return ExitCode.BAD_USAGE
--- a/tests/operator/test_cli.py
+++ b/tests/operator/test_cli.py
@@ -200,6 +200,16 @@
         self.assertEqual(1, len(report['behind']))
         self.assertIn('still has version 0', self.err.getvalue())
 
+    def test_stored_version_without_balancers_is_no_later_conflict(self):
+        # Guards against a conflict with the operator's own write, which
+        # no balancer could confirm at the time.
+        self.balancer.close()
+        self.assertEqual(ExitCode.UNREACHABLE, self.apply())
+        self.assertIn('version 1 is stored', self.err.getvalue())
+        self.edit('queue_length = 200', 'queue_length = 100')
+        self.assertEqual(ExitCode.UNREACHABLE, self.apply())
+        self.assertEqual(2, self.api.writes)
+
     def test_store_down_changes_nothing(self):
         # Guards against an outage that is reported as anything else.
         self.api.close()
