Stop probes while a balancer drains, and reload on SIGHUP

Cause: ejected targets are probed at a fixed rate, and their replies kept a draining socket from being quiet until the limit of 30 s. SIGHUP ended the balancer; the agent already used the shared reloads.

Conclusion: a drain ends after 0.5 s without datagrams whatever the state of the targets.

--- a/greengagepath/daemon/balancer.py
+++ b/greengagepath/daemon/balancer.py
@@ -4,7 +4,7 @@
 import random
 import signal
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import gevent
 from gevent.event import Event
@@ -24,9 +24,9 @@
 from .control import BalancerControl
 from .datapath import DataPath, open_data_socket
 from .http_status import StatusServer
+from .reloads import Reloader, Reloads
 from .target_sockets import TargetSockets, limit_target_sockets
 
-KEY_CHECK_S = 1.0
 # Pause between slices of building the tables of targets.
 SLICE_PAUSE_S = 0.005
 # The fabric looks at /readyz a few times a second; until then it still
@@ -106,9 +106,9 @@
             self._status.stop()
         return code
 
-    def reload_with(self, reload_if_changed: Callable[[], bool]) -> None:
-        """Read changed key files again while the balancer runs."""
-        self._timers.subscribe(KEY_CHECK_S, reload_if_changed)
+    def reload_with(self, *reloaders: Reloader) -> None:
+        """Read keys and certificates again while the balancer runs."""
+        Reloads(self._metrics.metrics, *reloaders).start(self._timers)
 
     def _serve_status(self) -> None:
         node = self._settings.node
--- a/greengagepath/daemon/balancer_start.py
+++ b/greengagepath/daemon/balancer_start.py
@@ -12,6 +12,7 @@
 from ..logs import configure_logs, log_event
 from ..tls import load_tls
 from .balancer import Balancer
+from .reloads import Reloader
 
 _logger = logging.getLogger(__name__)
 
@@ -32,10 +33,10 @@
         balancer = Balancer(settings, keys.ok_value, tls.ok_value)
     except OSError as error:
         return _refuse_settings([f'node.data_port: {error}'])
-    reloader = KeyReloader(path, settings, keys.ok_value)
-    balancer.reload_with(reloader.reload_if_changed)
+    reloaders: list[Reloader] = [KeyReloader(path, settings, keys.ok_value)]
     if tls.ok_value is not None:
-        balancer.reload_with(tls.ok_value.reload_if_changed)
+        reloaders.append(tls.ok_value)
+    balancer.reload_with(*reloaders)
     try:
         balancer.start()
     except OSError as error:
--- a/greengagepath/daemon/datapath.py
+++ b/greengagepath/daemon/datapath.py
@@ -52,6 +52,7 @@
         self._timers = timers
         self._loop: gevent.Greenlet | None = None
         self._subscriptions: list[Timer] = []
+        self._probing: Timer | None = None
         self._service_ids: tuple[int, ...] = ()
         self._turn = cycle(self._service_ids)
 
@@ -62,9 +63,11 @@
             self._timers.subscribe(
                 KEY_CHECK_S, self.router.forwarder.refresh_keys
             ),
-            self._timers.subscribe(PROBE_CHECK_S, self._check_probes),
             self._timers.subscribe(SOCKET_CHECK_S, self._renew_sockets),
         ]
+        self._probing = self._timers.subscribe(
+            PROBE_CHECK_S, self._check_probes
+        )
         return self._loop
 
     def use_services(self, service_ids: tuple[int, ...]) -> None:
@@ -74,7 +77,12 @@
             self._turn = cycle(service_ids)
 
     def drain(self, limit_s: float) -> bool:
-        """Forward until no datagram comes in; False after the limit."""
+        """Forward until no datagram comes in; False after the limit.
+
+        Probes end, since their replies would keep the socket busy.
+        """
+        if self._probing is not None:
+            self._probing.cancel()
         end_s = self._timers.now() + limit_s
         quiet_since_s = self._timers.now()
         seen = self.received
@@ -89,8 +97,9 @@
 
     def stop(self) -> int:
         """End the loop; return how many datagrams were left unread."""
-        for subscription in self._subscriptions:
-            subscription.cancel()
+        for subscription in (*self._subscriptions, self._probing):
+            if subscription is not None:
+                subscription.cancel()
         if self._loop is not None:
             self._loop.kill()
         left = self._count_left()
--- a/tests/test_datapath.py
+++ b/tests/test_datapath.py
@@ -71,6 +71,16 @@
         self.assertEqual(1, self.path.received)
         self.assertEqual(0, self.path.stop())
 
+    def test_replies_to_probes_do_not_prolong_a_drain(self):
+        # Guards against a leaving balancer that keeps itself busy.
+        self.path.use_services((7,))
+        gevent.sleep(0.6)
+        probes = self.path.router.counters.probes_sent
+        self.assertGreater(probes, 0)
+        self.assertTrue(self.path.drain(5.0))
+        self.assertEqual(probes, self.path.router.counters.probes_sent)
+        self.path.stop()
+
     def test_stop_counts_what_is_left(self):
         # Guards against a second SIGTERM that hides lost datagrams.
         self.send(1)
