--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -19,6 +19,7 @@
     Records,
     StatusQuery,
     StatusReply,
+    Versions,
 )
 from ..packets import Address
 from ..timers import Timer
@@ -129,13 +130,12 @@
             case Records() if peer.role is not PeerRole.UNKNOWN:
                 for record in message.records:
                     self._exchange.merge(record, peer)
+            case Versions() if peer.is_balancer:
+                self._exchange.merge_versions(message, peer)
             case Digest() if peer.is_balancer:
                 self._exchange.receive_digest(peer, message, self.spread)
             case Pull() if peer.is_balancer:
-                found = self._exchange.dissemination.records_for(
-                    message.buckets
-                )
-                self._ports.links.send(link_id, found)
+                self._exchange.dissemination.send_buckets(peer, message.buckets)
             case _:
                 self._receive_other(link_id, message)
 
@@ -180,7 +180,7 @@
             for service in configuration.services
             for target_id in service.drained_targets
         )
-        self.own.update(configuration_version=configuration.version)
+        self._exchange.publish_version(configuration.version)
         self._on_configuration(configuration)
         self._report.schedule()
 
@@ -191,15 +191,15 @@
         """Notice silent members and links, keep links and the slot."""
         for suspect in self._watch.silent_members():
             self._exchange.pass_on(suspect, source=None)
+        for dead in self._watch.dead_members():
+            self._exchange.pass_on(dead, source=None)
         self.care.close_silent()
         self.own.refute_pending()
-        self.bridge.step()
         self._watch.adjust_links()
 
     def _scan(self) -> None:
-        """Expire suspects and tombstones, and see which zones are silent."""
-        for dead in self._watch.dead_members():
-            self._exchange.pass_on(dead, source=None)
+        """Keep the slot, see silent zones, tell agents of new homes."""
+        self.bridge.step()
         if self._watch.zones.step():
             self._report.schedule()
         self._homes.tell_all()
--- a/tests/agent/test_agent_flows.py
+++ b/tests/agent/test_agent_flows.py
@@ -17,6 +17,7 @@
     BALANCER,
     OTHER_AGENT,
     SERVICE_ID,
+    SentRequest,
     World,
     build_service,
 )
@@ -153,6 +154,17 @@
         self.assertEqual(Kind.OPEN, datagram.kind)
         self.assertEqual([], self.world.flows)
 
+    def test_request_in_arrival_is_refused_when_draining(self):
+        # Guards against callers that wait for a target that has left.
+        flow = self.world.open_flow()
+        request = SentRequest(bytes(16), parts=3)
+        parts = self.world.request_datagrams(flow, 1, request)
+        self.world.send(parts[0], flow.caller)
+        self.world.drain()
+        refusal = self.world.replies_by_attempt[flow.flow_id, 1][-1]
+        self.assertEqual(RefusalReason.draining, refusal.reason)
+        self.assertTrue(self.agent.is_idle)
+
     def test_open_is_refused_after_the_last_hand_off(self):
         # Guards against an OPEN that circulates.
         self.agent.start_draining()
@@ -174,6 +186,23 @@
         self.assertEqual(2, int.from_bytes(reply.body[:2], 'big'))
         self.assertEqual(ProbeState.ACCEPTING, reply.body[-1])
 
+    def test_failing_back_end_is_reported_and_forgiven(self):
+        # Guards against a target that fails unseen, and against one that
+        # is avoided for ever.
+        flow = self.world.open_flow()
+        states = []
+        for _ in range(10):
+            self.world.request(flow)
+            self.world.finish(0, 'unknown')
+        for _ in range(2):
+            self.world.send(
+                ServiceDatagram(Kind.PROBE, SERVICE_ID, 1), BALANCER
+            )
+            states.append(self.world.to_peers[-1][1].body[-1])
+            for _ in range(3):
+                self.world.advance(5.0)
+        self.assertEqual([ProbeState.FAILING, ProbeState.ACCEPTING], states)
+
     def test_running_request_is_cancelled_at_the_back_end(self):
         # Guards against "not run" for a request that had begun.
         attempt = self.world.request(self.world.open_flow())
@@ -194,6 +223,61 @@
         refusal = self.world.replies_by_attempt[attempt][-1]
         self.assertEqual(RefusalReason.no_target, refusal.reason)
 
+    def test_cancelled_request_is_not_tried_again(self):
+        # Guards against a run after the caller was told "not run".
+        attempt = self.world.request(self.world.open_flow())
+        self.world.finish(0, 'not_run')
+        self.world.tell(self.world.flows[0], Kind.CANCEL, attempt[1])
+        self.world.advance(1.0)
+        refusal = self.world.replies_by_attempt[attempt][-1]
+        self.assertEqual(RefusalReason.cancelled, refusal.reason)
+        self.assertEqual(1, self.world.started_by_attempt[attempt])
+
+    def test_duplicate_of_a_refused_request_is_refused_again(self):
+        # Guards against an unknown outcome where the refusal was lost.
+        self.world.request(self.world.open_flow(), deadline_ms=0)
+        datagram, caller = self.world.sent[-1]
+        self.world.send(datagram, caller)
+        replies = self.world.replies_by_attempt[datagram.flow_id, 1]
+        refusals = [entry for entry in replies if isinstance(entry, Refusal)]
+        self.assertEqual(2, len(refusals))
+
+    def test_duplicate_of_a_running_request_is_acknowledged(self):
+        # Guards against a caller that sends a long request over and over.
+        self.world.request(self.world.open_flow())
+        datagram, caller = self.world.sent[-1]
+        self.world.send(datagram, caller)
+        replies = self.world.replies_by_attempt[datagram.flow_id, 1]
+        self.assertEqual([Kind.REQUEST_ACK, Kind.REQUEST_ACK], replies)
+        self.assertEqual(1, len(self.world.running))
+
+    def test_request_runs_once_after_its_record_has_given_way(self):
+        # Guards against at-most-once that ends with the record.
+        world = World(Limits(slots=2, request_records=1))
+        flow = world.open_flow()
+        for _ in range(2):
+            attempt = world.request(flow)
+            world.finish(0, 'answered')
+            world.acknowledge(attempt)
+        self.assertIsNone(world.agent.table.find((flow.flow_id, 1)))
+        datagram, caller = world.sent[1]
+        world.send(datagram, caller)
+        self.assertEqual([], world.running)
+        self.assertIn(
+            Kind.UNKNOWN_OUTCOME, world.replies_by_attempt[flow.flow_id, 1]
+        )
+
+    def test_cancel_that_overtakes_its_request_holds(self):
+        # Guards against a request that runs after its cancellation.
+        flow = self.world.open_flow()
+        self.world.tell(flow, Kind.CANCEL, flow.next_number)
+        attempt = self.world.request(flow)
+        reasons = {
+            entry.reason for entry in self.world.replies_by_attempt[attempt]
+        }
+        self.assertEqual({RefusalReason.cancelled}, reasons)
+        self.assertEqual([], self.world.running)
+
     def test_full_request_table_refuses(self):
         # Guards against a table that forgets what still runs.
         world = World(Limits(slots=1, queue_length=5, request_records=2))
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -116,12 +116,14 @@
         self.sent = []
         self.sealed = []
         self.to_peers = []
+        self.outcomes = []
         self.restart()
 
     def restart(self):
         """Replace the agent; what runs goes on unseen."""
         self.incarnation += 1
         self.running = []
+        self.draining = False
         self.agent = AgentFlows(
             AgentIdentity(
                 service_id=SERVICE_ID,
@@ -236,12 +238,24 @@
         work = self.running.pop(position % len(self.running))
         match kind:
             case 'answered':
-                self.agent.desk.complete(work, Answered(200, body=body))
+                outcome = Answered(200, body=body)
             case 'not_run':
                 self.turned_down_by_attempt[tuple(work.record.attempt)] += 1
-                self.agent.desk.complete(work, NotRun('refused connection'))
+                outcome = NotRun('refused connection')
             case 'unknown':
-                self.agent.desk.complete(work, OutcomeUnknown('reset'))
+                outcome = OutcomeUnknown('reset')
+        self.outcomes.append(outcome)
+        self.agent.desk.complete(work, outcome)
+        self.pump()
+
+    def drain(self):
+        self.draining = True
+        self.agent.start_draining()
+        self.pump()
+
+    def undrain(self):
+        self.draining = False
+        self.agent.stop_draining()
         self.pump()
 
     def advance(self, duration_s):
@@ -258,7 +272,7 @@
     def pump(self):
         work = self.agent.desk.next_work()
         while work is not None:
-            if self.agent.is_draining:
+            if self.draining:
                 raise AssertionError('a draining target started new work')
             self.running.append(work)
             self.started_by_attempt[tuple(work.record.attempt)] += 1
