--- a/greengagepath/routing/outliers.py
+++ b/greengagepath/routing/outliers.py
@@ -62,8 +62,7 @@
             for target_id in target_ids
         }
         self.ejected &= self._records_by_target_id.keys()
-        # Fewer targets may allow fewer ejections: readmit at random is
-        # not reproducible, so the last by name go first.
+        # Fewer targets allow fewer ejections; the last by id return.
         for target_id in sorted(self.ejected)[self._limit() :]:
             self._readmit(target_id)
 
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -1,3 +1,5 @@
+from hypothesis import given
+from hypothesis import strategies as st
 from testtools import TestCase
 
 from greengagepath.generated.messages import SizeClass
@@ -101,8 +103,33 @@
         self.assertLessEqual(sent, 508)
         self.assertGreater(sent, 450)
 
+    def test_own_zone_is_preferred_until_it_is_loaded(self):
+        # Guards against needless zone crossings, and against staying in
+        # a zone whose targets are busy.
+        near = build_target(1)
+        far = build_target(2, availability_zone='perth-b')
+        chooser = build_chooser((near, far))
+        first = chooser.choose(1, SHORT).unwrap().target
+        self.assertEqual(near, first)
+        counts = count_choices(chooser, SHORT, 100)
+        self.assertGreater(counts['target-2'], 30)
+
 
 class OutlierTest(TestCase):
+    @given(
+        count=st.integers(1, 10),
+        outcomes=st.lists(
+            st.tuples(st.integers(0, 9), st.booleans()), max_size=200
+        ),
+    )
+    def test_ejection_limit_holds_for_any_outcomes(self, count, outcomes):
+        # Guards against ejecting beyond the limit in any order.
+        chooser = build_chooser(build_targets(count))
+        for number, succeeded in outcomes:
+            chooser.record_outcome(f'target-{number}', succeeded=succeeded)
+            self.assertLessEqual(len(chooser.ejected), count // 3)
+        self.assertTrue(chooser.choose(1, SHORT).is_ok())
+
     def test_at_most_a_third_is_ejected(self):
         # Guards against ejecting so many that the rest is overloaded.
         chooser = build_chooser(build_targets(7))
