Repair lost version reports; let a last bridge write the seed

Cause: random histories left a balancer's version in force out of date for ever, because the checksum of a record did not cover it, and left new agents without a home when only the bridge of the second slot was alive, because only the first slot's holder writes the seed. Conclusion: the checksum covers the version; a bridge moves to the first slot when nobody else can take it.

--- a/greengagepath/membership/bridge.py
+++ b/greengagepath/membership/bridge.py
@@ -89,6 +89,8 @@
 
     def step(self) -> None:
         """Take, keep or give up a slot, and do a bridge's work."""
+        if self._should_move_up():
+            self._drop_slot()
         if not self.is_bridge:
             self._choose_slot()
         if self._lease is not None:
@@ -99,8 +101,8 @@
         if self._links_zones():
             self._watch.step()
             self._directory.step()
-        if self.is_bridge:
-            self._write_seed()
+        if self.is_bridge and self._slot == 1 and self._lease is not None:
+            self._seeds.step(self._lease)
 
     def stop(self) -> None:
         """Give the lease back and end the watch."""
@@ -125,6 +127,22 @@
             PeerRole.ZONE
         )
 
+    def _should_move_up(self) -> bool:
+        """Return whether nobody else can take the first slot.
+
+        Its holder writes the seed; with the slot empty new processes
+        would find the addresses of dead balancers only.
+        """
+        if self._slot <= 1:
+            return False
+        others = [
+            record
+            for record in self._parts.table.balancers()
+            if record.availability_zone == self._zone
+            and record.member_id != self._parts.own.member_id
+        ]
+        return not any(record.bridge_slot in {0, 1} for record in others)
+
     def _choose_slot(self) -> None:
         """Apply for the first slot for which this balancer comes first."""
         free = self._free_slots()
@@ -215,10 +233,6 @@
         self._slot = 0
         self._parts.own.update(bridge_slot=0, reached_zones=[])
 
-    def _write_seed(self) -> None:
-        if self._slot == 1 and self._lease is not None:
-            self._seeds.step(self._lease)
-
 
 class _SeedBody(msgspec.Struct):
     addresses: list[Address]
--- a/greengagepath/membership/records.py
+++ b/greengagepath/membership/records.py
@@ -47,7 +47,10 @@
 def checksum_of(record: MemberRecord) -> int:
     """Return 64 bits that differ when order or configuration differ."""
     incarnation, version, precedence = order_of(record)
-    return hash_text(f'{record.member_id}/{incarnation}/{version}/{precedence}')
+    return hash_text(
+        f'{record.member_id}/{incarnation}/{version}/{precedence}'
+        f'/{record.configuration_version}'
+    )
 
 
 def target_of(
--- a/tests/control/test_control_scenarios.py
+++ b/tests/control/test_control_scenarios.py
@@ -89,6 +89,20 @@
         for balancer in fleet.running_balancers():
             self.assertIn('a0', balancer.target_ids())
 
+    def test_agent_cut_off_from_one_home_stays(self):
+        # Guards against one broken path that removes a live target: the
+        # other home must hand the suspicion to the agent.
+        fleet = make_fleet(balancers=4, agents=1, zones=1)
+        agent = fleet.agents['a0']
+        home = fleet.balancers[agent.node.own.record.homes[0]]
+        agent.links.place = 'agent'
+        home.links.place = 'home'
+        fleet.network.block('agent', 'home')
+        for _ in range(100):
+            fleet.advance(0.5)
+            for balancer in fleet.running_balancers():
+                self.assertIn('a0', balancer.target_ids())
+
     def test_partitioned_zone_is_unreachable_but_not_dead(self):
         # Guards against a partition that removes a whole zone's targets.
         fleet = make_fleet()
--- a/tests/control/test_decisions.py
+++ b/tests/control/test_decisions.py
@@ -94,6 +94,17 @@
         self.assertIs(MergeOutcome.STALE, table.merge(make_record()))
         self.assertEqual({}, table.targets_by_service())
 
+    def test_version_in_force_shows_in_the_checksum(self):
+        # Guards against a report that was lost and never repaired.
+        table, _timers = make_table()
+        table.merge(make_record())
+        before = list(table.checksums.values_by_bucket)
+        self.assertTrue(table.raise_version('m1', 1, 5))
+        self.assertNotEqual(before, table.checksums.values_by_bucket)
+        self.assertFalse(table.raise_version('m1', 1, 4))
+        table.merge(make_record(record_version=1))
+        self.assertEqual(5, table.get('m1').configuration_version)
+
     def test_full_table_refuses_and_counts(self):
         # Guards against a table that grows without a limit.
         table, _timers = make_table(members=2)
--- a/tests/control/test_leases.py
+++ b/tests/control/test_leases.py
@@ -184,3 +184,18 @@
         record = self.holder.node.own.record
         self.assertEqual(1, record.bridge_slot)
         self.assertIs(MemberState.alive, record.state)
+
+    def test_last_bridge_writes_the_seed(self):
+        # Guards against a zone whose seed names dead balancers only,
+        # because the last one holds the second slot.
+        last = next(
+            entry
+            for entry in self.fleet.running_balancers()
+            if entry.node.own.record.bridge_slot == 2
+        )
+        for entry in self.fleet.running_balancers():
+            if entry is not last:
+                self.fleet.kill(entry, silently=True)
+        self.fleet.advance(40)
+        _, body = self.fleet.store.objects_by_key['seed', 'z0']
+        self.assertEqual([[last.record.host, 7000]], body['addresses'])
