--- a/tests/control/test_control_machine.py
+++ b/tests/control/test_control_machine.py
@@ -171,6 +171,12 @@
                 agent.record.availability_zone,
             )
 
+    @rule(index=seeds)
+    def kill_agent_in_calm(self, index):
+        self.fleet.advance(CALM_S + 1)
+        self.kill_agent(index)
+        self.fleet.advance(DEAD_S)
+
     @rule(zone=zones)
     def join_agent(self, zone):
         if len(self.fleet.agents) < 10:
--- a/tests/control/test_control_scenarios.py
+++ b/tests/control/test_control_scenarios.py
@@ -214,6 +214,20 @@
             holder = entry.node.spread.holder
             self.assertEqual(operator.accepted[1], holder.current)
 
+    def test_any_balancer_knows_where_a_version_is_in_force(self):
+        # Guards against an operator who waits for a report that only
+        # the neighbours of a balancer ever get.
+        fleet = make_fleet(balancers=24, agents=0)
+        fleet.balancers['b0'].node.spread.offer(make_configuration(1))
+        fleet.advance(3)
+        for balancer in fleet.running_balancers():
+            known = balancer.node.table.balancers()
+            records = [
+                balancer.node.table.get(record.member_id) for record in known
+            ]
+            versions = [record.configuration_version for record in records]
+            self.assertEqual([1 for _ in range(24)], versions)
+
     def test_started_balancer_gets_it_while_the_store_is_down(self):
         # Guards against a balancer that is not ready for the length of
         # an outage of the object API.
