Make the test of the ejection limit reach the limit

Random single outcomes never ejected more than a third, so the test passed with the limit removed (trial). Bursts of five outcomes eject; the test now fails without the limit.

--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -118,15 +118,16 @@
 class OutlierTest(TestCase):
     @given(
         count=st.integers(1, 10),
-        outcomes=st.lists(
-            st.tuples(st.integers(0, 9), st.booleans()), max_size=200
+        bursts=st.lists(
+            st.tuples(st.integers(0, 9), st.booleans()), max_size=40
         ),
     )
-    def test_ejection_limit_holds_for_any_outcomes(self, count, outcomes):
+    def test_ejection_limit_holds_for_any_outcomes(self, count, bursts):
         # Guards against ejecting beyond the limit in any order.
         chooser = build_chooser(build_targets(count))
-        for number, succeeded in outcomes:
-            chooser.record_outcome(f'target-{number}', succeeded=succeeded)
+        for number, succeeded in bursts:
+            for _ in range(5):
+                chooser.record_outcome(f'target-{number}', succeeded=succeeded)
             self.assertLessEqual(len(chooser.ejected), count // 3)
         self.assertTrue(chooser.choose(1, SHORT).is_ok())
 
