Rotate the tool's key together with those of the daemons

Cause: the test of a lost write answer ran after the rotation and the tool still signed with the removed key, so balancers closed its links.

--- a/greengagepath/emulator/deployment.py
+++ b/greengagepath/emulator/deployment.py
@@ -97,13 +97,9 @@
         for _ in range(balancer_count):
             self.start_balancer()
         self._start_targets()
-        control_ports = [
-            balancer.control_port
-            for balancer in self.balancers_by_name.values()
-        ]
-        self._settings_files.write_tool(control_ports)
-        for port in control_ports:
-            _wait_for_port(port, 'balancer')
+        self._write_tool_settings()
+        for balancer in self.balancers_by_name.values():
+            _wait_for_port(balancer.control_port, balancer.name)
         self.run_tool('apply', 'configuration.toml')
         names = [*self.balancers_by_name, *self.targets_by_name]
         for name in names:
@@ -154,13 +150,22 @@
         self.processes.start(name, DAEMON, '--config', str(path))
 
     def use_keys(self, *key_ids: int) -> None:
-        """Change the keys of all daemons while they run."""
+        """Change the keys of the tool, and of daemons while they run."""
         self._settings_files.use_keys(*key_ids)
+        self._write_tool_settings()
         names = [*self.balancers_by_name, *self.targets_by_name]
         for name in names:
             self._write_settings(name)
             self.processes.send_signal(name, signal.SIGHUP)
 
+    def _write_tool_settings(self) -> None:
+        self._settings_files.write_tool(
+            [
+                balancer.control_port
+                for balancer in self.balancers_by_name.values()
+            ]
+        )
+
     def _write_settings(self, name: str) -> Path:
         balancer = self.balancers_by_name.get(name)
         if balancer is None:
