--- a/greengagepath/daemon/agent.py
+++ b/greengagepath/daemon/agent.py
@@ -4,7 +4,7 @@
 import random
 import signal
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from pathlib import Path
 
 import gevent
@@ -34,6 +34,7 @@
 from .backend import BackEnd, ConnectionPool
 from .control import AgentControl
 from .reloads import Reloader, Reloads
+from .start_checks import refuse_settings
 
 # Parts of answers sent before other greenlets run.
 SEND_BATCH = 32
@@ -266,31 +267,22 @@
     """
     configure_logs(settings.log, str(settings.role), settings.node.member_id)
     if settings.target is None:
-        return _refuse_settings(['the role agent needs a table [target]'])
+        return refuse_settings(
+            'agent', ['the role agent needs a table [target]']
+        )
     keys = load_keys(settings)
     tls = load_tls(settings.tls) if settings.tls else Ok(None)
     if isinstance(keys, Err):
-        return _refuse_settings(keys.err_value)
+        return refuse_settings('agent', keys.err_value)
     if isinstance(tls, Err):
-        return _refuse_settings(tls.err_value)
+        return refuse_settings('agent', tls.err_value)
     try:
         agent = Agent(settings, settings.target, keys.ok_value, tls.ok_value)
     except OSError as error:
-        return _refuse_settings([f'node.data_port: {error}'])
+        return refuse_settings('agent', [f'node.data_port: {error}'])
     if path is not None:
         reloaders: list[Reloader] = [KeyReloader(path, settings, keys.ok_value)]
         if tls.ok_value is not None:
             reloaders.append(tls.ok_value)
         agent.reload_with(*reloaders)
     return agent.run()
-
-
-def _refuse_settings(problems: Iterable[object]) -> ExitCode:
-    for problem in problems:
-        log_event(
-            _logger,
-            'agent.refused_settings',
-            level=logging.ERROR,
-            problem=str(problem),
-        )
-    return ExitCode.BAD_USAGE
--- a/greengagepath/daemon/balancer_start.py
+++ b/greengagepath/daemon/balancer_start.py
@@ -1,7 +1,5 @@
 """Start of a balancer from its settings."""
 
-import logging
-from collections.abc import Iterable
 from pathlib import Path
 
 from result import Err, Ok
@@ -9,12 +7,11 @@
 from ..exit_codes import ExitCode
 from ..generated.settings import Settings
 from ..keys import KeyReloader, load_keys
-from ..logs import configure_logs, log_event
+from ..logs import configure_logs
 from ..tls import load_tls
 from .balancer import Balancer
 from .reloads import Reloader
-
-_logger = logging.getLogger(__name__)
+from .start_checks import refuse_settings
 
 
 def run_balancer(settings: Settings, path: str | Path) -> ExitCode:
@@ -26,13 +23,13 @@
     keys = load_keys(settings)
     tls = load_tls(settings.tls) if settings.tls else Ok(None)
     if isinstance(keys, Err):
-        return _refuse_settings(keys.err_value)
+        return refuse_settings('balancer', keys.err_value)
     if isinstance(tls, Err):
-        return _refuse_settings(tls.err_value)
+        return refuse_settings('balancer', tls.err_value)
     try:
         balancer = Balancer(settings, keys.ok_value, tls.ok_value)
     except OSError as error:
-        return _refuse_settings([f'node.data_port: {error}'])
+        return refuse_settings('balancer', [f'node.data_port: {error}'])
     reloaders: list[Reloader] = [KeyReloader(path, settings, keys.ok_value)]
     if tls.ok_value is not None:
         reloaders.append(tls.ok_value)
@@ -41,16 +38,5 @@
         balancer.start()
     except OSError as error:
         ports = 'node.metrics_port or node.control_port'
-        return _refuse_settings([f'{ports}: {error}'])
+        return refuse_settings('balancer', [f'{ports}: {error}'])
     return balancer.wait()
-
-
-def _refuse_settings(problems: Iterable[object]) -> ExitCode:
-    for problem in problems:
-        log_event(
-            _logger,
-            'balancer.refused_settings',
-            level=logging.ERROR,
-            problem=str(problem),
-        )
-    return ExitCode.BAD_USAGE
--- /dev/null
+++ b/greengagepath/daemon/start_checks.py
@@ -0,0 +1,21 @@
+"""What both roles do with settings that cannot be used."""
+
+import logging
+from collections.abc import Iterable
+
+from ..exit_codes import ExitCode
+from ..logs import log_event
+
+_logger = logging.getLogger(__name__)
+
+
+def refuse_settings(role: str, problems: Iterable[object]) -> ExitCode:
+    """Log each problem as `<role>.refused_settings`."""
+    for problem in problems:
+        log_event(
+            _logger,
+            f'{role}.refused_settings',
+            level=logging.ERROR,
+            problem=str(problem),
+        )
+    return ExitCode.BAD_USAGE
--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -23,7 +23,8 @@
 )
 from ..packets import Address
 from ..timers import Timer
-from .bridge import BridgeParts, BridgeRole
+from .bridge import BridgeRole
+from .bridge_parts import BridgeParts
 from .detector import FailureDetector
 from .exchange import RecordExchange
 from .handshake import Handshake
--- /dev/null
+++ b/greengagepath/membership/configuration_watch.py
@@ -0,0 +1,72 @@
+"""The watch of a bridge on the configuration object."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from ..generated.messages import Configuration
+from ..object_api import ObjectKind, ObjectOutcome, StoredObject
+from .ports import NodePorts
+
+CONFIGURATION_NAME = 'current'
+# Pause after a failed watch, so that an outage is not met with a storm.
+WATCH_PAUSE_S = 2.0
+
+
+class ConfigurationWatch:
+    """Keeps one watch on the configuration object."""
+
+    def __init__(
+        self,
+        ports: NodePorts,
+        on_configuration: Callable[[Configuration], None],
+    ) -> None:
+        self._ports = ports
+        self._on_configuration = on_configuration
+        self._object_version = 0
+        self._is_pending = False
+        self._is_stopped = False
+        self._next_s = 0.0
+
+    def step(self) -> None:
+        """Start the next watch when none is pending."""
+        is_due = self._ports.timers.now() >= self._next_s
+        if is_due and not self._is_pending and not self._is_stopped:
+            self._is_pending = True
+            self._ports.store.watch(
+                ObjectKind.CONFIGURATION,
+                CONFIGURATION_NAME,
+                self._object_version,
+                self._finish,
+            )
+
+    def stop(self) -> None:
+        """Ignore what a pending watch still brings."""
+        self._is_stopped = True
+
+    def _finish(self, outcome: ObjectOutcome) -> None:
+        self._is_pending = False
+        now_s = self._ports.timers.now()
+        if outcome.is_err():
+            jitter = self._ports.random.uniform(0.5, 1)
+            self._next_s = now_s + WATCH_PAUSE_S * jitter
+            return
+        stored = outcome.unwrap()
+        if stored.version == 0:
+            # Nothing new, or no object yet; the API answers the latter
+            # at once.
+            self._next_s = now_s + WATCH_PAUSE_S / 2
+            return
+        self._object_version = max(self._object_version, stored.version)
+        configuration = configuration_of(stored)
+        if configuration is not None and not self._is_stopped:
+            self._on_configuration(configuration)
+        self.step()
+
+
+def configuration_of(stored: StoredObject) -> Configuration | None:
+    """Return the configuration in an object, None if it is not valid."""
+    try:
+        return msgspec.convert(stored.body, Configuration)
+    except msgspec.ValidationError:
+        return None
--- /dev/null
+++ b/greengagepath/membership/seeds.py
@@ -0,0 +1,98 @@
+"""Seed objects: where the balancers of an availability zone are."""
+
+import msgspec
+
+from ..leases import Lease
+from ..object_api import Conflict, ObjectKind, ObjectOutcome, StoredObject
+from ..packets import Address
+from .bridge_parts import BridgeParts
+from .overlay import rank_by_hash
+
+# Addresses in a seed object; any one of them is enough to start.
+SEED_ADDRESSES = 5
+SEED_CHECK_S = 5.0
+_TOKEN = 'fencing_token'
+
+
+class _SeedBody(msgspec.Struct):
+    addresses: list[Address]
+    fencing_token: int = 0
+
+
+class SeedWriter:
+    """Keeps the seed object of the zone in line with its balancers."""
+
+    def __init__(self, parts: BridgeParts) -> None:
+        self._parts = parts
+        self._zone = parts.own.record.availability_zone
+        self._written: list[list[object]] = []
+        self._next_check_s = 0.0
+        self.refused_writes = 0
+
+    def step(self, lease: Lease) -> None:
+        """Write the seed if it changed and the lease is valid."""
+        now_s = self._parts.ports.timers.now()
+        wanted = self._wanted()
+        if now_s < self._next_check_s or wanted == self._written:
+            return
+        self._next_check_s = now_s + SEED_CHECK_S
+        self._parts.ports.store.read(
+            ObjectKind.SEED,
+            self._zone,
+            lambda outcome: self._compare(lease, wanted, outcome),
+        )
+
+    def _wanted(self) -> list[list[object]]:
+        """Return the addresses of the bridges and a few other balancers."""
+        balancers = {
+            record.member_id: record
+            for record in self._parts.table.balancers()
+            if record.availability_zone == self._zone
+        }
+        ranked = rank_by_hash(self._zone, balancers)
+        ranked.sort(key=lambda entry: balancers[entry].bridge_slot == 0)
+        chosen = [balancers[entry] for entry in ranked[:SEED_ADDRESSES]]
+        return [[record.host, record.control_port] for record in chosen]
+
+    def _compare(
+        self, lease: Lease, wanted: list[list[object]], outcome: ObjectOutcome
+    ) -> None:
+        """Write unless a holder with a newer lease has written."""
+        if outcome.is_err() or not lease.is_held():
+            self.refused_writes += 1
+            return
+        stored = outcome.unwrap()
+        if _token_of(stored.body) > lease.fencing_token:
+            self.refused_writes += 1
+            return
+        body = {'addresses': wanted, _TOKEN: lease.fencing_token}
+        self._parts.ports.store.write(
+            ObjectKind.SEED,
+            self._zone,
+            StoredObject(stored.version, body),
+            lambda written: self._remember(wanted, written),
+            may_send=lease.is_held,
+        )
+
+    def _remember(
+        self, wanted: list[list[object]], outcome: ObjectOutcome
+    ) -> None:
+        if outcome.is_ok():
+            self._written = wanted
+        elif isinstance(outcome.unwrap_err(), Conflict):
+            self._next_check_s = 0
+
+
+def _token_of(body: object) -> int:
+    try:
+        return msgspec.convert(body, _SeedBody).fencing_token
+    except msgspec.ValidationError:
+        return 0
+
+
+def addresses_of(body: object) -> list[Address]:
+    """Return the addresses in a seed object, none if it is not valid."""
+    try:
+        return msgspec.convert(body, _SeedBody).addresses
+    except msgspec.ValidationError:
+        return []
--- a/greengagepath/membership/views.py
+++ b/greengagepath/membership/views.py
@@ -6,11 +6,12 @@
 from ..packets import Address
 from ..routing.targets import TargetInfo
 from ..timers import Timer
-from .bridge import addresses_of, unreachable_zones
 from .overlay import overlay_peers, predecessor
 from .own_record import OwnRecord
 from .ports import NodePorts
+from .seeds import addresses_of
 from .table import MemberTable
+from .zone_directory import unreachable_zones
 
 # Changes of the target set are reported together after this time.
 REPORT_S = 0.05
--- a/tests/control/test_decisions.py
+++ b/tests/control/test_decisions.py
@@ -12,8 +12,9 @@
 from greengagepath.daemon.frames import FrameOpener, FrameSealer
 from greengagepath.generated.messages import Heartbeat, MemberState
 from greengagepath.generated.settings import LimitSettings
-from greengagepath.membership.bridge import addresses_of, configuration_of
+from greengagepath.membership.configuration_watch import configuration_of
 from greengagepath.membership.overlay import overlay_peers, rank_by_hash
+from greengagepath.membership.seeds import addresses_of
 from greengagepath.membership.table import MemberTable, MergeOutcome
 from greengagepath.object_api import StoredObject
 from greengagepath.tags import Key, KeyRing
