--- a/greengagepath/admission/gate.py
+++ b/greengagepath/admission/gate.py
@@ -40,26 +40,13 @@
 
 @dataclass(slots=True, frozen=True)
 class GateLoad:
-    """What a probe reports; `latency_s` is the mean time of a run.
-
-    `short_slots` are the slots that no long work or straggler holds.
-    """
+    """What a probe reports; `latency_s` is the mean time of a run."""
 
     in_flight: int
     queued: int
     limit: int
     latency_s: float
     queue_length: int
-    short_slots: int
-
-    @property
-    def is_blocked(self) -> bool:
-        """Whether short work would wait for long work to end.
-
-        Such a target refuses short work at once, so that its queue
-        looks shorter to probes than those of others.
-        """
-        return self.short_slots <= 0
 
     @property
     def is_full(self) -> bool:
@@ -235,9 +222,6 @@
             limit=self._limiter.limit,
             latency_s=self._latency_s,
             queue_length=self._limits.queue_length,
-            short_slots=self.running.slots_for(
-                SizeClass.short, self._limiter.limit
-            ),
         )
 
     def _make_room(self, request: QueuedRequest) -> bool:
--- a/greengagepath/bench/ours.py
+++ b/greengagepath/bench/ours.py
@@ -79,8 +79,7 @@
         """Accept a flow, or hand it to the next candidate."""
         if self.back_end.is_dead:
             return
-        load = self.gate.load()
-        unwilling = self.gate.is_draining or load.is_full or load.is_blocked
+        unwilling = self.gate.is_draining or self.gate.load().is_full
         if unwilling and opening.alternates:
             self._hand_off(opening)
             return
