--- a/greengagepath/bench/runner.py
+++ b/greengagepath/bench/runner.py
@@ -62,11 +62,11 @@
         return missed
 
 
-def run_benchmark(output_dir: Path) -> ExitCode:
+def run_benchmark(output_dir: Path, seed: int = SEED) -> ExitCode:
     """Run everything; FAILURE if a bound is missed."""
     output_dir.mkdir(parents=True, exist_ok=True)
     # One after the other, so that rows do not slow the measured packets.
-    report = BenchReport(run_rows(SEED), measure_wall_clock())
+    report = BenchReport(run_rows(seed), measure_wall_clock())
     write_report(report, output_dir)
     write_plots(report.rows, output_dir)
     console = Console()
--- a/greengagepath/cli/bench.py
+++ b/greengagepath/cli/bench.py
@@ -9,6 +9,7 @@
 from ..exit_codes import ExitCode
 
 DEFAULT_OUTPUT = Path('build')
+DEFAULT_SEED = 1
 
 
 @cappa.command(
@@ -19,7 +20,7 @@
 Examples:
 
 - `greengagepath bench`
-- `greengagepath bench --output /tmp/run`
+- `greengagepath bench --output /tmp/run --seed 2`
 """,
 )
 @dataclass
@@ -35,10 +36,13 @@
             help='Where bench.json is written.',
         ),
     ] = DEFAULT_OUTPUT
+    seed: Annotated[
+        int, cappa.Arg(long=True, value_name='N', help='Seed of the rows.')
+    ] = DEFAULT_SEED
 
     def __call__(self) -> ExitCode:
         """Run the command."""
         # The experiments are loaded only where they are used.
         from ..bench.runner import run_benchmark
 
-        return run_benchmark(self.output)
+        return run_benchmark(self.output, self.seed)
