--- a/greengagepath/bench/capacity.py
+++ b/greengagepath/bench/capacity.py
@@ -20,7 +20,8 @@
 from ..membership.balancer_node import BalancerNode
 from ..membership.table import MemberTable
 from ..timers import VirtualTimerService
-from .capacity_page import write_page
+from .capacity_data_plane import measure_data_plane, render_data_plane
+from .capacity_page import DATA_PLANE, replace_section, write_page
 from .capacity_points import (
     DESIGN_AGENTS,
     DESIGN_BALANCERS,
@@ -217,6 +218,7 @@
     """Measure all sizes and rewrite the page."""
     usage = resource.getrusage(resource.RUSAGE_SELF)
     process_bytes = usage.ru_maxrss * BYTES_IN_RSS_UNIT
+    replace_section(DATA_PLANE, render_data_plane(measure_data_plane()))
     points = []
     records: tuple[MemberRecord, ...] = ()
     for size in SIZES:
--- a/greengagepath/bench/capacity_page.py
+++ b/greengagepath/bench/capacity_page.py
@@ -13,8 +13,8 @@
 from .wire_cost import WireCost
 
 PAGE = Path(__file__).resolve().parents[2] / 'docs' / 'CAPACITY.md'
-BEGIN = '<!-- measured control plane: begin -->'
-END = '<!-- measured control plane: end -->'
+CONTROL_PLANE = 'control plane'
+DATA_PLANE = 'data plane'
 ROLES = ('balancer', 'bridge', 'agent')
 LIMIT_BYTES_PER_S = 18000
 LIMIT_CORE_SHARE = 0.039
@@ -27,12 +27,10 @@
 def write_page(
     points: list[SizePoint], cost: WireCost, process_bytes: int
 ) -> None:
-    """Replace what stands between the marks of the page.
+    """Replace the tables of the control plane.
 
     `process_bytes` is the memory of a process that holds no members.
     """
-    before, rest = PAGE.read_text().split(BEGIN)
-    _, after = rest.split(END)
     lines = [
         *_measured_rows(points),
         '',
@@ -40,8 +38,17 @@
         '',
         *_design_rows(points, cost, process_bytes),
     ]
+    replace_section(CONTROL_PLANE, lines)
+
+
+def replace_section(name: str, lines: list[str]) -> None:
+    """Replace what stands between the marks of a section."""
+    begin = f'<!-- measured {name}: begin -->'
+    end = f'<!-- measured {name}: end -->'
+    before, rest = PAGE.read_text().split(begin)
+    _, after = rest.split(end)
     table = '\n'.join(lines)
-    PAGE.write_text(f'{before}{BEGIN}\n\n{table}\n\n{END}{after}')
+    PAGE.write_text(f'{before}{begin}\n\n{table}\n\n{end}{after}')
 
 
 def _measured_rows(points: list[SizePoint]) -> list[str]:
