Use the field's terms for a few names

WorkDesk is WorkScheduler, LinkCare LinkMonitor, ProbeBook ProbeTracker, Ledger RequestLog; a few verbs and comments follow.

--- a/greengagepath/agent_flows.py
+++ b/greengagepath/agent_flows.py
@@ -1,7 +1,7 @@
 """Decisions of an agent for each datagram, without I/O.
 
 The owner passes datagrams to `receive`, calls `tick` every `TICK_S`,
-runs what `desk.next_work` hands out, reports to `desk.complete`, and
+runs what `scheduler.next_work` hands out, reports to `scheduler.complete`, and
 sends what `take_outgoing` and `answer_parts` return.
 """
 
@@ -89,10 +89,10 @@
         self._requests = FlowRequests(
             self._parts, self.reporter, limits, self.drops
         )
-        self.desk = self._requests.desk
+        self.scheduler = self._requests.scheduler
         self.reassembly = self._requests.reassembly
         self._openings = Openings(
-            self._parts, keys, self.desk, self.drops, self.events
+            self._parts, keys, self.scheduler, self.drops, self.events
         )
         self.replace_service(service)
 
@@ -105,7 +105,7 @@
     def is_idle(self) -> bool:
         """Whether no request runs or arrives, and no answer is sent."""
         return not (
-            len(self.desk) or len(self.transfers) or len(self.reassembly)
+            len(self.scheduler) or len(self.transfers) or len(self.reassembly)
         )
 
     @property
@@ -148,13 +148,13 @@
         """Do what is due: ACKs, retransmissions, expiry."""
         now_s = self._timers.now()
         self._requests.send_due_acks()
-        self.desk.refuse_late()
+        self.scheduler.refuse_late()
         for transfer in self.transfers.check_due():
             self.events['answers_abandoned'] += 1
             self.table.records.settle(transfer.record)
         if now_s >= self._swept_s + SWEEP_S:
             self._swept_s = now_s
-            self.desk.failures.forgive()
+            self.scheduler.failures.decay()
             self.reassembly.expire()
             self.flows.expire()
             self.table.records.expire()
--- a/greengagepath/agent_openings.py
+++ b/greengagepath/agent_openings.py
@@ -5,7 +5,7 @@
 
 from .agent_outcomes import AgentParts
 from .agent_replies import Arrival
-from .agent_work import WorkDesk
+from .agent_work import WorkScheduler
 from .generated.messages import RefusalReason
 from .packets import TOKEN_BYTES, Address, DropReason, Kind
 from .routing.choice import ProbeState
@@ -32,13 +32,13 @@
         self,
         parts: AgentParts,
         keys: KeyRing,
-        desk: WorkDesk,
+        scheduler: WorkScheduler,
         drops: Counter[DropReason],
         events: Counter[str],
     ) -> None:
         self._parts = parts
         self._keys = keys
-        self._desk = desk
+        self._scheduler = scheduler
         self._drops = drops
         self._events = events
 
@@ -60,7 +60,7 @@
         """Answer a probe to the socket at `source`."""
         load = self._parts.gate.load()
         state = ProbeState.ACCEPTING
-        if self._desk.failures.share > FAILING_SHARE:
+        if self._scheduler.failures.share > FAILING_SHARE:
             state = ProbeState.FAILING
         if self._parts.gate.is_draining:
             state = ProbeState.DRAINING
--- a/greengagepath/agent_requests.py
+++ b/greengagepath/agent_requests.py
@@ -7,7 +7,7 @@
 from .acks import decode_ack, encode_ack, encode_final_ack
 from .agent_outcomes import AgentParts, OutcomeReporter
 from .agent_replies import Arrival
-from .agent_work import WorkDesk
+from .agent_work import WorkScheduler
 from .codec import decode_body
 from .generated.messages import Limits, RefusalReason, Request
 from .packets import DropReason, Kind
@@ -34,7 +34,7 @@
         limits: Limits,
         drops: Counter[DropReason],
     ) -> None:
-        self.desk = WorkDesk(parts, reporter)
+        self.scheduler = WorkScheduler(parts, reporter)
         self.reassembly = Reassembly(
             parts.timers,
             limits.max_request_bytes,
@@ -68,7 +68,7 @@
         for route in self.reassembly.routes():
             self.reassembly.discard(route.attempt)
             self._reporter.refuse_unseen(route, RefusalReason.draining)
-        self.desk.start_draining()
+        self.scheduler.start_draining()
 
     def send_due_acks(self) -> None:
         """Acknowledge parts of requests in arrival."""
@@ -137,7 +137,7 @@
                 arrival.route, RefusalReason.bad_request
             )
             return
-        self.desk.admit(arrival, decoded.ok_value)
+        self.scheduler.admit(arrival, decoded.ok_value)
 
     def _repeat(self, arrival: Arrival) -> None:
         record = self._parts.table.find(arrival.attempt)
@@ -164,7 +164,7 @@
     def _cancel(self, arrival: Arrival) -> None:
         record = self._parts.table.find(arrival.attempt)
         if record:
-            self.desk.cancel(record, arrival.route)
+            self.scheduler.cancel(record, arrival.route)
         elif self._parts.table.look_up(arrival.attempt) is Begin.UNKNOWN:
             self._parts.replies.send(arrival.route, Kind.UNKNOWN_OUTCOME)
         else:
--- a/greengagepath/agent_work.py
+++ b/greengagepath/agent_work.py
@@ -41,7 +41,7 @@
         self._runs += 1
         self.share += FAILURE_WEIGHT * (failed - self.share)
 
-    def forgive(self) -> None:
+    def decay(self) -> None:
         """Halve the share if there was no run since the last call.
 
         A target that is avoided for its failures would otherwise never
@@ -52,7 +52,7 @@
         self._runs = 0
 
 
-class WorkDesk:
+class WorkScheduler:
     """Offers requests to the gate and takes how their runs end.
 
     `events` counts retries, `failures` the runs that the back end failed.
--- a/greengagepath/bench/control_fleet.py
+++ b/greengagepath/bench/control_fleet.py
@@ -148,7 +148,7 @@
     def kill(
         self, process: VirtualBalancer | VirtualAgent, *, silently: bool
     ) -> None:
-        """End a process without a goodbye."""
+        """End a process without an announcement."""
         process.links.die(silently=silently)
 
     def pause(self, process: VirtualBalancer | VirtualAgent) -> None:
--- a/greengagepath/bench/experiments.py
+++ b/greengagepath/bench/experiments.py
@@ -158,8 +158,8 @@
         pair = self._run(UNDER_CHANGES, CHANGES)
         row = self._make_row(
             BROKEN_FLOWS,
-            pair.naive.ledger.broken_share,
-            pair.ours.ledger.broken_share,
+            pair.naive.request_log.broken_share,
+            pair.ours.request_log.broken_share,
         )
         return [row]
 
@@ -167,9 +167,11 @@
         """Steady load on targets of different speed, after warm-up."""
         pair = self._run(STEADY)
         naive = list_between(
-            pair.naive.ledger.outcomes, WARM_UP_S, STEADY_RUN_S
+            pair.naive.request_log.outcomes, WARM_UP_S, STEADY_RUN_S
+        )
+        ours = list_between(
+            pair.ours.request_log.outcomes, WARM_UP_S, STEADY_RUN_S
         )
-        ours = list_between(pair.ours.ledger.outcomes, WARM_UP_S, STEADY_RUN_S)
         return [
             self._make_row(
                 IMBALANCE,
@@ -197,8 +199,8 @@
     def compare_crest(self) -> list[Row]:
         """Three times the capacity for 10 s."""
         pair = self._run(make_crest())
-        naive = pair.naive.ledger.outcomes
-        ours = pair.ours.ledger.outcomes
+        naive = pair.naive.request_log.outcomes
+        ours = pair.ours.request_log.outcomes
         measures = (
             (CREST_QUALITY, measure_in_time),
             (CREST_GOODPUT, self._measure_goodput),
@@ -216,10 +218,10 @@
         weights = (float(others), *(1.0 for _ in range(others)))
         pair = self._run(make_crest(weights))
         naive = list_between(
-            pair.naive.ledger.outcomes, CREST_START_S, CREST_END_S
+            pair.naive.request_log.outcomes, CREST_START_S, CREST_END_S
         )
         ours = list_between(
-            pair.ours.ledger.outcomes, CREST_START_S, CREST_END_S
+            pair.ours.request_log.outcomes, CREST_START_S, CREST_END_S
         )
         row = self._make_row(
             CREST_CUSTOMERS,
@@ -245,10 +247,10 @@
         """Return the ratio of the service with the most blocking."""
         return max(
             measure_short_tail_s(
-                mixed.ledger.outcomes, WARM_UP_S, service.service
+                mixed.request_log.outcomes, WARM_UP_S, service.service
             )
             / measure_short_tail_s(
-                alone.ledger.outcomes, WARM_UP_S, service.service
+                alone.request_log.outcomes, WARM_UP_S, service.service
             )
             for service in self._scenario.services
         )
--- a/greengagepath/bench/fakes.py
+++ b/greengagepath/bench/fakes.py
@@ -180,7 +180,7 @@
 
 
 @unique
-class Fate(StrEnum):
+class RequestEnd(StrEnum):
     """How a request ended for its caller."""
 
     ANSWERED = 'answered'
@@ -196,14 +196,17 @@
     """
 
     request: RequestSpec
-    fate: Fate
+    fate: RequestEnd
     ended_s: float
     decided_s: float = 0.0
 
     @property
     def in_time(self) -> bool:
         """Whether the whole answer came before the deadline."""
-        return self.fate == Fate.ANSWERED and self.ended_s <= self.request.end_s
+        return (
+            self.fate == RequestEnd.ANSWERED
+            and self.ended_s <= self.request.end_s
+        )
 
     @property
     def taken_s(self) -> float:
@@ -212,7 +215,7 @@
 
 
 @dataclass(slots=True)
-class Ledger:
+class RequestLog:
     """What the experiments count, outside both systems.
 
     The owner of a flow is the target that its first packet reached. A
--- a/greengagepath/bench/flow_survival.py
+++ b/greengagepath/bench/flow_survival.py
@@ -28,7 +28,7 @@
 
 
 @dataclass(slots=True)
-class FlowWay:
+class OwnerLookup:
     """A way to find the owner of an established flow.
 
     `remembers_flows` keeps a table at each balancer; `generations` is
@@ -43,11 +43,11 @@
 
 
 WAYS = (
-    FlowWay('hash alone'),
-    FlowWay('hash and flow table', remembers_flows=True),
-    FlowWay('hash and 4 former owner sets', generations=4),
-    FlowWay('hash and 16 former owner sets', generations=LONG_HISTORY),
-    FlowWay('flow token', has_token=True),
+    OwnerLookup('hash alone'),
+    OwnerLookup('hash and flow table', remembers_flows=True),
+    OwnerLookup('hash and 4 former owner sets', generations=4),
+    OwnerLookup('hash and 16 former owner sets', generations=LONG_HISTORY),
+    OwnerLookup('flow token', has_token=True),
 )
 
 
@@ -71,7 +71,7 @@
 class SurvivalExperiment:
     """One run of one way; `run` returns the share of broken flows."""
 
-    def __init__(self, way: FlowWay, seed: int) -> None:
+    def __init__(self, way: OwnerLookup, seed: int) -> None:
         self._way = way
         self._random = random.Random(seed)
         self._numbers = list(range(TARGETS))
--- a/greengagepath/bench/measures.py
+++ b/greengagepath/bench/measures.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from .fakes import Fate, RequestOutcome
+from .fakes import RequestEnd, RequestOutcome
 from .simulation import RunOutcome
 
 _TAIL = 0.99
@@ -130,7 +130,9 @@
 def measure_refusal_s(outcomes: Iterable[RequestOutcome]) -> float:
     """Return the 99th percentile of the delay of refusals, in s."""
     delays = [
-        ended.decided_s for ended in outcomes if ended.fate == Fate.REFUSED
+        ended.decided_s
+        for ended in outcomes
+        if ended.fate == RequestEnd.REFUSED
     ]
     return percentile(delays, _TAIL) if delays else 0.0
 
--- a/greengagepath/bench/naive.py
+++ b/greengagepath/bench/naive.py
@@ -11,7 +11,7 @@
 import xxhash
 
 from ..timers import VirtualTimerService
-from .fakes import BackEnd, Fabric, Fate, Ledger, RequestOutcome
+from .fakes import BackEnd, Fabric, RequestEnd, RequestLog, RequestOutcome
 from .scenarios import QUEUE_LENGTH
 from .workload import RequestSpec
 
@@ -53,7 +53,7 @@
         if self.back_end.is_dead:
             return
         if len(self._queue) >= QUEUE_LENGTH:
-            reply(Fate.REFUSED)
+            reply(RequestEnd.REFUSED)
             return
         self._queue.append((request, reply))
         self._pump()
@@ -66,11 +66,11 @@
     def _finish(
         self, reply: 'Reply', request: RequestSpec, duration_s: float
     ) -> None:
-        reply(Fate.ANSWERED)
+        reply(RequestEnd.ANSWERED)
         self._pump()
 
 
-Reply = Callable[[Fate], None]
+Reply = Callable[[RequestEnd], None]
 
 
 class NaiveCall:
@@ -97,17 +97,17 @@
 
     def give_up(self) -> None:
         """End the call at its deadline."""
-        self._end(Fate.TIMED_OUT, self._request.at_s)
+        self._end(RequestEnd.TIMED_OUT, self._request.at_s)
 
-    def _end(self, fate: Fate, sent_s: float) -> None:
+    def _end(self, fate: RequestEnd, sent_s: float) -> None:
         if self._ended:
             return
-        if fate == Fate.REFUSED and self._attempts < MAX_ATTEMPTS:
+        if fate == RequestEnd.REFUSED and self._attempts < MAX_ATTEMPTS:
             self.attempt()
             return
         self._ended = True
         now_s = self._caller.timers.now()
-        self._caller.ledger.outcomes.append(
+        self._caller.request_log.outcomes.append(
             RequestOutcome(self._request, fate, now_s, now_s - sent_s)
         )
 
@@ -119,11 +119,11 @@
         self,
         timers: VirtualTimerService,
         fabric: Fabric,
-        ledger: Ledger,
+        request_log: RequestLog,
         delay_s: float,
     ) -> None:
         self.timers = timers
-        self.ledger = ledger
+        self.request_log = request_log
         self._fabric = fabric
         self._delay_s = delay_s
 
@@ -143,12 +143,16 @@
         agent = self._route(request, balancer)
         agent.receive(request, partial(self._answer, request, reply))
 
-    def _answer(self, request: RequestSpec, reply: Reply, fate: Fate) -> None:
+    def _answer(
+        self, request: RequestSpec, reply: Reply, fate: RequestEnd
+    ) -> None:
         self.timers.call_after(
             self._delay_s, partial(self._receive, request, reply, fate)
         )
 
-    def _receive(self, request: RequestSpec, reply: Reply, fate: Fate) -> None:
+    def _receive(
+        self, request: RequestSpec, reply: Reply, fate: RequestEnd
+    ) -> None:
         self._fabric.spray(partial(self._route, request))
         reply(fate)
 
@@ -156,5 +160,5 @@
         self, request: RequestSpec, balancer: NaiveBalancer
     ) -> NaiveAgent:
         agent = balancer.find_agent(request.service, request.flow_id)
-        self.ledger.record_packet(request.flow_id, agent.target_id)
+        self.request_log.record_packet(request.flow_id, agent.target_id)
         return agent
--- a/greengagepath/bench/ours.py
+++ b/greengagepath/bench/ours.py
@@ -25,7 +25,7 @@
 from ..tags import KEY_BYTES, Key, KeyRing
 from ..timers import TimerService
 from ..tokens import TokenClaims, issue_token, verify_token
-from .fakes import BackEnd, Fabric, Fate, Ledger, RequestOutcome
+from .fakes import BackEnd, Fabric, RequestEnd, RequestLog, RequestOutcome
 from .scenarios import QUEUE_LENGTH, SLOTS
 from .workload import RequestSpec
 
@@ -54,7 +54,7 @@
 
     timers: TimerService
     fabric: Fabric
-    ledger: Ledger
+    request_log: RequestLog
     random: random.Random
     client_delay_s: float
     zone_delay_s: float
@@ -90,7 +90,9 @@
         token = issue_token(
             self._world.keys, self.target.service, opening.flow_id, claims
         )
-        self._world.ledger.record_packet(opening.flow_id, self.target.target_id)
+        self._world.request_log.record_packet(
+            opening.flow_id, self.target.target_id
+        )
         opening.reply(token)
 
     def receive_request(self, attempt: 'Attempt') -> None:
@@ -150,7 +152,7 @@
             self._answer(refusal.request_id, refusal.reason)
 
     def _run(self, request: RequestSpec) -> None:
-        self._world.ledger.runs_by_request[request.request_id] += 1
+        self._world.request_log.runs_by_request[request.request_id] += 1
         self.back_end.run(request, self._finish)
 
     def _finish(self, request: RequestSpec, duration_s: float) -> None:
@@ -241,7 +243,7 @@
         if claims is None:
             return None
         agent = self._world.agents_by_address[claims.address]
-        self._world.ledger.record_packet(flow_id, agent.target.target_id)
+        self._world.request_log.record_packet(flow_id, agent.target.target_id)
         return agent
 
     def _probe_all(self) -> None:
@@ -331,7 +333,7 @@
         flow = self._flows_by_group.get(group)
         if flow is None:
             flow_id = group
-            if group in self.world.ledger.owners_by_flow:
+            if group in self.world.request_log.owners_by_flow:
                 flow_id = self.world.random.getrandbits(_FLOW_ID_BITS)
             flow = CallerFlow(flow_id, waiting=[call])
             self._flows_by_group[group] = flow
@@ -428,7 +430,7 @@
 
     def give_up(self) -> None:
         """End the call at its deadline."""
-        self._end(Fate.TIMED_OUT, 0.0)
+        self._end(RequestEnd.TIMED_OUT, 0.0)
 
     def lose_flow(self) -> None:
         """Move to a new flow, as the target did not get the request."""
@@ -441,7 +443,7 @@
         """Take the outcome of an attempt that was sent at `sent_s`."""
         if reason is None:
             self._caller.acknowledge(self.request, flow)
-            self._end(Fate.ANSWERED, 0.0)
+            self._end(RequestEnd.ANSWERED, 0.0)
             return
         self._caller.drop_flow(self.request)
         self._refuse(reason, self._caller.world.timers.now() - sent_s)
@@ -457,7 +459,7 @@
             self._retries += 1
             self._retry(world.random.uniform(0.0, longest_s))
         else:
-            self._end(Fate.REFUSED, decided_s)
+            self._end(RequestEnd.REFUSED, decided_s)
 
     def _retry(self, delay_s: float) -> None:
         if not self.ended:
@@ -465,11 +467,11 @@
                 delay_s, lambda: self._caller.attempt(self)
             )
 
-    def _end(self, fate: Fate, decided_s: float) -> None:
+    def _end(self, fate: RequestEnd, decided_s: float) -> None:
         if self.ended:
             return
         self.ended = True
-        self._caller.world.ledger.outcomes.append(
+        self._caller.world.request_log.outcomes.append(
             RequestOutcome(
                 self.request,
                 fate,
--- a/greengagepath/bench/policies.py
+++ b/greengagepath/bench/policies.py
@@ -105,7 +105,7 @@
     )
     run = OursSimulation(setup).run()
     tails = [
-        measure_short_tail_s(run.ledger.outcomes, WARM_UP_S, one.service)
+        measure_short_tail_s(run.request_log.outcomes, WARM_UP_S, one.service)
         for one in spec.services
     ]
     return PolicyFigures(measure_imbalance(run), max(tails))
--- a/greengagepath/bench/simulation.py
+++ b/greengagepath/bench/simulation.py
@@ -9,7 +9,7 @@
 from ..routing.choice import TargetChooser
 from ..routing.targets import TargetInfo, TargetState
 from ..timers import VirtualTimerService
-from .fakes import BackEnd, Fabric, FakeObjectApi, Ledger, StoredObject
+from .fakes import BackEnd, Fabric, FakeObjectApi, RequestLog, StoredObject
 from .naive import NaiveAgent
 from .ours import Agent, ChooserFactory
 from .scenarios import BALANCERS, REGION, SLOTS, ZONES, ScenarioSpec
@@ -68,7 +68,7 @@
 class RunOutcome:
     """What a run produced; work in seconds at speed 1."""
 
-    ledger: Ledger
+    request_log: RequestLog
     work_by_target: dict[str, float]
     capacity_by_target: dict[str, float]
     service_by_target: dict[str, int]
@@ -92,7 +92,7 @@
     timers: VirtualTimerService
     random: random.Random
     fabric: Fabric
-    ledger: Ledger = field(default_factory=Ledger)
+    request_log: RequestLog = field(default_factory=RequestLog)
 
 
 def make_parts(setup: RunSetup) -> Parts:
@@ -200,7 +200,7 @@
 
     def _disappear(self, host: Host) -> None:
         host.back_end.is_dead = True
-        self.parts.ledger.dead_targets.add(host.target.target_id)
+        self.parts.request_log.dead_targets.add(host.target.target_id)
         timers = self.parts.timers
         timers.call_after(
             SUSPECT_S, lambda: self._set_state(host, TargetState.SUSPECT)
@@ -239,7 +239,7 @@
         span_s = self.setup.plan.end_s - self.setup.measure_from_s
         hosts = self.hosts_by_id.values()
         return RunOutcome(
-            ledger=self.parts.ledger,
+            request_log=self.parts.request_log,
             work_by_target={
                 host.target.target_id: host.back_end.work_done_s
                 - host.work_before_s
--- a/greengagepath/bench/systems.py
+++ b/greengagepath/bench/systems.py
@@ -19,7 +19,7 @@
         return NaiveCaller(
             self.parts.timers,
             self.parts.fabric,
-            self.parts.ledger,
+            self.parts.request_log,
             self.setup.scenario.client_delay_s,
         ).start
 
@@ -64,7 +64,7 @@
             self._world = World(
                 timers=self.parts.timers,
                 fabric=self.parts.fabric,
-                ledger=self.parts.ledger,
+                request_log=self.parts.request_log,
                 random=self.parts.random,
                 client_delay_s=self.setup.scenario.client_delay_s,
                 zone_delay_s=self.setup.scenario.zone_delay_s,
--- a/greengagepath/bench/wall_clock.py
+++ b/greengagepath/bench/wall_clock.py
@@ -107,7 +107,7 @@
     one target. `uncached_us` is with each token verified.
     """
     with ExitStack() as stack:
-        lane = _Lane(stack, Random(seed), body_bytes)
+        lane = _SocketPair(stack, Random(seed), body_bytes)
         takers = (
             lane.send_back,
             lane.connect(lane.target_address),
@@ -155,7 +155,7 @@
     )
 
 
-class _Lane:
+class _SocketPair:
     """Sockets through which batches pass the measured loop."""
 
     def __init__(
--- a/greengagepath/calls.py
+++ b/greengagepath/calls.py
@@ -130,9 +130,9 @@
         """End the call; return the datagrams to send."""
         if self.outcome is not None:
             return []
-        farewell, not_run = self._leave_attempt()
+        final_datagrams, not_run = self._leave_attempt()
         self._fail(CallErrorKind.CANCELLED, not_run=not_run)
-        return farewell
+        return final_datagrams
 
     def _start_attempt(self, now_s: float) -> None:
         if self.flow is None or not self.flow.is_usable:
@@ -197,12 +197,12 @@
         return [], not_run
 
     def _end_at_deadline(self) -> list[bytes]:
-        farewell, not_run = self._leave_attempt()
+        final_datagrams, not_run = self._leave_attempt()
         if isinstance(self._phase, Exchange):
             self._fail(CallErrorKind.DEADLINE, not_run=not_run)
         else:
             self.outcome = Err(self._plan.error)
-        return farewell
+        return final_datagrams
 
     def _fail(self, kind: CallErrorKind, *, not_run: bool) -> None:
         self.outcome = Err(CallError(kind, not_run=not_run))
--- a/greengagepath/daemon/agent.py
+++ b/greengagepath/daemon/agent.py
@@ -165,11 +165,11 @@
 
     def _pump(self) -> None:
         """Start work, stop cancelled work, send what is to be sent."""
-        work = self._flows.desk.next_work()
+        work = self._flows.scheduler.next_work()
         while work is not None:
             self._spawn(self._run_work, work)
-            work = self._flows.desk.next_work()
-        for cancelled in self._flows.desk.take_cancelled():
+            work = self._flows.scheduler.next_work()
+        for cancelled in self._flows.scheduler.take_cancelled():
             self._back_end.cancel(cancelled)
         for outgoing in self._flows.take_outgoing():
             self._socket.send(outgoing)
@@ -180,7 +180,7 @@
         customer = self._flows.view.customer_header(work.request)
         outcome = self._back_end.run(work, customer)
         self._metrics.observe(work, outcome, self._timers.now())
-        self._flows.desk.complete(work, outcome)
+        self._flows.scheduler.complete(work, outcome)
         self._pump()
 
     def _send_answers(self) -> None:
@@ -237,10 +237,10 @@
         self._stopped.set()
 
     def _end(self) -> ExitCode:
-        left = len(self._flows.desk)
+        left = len(self._flows.scheduler)
         answers = len(self._flows.transfers)
         self._control.stop()
-        # Lets the farewell leave through the links.
+        # Lets the last messages leave through the links.
         gevent.sleep(TICK_S)
         for greenlet in self._greenlets:
             greenlet.kill(block=False)
--- a/greengagepath/daemon/agent_metrics.py
+++ b/greengagepath/daemon/agent_metrics.py
@@ -115,7 +115,7 @@
             ('retries_total', 'retries'),
             ('retries_suppressed_total', 'retries_suppressed'),
         ):
-            retried = flows.desk.events[event]
+            retried = flows.scheduler.events[event]
             self.metrics.set_counter(
                 name, retried, service=service, layer='agent'
             )
--- a/greengagepath/leases.py
+++ b/greengagepath/leases.py
@@ -44,7 +44,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class _Sighting:
+class _ObservedLease:
     """A version of the lease object and when it was first seen."""
 
     stored: StoredObject
@@ -74,7 +74,7 @@
         self._on_change = on_change
         self._held: StoredObject | None = None
         self._valid_until_s = 0.0
-        self._sighting: _Sighting | None = None
+        self._sighting: _ObservedLease | None = None
         self._is_pending = False
         self._next_try_s = 0.0
         self.is_store_silent = False
@@ -148,7 +148,7 @@
         now_s = self._timers.now()
         sighting = self._sighting
         if sighting is None or sighting.stored.version != stored.version:
-            self._sighting = _Sighting(stored, now_s)
+            self._sighting = _ObservedLease(stored, now_s)
             return False
         seen_s = now_s - sighting.since_s
         return seen_s >= self.terms.duration_s * OBSERVER_FACTOR
@@ -183,7 +183,7 @@
     def _lose(self, current: StoredObject) -> None:
         """Remember who won; a conflict tells that it was not us."""
         self._held = None
-        self._sighting = _Sighting(current, self._timers.now())
+        self._sighting = _ObservedLease(current, self._timers.now())
 
 
 def _ignore(outcome: ObjectOutcome) -> None:
--- a/greengagepath/membership/agent_node.py
+++ b/greengagepath/membership/agent_node.py
@@ -16,7 +16,7 @@
 from ..packets import Address
 from ..timers import Timer
 from .handshake import PROTOCOL_VERSION
-from .link_care import LinkCare
+from .link_monitor import LinkMonitor
 from .overlay import rank_by_hash
 from .overlay_links import LinkKeeper
 from .own_record import OwnRecord
@@ -51,7 +51,7 @@
         self._ports = ports
         self._on_service = on_service
         self._keeper = LinkKeeper(self.peers, ports)
-        self._care = LinkCare(self.peers, ports)
+        self._care = LinkMonitor(self.peers, ports)
         self._choice = HomeChoice(record, ports, self._keeper)
         self._timers: list[Timer] = []
 
@@ -65,7 +65,7 @@
         self._step()
 
     def stop(self) -> None:
-        """Say goodbye and close all links."""
+        """Announce the departure and close all links."""
         for timer in self._timers:
             timer.cancel()
         self.own.update(state=MemberState.left)
@@ -121,7 +121,7 @@
         candidates = []
         for record in message.records:
             if record.member_id == self.own.member_id:
-                self.own.dispute(record)
+                self.own.note_claim(record)
             elif is_balancer(record):
                 candidates.append(record)
         if candidates:
--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -29,7 +29,7 @@
 from .exchange import RecordExchange
 from .handshake import Handshake
 from .homes import HomeDirectory
-from .link_care import LinkCare
+from .link_monitor import LinkMonitor
 from .overlay_links import LinkKeeper
 from .own_record import OwnRecord
 from .peers import Peer, PeerRole, PeerTable
@@ -74,7 +74,7 @@
             BridgeParts(self.own, self.table, self.peers, ports),
             self.spread.offer,
         )
-        self.care = LinkCare(self.peers, ports)
+        self.link_monitor = LinkMonitor(self.peers, ports)
         self._ports = ports
         self._on_configuration = listeners.on_configuration
         self._report = TargetReport(self.table, ports, listeners.on_targets)
@@ -94,13 +94,13 @@
         self._timers = [
             timers.subscribe(STEP_S, self._step),
             timers.subscribe(SCAN_S, self._scan),
-            timers.subscribe(limits.heartbeat_s, self.care.beat),
+            timers.subscribe(limits.heartbeat_s, self.link_monitor.beat),
             timers.subscribe(limits.anti_entropy_s, self._compare_tables),
         ]
         self._step()
 
     def stop(self) -> None:
-        """Say goodbye and close all links."""
+        """Announce the departure and close all links."""
         for timer in self._timers:
             timer.cancel()
         self.bridge.stop()
@@ -169,7 +169,7 @@
             self._homes.tell(peer)
             self.spread.send_service(peer)
         elif peer.outgoing:
-            self._exchange.greet(peer, self.spread)
+            self._exchange.send_initial_state(peer, self.spread)
 
     def _publish_own(self, record: MemberRecord) -> None:
         self.table.merge(record)
@@ -194,7 +194,7 @@
             self._exchange.pass_on(suspect, source=None)
         for dead in self._watch.dead_members():
             self._exchange.pass_on(dead, source=None)
-        self.care.close_silent()
+        self.link_monitor.close_silent()
         self.own.refute_pending()
         self._watch.adjust_links()
 
--- a/greengagepath/membership/detector.py
+++ b/greengagepath/membership/detector.py
@@ -52,7 +52,7 @@
         """Suspect the silent ones; return their changed records."""
         now_s = self._timers.now()
         if now_s - self._checked_s > PAUSE_S:
-            self._forgive(now_s)
+            self._restart_silence(now_s)
         self._checked_s = now_s
         if self._seen_version != self._table.version:
             self._seen_version = self._table.version
@@ -73,7 +73,7 @@
             or self._member_id in record.homes
         )
 
-    def _forgive(self, now_s: float) -> None:
+    def _restart_silence(self, now_s: float) -> None:
         for peer in self._peers:
             peer.last_heard_s = now_s
         for member_id in self._heard_s_by_id:
@@ -124,7 +124,7 @@
             patience = self._patience_by_id.get(member_id, 1)
             silent_s = now_s - self._heard_s_by_id[member_id]
             if silent_s < self._limits.suspect_after_s * patience:
-                self._calm(member_id, silent_s)
+                self._reset_patience(member_id, silent_s)
                 continue
             record = self._table.suspect(member_id)
             if record is not None:
@@ -135,7 +135,7 @@
                 self._heard_s_by_id[member_id] = now_s
         return suspected
 
-    def _calm(self, member_id: str, silent_s: float) -> None:
+    def _reset_patience(self, member_id: str, silent_s: float) -> None:
         if silent_s < self._limits.heartbeat_s:
             has_link = self._peers.by_member(member_id) is not None
             if has_link:
--- a/greengagepath/membership/exchange.py
+++ b/greengagepath/membership/exchange.py
@@ -46,7 +46,7 @@
     def merge(self, record: MemberRecord, source: Peer) -> None:
         """Take a record from a link, answer an old one with a newer."""
         if record.member_id == self._own.member_id:
-            self._own.dispute(record)
+            self._own.note_claim(record)
             return
         outcome = self._table.merge(record)
         if outcome in CHANGES:
@@ -81,14 +81,14 @@
         self.dissemination.push_version(own.record)
 
     def pass_on(self, record: MemberRecord, source: Peer | None) -> None:
-        """Push a change, and tell the accused if it is linked here.
+        """Push a change, and tell its subject if it is linked here.
 
         The member can then refute the suspicion.
         """
         self.dissemination.push(record, source)
         subject = self._peers.by_member(record.member_id)
-        is_accused = is_gone(record) or record.state is MemberState.suspect
-        if is_accused and subject is not None and subject is not source:
+        is_suspected = is_gone(record) or record.state is MemberState.suspect
+        if is_suspected and subject is not None and subject is not source:
             self.dissemination.push_to(subject, record)
         self._report.schedule()
 
@@ -102,7 +102,9 @@
             self._ports.links.send(peer.link_id, Pull(buckets=buckets))
             self.dissemination.send_buckets(peer, buckets)
 
-    def greet(self, peer: Peer, spread: ConfigurationSpread) -> None:
+    def send_initial_state(
+        self, peer: Peer, spread: ConfigurationSpread
+    ) -> None:
         """Compare tables over a new link."""
         self._sync.delay(lambda: self.send_digest(peer, spread))
 
--- a/greengagepath/membership/link_care.py
+++ b/greengagepath/membership/link_monitor.py
@@ -5,7 +5,7 @@
 from .ports import NodePorts
 
 
-class LinkCare:
+class LinkMonitor:
     """Sends heartbeats and closes links on which nothing arrives."""
 
     def __init__(self, peers: PeerTable, ports: NodePorts) -> None:
--- a/greengagepath/membership/own_record.py
+++ b/greengagepath/membership/own_record.py
@@ -45,7 +45,7 @@
             self.record, configuration_version=configuration_version
         )
 
-    def dispute(self, claim: MemberRecord) -> None:
+    def note_claim(self, claim: MemberRecord) -> None:
         """Take note of what another process says of this one.
 
         A claim that is newer than the own record, such as a suspicion,
--- a/greengagepath/membership/zone_directory.py
+++ b/greengagepath/membership/zone_directory.py
@@ -29,7 +29,7 @@
         if now_s >= self._next_s:
             jitter = self._parts.ports.random.uniform(0.5, 1)
             # Zones that start together read before the others' seeds
-            # are written, so a lonely one looks again soon.
+            # are written, so one that reaches nobody looks again soon.
             period_s = DISCOVERY_S if self._linked_zones() else SEED_CHECK_S
             self._next_s = now_s + period_s * jitter
             self._parts.ports.store.list_names(ObjectKind.SEED, self._learn)
--- a/greengagepath/packet_router.py
+++ b/greengagepath/packet_router.py
@@ -26,7 +26,7 @@
     decode_service_datagram,
     encode_address,
 )
-from .probing import ProbeBook, ProbeLoad, decode_load
+from .probing import ProbeLoad, ProbeTracker, decode_load
 from .routing.choice import Choice, NoTarget, TargetChooser
 from .routing.targets import TargetInfo
 from .tags import KeyRing
@@ -78,7 +78,9 @@
     """Routes datagrams from the fabric, and probes targets."""
 
     def __init__(self, parts: RouterParts) -> None:
-        self.probes = ProbeBook(parts.timers, parts.random, parts.probes_per_s)
+        self.probes = ProbeTracker(
+            parts.timers, parts.random, parts.probes_per_s
+        )
         self.forwarder = Forwarder(
             parts.keys,
             parts.random,
--- a/greengagepath/probing.py
+++ b/greengagepath/probing.py
@@ -60,7 +60,7 @@
     return Ok(ProbeLoad(in_flight, queued, latency_us, ProbeState(state)))
 
 
-class ProbeBook:
+class ProbeTracker:
     """Limits probes and matches replies to them.
 
     A reply is taken once, so that a replayed one changes nothing.
--- a/greengagepath/routing/choice.py
+++ b/greengagepath/routing/choice.py
@@ -289,7 +289,9 @@
         load = self._loads_by_target_id[target.target_id]
         service_s = load.latency_s or DEFAULT_SERVICE_S / target.weight
         slots = self._settings.slots
-        believed = load.believe(self._timers.now(), self._settings.half_life_s)
+        believed = load.estimate_requests(
+            self._timers.now(), self._settings.half_life_s
+        )
         wait_s = max(believed + 1 - slots, 0.0) * service_s / slots
         wait_s += SHARED_TARGET_SHARE * service_s * min(believed, 1.0)
         busy = load.busy_slots / slots
--- a/greengagepath/routing/loads.py
+++ b/greengagepath/routing/loads.py
@@ -27,7 +27,7 @@
     probed_s: float | None = None
     asked_s: float | None = None
 
-    def believe(self, now_s: float, half_life_s: float) -> float:
+    def estimate_requests(self, now_s: float, half_life_s: float) -> float:
         """Return requests believed to be at the target now."""
         if self.probed_s is None:
             return self.sent
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -232,7 +232,7 @@
             case 'unknown':
                 outcome = OutcomeUnknown('reset')
         self.outcomes.append(outcome)
-        self.agent.desk.complete(work, outcome)
+        self.agent.scheduler.complete(work, outcome)
         self.pump()
 
     def drain(self):
@@ -255,14 +255,14 @@
             self.pump()
 
     def pump(self):
-        work = self.agent.desk.next_work()
+        work = self.agent.scheduler.next_work()
         while work is not None:
             if self.draining:
                 raise AssertionError('a draining target started new work')
             self.running.append(work)
             self.started_by_attempt[tuple(work.record.attempt)] += 1
-            work = self.agent.desk.next_work()
-        self.cancelled += self.agent.desk.take_cancelled()
+            work = self.agent.scheduler.next_work()
+        self.cancelled += self.agent.scheduler.take_cancelled()
         for outgoing in self.agent.take_outgoing():
             self._take(outgoing)
         for part in self.agent.answer_parts(100):
--- a/tests/bench/test_differential.py
+++ b/tests/bench/test_differential.py
@@ -41,8 +41,8 @@
             changes=tuple(changes),
             plan=build_plan(end_s=RUN_S, load=0.4),
         )
-        ours = OursSimulation(setup).run().ledger
-        naive = NaiveSimulation(setup).run().ledger
+        ours = OursSimulation(setup).run().request_log
+        naive = NaiveSimulation(setup).run().request_log
         self.assertEqual(set(), ours.broken_flows)
         self.assertLessEqual(ours.broken_share, naive.broken_share)
         self.assertLessEqual(max(ours.runs_by_request.values()), 1)
--- a/tests/bench/test_simulation.py
+++ b/tests/bench/test_simulation.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from greengagepath.bench.fakes import Fate, Ledger
+from greengagepath.bench.fakes import RequestEnd, RequestLog
 from greengagepath.bench.simulation import Change, ChangeKind
 from greengagepath.bench.systems import NaiveSimulation, OursSimulation
 from greengagepath.bench.workload import WorkloadBuilder
@@ -18,7 +18,9 @@
             first = kind(build_setup()).run()
             second = kind(build_setup()).run()
             self.assertEqual(first.work_by_target, second.work_by_target)
-            self.assertEqual(first.ledger.outcomes, second.ledger.outcomes)
+            self.assertEqual(
+                first.request_log.outcomes, second.request_log.outcomes
+            )
 
     def test_both_systems_get_the_same_requests(self):
         # Guards against a comparison on different inputs.
@@ -26,7 +28,7 @@
         built = WorkloadBuilder(setup.scenario, setup.plan, 1).build()
         expected = Counter(request.request_id for request in built)
         for kind in (NaiveSimulation, OursSimulation):
-            outcomes = kind(setup).run().ledger.outcomes
+            outcomes = kind(setup).run().request_log.outcomes
             seen = Counter(one.request.request_id for one in outcomes)
             self.assertEqual(Counter(), seen - expected)
 
@@ -45,28 +47,30 @@
             Change(2.0, ChangeKind.DRAIN, 1, 0),
             Change(3.0, ChangeKind.KILL_BALANCER),
         )
-        ledger = OursSimulation(build_setup(changes=changes)).run().ledger
-        self.assertEqual({1}, set(ledger.runs_by_request.values()))
+        request_log = (
+            OursSimulation(build_setup(changes=changes)).run().request_log
+        )
+        self.assertEqual({1}, set(request_log.runs_by_request.values()))
         refused = {
             one.request.request_id
-            for one in ledger.outcomes
-            if one.fate == Fate.REFUSED
+            for one in request_log.outcomes
+            if one.fate == RequestEnd.REFUSED
         }
-        self.assertEqual(set(), refused & ledger.runs_by_request.keys())
+        self.assertEqual(set(), refused & request_log.runs_by_request.keys())
 
 
 class LedgerTest(TestCase):
     def test_packet_at_another_target_breaks_the_flow(self):
-        # Guards against a ledger that never reports a broken flow.
-        ledger = Ledger()
-        ledger.record_packet(1, 'a')
-        ledger.record_packet(2, 'b')
-        ledger.record_packet(1, 'b')
-        self.assertEqual({1}, ledger.broken_flows)
+        # Guards against a request_log that never reports a broken flow.
+        request_log = RequestLog()
+        request_log.record_packet(1, 'a')
+        request_log.record_packet(2, 'b')
+        request_log.record_packet(1, 'b')
+        self.assertEqual({1}, request_log.broken_flows)
 
     def test_flow_of_a_dead_target_is_not_broken_by_moving(self):
         # Guards against blaming the balancer for a lost target.
-        ledger = Ledger(dead_targets={'a'})
-        ledger.record_packet(1, 'a')
-        ledger.record_packet(1, 'b')
-        self.assertEqual(set(), ledger.broken_flows)
+        request_log = RequestLog(dead_targets={'a'})
+        request_log.record_packet(1, 'a')
+        request_log.record_packet(1, 'b')
+        self.assertEqual(set(), request_log.broken_flows)
--- a/tests/call_builders.py
+++ b/tests/call_builders.py
@@ -236,10 +236,10 @@
             self.call.receive(encoded, now_s)
 
     def step(self):
-        farewell = self.call.check_due(self.now_s)
+        final_datagrams = self.call.check_due(self.now_s)
         if self.call.take_move():
             self.port += 1
-        for datagram in farewell + self.call.datagrams(self.now_s):
+        for datagram in final_datagrams + self.call.datagrams(self.now_s):
             self.send_to_target(datagram)
         if self.call.outcome is None:
             due_s = [self.call.due_s()] + [each[0] for each in self.events[:1]]
--- a/tests/routing/test_loads.py
+++ b/tests/routing/test_loads.py
@@ -27,5 +27,5 @@
         # Guards against avoiding a target for a queue long gone.
         load = TargetLoad()
         load.take_report(2, 30, 0.02, 0.0)
-        self.assertEqual(32, load.believe(0.0, 1.0))
-        self.assertLess(load.believe(10.0, 1.0), 0.1)
+        self.assertEqual(32, load.estimate_requests(0.0, 1.0))
+        self.assertLess(load.estimate_requests(10.0, 1.0), 0.1)
