--- a/greengagepath/cli/init.py
+++ b/greengagepath/cli/init.py
@@ -22,7 +22,6 @@
 from ..output.console import make_console, print_error, print_problems
 from ..validation import locate_keys
 from .options import DEFAULT_CONFIGURATION
-from .prompts import Cancelled, ask_answers
 
 
 @cappa.command(
@@ -91,6 +90,9 @@
             return load_answers(self.answers)
         if not sys.stdin.isatty():
             return Err(['no terminal to ask on; use --answers FILE'])
+        # Prompts take half a second to load, which other commands save.
+        from .prompts import Cancelled, ask_answers
+
         try:
             return check_answers(ask_answers())
         except Cancelled:
