Set the metrics of alerts; drop those that no part sets

Ejections, calls to the object API and the held lease are now copied from their parts; the other seven are no longer defined or documented. A process test reads them from a running balancer.

--- a/greengagepath/daemon/balancer.py
+++ b/greengagepath/daemon/balancer.py
@@ -80,7 +80,9 @@
             self._take_configuration,
             tls,
         )
-        self._metrics = BalancerMetrics(self._path, self._control, self._timers)
+        self._metrics = BalancerMetrics(
+            self._path, self._control, self._choosers, self._timers
+        )
         self._status: StatusServer | None = None
         self._slice_is_due = False
         self._signals = 0
--- a/greengagepath/daemon/balancer_metrics.py
+++ b/greengagepath/daemon/balancer_metrics.py
@@ -6,6 +6,7 @@
 from ..metrics import Metrics
 from ..packets import Kind
 from ..probing import MAX_PENDING
+from ..routing.choosers import ServiceChoosers
 from ..routing.targets import TargetState
 from ..timers import TimerService
 from .control import BalancerControl
@@ -19,11 +20,16 @@
     """Reads the data path and the control plane of one balancer."""
 
     def __init__(
-        self, path: DataPath, control: BalancerControl, timers: TimerService
+        self,
+        path: DataPath,
+        control: BalancerControl,
+        choosers: ServiceChoosers,
+        timers: TimerService,
     ) -> None:
         self.metrics = Metrics()
         self._path = path
         self._control = control
+        self._choosers = choosers
         self._timers = timers
         self._target_counts: Counter[tuple[str, TargetState]] = Counter()
         self._sample_due_s = timers.now()
@@ -53,6 +59,7 @@
         self._copy_datagrams()
         self._copy_fills()
         self._copy_members()
+        self._copy_control()
         configuration = self._control.configuration
         version = configuration.version if configuration else 0
         self.metrics.set_gauge('configuration_version', version)
@@ -103,6 +110,19 @@
             self._path.sockets.limit,
         )
 
+    def _copy_control(self) -> None:
+        metrics = self.metrics
+        for (method, outcome), calls in self._control.store_calls.items():
+            metrics.set_counter(
+                'object_api_calls_total', calls, method=method, outcome=outcome
+            )
+        for service, ejections in self._choosers.count_ejections().items():
+            metrics.set_counter(
+                'targets_ejected_total', ejections, service=str(service)
+            )
+        bridge = self._control.node.bridge
+        metrics.set_gauge('lease_held', int(bridge.holds_lease))
+
     def _copy_members(self) -> None:
         counts = Counter(
             (record.kind, record.state) for record in self._control.records()
--- a/greengagepath/daemon/control.py
+++ b/greengagepath/daemon/control.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ..generated.messages import (
     Configuration,
@@ -76,6 +76,11 @@
         """The configuration in force, None before the first."""
         return self.node.spread.holder.current
 
+    @property
+    def store_calls(self) -> Mapping[tuple[str, str], int]:
+        """Calls to the object API by method and outcome."""
+        return self._transport.calls
+
     @property
     def is_ready(self) -> bool:
         """Whether a configuration is in force."""
--- a/greengagepath/metrics.py
+++ b/greengagepath/metrics.py
@@ -71,7 +71,6 @@
     _counter('datagrams_received_total', 'Datagrams received', 'kind'),
     _counter('datagrams_forwarded_total', 'Datagrams sent on', 'kind'),
     _counter('datagrams_dropped_total', 'Datagrams dropped', 'reason'),
-    _counter('datagram_bytes_total', 'Bytes of datagrams', 'direction'),
     _counter('flows_opened_total', 'Flows accepted', 'service'),
     _counter('flows_handed_off_total', 'OPEN handed off', 'service'),
     _counter(
@@ -92,11 +91,7 @@
     ),
     _counter('targets_ejected_total', 'Soft ejections', 'service'),
     _counter('probes_total', 'Probes of targets', 'outcome'),
-    _counter('configurations_total', 'Versions offered', 'outcome'),
     _counter('object_api_calls_total', 'Object API calls', 'method', 'outcome'),
-    _counter('link_messages_total', 'Link messages', 'type', 'direction'),
-    _counter('link_bytes_total', 'Bytes on control links', 'direction'),
-    _counter('links_closed_total', 'Control links closed', 'reason'),
     _counter('key_reloads_total', 'Reloads of keys', 'outcome'),
     _gauge('table_entries', 'Entries in a bounded table', 'table'),
     _gauge('table_capacity', 'Limit of a bounded table', 'table'),
@@ -105,7 +100,7 @@
     _gauge('targets', 'Targets known', 'service', 'state'),
     _gauge('ready', '1 if /readyz answers 200'),
     _gauge('draining', '1 while the process drains'),
-    _gauge('lease_held', '1 if the bridge lease is held', 'slot'),
+    _gauge('lease_held', '1 if the bridge lease is held'),
     _gauge('slots_busy', 'Back-end slots in use', 'service'),
     _gauge('concurrency_limit', 'Requests allowed at once', 'service'),
     _histogram(
@@ -119,8 +114,6 @@
         'queue_wait_seconds', 'Time in the queue', 'service', 'size_class'
     ),
     _histogram('event_loop_delay_seconds', 'Lateness of the event loop'),
-    _histogram('object_api_call_seconds', 'Object API calls', 'method'),
-    _histogram('configuration_apply_seconds', 'Time to apply a version'),
 )
 DEFINITIONS_BY_NAME = {entry.name: entry for entry in DEFINITIONS}
 
--- a/greengagepath/object_api.py
+++ b/greengagepath/object_api.py
@@ -8,6 +8,7 @@
 import json
 import random
 import uuid
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 from enum import StrEnum, unique
@@ -269,6 +270,8 @@
         self._port = parts.port or client.HTTP_PORT
         self._timeout_s = timeout_s
         self._pool = Pool(MAX_CALLS)
+        # Calls by method and outcome, for metrics.
+        self.calls: Counter[tuple[str, str]] = Counter()
 
     def send(self, call: ObjectCall, on_answer: OnAnswer) -> None:
         """Run the call in a greenlet; refuse it above `MAX_CALLS`."""
@@ -282,12 +285,16 @@
         connection = client.HTTPConnection(
             self._host, self._port, timeout=self._timeout_s + call.wait_s
         )
+        method = 'GET' if call.body is None else 'PUT'
         try:
-            return Ok(_exchange(connection, call))
+            answer = _exchange(connection, call)
         except (OSError, client.HTTPException, ValueError) as error:
+            self.calls[method, 'error'] += 1
             return Err(f'{type(error).__name__}: {error}')
         finally:
             connection.close()
+        self.calls[method, 'ok'] += 1
+        return Ok(answer)
 
     def stop(self) -> None:
         """Abandon the calls that are pending."""
--- a/greengagepath/routing/choice.py
+++ b/greengagepath/routing/choice.py
@@ -153,6 +153,11 @@
         """Ids of the targets that are softly ejected."""
         return frozenset(self._outliers.ejected)
 
+    @property
+    def ejections_total(self) -> int:
+        """Return how often a target was softly ejected."""
+        return self._outliers.ejections_total
+
     def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
         """Take the present targets of the service, in any state."""
         old_by_id = self._targets_by_id
--- a/greengagepath/routing/choosers.py
+++ b/greengagepath/routing/choosers.py
@@ -37,6 +37,13 @@
         self._changed: deque[int] = deque()
         self._changed_services: set[int] = set()
 
+    def count_ejections(self) -> dict[int, int]:
+        """Return the soft ejections so far by service id."""
+        return {
+            service: chooser.ejections_total
+            for service, chooser in self._choosers_by_service.items()
+        }
+
     def offer_targets(
         self, targets_by_service: Mapping[int, tuple[TargetInfo, ...]]
     ) -> int:
--- a/greengagepath/routing/outliers.py
+++ b/greengagepath/routing/outliers.py
@@ -54,6 +54,7 @@
         self._settings = settings or OutlierSettings()
         self._records_by_target_id: dict[str, _Record] = {}
         self.ejected: set[str] = set()
+        self.ejections_total = 0
 
     def replace_targets(self, target_ids: Iterable[str]) -> None:
         """Keep records of exactly these targets."""
@@ -110,6 +111,7 @@
         record.ejected_until_s = self._timers.now() + delay_s
         record.good_probes = 0
         self.ejected.add(target_id)
+        self.ejections_total += 1
 
     def _readmit(self, target_id: str) -> None:
         self.ejected.discard(target_id)
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -13,6 +13,7 @@
 import pytest
 from testtools import TestCase
 
+from greengagepath.emulator.control_paths import fetch
 from greengagepath.emulator.demo import (
     collect_outcomes,
     collect_runs,
@@ -137,6 +138,14 @@
         counts = self.run_load()
         self.assert_nothing_lost(counts)
 
+    def test_balancer_metrics(self):
+        # Guards against documented metrics that no part ever sets.
+        balancer = self.deployment.balancers_by_name['balancer-2']
+        text = fetch(balancer.status_port, '/metrics').decode()
+        for name in ('object_api_calls_total', 'lease_held', 'members'):
+            self.assertIn(f'\ngreengagepath_{name}', text)
+        self.assertIn('outcome="ok"', text)
+
     def test_lossy_fabric(self):
         # Guards against work that a repeated datagram runs twice.
         faults = self.deployment.control_paths.set_fabric_faults
