Simplify small pieces of the emulator

The pattern of answers is a constant instead of a class with one field, the content type has one name, and the list of daemons is built in one place.

--- a/greengagepath/emulator/backend.py
+++ b/greengagepath/emulator/backend.py
@@ -11,7 +11,7 @@
 import random
 import socket
 import time
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Annotated
 
@@ -40,6 +40,8 @@
 CHECKSUM_BYTES = 16
 MAX_ANSWER_BYTES = 67_108_864
 PATTERN_BYTES = 65_536
+# Answers of any size are cut from repetitions of it.
+_PATTERN = random.Random(1).randbytes(PATTERN_BYTES)
 
 
 class Run(msgspec.Struct):
@@ -168,25 +170,12 @@
         return slowdown
 
 
-@dataclass(slots=True)
-class BodyCache:
-    """Keeps one pattern that answers of any size are cut from."""
-
-    pattern: bytes = field(
-        default_factory=lambda: random.Random(1).randbytes(PATTERN_BYTES)
-    )
-
-
-_BODIES = BodyCache()
-
-
 def make_body(request_id: str, size: int) -> bytes:
     """Return `size` B that differ from those of other request ids."""
     prefix = request_id.encode()
-    pattern = _BODIES.pattern
     bounded = min(size, MAX_ANSWER_BYTES)
-    repeats = bounded // len(pattern) + 1
-    return (prefix + pattern * repeats)[:bounded]
+    repeats = bounded // PATTERN_BYTES + 1
+    return (prefix + _PATTERN * repeats)[:bounded]
 
 
 def checksum(body: bytes) -> str:
--- a/greengagepath/emulator/deployment.py
+++ b/greengagepath/emulator/deployment.py
@@ -101,8 +101,7 @@
         for balancer in self.balancers_by_name.values():
             _wait_for_port(balancer.control_port, balancer.name)
         self.run_tool('apply', 'configuration.toml')
-        names = [*self.balancers_by_name, *self.targets_by_name]
-        for name in names:
+        for name in self._daemon_names():
             self.wait_until_ready(name)
 
     def stop(self) -> None:
@@ -153,11 +152,13 @@
         """Change the keys of the tool, and of daemons while they run."""
         self._settings_files.use_keys(*key_ids)
         self._write_tool_settings()
-        names = [*self.balancers_by_name, *self.targets_by_name]
-        for name in names:
+        for name in self._daemon_names():
             self._write_settings(name)
             self.processes.send_signal(name, signal.SIGHUP)
 
+    def _daemon_names(self) -> list[str]:
+        return [*self.balancers_by_name, *self.targets_by_name]
+
     def _write_tool_settings(self) -> None:
         self._settings_files.write_tool(
             [
--- a/greengagepath/emulator/platform.py
+++ b/greengagepath/emulator/platform.py
@@ -19,6 +19,7 @@
 from .http_server import (
     BAD_REQUEST,
     CONFLICT,
+    JSON_TYPE,
     NO_CONTENT,
     NOT_FOUND,
     STATUS_OK,
@@ -137,9 +138,7 @@
 def _reply_object(stored: StoredObject | None) -> Reply:
     if stored is None:
         return Reply(NOT_FOUND)
-    return Reply(
-        STATUS_OK, stored.encode(), (('Content-Type', 'application/json'),)
-    )
+    return Reply(STATUS_OK, stored.encode(), (('Content-Type', JSON_TYPE),))
 
 
 def main() -> None:
