Serve plain flows on the users' platform: first whole path

Callers there carry no token, so the product's own data path does not apply. Balancers send opening packets to the flow's home agent, which places them by load; the agent beside the target is the last gate.

--- /dev/null
+++ b/greengagepath/daemon/datagram_socket.py
@@ -0,0 +1,79 @@
+"""UDP socket of a steering daemon, drained by one greenlet."""
+
+import socket
+from collections import Counter
+from collections.abc import Callable
+
+import gevent
+from gevent.socket import wait_read
+
+from ..native_sockets import open_udp_socket
+
+MAX_DATAGRAM_BYTES = 2048
+# Datagrams taken for each wake; more would delay timers.
+MAX_DRAINED = 64
+RECEIVE_BUFFER_BYTES = 1048576
+
+OnDatagram = Callable[[bytes, str], None]
+
+
+class DatagramSocket:
+    """Receives datagrams for a callback and sends without waiting.
+
+    A datagram that the kernel does not take at once is dropped and
+    counted; the protocols above repeat what matters.
+    """
+
+    def __init__(
+        self,
+        address: tuple[str, int],
+        on_datagram: OnDatagram,
+        counts: Counter[str],
+    ) -> None:
+        self._on_datagram = on_datagram
+        self._counts = counts
+        self._socket = open_udp_socket(RECEIVE_BUFFER_BYTES)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(address)
+        self._loop: gevent.Greenlet | None = None
+
+    @property
+    def port(self) -> int:
+        """Return the port that the socket is bound to."""
+        return int(self._socket.getsockname()[1])
+
+    def start(self) -> None:
+        """Start the greenlet that receives."""
+        self._loop = gevent.spawn(self._run)
+
+    def send(self, datagram: bytes, address: tuple[str, int]) -> None:
+        """Send a datagram, or drop and count it."""
+        try:
+            self._socket.sendto(datagram, address)
+        except OSError:
+            self._counts['datagrams_unsent'] += 1
+
+    def stop(self) -> None:
+        """End the greenlet and close the socket."""
+        if self._loop is not None:
+            self._loop.kill()
+        self._socket.close()
+
+    def _run(self) -> None:
+        descriptor = self._socket.fileno()
+        while True:
+            wait_read(descriptor)
+            self._drain()
+
+    def _drain(self) -> None:
+        receive = self._socket.recvfrom
+        for _ in range(MAX_DRAINED):
+            try:
+                datagram, sender = receive(MAX_DATAGRAM_BYTES)
+            except BlockingIOError:
+                return
+            except OSError:
+                # An earlier datagram met a closed port.
+                self._counts['datagrams_undelivered'] += 1
+                continue
+            self._on_datagram(datagram, sender[0])
--- /dev/null
+++ b/greengagepath/daemon/http_connection.py
@@ -0,0 +1,126 @@
+"""HTTP/1.1 calls over one gevent socket, read and written by h11."""
+
+import socket as native
+
+import gevent
+import h11
+from gevent import socket
+from result import Err, Ok, Result
+
+CONNECT_S = 1.0
+MAX_ANSWER_BYTES = 2097152
+RECEIVE_BYTES = 65536
+# Keep-alive probes find a connection that has gone silent in 3 s.
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_GAP_S = 1
+KEEPALIVE_PROBES = 2
+UNACKNOWLEDGED_MS = 3000
+
+
+class HttpAnswer:
+    """Status and body of an answer."""
+
+    __slots__ = ('body', 'status')
+
+    def __init__(self, status: int, body: bytes) -> None:
+        self.status = status
+        self.body = body
+
+
+class HttpConnection:
+    """One connection to one server, opened when it is needed.
+
+    Calls must not overlap. After a failed call the connection is closed
+    and the next call opens another.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self._address = address
+        self._socket: socket.socket | None = None
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    def call(
+        self, method: str, target: str, body: bytes, timeout_s: float
+    ) -> Result[HttpAnswer, str]:
+        """Send a request and return the answer, or what went wrong.
+
+        A request that got no answer may have taken effect.
+        """
+        try:
+            with gevent.Timeout(timeout_s + CONNECT_S):
+                return Ok(self._exchange(method, target, body))
+        except gevent.Timeout:
+            self.close()
+            return Err('no answer in time')
+        except (OSError, h11.ProtocolError) as error:
+            self.close()
+            return Err(f'{type(error).__name__}: {error}')
+
+    def close(self) -> None:
+        """Close the connection; a call that waits for it fails."""
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+
+    def _exchange(self, method: str, target: str, body: bytes) -> HttpAnswer:
+        if self._socket is None or self._protocol.our_state is not h11.IDLE:
+            self.close()
+            self._open()
+        headers = [('Host', f'{self._address[0]}:{self._address[1]}')]
+        if body:
+            headers.append(('Content-Type', 'application/json'))
+        headers.append(('Content-Length', str(len(body))))
+        self._send(h11.Request(method=method, target=target, headers=headers))
+        if body:
+            self._send(h11.Data(data=body))
+        self._send(h11.EndOfMessage())
+        answer = self._receive()
+        if self._protocol.our_state is h11.MUST_CLOSE or (
+            self._protocol.their_state is not h11.DONE
+        ):
+            self.close()
+        else:
+            self._protocol.start_next_cycle()
+        return answer
+
+    def _open(self) -> None:
+        opened = socket.create_connection(self._address, timeout=CONNECT_S)
+        opened.settimeout(None)
+        for level, option, number in (
+            (native.SOL_SOCKET, native.SO_KEEPALIVE, 1),
+            (native.IPPROTO_TCP, native.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
+            (native.IPPROTO_TCP, native.TCP_KEEPINTVL, KEEPALIVE_GAP_S),
+            (native.IPPROTO_TCP, native.TCP_KEEPCNT, KEEPALIVE_PROBES),
+            (native.IPPROTO_TCP, native.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+            (native.IPPROTO_TCP, native.TCP_NODELAY, 1),
+        ):
+            opened.setsockopt(level, option, number)
+        self._socket = opened
+        self._protocol = h11.Connection(h11.CLIENT)
+
+    def _send(self, event: object) -> None:
+        encoded = self._protocol.send(event)
+        if encoded and self._socket is not None:
+            self._socket.sendall(encoded)
+
+    def _receive(self) -> HttpAnswer:
+        status = 0
+        parts = []
+        received_bytes = 0
+        while True:
+            event = self._protocol.next_event()
+            if event is h11.NEED_DATA:
+                if self._socket is None:
+                    raise ConnectionResetError('connection was closed')
+                self._protocol.receive_data(self._socket.recv(RECEIVE_BYTES))
+            elif isinstance(event, h11.Response):
+                status = event.status_code
+            elif isinstance(event, h11.Data):
+                parts.append(bytes(event.data))
+                received_bytes += len(event.data)
+                if received_bytes > MAX_ANSWER_BYTES:
+                    raise ConnectionAbortedError('answer is too long')
+            elif isinstance(event, h11.EndOfMessage):
+                return HttpAnswer(status, b''.join(parts))
+            elif isinstance(event, h11.ConnectionClosed):
+                raise ConnectionResetError('server closed the connection')
--- /dev/null
+++ b/greengagepath/daemon/http_listener.py
@@ -0,0 +1,149 @@
+"""HTTP/1.1 server over gevent sockets, read and written by h11."""
+
+from collections.abc import Callable
+
+import gevent
+import h11
+from gevent import socket
+from gevent.pool import Pool
+from gevent.server import StreamServer
+
+MAX_CONNECTIONS = 256
+MAX_BODY_BYTES = 65536
+RECEIVE_BYTES = 16384
+IDLE_S = 60.0
+_BAD_REQUEST = 400
+_TOO_LARGE = 413
+
+
+class HttpRequest:
+    """Method, path with query, and body of a request."""
+
+    __slots__ = ('body', 'method', 'path')
+
+    def __init__(self, method: str, path: str, body: bytes) -> None:
+        self.method = method
+        self.path = path
+        self.body = body
+
+
+class HttpReply:
+    """Status, body and content type of an answer."""
+
+    __slots__ = ('body', 'content_type', 'status')
+
+    def __init__(
+        self,
+        status: int,
+        body: bytes = b'',
+        content_type: str = 'application/json',
+    ) -> None:
+        self.status = status
+        self.body = body
+        self.content_type = content_type
+
+
+Handler = Callable[[HttpRequest], HttpReply]
+
+
+class HttpListener:
+    """Serves one address from the loop of the daemon."""
+
+    def __init__(self, address: tuple[str, int], handler: Handler) -> None:
+        self._handler = handler
+        self._server = StreamServer(
+            address, self._serve, spawn=Pool(MAX_CONNECTIONS)
+        )
+
+    @property
+    def port(self) -> int:
+        """Return the port that the server is bound to."""
+        return self._server.server_port
+
+    def start(self) -> None:
+        """Bind and serve; raises OSError if the address is taken."""
+        self._server.start()
+
+    def stop(self) -> None:
+        """Stop at once; requests in progress are cut."""
+        self._server.stop(timeout=0)
+
+    def _serve(self, accepted: socket.socket, _: object) -> None:
+        protocol = h11.Connection(h11.SERVER)
+        try:
+            while self._answer_next(accepted, protocol):
+                protocol.start_next_cycle()
+        except h11.RemoteProtocolError as error:
+            _send_error(accepted, protocol, error.error_status_hint)
+        except (OSError, h11.ProtocolError, gevent.Timeout):
+            # The peer is gone; there is nobody to answer.
+            return
+        finally:
+            accepted.close()
+
+    def _answer_next(
+        self, accepted: socket.socket, protocol: h11.Connection
+    ) -> bool:
+        with gevent.Timeout(IDLE_S):
+            request = _receive(accepted, protocol)
+        if request is None:
+            return False
+        if len(request.body) > MAX_BODY_BYTES:
+            reply = HttpReply(_TOO_LARGE)
+        else:
+            reply = self._handler(request)
+        _send(accepted, protocol, reply)
+        return protocol.our_state is h11.DONE
+
+
+def _receive(
+    accepted: socket.socket, protocol: h11.Connection
+) -> HttpRequest | None:
+    """Return a request, None at the end of the connection.
+
+    A body above the limit is read no further and makes a request whose
+    body is one byte too long.
+    """
+    method = path = ''
+    body = b''
+    while True:
+        event = protocol.next_event()
+        if event is h11.NEED_DATA:
+            protocol.receive_data(accepted.recv(RECEIVE_BYTES))
+        elif isinstance(event, h11.Request):
+            method = event.method.decode('latin-1')
+            path = event.target.decode('latin-1')
+        elif isinstance(event, h11.Data):
+            body += bytes(event.data)
+            if len(body) > MAX_BODY_BYTES:
+                return HttpRequest(method, path, body[: MAX_BODY_BYTES + 1])
+        elif isinstance(event, h11.EndOfMessage):
+            return HttpRequest(method, path, body)
+        else:
+            return None
+
+
+def _send(
+    accepted: socket.socket, protocol: h11.Connection, reply: HttpReply
+) -> None:
+    headers = [('Content-Length', str(len(reply.body)))]
+    if reply.body:
+        headers.append(('Content-Type', reply.content_type))
+    head = protocol.send(
+        h11.Response(status_code=reply.status, headers=headers)
+    )
+    content = protocol.send(h11.Data(data=reply.body))
+    end = protocol.send(h11.EndOfMessage())
+    accepted.sendall(b''.join(part for part in (head, content, end) if part))
+
+
+def _send_error(
+    accepted: socket.socket, protocol: h11.Connection, status: int
+) -> None:
+    if protocol.our_state not in {h11.IDLE, h11.SEND_RESPONSE}:
+        return
+    try:
+        _send(accepted, protocol, HttpReply(status or _BAD_REQUEST))
+    except (OSError, h11.ProtocolError):
+        # The peer closed before the answer; the connection ends anyway.
+        return
--- /dev/null
+++ b/greengagepath/daemon/steering_agent.py
@@ -0,0 +1,235 @@
+"""Daemon of an agent for plain flows."""
+
+import logging
+import signal
+from typing import Protocol
+
+import gevent
+from gevent.event import Event
+from result import Err, Result
+
+from ..exit_codes import ExitCode
+from ..logs import log_event
+from ..steering.agent_steering import AgentIdentity, AgentSteering
+from ..steering.peer_messages import PeerKind, decode_message, digest_service
+from ..steering.segments import Segment
+from ..steering.settings import SteeringSettings, pack_address
+from ..steering.store import Member, MemberRole, SteeringStore
+from ..steering.target_gate import Heartbeat, TargetPhase
+from ..timers import LoopTimerService
+from .datagram_socket import DatagramSocket
+from .http_listener import HttpListener, HttpReply, HttpRequest
+from .membership_listing import MembershipListing
+from .peer_addresses import PeerAddresses
+from .steering_balancer import READINESS_PATH
+
+LEAVE_RESERVE_S = 0.8
+LEAVE_POLL_S = 0.1
+
+_logger = logging.getLogger(__name__)
+
+
+class AgentCodec(Protocol):
+    """Packets and heartbeats on the platform's wire."""
+
+    def decode_from_caller(self, raw: bytes) -> Segment | None:
+        """Return a caller's packet, None if the bytes are none."""
+
+    def decode_from_target(self, raw: bytes) -> Segment | None:
+        """Return a target's packet, None if the bytes are none."""
+
+    def encode_reset(self, flow: bytes) -> bytes:
+        """Return a reset of a flow that has not opened."""
+
+    def caller_address(self, flow: bytes) -> bytes:
+        """Return the caller's packed address."""
+
+    def decode_target_id(self, path: str) -> str | None:
+        """Return the target named by a heartbeat's path."""
+
+    def decode_heartbeat(
+        self, target_id: str, body: bytes, service: str
+    ) -> Result[Heartbeat, str]:
+        """Return a heartbeat, or why it is none."""
+
+    @property
+    def acknowledgement(self) -> bytes:
+        """Return the body that acknowledges a heartbeat."""
+
+
+class AgentDaemon:
+    """Sockets around the decisions of an agent."""
+
+    def __init__(
+        self,
+        settings: SteeringSettings,
+        codec: AgentCodec,
+        store: SteeringStore,
+    ) -> None:
+        self._settings = settings
+        self._codec = codec
+        self._store = store
+        self._timers = LoopTimerService()
+        self._stopping = Event()
+        identity = AgentIdentity(
+            settings.address,
+            digest_service(settings.service),
+            heartbeat_s=settings.heartbeat_ms / 1000,
+            idle_s=settings.flow_lifetime_s,
+            is_first_start=settings.first_start,
+        )
+        self.steering = AgentSteering(identity, self._timers, self)
+        counts = self.steering.counts
+        self._target_at = settings.target_address or (settings.host, 0)
+        data_port = (settings.data_address or ('', 0))[1]
+        self._callers_at = PeerAddresses(data_port)
+        self._agents_at = PeerAddresses(settings.agent_port)
+        self._balancers_at = PeerAddresses(settings.balancer_port)
+        self._target = DatagramSocket(
+            settings.target_outbound_address or (settings.host, 0),
+            self._take_from_target,
+            counts,
+        )
+        self._peers = DatagramSocket(
+            (settings.host, settings.agent_port), self._take_from_peer, counts
+        )
+        self._own = Member(settings.address, MemberRole.AGENT)
+        self._listing = MembershipListing(store, self._own, self._take_members)
+
+    def run(self) -> ExitCode:
+        """Serve until SIGTERM, then until the target's flows end."""
+        gevent.signal_handler(signal.SIGTERM, self._stopping.set)
+        gevent.signal_handler(signal.SIGINT, self._stopping.set)
+        gevent.signal_handler(signal.SIGHUP, _ignore_reload)
+        self._timers.start()
+        self._target.start()
+        self._peers.start()
+        for address in (
+            self._settings.heartbeat_address,
+            self._settings.readiness_address,
+        ):
+            if address:
+                HttpListener(address, self._answer).start()
+        self._take_members(self._read_seeds(), [])
+        self._listing.start()
+        log_event(_logger, 'agent.started', service=self._settings.service)
+        self._stopping.wait()
+        self._leave()
+        log_event(_logger, 'agent.stopped', **self.steering.counts)
+        return ExitCode.OK
+
+    def to_target(self, raw: bytes) -> None:
+        """Send a caller's packet to the target."""
+        self._target.send(raw, self._target_at)
+
+    def to_caller(self, flow: bytes, raw: bytes) -> None:
+        """Send a target's packet to the caller of the flow."""
+        caller = self._codec.caller_address(flow)
+        self._target.send(raw, self._callers_at.find(caller))
+
+    def reset(self, flow: bytes) -> None:
+        """Send a reset to the caller of a flow that has not opened."""
+        self.to_caller(flow, self._codec.encode_reset(flow))
+
+    def to_agent(self, address: bytes, datagram: bytes) -> None:
+        """Send to an agent."""
+        self._peers.send(datagram, self._agents_at.find(address))
+
+    def to_balancer(self, address: bytes, datagram: bytes) -> None:
+        """Send to a balancer."""
+        self._peers.send(datagram, self._balancers_at.find(address))
+
+    def _leave(self) -> None:
+        """Forward for the flows of a target that still runs."""
+        log_event(
+            _logger,
+            'agent.leaving',
+            phase=self.steering.gate.phase.value,
+            flows=len(self.steering.held.by_flow),
+        )
+        self.steering.leave()
+        if self.steering.gate.phase is TargetPhase.GONE:
+            self._store.remove_member(self._own)
+            return
+        end_s = self._timers.now() + self._settings.termination_s
+        end_s -= LEAVE_RESERVE_S
+        while self._timers.now() < end_s:
+            if self.steering.gate.phase is TargetPhase.GONE:
+                return
+            gevent.sleep(LEAVE_POLL_S)
+
+    def _read_seeds(self) -> list[bytes]:
+        seeds = [pack_address(host) for host, _ in self._settings.seeds]
+        return [seed for seed in seeds if seed]
+
+    def _take_members(
+        self, balancers: list[bytes], agents: list[bytes]
+    ) -> None:
+        peers = self.steering.peers
+        added = [
+            address for address in balancers if peers.note_balancer(address)
+        ]
+        # Agents of other services answer with a report of their service
+        # and are not kept.
+        added += [
+            address
+            for address in agents
+            if address not in peers.agents
+            and address != self._settings.address
+        ]
+        self.steering.introduce(added)
+
+    def _take_from_target(self, raw: bytes, _: str) -> None:
+        segment = self._codec.decode_from_target(raw)
+        if segment is None:
+            self.steering.counts['dropped_unreadable'] += 1
+            return
+        self.steering.take_from_target(segment)
+
+    def _take_from_peer(self, datagram: bytes, host: str) -> None:
+        decoded = decode_message(datagram)
+        sender = pack_address(host)
+        if isinstance(decoded, Err) or sender is None:
+            self.steering.counts['dropped_unreadable'] += 1
+            return
+        message = decoded.ok_value
+        segment = None
+        if message.kind <= PeerKind.SEARCH:
+            segment = self._codec.decode_from_caller(message.body)
+        self.steering.take_peer_message(sender, message, segment)
+
+    def _answer(self, request: HttpRequest) -> HttpReply:
+        if request.path.partition('?')[0] == READINESS_PATH:
+            return HttpReply(503 if self._stopping.is_set() else 200)
+        target_id = self._codec.decode_target_id(request.path)
+        if target_id is None:
+            return HttpReply(404)
+        match request.method:
+            case 'PUT':
+                return self._take_heartbeat(target_id, request.body)
+            case 'DELETE':
+                self.steering.take_departure(target_id)
+                return HttpReply(200, self._codec.acknowledgement)
+        return HttpReply(405)
+
+    def _take_heartbeat(self, target_id: str, body: bytes) -> HttpReply:
+        decoded = self._codec.decode_heartbeat(
+            target_id, body, self._settings.service
+        )
+        if isinstance(decoded, Err):
+            self.steering.counts['heartbeats_unreadable'] += 1
+            log_event(
+                _logger,
+                'heartbeat.refused',
+                level=logging.WARNING,
+                repeats=True,
+                target_id=target_id,
+                reason=decoded.err_value,
+            )
+            return HttpReply(400)
+        self.steering.take_heartbeat(decoded.ok_value)
+        return HttpReply(200, self._codec.acknowledgement)
+
+
+def _ignore_reload() -> None:
+    log_event(_logger, 'settings.unchanged')
--- a/greengagepath/logs.py
+++ b/greengagepath/logs.py
@@ -5,21 +5,24 @@
 flow or request through balancers, agents and callers.
 """
 
+import json
 import logging
 import sys
 import time
 from collections.abc import Callable
 from datetime import UTC, datetime
-from typing import Any, TextIO
+from typing import TYPE_CHECKING, Any, TextIO
 
-import msgspec
-
-from .generated.settings import LogSettings
+if TYPE_CHECKING:
+    from .generated.settings import LogSettings
+    from .steering.settings import LogOptions
 
 ROOT_LOGGER = 'greengagepath'
 FLOW_ID_DIGITS = 16
 MAX_LIMITED_EVENTS = 1000
-_encode_json = msgspec.json.Encoder(enc_hook=str).encode
+_encode_json = json.JSONEncoder(
+    ensure_ascii=False, separators=(',', ':'), default=str
+).encode
 
 
 class JsonFormatter(logging.Formatter):
@@ -31,7 +34,7 @@
 
     def format(self, record: logging.LogRecord) -> str:
         """Return the record as JSON, the time in UTC."""
-        return _encode_json(_describe(record) | self._origin).decode()
+        return _encode_json(_describe(record) | self._origin)
 
 
 class TextFormatter(logging.Formatter):
@@ -118,7 +121,7 @@
 
 
 def configure_logs(
-    settings: LogSettings,
+    settings: 'LogSettings | LogOptions',
     role: str,
     member_id: str,
     stream: TextIO | None = None,
@@ -180,4 +183,4 @@
 
 def _quote(found: Any) -> str:
     text = str(found)
-    return _encode_json(text).decode() if ' ' in text else text
+    return _encode_json(text) if ' ' in text else text
--- /dev/null
+++ b/greengagepath/platform/__main__.py
@@ -0,0 +1,48 @@
+"""Starts a role on a VM of the platform: `balancer` or `agent`."""
+
+import os
+import sys
+
+from result import Err
+
+from ..exit_codes import ExitCode
+from ..logs import configure_logs
+from ..steering.settings import SteeringSettings, load_steering_settings
+from .store import PlatformStore
+from .wire import PlatformWire
+
+SETTINGS_VARIABLE = 'GREENGAGEPATH_BOOT'
+
+
+def main() -> ExitCode:
+    """Run the role named by the first argument until it is stopped."""
+    role = sys.argv[1] if len(sys.argv) > 1 else ''
+    loaded = load_steering_settings(os.environ.get(SETTINGS_VARIABLE, ''))
+    if isinstance(loaded, Err):
+        sys.stderr.write(f'{loaded.err_value}\n')
+        return ExitCode.BAD_USAGE
+    settings = loaded.ok_value
+    configure_logs(settings.logs, role, settings.member_id)
+    return _run(role, settings)
+
+
+def _run(role: str, settings: SteeringSettings) -> ExitCode:
+    if settings.store_address is None:
+        sys.stderr.write('store_address is missing\n')
+        return ExitCode.BAD_USAGE
+    store = PlatformStore(settings.store_address)
+    match role:
+        case 'balancer':
+            from ..daemon.steering_balancer import BalancerDaemon
+
+            return BalancerDaemon(settings, PlatformWire(), store).run()
+        case 'agent':
+            from ..daemon.steering_agent import AgentDaemon
+
+            return AgentDaemon(settings, PlatformWire(), store).run()
+    sys.stderr.write('usage: python -m greengagepath.platform balancer|agent\n')
+    return ExitCode.BAD_USAGE
+
+
+if __name__ == '__main__':
+    raise SystemExit(int(main()))
--- /dev/null
+++ b/greengagepath/platform/heartbeats.py
@@ -0,0 +1,62 @@
+"""Heartbeats that targets send to the agent on their VM."""
+
+import json
+from typing import Any
+
+from result import Err, Ok, Result
+
+from ..steering.target_gate import Heartbeat
+
+PATH_PREFIX = '/endpoints/'
+ACKNOWLEDGEMENT = b'{}'
+_DRAINING_BY_STATE = {'ready': False, 'draining': True}
+_MAX_ID_CHARACTERS = 200
+
+
+def decode_target_id(path: str) -> str | None:
+    """Return the target's id of a call's path, None for other paths."""
+    if not path.startswith(PATH_PREFIX):
+        return None
+    target_id = path[len(PATH_PREFIX) :].partition('?')[0]
+    if not target_id or len(target_id) > _MAX_ID_CHARACTERS:
+        return None
+    return target_id
+
+
+def decode_heartbeat(
+    target_id: str, body: bytes, service: str
+) -> Result[Heartbeat, str]:
+    """Return the heartbeat, or why it names no target of `service`."""
+    try:
+        found = json.loads(body)
+    except (ValueError, RecursionError):
+        return Err('heartbeat is not JSON')
+    if not isinstance(found, dict):
+        return Err('heartbeat is not an object')
+    if found.get('service') != service:
+        return Err('heartbeat names another service')
+    state = found.get('state')
+    if not isinstance(state, str) or state not in _DRAINING_BY_STATE:
+        return Err('state is unknown')
+    if not isinstance(found.get('address'), str):
+        return Err('address is not text')
+    numbers = [_whole(found, name) for name in ('sequence', 'slots')]
+    # An old target does not tell its start.
+    started_ms = _whole(found, 'born') if 'born' in found else 0
+    if None in numbers or started_ms is None:
+        return Err('a number is missing or not whole')
+    heartbeat = Heartbeat(
+        target_id,
+        started_ms=started_ms,
+        sequence=numbers[0] or 0,
+        slots=max(numbers[1] or 1, 1),
+        is_draining=_DRAINING_BY_STATE[state],
+    )
+    return Ok(heartbeat)
+
+
+def _whole(found: dict[str, Any], name: str) -> int | None:
+    number = found.get(name)
+    if isinstance(number, bool) or not isinstance(number, int) or number < 0:
+        return None
+    return number
--- /dev/null
+++ b/greengagepath/steering/agent_peers.py
@@ -0,0 +1,109 @@
+"""Balancers and agents that an agent tells of its target."""
+
+from ..timers import TimerService
+from .homes import HomeTable
+from .peer_messages import LoadReport, ReportedState, Roster
+from .placement import PeerLoad
+
+# Contacts named by the store or a roster stay this long unheard.
+FORGET_S = 60.0
+MAX_CONTACTS = 1000
+
+
+class AgentPeers:
+    """Contacts of one agent, learned from any of them.
+
+    `homes` ranks all agents of the service that are not known to be
+    absent, with the agent itself.
+    """
+
+    def __init__(self, own_address: bytes, timers: TimerService) -> None:
+        self.own_address = own_address
+        self.homes = HomeTable([own_address])
+        self.load_by_address: dict[bytes, PeerLoad] = {}
+        self._timers = timers
+        self._balancer_seen_s: dict[bytes, float] = {}
+        self._agent_seen_s: dict[bytes, float] = {}
+
+    @property
+    def balancers(self) -> list[bytes]:
+        """Return the addresses of the balancers."""
+        return list(self._balancer_seen_s)
+
+    @property
+    def agents(self) -> list[bytes]:
+        """Return the addresses of the other agents of the service."""
+        return list(self._agent_seen_s)
+
+    @property
+    def loads(self) -> list[PeerLoad]:
+        """Return what is known of the other targets."""
+        return list(self.load_by_address.values())
+
+    def note_balancer(self, address: bytes) -> bool:
+        """Note a live balancer; True if it is new."""
+        return self._note(self._balancer_seen_s, address)
+
+    def take_roster(self, roster: Roster) -> list[bytes]:
+        """Add unknown contacts; return them."""
+        added = []
+        for seen_s, addresses in (
+            (self._balancer_seen_s, roster.balancers),
+            (self._agent_seen_s, roster.agents),
+        ):
+            for address in addresses:
+                is_unknown = address not in seen_s
+                if is_unknown and self._note(seen_s, address):
+                    added.append(address)
+        return added
+
+    def take_report(self, address: bytes, report: LoadReport) -> bool:
+        """Take the load of another target; True if its agent is new."""
+        if address == self.own_address:
+            return False
+        is_new = self._note(self._agent_seen_s, address)
+        load = self.load_by_address.get(address)
+        if load is None:
+            load = PeerLoad(address)
+            self.load_by_address[address] = load
+        was_absent = load.report.state is ReportedState.ABSENT
+        load.take_report(report, self._timers.now())
+        if was_absent != (report.state is ReportedState.ABSENT):
+            self._rank()
+        return is_new
+
+    def remove_agent(self, address: bytes) -> None:
+        """Forget an agent that now serves another service."""
+        self._agent_seen_s.pop(address, None)
+        if self.load_by_address.pop(address, None):
+            self._rank()
+
+    def forget_silent(self) -> None:
+        """Drop contacts that were not heard for `FORGET_S`."""
+        before_s = self._timers.now() - FORGET_S
+        for seen_s in (self._balancer_seen_s, self._agent_seen_s):
+            for address in [
+                address
+                for address, heard_s in seen_s.items()
+                if heard_s < before_s
+            ]:
+                del seen_s[address]
+                if self.load_by_address.pop(address, None):
+                    self._rank()
+
+    def _note(self, seen_s: dict[bytes, float], address: bytes) -> bool:
+        if address == self.own_address:
+            return False
+        is_new = address not in seen_s
+        if is_new and len(seen_s) >= MAX_CONTACTS:
+            return False
+        seen_s[address] = self._timers.now()
+        return is_new
+
+    def _rank(self) -> None:
+        present = [
+            load.address
+            for load in self.load_by_address.values()
+            if load.report.state is not ReportedState.ABSENT
+        ]
+        self.homes = HomeTable([*present, self.own_address])
--- /dev/null
+++ b/greengagepath/steering/held_flows.py
@@ -0,0 +1,167 @@
+"""Flows that the target beside an agent holds."""
+
+from collections.abc import Iterator
+
+from .segments import Segment
+from .service_times import ServiceTime
+
+MAX_FLOWS = 20000
+# The caller's request follows the opening packet within a round trip.
+REQUEST_EXPECTED_S = 0.5
+# A request in progress for longer is not counted as load.
+MAX_WORK_S = 10.0
+# Late packets of a closed flow are still answered by the target.
+CLOSED_KEPT_S = 3.0
+# Acknowledgements lie at most this far above the first sequence number.
+MAX_SENT_BYTES = 2**28
+_SEQUENCE_MASK = 2**32 - 1
+
+
+class HeldFlow:
+    """One flow at the target.
+
+    `opening` is kept until the target answers, to hand it over;
+    `first_sequence` is the target's, None if its answer was not seen.
+    """
+
+    __slots__ = (
+        'balancer',
+        'first_sequence',
+        'hops',
+        'is_answered',
+        'is_closed',
+        'opening',
+        'started_alone',
+        'used_s',
+        'work_since_s',
+    )
+
+    def __init__(self, balancer: bytes, hops: int, now_s: float) -> None:
+        self.balancer = balancer
+        self.hops = hops
+        self.opening: Segment | None = None
+        self.first_sequence: int | None = None
+        self.is_answered = False
+        self.is_closed = False
+        self.used_s = now_s
+        self.work_since_s: float | None = None
+        self.started_alone = False
+
+    def owns(self, segment: Segment) -> bool:
+        """Return whether the caller's packet belongs to this opening.
+
+        Two targets may answer copies of one opening packet; the caller
+        acknowledges the first sequence number of one of them.
+        """
+        if not self.is_answered:
+            return False
+        if self.first_sequence is None or not segment.has_acknowledgement:
+            return True
+        ahead = (segment.acknowledged - self.first_sequence) & _SEQUENCE_MASK
+        return ahead < MAX_SENT_BYTES
+
+
+class HeldFlows:
+    """All flows of the target, and the work they cause."""
+
+    def __init__(self) -> None:
+        self.by_flow: dict[bytes, HeldFlow] = {}
+        self.service_time = ServiceTime()
+        self._expected_s: dict[bytes, float] = {}
+        self._working_s: dict[bytes, float] = {}
+
+    @property
+    def load(self) -> int:
+        """Return requests in progress and those about to come."""
+        return len(self._expected_s) + len(self._working_s)
+
+    def accept(
+        self, segment: Segment, balancer: bytes, hops: int, now_s: float
+    ) -> HeldFlow:
+        """Add the flow of an opening packet that goes to the target."""
+        held = HeldFlow(balancer, hops, now_s)
+        held.opening = segment
+        self._add(segment.flow, held)
+        self._expected_s[segment.flow] = now_s
+        return held
+
+    def learn(self, flow: bytes, now_s: float) -> HeldFlow:
+        """Add a flow that was opened before this process started."""
+        held = HeldFlow(b'', 0, now_s)
+        held.is_answered = True
+        self._add(flow, held)
+        return held
+
+    def note_request(
+        self, flow: bytes, held: HeldFlow, slots: int, now_s: float
+    ) -> None:
+        """Note data on its way to the target."""
+        held.used_s = now_s
+        self._expected_s.pop(flow, None)
+        if held.work_since_s is None:
+            held.work_since_s = now_s
+            held.started_alone = len(self._working_s) < slots
+            self._working_s[flow] = now_s
+
+    def note_response(self, flow: bytes, held: HeldFlow, now_s: float) -> None:
+        """Note data from the target, which ends the work."""
+        held.used_s = now_s
+        if held.work_since_s is not None:
+            if held.started_alone and flow in self._working_s:
+                self.service_time.add(now_s - held.work_since_s)
+            held.work_since_s = None
+            self._working_s.pop(flow, None)
+
+    def note_closed(self, flow: bytes, held: HeldFlow, now_s: float) -> None:
+        """Note that the target ended the flow."""
+        held.is_closed = True
+        held.used_s = now_s
+        self._expected_s.pop(flow, None)
+        self._working_s.pop(flow, None)
+
+    def remove(self, flow: bytes) -> HeldFlow | None:
+        """Forget a flow that the target does not hold."""
+        self._expected_s.pop(flow, None)
+        self._working_s.pop(flow, None)
+        return self.by_flow.pop(flow, None)
+
+    def clear(self) -> None:
+        """Forget all flows, which a restarted target has lost."""
+        self.by_flow.clear()
+        self._expected_s.clear()
+        self._working_s.clear()
+        self.service_time = ServiceTime()
+
+    def unanswered(self, before_s: float) -> Iterator[tuple[bytes, HeldFlow]]:
+        """Yield flows whose opening was sent before and is not answered."""
+        for flow in tuple(self._expected_s):
+            held = self.by_flow[flow]
+            if not held.is_answered and held.used_s < before_s:
+                yield flow, held
+
+    def sweep(self, now_s: float, idle_s: float) -> None:
+        """Drop closed and idle flows, and work that takes too long."""
+        _drop_older(self._expected_s, now_s - REQUEST_EXPECTED_S)
+        _drop_older(self._working_s, now_s - MAX_WORK_S)
+        closed_before_s = now_s - CLOSED_KEPT_S
+        idle_before_s = now_s - idle_s
+        old = [
+            flow
+            for flow, held in self.by_flow.items()
+            if held.used_s < idle_before_s
+            or (held.is_closed and held.used_s < closed_before_s)
+        ]
+        for flow in old:
+            self.remove(flow)
+
+    def _add(self, flow: bytes, held: HeldFlow) -> None:
+        if len(self.by_flow) >= MAX_FLOWS:
+            self.remove(next(iter(self.by_flow)))
+        self.by_flow[flow] = held
+
+
+def _drop_older(since_by_flow: dict[bytes, float], before_s: float) -> None:
+    for flow in [
+        flow for flow, since_s in since_by_flow.items() if since_s < before_s
+    ]:
+        del since_by_flow[flow]
--- /dev/null
+++ b/greengagepath/steering/homes.py
@@ -0,0 +1,36 @@
+"""Home agents of flows by rendezvous hashing."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+class HomeTable:
+    """Agents of one service, ranked for each flow.
+
+    Built from the same addresses in any order, two tables rank them
+    identically, so that balancers and agents agree without a message.
+    """
+
+    __slots__ = ('addresses', '_seeds')
+
+    def __init__(self, addresses: Iterable[bytes]) -> None:
+        self.addresses = tuple(sorted(addresses))
+        self._seeds = tuple(
+            (xxhash.xxh3_64_intdigest(address), address)
+            for address in self.addresses
+        )
+
+    def rank(self, flow: bytes) -> list[bytes]:
+        """Return all agents, the home first."""
+        digest = xxhash.xxh3_64_intdigest
+        races = [(digest(flow, seed), address) for seed, address in self._seeds]
+        races.sort()
+        return [address for _, address in races]
+
+    def find_home(self, flow: bytes) -> bytes | None:
+        """Return the home, None if there is no agent."""
+        digest = xxhash.xxh3_64_intdigest
+        if not self._seeds:
+            return None
+        return min((digest(flow, seed), address) for seed, address in self._seeds)[1]
--- /dev/null
+++ b/greengagepath/steering/peer_messages.py
@@ -0,0 +1,207 @@
+"""Datagrams between balancers and agents.
+
+All start with the same header: kind, hops, flags, digest of the
+service, address of a balancer and the highest configuration version
+that the sender has seen.
+"""
+
+import hashlib
+import struct
+from enum import IntEnum, unique
+
+from result import Err, Ok, Result
+
+HEADER = struct.Struct('!BBH8s4sQ')
+NO_SERVICE = bytes(8)
+NO_ADDRESS = bytes(4)
+MAX_VERSION = 2**64 - 1
+ADDRESS_BYTES = 4
+# Addresses of one roster; a datagram stays below 1,300 B.
+MAX_ROSTER = 300
+_REPORT = struct.Struct('!QIHHfB')
+_COUNT = struct.Struct('!H')
+
+
+@unique
+class PeerKind(IntEnum):
+    """What a datagram between processes carries."""
+
+    # A caller's packet: opening, to the home of its flow.
+    OPEN = 1
+    # A caller's packet: opening, to the agent chosen by another agent.
+    PLACE = 2
+    # A caller's packet of an open flow, from a balancer.
+    FORWARD = 3
+    # The same, from the home of its flow to the owner.
+    RELAY = 4
+    # The same, to every agent of the service.
+    SEARCH = 5
+    # The sender's target holds the flow in the body.
+    HELD = 6
+    # Load and state of the sender's target.
+    REPORT = 7
+    # The sender is a balancer; the body is a roster.
+    PRESENCE = 8
+    # The sender asks for the configuration that the receiver holds.
+    PULL = 9
+    # One part of a configuration.
+    PART = 10
+
+
+class PeerMessage:
+    """A datagram from another process of the system."""
+
+    __slots__ = ('balancer', 'body', 'hops', 'kind', 'service', 'version')
+
+    def __init__(
+        self,
+        kind: PeerKind,
+        service: bytes,
+        *,
+        hops: int = 0,
+        balancer: bytes = NO_ADDRESS,
+        version: int = 0,
+        body: bytes = b'',
+    ) -> None:
+        self.kind = kind
+        self.service = service
+        self.hops = hops
+        self.balancer = balancer
+        self.version = version
+        self.body = body
+
+    def encode(self) -> bytes:
+        """Return the datagram."""
+        head = HEADER.pack(
+            self.kind,
+            self.hops,
+            0,
+            self.service,
+            self.balancer,
+            self.version,
+        )
+        return head + self.body
+
+
+@unique
+class ReportedState(IntEnum):
+    """State of a target in a report."""
+
+    READY = 1
+    # Serves its flows and takes no new ones.
+    DRAINING = 2
+    # Has left or does not answer.
+    ABSENT = 3
+
+
+class LoadReport:
+    """What an agent says of its target.
+
+    `started_ms` is the target's start in ms since the epoch, 0 if not
+    known yet; `load` counts requests in progress and flows opened
+    without a request; `service_s` is the usual time of a request.
+    """
+
+    __slots__ = ('load', 'service_s', 'slots', 'started_ms', 'state')
+
+    def __init__(
+        self,
+        state: ReportedState,
+        *,
+        started_ms: int = 0,
+        slots: int = 1,
+        load: int = 0,
+        service_s: float = 0,
+    ) -> None:
+        self.state = state
+        self.started_ms = started_ms
+        self.slots = slots
+        self.load = load
+        self.service_s = service_s
+
+    def encode(self) -> bytes:
+        """Return the body of a REPORT."""
+        return _REPORT.pack(
+            self.started_ms,
+            0,
+            min(self.slots, 0xFFFF),
+            min(self.load, 0xFFFF),
+            self.service_s,
+            self.state,
+        )
+
+
+class Roster:
+    """Addresses of balancers, and of the agents of one service."""
+
+    __slots__ = ('agents', 'balancers')
+
+    def __init__(self, balancers: list[bytes], agents: list[bytes]) -> None:
+        self.balancers = balancers
+        self.agents = agents
+
+    def encode(self) -> bytes:
+        """Return the body of a PRESENCE; addresses past the limit are cut."""
+        balancers = self.balancers[: MAX_ROSTER // 2]
+        agents = self.agents[: MAX_ROSTER - len(balancers)]
+        return _COUNT.pack(len(balancers)) + b''.join(balancers + agents)
+
+
+def digest_service(name: str) -> bytes:
+    """Return the 8 bytes that name a service in datagrams."""
+    return hashlib.blake2b(name.encode(), digest_size=8).digest()
+
+
+def decode_message(datagram: bytes) -> Result[PeerMessage, str]:
+    """Return the message, or why the datagram is none."""
+    if len(datagram) < HEADER.size:
+        return Err('datagram is shorter than a header')
+    kind, hops, _, service, balancer, version = HEADER.unpack_from(datagram)
+    if kind not in _KINDS:
+        return Err(f'kind {kind} is unknown')
+    message = PeerMessage(
+        _KINDS[kind],
+        service,
+        hops=hops,
+        balancer=balancer,
+        version=version,
+        body=datagram[HEADER.size :],
+    )
+    return Ok(message)
+
+
+def decode_report(body: bytes) -> Result[LoadReport, str]:
+    """Return the report of a REPORT, or why the body is none."""
+    if len(body) != _REPORT.size:
+        return Err(f'report of {len(body)} B')
+    started_ms, _, slots, load, service_s, state = _REPORT.unpack(body)
+    if state not in _STATES or not 0 <= service_s < _MAX_SERVICE_S:
+        return Err('report holds values out of range')
+    report = LoadReport(
+        _STATES[state],
+        started_ms=started_ms,
+        slots=max(slots, 1),
+        load=load,
+        service_s=service_s,
+    )
+    return Ok(report)
+
+
+def decode_roster(body: bytes) -> Result[Roster, str]:
+    """Return the roster of a PRESENCE, or why the body is none."""
+    if len(body) < _COUNT.size:
+        return Err('roster without a count')
+    count = _COUNT.unpack_from(body)[0]
+    listed = body[_COUNT.size :]
+    if len(listed) % ADDRESS_BYTES or count * ADDRESS_BYTES > len(listed):
+        return Err('roster is cut')
+    addresses = [
+        listed[start : start + ADDRESS_BYTES]
+        for start in range(0, len(listed), ADDRESS_BYTES)
+    ]
+    return Ok(Roster(addresses[:count], addresses[count:]))
+
+
+_KINDS = {int(kind): kind for kind in PeerKind}
+_STATES = {int(state): state for state in ReportedState}
+_MAX_SERVICE_S = 3600.0
--- /dev/null
+++ b/greengagepath/steering/placement.py
@@ -0,0 +1,91 @@
+"""Which target gets a new flow.
+
+Load pattern: flows carry one request each, demand triples within
+seconds, targets differ in speed by up to three times and hold a few
+requests at once. Each new flow goes where it is expected to finish
+first; reports are up to `STALE_S` old, so placements of one's own since
+then are added.
+"""
+
+from .peer_messages import LoadReport, ReportedState
+from .service_times import DEFAULT_S
+
+# Reports come at least every 100 ms; three lost in a row mean that the
+# agent does not run or cannot be reached.
+SILENT_S = 0.35
+# A report left its agent this long before it arrived, so placements
+# this young are not in it.
+REPORT_TRANSIT_S = 0.003
+
+
+class PeerLoad:
+    """What an agent believes of one target of its service."""
+
+    __slots__ = ('address', 'heard_s', 'report', '_placed_s')
+
+    def __init__(self, address: bytes) -> None:
+        self.address = address
+        self.report = LoadReport(ReportedState.ABSENT)
+        self.heard_s = -SILENT_S
+        self._placed_s: list[float] = []
+
+    def take_report(self, report: LoadReport, now_s: float) -> None:
+        """Replace the load; placements in transit stay added."""
+        self.report = report
+        self.heard_s = now_s
+        if self._placed_s:
+            since_s = now_s - REPORT_TRANSIT_S
+            self._placed_s = [at_s for at_s in self._placed_s if at_s > since_s]
+
+    def note_placement(self, now_s: float) -> None:
+        """Add a flow that was sent to the target."""
+        self._placed_s.append(now_s)
+
+    def is_usable(self, now_s: float) -> bool:
+        """Return whether the target takes new flows."""
+        if self.report.state is not ReportedState.READY:
+            return False
+        return now_s - self.heard_s < SILENT_S
+
+    def estimate_load(self) -> int:
+        """Return requests and opened flows believed to be there."""
+        return self.report.load + len(self._placed_s)
+
+
+def estimate_finish_s(
+    load: int, slots: int, service_s: float, usual_s: float
+) -> float:
+    """Return how long a request takes that starts now, in seconds.
+
+    `usual_s` stands in for a target that has not served a request yet.
+    """
+    each_s = service_s or usual_s or DEFAULT_S
+    waiting = max(load - slots + 1, 0)
+    return each_s * (1 + waiting / slots)
+
+
+def find_usual_s(loads: list[PeerLoad]) -> float:
+    """Return the mean service time of targets that have one, or 0."""
+    known = [load.report.service_s for load in loads if load.report.service_s]
+    return sum(known) / len(known) if known else 0.0
+
+
+def choose_peer(
+    loads: list[PeerLoad], now_s: float, excluded: bytes = b''
+) -> tuple[float, PeerLoad] | None:
+    """Return the target that should finish first and in how many seconds.
+
+    None if no target takes new flows.
+    """
+    usual_s = find_usual_s(loads)
+    best: tuple[float, PeerLoad] | None = None
+    for load in loads:
+        if load.address == excluded or not load.is_usable(now_s):
+            continue
+        report = load.report
+        finish_s = estimate_finish_s(
+            load.estimate_load(), report.slots, report.service_s, usual_s
+        )
+        if best is None or finish_s < best[0]:
+            best = (finish_s, load)
+    return best
--- /dev/null
+++ b/greengagepath/steering/recent_map.py
@@ -0,0 +1,50 @@
+"""Bounded map whose idle entries expire."""
+
+from typing import Generic, TypeVar
+
+Key = TypeVar('Key')
+Value = TypeVar('Value')
+
+
+class RecentMap(Generic[Key, Value]):
+    """Keeps entries used within the last one to two rotations.
+
+    An entry is used when it is put or found. `limit` bounds each of the
+    two generations; a full one is rotated early, which drops the
+    entries that were not used since the last rotation.
+    """
+
+    __slots__ = ('_current', '_limit', '_previous')
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._current: dict[Key, Value] = {}
+        self._previous: dict[Key, Value] = {}
+
+    def __len__(self) -> int:
+        return len(self._current) + len(self._previous)
+
+    def get(self, key: Key) -> Value | None:
+        """Return the value and keep it for another rotation."""
+        found = self._current.get(key)
+        if found is None:
+            found = self._previous.pop(key, None)
+            if found is not None:
+                self.put(key, found)
+        return found
+
+    def put(self, key: Key, entry: Value) -> None:
+        """Remember the value."""
+        if len(self._current) >= self._limit:
+            self.rotate()
+        self._current[key] = entry
+
+    def discard(self, key: Key) -> None:
+        """Forget the value, if there is one."""
+        self._current.pop(key, None)
+        self._previous.pop(key, None)
+
+    def rotate(self) -> None:
+        """Drop what was not used since the last rotation."""
+        self._previous = self._current
+        self._current = {}
--- /dev/null
+++ b/greengagepath/steering/routes.py
@@ -0,0 +1,110 @@
+"""Routes of the configuration in force."""
+
+from result import Err, Ok, Result
+
+import xxhash
+
+_SPLIT_SEED = 0x5B
+
+
+class ServiceShare:
+    """Digest of a service and its share of the new flows of a route."""
+
+    __slots__ = ('service', 'weight')
+
+    def __init__(self, service: bytes, weight: float) -> None:
+        self.service = service
+        self.weight = weight
+
+
+class Route:
+    """Where new flows to one address and port go.
+
+    `time_budget_s` is how long a caller waits; 0 is the highest
+    `priority`.
+    """
+
+    __slots__ = ('name', 'priority', 'shares', 'time_budget_s')
+
+    def __init__(
+        self,
+        name: str,
+        shares: tuple[ServiceShare, ...],
+        *,
+        time_budget_s: float = 0,
+        priority: int = 0,
+    ) -> None:
+        self.name = name
+        self.shares = shares
+        self.time_budget_s = time_budget_s
+        self.priority = priority
+
+    def choose_service(self, flow: bytes) -> bytes | None:
+        """Return the service of a new flow; all copies get the same."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        total = sum(share.weight for share in self.shares)
+        if total <= 0:
+            return None
+        drawn = xxhash.xxh3_64_intdigest(flow, _SPLIT_SEED) / 2**64 * total
+        for share in self.shares:
+            drawn -= share.weight
+            if drawn < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+class RouteTable:
+    """Routes of one version, by packed address and port of callers."""
+
+    __slots__ = ('by_destination', 'version')
+
+    def __init__(self, version: int, by_destination: dict[bytes, Route]):
+        self.version = version
+        self.by_destination = by_destination
+
+
+class RouteHolder:
+    """Applies only higher versions and knows whether it is behind."""
+
+    __slots__ = ('latest_seen', 'table')
+
+    def __init__(self) -> None:
+        self.table: RouteTable | None = None
+        self.latest_seen = 0
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 if there is none."""
+        return self.table.version if self.table else 0
+
+    @property
+    def is_behind(self) -> bool:
+        """Return whether a higher version than that in force exists."""
+        return self.latest_seen > self.version
+
+    def note_version(self, version: int) -> bool:
+        """Take a version that a peer has seen; True if it is news."""
+        if version <= self.latest_seen:
+            return False
+        self.latest_seen = version
+        return self.is_behind
+
+    def offer(self, table: RouteTable) -> Result[RouteTable, str]:
+        """Put the table in force unless one as new is."""
+        if self.table and table.version <= self.version:
+            return Err(f'version {table.version} is not above {self.version}')
+        self.table = table
+        self.latest_seen = max(self.latest_seen, table.version)
+        return Ok(table)
+
+    def find(self, flow: bytes) -> Route | None:
+        """Return the route of a flow, None if no route has its address."""
+        if self.table is None:
+            return None
+        return self.table.by_destination.get(pack_destination(flow))
+
+
+def pack_destination(flow: bytes) -> bytes:
+    """Return destination port and address of a flow as one key."""
+    return flow[2:8]
--- /dev/null
+++ b/greengagepath/steering/settings.py
@@ -0,0 +1,127 @@
+"""Settings of the steering daemons, read from one TOML file."""
+
+import ipaddress
+import tomllib
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+
+from .peer_messages import ADDRESS_BYTES
+
+Address = tuple[str, int]
+
+MAX_PORT = 65535
+
+
+class LogOptions:
+    """Style, lowest level and repeats of one event in a second."""
+
+    __slots__ = ('level', 'repeats_per_s', 'style')
+
+    def __init__(self) -> None:
+        self.level = 'INFO'
+        self.style = 'json'
+        self.repeats_per_s = 5.0
+
+
+class SteeringSettings:
+    """Who this process is, where it listens and whom it knows.
+
+    Addresses that belong to the other role are None.
+    """
+
+    __slots__ = (
+        'address',
+        'availability_zone',
+        'data_address',
+        'first_start',
+        'flow_lifetime_s',
+        'heartbeat_address',
+        'heartbeat_ms',
+        'logs',
+        'member_id',
+        'peer_ports',
+        'readiness_address',
+        'seeds',
+        'service',
+        'store_address',
+        'target_address',
+        'target_outbound_address',
+        'termination_s',
+    )
+
+    def __init__(self, found: dict[str, Any]) -> None:
+        self.logs = LogOptions()
+        self.member_id: str = found['member_id']
+        self.availability_zone: str = found['availability_zone']
+        self.address = ipaddress.IPv4Address(found['address']).packed
+        self.data_address = _parse_address(found['data_address'])
+        self.readiness_address = _parse_address(found['readiness_address'])
+        self.heartbeat_address = _parse_address(found['heartbeat_address'])
+        self.target_outbound_address = _parse_address(
+            found['target_outbound_address']
+        )
+        self.target_address = _parse_address(found['target_address'])
+        self.service: str = found['service']
+        first, _, last = found['peer_ports'].partition(',')
+        self.peer_ports = (int(first), int(last or first))
+        self.seeds = [
+            seed
+            for seed in map(_parse_address, found['seeds'].split(','))
+            if seed is not None
+        ]
+        self.store_address = _parse_address(found['store_address'])
+        self.first_start = bool(found['first_start'])
+        self.heartbeat_ms = float(found['heartbeat_ms'])
+        self.termination_s = float(found['termination_s'])
+        self.flow_lifetime_s = float(found['flow_lifetime_s'])
+
+    @property
+    def host(self) -> str:
+        """Return the VM's address as text."""
+        return format_address(self.address)
+
+    @property
+    def balancer_port(self) -> int:
+        """Return the UDP port of balancers for other processes."""
+        return self.peer_ports[0]
+
+    @property
+    def agent_port(self) -> int:
+        """Return the UDP port of agents for other processes."""
+        return self.peer_ports[0] + 1
+
+
+def load_steering_settings(path: str) -> Result[SteeringSettings, str]:
+    """Return the settings, or what is wrong with the file."""
+    try:
+        return Ok(SteeringSettings(tomllib.loads(Path(path).read_text())))
+    except KeyError as error:
+        return Err(f'{path}: {error.args[0]} is missing')
+    except (OSError, ValueError, TypeError, AttributeError) as error:
+        return Err(f'{path}: {error}')
+
+
+def pack_address(host: str) -> bytes | None:
+    """Return the 4 bytes of an IPv4 address, None if it is none."""
+    try:
+        return ipaddress.IPv4Address(host).packed
+    except ValueError:
+        return None
+
+
+def format_address(address: bytes) -> str:
+    """Return four bytes as an IPv4 address in text."""
+    return '.'.join(str(octet) for octet in address[:ADDRESS_BYTES])
+
+
+def _parse_address(text: str) -> Address | None:
+    if not text:
+        return None
+    host, _, port = text.rpartition(':')
+    ipaddress.IPv4Address(host)
+    number = int(port)
+    if not 0 < number <= MAX_PORT:
+        raise ValueError(f'{text} has no valid port')
+    return (host, number)
