Wait for earlier balancers of the zone before going out of rotation

A balancer that is told to stop stays ready until those that left before it are back, as far as the time it has allows.

--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -3,7 +3,6 @@
 import logging
 import random
 import signal
-from collections.abc import Callable
 from typing import Protocol
 
 import gevent
@@ -14,6 +13,7 @@
 from ..logs import log_event
 from ..steering.balancer_steering import BalancerSteering
 from ..steering.peer_messages import decode_message
+from ..steering.rotation import BalancerStage
 from ..steering.segments import Segment
 from ..steering.settings import SteeringSettings, pack_address
 from ..steering.store import Member, MemberRole, SteeringStore
@@ -27,8 +27,10 @@
 READINESS_PATH = '/ready'
 # The fabric stops sending after two probes, one each 500 ms; packets
 # that are under way follow.
-LEAVE_S = 3.5
-LEAVE_RESERVE_S = 1.0
+LEAVE_S = 1.9
+# The process ends this long before it would be killed.
+LEAVE_RESERVE_S = 0.6
+LEAVE_POLL_S = 0.1
 # A balancer without agents for this long serves to refuse truthfully.
 READY_WITHOUT_AGENTS_S = 4.0
 
@@ -63,7 +65,11 @@
         self._stopping = Event()
         self._is_leaving = False
         self.steering = BalancerSteering(
-            settings.address, self._timers, self, self._note_behind
+            settings.address,
+            settings.availability_zone,
+            self._timers,
+            self,
+            self._note_behind,
         )
         counts = self.steering.counts
         data_address = settings.data_address or (settings.host, 0)
@@ -104,13 +110,26 @@
         self._listing.start()
         log_event(_logger, 'balancer.started')
         self._stopping.wait()
-        self._is_leaving = True
-        log_event(_logger, 'balancer.leaving', **self.steering.counts)
-        limit_s = self._settings.termination_s - LEAVE_RESERVE_S
-        gevent.sleep(max(min(LEAVE_S, limit_s), 0))
+        self._leave()
         log_event(_logger, 'balancer.stopped', **self.steering.counts)
         return ExitCode.OK
 
+    def _leave(self) -> None:
+        """Go out of rotation when others are in, and forward till then."""
+        asked_s = self._timers.now()
+        log_event(_logger, 'balancer.leaving', **self.steering.counts)
+        self.steering.rotation.ask_to_leave()
+        self.steering.enter_stage(BalancerStage.LEAVING)
+        limit_s = self._settings.termination_s - LEAVE_S - LEAVE_RESERVE_S
+        while not self.steering.rotation.may_leave():
+            if self._timers.now() - asked_s >= limit_s:
+                break
+            gevent.sleep(LEAVE_POLL_S)
+        self._is_leaving = True
+        waited_s = round(self._timers.now() - asked_s, 3)
+        log_event(_logger, 'balancer.out_of_rotation', waited_s=waited_s)
+        gevent.sleep(LEAVE_S)
+
     def to_agent(self, address: bytes, datagram: bytes) -> None:
         """Send to an agent."""
         self._peers.send(datagram, self._agents_at.find(address))
@@ -159,11 +178,14 @@
         if self._is_leaving or self.steering.routes.table is None:
             return False
         age_s = self._timers.now() - self._started_s
-        return self.steering.has_agents or age_s > READY_WITHOUT_AGENTS_S
+        if not self.steering.has_agents and age_s < READY_WITHOUT_AGENTS_S:
+            return False
+        if self.steering.stage is BalancerStage.STARTING:
+            log_event(_logger, 'balancer.ready', after_s=round(age_s, 3))
+            self.steering.enter_stage(BalancerStage.READY)
+        return True
 
 
 def _ignore_reload() -> None:
     log_event(_logger, 'settings.unchanged')
 
-
-Runner = Callable[[], ExitCode]
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -17,8 +17,10 @@
     ReportedState,
     Roster,
     decode_report,
+    digest_service,
 )
 from .recent_map import RecentMap
+from .rotation import BalancerStage, Rotation
 from .routes import Route, RouteHolder, RouteTable
 from .segments import Segment, describe_flow
 
@@ -61,6 +63,22 @@
         self.heard_s = heard_s
 
 
+    def holds_flows_of(self, service: bytes) -> bool:
+        """Return whether flows of the service may be at the target."""
+        is_present = self.state is not ReportedState.ABSENT
+        return is_present and self.service == service
+
+
+class FlowOwner:
+    """Agent that holds a flow, and the service it held it for."""
+
+    __slots__ = ('agent', 'service')
+
+    def __init__(self, agent: bytes, service: bytes) -> None:
+        self.agent = agent
+        self.service = service
+
+
 class ServiceAgents:
     """Agents of one service, ranked for new flows and for open ones."""
 
@@ -81,6 +99,7 @@
     def __init__(
         self,
         address: bytes,
+        availability_zone: str,
         timers: TimerService,
         outbox: BalancerOutbox,
         on_behind: Callable[[], None],
@@ -89,11 +108,16 @@
         self.routes = RouteHolder()
         self.agent_by_address: dict[bytes, KnownAgent] = {}
         self.balancer_seen_s: dict[bytes, float] = {}
+        self.rotation = Rotation(timers)
+        self.stage = BalancerStage.STARTING
+        self._zone = digest_service(availability_zone)
         self._address = address
         self._timers = timers
         self._outbox = outbox
         self._on_behind = on_behind
-        self._owner_by_flow: RecentMap[bytes, bytes] = RecentMap(MAX_OWNERS)
+        self._owner_by_flow: RecentMap[bytes, FlowOwner] = RecentMap(
+            MAX_OWNERS
+        )
         self._agents_by_service: dict[bytes, ServiceAgents] = {}
         self._started_s = timers.now()
         timers.subscribe(PRESENCE_S, self.announce)
@@ -120,11 +144,12 @@
             self._on_behind()
         match message.kind:
             case PeerKind.HELD:
-                self._owner_by_flow.put(message.body, sender)
+                owner = FlowOwner(sender, message.service)
+                self._owner_by_flow.put(message.body, owner)
             case PeerKind.REPORT:
                 self._take_report(sender, message)
             case PeerKind.PRESENCE:
-                self.balancer_seen_s[sender] = self._timers.now()
+                self._take_presence(sender, message)
             case _:
                 self.counts['dropped_unexpected'] += 1
 
@@ -161,10 +186,18 @@
             known = self._agents_by_service.get(agent.service)
             agents = list(known.known.addresses) if known else []
             self._greet(agent, Roster(balancers, agents))
-        presence = self._encode(PeerKind.PRESENCE, NO_SERVICE, b'')
+        presence = self._encode(
+            PeerKind.PRESENCE, self._zone, b'', hops=self.stage
+        )
         for address in self.balancer_seen_s:
             self._outbox.to_balancer(address, presence)
 
+    def enter_stage(self, stage: BalancerStage) -> None:
+        """Take a stage of this balancer's life and tell the others."""
+        if stage is not self.stage:
+            self.stage = stage
+            self.announce()
+
     # Packets of callers
 
     def _open(self, segment: Segment) -> None:
@@ -174,14 +207,12 @@
             self._refuse_route(flow)
             return
         service = route.choose_service(flow)
-        owner = self._owner_by_flow.get(flow)
-        if owner is None:
-            owner = self._choose_home(service, segment)
-        if owner is None or service is None:
+        home = self._choose_home(service, segment)
+        if home is None or service is None:
             self._refuse_agent(flow, route)
             return
         self.counts['openings'] += 1
-        self._send(owner, PeerKind.OPEN, service, segment.raw)
+        self._send(home, PeerKind.OPEN, service, segment.raw)
 
     def _choose_home(
         self, service: bytes | None, segment: Segment
@@ -199,11 +230,11 @@
         flow = segment.flow
         owner = self._owner_by_flow.get(flow)
         if owner is not None:
-            agent = self.agent_by_address.get(owner)
-            if agent is not None and agent.state is not ReportedState.ABSENT:
+            agent = self.agent_by_address.get(owner.agent)
+            if agent is not None and agent.holds_flows_of(owner.service):
                 self.counts['packets_forwarded'] += 1
                 self._send(
-                    owner, PeerKind.FORWARD, agent.service, segment.raw
+                    owner.agent, PeerKind.FORWARD, owner.service, segment.raw
                 )
                 return
             self._owner_by_flow.discard(flow)
@@ -287,6 +318,11 @@
             agent.state = state
             self._rank()
 
+    def _take_presence(self, sender: bytes, message: PeerMessage) -> None:
+        self.balancer_seen_s[sender] = self._timers.now()
+        if message.service == self._zone and message.hops in _STAGES:
+            self.rotation.note(sender, _STAGES[message.hops])
+
     def _add_agent(self, address: bytes) -> KnownAgent:
         agent = KnownAgent(address, self._timers.now())
         self.agent_by_address[address] = agent
@@ -328,10 +364,13 @@
     ) -> None:
         self._outbox.to_agent(address, self._encode(kind, service, body))
 
-    def _encode(self, kind: PeerKind, service: bytes, body: bytes) -> bytes:
+    def _encode(
+        self, kind: PeerKind, service: bytes, body: bytes, hops: int = 0
+    ) -> bytes:
         message = PeerMessage(
             kind,
             service,
+            hops=hops,
             balancer=self._address,
             version=self.routes.latest_seen,
             body=body,
@@ -344,3 +383,4 @@
 
 
 NO_ROSTER = Roster([], [])
+_STAGES = {int(stage): stage for stage in BalancerStage}
--- a/greengagepath/steering/service_times.py
+++ b/greengagepath/steering/service_times.py
@@ -4,7 +4,6 @@
 # moves by at most this factor of itself for each request.
 MAX_RATIO = 3.0
 GAIN = 0.08
-FIRST_GAINS = 5
 DEFAULT_S = 0.03
 
 
@@ -27,6 +26,6 @@
         if self._samples == 1:
             self.usual_s = duration_s
             return
-        gain = max(GAIN, 1 / min(self._samples, FIRST_GAINS))
+        gain = max(GAIN, 1 / self._samples)
         taken_s = min(duration_s, self.usual_s * MAX_RATIO)
         self.usual_s += (taken_s - self.usual_s) * gain
--- /dev/null
+++ b/tests/steering/test_balancer_steering.py
@@ -0,0 +1,132 @@
+"""Decisions of a balancer without a network."""
+
+from testtools import TestCase
+
+from greengagepath.steering.balancer_steering import BalancerSteering
+from greengagepath.steering.peer_messages import PeerKind, ReportedState
+from greengagepath.steering.routes import RouteTable
+from greengagepath.timers import VirtualTimerService
+
+from .builders import (
+    OTHER_SERVICE,
+    SERVICE,
+    make_address,
+    make_answer,
+    make_data,
+    make_flow,
+    make_message,
+    make_opening,
+    make_report_message,
+    make_table,
+)
+from .recorder import RecordingOutbox
+
+OWN = make_address(1, network=9)
+AGENTS = [make_address(number) for number in range(1, 4)]
+
+
+class BalancerSteeringTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.timers = VirtualTimerService(start_s=100.0)
+        self.outbox = RecordingOutbox()
+        self.behind = 0
+        self.balancer = BalancerSteering(
+            OWN, 'zone-a', self.timers, self.outbox, self._note_behind
+        )
+        self.balancer.use_routes(make_table(version=5))
+        self._hear_agents()
+
+    def _note_behind(self) -> None:
+        self.behind += 1
+
+    def _hear_agents(self, **fields) -> None:
+        for address in AGENTS:
+            self.balancer.take_peer_message(
+                address, make_report_message(**fields)
+            )
+
+    def test_route_that_is_gone_is_refused_at_once(self):
+        # Guards against a caller that waits for a route that is not there.
+        self.balancer.use_routes(RouteTable(6, {}))
+        self.balancer.take_from_caller(make_opening(make_flow()))
+        self.assertEqual([make_flow()], self.outbox.resets)
+
+    def test_unknown_route_is_not_refused_while_behind(self):
+        # Guards against a refusal by an older version: the route may be
+        # in the version that a peer has shown.
+        self.balancer.take_peer_message(
+            AGENTS[0], make_report_message(version=9)
+        )
+        flow = make_flow(port=444)
+        self.balancer.take_from_caller(make_opening(flow))
+        self.assertEqual([], self.outbox.resets)
+        self.assertEqual(1, self.behind)
+
+    def test_lower_version_never_comes_into_force(self):
+        # Guards against a configuration that reverts after a stale read.
+        outcome = self.balancer.use_routes(RouteTable(4, {}))
+        self.assertTrue(outcome.is_err())
+        self.assertEqual(5, self.balancer.routes.version)
+
+    def test_version_that_was_seen_is_told_to_agents(self):
+        # Guards against balancers that stay behind a silent watch.
+        self.balancer.take_peer_message(
+            AGENTS[0], make_report_message(version=9)
+        )
+        self.balancer.announce()
+        versions = {message.version for _, message in self.outbox.at_agents[-3:]}
+        self.assertEqual({9}, versions)
+
+    def test_silent_agent_is_no_home_of_new_flows(self):
+        # Guards against opening packets for a VM without power.
+        self.timers.advance(0.8)
+        for address in AGENTS[1:]:
+            self.balancer.take_peer_message(address, make_report_message())
+        self.timers.advance(0.4)
+        for number in range(50):
+            self.balancer.take_from_caller(make_opening(make_flow(number)))
+        self.assertNotIn(AGENTS[0], self.outbox.placed_at())
+
+    def test_told_owner_gets_the_packets(self):
+        # Guards against a detour through the home for every packet.
+        flow = make_flow()
+        self.balancer.take_peer_message(
+            AGENTS[2], make_message(PeerKind.HELD, body=flow)
+        )
+        self.balancer.take_from_caller(make_data(flow))
+        address, message = self.outbox.at_agents[-1]
+        self.assertEqual(AGENTS[2], address)
+        self.assertEqual(PeerKind.FORWARD, message.kind)
+
+    def test_owner_that_now_serves_another_service_is_told_its_service(self):
+        # Guards against a packet that enters another service: the agent
+        # compares the service that the datagram names.
+        flow = make_flow()
+        self.balancer.take_peer_message(
+            AGENTS[2], make_message(PeerKind.HELD, body=flow)
+        )
+        self.balancer.take_peer_message(
+            AGENTS[2], make_report_message(service=OTHER_SERVICE)
+        )
+        self.balancer.take_from_caller(make_data(flow))
+        address, message = self.outbox.at_agents[-1]
+        self.assertNotEqual(AGENTS[2], address)
+        self.assertEqual(SERVICE, message.service)
+
+    def test_absent_target_does_not_keep_its_flows(self):
+        # Guards against packets for a target that has left.
+        flow = make_flow()
+        self.balancer.take_peer_message(
+            AGENTS[0], make_message(PeerKind.HELD, body=flow)
+        )
+        self.balancer.take_peer_message(
+            AGENTS[0], make_report_message(state=ReportedState.ABSENT)
+        )
+        self.balancer.take_from_caller(make_data(flow))
+        self.assertNotEqual(AGENTS[0], self.outbox.at_agents[-1][0])
+
+    def test_answer_of_a_target_from_outside_is_forged(self):
+        # Guards against a caller that pretends to be a target.
+        self.balancer.take_from_caller(make_answer(make_flow()))
+        self.assertEqual(1, self.balancer.counts['dropped_forged'])
--- /dev/null
+++ b/tests/steering/test_flow_survival.py
@@ -0,0 +1,138 @@
+"""Flows survive changes of balancers, agents and homes."""
+
+from testtools import TestCase
+
+from greengagepath.steering.homes import HomeTable
+
+from .builders import make_address, make_data, make_flow, make_opening
+from .world import World
+
+
+class FlowSurvivalTest(TestCase):
+    def test_flow_goes_on_through_a_balancer_that_has_just_started(self):
+        # Fails if a balancer needs to have seen the opening packet.
+        world = World()
+        flow = make_flow()
+        sequence = world.open(flow)
+        world.start_balancer(3)
+        # Agents answer the newcomer's greeting within a round trip.
+        world.timers.advance(0.01)
+        world.request(flow, sequence, balancer=3)
+        world.timers.advance(0.1)
+        self.assertEqual(1, world.count_runs(flow))
+        self.assertEqual(1, world.responses[flow])
+
+    def test_owner_is_found_after_its_home_was_lost(self):
+        # Fails if only the home knows where a flow was placed.
+        world = World()
+        flow = self._open_away_from_home(world)
+        home = self._find_home(world, flow)
+        sequence = world.answers[flow][0]
+        world.stop_agent(home)
+        world.timers.advance(1.5)
+        world.start_balancer(3)
+        world.timers.advance(0.3)
+        world.request(flow, sequence, balancer=3)
+        world.timers.advance(0.1)
+        self.assertEqual(1, world.count_runs(flow))
+
+    def test_agent_that_restarts_serves_flows_of_its_target(self):
+        # Fails if a restarted agent takes its own flows for strangers'.
+        world = World()
+        flow = make_flow()
+        sequence = world.open(flow)
+        holder = world.find_holder(flow)
+        world.stop_agent(holder)
+        world.start_agent(holder, is_first_start=False)
+        world.timers.advance(0.2)
+        world.request(flow, sequence)
+        world.timers.advance(0.2)
+        self.assertEqual(1, world.count_runs(flow))
+        self.assertEqual(1, world.responses[flow])
+
+    def test_flow_of_another_agent_passes_agents_that_all_restarted(self):
+        # Fails if young agents keep packets that their target returned.
+        world = World()
+        flow = make_flow()
+        sequence = world.open(flow)
+        for number in range(1, 5):
+            world.stop_agent(number)
+        for number in range(1, 5):
+            world.start_agent(number, is_first_start=False)
+        world.start_balancer(3)
+        world.timers.advance(0.3)
+        world.request(flow, sequence, balancer=3)
+        world.timers.advance(0.2)
+        self.assertEqual(1, world.count_runs(flow))
+
+    def test_copies_through_two_balancers_open_one_flow(self):
+        # Fails if each balancer places a copy for itself.
+        world = World()
+        flow = make_flow()
+        world.send(make_opening(flow), balancer=1)
+        world.send(make_opening(flow), balancer=2)
+        world.timers.advance(0.05)
+        holders = [
+            target
+            for target in world.target_by_address.values()
+            if flow in target.opened
+        ]
+        self.assertEqual(1, len(holders))
+
+    def test_copy_goes_to_another_home_when_the_first_is_dead(self):
+        # Fails if all copies wait for the same dead home.
+        world = World()
+        flow = make_flow()
+        home = self._find_home(world, flow)
+        world.stop_agent(home)
+        world.send(make_opening(flow))
+        world.timers.advance(0.2)
+        world.send(make_opening(flow, copy=1))
+        world.timers.advance(0.05)
+        self.assertEqual(1, len(world.answers[flow]))
+
+    def test_packet_reaches_the_target_whose_answer_was_acknowledged(self):
+        # Fails if the first target that opened a flow takes its packets
+        # although the caller chose the answer of the second.
+        world = World()
+        flow = make_flow()
+        world.open(flow)
+        first = world.find_holder(flow)
+        second = first % 4 + 1
+        other = world.target_by_address[make_address(second)]
+        world.send(make_opening(flow))
+        agent = world.agent_by_address[make_address(second)]
+        agent.held.accept(
+            make_opening(flow), make_address(1, network=9), 1, 100.0
+        )
+        other.receive(make_opening(flow))
+        world.timers.advance(0.05)
+        world.request(flow, other.sequence)
+        world.timers.advance(0.1)
+        self.assertEqual(1, other.runs_by_flow.get(flow, 0))
+        self.assertEqual(1, world.count_runs(flow))
+
+    def test_packet_of_nobody_ends_without_a_loop(self):
+        # Fails if agents keep sending an unknown packet to each other.
+        world = World()
+        world.send(make_data(make_flow(77)))
+        world.timers.advance(1.0)
+        searches = sum(
+            agent.counts['searches']
+            for agent in world.agent_by_address.values()
+        )
+        self.assertEqual(1, searches)
+        self.assertEqual([], world.resets)
+
+    def _open_away_from_home(self, world: World) -> bytes:
+        for number in range(1, 200):
+            flow = make_flow(number)
+            world.open(flow)
+            if world.find_holder(flow) != self._find_home(world, flow):
+                return flow
+        raise AssertionError('no flow was placed away from its home')
+
+    def _find_home(self, world: World, flow: bytes) -> int:
+        del world
+        table = HomeTable([make_address(number) for number in range(1, 5)])
+        return table.rank(flow)[0][3]
--- /dev/null
+++ b/tests/steering/test_placement.py
@@ -0,0 +1,101 @@
+"""Replays of the loads that placement answers."""
+
+import random
+
+from testtools import TestCase
+
+from greengagepath.steering.peer_messages import LoadReport, ReportedState
+from greengagepath.steering.placement import (
+    PeerLoad,
+    choose_peer,
+    estimate_finish_s,
+)
+from greengagepath.steering.service_times import ServiceTime
+
+from .builders import make_address
+
+
+def make_load(
+    number: int, load: int, service_s: float, heard_s: float = 0.0
+) -> PeerLoad:
+    peer = PeerLoad(make_address(number))
+    report = LoadReport(
+        ReportedState.READY, slots=2, load=load, service_s=service_s
+    )
+    peer.take_report(report, heard_s)
+    return peer
+
+
+class PlacementTest(TestCase):
+    def test_fast_target_is_preferred_until_it_would_finish_later(self):
+        # Guards against a slow target that stands idle at the crest, and
+        # against one that gets work while a fast one is free.
+        fast, slow = make_load(1, 1, 0.02), make_load(2, 0, 0.05)
+        self.assertIs(fast, choose_peer([fast, slow], 0.0)[1])
+        fast = make_load(1, 6, 0.02)
+        self.assertIs(slow, choose_peer([fast, slow], 0.0)[1])
+
+    def test_placements_since_the_report_are_added(self):
+        # Guards against a burst that one home sends to one target.
+        first, second = make_load(1, 0, 0.02), make_load(2, 0, 0.021)
+        chosen = []
+        for _ in range(8):
+            best = choose_peer([first, second], 0.0)[1]
+            best.note_placement(0.0)
+            chosen.append(best)
+        self.assertEqual(4, chosen.count(first))
+
+    def test_silent_target_gets_nothing(self):
+        # Guards against new flows for a VM that froze.
+        peer = make_load(1, 0, 0.02, heard_s=0.0)
+        self.assertIsNone(choose_peer([peer], 0.5))
+
+    def test_queue_lengthens_the_expected_time(self):
+        # Guards against an estimate that ignores requests in the queue.
+        self.assertEqual(0.02, estimate_finish_s(1, 2, 0.02, 0.0))
+        self.assertEqual(0.04, estimate_finish_s(3, 2, 0.02, 0.0))
+
+    def test_straggler_moves_the_usual_time_a_little(self):
+        # Guards against one long request that empties a fast target.
+        usual = ServiceTime()
+        for _ in range(20):
+            usual.add(0.02)
+        usual.add(2.0)
+        self.assertTrue(usual.usual_s < 0.025)
+
+    def test_mixed_speeds_share_a_crest_by_capacity(self):
+        # Replays a crest of 1.0 of the capacity over targets that differ
+        # 2.7 times in speed; guards against queues at the slow ones.
+        chance = random.Random(3)
+        speeds = (0.018, 0.03, 0.048, 0.018, 0.03)
+        loads = [
+            make_load(number, 0, service_s)
+            for number, service_s in enumerate(speeds, 1)
+        ]
+        ends: list[list[float]] = [[] for _ in speeds]
+        placed = [0] * len(speeds)
+        rate = sum(2 / service_s for service_s in speeds)
+        now_s = 0.0
+        for _ in range(2000):
+            now_s += chance.expovariate(rate)
+            for index, load in enumerate(loads):
+                ends[index] = [end for end in ends[index] if end > now_s]
+                report = LoadReport(
+                    ReportedState.READY,
+                    slots=2,
+                    load=len(ends[index]),
+                    service_s=speeds[index],
+                )
+                load.take_report(report, now_s)
+            best = choose_peer(loads, now_s)[1]
+            index = loads.index(best)
+            running = sorted(ends[index])
+            free_s = running[-2] if len(running) > 1 else now_s
+            work_s = chance.uniform(0.5, 1.5) * speeds[index]
+            ends[index].append(max(free_s, now_s) + work_s)
+            placed[index] += 1
+        shares = [
+            count * service_s
+            for count, service_s in zip(placed, speeds, strict=True)
+        ]
+        self.assertTrue(max(shares) / min(shares) < 1.5, shares)
--- /dev/null
+++ b/tests/steering/test_target_gate.py
@@ -0,0 +1,145 @@
+"""The agent is the last gate of its target."""
+
+from testtools import TestCase
+
+from greengagepath.steering.agent_steering import AgentSteering
+from greengagepath.steering.peer_messages import PeerKind, ReportedState
+from greengagepath.steering.target_gate import HeartbeatOutcome, TargetGate
+from greengagepath.timers import VirtualTimerService
+
+from .builders import (
+    OTHER_SERVICE,
+    make_answer,
+    make_flow,
+    make_heartbeat,
+    make_identity,
+    make_message,
+    make_opening,
+    make_report_message,
+    make_returned,
+)
+from .recorder import RecordingOutbox
+
+PEER = bytes((10, 1, 0, 2))
+BALANCER = bytes((10, 9, 0, 1))
+
+
+class TargetGateTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.timers = VirtualTimerService(start_s=100.0)
+        self.gate = TargetGate(self.timers, heartbeat_s=1.2)
+
+    def test_late_heartbeat_of_an_earlier_start_changes_nothing(self):
+        # Guards against an earlier start that makes a draining target
+        # take flows again.
+        new = make_heartbeat(target_id='i-2', started_ms=2000, is_draining=True)
+        self.gate.take_heartbeat(new)
+        late = make_heartbeat(9, target_id='i-1', started_ms=1000)
+        outcome = self.gate.take_heartbeat(late)
+        self.assertEqual(HeartbeatOutcome.STALE, outcome)
+        self.assertFalse(self.gate.is_open)
+
+    def test_overtaken_heartbeat_changes_nothing(self):
+        # Guards against a delayed `ready` after `draining`.
+        self.gate.take_heartbeat(make_heartbeat(5, is_draining=True))
+        outcome = self.gate.take_heartbeat(make_heartbeat(4))
+        self.assertEqual(HeartbeatOutcome.STALE, outcome)
+        self.assertFalse(self.gate.is_open)
+
+    def test_same_id_with_a_later_start_begins_anew(self):
+        # Guards against sequence numbers of the earlier start that make
+        # all heartbeats of the new one look old.
+        self.gate.take_heartbeat(make_heartbeat(50, is_draining=True))
+        outcome = self.gate.take_heartbeat(make_heartbeat(1, started_ms=2000))
+        self.assertEqual(HeartbeatOutcome.NEW_LIFETIME, outcome)
+        self.assertTrue(self.gate.is_open)
+
+    def test_departure_of_an_earlier_target_is_ignored(self):
+        # Guards against a late departure that closes a new target.
+        self.gate.take_heartbeat(make_heartbeat(target_id='i-2'))
+        self.assertFalse(self.gate.take_departure('i-1'))
+        self.assertTrue(self.gate.is_open)
+
+    def test_silent_target_is_reported_absent(self):
+        # Guards against new flows for a target that has crashed.
+        self.gate.take_heartbeat(make_heartbeat())
+        self.timers.advance(5.0)
+        self.assertEqual(ReportedState.ABSENT, self.gate.report_state())
+
+
+class LastGateTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.timers = VirtualTimerService(start_s=100.0)
+        self.outbox = RecordingOutbox()
+        self.agent = AgentSteering(make_identity(), self.timers, self.outbox)
+        self.agent.take_heartbeat(make_heartbeat())
+
+    def _offer(self, flow: bytes, **fields) -> None:
+        segment = make_opening(flow)
+        message = make_message(PeerKind.PLACE, body=segment.raw, **fields)
+        self.agent.take_peer_message(BALANCER, message, segment)
+
+    def _hear_peer(self, load: int = 0, **fields) -> None:
+        message = make_report_message(load, **fields)
+        self.agent.take_peer_message(PEER, message, None)
+
+    def test_draining_target_gets_no_new_flow_whatever_others_believe(self):
+        # Guards against a balancer or home that has not heard of it.
+        self.agent.take_heartbeat(make_heartbeat(2, is_draining=True))
+        self._hear_peer()
+        self._offer(make_flow())
+        self.assertEqual([], self.outbox.at_target)
+        self.assertEqual([PEER], self.outbox.placed_at())
+
+    def test_draining_target_without_peers_refuses_at_once(self):
+        # Guards against a caller that waits for nobody.
+        self.agent.take_heartbeat(make_heartbeat(2, is_draining=True))
+        self._offer(make_flow())
+        self.assertEqual([make_flow()], self.outbox.resets)
+
+    def test_flow_of_another_service_never_enters(self):
+        # Guards against a reused address: a balancer still believes that
+        # the VM serves another service.
+        self._offer(make_flow(), service=OTHER_SERVICE)
+        self.assertEqual([], self.outbox.at_target)
+        self.assertEqual(1, self.agent.counts['dropped_foreign_service'])
+
+    def test_returned_opening_goes_to_the_next_target(self):
+        # Guards against a refusal while another target has room.
+        self._hear_peer()
+        flow = make_flow()
+        self._offer(flow, hops=3)
+        self.agent.take_from_target(make_returned(make_opening(flow)))
+        self.assertEqual([flow], self.outbox.resets)
+        self._offer(make_flow(2), hops=0)
+        self.agent.take_from_target(make_returned(make_opening(make_flow(2))))
+        self.assertEqual([PEER], self.outbox.placed_at())
+
+    def test_unanswered_opening_goes_to_the_next_target(self):
+        # Guards against a target that crashed without a word: the caller
+        # would wait for its whole time budget.
+        self._offer(make_flow(), hops=1)
+        self._hear_peer()
+        self.timers.advance(0.08)
+        self._hear_peer()
+        self.timers.advance(0.1)
+        self.assertEqual([PEER], self.outbox.placed_at())
+        self.assertEqual(
+            ReportedState.ABSENT, self.agent.gate.report_state()
+        )
+
+    def test_opened_flow_is_told_to_its_balancer(self):
+        # Guards against a relay of every packet through the home.
+        flow = make_flow()
+        self._offer(flow)
+        self.agent.take_from_target(make_answer(flow))
+        told = self.outbox.held_told()
+        self.assertEqual([(make_message(PeerKind.HELD).balancer, flow)], told)
+
+    def test_unreadable_packet_is_counted_and_dropped(self):
+        # Guards against bytes that are no packet.
+        message = make_message(PeerKind.FORWARD, body=b'x')
+        self.agent.take_peer_message(BALANCER, message, None)
+        self.assertEqual(1, self.agent.counts['dropped_unreadable_packet'])
--- /dev/null
+++ b/tests/steering/world.py
@@ -0,0 +1,235 @@
+"""Balancers, agents, targets and callers in virtual time.
+
+A small stand-in of the users' platform: the fabric hashes flows over
+balancers, targets return packets of flows that they do not hold, every
+datagram takes a millisecond.
+"""
+
+from greengagepath.steering.agent_steering import AgentSteering
+from greengagepath.steering.balancer_steering import BalancerSteering
+from greengagepath.steering.peer_messages import PeerKind, decode_message
+from greengagepath.steering.segments import Segment
+from greengagepath.timers import VirtualTimerService
+
+from .builders import (
+    TARGET_SEQUENCE,
+    make_address,
+    make_answer,
+    make_data,
+    make_heartbeat,
+    make_identity,
+    make_opening,
+    make_response,
+    make_returned,
+    make_table,
+)
+
+HOP_S = 0.001
+WORK_S = 0.03
+
+
+class FakeTarget:
+    """A target that holds flows and returns packets of others."""
+
+    def __init__(self, world: 'World', number: int) -> None:
+        self.world = world
+        self.number = number
+        self.sequence = TARGET_SEQUENCE + number * 1000000
+        self.opened: set[bytes] = set()
+        self.runs_by_flow: dict[bytes, int] = {}
+        self.is_full = False
+        self.is_dead = False
+        self.received = 0
+
+    def receive(self, segment: Segment) -> None:
+        """Answer a packet that the agent delivers."""
+        if self.is_dead:
+            return
+        self.received += 1
+        if segment.is_opening:
+            if self.is_full:
+                self._send(make_returned(segment))
+                return
+            self._send(make_answer(segment.flow, self.sequence))
+            self.opened.add(segment.flow)
+            return
+        ahead = segment.acknowledged - self.sequence
+        if segment.flow not in self.opened or not 0 < ahead < 1000000:
+            self._send(make_returned(segment))
+            return
+        if segment.data_bytes and segment.flow not in self.runs_by_flow:
+            self.runs_by_flow[segment.flow] = 1
+            self.world.timers.call_after(
+                WORK_S, lambda: self._send(make_response(segment.flow))
+            )
+
+    def _send(self, segment: Segment) -> None:
+        if not self.is_dead:
+            self.world.send_from_target(self.number, segment)
+
+
+class FakeOutbox:
+    """Passes datagrams of one process on after a hop."""
+
+    def __init__(self, world: 'World', address: bytes) -> None:
+        self.world = world
+        self.address = address
+
+    def to_target(self, raw: bytes) -> None:
+        segment = self.world.segment_by_raw[raw]
+        target = self.world.target_by_address[self.address]
+        self.world.later(lambda: target.receive(segment))
+
+    def to_caller(self, flow: bytes, raw: bytes) -> None:
+        self.world.later(lambda: self.world.receive_at_caller(flow, raw))
+
+    def reset(self, flow: bytes) -> None:
+        self.world.resets.append(flow)
+
+    def to_agent(self, address: bytes, datagram: bytes) -> None:
+        self.world.later(
+            lambda: self.world.receive_at_agent(self.address, address, datagram)
+        )
+
+    def to_balancer(self, address: bytes, datagram: bytes) -> None:
+        self.world.later(
+            lambda: self.world.receive_at_balancer(
+                self.address, address, datagram
+            )
+        )
+
+
+class World:
+    """One service on `agents` VMs behind `balancers` VMs."""
+
+    def __init__(self, balancers: int = 2, agents: int = 4) -> None:
+        self.timers = VirtualTimerService(start_s=100.0)
+        self.segment_by_raw: dict[bytes, Segment] = {}
+        self.agent_by_address: dict[bytes, AgentSteering] = {}
+        self.balancer_by_address: dict[bytes, BalancerSteering] = {}
+        self.target_by_address: dict[bytes, FakeTarget] = {}
+        self.responses: dict[bytes, int] = {}
+        self.answers: dict[bytes, list[int]] = {}
+        self.resets: list[bytes] = []
+        for number in range(1, balancers + 1):
+            self.start_balancer(number)
+        for number in range(1, agents + 1):
+            self.target_by_address[make_address(number)] = FakeTarget(
+                self, number
+            )
+            self.start_agent(number)
+        self.timers.advance(0.5)
+
+    def start_balancer(self, number: int) -> BalancerSteering:
+        address = make_address(number, network=9)
+        steering = BalancerSteering(
+            address,
+            'zone-a',
+            self.timers,
+            FakeOutbox(self, address),
+            lambda: None,
+        )
+        steering.use_routes(make_table())
+        self.balancer_by_address[address] = steering
+        steering.add_agents(list(self.agent_by_address))
+        return steering
+
+    def start_agent(
+        self, number: int, *, is_first_start: bool = True
+    ) -> AgentSteering:
+        address = make_address(number)
+        steering = AgentSteering(
+            make_identity(number, is_first_start=is_first_start),
+            self.timers,
+            FakeOutbox(self, address),
+        )
+        steering.take_heartbeat(make_heartbeat(target_id=f'i-{number}'))
+        known = list(self.agent_by_address)
+        self.agent_by_address[address] = steering
+        for balancer in self.balancer_by_address:
+            steering.peers.note_balancer(balancer)
+        steering.introduce([*self.balancer_by_address, *known])
+        return steering
+
+    def stop_agent(self, number: int) -> None:
+        """Kill the process; its timers do nothing any more."""
+        steering = self.agent_by_address.pop(make_address(number))
+        steering._outbox = FakeOutbox(self, b'')  # noqa: SLF001
+        steering._outbox.to_agent = steering._outbox.to_balancer = (
+            lambda address, datagram: None
+        )
+        steering._outbox.to_target = lambda raw: None
+
+    def send(self, segment: Segment, balancer: int = 1) -> None:
+        """Hand a caller's packet to a balancer, as the fabric does."""
+        self.segment_by_raw[segment.raw] = segment
+        address = make_address(balancer, network=9)
+        self.later(
+            lambda: self.balancer_by_address[address].take_from_caller(segment)
+        )
+
+    def open(self, flow: bytes, balancer: int = 1) -> int:
+        """Open a flow; return the target's first sequence number."""
+        self.send(make_opening(flow), balancer)
+        self.timers.advance(0.02)
+        return self.answers[flow][0]
+
+    def request(self, flow: bytes, sequence: int, balancer: int = 1) -> None:
+        """Send the request of an open flow."""
+        self.send(make_data(flow, sequence + 1), balancer)
+
+    def count_runs(self, flow: bytes) -> int:
+        return sum(
+            target.runs_by_flow.get(flow, 0)
+            for target in self.target_by_address.values()
+        )
+
+    def find_holder(self, flow: bytes) -> int:
+        """Return the number of the target that opened a flow."""
+        for target in self.target_by_address.values():
+            if flow in target.opened:
+                return target.number
+        raise LookupError(flow)
+
+    def later(self, callback) -> None:
+        self.timers.call_after(HOP_S, callback)
+
+    def send_from_target(self, number: int, segment: Segment) -> None:
+        if not segment.is_returned:
+            self.segment_by_raw[segment.raw] = segment
+        address = make_address(number)
+
+        def deliver() -> None:
+            agent = self.agent_by_address.get(address)
+            if agent is not None:
+                agent.take_from_target(segment)
+
+        self.later(deliver)
+
+    def receive_at_caller(self, flow: bytes, raw: bytes) -> None:
+        segment = self.segment_by_raw[raw]
+        if segment.opens_answer:
+            self.answers.setdefault(flow, []).append(segment.sequence)
+        elif segment.data_bytes:
+            self.responses[flow] = self.responses.get(flow, 0) + 1
+
+    def receive_at_agent(
+        self, sender: bytes, address: bytes, datagram: bytes
+    ) -> None:
+        agent = self.agent_by_address.get(address)
+        if agent is None:
+            return
+        message = decode_message(datagram).unwrap()
+        segment = None
+        if message.kind <= PeerKind.SEARCH:
+            segment = self.segment_by_raw[message.body]
+        agent.take_peer_message(sender, message, segment)
+
+    def receive_at_balancer(
+        self, sender: bytes, address: bytes, datagram: bytes
+    ) -> None:
+        balancer = self.balancer_by_address.get(address)
+        if balancer is not None:
+            balancer.take_peer_message(sender, decode_message(datagram).unwrap())
+
+
