Test the adapter against a stand-in of the store and the page's packets

The stand-in is written from the published page: revisions, lists, watches, lost history, refused calls.

--- /dev/null
+++ b/tests/platform/stand_in.py
@@ -0,0 +1,131 @@
+"""Stand-in of the platform's store, written from its published page.
+
+Objects with revisions, lists, watches, lost history and calls that are
+refused, over HTTP/1.1 on 127.0.0.1.
+"""
+
+import json
+from typing import Any
+from urllib.parse import parse_qs, urlsplit
+
+import gevent
+from gevent.event import Event
+
+from greengagepath.daemon.http_listener import (
+    HttpListener,
+    HttpReply,
+    HttpRequest,
+)
+
+from .builders import make_object
+
+
+class StoreStandIn:
+    """Serves objects by kind and name; `refusal` answers every call."""
+
+    def __init__(self) -> None:
+        self.objects: dict[str, dict[str, Any]] = {}
+        self.calls: list[tuple[str, str]] = []
+        self.refusal = 0
+        self.revision = 1
+        self.oldest_revision = 0
+        self._events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._changed = Event()
+        self._listener = HttpListener(('127.0.0.1', 0), self._answer)
+        self._listener.start()
+
+    @property
+    def address(self) -> tuple[str, int]:
+        return ('127.0.0.1', self._listener.port)
+
+    def stop(self) -> None:
+        self._listener.stop()
+
+    def put(self, kind: str, name: str, spec: Any) -> None:
+        """Write as another writer does."""
+        self.revision += 1
+        stored = make_object(name, spec, self.revision)
+        self.objects.setdefault(kind, {})[name] = stored
+        self._events.append((self.revision, kind, stored, False))
+        self._changed.set()
+
+    def forget_history(self) -> None:
+        self.oldest_revision = self.revision
+        self._events.clear()
+        self._changed.set()
+
+    def _answer(self, request: HttpRequest) -> HttpReply:
+        self.calls.append((request.method, request.path))
+        if self.refusal:
+            return HttpReply(self.refusal)
+        parts = urlsplit(request.path)
+        _, _, kind, *rest = parts.path.split('/')
+        query = {key: found[0] for key, found in parse_qs(parts.query).items()}
+        match request.method:
+            case 'GET':
+                return self._read(kind, rest, query)
+            case 'POST':
+                entry = json.loads(request.body)
+                name = entry['meta']['name']
+                if name in self.objects.get(kind, {}):
+                    return _reply(409, self.objects[kind][name])
+                self.put(kind, name, entry['spec'])
+                return _reply(201, self.objects[kind][name])
+            case 'PUT':
+                self.put(kind, rest[0], json.loads(request.body)['spec'])
+                return _reply(200, self.objects[kind][rest[0]])
+            case 'DELETE':
+                self.objects.get(kind, {}).pop(rest[0], None)
+                return _reply(200, {})
+        return HttpReply(405)
+
+    def _read(
+        self, kind: str, rest: list[str], query: dict[str, str]
+    ) -> HttpReply:
+        if 'watch' in query:
+            return self._watch(kind, int(query['watch']), query)
+        stored = self.objects.get(kind, {})
+        if rest:
+            found = stored.get(rest[0])
+            return _reply(200, found) if found else HttpReply(404)
+        names = sorted(name for name in stored if name > query.get('after', ''))
+        page = names[:500]
+        return _reply(
+            200,
+            {
+                'items': [stored[name] for name in page],
+                'more': len(names) > len(page),
+                'current-rev': self.revision,
+            },
+        )
+
+    def _watch(
+        self, kind: str, revision: int, query: dict[str, str]
+    ) -> HttpReply:
+        if revision < self.oldest_revision:
+            return HttpReply(410)
+        wait_s = int(query['wait-ms']) / 1000
+        with gevent.Timeout(wait_s, exception=False):
+            while not self._since(kind, revision):
+                if revision < self.oldest_revision:
+                    return HttpReply(410)
+                self._changed.clear()
+                self._changed.wait()
+        events = [
+            {'object': stored, 'removed': removed}
+            for _, _, stored, removed in self._since(kind, revision)
+        ]
+        return _reply(200, {'events': events, 'current-rev': self.revision})
+
+    def _since(
+        self, kind: str, revision: int
+    ) -> list[tuple[int, str, dict[str, Any], bool]]:
+        return [
+            event
+            for event in self._events
+            if event[0] > revision and event[1] == kind
+        ]
+
+
+def _reply(status: int, content: Any) -> HttpReply:
+    return HttpReply(status, json.dumps(content).encode())
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,85 @@
+"""The adapter's store against a stand-in over HTTP."""
+
+import gevent
+from testtools import TestCase
+
+from greengagepath.platform.store import PlatformStore
+from greengagepath.steering.store import Member, MemberRole
+
+from .builders import make_configuration
+from .stand_in import StoreStandIn
+
+OWN = Member(bytes((10, 1, 0, 13)), MemberRole.AGENT)
+
+
+class PlatformStoreTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.stand_in = StoreStandIn()
+        self.addCleanup(self.stand_in.stop)
+        self.store = PlatformStore(self.stand_in.address)
+
+    def test_reads_the_configuration(self):
+        # Guards against a balancer without routes.
+        self.stand_in.put('config', 'main', make_configuration(7))
+        stored = self.store.read_routes().unwrap()
+        self.assertEqual(7, stored.table.version)
+        self.assertEqual(self.stand_in.revision, stored.revision)
+
+    def test_watch_brings_the_next_version(self):
+        # Guards against a change that is not in force in time.
+        self.stand_in.put('config', 'main', make_configuration(7))
+        revision = self.store.read_routes().unwrap().revision
+        waiting = gevent.spawn(self.store.watch_routes, revision)
+        gevent.sleep(0.05)
+        self.stand_in.put('config', 'main', make_configuration(9))
+        stored = waiting.get(timeout=2).unwrap()
+        self.assertEqual(9, stored.table.version)
+
+    def test_lost_history_is_told(self):
+        # Guards against a watch that is repeated for ever after 410.
+        self.stand_in.put('config', 'main', make_configuration(7))
+        self.stand_in.forget_history()
+        problem = self.store.watch_routes(0).unwrap_err()
+        self.assertTrue(problem.is_history_lost)
+
+    def test_refused_call_is_an_outcome(self):
+        # Guards against a process that ends when the store turns it away.
+        self.stand_in.refusal = 503
+        problem = self.store.read_routes().unwrap_err()
+        self.assertEqual('status 503', problem.reason)
+        self.assertEqual(1, self.store.calls['read_routes', '503'])
+
+    def test_store_that_is_down_is_an_outcome(self):
+        # Guards against a process that ends with the store.
+        self.stand_in.stop()
+        self.assertTrue(self.store.list_members().is_err())
+
+    def test_registers_over_an_earlier_vm_of_the_same_address(self):
+        # Guards against a reused address that keeps its earlier role.
+        kind = 'greengagepath-members'
+        self.stand_in.put(kind, '10.1.0.13', {'role': 'balancer'})
+        self.assertTrue(self.store.add_member(OWN).is_ok())
+        listed = self.store.list_members().unwrap()
+        self.assertEqual([MemberRole.AGENT], [entry.role for entry in listed])
+
+    def test_unreadable_members_are_left_out(self):
+        # Guards against entries of other writers.
+        kind = 'greengagepath-members'
+        for name, spec in (
+            ('x', {'role': 'agent'}),
+            ('10.1.0.1', None),
+            ('10.1.0.2', {'role': 7}),
+            ('10.1.0.3', ['agent']),
+            ('10.1.0.4', {'role': 'agent'}),
+        ):
+            self.stand_in.put(kind, name, spec)
+        listed = self.store.list_members().unwrap()
+        self.assertEqual([bytes((10, 1, 0, 4))], [m.address for m in listed])
+
+    def test_unreadable_configuration_is_no_empty_one(self):
+        # Guards against routes that vanish because one cannot be read.
+        broken = make_configuration()
+        broken['routes'][0]['host'] = 'x'
+        self.stand_in.put('config', 'main', broken)
+        self.assertTrue(self.store.read_routes().is_err())
--- /dev/null
+++ b/tests/platform/test_translation.py
@@ -0,0 +1,136 @@
+"""Packets, heartbeats and configurations of the platform."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from greengagepath.platform.configuration import decode_configuration
+from greengagepath.platform.heartbeats import (
+    decode_heartbeat,
+    decode_target_id,
+)
+from greengagepath.platform.packets import (
+    caller_address,
+    decode_from_caller,
+    decode_from_target,
+    encode_reset,
+)
+from greengagepath.steering.peer_messages import digest_service
+
+from .builders import make_configuration, make_heartbeat_body
+
+# The two examples of the platform's page.
+OPENING = bytes.fromhex(
+    '000000000000a1b2c3d51122334400000000'
+    '9c4101bbc612000164400007'
+    '10'
+)
+RESET = bytes.fromhex(
+    '000000000000000000000000000000000000'
+    '01bb9c4164400007c6120001'
+    '02'
+)
+
+
+class PacketTest(TestCase):
+    def test_opening_packet_of_the_page(self):
+        # Guards against another order, width or bit.
+        segment = decode_from_caller(OPENING)
+        self.assertTrue(segment.is_opening)
+        self.assertEqual(0x11223344, segment.sequence)
+        self.assertEqual(bytes((100, 64, 0, 7)), caller_address(segment.flow))
+
+    def test_reset_of_the_page(self):
+        # Guards against a reset that the caller does not accept.
+        segment = decode_from_caller(OPENING)
+        self.assertEqual(RESET, encode_reset(segment.flow))
+
+    def test_both_directions_name_the_same_flow(self):
+        # Guards against an agent that does not know its target's flows.
+        opening = decode_from_caller(OPENING)
+        self.assertEqual(opening.flow, decode_from_target(RESET).flow)
+
+    def test_returned_packet_is_valid_again(self):
+        # Guards against a hand-over of a packet that is marked returned.
+        returned = OPENING[:30] + bytes((16 | 8,))
+        segment = decode_from_target(returned)
+        self.assertTrue(segment.is_returned)
+        self.assertTrue(segment.is_opening)
+        self.assertEqual(OPENING, segment.raw)
+
+    def test_wrong_length_is_no_packet(self):
+        # Guards against a cut packet that reaches a target.
+        self.assertIsNone(decode_from_caller(OPENING + b'x'))
+        self.assertIsNone(decode_from_caller(OPENING[:-1]))
+
+    @given(st.binary(max_size=1400))
+    def test_any_bytes_give_a_packet_or_none(self, raw):
+        # Guards against a stray datagram that ends the process.
+        for decode in (decode_from_caller, decode_from_target):
+            segment = decode(raw)
+            if segment is not None:
+                self.assertEqual(12, len(segment.flow))
+
+
+class HeartbeatTest(TestCase):
+    def test_heartbeat_of_the_page(self):
+        heartbeat = decode_heartbeat('i-1', make_heartbeat_body(), 'huvo11a')
+        self.assertEqual(4, heartbeat.unwrap().sequence)
+        self.assertEqual(2, heartbeat.unwrap().slots)
+        self.assertEqual(1700000000000, heartbeat.unwrap().started_ms)
+
+    def test_entries_of_another_writer_name_no_target(self):
+        # Guards against a state or service that the agent would believe.
+        for changed in (
+            {'service': 'other'},
+            {'service': None},
+            {'state': 'leaving'},
+            {'state': ['ready']},
+            {'sequence': '4'},
+            {'sequence': True},
+            {'sequence': None},
+            {'slots': 1.5},
+            {'born': 'x'},
+            {'address': 9},
+        ):
+            decoded = decode_heartbeat(
+                'i-1', make_heartbeat_body(**changed), 'huvo11a'
+            )
+            self.assertTrue(decoded.is_err(), changed)
+
+    @given(st.binary(max_size=100))
+    def test_any_body_is_an_outcome(self, body):
+        # Guards against bytes that end the agent.
+        self.assertTrue(decode_heartbeat('i-1', body, 'huvo11a').is_err())
+
+    def test_path_names_the_target(self):
+        self.assertEqual('i-1', decode_target_id('/endpoints/i-1'))
+        self.assertIsNone(decode_target_id('/endpoints/'))
+        self.assertIsNone(decode_target_id('/ready'))
+
+
+class ConfigurationTest(TestCase):
+    def test_routes_by_address_and_port(self):
+        # Guards against a flow that goes to the service of another route.
+        table = decode_configuration(make_configuration()).unwrap()
+        destination = (8443).to_bytes(2, 'big') + bytes((198, 18, 0, 2))
+        route = table.by_destination[destination]
+        self.assertEqual(digest_service('wuno96b'), route.shares[0].service)
+        self.assertEqual(3.0, route.time_budget_s)
+
+    def test_split_gives_all_copies_of_a_flow_the_same_service(self):
+        # Guards against two services that open the same flow.
+        table = decode_configuration(make_configuration()).unwrap()
+        destination = (8443).to_bytes(2, 'big') + bytes((198, 18, 0, 1))
+        route = table.by_destination[destination]
+        flows = [bytes((number, 1)) * 6 for number in range(200)]
+        chosen = [route.choose_service(flow) for flow in flows]
+        self.assertEqual(chosen, [route.choose_service(f) for f in flows])
+        share = chosen.count(digest_service('huvo11a')) / len(chosen)
+        self.assertTrue(0.8 < share < 0.98, share)
+
+    def test_versions_that_are_no_numbers_are_refused(self):
+        # Guards against a version that compares as newest for ever.
+        for version in ('7', None, -1, 2**64):
+            decoded = decode_configuration(make_configuration(version))
+            self.assertTrue(decoded.is_err(), version)
