Start roles from one file of modules and without collections

Cause: after a power loss a balancer of the cooperative took 1.6 to 2.0 s from power to its first packet, 1.2 s of it imports: 200 modules cost 2,300 calls to the kernel, and a third of the time went to the collector.

--- /dev/null
+++ b/deploy/launch.py
@@ -0,0 +1,15 @@
+"""Starts a role on a VM: `python3 -S deploy/launch.py balancer|agent`."""
+
+import gc
+import sys
+
+# What is loaded stays; collections meanwhile take a third of the start.
+gc.disable()
+sys.path[0] = ''
+from greengagepath.startup.module_bundle import install_bundle  # noqa: E402
+
+install_bundle('target/modules.bundle')
+
+from greengagepath.platform.__main__ import main  # noqa: E402
+
+raise SystemExit(int(main()))
--- a/greengagepath/platform/__main__.py
+++ b/greengagepath/platform/__main__.py
@@ -1,5 +1,6 @@
 """Starts a role on a VM of the platform: `balancer` or `agent`."""
 
+import gc
 import os
 import sys
 
@@ -35,14 +36,22 @@
         case 'balancer':
             from ..daemon.steering_balancer import BalancerDaemon
 
+            _collect_from_now()
             return BalancerDaemon(settings, PlatformWire(), store).run()
         case 'agent':
             from ..daemon.steering_agent import AgentDaemon
 
+            _collect_from_now()
             return AgentDaemon(settings, PlatformWire(), store).run()
     sys.stderr.write('usage: python -m greengagepath.platform balancer|agent\n')
     return ExitCode.BAD_USAGE
 
 
+def _collect_from_now() -> None:
+    """Leave out of collections what was loaded, since it stays."""
+    gc.freeze()
+    gc.enable()
+
+
 if __name__ == '__main__':
     raise SystemExit(int(main()))
