Reopen targets that speak again; don't take refusals for fast work

The load moved to the rest, whose queues refused; a refusal within a millisecond counted as service time and made a full target the most attractive.

Heartbeats reopen a target; an opening counts as unanswered only after five checks with nothing heard; refusals set a limit of load that rises again by one a second. A pause of the process itself no longer counts as silence of others.

--- a/greengagepath/platform/packets.py
+++ b/greengagepath/platform/packets.py
@@ -13,6 +13,8 @@
 _FIN = 4
 _RST = 2
 _BOUNCED = 8
+# Status lines of answers that say that the request has not run.
+_REFUSALS = (b'HTTP/1.1 503', b'HTTP/1.1 421')
 _FLAGS = slice(30, 31)
 _ENDPOINTS = slice(18, 30)
 
@@ -36,7 +38,10 @@
         return decode_from_caller(raw)
     # Destination and source change places in the caller's direction.
     flow = raw[20:22] + raw[18:20] + raw[26:30] + raw[22:26]
-    return _decode(raw, flow)
+    segment = _decode(raw, flow)
+    if segment is not None:
+        segment.is_refusal = raw.startswith(_REFUSALS, _HEAD.size)
+    return segment
 
 
 def encode_reset(flow: bytes) -> bytes:
--- a/greengagepath/steering/agent_peers.py
+++ b/greengagepath/steering/agent_peers.py
@@ -78,6 +78,11 @@
         if self.load_by_address.pop(address, None):
             self._rank()
 
+    def forgive(self, pause_s: float) -> None:
+        """Don't count a pause of this process as silence of the others."""
+        for load in self.load_by_address.values():
+            load.heard_s += pause_s
+
     def forget_silent(self) -> None:
         """Drop contacts that were not heard for `FORGET_S`."""
         before_s = self._timers.now() - FORGET_S
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -22,7 +22,7 @@
 from .placement import choose_peer, estimate_finish_s, find_usual_s
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
-from .target_gate import UNANSWERED_S, Heartbeat, HeartbeatOutcome, TargetGate
+from .target_gate import Heartbeat, HeartbeatOutcome, TargetGate
 
 # Agents that an opening packet passes after its home.
 MAX_HOPS = 3
@@ -34,6 +34,11 @@
 # Longest time between reports to balancers.
 BALANCER_REPORT_S = 0.25
 CHECK_S = 0.02
+# An opening packet is answered within a millisecond; a target that
+# leaves one unanswered at this many checks does not run.
+UNANSWERED_CHECKS = 5
+# Checks further apart than this mean that the process itself paused.
+PAUSE_S = 0.15
 SWEEP_S = 1.0
 ROTATE_S = 30.0
 MAX_OWNERS = 50000
@@ -118,6 +123,7 @@
         self._young_until_s = started_s
         if not identity.is_first_start:
             self._young_until_s = started_s + identity.idle_s
+        self._checked_s = started_s
         self._reported_s = started_s
         self._balancers_told_s = started_s
         self._reported: tuple[int, ReportedState] | None = None
@@ -174,6 +180,9 @@
             held = self.held.learn(segment.flow, now_s)
         if segment.opens_answer:
             self._note_opened(segment, held)
+        elif segment.is_refusal:
+            self.counts['requests_refused'] += 1
+            self.held.note_refusal(segment.flow, held, now_s)
         elif segment.data_bytes:
             self.held.note_response(segment.flow, held, now_s)
         if segment.is_final:
@@ -285,6 +294,8 @@
             return None
         if not self.gate.is_responsive:
             return None
+        if self.held.is_full(self._timers.now()):
+            return None
         return estimate_finish_s(
             self.held.load,
             self.gate.slots,
@@ -440,8 +451,16 @@
     def _note_version(self, version: int) -> None:
         self.latest_version = max(self.latest_version, version)
 
-    def _make_report(self) -> bytes:
+    def _find_state(self) -> ReportedState:
         state = self.gate.report_state()
+        if state is ReportedState.READY and self.held.is_full(
+            self._timers.now()
+        ):
+            return ReportedState.FULL
+        return state
+
+    def _make_report(self) -> bytes:
+        state = self._find_state()
         if self._is_leaving and state is ReportedState.READY:
             state = ReportedState.DRAINING
         report = LoadReport(
@@ -508,16 +527,20 @@
 
     def _check(self) -> None:
         now_s = self._timers.now()
-        self._check_unanswered(now_s)
-        state = (self.held.load, self.gate.report_state())
+        if now_s - self._checked_s > PAUSE_S:
+            self.counts['pauses'] += 1
+            self.peers.forgive(now_s - self._checked_s)
+        self._checked_s = now_s
+        self._check_unanswered()
+        state = (self.held.load, self._find_state())
         idle_s = now_s - self._reported_s
         if idle_s >= REPORT_IDLE_S or state != self._reported:
             self._tell_agents()
         if now_s - self._balancers_told_s >= BALANCER_REPORT_S:
             self._tell_balancers()
 
-    def _check_unanswered(self, now_s: float) -> None:
-        for flow, held in tuple(self.held.unanswered(now_s - UNANSWERED_S)):
+    def _check_unanswered(self) -> None:
+        for flow, held in tuple(self.held.unanswered(UNANSWERED_CHECKS)):
             if held.opening is None:
                 continue
             self.counts['openings_unanswered'] += 1
@@ -528,7 +551,7 @@
                 flow=describe_flow(flow),
                 target_id=self.gate.target_id,
             )
-            self.gate.note_unanswered()
+            self.gate.note_unanswered(held.offered_s)
             self.held.remove(flow)
             self._hand_over(held.opening, held)
 
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -30,6 +30,8 @@
 FORGET_S = 60.0
 PRESENCE_S = 1.0
 CHECK_S = 0.25
+# Checks later than this mean that the process itself paused.
+PAUSE_S = 0.3
 ROTATE_S = 30.0
 MAX_OWNERS = 400000
 # Agents have had time to report to a balancer that runs this long.
@@ -120,6 +122,7 @@
         )
         self._agents_by_service: dict[bytes, ServiceAgents] = {}
         self._started_s = timers.now()
+        self._checked_s = self._started_s
         timers.subscribe(PRESENCE_S, self.announce)
         timers.subscribe(CHECK_S, self._check)
         timers.subscribe(ROTATE_S, self._owner_by_flow.rotate)
@@ -345,6 +348,13 @@
 
     def _check(self) -> None:
         now_s = self._timers.now()
+        pause_s = now_s - self._checked_s - CHECK_S
+        self._checked_s = now_s
+        if pause_s > PAUSE_S:
+            # Reports of that time wait in the socket.
+            self.counts['pauses'] += 1
+            for agent in self.agent_by_address.values():
+                agent.heard_s += pause_s
         for address, agent in tuple(self.agent_by_address.items()):
             if now_s - agent.heard_s > FORGET_S:
                 del self.agent_by_address[address]
--- a/greengagepath/steering/held_flows.py
+++ b/greengagepath/steering/held_flows.py
@@ -10,6 +10,8 @@
 REQUEST_EXPECTED_S = 0.5
 # A request in progress for longer is not counted as load.
 MAX_WORK_S = 10.0
+# A target that refused is tried with one more request after this time.
+LIMIT_RISES_S = 1.0
 # Late packets of a closed flow are still answered by the target.
 CLOSED_KEPT_S = 3.0
 # Acknowledgements lie at most this far above the first sequence number.
@@ -26,10 +28,12 @@
 
     __slots__ = (
         'balancer',
+        'checks',
         'first_sequence',
         'hops',
         'is_answered',
         'is_closed',
+        'offered_s',
         'opening',
         'started_alone',
         'used_s',
@@ -38,11 +42,13 @@
 
     def __init__(self, balancer: bytes, hops: int, now_s: float) -> None:
         self.balancer = balancer
+        self.checks = 0
         self.hops = hops
         self.opening: Segment | None = None
         self.first_sequence: int | None = None
         self.is_answered = False
         self.is_closed = False
+        self.offered_s = now_s
         self.used_s = now_s
         self.work_since_s: float | None = None
         self.started_alone = False
@@ -69,6 +75,8 @@
         self.service_time = ServiceTime()
         self._expected_s: dict[bytes, float] = {}
         self._working_s: dict[bytes, float] = {}
+        self._limit: int | None = None
+        self._limited_s = 0.0
 
     @property
     def load(self) -> int:
@@ -112,6 +120,24 @@
             held.work_since_s = None
             self._working_s.pop(flow, None)
 
+    def note_refusal(self, flow: bytes, held: HeldFlow, now_s: float) -> None:
+        """Note that the target refused a request, since its queue is full.
+
+        The load at that moment, without the request, is its limit.
+        """
+        held.used_s = now_s
+        held.work_since_s = None
+        self._working_s.pop(flow, None)
+        self._limit = max(self.load, 1)
+        self._limited_s = now_s
+
+    def is_full(self, now_s: float) -> bool:
+        """Return whether one more flow would probably be refused."""
+        if self._limit is None:
+            return False
+        risen = int((now_s - self._limited_s) / LIMIT_RISES_S)
+        return self.load >= self._limit + risen
+
     def note_closed(self, flow: bytes, held: HeldFlow, now_s: float) -> None:
         """Note that the target ended the flow."""
         held.is_closed = True
@@ -131,12 +157,20 @@
         self._expected_s.clear()
         self._working_s.clear()
         self.service_time = ServiceTime()
+        self._limit = None
 
-    def unanswered(self, before_s: float) -> Iterator[tuple[bytes, HeldFlow]]:
-        """Yield flows whose opening was sent before and is not answered."""
+    def unanswered(self, checks: int) -> Iterator[tuple[bytes, HeldFlow]]:
+        """Yield flows not answered at that many calls, this one included.
+
+        Calls and not seconds are counted: after a pause of the process
+        the answers wait in its socket.
+        """
         for flow in tuple(self._expected_s):
             held = self.by_flow[flow]
-            if not held.is_answered and held.used_s < before_s:
+            if held.is_answered:
+                continue
+            held.checks += 1
+            if held.checks >= checks:
                 yield flow, held
 
     def sweep(self, now_s: float, idle_s: float) -> None:
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -92,6 +92,8 @@
     DRAINING = 2
     # Has left or does not answer.
     ABSENT = 3
+    # Serves, but its queue takes no more.
+    FULL = 4
 
 
 class LoadReport:
--- a/greengagepath/steering/segments.py
+++ b/greengagepath/steering/segments.py
@@ -11,7 +11,8 @@
     `flow` identifies the flow by the caller's addresses and ports, in
     both directions. `sequence` and `acknowledged` are unsigned 32-bit
     numbers; `copy` counts the earlier copies of an opening packet.
-    `is_returned` marks a caller's packet that the target gave back.
+    `is_returned` marks a caller's packet that the target gave back,
+    `is_refusal` the answer of a target that has not run a request.
     """
 
     __slots__ = (
@@ -22,6 +23,7 @@
         'has_acknowledgement',
         'is_final',
         'is_opening',
+        'is_refusal',
         'is_reset',
         'is_returned',
         'opens_answer',
@@ -43,6 +45,7 @@
         is_final: bool = False,
         is_reset: bool = False,
         is_returned: bool = False,
+        is_refusal: bool = False,
     ) -> None:
         self.raw = raw
         self.flow = flow
@@ -56,6 +59,7 @@
         self.is_final = is_final
         self.is_reset = is_reset
         self.is_returned = is_returned
+        self.is_refusal = is_refusal
 
 
 def describe_flow(flow: bytes) -> str:
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -5,9 +5,6 @@
 from ..timers import TimerService
 from .peer_messages import ReportedState
 
-# An opening packet is answered within a millisecond; a target that
-# leaves one unanswered for this long does not run.
-UNANSWERED_S = 0.08
 # Heartbeats that may be missed.
 MISSED_HEARTBEATS = 3.5
 
@@ -80,7 +77,7 @@
         is_new = lifetime != (self.target_id, self.started_ms)
         if self._is_stale(heartbeat, is_new):
             return HeartbeatOutcome.STALE
-        self._heard_s = self._timers.now()
+        self.note_answer()
         self._sequence = heartbeat.sequence
         self.slots = heartbeat.slots
         phase = (
@@ -91,7 +88,6 @@
         if is_new:
             known_before = bool(self.target_id)
             self.target_id, self.started_ms = lifetime
-            self._unanswered = False
             if known_before:
                 return HeartbeatOutcome.NEW_LIFETIME
         return HeartbeatOutcome.CHANGED if changed else HeartbeatOutcome.SAME
@@ -104,13 +100,17 @@
         return True
 
     def note_answer(self) -> None:
-        """Note that the target sent a packet."""
+        """Note that the target sent a packet or a heartbeat."""
         self._unanswered = False
         self._heard_s = self._timers.now()
 
-    def note_unanswered(self) -> None:
-        """Note that an opening packet was left without an answer."""
-        self._unanswered = True
+    def note_unanswered(self, offered_s: float) -> None:
+        """Note that an opening packet was left without an answer.
+
+        If the target was heard since it was offered, the packet is lost
+        and the target runs.
+        """
+        self._unanswered = self._heard_s <= offered_s
 
     @property
     def is_open(self) -> bool:
--- a/greengagepath/timers.py
+++ b/greengagepath/timers.py
@@ -116,6 +116,11 @@
         self._now_s = end_s
 
 
+    def pause(self, duration_s: float) -> None:
+        """Move the clock without callbacks, as a suspended VM does."""
+        self._now_s += duration_s
+
+
 class LoopTimerService(TimerService):
     """Runs callbacks from one greenlet of the gevent loop."""
 
--- a/tests/steering/test_balancer_steering.py
+++ b/tests/steering/test_balancer_steering.py
@@ -88,6 +88,15 @@
             self.balancer.take_from_caller(make_opening(make_flow(number)))
         self.assertNotIn(AGENTS[0], self.outbox.placed_at())
 
+    def test_pause_of_the_balancer_is_no_silence_of_agents(self):
+        # Guards against refusals after a freeze, while reports of that
+        # time still wait in the socket.
+        self.timers.pause(5.0)
+        self.timers.advance(0.0)
+        self.balancer.take_from_caller(make_opening(make_flow()))
+        self.assertEqual([], self.outbox.resets)
+        self.assertEqual(1, len(self.outbox.placed_at()))
+
     def test_told_owner_gets_the_packets(self):
         # Guards against a detour through the home for every packet.
         flow = make_flow()
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -4,6 +4,7 @@
 
 from testtools import TestCase
 
+from greengagepath.steering.held_flows import HeldFlows
 from greengagepath.steering.peer_messages import LoadReport, ReportedState
 from greengagepath.steering.placement import (
     PeerLoad,
@@ -12,7 +13,7 @@
 )
 from greengagepath.steering.service_times import ServiceTime
 
-from .builders import make_address
+from .builders import make_address, make_flow, make_opening
 
 
 def make_load(
@@ -26,6 +27,34 @@
     return peer
 
 
+class HeldFlowsTest(TestCase):
+    def test_refusal_is_no_short_service_time(self):
+        # Guards against a full target that looks the fastest because it
+        # refuses at once, and so draws all flows.
+        held = HeldFlows()
+        flow = make_flow()
+        entry = held.accept(make_opening(flow), b'', 0, 0.0)
+        held.note_request(flow, entry, 2, 0.0)
+        held.note_refusal(flow, entry, 0.001)
+        self.assertEqual(0.0, held.service_time.usual_s)
+        self.assertEqual(0, held.load)
+
+    def test_refusal_bounds_the_load_that_is_taken(self):
+        # Guards against flows for a queue that is known to be full while
+        # another target has room.
+        held = HeldFlows()
+        for number in range(6):
+            flow = make_flow(number)
+            entry = held.accept(make_opening(flow), b'', 0, 0.0)
+            held.note_request(flow, entry, 2, 0.0)
+        self.assertFalse(held.is_full(0.0))
+        held.note_refusal(flow, entry, 0.001)
+        self.assertTrue(held.is_full(0.001))
+        for number in range(3):
+            held.remove(make_flow(number))
+        self.assertFalse(held.is_full(0.002))
+
+
 class PlacementTest(TestCase):
     def test_fast_target_is_preferred_until_it_would_finish_later(self):
         # Guards against a slow target that stands idle at the crest, and
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -61,6 +61,26 @@
         self.assertFalse(self.gate.take_departure('i-1'))
         self.assertTrue(self.gate.is_open)
 
+    def test_lost_opening_does_not_close_a_target_that_speaks(self):
+        # Guards against a target without flows that stays closed for
+        # ever after one lost datagram; the rest then carries its load
+        # and closes one after the other.
+        self.gate.take_heartbeat(make_heartbeat())
+        self.timers.advance(0.1)
+        self.gate.note_unanswered(self.timers.now())
+        self.assertFalse(self.gate.is_responsive)
+        self.gate.take_heartbeat(make_heartbeat(2))
+        self.assertTrue(self.gate.is_responsive)
+
+    def test_opening_lost_while_others_are_answered_is_a_lost_datagram(self):
+        # Guards against a closed target at each lost datagram.
+        self.gate.take_heartbeat(make_heartbeat())
+        offered_s = self.timers.now()
+        self.timers.advance(0.05)
+        self.gate.note_answer()
+        self.gate.note_unanswered(offered_s)
+        self.assertTrue(self.gate.is_responsive)
+
     def test_silent_target_is_reported_absent(self):
         # Guards against new flows for a target that has crashed.
         self.gate.take_heartbeat(make_heartbeat())
@@ -130,6 +150,18 @@
             ReportedState.ABSENT, self.agent.gate.report_state()
         )
 
+    def test_pause_of_the_agent_is_no_silence_of_others(self):
+        # Guards against refusals after a freeze: answers and reports of
+        # that time still wait in the sockets.
+        self._hear_peer()
+        self._offer(make_flow())
+        self.timers.pause(4.0)
+        self.timers.advance(0.0)
+        self.assertEqual([], self.outbox.placed_at())
+        self.assertTrue(self.agent.gate.is_responsive)
+        load = self.agent.peers.load_by_address[PEER]
+        self.assertTrue(load.is_usable(self.timers.now()))
+
     def test_opened_flow_is_told_to_its_balancer(self):
         # Guards against a relay of every packet through the home.
         flow = make_flow()
