Let estimates of idle targets return to the usual

A first request that was a straggler set a fast target's service time, no flow went there, and so nothing corrected it.

The first requests count with a prior, and an estimate without requests halves its distance to that of other targets each second.

--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -8,6 +8,7 @@
 from ..timers import TimerService
 from .agent_peers import AgentPeers
 from .held_flows import HeldFlows
+from .placement import find_usual_s
 from .target_gate import TargetGate
 
 _logger = logging.getLogger(__name__)
@@ -98,6 +99,12 @@
         self.peers = AgentPeers(identity.address, timers)
         self.timers = timers
 
+    def estimate_service_s(self) -> float:
+        """Return the time of a request at the target, 0 if unknown."""
+        return self.held.service_time.estimate_s(
+            self.timers.now(), find_usual_s(self.peers.loads)
+        )
+
     def drop(self, reason: str, detail: str) -> None:
         """Count and log a datagram that cannot be used."""
         self.counts[f'dropped_{reason}'] += 1
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -131,7 +131,7 @@
         return estimate_finish_s(
             context.held.load,
             gate.slots,
-            context.held.service_time.usual_s,
+            context.estimate_service_s(),
             find_usual_s(context.peers.loads),
         )
 
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -128,7 +128,7 @@
             started_ms=context.gate.started_ms,
             slots=context.gate.slots,
             load=context.held.load,
-            service_s=context.held.service_time.usual_s,
+            service_s=context.estimate_service_s(),
         )
         self._told = (report.load, report.state)
         return self._make_message(
--- a/greengagepath/steering/held_flows.py
+++ b/greengagepath/steering/held_flows.py
@@ -116,7 +116,7 @@
         held.used_s = now_s
         if held.work_since_s is not None:
             if held.started_alone and flow in self._working_s:
-                self.service_time.add(now_s - held.work_since_s)
+                self.service_time.add(now_s - held.work_since_s, now_s)
             held.work_since_s = None
             self._working_s.pop(flow, None)
 
--- a/greengagepath/steering/service_times.py
+++ b/greengagepath/steering/service_times.py
@@ -4,7 +4,13 @@
 # moves by at most this factor of itself for each request.
 MAX_RATIO = 3.0
 GAIN = 0.08
+# What a target is taken for before its first request.
 DEFAULT_S = 0.03
+# The first estimate counts as much as this many requests.
+PRIOR_REQUESTS = 2
+# A target that gets no work for this long may have been misjudged.
+IDLE_S = 0.5
+IDLE_HALF_LIFE_S = 1.0
 
 
 class ServiceTime:
@@ -14,18 +20,32 @@
     their time says little of the target's speed.
     """
 
-    __slots__ = ('_samples', 'usual_s')
+    __slots__ = ('_average_s', '_sampled_s', '_samples')
 
     def __init__(self) -> None:
-        self.usual_s = 0.0
+        self._average_s = DEFAULT_S
         self._samples = 0
+        self._sampled_s = 0.0
 
-    def add(self, duration_s: float) -> None:
+    def add(self, duration_s: float, now_s: float) -> None:
         """Take the time of one request."""
         self._samples += 1
-        if self._samples == 1:
-            self.usual_s = duration_s
-            return
-        gain = max(GAIN, 1 / self._samples)
-        taken_s = min(duration_s, self.usual_s * MAX_RATIO)
-        self.usual_s += (taken_s - self.usual_s) * gain
+        self._sampled_s = now_s
+        gain = max(GAIN, 1 / (self._samples + PRIOR_REQUESTS))
+        taken_s = min(duration_s, self._average_s * MAX_RATIO)
+        self._average_s += (taken_s - self._average_s) * gain
+
+    def estimate_s(self, now_s: float, usual_s: float) -> float:
+        """Return the time of a request now, 0 before the first.
+
+        Without requests an estimate above `usual_s`, that of other
+        targets, halves its distance to it every second: a misjudged
+        target would otherwise never get the work that corrects it.
+        """
+        if not self._samples:
+            return 0.0
+        idle_s = now_s - self._sampled_s - IDLE_S
+        if idle_s <= 0 or self._average_s <= usual_s:
+            return self._average_s
+        kept = 0.5 ** (idle_s / IDLE_HALF_LIFE_S)
+        return usual_s + (self._average_s - usual_s) * kept
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -37,7 +37,7 @@
         entry = held.accept(make_opening(flow), b'', 0, 0.0)
         held.note_request(flow, entry, 2, 0.0)
         held.note_refusal(flow, entry, 0.001)
-        self.assertFalse(held.service_time.usual_s)
+        self.assertFalse(held.service_time.estimate_s(0.1, 0.0))
         self.assertEqual(0, held.load)
 
     def test_refusal_bounds_the_load_that_is_taken(self):
@@ -89,9 +89,26 @@
         # Guards against one long request that empties a fast target.
         usual = ServiceTime()
         for _ in range(20):
-            usual.add(0.02)
-        usual.add(2.0)
-        self.assertTrue(usual.usual_s * 1000 < 25)
+            usual.add(0.02, now_s=1.0)
+        usual.add(2.0, now_s=1.0)
+        self.assertTrue(usual.estimate_s(1.0, 0.02) * 1000 < 25)
+
+    def test_first_request_that_is_a_straggler_counts_little(self):
+        # Guards against a fast target that gets no flow after a restart,
+        # because its first request ran many times longer than the rest.
+        usual = ServiceTime()
+        usual.add(0.2, now_s=1.0)
+        self.assertTrue(usual.estimate_s(1.0, 0.03) * 1000 < 90)
+
+    def test_estimate_of_a_target_without_work_returns_to_the_usual(self):
+        # Guards against an estimate that keeps all flows away, so that
+        # no request ever corrects it.
+        usual = ServiceTime()
+        for _ in range(20):
+            usual.add(0.1, now_s=1.0)
+        self.assertTrue(usual.estimate_s(1.1, 0.03) * 1000 > 80)
+        self.assertTrue(usual.estimate_s(6.0, 0.03) * 1000 < 35)
+        self.assertTrue(usual.estimate_s(60.0, 0.03) * 1000 >= 30)
 
     def test_mixed_speeds_share_a_crest_by_capacity(self):
         # Replays a crest of 1.0 of the capacity over targets that differ
