Log each decision of a flow and serve metrics

A limit of load learned from refusals leaves at least two requests for each slot: refusals in a row had set it to one.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -32,6 +32,7 @@
 from .membership_listing import MembershipListing
 from .peer_addresses import PeerAddresses
 from .steering_balancer import READINESS_PATH
+from .steering_metrics import SteeringMetrics
 
 LEAVE_RESERVE_S = 0.8
 LEAVE_POLL_S = 0.1
@@ -103,6 +104,12 @@
         self._peers = DatagramSocket(
             (settings.host, settings.agent_port), self._take_from_peer, counts
         )
+        self._metrics = SteeringMetrics(
+            counts, lambda: store.calls, self._read_gauges
+        )
+        held = self.steering.context.held
+        self._metrics.durations_by_step['handshake'] = held.handshakes
+        self._metrics.durations_by_step['request'] = held.requests
         self._own = Member(settings.address, MemberRole.AGENT)
         self._listing = MembershipListing(store, self._own, self._take_members)
 
@@ -120,6 +127,8 @@
         ):
             if address:
                 HttpListener(address, self._answer).start()
+        port = self._settings.listening.metrics_port
+        self._metrics.serve(self._settings.host, port)
         self._take_members(self._read_seeds(), [])
         self._listing.start()
         log_event(_logger, 'agent.started', service=self._settings.service)
@@ -149,6 +158,17 @@
         """Send to a balancer."""
         self._peers.send(datagram, self._balancers_at.find(address))
 
+    def _read_gauges(self) -> dict[str, float]:
+        context = self.steering.context
+        return {
+            'flows_held': len(context.held.by_flow),
+            'load': context.held.load,
+            'service_s': context.estimate_service_s(),
+            'agents': len(context.peers.agents),
+            'balancers': len(context.peers.balancers),
+            'latest_version': context.latest_version,
+        }
+
     def _leave(self) -> None:
         """Forward for the flows of a target that still runs."""
         log_event(
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -31,6 +31,7 @@
 from .membership_listing import MembershipListing
 from .peer_addresses import PeerAddresses
 from .route_follower import RouteFollower
+from .steering_metrics import SteeringMetrics
 
 READINESS_PATH = '/ready'
 # The fabric stops sending after two probes, one each 500 ms; packets
@@ -97,6 +98,9 @@
             Member(settings.address, MemberRole.BALANCER),
             self._take_members,
         )
+        self._metrics = SteeringMetrics(
+            counts, lambda: store.calls, self._read_gauges
+        )
         self._started_s = self._timers.now()
 
     def run(self) -> ExitCode:
@@ -111,6 +115,8 @@
             HttpListener(
                 self._settings.listening.readiness, self._answer
             ).start()
+        port = self._settings.listening.metrics_port
+        self._metrics.serve(self._settings.host, port)
         seeds = [pack_address(host) for host, _ in self._settings.seeds]
         self.steering.contacts.add_balancers([seed for seed in seeds if seed])
         self._follower.start()
@@ -121,6 +127,16 @@
         log_event(_logger, 'balancer.stopped', **self.steering.counts)
         return ExitCode.OK
 
+    def _read_gauges(self) -> dict[str, float]:
+        contacts = self.steering.contacts
+        return {
+            'configuration_version': self.steering.routes.version,
+            'latest_version': self.steering.routes.latest_seen,
+            'agents': len(contacts.agents.by_address),
+            'pauses': contacts.agents.pauses,
+            'stage': contacts.stage,
+        }
+
     def _leave(self) -> None:
         """Go out of rotation when others are in, and forward till then."""
         asked_s = self._timers.now()
--- a/greengagepath/logs.py
+++ b/greengagepath/logs.py
@@ -7,6 +7,7 @@
 
 import json
 import logging
+import os
 import sys
 import time
 from collections.abc import Callable
@@ -53,6 +54,30 @@
         return ' '.join(head + pairs)
 
 
+class DroppingStream:
+    """Writes lines to a descriptor and drops those that would block.
+
+    A reader that stalls must not stall the process; `dropped` counts
+    the lines that it missed.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        os.set_blocking(descriptor, False)
+        self.dropped = 0
+        self._descriptor = descriptor
+
+    def write(self, text: str) -> int:
+        """Write the text, or drop it."""
+        try:
+            os.write(self._descriptor, text.encode())
+        except BlockingIOError:
+            self.dropped += 1
+        return len(text)
+
+    def flush(self) -> None:
+        """Do nothing, since nothing is buffered."""
+
+
 class EventRateLimit(logging.Filter):
     """Limits records marked as repeating, for each event name.
 
@@ -124,7 +149,7 @@
     settings: 'LogSettings | LogOptions',
     role: str,
     member_id: str,
-    stream: TextIO | None = None,
+    stream: 'TextIO | DroppingStream | None' = None,
 ) -> None:
     """Send the package's logs to `stream`, standard error by default."""
     handler = logging.StreamHandler(stream or sys.stderr)
--- a/greengagepath/platform/__main__.py
+++ b/greengagepath/platform/__main__.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from ..exit_codes import ExitCode
-from ..logs import configure_logs
+from ..logs import DroppingStream, configure_logs
 from ..steering.settings import SteeringSettings, load_steering_settings
 from .store import PlatformStore
 from .wire import PlatformWire
@@ -23,7 +23,8 @@
         sys.stderr.write(f'{loaded.err_value}\n')
         return ExitCode.BAD_USAGE
     settings = loaded.ok_value
-    configure_logs(settings.logs, role, settings.member_id)
+    stream = DroppingStream(sys.stdout.fileno())
+    configure_logs(settings.logs, role, settings.member_id, stream)
     return _run(role, settings)
 
 
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -95,7 +95,7 @@
         ):
             self._refuse(segment.flow, message, best_s)
         elif best is None:
-            self._accept(message, segment)
+            self._accept(message, segment, best_s)
         else:
             self._send_to(best[1], message, segment)
 
@@ -135,8 +135,22 @@
             find_usual_s(context.peers.loads),
         )
 
-    def _accept(self, message: PeerMessage, segment: Segment) -> None:
+    def _accept(
+        self, message: PeerMessage, segment: Segment, finish_s: float
+    ) -> None:
         context = self._context
+        log_event(
+            _logger,
+            'flow.offered',
+            repeats=True,
+            flow=describe_flow(segment.flow),
+            target_id=context.gate.target_id,
+            hops=message.hops,
+            copy=segment.copy,
+            load=context.held.load,
+            finish_s=round(finish_s, 4),
+            version=context.latest_version,
+        )
         context.held.accept(
             segment, message.balancer, message.hops, context.timers.now()
         )
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -11,7 +11,7 @@
 from .owner_search import MAX_OWNERS, OwnerSearch
 from .peer_messages import PeerKind, PeerMessage
 from .recent_map import RecentMap
-from .segments import Segment
+from .segments import Segment, describe_flow
 from .target_gate import Heartbeat, HeartbeatOutcome
 
 CHECK_S = 0.02
@@ -160,24 +160,38 @@
             self._note_opened(segment, held)
         elif segment.is_refusal:
             self.context.counts['requests_refused'] += 1
-            flows.note_refusal(segment.flow, held, now_s)
+            slots = self.context.gate.slots
+            flows.note_refusal(segment.flow, held, slots, now_s)
         elif segment.data_bytes:
-            flows.note_response(segment.flow, held, now_s)
+            duration_s = flows.note_response(segment.flow, held, now_s)
+            if duration_s is not None:
+                self._log_answer(segment, duration_s)
         if segment.is_final or segment.is_reset:
             flows.note_closed(segment.flow, held, now_s)
 
     def _note_opened(self, segment: Segment, held: HeldFlow) -> None:
         if held.is_answered and held.first_sequence == segment.sequence:
             return
-        held.first_sequence = segment.sequence
-        held.is_answered = True
-        held.opening = None
+        self.context.held.note_opened(
+            held, segment.sequence, self.context.timers.now()
+        )
         self.context.counts['flows_opened'] += 1
         self.reports.tell_held(segment.flow, held.balancer)
         home = self.context.peers.homes.find_home(segment.flow)
         if held.hops > 1 and home and home != self.context.identity.address:
             self.reports.tell_agent_held(segment.flow, home)
 
+    def _log_answer(self, segment: Segment, duration_s: float) -> None:
+        log_event(
+            _logger,
+            'flow.answered',
+            repeats=True,
+            flow=describe_flow(segment.flow),
+            duration_s=round(duration_s, 4),
+            load=self.context.held.load,
+            target_id=self.context.gate.target_id,
+        )
+
     def _check(self) -> None:
         now_s = self.context.timers.now()
         pause_s = now_s - self._checked_s
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -22,6 +22,7 @@
 from .recent_map import RecentMap
 from .routes import Route, RouteHolder, RouteTable
 from .segments import Segment, describe_flow
+from .settings import format_address
 
 MS_PER_S = 1000
 ROTATE_S = 30.0
@@ -123,6 +124,16 @@
             self._refuse_agent(flow, route)
             return
         self.counts['openings'] += 1
+        log_event(
+            _logger,
+            'flow.routed',
+            repeats=True,
+            flow=describe_flow(flow),
+            route=route.name,
+            home=format_address(home),
+            copy=segment.copy,
+            version=self.routes.version,
+        )
         opening = PeerMessage(
             PeerKind.OPEN,
             service,
--- a/greengagepath/steering/held_flows.py
+++ b/greengagepath/steering/held_flows.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from .durations import DurationCounts
 from .segments import Segment
 from .service_times import ServiceTime
 
@@ -11,7 +12,10 @@
 # A request in progress for longer is not counted as load.
 MAX_WORK_S = 10.0
 # A target that refused is tried with one more request after this time.
-LIMIT_RISES_S = 1.0
+LIMIT_RISES_S = 0.25
+# Requests for each slot that a target takes in any case; a target also
+# refuses what has waited too long, whatever its queue holds.
+LEAST_PER_SLOT = 2
 # Late packets of a closed flow are still answered by the target.
 CLOSED_KEPT_S = 3.0
 # Acknowledgements lie at most this far above the first sequence number.
@@ -73,6 +77,8 @@
     def __init__(self) -> None:
         self.by_flow: dict[bytes, HeldFlow] = {}
         self.service_time = ServiceTime()
+        self.handshakes = DurationCounts()
+        self.requests = DurationCounts()
         self._expected_s: dict[bytes, float] = {}
         self._working_s: dict[bytes, float] = {}
         self._limit: int | None = None
@@ -111,16 +117,34 @@
             held.started_alone = len(self._working_s) < slots
             self._working_s[flow] = now_s
 
-    def note_response(self, flow: bytes, held: HeldFlow, now_s: float) -> None:
-        """Note data from the target, which ends the work."""
+    def note_opened(self, held: HeldFlow, sequence: int, now_s: float) -> None:
+        """Note the target's answer to an opening packet."""
+        held.first_sequence = sequence
+        held.is_answered = True
+        held.opening = None
+        self.handshakes.add(now_s - held.offered_s)
+
+    def note_response(
+        self, flow: bytes, held: HeldFlow, now_s: float
+    ) -> float | None:
+        """Note data from the target, which ends the work.
+
+        Return how many seconds the work took, None if there was none.
+        """
         held.used_s = now_s
-        if held.work_since_s is not None:
-            if held.started_alone and flow in self._working_s:
-                self.service_time.add(now_s - held.work_since_s, now_s)
-            held.work_since_s = None
-            self._working_s.pop(flow, None)
+        if held.work_since_s is None:
+            return None
+        duration_s = now_s - held.work_since_s
+        self.requests.add(duration_s)
+        if held.started_alone and flow in self._working_s:
+            self.service_time.add(duration_s, now_s)
+        held.work_since_s = None
+        self._working_s.pop(flow, None)
+        return duration_s
 
-    def note_refusal(self, flow: bytes, held: HeldFlow, now_s: float) -> None:
+    def note_refusal(
+        self, flow: bytes, held: HeldFlow, slots: int, now_s: float
+    ) -> None:
         """Note that the target refused a request, since its queue is full.
 
         The load at that moment, without the request, is its limit.
@@ -128,7 +152,7 @@
         held.used_s = now_s
         held.work_since_s = None
         self._working_s.pop(flow, None)
-        self._limit = max(self.load, 1)
+        self._limit = max(self.load, slots * LEAST_PER_SLOT)
         self._limited_s = now_s
 
     def is_full(self, now_s: float) -> bool:
--- a/greengagepath/steering/settings.py
+++ b/greengagepath/steering/settings.py
@@ -22,19 +22,27 @@
     def __init__(self) -> None:
         self.level = 'INFO'
         self.style = 'json'
-        self.repeats_per_s = 5.0
+        self.repeats_per_s = 100.0
 
 
 class ListenAddresses:
     """Where a process listens; None where it does not.
 
     `data` takes packets of callers, `target_outbound` those of the
-    target, `heartbeats` what the target says of itself.
+    target, `heartbeats` what the target says of itself. A `metrics_port`
+    of 0 switches the metrics off.
     """
 
-    __slots__ = ('data', 'heartbeats', 'readiness', 'target_outbound')
+    __slots__ = (
+        'data',
+        'heartbeats',
+        'metrics_port',
+        'readiness',
+        'target_outbound',
+    )
 
     def __init__(self, found: dict[str, Any]) -> None:
+        self.metrics_port = int(found['metrics_port'])
         self.data = _parse_address(found['data_address'])
         self.readiness = _parse_address(found['readiness_address'])
         self.heartbeats = _parse_address(found['heartbeat_address'])
--- a/greengagepath/steering/store.py
+++ b/greengagepath/steering/store.py
@@ -1,5 +1,6 @@
 """What the steering daemons read from and write to the platform's store."""
 
+from collections import Counter
 from enum import Enum, unique
 from typing import Protocol
 
@@ -47,7 +48,12 @@
 
 
 class SteeringStore(Protocol):
-    """Calls block the greenlet until the answer or a time-out."""
+    """Calls block the greenlet until the answer or a time-out.
+
+    `calls` counts them by operation and outcome.
+    """
+
+    calls: Counter[tuple[str, str]]
 
     def read_routes(self) -> Result[StoredRoutes, StoreProblem]:
         """Return the configuration, linearizable."""
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -36,7 +36,7 @@
         flow = make_flow()
         entry = held.accept(make_opening(flow), b'', 0, 0.0)
         held.note_request(flow, entry, 2, 0.0)
-        held.note_refusal(flow, entry, 0.001)
+        held.note_refusal(flow, entry, 2, 0.001)
         self.assertFalse(held.service_time.estimate_s(0.1, 0.0))
         self.assertEqual(0, held.load)
 
@@ -49,12 +49,24 @@
             entry = held.accept(make_opening(flow), b'', 0, 0.0)
             held.note_request(flow, entry, 2, 0.0)
         self.assertFalse(held.is_full(0.0))
-        held.note_refusal(flow, entry, 0.001)
+        held.note_refusal(flow, entry, 2, 0.001)
         self.assertTrue(held.is_full(0.001))
         for number in range(3):
             held.remove(make_flow(number))
         self.assertFalse(held.is_full(0.002))
 
+    def test_refusals_in_a_row_leave_the_slots_open(self):
+        # Guards against a target that drains its queue of refused
+        # requests and then stands idle behind a limit of one.
+        held = HeldFlows()
+        for number in range(6):
+            flow = make_flow(number)
+            entry = held.accept(make_opening(flow), b'', 0, 0.0)
+            held.note_request(flow, entry, 2, 0.0)
+        for flow, entry in tuple(held.by_flow.items()):
+            held.note_refusal(flow, entry, 2, 0.001)
+        self.assertFalse(held.is_full(0.001))
+
 
 class PlacementTest(TestCase):
     def test_fast_target_is_preferred_until_it_would_finish_later(self):
