Use free slots whatever the estimate says

Two ways are left in which a service may refuse what it could serve: all targets estimated above the goal hold each other up, and a refusal for want of speed leaves free slots idle.

--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -8,9 +8,9 @@
 from .held_flows import HeldFlow
 from .peer_messages import NO_ADDRESS, PeerKind, PeerMessage
 from .placement import (
+    Estimate,
     PeerLoad,
     choose_peer,
-    estimate_finish_s,
     find_usual_s,
     is_in_time,
 )
@@ -24,6 +24,7 @@
 # An opening packet is answered within a millisecond; a target that
 # leaves one unanswered at this many checks does not run.
 UNANSWERED_CHECKS = 5
+MS_PER_S = 1000
 
 _logger = logging.getLogger(__name__)
 
@@ -82,22 +83,22 @@
             self._hand_over(held.opening, held)
 
     def _place(self, message: PeerMessage, segment: Segment) -> None:
-        own_s = self._estimate_own_s()
-        best = self._choose_peer(message)
-        best_s = best[0] if best else None
-        if own_s is not None:
-            margin_s = HAND_OVER_GAIN_S * message.hops
-            if best_s is None or own_s <= best_s + margin_s:
-                best = None
-                best_s = own_s
-        if best_s is None or not is_in_time(
-            best_s, message.goal_ms / 1000, message.priority
+        own = self._estimate_own()
+        chosen = self._choose_peer(message)
+        if own is not None and _is_own_better(own, chosen, message.hops):
+            chosen = None
+            estimate = own
+        else:
+            estimate = chosen[0] if chosen else None
+        goal_s = message.goal_ms / MS_PER_S
+        if estimate is None or not is_in_time(
+            estimate, goal_s, message.priority
         ):
-            self._refuse(segment.flow, message, best_s)
-        elif best is None:
-            self._accept(message, segment, best_s)
+            self._refuse(segment.flow, message, estimate)
+        elif chosen is None:
+            self._accept(message, segment, estimate)
         else:
-            self._send_to(best[1], message, segment)
+            self._send_to(chosen[1], message, segment)
 
     def _hand_over(self, segment: Segment, held: HeldFlow | None) -> None:
         hops = held.hops if held else 0
@@ -115,20 +116,20 @@
 
     def _choose_peer(
         self, message: PeerMessage
-    ) -> tuple[float, PeerLoad] | None:
+    ) -> tuple[Estimate, PeerLoad] | None:
         if message.hops > MAX_HOPS:
             return None
         context = self._context
         return choose_peer(context.peers.loads, context.timers.now())
 
-    def _estimate_own_s(self) -> float | None:
+    def _estimate_own(self) -> Estimate | None:
         context = self._context
         gate = context.gate
         if context.is_leaving or not gate.is_open or not gate.is_responsive:
             return None
         if context.held.is_full(context.timers.now()):
             return None
-        return estimate_finish_s(
+        return Estimate(
             context.held.load,
             gate.slots,
             context.estimate_service_s(),
@@ -136,7 +137,7 @@
         )
 
     def _accept(
-        self, message: PeerMessage, segment: Segment, finish_s: float
+        self, message: PeerMessage, segment: Segment, estimate: Estimate
     ) -> None:
         context = self._context
         log_event(
@@ -148,7 +149,7 @@
             hops=message.hops,
             copy=segment.copy,
             load=context.held.load,
-            finish_s=round(finish_s, 4),
+            finish_s=round(estimate.finish_s, 4),
             version=context.latest_version,
         )
         context.held.accept(
@@ -182,7 +183,7 @@
         self._context.outbox.to_agent(owner, placed.encode())
 
     def _refuse(
-        self, flow: bytes, message: PeerMessage, finish_s: float | None
+        self, flow: bytes, message: PeerMessage, estimate: Estimate | None
     ) -> None:
         context = self._context
         context.counts['flows_refused'] += 1
@@ -191,8 +192,8 @@
             'flow.refused',
             repeats=True,
             flow=describe_flow(flow),
-            reason='no target' if finish_s is None else 'too late',
-            finish_s=finish_s and round(finish_s, 3),
+            reason='too late' if estimate else 'no target',
+            finish_s=round(estimate.finish_s, 3) if estimate else None,
             goal_ms=message.goal_ms,
             hops=message.hops,
             load=context.held.load,
@@ -201,3 +202,12 @@
             version=context.latest_version,
         )
         context.outbox.reset(flow)
+
+
+def _is_own_better(
+    own: Estimate, chosen: tuple[Estimate, PeerLoad] | None, hops: int
+) -> bool:
+    """Return whether another hop is not worth what it gains."""
+    if chosen is None:
+        return True
+    return own.finish_s <= chosen[0].finish_s + HAND_OVER_GAIN_S * hops
--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -60,16 +60,22 @@
         return self.report.load + len(self._placed_s)
 
 
-def estimate_finish_s(
-    load: int, slots: int, service_s: float, usual_s: float
-) -> float:
-    """Return how long a request takes that starts now, in seconds.
+class Estimate:
+    """How long a request takes that starts now, and whether it waits."""
 
-    `usual_s` stands in for a target that has not served a request yet.
-    """
-    each_s = service_s or usual_s or DEFAULT_S
-    waiting = max(load - slots + 1, 0)
-    return each_s * (1 + waiting / slots)
+    __slots__ = ('finish_s', 'is_waiting')
+
+    def __init__(
+        self, load: int, slots: int, service_s: float, usual_s: float
+    ) -> None:
+        """Estimate from the load and the time of one request.
+
+        `usual_s` stands in for a target that has not served a request.
+        """
+        each_s = service_s or usual_s or DEFAULT_S
+        waiting = max(load - slots + 1, 0)
+        self.finish_s = each_s * (1 + waiting / slots)
+        self.is_waiting = waiting > 0
 
 
 def find_usual_s(loads: list[PeerLoad]) -> float:
@@ -80,33 +86,35 @@
 
 def choose_peer(
     loads: list[PeerLoad], now_s: float, excluded: bytes = b''
-) -> tuple[float, PeerLoad] | None:
-    """Return the target that should finish first and in how many seconds.
+) -> tuple[Estimate, PeerLoad] | None:
+    """Return the target that should finish first.
 
     None if no target takes new flows.
     """
     usual_s = find_usual_s(loads)
-    best: tuple[float, PeerLoad] | None = None
+    best: tuple[Estimate, PeerLoad] | None = None
     for load in loads:
         if load.address == excluded or not load.is_usable(now_s):
             continue
         report = load.report
-        finish_s = estimate_finish_s(
+        estimate = Estimate(
             load.estimate_load(), report.slots, report.service_s, usual_s
         )
-        if best is None or finish_s < best[0]:
-            best = (finish_s, load)
+        if best is None or estimate.finish_s < best[0].finish_s:
+            best = (estimate, load)
     return best
 
 
-def is_in_time(finish_s: float, goal_s: float, priority: int) -> bool:
+def is_in_time(estimate: Estimate, goal_s: float, priority: int) -> bool:
     """Return whether a request should be taken rather than refused.
 
     Load pattern: after an outage, or when demand triples, more comes
     than can finish. A full queue would make all answers late; refused
     callers may try again at once. A goal of 0 means that none is known.
+    A free slot is always used: refusals for want of speed would leave a
+    misjudged service idle.
     """
-    if not goal_s:
+    if not goal_s or not estimate.is_waiting:
         return True
     share = max(HIGHEST_SHARE - SHARE_STEP * priority, LEAST_SHARE)
-    return finish_s <= goal_s * share
+    return estimate.finish_s <= goal_s * share
--- a/greengagepath/steering/service_times.py
+++ b/greengagepath/steering/service_times.py
@@ -39,13 +39,16 @@
         """Return the time of a request now, 0 before the first.
 
         Without requests an estimate above `usual_s`, that of other
-        targets, halves its distance to it every second: a misjudged
-        target would otherwise never get the work that corrects it.
+        targets, and above the default halves its distance to the lower
+        of them every second: a misjudged target, or a service all of
+        whose targets are misjudged, would otherwise never get the work
+        that corrects it.
         """
         if not self._samples:
             return 0.0
         idle_s = now_s - self._sampled_s - IDLE_S
-        if idle_s <= 0 or self._average_s <= usual_s:
+        floor_s = min(usual_s or DEFAULT_S, DEFAULT_S)
+        if idle_s <= 0 or self._average_s <= floor_s:
             return self._average_s
         kept = 0.5 ** (idle_s / IDLE_HALF_LIFE_S)
-        return usual_s + (self._average_s - usual_s) * kept
+        return floor_s + (self._average_s - floor_s) * kept
