--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -9,6 +9,7 @@
 from .agent_peers import AgentPeers
 from .held_flows import HeldFlows
 from .placement import find_usual_s
+from .route_copies import RouteCopy
 from .target_gate import TargetGate
 
 _logger = logging.getLogger(__name__)
@@ -68,7 +69,8 @@
     """State of one agent and the way out of it.
 
     `latest_version` is the highest version of the configuration that
-    any peer has shown.
+    any peer has shown, `routes` a copy of it for balancers that start
+    while the store does not answer.
     """
 
     __slots__ = (
@@ -80,6 +82,7 @@
         'latest_version',
         'outbox',
         'peers',
+        'routes',
         'timers',
     )
 
@@ -97,6 +100,7 @@
         self.latest_version = 0
         self.outbox = outbox
         self.peers = AgentPeers(identity.address, timers)
+        self.routes = RouteCopy()
         self.timers = timers
 
     def estimate_service_s(self) -> float:
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -12,6 +12,7 @@
     decode_report,
     decode_roster,
 )
+from .route_copies import RouteAssembly
 
 # Least and longest time between reports to agents of the service.
 REPORT_GAP_S = 0.01
@@ -27,6 +28,8 @@
         self._context = context
         self._agents_told_s = context.timers.now()
         self._balancers_told_s = self._agents_told_s
+        self._assembly = RouteAssembly()
+        self._pulls = 0
         self._told: tuple[int, ReportedState] | None = None
 
     def report(self) -> None:
@@ -82,6 +85,31 @@
         if message.service == self._context.identity.service:
             self.introduce(peers.take_roster(decoded.ok_value))
 
+    def pull_routes(self) -> None:
+        """Ask a balancer for the configuration if a newer one was shown."""
+        context = self._context
+        balancers = context.peers.balancers
+        if context.latest_version <= context.routes.version or not balancers:
+            return
+        self._pulls += 1
+        asked = balancers[self._pulls % len(balancers)]
+        pull = self._make_message(PeerKind.PULL, body=b'')
+        context.outbox.to_balancer(asked, pull.encode())
+
+    def take_part(self, message: PeerMessage) -> None:
+        """Take a part of a configuration."""
+        copy = self._assembly.add(message)
+        if copy is not None and copy.version > self._context.routes.version:
+            self._context.routes = copy
+
+    def send_routes(self, sender: bytes) -> None:
+        """Send a balancer the copy of the configuration, if there is one."""
+        if not self._context.routes.version:
+            return
+        service = self._context.identity.service
+        for part in self._context.routes.make_parts(service):
+            self._context.outbox.to_balancer(sender, part.encode())
+
     def tell_held(self, flow: bytes, balancer: bytes) -> None:
         """Tell a balancer that the target holds the flow."""
         if balancer and balancer != NO_ADDRESS:
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -20,6 +20,11 @@
 # Checks further apart than this mean that the process itself paused.
 PAUSE_S = 0.15
 
+# Kinds that speak of processes and not of one flow.
+_BETWEEN_PROCESSES = frozenset(
+    (PeerKind.REPORT, PeerKind.PRESENCE, PeerKind.PART, PeerKind.PULL)
+)
+
 _logger = logging.getLogger(__name__)
 
 
@@ -56,10 +61,8 @@
         context = self.context
         context.latest_version = max(context.latest_version, message.version)
         match message.kind:
-            case PeerKind.REPORT:
-                self.reports.take_report(sender, message)
-            case PeerKind.PRESENCE:
-                self.reports.take_presence(sender, message)
+            case kind if kind in _BETWEEN_PROCESSES:
+                self._take_state(sender, message)
             case _ if message.service != context.identity.service:
                 context.drop('foreign_service', message.kind.name)
             case PeerKind.HELD:
@@ -71,6 +74,17 @@
             case _:
                 self._take_packet(sender, message, segment)
 
+    def _take_state(self, sender: bytes, message: PeerMessage) -> None:
+        match message.kind:
+            case PeerKind.REPORT:
+                self.reports.take_report(sender, message)
+            case PeerKind.PRESENCE:
+                self.reports.take_presence(sender, message)
+            case PeerKind.PART:
+                self.reports.take_part(message)
+            case PeerKind.PULL:
+                self.reports.send_routes(sender)
+
     def take_from_target(self, segment: Segment) -> None:
         """Handle a packet that the target sent or gave back."""
         if segment.is_returned:
@@ -207,3 +221,4 @@
         self._search.renew_allowance()
         self.context.held.sweep(now_s, self.context.identity.idle_s)
         self.context.peers.forget_silent()
+        self.reports.pull_routes()
--- a/greengagepath/steering/balancer_contacts.py
+++ b/greengagepath/steering/balancer_contacts.py
@@ -96,6 +96,16 @@
             self.stage = stage
             self.announce()
 
+    def ask_any(self, datagram: bytes, turn: int) -> None:
+        """Send a question to one balancer and one agent, by turns."""
+        balancers = list(self._balancer_seen_s)
+        agents = list(self.agents.by_address)
+        if balancers:
+            asked = balancers[turn % len(balancers)]
+            self._outbox.to_balancer(asked, datagram)
+        if agents:
+            self._outbox.to_agent(agents[turn % len(agents)], datagram)
+
     def take_presence(self, sender: bytes, message: PeerMessage) -> None:
         """Take what another balancer says of itself."""
         self._balancer_seen_s[sender] = self._timers.now()
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -20,12 +20,17 @@
     decode_report,
 )
 from .recent_map import RecentMap
+from .route_codec import decode_routes, encode_routes
+from .route_copies import RouteAssembly, RouteCopy
 from .routes import Route, RouteHolder, RouteTable
 from .segments import Segment, describe_flow
 from .settings import format_address
 
 MS_PER_S = 1000
 ROTATE_S = 30.0
+# The store is given this many checks before a peer is asked.
+PULL_CHECK_S = 0.3
+PULL_AFTER_CHECKS = 2
 MAX_OWNERS = 400000
 # Agents have had time to report to a balancer that runs this long.
 SETTLED_S = 1.5
@@ -65,7 +70,11 @@
         self._outbox = outbox
         self._on_behind = on_behind
         self._owner_by_flow: RecentMap[bytes, FlowOwner] = RecentMap(MAX_OWNERS)
+        self._assembly = RouteAssembly()
+        self._copy = RouteCopy()
+        self._lacking_checks = 0
         self._started_s = timers.now()
+        timers.subscribe(PULL_CHECK_S, self.pull_routes)
         timers.subscribe(ROTATE_S, self._owner_by_flow.rotate)
 
     @property
@@ -92,6 +101,10 @@
                 self._owner_by_flow.put(message.body, owner)
             case PeerKind.REPORT:
                 self._take_report(sender, message)
+            case PeerKind.PULL:
+                self._send_routes(sender, message)
+            case PeerKind.PART:
+                self._take_part(sender, message)
             case PeerKind.PRESENCE:
                 self.contacts.take_presence(sender, message)
             case _:
@@ -101,6 +114,7 @@
         """Put a configuration in force unless one as new is."""
         outcome = self.routes.offer(table)
         if outcome.is_ok():
+            self._copy = RouteCopy(table.version, encode_routes(table))
             log_event(
                 _logger,
                 'configuration.in_force',
@@ -110,6 +124,44 @@
             self.contacts.announce()
         return outcome
 
+    def pull_routes(self) -> None:
+        """Ask a balancer and an agent for the configuration if it lacks."""
+        if self.routes.table is not None and not self.routes.is_behind:
+            self._lacking_checks = 0
+            return
+        self._lacking_checks += 1
+        if self._lacking_checks < PULL_AFTER_CHECKS:
+            return
+        self.counts['pulls'] += 1
+        self.contacts.ask_any(
+            self._encode(PeerKind.PULL, NO_SERVICE, b''), self._lacking_checks
+        )
+
+    def _send_routes(self, sender: bytes, message: PeerMessage) -> None:
+        if not self._copy.version:
+            return
+        # Agents name their service in a message, balancers none.
+        is_agent = message.service != NO_SERVICE
+        send = self._outbox.to_agent if is_agent else self._outbox.to_balancer
+        for part in self._copy.make_parts(message.service):
+            send(sender, part.encode())
+
+    def _take_part(self, sender: bytes, message: PeerMessage) -> None:
+        copy = self._assembly.add(message)
+        if copy is None or copy.version <= self.routes.version:
+            return
+        decoded = decode_routes(copy.version, copy.encoded)
+        if isinstance(decoded, Err):
+            self.counts['dropped_unreadable'] += 1
+            return
+        log_event(
+            _logger,
+            'configuration.from_peer',
+            peer=format_address(sender),
+            version=copy.version,
+        )
+        self.use_routes(decoded.ok_value)
+
     # Packets of callers
 
     def _open(self, segment: Segment) -> None:
--- /dev/null
+++ b/tests/steering/test_route_copies.py
@@ -0,0 +1,107 @@
+"""The configuration while the store does not answer."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+from testtools import TestCase
+
+from greengagepath.steering.balancer_contacts import BalancerIdentity
+from greengagepath.steering.balancer_steering import BalancerSteering
+from greengagepath.steering.peer_messages import PeerKind
+from greengagepath.steering.route_codec import decode_routes, encode_routes
+from greengagepath.steering.route_copies import RouteAssembly, RouteCopy
+from greengagepath.steering.routes import Route, RouteTable, ServiceShare
+
+from .builders import (
+    SERVICE,
+    make_address,
+    make_flow,
+    make_message,
+    make_opening,
+    make_table,
+)
+from .world import FakeOutbox, World
+
+
+def make_large_table(version: int, count: int = 700) -> RouteTable:
+    """Return a configuration of several datagrams."""
+    route = Route(
+        'a-route', (ServiceShare(SERVICE, 1.0),), goal_s=0.15, priority=2
+    )
+    return RouteTable(
+        version, {number.to_bytes(6, 'big'): route for number in range(count)}
+    )
+
+
+class RouteCopiesTest(TestCase):
+    def test_parts_in_any_order_give_the_table(self):
+        # Guards against routes that a transfer loses or changes.
+        table = make_large_table(9)
+        parts = list(RouteCopy(9, encode_routes(table)).make_parts(SERVICE))
+        assembly = RouteAssembly()
+        copies = [assembly.add(part) for part in reversed(parts)]
+        decoded = decode_routes(9, copies[-1].encoded).unwrap()
+        self.assertEqual(700, len(decoded.by_destination))
+        route = decoded.by_destination[bytes(6)]
+        self.assertEqual(SERVICE, route.shares[0].service)
+        self.assertEqual(150, round(route.goal_s * 1000))
+
+    def test_parts_of_two_versions_do_not_mix(self):
+        # Guards against a configuration that nobody wrote.
+        old = list(RouteCopy(8, b'x' * 2400).make_parts(SERVICE))
+        new = list(RouteCopy(9, b'y' * 2400).make_parts(SERVICE))
+        assembly = RouteAssembly()
+        for part in (old[0], new[0], old[1]):
+            self.assertIsNone(assembly.add(part))
+        self.assertEqual(b'y' * 2400, assembly.add(new[1]).encoded)
+
+    @given(st.binary(max_size=60))
+    def test_any_bytes_are_an_outcome(self, encoded):
+        # Guards against a datagram that ends the process.
+        decode_routes(1, encoded)
+        part = make_message(PeerKind.PART, body=encoded, version=1)
+        RouteAssembly().add(part)
+
+    def test_balancer_that_starts_without_the_store_serves(self):
+        # Guards against a balancer that drops everything while the store
+        # is down, although its peers hold the configuration.
+        world = World()
+        started = self._start_without_store(world)
+        world.timers.advance(2.5)
+        self.assertEqual(1, started.routes.version)
+        flow = make_flow()
+        world.send(make_opening(flow), balancer=7)
+        world.timers.advance(0.05)
+        self.assertIn(flow, world.answers)
+
+    def test_configuration_outlives_the_restart_of_all_balancers(self):
+        # Guards against an outage as long as that of the store when all
+        # balancers are killed meanwhile.
+        world = World()
+        for balancer in world.balancer_by_address.values():
+            balancer.use_routes(make_table(version=5))
+        world.timers.advance(2.5)
+        world.balancer_by_address.clear()
+        started = self._start_without_store(world)
+        world.timers.advance(2.5)
+        self.assertEqual(5, started.routes.version)
+
+    def test_balancer_that_is_behind_asks_peers(self):
+        # Guards against a balancer that the store turns away and that
+        # keeps an older version.
+        world = World()
+        first, second = world.balancer_by_address.values()
+        first.use_routes(make_table(version=5))
+        world.timers.advance(3.5)
+        self.assertEqual(5, second.routes.version)
+
+    def _start_without_store(self, world: World) -> BalancerSteering:
+        address = make_address(7, network=9)
+        started = BalancerSteering(
+            BalancerIdentity(address, 'zone-a'),
+            world.timers,
+            FakeOutbox(world, address),
+            lambda: None,
+        )
+        world.balancer_by_address[address] = started
+        started.contacts.add_agents(list(world.agent_by_address))
+        return started
