Explain a flow from logs; refuse nothing before peers are heard

greengagepath explain FLOW LOG... joins the decisions of one flow. A freeze of the agent's own VM made its target look silent until the next heartbeat; the gate forgives pauses like the rest.

--- a/greengagepath/cli/tool.py
+++ b/greengagepath/cli/tool.py
@@ -17,6 +17,7 @@
 from .check import Check
 from .demo import Demo
 from .drain import Drain
+from .explain import Explain
 from .init import Init
 from .report import Report
 from .status import Status
@@ -46,6 +47,7 @@
         | Undrain
         | Call
         | Report
+        | Explain
         | Demo
         | Bench
     ]
--- a/greengagepath/daemon/steering_metrics.py
+++ b/greengagepath/daemon/steering_metrics.py
@@ -72,8 +72,8 @@
 ) -> None:
     for bound, count in durations.list_cumulative():
         metrics.set_counter(
-            'steering_seconds_bucket', count, step=step, le=bound
+            'steering_durations_total', count, step=step, le=bound
         )
-    total = sum(durations.counts)
-    metrics.set_counter('steering_seconds_count', total, step=step)
-    metrics.set_counter('steering_seconds_sum', durations.total_s, step=step)
+    metrics.set_counter(
+        'steering_duration_seconds_total', durations.total_s, step=step
+    )
--- a/greengagepath/metrics.py
+++ b/greengagepath/metrics.py
@@ -94,13 +94,14 @@
     _counter('object_api_calls_total', 'Object API calls', 'method', 'outcome'),
     _counter('steering_events_total', 'Decisions for plain flows', 'event'),
     _counter(
-        'steering_seconds_bucket',
-        'Durations of plain flows up to a bound',
+        'steering_durations_total',
+        'Durations of plain flows up to a bound in seconds',
         'step',
         'le',
     ),
-    _counter('steering_seconds_count', 'Durations of plain flows', 'step'),
-    _counter('steering_seconds_sum', 'Sum of the durations', 'step'),
+    _counter(
+        'steering_duration_seconds_total', 'Sum of these durations', 'step'
+    ),
     _gauge('steering_state', 'What a role for plain flows believes', 'state'),
     _counter('key_reloads_total', 'Reloads of keys', 'outcome'),
     _gauge('table_entries', 'Entries in a bounded table', 'table'),
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -25,6 +25,8 @@
 # leaves one unanswered at this many checks does not run.
 UNANSWERED_CHECKS = 5
 MS_PER_S = 1000
+# The other agents have been heard by a process that runs this long.
+SETTLED_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -44,6 +46,7 @@
         self._context = context
         self._reports = reports
         self._owner_by_flow = owner_by_flow
+        self._started_s = context.timers.now()
 
     def take(self, message: PeerMessage, segment: Segment) -> None:
         """Handle an opening packet or one of its copies."""
@@ -186,6 +189,11 @@
         self, flow: bytes, message: PeerMessage, estimate: Estimate | None
     ) -> None:
         context = self._context
+        if context.timers.now() - self._started_s < SETTLED_S:
+            # Other agents may have room; copies of the packet follow
+            # after 200 and 600 ms.
+            context.counts['dropped_unsettled'] += 1
+            return
         context.counts['flows_refused'] += 1
         log_event(
             _logger,
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -213,6 +213,7 @@
         if pause_s > PAUSE_S:
             self.context.counts['pauses'] += 1
             self.context.peers.forgive(pause_s)
+            self.context.gate.forgive(pause_s)
         self._openings.check_unanswered()
         self.reports.report_due()
 
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -105,6 +105,10 @@
         self._unanswered = False
         self._heard_s = self._timers.now()
 
+    def forgive(self, pause_s: float) -> None:
+        """Don't count a pause of this process as silence of the target."""
+        self._heard_s += pause_s
+
     def note_unanswered(self, offered_s: float) -> None:
         """Note that an opening packet was left without an answer.
 
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -95,6 +95,7 @@
         self.outbox = RecordingOutbox()
         self.agent = AgentSteering(make_identity(), self.timers, self.outbox)
         self.agent.take_heartbeat(make_heartbeat())
+        self.timers.advance(0.6)
 
     def _offer(self, flow: bytes, **fields) -> None:
         segment = make_opening(flow)
@@ -113,6 +114,16 @@
         self.assertEqual([], self.outbox.at_target)
         self.assertEqual([PEER], self.outbox.placed_at())
 
+    def test_agent_that_has_just_started_refuses_nothing(self):
+        # Guards against refusals by an agent that has not heard yet of
+        # the others, after a power loss of all.
+        started = AgentSteering(make_identity(2), self.timers, self.outbox)
+        started.take_heartbeat(make_heartbeat(is_draining=True))
+        segment = make_opening(make_flow())
+        message = make_message(PeerKind.OPEN, body=segment.raw)
+        started.take_peer_message(BALANCER, message, segment)
+        self.assertEqual([], self.outbox.resets)
+
     def test_draining_target_without_peers_refuses_at_once(self):
         # Guards against a caller that waits for nobody.
         self.agent.take_heartbeat(make_heartbeat(2, is_draining=True))
