--- a/tests/operator/test_documents.py
+++ b/tests/operator/test_documents.py
@@ -36,7 +36,7 @@
 
     def test_operations_page_lists_every_metric(self):
         # Guards against metrics that the person on call cannot look up.
-        page = (ROOT / 'docs' / 'operations.md').read_text()
+        page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
         for definition in DEFINITIONS:
             labels = ', '.join(definition.labels) or '-'
             row = (
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -124,6 +124,14 @@
         started.take_peer_message(BALANCER, message, segment)
         self.assertEqual([], self.outbox.resets)
 
+    def test_target_that_was_not_heard_yet_comes_second(self):
+        # Guards against opening packets for a target that has not
+        # started yet after a power loss of all.
+        started = AgentSteering(make_identity(2), self.timers, self.outbox)
+        unheard_s = started.context.estimate_service_s()
+        started.take_heartbeat(make_heartbeat())
+        self.assertTrue(unheard_s > started.context.estimate_service_s())
+
     def test_draining_target_without_peers_refuses_at_once(self):
         # Guards against a caller that waits for nobody.
         self.agent.take_heartbeat(make_heartbeat(2, is_draining=True))
