Drop openings that waited through a pause; count expected flows briefly

Openings read after a pause are dropped until the socket has been empty, and a flow without a request counts for 0.15 s, checked every 20 ms.

--- a/greengagepath/daemon/datagram_socket.py
+++ b/greengagepath/daemon/datagram_socket.py
@@ -15,11 +15,14 @@
 RECEIVE_BUFFER_BYTES = 1048576
 
 OnDatagram = Callable[[bytes, str], None]
+OnEmpty = Callable[[], None]
 
 
 class DatagramSocket:
     """Receives datagrams for a callback and sends without waiting.
 
+    `on_empty` is called each time that no more datagrams wait.
+
     A datagram that the kernel does not take at once is dropped and
     counted; the protocols above repeat what matters.
     """
@@ -29,9 +32,11 @@
         address: tuple[str, int],
         on_datagram: OnDatagram,
         counts: Counter[str],
+        on_empty: OnEmpty,
     ) -> None:
         self._on_datagram = on_datagram
         self._counts = counts
+        self._on_empty = on_empty
         self._socket = open_udp_socket(RECEIVE_BUFFER_BYTES)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self._socket.bind(address)
@@ -71,6 +76,7 @@
             try:
                 datagram, sender = receive(MAX_DATAGRAM_BYTES)
             except BlockingIOError:
+                self._on_empty()
                 return
             except OSError:
                 # An earlier datagram met a closed port.
--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -100,9 +100,13 @@
             settings.listening.target_outbound or (settings.host, 0),
             self._take_from_target,
             counts,
+            _ignore_empty,
         )
         self._peers = DatagramSocket(
-            (settings.host, settings.agent_port), self._take_from_peer, counts
+            (settings.host, settings.agent_port),
+            self._take_from_peer,
+            counts,
+            self.steering.backlog.note_empty,
         )
         self._metrics = SteeringMetrics(
             counts, lambda: store.calls, self._read_gauges
@@ -260,5 +264,9 @@
         return HttpReply(OK, self._codec.acknowledgement)
 
 
+def _ignore_empty() -> None:
+    """Packets of the target are passed on however late."""
+
+
 def _ignore_reload() -> None:
     log_event(_logger, 'settings.unchanged')
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -82,12 +82,16 @@
         counts = self.steering.counts
         data_address = settings.listening.data or (settings.host, 0)
         self._callers = DatagramSocket(
-            data_address, self._take_from_caller, counts
+            data_address,
+            self._take_from_caller,
+            counts,
+            self.steering.backlog.note_empty,
         )
         self._peers = DatagramSocket(
             (settings.host, settings.balancer_port),
             self._take_from_peer,
             counts,
+            _ignore_empty,
         )
         self._callers_at = PeerAddresses(data_address[1])
         self._agents_at = PeerAddresses(settings.agent_port)
@@ -209,5 +213,9 @@
         return True
 
 
+def _ignore_empty() -> None:
+    """Reports of peers are worth reading however late."""
+
+
 def _ignore_reload() -> None:
     log_event(_logger, 'settings.unchanged')
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -7,6 +7,7 @@
 from .agent_context import AgentContext, AgentIdentity, AgentOutbox
 from .agent_openings import AgentOpenings
 from .agent_reports import AgentReports
+from .backlog import Backlog
 from .held_flows import HeldFlow
 from .owner_search import MAX_OWNERS, OwnerSearch
 from .peer_messages import PeerKind, PeerMessage
@@ -45,6 +46,7 @@
             self.context, self.reports, owner_by_flow
         )
         self._search = OwnerSearch(self.context, self.reports, owner_by_flow)
+        self.backlog = Backlog(timers)
         self._checked_s = timers.now()
         timers.subscribe(CHECK_S, self._check)
         timers.subscribe(SWEEP_S, self._sweep)
@@ -70,6 +72,9 @@
             case _ if segment is None:
                 context.drop('unreadable_packet', message.kind.name)
             case _ if segment.is_opening:
+                if self.backlog.is_stale():
+                    context.counts['dropped_stale'] += 1
+                    return
                 self._openings.take(message, segment)
             case _:
                 self._take_packet(sender, message, segment)
@@ -208,6 +213,7 @@
 
     def _check(self) -> None:
         now_s = self.context.timers.now()
+        self.backlog.note_running()
         pause_s = now_s - self._checked_s
         self._checked_s = now_s
         if pause_s > PAUSE_S:
@@ -215,6 +221,7 @@
             self.context.peers.forgive(pause_s)
             self.context.gate.forgive(pause_s)
         self._openings.check_unanswered()
+        self.context.held.expire_expected(now_s)
         self.reports.report_due()
 
     def _sweep(self) -> None:
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -8,6 +8,7 @@
 
 from ..logs import log_event
 from ..timers import TimerService
+from .backlog import Backlog
 from .balancer_contacts import (
     BalancerContacts,
     BalancerIdentity,
@@ -73,6 +74,7 @@
         self._assembly = RouteAssembly()
         self._copy = RouteCopy()
         self._lacking_checks = 0
+        self.backlog = Backlog(timers)
         self._started_s = timers.now()
         timers.subscribe(PULL_CHECK_S, self.pull_routes)
         timers.subscribe(ROTATE_S, self._owner_by_flow.rotate)
@@ -87,7 +89,7 @@
         if segment.opens_answer or segment.is_returned:
             self.counts['dropped_forged'] += 1
         elif segment.is_opening:
-            self._open(segment)
+            self._take_opening(segment)
         else:
             self._forward(segment)
 
@@ -126,6 +128,7 @@
 
     def pull_routes(self) -> None:
         """Ask a balancer and an agent for the configuration if it lacks."""
+        self.backlog.note_running()
         if self.routes.table is not None and not self.routes.is_behind:
             self._lacking_checks = 0
             return
@@ -164,6 +167,12 @@
 
     # Packets of callers
 
+    def _take_opening(self, segment: Segment) -> None:
+        if self.backlog.is_stale():
+            self.counts['dropped_stale'] += 1
+            return
+        self._open(segment)
+
     def _open(self, segment: Segment) -> None:
         flow = segment.flow
         route = self.routes.find(flow)
--- a/greengagepath/steering/held_flows.py
+++ b/greengagepath/steering/held_flows.py
@@ -7,8 +7,9 @@
 from .service_times import ServiceTime
 
 MAX_FLOWS = 20000
-# The caller's request follows the opening packet within a round trip.
-REQUEST_EXPECTED_S = 0.5
+# The caller's request follows the opening packet within a round trip;
+# after an outage many callers of opening packets have given up.
+REQUEST_EXPECTED_S = 0.15
 # A request in progress for longer is not counted as load.
 MAX_WORK_S = 10.0
 # A target that refused is tried with one more request after this time.
@@ -197,9 +198,17 @@
             if held.checks >= checks:
                 yield flow, held
 
+    def expire_expected(self, now_s: float) -> None:
+        """Don't count flows any more whose request has not come."""
+        before_s = now_s - REQUEST_EXPECTED_S
+        while self._expected_s:
+            flow, since_s = next(iter(self._expected_s.items()))
+            if since_s >= before_s:
+                return
+            del self._expected_s[flow]
+
     def sweep(self, now_s: float, idle_s: float) -> None:
         """Drop closed and idle flows, and work that takes too long."""
-        _drop_older(self._expected_s, now_s - REQUEST_EXPECTED_S)
         _drop_older(self._working_s, now_s - MAX_WORK_S)
         closed_before_s = now_s - CLOSED_KEPT_S
         idle_before_s = now_s - idle_s
--- a/tests/steering/test_balancer_steering.py
+++ b/tests/steering/test_balancer_steering.py
@@ -99,10 +99,22 @@
         # time still wait in the socket.
         self.timers.pause(5.0)
         self.timers.advance(0.0)
+        self.balancer.backlog.note_empty()
         self.balancer.take_from_caller(make_opening(make_flow()))
         self.assertEqual([], self.outbox.resets)
         self.assertEqual(1, len(self.outbox.placed_at()))
 
+    def test_openings_from_before_a_pause_are_dropped(self):
+        # Replays a balancer that wakes with the openings of 5 s in its
+        # socket: passed on, they made agents refuse fresh ones.
+        self.timers.pause(5.0)
+        for number in range(300):
+            self.balancer.take_from_caller(make_opening(make_flow(number)))
+        self.assertEqual([], self.outbox.placed_at())
+        self.balancer.backlog.note_empty()
+        self.balancer.take_from_caller(make_opening(make_flow(1)))
+        self.assertEqual(1, len(self.outbox.placed_at()))
+
     def test_told_owner_gets_the_packets(self):
         # Guards against a detour through the home for every packet.
         flow = make_flow()
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -55,6 +55,16 @@
             held.remove(make_flow(number))
         self.assertFalse(held.is_full(0.002))
 
+    def test_flows_without_a_request_count_for_a_round_trip(self):
+        # Replays opening packets of callers that have given up, after an
+        # outage: guards against refusals for a load that is not there.
+        held = HeldFlows()
+        for number in range(50):
+            held.accept(make_opening(make_flow(number)), b'', 0, 0.0)
+        self.assertEqual(50, held.load)
+        held.expire_expected(0.2)
+        self.assertEqual(0, held.load)
+
     def test_refusals_in_a_row_leave_the_slots_open(self):
         # Guards against a target that drains its queue of refused
         # requests and then stands idle behind a limit of one.
