--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -10,12 +10,7 @@
 from .held_flows import HeldFlows
 from .placement import find_usual_s
 from .route_copies import RouteCopy
-from .service_times import DEFAULT_S
-from .target_gate import TargetGate, TargetPhase
-
-# After a power loss an agent starts before its target; one that has
-# been heard goes first.
-UNKNOWN_PENALTY_S = 0.1
+from .target_gate import TargetGate
 
 _logger = logging.getLogger(__name__)
 
@@ -110,13 +105,9 @@
 
     def estimate_service_s(self) -> float:
         """Return the time of a request at the target, 0 if unknown."""
-        usual_s = find_usual_s(self.peers.loads)
-        estimated_s = self.held.service_time.estimate_s(
-            self.timers.now(), usual_s
+        return self.held.service_time.estimate_s(
+            self.timers.now(), find_usual_s(self.peers.loads)
         )
-        if self.gate.phase is TargetPhase.UNKNOWN:
-            return (estimated_s or DEFAULT_S) + UNKNOWN_PENALTY_S
-        return estimated_s
 
     def drop(self, reason: str, detail: str) -> None:
         """Count and log a datagram that cannot be used."""
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -132,12 +132,14 @@
             return None
         if context.held.is_full(context.timers.now()):
             return None
-        return Estimate(
+        estimate = Estimate(
             context.held.load,
             gate.slots,
             context.estimate_service_s(),
             find_usual_s(context.peers.loads),
         )
+        estimate.put_behind(gate.report_state())
+        return estimate
 
     def _accept(
         self, message: PeerMessage, segment: Segment, estimate: Estimate
@@ -218,4 +220,4 @@
     """Return whether another hop is not worth what it gains."""
     if chosen is None:
         return True
-    return own.finish_s <= chosen[0].finish_s + HAND_OVER_GAIN_S * hops
+    return own.rank_s <= chosen[0].rank_s + HAND_OVER_GAIN_S * hops
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -12,6 +12,7 @@
     decode_report,
     decode_roster,
 )
+from .placement import TAKING
 from .route_copies import RouteAssembly
 
 # Least and longest time between reports to agents of the service.
@@ -142,7 +143,7 @@
     def _find_state(self) -> ReportedState:
         context = self._context
         state = context.gate.report_state()
-        if state is not ReportedState.READY:
+        if state not in TAKING:
             return state
         if context.is_leaving:
             return ReportedState.DRAINING
--- a/greengagepath/steering/known_agents.py
+++ b/greengagepath/steering/known_agents.py
@@ -124,5 +124,9 @@
 
 def _is_change(agent: KnownAgent, report: LoadReport) -> bool:
     """Return whether a state is worth a line; full and back is not."""
-    usual = {ReportedState.READY, ReportedState.FULL}
+    usual = {
+        ReportedState.READY,
+        ReportedState.UNHEARD,
+        ReportedState.FULL,
+    }
     return agent.state not in usual or report.state not in usual
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -115,6 +115,8 @@
     ABSENT = 3
     # Serves, but its queue takes no more.
     FULL = 4
+    # Not heard since the start of its agent.
+    UNHEARD = 5
 
 
 class LoadReport:
--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -18,6 +18,11 @@
 REPORT_TRANSIT_S = 0.003
 
 
+# After a power loss an agent starts before its target; one that has
+# been heard goes first.
+UNHEARD_PENALTY_S = 0.1
+# States of targets that take new flows.
+TAKING = frozenset((ReportedState.READY, ReportedState.UNHEARD))
 # A request of the highest priority is taken while it should finish
 # within this share of its goal; each lower priority gets less, so that
 # urgent work still finds room at the crest.
@@ -51,7 +56,7 @@
 
     def is_usable(self, now_s: float) -> bool:
         """Return whether the target takes new flows."""
-        if self.report.state is not ReportedState.READY:
+        if self.report.state not in TAKING:
             return False
         return now_s - self.heard_s < SILENT_S
 
@@ -61,9 +66,13 @@
 
 
 class Estimate:
-    """How long a request takes that starts now, and whether it waits."""
+    """How long a request takes that starts now, and whether it waits.
 
-    __slots__ = ('finish_s', 'is_waiting')
+    `rank_s` orders targets; it lies above `finish_s` for one that may
+    not run.
+    """
+
+    __slots__ = ('finish_s', 'is_waiting', 'rank_s')
 
     def __init__(
         self, load: int, slots: int, service_s: float, usual_s: float
@@ -75,8 +84,14 @@
         each_s = service_s or usual_s or DEFAULT_S
         waiting = max(load - slots + 1, 0)
         self.finish_s = each_s * (1 + waiting / slots)
+        self.rank_s = self.finish_s
         self.is_waiting = waiting > 0
 
+    def put_behind(self, state: ReportedState) -> None:
+        """Rank a target that was not heard yet behind the others."""
+        if state is ReportedState.UNHEARD:
+            self.rank_s += UNHEARD_PENALTY_S
+
 
 def find_usual_s(loads: list[PeerLoad]) -> float:
     """Return the mean service time of targets that have one, or 0."""
@@ -100,7 +115,8 @@
         estimate = Estimate(
             load.estimate_load(), report.slots, report.service_s, usual_s
         )
-        if best is None or estimate.finish_s < best[0].finish_s:
+        estimate.put_behind(report.state)
+        if best is None or estimate.rank_s < best[0].rank_s:
             best = (estimate, load)
     return best
 
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -136,9 +136,11 @@
                 return ReportedState.ABSENT
             case TargetPhase.DRAINING:
                 return ReportedState.DRAINING
-        if self.is_responsive:
-            return ReportedState.READY
-        return ReportedState.ABSENT
+        if not self.is_responsive:
+            return ReportedState.ABSENT
+        if self.phase is TargetPhase.UNKNOWN:
+            return ReportedState.UNHEARD
+        return ReportedState.READY
 
     def _is_stale(self, heartbeat: Heartbeat, is_new: bool) -> bool:
         if is_new:
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -127,10 +127,18 @@
     def test_target_that_was_not_heard_yet_comes_second(self):
         # Guards against opening packets for a target that has not
         # started yet after a power loss of all.
+        self._hear_peer(0, state=ReportedState.UNHEARD, service_s=0.001)
+        self._offer(make_flow())
+        self.assertEqual([], self.outbox.placed_at())
         started = AgentSteering(make_identity(2), self.timers, self.outbox)
-        unheard_s = started.context.estimate_service_s()
-        started.take_heartbeat(make_heartbeat())
-        self.assertTrue(unheard_s > started.context.estimate_service_s())
+        state = started.context.gate.report_state()
+        self.assertEqual(ReportedState.UNHEARD, state)
+
+    def test_target_that_was_not_heard_does_not_slow_the_estimates(self):
+        # Guards against refusals as too late while slots are free: the
+        # penalty of unheard targets had entered the usual time of all.
+        self._hear_peer(0, state=ReportedState.UNHEARD, service_s=0.0)
+        self.assertFalse(self.agent.context.estimate_service_s())
 
     def test_draining_target_without_peers_refuses_at_once(self):
         # Guards against a caller that waits for nobody.
