--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -1,6 +1,7 @@
 """Builders of what the platform sends."""
 
 import json
+import struct
 from typing import Any
 
 
@@ -70,3 +71,34 @@
         'delete-pending': False,
     }
     return {'meta': meta, 'spec': spec, 'status': status}
+
+
+SYN = 16
+ACK = 64
+FIN = 4
+
+
+def make_packet(
+    source: tuple[bytes, int],
+    destination: tuple[bytes, int],
+    flags: int,
+    *,
+    sequence: int = 0,
+    acknowledged: int = 0,
+    payload: bytes = b'',
+) -> bytes:
+    """Return a packet on the platform's wire; its sum is not checked."""
+    head = struct.pack(
+        '>HIIIIHH4s4sB',
+        len(payload),
+        0,
+        0,
+        sequence,
+        acknowledged,
+        source[1],
+        destination[1],
+        destination[0],
+        source[0],
+        flags,
+    )
+    return b''.join((head, payload))
