--- a/tests/steering/test_flow_survival.py
+++ b/tests/steering/test_flow_survival.py
@@ -26,7 +26,7 @@
         # Fails if only the home knows where a flow was placed.
         world = World()
         flow = self._open_away_from_home(world)
-        home = self._find_home(world, flow)
+        home = self._rank(flow)[0]
         sequence = world.answers[flow][0]
         world.stop_agent(home)
         world.timers.advance(1.5)
@@ -83,7 +83,7 @@
         # Fails if all copies wait for the same dead home.
         world = World()
         flow = make_flow()
-        home = self._find_home(world, flow)
+        home = self._rank(flow)[0]
         world.stop_agent(home)
         world.send(make_opening(flow))
         world.timers.advance(0.2)
@@ -107,8 +107,11 @@
         )
         other.receive(make_opening(flow))
         world.timers.advance(0.05)
+        passed_over = world.target_by_address[make_address(first)]
+        before = passed_over.received
         world.request(flow, other.sequence)
         world.timers.advance(0.1)
+        self.assertEqual(before, passed_over.received)
         self.assertEqual(1, other.runs_by_flow.get(flow, 0))
         self.assertEqual(1, world.count_runs(flow))
 
@@ -128,11 +131,11 @@
         for number in range(1, 200):
             flow = make_flow(number)
             world.open(flow)
-            if world.find_holder(flow) != self._find_home(world, flow):
+            if world.find_holder(flow) not in self._rank(flow)[:2]:
                 return flow
         raise AssertionError('no flow was placed away from its home')
 
-    def _find_home(self, world: World, flow: bytes) -> int:
-        del world
+    def _rank(self, flow: bytes) -> list[int]:
+        """Return the numbers of the agents, the home of the flow first."""
         table = HomeTable([make_address(number) for number in range(1, 5)])
-        return table.rank(flow)[0][3]
+        return [address[3] for address in table.rank(flow)]
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -10,12 +10,14 @@
 from .builders import (
     OTHER_SERVICE,
     make_answer,
+    make_data,
     make_flow,
     make_heartbeat,
     make_identity,
     make_message,
     make_opening,
     make_report_message,
+    make_response,
     make_returned,
 )
 from .recorder import RecordingOutbox
@@ -199,6 +201,36 @@
         told = self.outbox.held_told()
         self.assertEqual([(make_message(PeerKind.HELD).balancer, flow)], told)
 
+    def test_refusal_of_the_target_is_no_answer(self):
+        # Guards against a full target that looks the fastest because it
+        # refuses at once.
+        flow = make_flow()
+        self._offer(flow)
+        self.agent.take_from_target(make_answer(flow))
+        request = make_data(flow)
+        message = make_message(PeerKind.FORWARD, body=request.raw)
+        self.agent.take_peer_message(BALANCER, message, request)
+        refusal = make_response(flow)
+        refusal.is_refusal = True
+        self.agent.take_from_target(refusal)
+        self.assertFalse(self.agent.context.estimate_service_s())
+        self.assertEqual(0, self.agent.context.held.load)
+
+    def test_packet_that_acknowledges_another_target_is_not_delivered(self):
+        # Guards against a flow that two targets have opened: the caller
+        # chose the answer of the other.
+        flow = make_flow()
+        self._hear_peer(9)
+        self._offer(flow)
+        self.agent.take_from_target(make_answer(flow))
+        before = len(self.outbox.at_target)
+        request = make_data(flow, acknowledged=0x70000000)
+        message = make_message(PeerKind.FORWARD, body=request.raw)
+        self.agent.take_peer_message(BALANCER, message, request)
+        self.assertEqual(before, len(self.outbox.at_target))
+        asked = [message.kind for _, message in self.outbox.at_agents]
+        self.assertIn(PeerKind.SEARCH, asked)
+
     def test_unreadable_packet_is_counted_and_dropped(self):
         # Guards against bytes that are no packet.
         message = make_message(PeerKind.FORWARD, body=b'x')
