Give each port of the demo out once, outside the range of connections

Cause: the demo chose ports by binding port 0 and closing the socket again, several seconds before the process listens there. A back end that finds its port taken ends, and nothing noticed it; the agent beside it then sends its requests to the back end of another service.

Ruled out: a datagram of one service accepted by an agent of another, which names the service in every datagram and has its own tests.

--- a/greengagepath/emulator/deployment.py
+++ b/greengagepath/emulator/deployment.py
@@ -26,9 +26,9 @@
 from .fabric import BalancerEntry, FabricConfig
 from .processes import (
     LOCAL_HOST,
+    PortPool,
     ProcessGroup,
     StartError,
-    find_free_ports,
     run_tool,
     wait_until,
 )
@@ -79,7 +79,8 @@
         self.services: list[Service] = []
         self.balancers_by_name: dict[str, BalancerProcess] = {}
         self.targets_by_name: dict[str, TargetProcess] = {}
-        self._ports = DeploymentPorts(*find_free_ports(3))
+        self._port_pool = PortPool()
+        self._ports = DeploymentPorts(*self._port_pool.find(3))
         self.control_paths = ControlPaths(
             self._ports.platform, self._ports.fabric_control
         )
@@ -103,6 +104,7 @@
         self.run_tool('apply', 'configuration.toml')
         for name in self._daemon_names():
             self.wait_until_ready(name)
+        self.processes.check_running()
 
     def stop(self) -> None:
         """End all processes."""
@@ -112,7 +114,7 @@
         """Start one more balancer behind the fabric; return its name."""
         number = len(self.balancers_by_name) + 1
         balancer = BalancerProcess(
-            f'balancer-{number}', *find_free_ports(3), _pick_zone(number)
+            f'balancer-{number}', *self._port_pool.find(3), _pick_zone(number)
         )
         self.balancers_by_name[balancer.name] = balancer
         self.restart(balancer.name)
@@ -134,7 +136,7 @@
         target = TargetProcess(
             f'{service.name}-{number + 1}',
             service_id,
-            *find_free_ports(4),
+            *self._port_pool.find(4),
             _pick_zone(number),
             SPEEDS[number % len(SPEEDS)],
         )
@@ -200,7 +202,7 @@
         path = EXAMPLES_DIR / f'{self.scenario}.answers.toml'
         match load_answers(path):
             case Ok(answers):
-                local = _make_local(answers)
+                local = _make_local(answers, self._port_pool)
             case Err(problems):
                 raise StartError('; '.join(map(str, problems)))
         answers_path = self.folder / 'answers.toml'
@@ -269,8 +271,8 @@
         )
 
 
-def _make_local(answers: Answers) -> Answers:
-    ports = find_free_ports(len(answers.services))
+def _make_local(answers: Answers, port_pool: PortPool) -> Answers:
+    ports = port_pool.find(len(answers.services))
     services = [
         _make_service_local(service, port)
         for service, port in zip(answers.services, ports, strict=True)
--- a/greengagepath/emulator/processes.py
+++ b/greengagepath/emulator/processes.py
@@ -1,6 +1,7 @@
 """Processes that the demo starts, and ports for them."""
 
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -11,6 +12,10 @@
 
 POLL_S = 0.05
 LOCAL_HOST = '127.0.0.1'
+# Services that come with a system listen below it.
+FIRST_PORT = 10_000
+MAX_PORT = 65_536
+OUTGOING_PORTS_FILE = Path('/proc/sys/net/ipv4/ip_local_port_range')
 
 
 class StartError(RuntimeError):
@@ -51,6 +56,12 @@
         """Return whether the process has not ended."""
         return self.processes_by_name[name].poll() is None
 
+    def check_running(self) -> None:
+        """Raise StartError if a process that was started has failed."""
+        for name, process in self.processes_by_name.items():
+            if process.poll():
+                raise StartError(f'{name} ended with {process.returncode}')
+
     def stop_all(self) -> None:
         """Kill what still runs; there is no work left to finish."""
         running = [
@@ -64,25 +75,28 @@
             process.wait()
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that are free for TCP and UDP on 127.0.0.1."""
-    held: list[socket.socket] = []
-    ports: list[int] = []
-    while len(ports) < count:
-        stream = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        stream.bind((LOCAL_HOST, 0))
-        held.append(stream)
-        port = stream.getsockname()[1]
-        datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-        held.append(datagram)
-        try:
-            datagram.bind((LOCAL_HOST, port))
-        except OSError:
-            continue
-        ports.append(port)
-    for opened in held:
-        opened.close()
-    return ports
+class PortPool:
+    """Ports for processes that start later, each given out once.
+
+    They lie below the range that the kernel uses for outgoing
+    connections: such a connection could take a port between its choice
+    and the start of the process that shall listen there.
+    """
+
+    def __init__(self, rng: random.Random | None = None) -> None:
+        self._rng = rng or random.Random()
+        self._given: set[int] = set()
+
+    def find(self, count: int) -> list[int]:
+        """Return ports that are free for TCP and UDP on 127.0.0.1."""
+        end = min(_read_first_outgoing_port(), MAX_PORT)
+        found: list[int] = []
+        while len(found) < count:
+            port = self._rng.randrange(FIRST_PORT, end)
+            if port not in self._given and _is_free(port):
+                self._given.add(port)
+                found.append(port)
+        return found
 
 
 def wait_until(
@@ -109,6 +123,23 @@
     )
 
 
+def _read_first_outgoing_port() -> int:
+    try:
+        return int(OUTGOING_PORTS_FILE.read_text().split()[0])
+    except OSError:
+        return MAX_PORT
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as opened:
+            try:
+                opened.bind((LOCAL_HOST, port))
+            except OSError:
+                return False
+    return True
+
+
 def _make_environment() -> dict[str, str]:
     root = str(Path(__file__).resolve().parents[2])
     paths = [root, os.environ.get('PYTHONPATH', '')]
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,5 +1,7 @@
 import random
 from http import HTTPStatus
+from pathlib import Path
+from tempfile import TemporaryDirectory
 
 import msgspec
 from hypothesis import given
@@ -11,6 +13,11 @@
 from greengagepath.emulator.load import CallOutcome
 from greengagepath.emulator.object_store import ObjectStore
 from greengagepath.emulator.platform import Platform
+from greengagepath.emulator.processes import (
+    PortPool,
+    ProcessGroup,
+    StartError,
+)
 from greengagepath.emulator.verdict import Verdict, count_outcomes, judge
 
 KEY = ('configuration', 'current')
@@ -171,3 +178,36 @@
         # Guards against a checksum that cannot tell answers apart.
         bodies = {checksum(make_body(name, 1000)) for name in ('aa', 'bb')}
         self.assertEqual(2, len(bodies))
+
+
+class FreePortsTest(TestCase):
+    """Guards against two processes of a demo that are given one port.
+
+    A back end that finds its port taken ends, and the agent beside it
+    then sends its requests to the back end of another service.
+    """
+
+    def test_no_port_is_given_twice(self):
+        pool = PortPool()
+
+        ports = [port for _ in range(300) for port in pool.find(4)]
+
+        self.assertEqual(1200, len(set(ports)))
+
+    def test_ports_are_not_those_of_outgoing_connections(self):
+        """A port stays free between its choice and its use."""
+        text = Path('/proc/sys/net/ipv4/ip_local_port_range').read_text()
+        first = int(text.split()[0])
+
+        self.assertLess(max(PortPool().find(50)), first)
+
+    def test_a_process_that_failed_at_start_is_reported(self):
+        """A back end that found its port taken must not go unnoticed."""
+        with TemporaryDirectory() as name:
+            processes = ProcessGroup(Path(name))
+            processes.start('back-end', 'greengagepath.no_such_module')
+            processes.wait('back-end', 30)
+
+        error = self.assertRaises(StartError, processes.check_running)
+
+        self.assertIn('back-end ended', str(error))
