Take a returned opening packet as no sign of life of the target

Cause: packets for a target that is not there come back like those that a full target does not take, and every returned packet counted as an answer. An agent whose target has left and that restarts, or whose target crashes, so stayed responsive with no load, the idlest of its service, and drew flows that others had room for; they ended after four hops as "no target".

Change: a returned opening closes the target until it is heard again, unless it has been heard since the packet was offered to it. A change of state is reported at once. The test of a returned opening now lets the target send a heartbeat between its two halves, since it is closed in between.

--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -65,6 +65,8 @@
     def take_returned(self, segment: Segment, held: HeldFlow | None) -> None:
         """Hand over an opening packet that the target did not take."""
         self._context.counts['openings_returned'] += 1
+        if held is not None:
+            self._note_not_taken(held)
         self._hand_over(segment, held)
 
     def check_unanswered(self) -> None:
@@ -81,10 +83,18 @@
                 flow=describe_flow(flow),
                 target_id=context.gate.target_id,
             )
-            context.gate.note_unanswered(held.offered_s)
+            self._note_not_taken(held)
             context.held.remove(flow)
             self._hand_over(held.opening, held)
 
+    def _note_not_taken(self, held: HeldFlow) -> None:
+        """Close the target if it has given no sign of life meanwhile."""
+        gate = self._context.gate
+        state = gate.report_state()
+        gate.note_not_taken(held.offered_s)
+        if gate.report_state() is not state:
+            self._reports.report()
+
     def _place(self, message: PeerMessage, segment: Segment) -> None:
         own = self._estimate_own()
         chosen = self._choose_peer(message)
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -163,7 +163,7 @@
         context.outbox.to_target(segment.raw)
 
     def _take_returned(self, segment: Segment) -> None:
-        self.context.gate.note_answer()
+        # No sign of life: packets for an absent target are given back too.
         held = self.context.held.remove(segment.flow)
         if segment.is_opening:
             self._openings.take_returned(segment, held)
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -109,11 +109,11 @@
         """Don't count a pause of this process as silence of the target."""
         self._heard_s += pause_s
 
-    def note_unanswered(self, offered_s: float) -> None:
-        """Note that an opening packet was left without an answer.
+    def note_not_taken(self, offered_s: float) -> None:
+        """Note that an opening packet was not answered or came back.
 
-        If the target was heard since it was offered, the packet is lost
-        and the target runs.
+        If the target was heard since it was offered, the target runs:
+        the packet is lost, or the target holds as many flows as it can.
         """
         self._unanswered = self._heard_s <= offered_s
 
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -69,7 +69,7 @@
         # and closes one after the other.
         self.gate.take_heartbeat(make_heartbeat())
         self.timers.advance(0.1)
-        self.gate.note_unanswered(self.timers.now())
+        self.gate.note_not_taken(self.timers.now())
         self.assertFalse(self.gate.is_responsive)
         self.gate.take_heartbeat(make_heartbeat(2))
         self.assertTrue(self.gate.is_responsive)
@@ -80,7 +80,7 @@
         offered_s = self.timers.now()
         self.timers.advance(0.05)
         self.gate.note_answer()
-        self.gate.note_unanswered(offered_s)
+        self.gate.note_not_taken(offered_s)
         self.assertTrue(self.gate.is_responsive)
 
     def test_silent_target_is_reported_absent(self):
@@ -164,10 +164,52 @@
         self._offer(flow, hops=3)
         self.agent.take_from_target(make_returned(make_opening(flow)))
         self.assertEqual([flow], self.outbox.resets)
+        self.agent.take_heartbeat(make_heartbeat(2))
         self._offer(make_flow(2), hops=0)
         self.agent.take_from_target(make_returned(make_opening(make_flow(2))))
         self.assertEqual([PEER], self.outbox.placed_at())
 
+    def test_target_that_only_returns_openings_is_absent(self):
+        # Replays agents whose targets have left, after a power loss:
+        # packets for an absent target come back, so it looked alive and
+        # idle and drew the flows that the others had room for.
+        started = AgentSteering(make_identity(2), self.timers, self.outbox)
+        segment = make_opening(make_flow())
+        message = make_message(PeerKind.PLACE, body=segment.raw)
+        started.take_peer_message(BALANCER, message, segment)
+        self.assertEqual([segment.raw], self.outbox.at_target)
+        started.take_from_target(make_returned(segment))
+        self.assertEqual(
+            ReportedState.ABSENT, started.context.gate.report_state()
+        )
+        started.take_heartbeat(make_heartbeat())
+        self.assertEqual(
+            ReportedState.READY, started.context.gate.report_state()
+        )
+
+    def test_target_that_crashed_and_returns_openings_is_absent(self):
+        # Guards against a crashed target that stays the idlest of all
+        # while packets for it come back.
+        self.timers.advance(0.5)
+        self._offer(make_flow())
+        self.timers.advance(0.002)
+        self.agent.take_from_target(make_returned(make_opening(make_flow())))
+        self.assertEqual(
+            ReportedState.ABSENT, self.agent.context.gate.report_state()
+        )
+
+    def test_full_target_that_answers_others_stays_open(self):
+        # Guards against a target closed until its next heartbeat because
+        # it holds as many flows as it can.
+        self._offer(make_flow())
+        self._offer(make_flow(2))
+        self.timers.advance(0.002)
+        self.agent.take_from_target(make_answer(make_flow()))
+        self.agent.take_from_target(make_returned(make_opening(make_flow(2))))
+        self.assertEqual(
+            ReportedState.READY, self.agent.context.gate.report_state()
+        )
+
     def test_unanswered_opening_goes_to_the_next_target(self):
         # Guards against a target that crashed without a word: the caller
         # would wait for its whole time budget.
