Keep goal and priority of an opening packet that is handed over

Change: the offer is kept until the target answers; handed over, it has its goal less the time spent at the agent, and is refused at once when no other target would finish in time. The two tests fail on the code before.

--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -6,7 +6,7 @@
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
 from .held_flows import HeldFlow
-from .peer_messages import NO_ADDRESS, PeerKind, PeerMessage
+from .peer_messages import PeerKind, PeerMessage
 from .placement import (
     Estimate,
     PeerLoad,
@@ -60,7 +60,7 @@
             if owner in self._context.peers.load_by_address:
                 self._pass_on(owner, message, segment)
                 return
-        self._place(message, segment)
+        self._place(message, segment, self._estimate_own())
 
     def take_returned(self, segment: Segment, held: HeldFlow | None) -> None:
         """Hand over an opening packet that the target did not take."""
@@ -95,8 +95,13 @@
         if gate.report_state() is not state:
             self._reports.report()
 
-    def _place(self, message: PeerMessage, segment: Segment) -> None:
-        own = self._estimate_own()
+    def _place(
+        self, message: PeerMessage, segment: Segment, own: Estimate | None
+    ) -> None:
+        """Choose between this target and the others.
+
+        `own` is None if this target does not take the flow.
+        """
         chosen = self._choose_peer(message)
         if own is not None and _is_own_better(own, chosen, message.hops):
             chosen = None
@@ -114,18 +119,30 @@
             self._send_to(chosen[1], message, segment)
 
     def _hand_over(self, segment: Segment, held: HeldFlow | None) -> None:
-        hops = held.hops if held else 0
-        message = PeerMessage(
+        self._place(self._make_handed_over(held), segment, None)
+
+    def _make_handed_over(self, held: HeldFlow | None) -> PeerMessage:
+        """Return the message of an offered opening for its next agent.
+
+        The time that the packet spent here is taken off its goal.
+        """
+        service = self._context.identity.service
+        offer = held.offer if held else None
+        if held is None or offer is None:
+            # An earlier process of this VM offered the packet.
+            return PeerMessage(PeerKind.PLACE, service, hops=1)
+        goal_ms = offer.goal_ms
+        if goal_ms:
+            held_s = self._context.timers.now() - held.offered_s
+            goal_ms = max(goal_ms - round(held_s * MS_PER_S), 1)
+        return PeerMessage(
             PeerKind.PLACE,
-            self._context.identity.service,
-            hops=hops + 1,
-            balancer=held.balancer if held else NO_ADDRESS,
+            service,
+            hops=offer.hops + 1,
+            balancer=offer.balancer,
+            priority=offer.priority,
+            goal_ms=goal_ms,
         )
-        best = self._choose_peer(message)
-        if best is None:
-            self._refuse(segment.flow, message, None)
-        else:
-            self._send_to(best[1], message, segment)
 
     def _choose_peer(
         self, message: PeerMessage
@@ -167,9 +184,7 @@
             finish_s=round(estimate.finish_s, 4),
             version=context.latest_version,
         )
-        context.held.accept(
-            segment, message.balancer, message.hops, context.timers.now()
-        )
+        context.held.accept(segment, message, context.timers.now())
         context.counts['flows_offered'] += 1
         context.outbox.to_target(segment.raw)
         self._reports.report_change()
--- a/greengagepath/steering/held_flows.py
+++ b/greengagepath/steering/held_flows.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from .durations import DurationCounts
+from .peer_messages import PeerMessage
 from .segments import Segment
 from .service_times import ServiceTime
 
@@ -29,8 +30,9 @@
 
     `turns` is how many requests one after the other its slot works on
     until this one is done, estimated when the request came.
-    `opening` is kept until the target answers, to hand it over;
-    `first_sequence` is the target's, None if its answer was not seen.
+    `offer` and `opening` are kept until the target answers, to hand the
+    flow over; `first_sequence` is the target's, None if its answer was
+    not seen.
     """
 
     __slots__ = (
@@ -40,6 +42,7 @@
         'hops',
         'is_answered',
         'is_closed',
+        'offer',
         'offered_s',
         'opening',
         'turns',
@@ -51,6 +54,7 @@
         self.balancer = balancer
         self.checks = 0
         self.hops = hops
+        self.offer: PeerMessage | None = None
         self.opening: Segment | None = None
         self.first_sequence: int | None = None
         self.is_answered = False
@@ -93,10 +97,11 @@
         return len(self._expected_s) + len(self._working_s)
 
     def accept(
-        self, segment: Segment, balancer: bytes, hops: int, now_s: float
+        self, segment: Segment, offer: PeerMessage, now_s: float
     ) -> HeldFlow:
         """Add the flow of an opening packet that goes to the target."""
-        held = HeldFlow(balancer, hops, now_s)
+        held = HeldFlow(offer.balancer, offer.hops, now_s)
+        held.offer = offer
         held.opening = segment
         self._add(segment.flow, held)
         self._expected_s[segment.flow] = now_s
@@ -125,6 +130,7 @@
         """Note the target's answer to an opening packet."""
         held.first_sequence = sequence
         held.is_answered = True
+        held.offer = None
         held.opening = None
         self.handshakes.add(now_s - held.offered_s)
 
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -132,6 +132,8 @@
     balancer: bytes = b'',
     hops: int = 0,
     version: int = 0,
+    priority: int = 0,
+    goal_ms: int = 0,
     body: bytes = b'',
 ) -> PeerMessage:
     """Return a message of a peer."""
@@ -141,6 +143,8 @@
         hops=hops,
         balancer=balancer or make_address(9, network=9),
         version=version,
+        priority=priority,
+        goal_ms=goal_ms,
         body=body,
     )
 
--- a/tests/steering/test_flow_survival.py
+++ b/tests/steering/test_flow_survival.py
@@ -3,8 +3,15 @@
 from testtools import TestCase
 
 from greengagepath.steering.homes import HomeTable
+from greengagepath.steering.peer_messages import PeerKind
 
-from .builders import make_address, make_data, make_flow, make_opening
+from .builders import (
+    make_address,
+    make_data,
+    make_flow,
+    make_message,
+    make_opening,
+)
 from .world import World
 
 
@@ -102,9 +109,10 @@
         other = world.target_by_address[make_address(second)]
         world.send(make_opening(flow))
         agent = world.agent_by_address[make_address(second)]
-        agent.context.held.accept(
-            make_opening(flow), make_address(1, network=9), 1, 100.0
+        offer = make_message(
+            PeerKind.PLACE, balancer=make_address(1, network=9), hops=1
         )
+        agent.context.held.accept(make_opening(flow), offer, 100.0)
         other.receive(make_opening(flow))
         world.timers.advance(0.05)
         passed_over = world.target_by_address[make_address(first)]
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -5,7 +5,11 @@
 from testtools import TestCase
 
 from greengagepath.steering.held_flows import HeldFlows
-from greengagepath.steering.peer_messages import LoadReport, ReportedState
+from greengagepath.steering.peer_messages import (
+    LoadReport,
+    PeerKind,
+    ReportedState,
+)
 from greengagepath.steering.placement import (
     Estimate,
     PeerLoad,
@@ -14,7 +18,9 @@
 )
 from greengagepath.steering.service_times import ServiceTime
 
-from .builders import make_address, make_flow, make_opening
+from .builders import make_address, make_flow, make_message, make_opening
+
+OFFER = make_message(PeerKind.PLACE)
 
 
 def make_load(
@@ -34,7 +40,7 @@
         # refuses at once, and so draws all flows.
         held = HeldFlows()
         flow = make_flow()
-        entry = held.accept(make_opening(flow), b'', 0, 0.0)
+        entry = held.accept(make_opening(flow), OFFER, 0.0)
         held.note_request(flow, entry, 2, 0.0)
         held.note_refusal(flow, entry, 2, 0.001)
         self.assertFalse(held.service_time.estimate_s(0.1, 0.0))
@@ -46,7 +52,7 @@
         held = HeldFlows()
         for number in range(6):
             flow = make_flow(number)
-            entry = held.accept(make_opening(flow), b'', 0, 0.0)
+            entry = held.accept(make_opening(flow), OFFER, 0.0)
             held.note_request(flow, entry, 2, 0.0)
         self.assertFalse(held.is_full(0.0))
         held.note_refusal(flow, entry, 2, 0.001)
@@ -60,7 +66,7 @@
         # outage: guards against refusals for a load that is not there.
         held = HeldFlows()
         for number in range(50):
-            held.accept(make_opening(make_flow(number)), b'', 0, 0.0)
+            held.accept(make_opening(make_flow(number)), OFFER, 0.0)
         self.assertEqual(50, held.load)
         held.expire_expected(0.2)
         self.assertEqual(0, held.load)
@@ -73,7 +79,7 @@
         now_s = 0.0
         for number in range(40):
             flow = make_flow(number)
-            entry = held.accept(make_opening(flow), b'', 0, now_s)
+            entry = held.accept(make_opening(flow), OFFER, now_s)
             held.note_request(flow, entry, 2, now_s)
             if number >= 8:
                 done = make_flow(number - 8)
@@ -88,7 +94,7 @@
         held = HeldFlows()
         for number in range(6):
             flow = make_flow(number)
-            entry = held.accept(make_opening(flow), b'', 0, 0.0)
+            entry = held.accept(make_opening(flow), OFFER, 0.0)
             held.note_request(flow, entry, 2, 0.0)
         for flow, entry in tuple(held.by_flow.items()):
             held.note_refusal(flow, entry, 2, 0.001)
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -169,6 +169,26 @@
         self.agent.take_from_target(make_returned(make_opening(make_flow(2))))
         self.assertEqual([PEER], self.outbox.placed_at())
 
+    def test_opening_that_is_handed_over_keeps_its_goal(self):
+        # Replays a power loss: handed-over flows had no goal any more,
+        # were never refused as too late and lengthened every queue.
+        self._hear_peer()
+        self._offer(make_flow(), goal_ms=150, priority=2)
+        self.timers.advance(0.02)
+        self.agent.take_from_target(make_returned(make_opening(make_flow())))
+        placed = self.outbox.at_agents[-1][1]
+        self.assertEqual(
+            (PeerKind.PLACE, 130, 2),
+            (placed.kind, placed.goal_ms, placed.priority),
+        )
+
+    def test_opening_is_not_handed_over_to_a_queue_that_is_too_long(self):
+        # Guards against a hop to a target that can only refuse.
+        self._offer(make_flow(), goal_ms=150)
+        self._hear_peer(20, service_s=0.05)
+        self.agent.take_from_target(make_returned(make_opening(make_flow())))
+        self.assertEqual([make_flow()], self.outbox.resets)
+
     def test_target_that_only_returns_openings_is_absent(self):
         # Replays agents whose targets have left, after a power loss:
         # packets for an absent target come back, so it looked alive and
