Give both roles for plain flows one base for signals, peers and metrics

Cause: the two daemons repeated signals, seeds, the decoding of peer datagrams and the metrics; READINESS_PATH, a path of the platform's wire, stood in one of them, outside the adapter, and the boundary test did not list it. The readiness question also changed the balancer's stage while it was answered.

Change: SteeringProcess holds what both share, the path is a field of the codec and the boundary test lists it (it failed on the code before). Seeds are packed once in the settings. The home of a flow is hashed only for flows past their first hop, the usual time is computed once for each opening, and entries are dropped by age by one function in place of three.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -1,23 +1,20 @@
 """Daemon of an agent for plain flows."""
 
 import logging
-import signal
 from typing import Protocol
 
 import gevent
-from gevent.event import Event
 from result import Err, Result
 
 from ..exit_codes import ExitCode
 from ..logs import log_event
 from ..steering.agent_context import AgentIdentity
 from ..steering.agent_steering import AgentSteering
-from ..steering.peer_messages import PeerKind, decode_message, digest_service
+from ..steering.peer_messages import PeerKind, PeerMessage, digest_service
 from ..steering.segments import Segment
-from ..steering.settings import SteeringSettings, pack_address
-from ..steering.store import Member, MemberRole, SteeringStore
+from ..steering.settings import SteeringSettings
+from ..steering.store import MemberRole, SteeringStore
 from ..steering.target_gate import Heartbeat, TargetPhase
-from ..timers import LoopTimerService
 from .datagram_socket import DatagramSocket
 from .http_listener import (
     BAD_REQUEST,
@@ -25,14 +22,11 @@
     NOT_FOUND,
     OK,
     UNAVAILABLE,
-    HttpListener,
     HttpReply,
     HttpRequest,
 )
-from .membership_listing import MembershipListing
 from .peer_addresses import PeerAddresses
-from .steering_balancer import READINESS_PATH
-from .steering_metrics import SteeringMetrics
+from .steering_process import SteeringCodec, SteeringProcess, ignore_empty
 
 LEAVE_RESERVE_S = 0.8
 LEAVE_POLL_S = 0.1
@@ -40,21 +34,12 @@
 _logger = logging.getLogger(__name__)
 
 
-class AgentCodec(Protocol):
+class AgentCodec(SteeringCodec, Protocol):
     """Packets and heartbeats on the platform's wire."""
 
-    def decode_from_caller(self, raw: bytes) -> Segment | None:
-        """Return a caller's packet, None if the bytes are none."""
-
     def decode_from_target(self, raw: bytes) -> Segment | None:
         """Return a target's packet, None if the bytes are none."""
 
-    def encode_reset(self, flow: bytes) -> bytes:
-        """Return a reset of a flow that has not opened."""
-
-    def caller_address(self, flow: bytes) -> bytes:
-        """Return the caller's packed address."""
-
     def decode_target_id(self, path: str) -> str | None:
         """Return the target named by a heartbeat's path."""
 
@@ -68,7 +53,7 @@
         """Return the body that acknowledges a heartbeat."""
 
 
-class AgentDaemon:
+class AgentDaemon(SteeringProcess):
     """Sockets around the decisions of an agent."""
 
     def __init__(
@@ -77,11 +62,8 @@
         codec: AgentCodec,
         store: SteeringStore,
     ) -> None:
-        self._settings = settings
+        super().__init__(settings, store, MemberRole.AGENT)
         self._codec = codec
-        self._store = store
-        self._timers = LoopTimerService()
-        self._stopping = Event()
         identity = AgentIdentity(
             settings.address,
             digest_service(settings.service),
@@ -90,50 +72,30 @@
             is_first_start=settings.first_start,
         )
         self.steering = AgentSteering(identity, self._timers, self)
-        counts = self.steering.context.counts
+        context = self.steering.context
         self._target_at = settings.target_address or (settings.host, 0)
         data_port = (settings.listening.data or ('', 0))[1]
         self._callers_at = PeerAddresses(data_port)
-        self._agents_at = PeerAddresses(settings.agent_port)
-        self._balancers_at = PeerAddresses(settings.balancer_port)
         self._target = DatagramSocket(
             settings.listening.target_outbound or (settings.host, 0),
             self._take_from_target,
-            counts,
-            _ignore_empty,
+            context.counts,
+            ignore_empty,
         )
-        self._peers = DatagramSocket(
-            (settings.host, settings.agent_port),
-            self._take_from_peer,
-            counts,
+        self._bind(
+            settings.agent_port,
+            context.counts,
             self.steering.backlog.note_empty,
         )
-        self._metrics = SteeringMetrics(
-            counts, lambda: store.calls, self._read_gauges
-        )
-        held = self.steering.context.held
-        self._metrics.durations_by_step['handshake'] = held.handshakes
-        self._metrics.durations_by_step['request'] = held.requests
-        self._own = Member(settings.address, MemberRole.AGENT)
-        self._listing = MembershipListing(store, self._own, self._take_members)
+        self._metrics.durations_by_step['handshake'] = context.held.handshakes
+        self._metrics.durations_by_step['request'] = context.held.requests
 
     def run(self) -> ExitCode:
         """Serve until SIGTERM, then until the target's flows end."""
-        gevent.signal_handler(signal.SIGTERM, self._stopping.set)
-        gevent.signal_handler(signal.SIGINT, self._stopping.set)
-        gevent.signal_handler(signal.SIGHUP, _ignore_reload)
-        self._timers.start()
+        listening = self._settings.listening
+        self._open(listening.heartbeats, listening.readiness)
         self._target.start()
-        self._peers.start()
-        for address in (
-            self._settings.listening.heartbeats,
-            self._settings.listening.readiness,
-        ):
-            if address:
-                HttpListener(address, self._answer).start()
-        port = self._settings.listening.metrics_port
-        self._metrics.serve(self._settings.host, port)
-        self._take_members(self._read_seeds(), [])
+        self._take_members(self._settings.seeds, [])
         self._listing.start()
         log_event(_logger, 'agent.started', service=self._settings.service)
         self._stopping.wait()
@@ -154,14 +116,6 @@
         """Send a reset to the caller of a flow that has not opened."""
         self.to_caller(flow, self._codec.encode_reset(flow))
 
-    def to_agent(self, address: bytes, datagram: bytes) -> None:
-        """Send to an agent."""
-        self._peers.send(datagram, self._agents_at.find(address))
-
-    def to_balancer(self, address: bytes, datagram: bytes) -> None:
-        """Send to a balancer."""
-        self._peers.send(datagram, self._balancers_at.find(address))
-
     def _read_gauges(self) -> dict[str, float]:
         context = self.steering.context
         return {
@@ -192,10 +146,6 @@
                 return
             gevent.sleep(LEAVE_POLL_S)
 
-    def _read_seeds(self) -> list[bytes]:
-        seeds = [pack_address(host) for host, _ in self._settings.seeds]
-        return [seed for seed in seeds if seed]
-
     def _take_members(
         self, balancers: list[bytes], agents: list[bytes]
     ) -> None:
@@ -219,20 +169,14 @@
             return
         self.steering.take_from_target(segment)
 
-    def _take_from_peer(self, datagram: bytes, host: str) -> None:
-        decoded = decode_message(datagram)
-        sender = pack_address(host)
-        if isinstance(decoded, Err) or sender is None:
-            self.steering.context.counts['dropped_unreadable'] += 1
-            return
-        message = decoded.ok_value
+    def _take_message(self, sender: bytes, message: PeerMessage) -> None:
         segment = None
         if message.kind <= PeerKind.SEARCH:
             segment = self._codec.decode_from_caller(message.body)
         self.steering.take_peer_message(sender, message, segment)
 
     def _answer(self, request: HttpRequest) -> HttpReply:
-        if request.path.partition('?')[0] == READINESS_PATH:
+        if request.path.partition('?')[0] == self._codec.readiness_path:
             return HttpReply(UNAVAILABLE if self._stopping.is_set() else OK)
         target_id = self._codec.decode_target_id(request.path)
         if target_id is None:
@@ -262,11 +206,3 @@
             return HttpReply(BAD_REQUEST)
         self.steering.take_heartbeat(decoded.ok_value)
         return HttpReply(OK, self._codec.acknowledgement)
-
-
-def _ignore_empty() -> None:
-    """Packets of the target are passed on however late."""
-
-
-def _ignore_reload() -> None:
-    log_event(_logger, 'settings.unchanged')
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -2,38 +2,29 @@
 
 import logging
 import random
-import signal
-from typing import Protocol
 
 import gevent
-from gevent.event import Event
-from result import Err
 
 from ..exit_codes import ExitCode
 from ..logs import log_event
 from ..steering.balancer_contacts import BalancerIdentity
 from ..steering.balancer_steering import BalancerSteering
-from ..steering.peer_messages import decode_message
+from ..steering.peer_messages import PeerMessage
 from ..steering.rotation import BalancerStage
-from ..steering.segments import Segment
-from ..steering.settings import SteeringSettings, pack_address
-from ..steering.store import Member, MemberRole, SteeringStore
-from ..timers import LoopTimerService
+from ..steering.settings import SteeringSettings
+from ..steering.store import MemberRole, SteeringStore
 from .datagram_socket import DatagramSocket
 from .http_listener import (
     NOT_FOUND,
     OK,
     UNAVAILABLE,
-    HttpListener,
     HttpReply,
     HttpRequest,
 )
-from .membership_listing import MembershipListing
 from .peer_addresses import PeerAddresses
 from .route_follower import RouteFollower
-from .steering_metrics import SteeringMetrics
+from .steering_process import SteeringCodec, SteeringProcess, ignore_empty
 
-READINESS_PATH = '/ready'
 # The fabric stops sending after two probes, one each 500 ms; packets
 # that are under way follow.
 LEAVE_S = 1.9
@@ -46,83 +37,42 @@
 _logger = logging.getLogger(__name__)
 
 
-class PacketCodec(Protocol):
-    """Packets of callers on the platform's wire."""
-
-    def decode_from_caller(self, raw: bytes) -> Segment | None:
-        """Return a packet, None if the bytes are none."""
-
-    def encode_reset(self, flow: bytes) -> bytes:
-        """Return a reset of a flow that has not opened."""
-
-    def caller_address(self, flow: bytes) -> bytes:
-        """Return the caller's packed address."""
-
-
-class BalancerDaemon:
+class BalancerDaemon(SteeringProcess):
     """Sockets around the decisions of a balancer."""
 
     def __init__(
         self,
         settings: SteeringSettings,
-        codec: PacketCodec,
+        codec: SteeringCodec,
         store: SteeringStore,
     ) -> None:
-        self._settings = settings
+        super().__init__(settings, store, MemberRole.BALANCER)
         self._codec = codec
-        self._timers = LoopTimerService()
-        self._stopping = Event()
         self._is_leaving = False
         self.steering = BalancerSteering(
             BalancerIdentity(settings.address, settings.availability_zone),
             self._timers,
             self,
-            self._note_behind,
+            lambda: self._follower.note_behind(),
         )
         counts = self.steering.counts
         data_address = settings.listening.data or (settings.host, 0)
+        self._callers_at = PeerAddresses(data_address[1])
         self._callers = DatagramSocket(
             data_address,
             self._take_from_caller,
             counts,
             self.steering.backlog.note_empty,
         )
-        self._peers = DatagramSocket(
-            (settings.host, settings.balancer_port),
-            self._take_from_peer,
-            counts,
-            _ignore_empty,
-        )
-        self._callers_at = PeerAddresses(data_address[1])
-        self._agents_at = PeerAddresses(settings.agent_port)
-        self._balancers_at = PeerAddresses(settings.balancer_port)
+        self._bind(settings.balancer_port, counts, ignore_empty)
         self._follower = RouteFollower(store, self.steering, random.Random())
-        self._listing = MembershipListing(
-            store,
-            Member(settings.address, MemberRole.BALANCER),
-            self._take_members,
-        )
-        self._metrics = SteeringMetrics(
-            counts, lambda: store.calls, self._read_gauges
-        )
         self._started_s = self._timers.now()
 
     def run(self) -> ExitCode:
         """Serve until SIGTERM, then until the fabric has moved on."""
-        gevent.signal_handler(signal.SIGTERM, self._stopping.set)
-        gevent.signal_handler(signal.SIGINT, self._stopping.set)
-        gevent.signal_handler(signal.SIGHUP, _ignore_reload)
-        self._timers.start()
+        self._open(self._settings.listening.readiness)
         self._callers.start()
-        self._peers.start()
-        if self._settings.listening.readiness:
-            HttpListener(
-                self._settings.listening.readiness, self._answer
-            ).start()
-        port = self._settings.listening.metrics_port
-        self._metrics.serve(self._settings.host, port)
-        seeds = [pack_address(host) for host, _ in self._settings.seeds]
-        self.steering.contacts.add_balancers([seed for seed in seeds if seed])
+        self.steering.contacts.add_balancers(self._settings.seeds)
         self._follower.start()
         self._listing.start()
         log_event(_logger, 'balancer.started')
@@ -157,14 +107,6 @@
         log_event(_logger, 'balancer.out_of_rotation', waited_s=waited_s)
         gevent.sleep(LEAVE_S)
 
-    def to_agent(self, address: bytes, datagram: bytes) -> None:
-        """Send to an agent."""
-        self._peers.send(datagram, self._agents_at.find(address))
-
-    def to_balancer(self, address: bytes, datagram: bytes) -> None:
-        """Send to a balancer."""
-        self._peers.send(datagram, self._balancers_at.find(address))
-
     def reset(self, flow: bytes) -> None:
         """Send a reset to the caller of a flow that has not opened."""
         caller = self._codec.caller_address(flow)
@@ -172,9 +114,6 @@
             self._codec.encode_reset(flow), self._callers_at.find(caller)
         )
 
-    def _note_behind(self) -> None:
-        self._follower.note_behind()
-
     def _take_members(
         self, balancers: list[bytes], agents: list[bytes]
     ) -> None:
@@ -188,34 +127,22 @@
             return
         self.steering.take_from_caller(segment)
 
-    def _take_from_peer(self, datagram: bytes, host: str) -> None:
-        decoded = decode_message(datagram)
-        sender = pack_address(host)
-        if isinstance(decoded, Err) or sender is None:
-            self.steering.counts['dropped_unreadable'] += 1
-            return
-        self.steering.take_peer_message(sender, decoded.ok_value)
+    def _take_message(self, sender: bytes, message: PeerMessage) -> None:
+        self.steering.take_peer_message(sender, message)
 
     def _answer(self, request: HttpRequest) -> HttpReply:
-        if request.path.partition('?')[0] != READINESS_PATH:
+        if request.path.partition('?')[0] != self._codec.readiness_path:
             return HttpReply(NOT_FOUND)
-        return HttpReply(OK if self._is_ready() else UNAVAILABLE)
+        if not self._is_ready():
+            return HttpReply(UNAVAILABLE)
+        if self.steering.contacts.stage is BalancerStage.STARTING:
+            after_s = round(self._timers.now() - self._started_s, 3)
+            log_event(_logger, 'balancer.ready', after_s=after_s)
+            self.steering.contacts.enter_stage(BalancerStage.READY)
+        return HttpReply(OK)
 
     def _is_ready(self) -> bool:
         if self._is_leaving or self.steering.routes.table is None:
             return False
         age_s = self._timers.now() - self._started_s
-        if not self.steering.has_agents and age_s < READY_WITHOUT_AGENTS_S:
-            return False
-        if self.steering.contacts.stage is BalancerStage.STARTING:
-            log_event(_logger, 'balancer.ready', after_s=round(age_s, 3))
-            self.steering.contacts.enter_stage(BalancerStage.READY)
-        return True
-
-
-def _ignore_empty() -> None:
-    """Reports of peers are worth reading however late."""
-
-
-def _ignore_reload() -> None:
-    log_event(_logger, 'settings.unchanged')
+        return self.steering.has_agents or age_s >= READY_WITHOUT_AGENTS_S
--- a/greengagepath/platform/wire.py
+++ b/greengagepath/platform/wire.py
@@ -7,6 +7,7 @@
     """Packets and heartbeats of the platform."""
 
     acknowledgement = heartbeats.ACKNOWLEDGEMENT
+    readiness_path = '/ready'
 
     def __init__(self) -> None:
         self.caller_address = packets.caller_address
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -157,13 +157,15 @@
         gate = context.gate
         if context.is_leaving or not gate.is_open or not gate.is_responsive:
             return None
-        if context.held.is_full(context.timers.now()):
+        now_s = context.timers.now()
+        if context.held.is_full(now_s):
             return None
+        usual_s = find_usual_s(context.peers.loads)
         estimate = Estimate(
             context.held.load,
             gate.slots,
-            context.estimate_service_s(),
-            find_usual_s(context.peers.loads),
+            context.held.service_time.estimate_s(now_s, usual_s),
+            usual_s,
         )
         estimate.put_behind(gate.report_state())
         return estimate
--- a/greengagepath/steering/agent_peers.py
+++ b/greengagepath/steering/agent_peers.py
@@ -1,6 +1,7 @@
 """Balancers and agents that an agent tells of its target."""
 
 from ..timers import TimerService
+from .ages import drop_older
 from .homes import HomeTable
 from .peer_messages import LoadReport, ReportedState, Roster
 from .placement import PeerLoad
@@ -86,8 +87,8 @@
     def forget_silent(self) -> None:
         """Drop contacts that were not heard for `FORGET_S`."""
         before_s = self._timers.now() - FORGET_S
-        _drop_older(self._balancer_seen_s, before_s)
-        for address in _drop_older(self._agent_seen_s, before_s):
+        drop_older(self._balancer_seen_s, before_s)
+        for address in drop_older(self._agent_seen_s, before_s):
             if self.load_by_address.pop(address, None):
                 self._rank()
 
@@ -107,10 +108,3 @@
             if load.report.state is not ReportedState.ABSENT
         ]
         self.homes = HomeTable([*present, self.own_address])
-
-
-def _drop_older(seen_s: dict[bytes, float], before_s: float) -> list[bytes]:
-    old = [address for address, heard_s in seen_s.items() if heard_s < before_s]
-    for address in old:
-        del seen_s[address]
-    return old
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -196,9 +196,14 @@
         )
         self.context.counts['flows_opened'] += 1
         self.reports.tell_held(segment.flow, held.balancer)
-        home = self.context.peers.homes.find_home(segment.flow)
-        if held.hops > 1 and home and home != self.context.identity.address:
-            self.reports.tell_agent_held(segment.flow, home)
+        if held.hops > 1:
+            # The home knows only where it sent the flow itself.
+            self._tell_home(segment.flow)
+
+    def _tell_home(self, flow: bytes) -> None:
+        home = self.context.peers.homes.find_home(flow)
+        if home and home != self.context.identity.address:
+            self.reports.tell_agent_held(flow, home)
 
     def _log_answer(self, segment: Segment, duration_s: float) -> None:
         log_event(
--- /dev/null
+++ b/greengagepath/steering/ages.py
@@ -0,0 +1,14 @@
+"""Entries that are dropped by their age."""
+
+from collections.abc import Hashable
+from typing import TypeVar
+
+Key = TypeVar('Key', bound=Hashable)
+
+
+def drop_older(since_s_by_key: dict[Key, float], before_s: float) -> list[Key]:
+    """Remove the entries from before a time; return their keys."""
+    old = [key for key, since_s in since_s_by_key.items() if since_s < before_s]
+    for key in old:
+        del since_s_by_key[key]
+    return old
--- a/greengagepath/steering/balancer_contacts.py
+++ b/greengagepath/steering/balancer_contacts.py
@@ -3,6 +3,7 @@
 from typing import Protocol
 
 from ..timers import TimerService
+from .ages import drop_older
 from .known_agents import KnownAgent, KnownAgents
 from .peer_messages import (
     NO_SERVICE,
@@ -113,10 +114,7 @@
             self.rotation.note(sender, _STAGES[message.hops])
 
     def _forget_balancers(self) -> None:
-        before_s = self._timers.now() - FORGET_S
-        for address, seen_s in tuple(self._balancer_seen_s.items()):
-            if seen_s < before_s:
-                del self._balancer_seen_s[address]
+        drop_older(self._balancer_seen_s, self._timers.now() - FORGET_S)
 
     def _greet(self, agent: KnownAgent, roster: Roster) -> None:
         encoded = self._encode(agent.service, roster.encode())
--- a/greengagepath/steering/held_flows.py
+++ b/greengagepath/steering/held_flows.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from .ages import drop_older
 from .durations import DurationCounts
 from .peer_messages import PeerMessage
 from .segments import Segment
@@ -218,7 +219,7 @@
 
     def sweep(self, now_s: float, idle_s: float) -> None:
         """Drop closed and idle flows, and work that takes too long."""
-        _drop_older(self._working_s, now_s - MAX_WORK_S)
+        drop_older(self._working_s, now_s - MAX_WORK_S)
         closed_before_s = now_s - CLOSED_KEPT_S
         idle_before_s = now_s - idle_s
         old = [
@@ -234,11 +235,3 @@
         if len(self.by_flow) >= MAX_FLOWS:
             self.remove(next(iter(self.by_flow)))
         self.by_flow[flow] = held
-
-
-def _drop_older(since_by_flow: dict[bytes, float], before_s: float) -> None:
-    old = [
-        flow for flow, since_s in since_by_flow.items() if since_s < before_s
-    ]
-    for flow in old:
-        del since_by_flow[flow]
--- a/greengagepath/steering/settings.py
+++ b/greengagepath/steering/settings.py
@@ -79,11 +79,8 @@
         self.service: str = found['service']
         first, _, last = found['peer_ports'].partition(',')
         self.peer_ports = (int(first), int(last or first))
-        self.seeds = [
-            seed
-            for seed in map(_parse_address, found['seeds'].split(','))
-            if seed is not None
-        ]
+        seeds = filter(None, map(_parse_address, found['seeds'].split(',')))
+        self.seeds = [socket.inet_aton(host) for host, _ in seeds]
         self.store_address = _parse_address(found['store_address'])
         self.first_start = bool(found['first_start'])
         self.heartbeat_ms = float(found['heartbeat_ms'])
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -22,6 +22,7 @@
     'forwarding-mode',
     'idle-timeout-ms',
     '/endpoints/',
+    "'/ready'",
     'Server-Load',
     'Server-Stamp',
     'Not-Executed',
