Tell all parts of a pause of the process from the timer service

Cause: three detectors (backlog, agent, known agents) answered whether the process had paused, with thresholds of 0.15, 0.3 and 0.6 s and clocks of their own.

Change: the timer service knows how late its first timer is and tells each pause once, before any late timer runs; a socket that is read first asks it. Backlog keeps its own 0.6 s for what is too old to pass on.

FailureDetector of the product's own protocol keeps its detector for now.

--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -18,8 +18,6 @@
 CHECK_S = 0.02
 SWEEP_S = 1.0
 ROTATE_S = 30.0
-# Checks further apart than this mean that the process itself paused.
-PAUSE_S = 0.15
 
 # Kinds that speak of processes and not of one flow.
 _BETWEEN_PROCESSES = frozenset(
@@ -47,7 +45,7 @@
         )
         self._search = OwnerSearch(self.context, self.reports, owner_by_flow)
         self.backlog = Backlog(timers)
-        self._checked_s = timers.now()
+        timers.subscribe_pauses(self._forgive)
         timers.subscribe(CHECK_S, self._check)
         timers.subscribe(SWEEP_S, self._sweep)
         timers.subscribe(ROTATE_S, self._search.rotate)
@@ -216,17 +214,15 @@
             target_id=self.context.gate.target_id,
         )
 
+    def _forgive(self, pause_s: float) -> None:
+        """Don't count a pause of this process as silence of others."""
+        self.context.counts['pauses'] += 1
+        self.context.peers.forgive(pause_s)
+        self.context.gate.forgive(pause_s)
+
     def _check(self) -> None:
-        now_s = self.context.timers.now()
-        self.backlog.note_running()
-        pause_s = now_s - self._checked_s
-        self._checked_s = now_s
-        if pause_s > PAUSE_S:
-            self.context.counts['pauses'] += 1
-            self.context.peers.forgive(pause_s)
-            self.context.gate.forgive(pause_s)
         self._openings.check_unanswered()
-        self.context.held.expire_expected(now_s)
+        self.context.held.expire_expected(self.context.timers.now())
         self.reports.report_due()
 
     def _sweep(self) -> None:
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -128,7 +128,6 @@
 
     def pull_routes(self) -> None:
         """Ask a balancer and an agent for the configuration if it lacks."""
-        self.backlog.note_running()
         if self.routes.table is not None and not self.routes.is_behind:
             self._lacking_checks = 0
             return
--- a/greengagepath/steering/known_agents.py
+++ b/greengagepath/steering/known_agents.py
@@ -13,8 +13,6 @@
 SILENT_S = 0.9
 FORGET_S = 60.0
 CHECK_S = 0.25
-# Checks later than this mean that the process itself paused.
-PAUSE_S = 0.3
 
 _logger = logging.getLogger(__name__)
 
@@ -59,8 +57,8 @@
         self.by_service: dict[bytes, ServiceAgents] = {}
         self.pauses = 0
         self._timers = timers
-        self._checked_s = timers.now()
         timers.subscribe(CHECK_S, self._check)
+        timers.subscribe_pauses(self._forgive)
 
     def add(self, address: bytes) -> KnownAgent:
         """Add an agent that has not reported yet."""
@@ -92,15 +90,14 @@
         agent.state = report.state
         self._rank()
 
+    def _forgive(self, pause_s: float) -> None:
+        """Don't count a pause of this process as silence of the agents."""
+        self.pauses += 1
+        for agent in self.by_address.values():
+            agent.heard_s += pause_s
+
     def _check(self) -> None:
         now_s = self._timers.now()
-        pause_s = now_s - self._checked_s - CHECK_S
-        self._checked_s = now_s
-        if pause_s > PAUSE_S:
-            # Reports of that time wait in the socket.
-            self.pauses += 1
-            for agent in self.by_address.values():
-                agent.heard_s += pause_s
         for address, agent in tuple(self.by_address.items()):
             if now_s - agent.heard_s > FORGET_S:
                 del self.by_address[address]
--- a/greengagepath/timers.py
+++ b/greengagepath/timers.py
@@ -13,6 +13,11 @@
 from gevent.event import Event
 
 Callback = Callable[[], None]
+PauseCallback = Callable[[float], None]
+
+# Timers later than this mean that the process itself did not run: its
+# VM was suspended, or had no processor time.
+PAUSE_S = 0.15
 
 
 class Timer:
@@ -46,6 +51,8 @@
     def __init__(self) -> None:
         self._queue: list[tuple[float, int, Timer]] = []
         self._order = itertools.count()
+        self._on_pause: list[PauseCallback] = []
+        self._pauses_told_s = 0.0
 
     def now(self) -> float:
         """Return monotonic seconds; time spent suspended counts."""
@@ -64,6 +71,20 @@
             raise ValueError(f'period must be positive, got {period_s}')
         return self._push(Timer(callback, self.now() + period_s, period_s))
 
+    def subscribe_pauses(self, callback: PauseCallback) -> None:
+        """Call with the length in seconds of each pause of the process.
+
+        A pause is told once, before the first late timer runs. What
+        others sent meanwhile still waits in the sockets.
+        """
+        self._on_pause.append(callback)
+
+    def check_pause(self) -> None:
+        """Tell a pause that has just ended, before any timer has run."""
+        due_s = self.next_due()
+        if due_s is not None:
+            self._tell_pause(due_s)
+
     def next_due(self) -> float | None:
         """Return when the next callback is due, or None."""
         while self._queue and self._queue[0][2].cancelled:
@@ -84,8 +105,18 @@
         heapq.heappush(self._queue, (timer.due_s, next(self._order), timer))
         return timer
 
+    def _tell_pause(self, due_s: float) -> None:
+        now_s = self.now()
+        pause_s = now_s - max(due_s, self._pauses_told_s)
+        if pause_s <= PAUSE_S:
+            return
+        self._pauses_told_s = now_s
+        for callback in self._on_pause:
+            callback(pause_s)
+
     def _run_next(self) -> None:
         timer = heapq.heappop(self._queue)[2]
+        self._tell_pause(timer.due_s)
         if timer.period_s is not None:
             # A late loop skips missed periods instead of running them all.
             timer.due_s = max(timer.due_s, self.now() - timer.period_s)
--- a/tests/test_timers.py
+++ b/tests/test_timers.py
@@ -29,3 +29,28 @@
     def test_period_must_be_positive(self):
         # Guards against a timer that spins without letting time pass.
         self.assertRaises(ValueError, self.timers.subscribe, 0, list)
+
+    def test_pause_is_told_once_with_its_length(self):
+        # Guards against a pause that each late timer counts again, and
+        # that others' silence is taken for.
+        pauses = []
+        self.timers.subscribe_pauses(pauses.append)
+        for _ in range(3):
+            self.timers.subscribe(0.02, lambda: None)
+        self.timers.advance(1.0)
+        self.timers.pause(5.0)
+        self.timers.advance(1.0)
+        self.assertEqual(1, len(pauses))
+        self.assertAlmostEqual(5.0, pauses[0], delta=0.1)
+
+    def test_pause_is_known_before_the_first_timer_runs(self):
+        # Guards against packets from before a pause that a socket reads
+        # first.
+        pauses = []
+        self.timers.subscribe_pauses(pauses.append)
+        self.timers.subscribe(0.02, lambda: None)
+        self.timers.pause(2.0)
+        self.timers.check_pause()
+        self.assertEqual(1, len(pauses))
+        self.timers.advance(0.1)
+        self.assertEqual(1, len(pauses))
