--- a/examples/embedding.py
+++ b/examples/embedding.py
@@ -10,6 +10,7 @@
 
 from greengagepath.admission.fair_queue import QueuedRequest
 from greengagepath.admission.gate import AdmissionGate
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.generated.messages import Limits, SizeClass
 from greengagepath.routing.choice import (
     ChooserServices,
@@ -18,7 +19,6 @@
     TargetChooser,
 )
 from greengagepath.routing.targets import TargetInfo, TargetState
-from greengagepath.timers import VirtualTimerService
 
 SERVICE = 7
 TARGET_COUNT = 4
--- a/greengagepath/admission/gate.py
+++ b/greengagepath/admission/gate.py
@@ -9,8 +9,8 @@
 
 from result import Err, Ok, Result
 
+from ..foundation.timers import TimerService
 from ..generated.messages import Limits, Refusal, RefusalReason, SizeClass
-from ..timers import TimerService
 from .fair_queue import FairQueue, QueuedRequest
 from .limiter import ConcurrencyLimiter
 from .running import RunningSet
--- a/greengagepath/admission/running.py
+++ b/greengagepath/admission/running.py
@@ -3,8 +3,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from ..foundation.timers import TimerService
 from ..generated.messages import SizeClass
-from ..timers import TimerService
 from .fair_queue import QueuedRequest
 from .size_classes import STRAGGLER_RATIO
 
--- /dev/null
+++ b/greengagepath/agent/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of an agent for requests of the own protocol."""
--- a/greengagepath/answer_transfers.py
+++ b/greengagepath/agent/answer_transfers.py
@@ -4,12 +4,12 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
-from .acks import Ack
-from .agent_replies import Route
-from .packets import Kind, ServiceDatagram
+from ..foundation.timers import TimerService
+from ..protocol.acks import Ack
+from ..protocol.packets import Kind, ServiceDatagram
+from ..protocol.transfer import PartSender
+from .replies import Route
 from .request_records import Attempt, RequestRecord
-from .timers import TimerService
-from .transfer import PartSender
 
 
 @dataclass(slots=True)
--- a/greengagepath/flow_table.py
+++ b/greengagepath/agent/flow_table.py
@@ -7,9 +7,9 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from .packets import Address
-from .tags import REPLAY_WINDOW_BITS, ReplayWindow
-from .timers import TimerService
+from ..foundation.addresses import Address
+from ..foundation.timers import TimerService
+from ..protocol.tags import REPLAY_WINDOW_BITS, ReplayWindow
 
 # A flow begins requests for this long after its token was issued; the
 # caller then opens another one. Answers in transfer are not limited.
--- a/greengagepath/agent_flows.py
+++ b/greengagepath/agent/flows.py
@@ -11,28 +11,28 @@
 
 from result import Err, Ok
 
-from .admission.gate import AdmissionGate
-from .admission.retry_budget import RetryBudget
-from .agent_openings import Openings
-from .agent_outcomes import AgentParts, OutcomeReporter
-from .agent_replies import AgentIdentity, Arrival, Outgoing, Replies
-from .agent_requests import FlowRequests
-from .answer_transfers import AnswerTransfers
-from .envelopes import Envelope, open_envelope
-from .flow_table import FlowTable
-from .generated.messages import Service
-from .operation_match import ServiceView
-from .packets import (
+from ..admission.gate import AdmissionGate
+from ..admission.retry_budget import RetryBudget
+from ..foundation.timers import TimerService
+from ..generated.messages import Service
+from ..protocol.envelopes import Envelope, open_envelope
+from ..protocol.packets import (
     Address,
     DropReason,
     Kind,
     decode_service_datagram,
 )
+from ..protocol.tags import KeyRing
+from ..protocol.tokens import TokenClaims, verify_token
+from .answer_transfers import AnswerTransfers
+from .flow_table import FlowTable
+from .openings import Openings
+from .operation_match import ServiceView
+from .outcomes import AgentParts, OutcomeReporter
 from .replay_windows import ReplayWindows
+from .replies import AgentIdentity, Arrival, Outgoing, Replies
+from .requests import FlowRequests
 from .requests_table import RequestTable
-from .tags import KeyRing
-from .timers import TimerService
-from .tokens import TokenClaims, verify_token
 
 TICK_S = 0.01
 SWEEP_S = 5.0
--- a/greengagepath/agent_openings.py
+++ b/greengagepath/agent/openings.py
@@ -3,14 +3,14 @@
 import struct
 from collections import Counter
 
-from .agent_outcomes import AgentParts
-from .agent_replies import Arrival
-from .agent_work import WorkScheduler
-from .generated.messages import RefusalReason
-from .packets import TOKEN_BYTES, Address, DropReason, Kind
-from .routing.choice import ProbeState
-from .tags import KeyRing
-from .tokens import TokenClaims, issue_token
+from ..generated.messages import RefusalReason
+from ..protocol.packets import TOKEN_BYTES, Address, DropReason, Kind
+from ..protocol.tags import KeyRing
+from ..protocol.tokens import TokenClaims, issue_token
+from ..routing.choice import ProbeState
+from .outcomes import AgentParts
+from .replies import Arrival
+from .scheduler import WorkScheduler
 
 MAX_HAND_OFFS = 2
 # A back end of which more requests fail is reported as failing.
--- a/greengagepath/operation_match.py
+++ b/greengagepath/agent/operation_match.py
@@ -1,7 +1,7 @@
 """Which configured operation and customer a request belongs to."""
 
-from .generated.messages import Operation, Request, Service, SizeClass
-from .packets import SizeCode
+from ..generated.messages import Operation, Request, Service, SizeClass
+from ..protocol.packets import SizeCode
 
 OTHER = 'other'
 _SIZE_CLASSES = {
--- a/greengagepath/agent_outcomes.py
+++ b/greengagepath/agent/outcomes.py
@@ -4,19 +4,19 @@
 from dataclasses import dataclass
 from random import Random
 
-from .admission.gate import AdmissionGate
-from .admission.retry_budget import RetryBudget
-from .agent_replies import Replies, Route
+from ..admission.gate import AdmissionGate
+from ..admission.retry_budget import RetryBudget
+from ..foundation.timers import TimerService
+from ..generated.messages import Answer, Refusal, RefusalReason
+from ..protocol.codec import encode_body
+from ..protocol.packets import Kind
+from ..protocol.transfer import PartSender
 from .answer_transfers import AnswerTransfer, AnswerTransfers
-from .codec import encode_body
 from .flow_table import FlowTable
-from .generated.messages import Answer, Refusal, RefusalReason
 from .operation_match import ServiceView
-from .packets import Kind
+from .replies import Replies, Route
 from .request_records import RequestRecord, RequestState
 from .requests_table import RequestTable
-from .timers import TimerService
-from .transfer import PartSender
 from .work import Answered, Work
 
 
--- a/greengagepath/reassembly.py
+++ b/greengagepath/agent/reassembly.py
@@ -3,10 +3,10 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
-from .agent_replies import Route
+from ..foundation.timers import TimerService
+from ..protocol.transfer import PART_BYTES, PartReceiver, count_parts
+from .replies import Route
 from .request_records import Attempt
-from .timers import TimerService
-from .transfer import PART_BYTES, PartReceiver, count_parts
 
 # Room for the fields of a request beside its body.
 ENVELOPE_ROOM_BYTES = 16384
--- a/greengagepath/replay_windows.py
+++ b/greengagepath/agent/replay_windows.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-from .tags import MAX_SENDERS, ReplayWindow
+from ..protocol.tags import MAX_SENDERS, ReplayWindow
 
 
 class ReplayWindows:
--- a/greengagepath/agent_replies.py
+++ b/greengagepath/agent/replies.py
@@ -5,18 +5,18 @@
 
 import cbor2
 
-from .codec import encode_body
-from .envelopes import Envelope, seal_envelope
-from .flow_table import FlowTable
-from .generated.messages import Refusal, RefusalReason
-from .packets import (
+from ..generated.messages import Refusal, RefusalReason
+from ..protocol.codec import encode_body
+from ..protocol.envelopes import Envelope, seal_envelope
+from ..protocol.packets import (
     Address,
     FabricHeader,
     Kind,
     ServiceDatagram,
 )
+from ..protocol.tags import KeyRing
+from .flow_table import FlowTable
 from .request_records import Attempt
-from .tags import KeyRing
 
 
 @dataclass(slots=True, frozen=True)
--- a/greengagepath/request_records.py
+++ b/greengagepath/agent/request_records.py
@@ -5,8 +5,8 @@
 from enum import Enum, unique
 from typing import NamedTuple
 
+from ..generated.messages import Refusal
 from .flow_table import FlowTable
-from .generated.messages import Refusal
 
 
 class Attempt(NamedTuple):
--- a/greengagepath/agent_requests.py
+++ b/greengagepath/agent/requests.py
@@ -4,17 +4,17 @@
 
 from result import Err
 
-from .acks import decode_ack, encode_ack, encode_final_ack
-from .agent_outcomes import AgentParts, OutcomeReporter
-from .agent_replies import Arrival
-from .agent_work import WorkScheduler
-from .codec import decode_body
-from .generated.messages import Limits, RefusalReason, Request
-from .packets import DropReason, Kind
+from ..generated.messages import Limits, RefusalReason, Request
+from ..protocol.acks import decode_ack, encode_ack, encode_final_ack
+from ..protocol.codec import decode_body
+from ..protocol.packets import DropReason, Kind
+from ..protocol.transfer import PartOutcome, PartReceiver
+from .outcomes import AgentParts, OutcomeReporter
 from .reassembly import Reassembly
+from .replies import Arrival
 from .request_records import RequestState
 from .requests_table import Begin
-from .transfer import PartOutcome, PartReceiver
+from .scheduler import WorkScheduler
 
 REQUEST_ID_BYTES = 16
 # Requests of the largest size that may be in arrival at once.
--- a/greengagepath/requests_table.py
+++ b/greengagepath/agent/requests_table.py
@@ -7,8 +7,8 @@
 
 from enum import Enum, unique
 
+from ..generated.messages import Refusal
 from .flow_table import FlowTable
-from .generated.messages import Refusal
 from .request_records import (
     Attempt,
     RecordStore,
--- a/greengagepath/agent_work.py
+++ b/greengagepath/agent/scheduler.py
@@ -3,13 +3,13 @@
 from collections import Counter
 from dataclasses import replace
 
-from .admission.fair_queue import QueuedRequest
-from .admission.gate import CancelOutcome
-from .agent_outcomes import AgentParts, OutcomeReporter
-from .agent_replies import Arrival, Route
-from .generated.messages import Refusal, RefusalReason, Request
+from ..admission.fair_queue import QueuedRequest
+from ..admission.gate import CancelOutcome
+from ..generated.messages import Refusal, RefusalReason, Request
+from ..protocol.packets import Kind
 from .operation_match import ServiceView
-from .packets import Kind
+from .outcomes import AgentParts, OutcomeReporter
+from .replies import Arrival, Route
 from .request_records import Attempt, RequestRecord, RequestState
 from .requests_table import Begin
 from .work import Answered, NotRun, OutcomeUnknown, RunOutcome, Work
--- a/greengagepath/work.py
+++ b/greengagepath/agent/work.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass, field
 
-from .admission.fair_queue import QueuedRequest
-from .agent_replies import Route
-from .generated.messages import RefusalReason, Request
+from ..admission.fair_queue import QueuedRequest
+from ..generated.messages import RefusalReason, Request
+from .replies import Route
 from .request_records import RequestRecord
 
 
--- a/greengagepath/bench/capacity.py
+++ b/greengagepath/bench/capacity.py
@@ -14,12 +14,12 @@
 
 import msgspec
 
-from ..codec import decode_body, encode_body
+from ..foundation.timers import VirtualTimerService
 from ..generated.messages import Configuration, MemberRecord, Service
 from ..generated.settings import LimitSettings
 from ..membership.balancer_node import BalancerNode
 from ..membership.table import MemberTable
-from ..timers import VirtualTimerService
+from ..protocol.codec import decode_body, encode_body
 from .capacity_data_plane import measure_data_plane, render_data_plane
 from .capacity_page import DATA_PLANE, replace_section, write_page
 from .capacity_points import (
--- a/greengagepath/bench/capacity_data_plane.py
+++ b/greengagepath/bench/capacity_data_plane.py
@@ -3,8 +3,8 @@
 import tracemalloc
 from dataclasses import dataclass
 
-from ..flow_table import FlowTable
-from ..timers import VirtualTimerService
+from ..agent.flow_table import FlowTable
+from ..foundation.timers import VirtualTimerService
 from .capacity_points import DESIGN_AGENTS, DESIGN_BALANCERS
 from .wall_clock import PacketCost, measure_cache, measure_packets
 
--- a/greengagepath/bench/control_fleet.py
+++ b/greengagepath/bench/control_fleet.py
@@ -6,6 +6,9 @@
 
 import msgspec
 
+from ..foundation.addresses import Address
+from ..foundation.object_api import ObjectClient
+from ..foundation.timers import VirtualTimerService
 from ..generated.messages import (
     Configuration,
     MemberKind,
@@ -17,10 +20,7 @@
 from ..membership.agent_node import AgentNode
 from ..membership.balancer_node import BalancerListeners, BalancerNode
 from ..membership.ports import NodePorts
-from ..object_api import ObjectClient
-from ..packets import Address
 from ..routing.targets import TargetInfo
-from ..timers import VirtualTimerService
 from .virtual_links import VirtualLinks, VirtualNetwork
 from .virtual_processes import ProcessClock
 from .virtual_store import VirtualStore, VirtualTransport
--- a/greengagepath/bench/fakes.py
+++ b/greengagepath/bench/fakes.py
@@ -12,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-from ..timers import Callback, TimerService
+from ..foundation.timers import Callback, TimerService
 from .scenarios import SLOTS
 from .workload import RequestSpec
 
--- a/greengagepath/bench/naive.py
+++ b/greengagepath/bench/naive.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-from ..timers import VirtualTimerService
+from ..foundation.timers import VirtualTimerService
 from .fakes import BackEnd, Fabric, RequestEnd, RequestLog, RequestOutcome
 from .scenarios import QUEUE_LENGTH
 from .workload import RequestSpec
--- a/greengagepath/bench/ours.py
+++ b/greengagepath/bench/ours.py
@@ -12,8 +12,11 @@
 from ..admission.fair_queue import QueuedRequest
 from ..admission.gate import AdmissionGate
 from ..admission.retry_budget import RetryBudget
+from ..foundation.addresses import Address
+from ..foundation.timers import TimerService
 from ..generated.messages import Limits, RefusalReason
-from ..packets import Address
+from ..protocol.tags import KEY_BYTES, Key, KeyRing
+from ..protocol.tokens import TokenClaims, issue_token, verify_token
 from ..routing.choice import (
     Choice,
     ChooserServices,
@@ -22,9 +25,6 @@
     TargetChooser,
 )
 from ..routing.targets import TargetInfo
-from ..tags import KEY_BYTES, Key, KeyRing
-from ..timers import TimerService
-from ..tokens import TokenClaims, issue_token, verify_token
 from .fakes import BackEnd, Fabric, RequestEnd, RequestLog, RequestOutcome
 from .scenarios import QUEUE_LENGTH, SLOTS
 from .workload import RequestSpec
--- a/greengagepath/bench/runner.py
+++ b/greengagepath/bench/runner.py
@@ -10,7 +10,7 @@
 from rich.console import Console
 from rich.table import Table
 
-from ..exit_codes import ExitCode
+from ..foundation.exit_codes import ExitCode
 from .experiments import COMPARISONS, SEED, Comparison, Row
 from .plots import write_plots
 from .scenarios import SCENARIOS
--- a/greengagepath/bench/simulation.py
+++ b/greengagepath/bench/simulation.py
@@ -6,9 +6,9 @@
 from enum import Enum, unique
 from functools import partial
 
+from ..foundation.timers import VirtualTimerService
 from ..routing.choice import TargetChooser
 from ..routing.targets import TargetInfo, TargetState
-from ..timers import VirtualTimerService
 from .fakes import BackEnd, Fabric, FakeObjectApi, RequestLog, StoredObject
 from .naive import NaiveAgent
 from .ours import Agent, ChooserFactory
--- a/greengagepath/bench/virtual_links.py
+++ b/greengagepath/bench/virtual_links.py
@@ -7,12 +7,12 @@
 
 import msgspec
 
-from ..codec import encode_body, encode_link_message
+from ..foundation.addresses import Address
+from ..foundation.timers import VirtualTimerService
 from ..generated.messages import Heartbeat, MemberRecord, Records
 from ..membership.ports import LinkEvents
 from ..membership.records import order_of
-from ..packets import Address
-from ..timers import VirtualTimerService
+from ..protocol.codec import encode_body, encode_link_message
 from .virtual_processes import ProcessClock
 
 CONNECT_TIMEOUT_S = 2.0
--- a/greengagepath/bench/virtual_processes.py
+++ b/greengagepath/bench/virtual_processes.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-from ..timers import Timer, TimerService, VirtualTimerService
+from ..foundation.timers import Timer, TimerService, VirtualTimerService
 
 Callback = Callable[[], None]
 
--- a/greengagepath/bench/virtual_store.py
+++ b/greengagepath/bench/virtual_store.py
@@ -8,8 +8,8 @@
 
 from result import Err, Ok
 
-from ..object_api import ObjectAnswer, ObjectCall, OnAnswer
-from ..timers import VirtualTimerService
+from ..foundation.object_api import ObjectAnswer, ObjectCall, OnAnswer
+from ..foundation.timers import VirtualTimerService
 from .virtual_processes import ProcessClock
 
 TIMEOUT_S = 2.0
--- a/greengagepath/bench/wall_clock.py
+++ b/greengagepath/bench/wall_clock.py
@@ -18,11 +18,12 @@
 
 from ..daemon.datapath import MAX_DRAINED, drain_socket, open_data_socket
 from ..daemon.target_sockets import TargetSockets
-from ..envelopes import TAGGED_BYTES
+from ..datapath.packet_router import PacketRouter, RouterParts
+from ..foundation.native_sockets import open_udp_socket
+from ..foundation.timers import VirtualTimerService
 from ..generated.messages import SizeClass
-from ..native_sockets import open_udp_socket
-from ..packet_router import PacketRouter, RouterParts
-from ..packets import (
+from ..protocol.envelopes import TAGGED_BYTES
+from ..protocol.packets import (
     FABRIC_HEADER_BYTES,
     FLOW_KEY_END,
     FLOW_KEY_START,
@@ -31,15 +32,14 @@
     Kind,
     ServiceDatagram,
 )
-from ..routing.choice import Choice, NoTarget, NoTargetReason, TargetChooser
-from ..tags import KEY_BYTES, Key, KeyRing
-from ..timers import VirtualTimerService
-from ..tokens import (
+from ..protocol.tags import KEY_BYTES, Key, KeyRing
+from ..protocol.tokens import (
     TokenClaims,
     VerifiedTokenCache,
     issue_token,
     verify_token,
 )
+from ..routing.choice import Choice, NoTarget, NoTargetReason, TargetChooser
 
 LOCALHOST = '127.0.0.1'
 SERVICE_ID = 7
--- a/greengagepath/bench/wire_cost.py
+++ b/greengagepath/bench/wire_cost.py
@@ -9,7 +9,7 @@
 
 from ..daemon.frames import NONCE_BYTES, FrameOpener, FrameSealer
 from ..generated.messages import Heartbeat, MemberRecord, Records
-from ..tags import KEY_BYTES, Key, KeyRing
+from ..protocol.tags import KEY_BYTES, Key, KeyRing
 
 ROUNDS = 3000
 # A round trip is sent and received at both ends.
--- /dev/null
+++ b/greengagepath/caller/__init__.py
@@ -0,0 +1,1 @@
+"""Caller's library: one call, its flows and its retries."""
--- a/greengagepath/call_types.py
+++ b/greengagepath/caller/call_types.py
@@ -6,9 +6,9 @@
 from random import Random
 from typing import Protocol
 
-from .generated.messages import RefusalReason
-from .packets import Address, SizeCode
-from .transfer import DEFAULT_LIMITS, TransferLimits
+from ..generated.messages import RefusalReason
+from ..protocol.packets import Address, SizeCode
+from ..protocol.transfer import DEFAULT_LIMITS, TransferLimits
 
 
 @dataclass(slots=True, frozen=True)
--- a/greengagepath/calls.py
+++ b/greengagepath/caller/calls.py
@@ -8,6 +8,9 @@
 
 from result import Err, Ok, Result
 
+from ..generated.messages import Answer, Refusal, Request
+from ..protocol.codec import encode_body
+from ..protocol.packets import decode_service_datagram
 from .call_types import (
     CallDrop,
     CallError,
@@ -16,12 +19,9 @@
     CallSetup,
     ServiceAddress,
 )
-from .codec import encode_body
 from .exchange import Exchange, FlowLost, OutcomeUnknown
 from .flows import Flow
-from .generated.messages import Answer, Refusal, Request
 from .opening import Opening
-from .packets import decode_service_datagram
 from .retry_plan import BackingOff, RetryPlan
 
 CallOutcome = Result[Answer, CallError]
--- a/greengagepath/exchange.py
+++ b/greengagepath/caller/exchange.py
@@ -2,13 +2,18 @@
 
 from dataclasses import dataclass
 
-from .acks import decode_ack, encode_ack
+from ..generated.messages import Answer, Refusal
+from ..protocol.acks import decode_ack, encode_ack
+from ..protocol.codec import decode_body
+from ..protocol.packets import Kind, ServiceDatagram
+from ..protocol.transfer import (
+    PartOutcome,
+    PartReceiver,
+    PartSender,
+    count_parts,
+)
 from .call_types import CallDrop, CallErrorKind, CallRequest, CallSetup
-from .codec import decode_body
 from .flows import Flow
-from .generated.messages import Answer, Refusal
-from .packets import Kind, ServiceDatagram
-from .transfer import PartOutcome, PartReceiver, PartSender, count_parts
 
 
 @dataclass(slots=True, frozen=True)
--- a/greengagepath/flow_sockets.py
+++ b/greengagepath/caller/flow_sockets.py
@@ -6,9 +6,13 @@
 import gevent
 from gevent.socket import wait_read
 
+from ..foundation.native_sockets import open_udp_socket
+from ..protocol.packets import (
+    MAX_DATAGRAM_BYTES,
+    Address,
+    decode_service_datagram,
+)
 from .flows import Flow
-from .native_sockets import open_udp_socket
-from .packets import MAX_DATAGRAM_BYTES, Address, decode_service_datagram
 
 # The kernel limits it to net.core.rmem_max.
 RECEIVE_BUFFER_BYTES = 1048576
--- a/greengagepath/flows.py
+++ b/greengagepath/caller/flows.py
@@ -2,9 +2,9 @@
 
 from collections import OrderedDict
 
-from .acks import encode_final_ack
+from ..protocol.acks import encode_final_ack
+from ..protocol.packets import Kind, ServiceDatagram, SizeCode
 from .call_types import ServiceAddress
-from .packets import Kind, ServiceDatagram, SizeCode
 
 # Requests of a flow whose late parts are still acknowledged.
 MAX_FINISHED = 32
--- a/greengagepath/opening.py
+++ b/greengagepath/caller/opening.py
@@ -2,17 +2,17 @@
 
 from collections import deque
 
-from .call_types import CallDrop, CallSetup, ServiceAddress
-from .codec import decode_body
-from .flows import Flow
-from .generated.messages import Refusal
-from .packets import (
+from ..generated.messages import Refusal
+from ..protocol.codec import decode_body
+from ..protocol.packets import (
     NO_TOKEN,
     TOKEN_BYTES,
     Kind,
     ServiceDatagram,
     SizeCode,
 )
+from .call_types import CallDrop, CallSetup, ServiceAddress
+from .flows import Flow
 
 # Replies must not be longer than OPEN: ACCEPT carries a token of 32 B in
 # its body, REFUSE a `Refusal` of at most 80 B.
--- a/greengagepath/retry_plan.py
+++ b/greengagepath/caller/retry_plan.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass
 
+from ..generated.messages import Refusal, RefusalReason
 from .call_types import CallError, CallErrorKind, CallSetup
-from .generated.messages import Refusal, RefusalReason
 
 _MS_PER_S = 1000
 # The flow or its target is leaving: another target is asked at once.
--- a/greengagepath/cli/apply.py
+++ b/greengagepath/cli/apply.py
@@ -15,7 +15,8 @@
     update_base,
 )
 from ..configuration.rollout import ChangePlan, plan_file
-from ..exit_codes import ExitCode
+from ..daemon.connections import Connections, open_connections
+from ..foundation.exit_codes import ExitCode
 from ..output.console import make_console, print_error, print_problems
 from .changes import (
     ChangeOptions,
@@ -23,7 +24,6 @@
     report_plan,
     run_plan,
 )
-from .connections import Connections, open_connections
 from .options import (
     DEFAULT_SETTINGS,
     DEFAULT_WAIT_S,
--- a/greengagepath/cli/bench.py
+++ b/greengagepath/cli/bench.py
@@ -6,7 +6,7 @@
 
 import cappa
 
-from ..exit_codes import ExitCode
+from ..foundation.exit_codes import ExitCode
 
 DEFAULT_OUTPUT = Path('build')
 DEFAULT_SEED = 1
--- a/greengagepath/cli/call.py
+++ b/greengagepath/cli/call.py
@@ -8,14 +8,14 @@
 import cappa
 from result import Err, Ok, Result
 
-from ..call_types import CallError, CallErrorKind, ServiceAddress
-from ..client import Client
+from ..caller.call_types import CallError, CallErrorKind, ServiceAddress
+from ..caller.client import Client
 from ..configuration.files import load_configuration
-from ..exit_codes import ExitCode
+from ..daemon.connections import open_connections
+from ..foundation.exit_codes import ExitCode
 from ..generated.messages import Answer, Operation, Service, SizeClass
 from ..output.console import print_error, print_json, print_problems
-from ..packets import SizeCode
-from .connections import open_connections
+from ..protocol.packets import SizeCode
 from .options import (
     DEFAULT_SETTINGS,
     ConfigurationOption,
--- a/greengagepath/cli/changes.py
+++ b/greengagepath/cli/changes.py
@@ -15,14 +15,14 @@
     wait_in_force,
     write_plan,
 )
-from ..exit_codes import ExitCode
+from ..daemon.connections import Connections
+from ..foundation.exit_codes import ExitCode
 from ..output.console import (
     make_console,
     print_changes,
     print_error,
     print_json,
 )
-from .connections import Connections
 
 MS_PER_S = 1000
 
--- a/greengagepath/cli/check.py
+++ b/greengagepath/cli/check.py
@@ -9,12 +9,12 @@
 
 from ..configuration.files import load_configuration
 from ..configuration.questionnaire import load_answers
-from ..exit_codes import ExitCode
-from ..keys import load_keys
+from ..foundation.exit_codes import ExitCode
+from ..foundation.settings import load_settings, load_tool_settings
+from ..foundation.tls import load_tls
+from ..foundation.validation import SettingProblem, TomlDocument, read_toml
 from ..output.console import make_console, print_problems
-from ..settings import load_settings, load_tool_settings
-from ..tls import load_tls
-from ..validation import SettingProblem, TomlDocument, read_toml
+from ..protocol.keys import load_keys
 
 _Checked = Result[object, list[SettingProblem]]
 
--- a/greengagepath/cli/demo.py
+++ b/greengagepath/cli/demo.py
@@ -5,7 +5,7 @@
 
 import cappa
 
-from ..exit_codes import ExitCode
+from ..foundation.exit_codes import ExitCode
 from .options import JsonOption
 
 DEFAULT_SECONDS = 12
--- a/greengagepath/cli/drain.py
+++ b/greengagepath/cli/drain.py
@@ -4,18 +4,7 @@
 
 import cappa
 
-from ..exit_codes import ExitCode
-from .changes import ChangeOptions
-from .draining import DrainRequest, run_drain
-from .options import (
-    DEFAULT_SETTINGS,
-    DEFAULT_WAIT_S,
-    JsonOption,
-    ServiceOption,
-    SettingsOption,
-    TargetsArgument,
-    WaitOption,
-)
+from .draining import DrainOptions
 
 
 @cappa.command(
@@ -31,17 +20,7 @@
 """,
 )
 @dataclass
-class Drain:
+class Drain(DrainOptions):
     """Options of `drain`."""
 
-    targets: TargetsArgument
-    service: ServiceOption = None
-    settings: SettingsOption = DEFAULT_SETTINGS
-    wait_s: WaitOption = DEFAULT_WAIT_S
-    as_json: JsonOption = False
-
-    def __call__(self) -> ExitCode:
-        """Run the command."""
-        request = DrainRequest(tuple(self.targets), self.service, drained=True)
-        options = ChangeOptions(self.wait_s, self.as_json)
-        return run_drain(self.settings, request, options)
+    drained = True
--- a/greengagepath/cli/draining.py
+++ b/greengagepath/cli/draining.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from pathlib import Path
+from typing import ClassVar
 
 from result import Err, Ok, Result
 
@@ -11,11 +12,20 @@
     UnknownName,
     plan_drain,
 )
-from ..exit_codes import ExitCode
+from ..daemon.connections import Connections, open_connections
+from ..foundation.exit_codes import ExitCode
 from ..generated.messages import MemberKind, Service
 from ..output.console import print_error, print_problems
 from .changes import ChangeOptions, run_plan
-from .connections import Connections, open_connections
+from .options import (
+    DEFAULT_SETTINGS,
+    DEFAULT_WAIT_S,
+    JsonOption,
+    ServiceOption,
+    SettingsOption,
+    TargetsArgument,
+    WaitOption,
+)
 
 
 @dataclass(slots=True, frozen=True)
@@ -27,6 +37,27 @@
     drained: bool
 
 
+@dataclass
+class DrainOptions:
+    """Options of both commands; `drained` is what they make of targets."""
+
+    drained: ClassVar[bool]
+
+    targets: TargetsArgument
+    service: ServiceOption = None
+    settings: SettingsOption = DEFAULT_SETTINGS
+    wait_s: WaitOption = DEFAULT_WAIT_S
+    as_json: JsonOption = False
+
+    def __call__(self) -> ExitCode:
+        """Run the command."""
+        request = DrainRequest(
+            tuple(self.targets), self.service, drained=self.drained
+        )
+        options = ChangeOptions(self.wait_s, self.as_json)
+        return run_drain(self.settings, request, options)
+
+
 def run_drain(
     path: Path, request: DrainRequest, options: ChangeOptions
 ) -> ExitCode:
--- a/greengagepath/cli/explain.py
+++ b/greengagepath/cli/explain.py
@@ -8,7 +8,7 @@
 
 import cappa
 
-from ..exit_codes import ExitCode
+from ..foundation.exit_codes import ExitCode
 from ..output.console import make_console, print_error, print_json
 from ..output.flow_trace import collect_trace, find_verdict
 from .options import JsonOption
--- a/greengagepath/cli/init.py
+++ b/greengagepath/cli/init.py
@@ -17,10 +17,10 @@
     find_contradictory_answers,
     load_answers,
 )
-from ..exit_codes import ExitCode
+from ..foundation.exit_codes import ExitCode
+from ..foundation.validation import locate_keys
 from ..generated.questionnaire import Answers
 from ..output.console import make_console, print_error, print_problems
-from ..validation import locate_keys
 from .options import DEFAULT_CONFIGURATION
 
 
--- a/greengagepath/cli/options.py
+++ b/greengagepath/cli/options.py
@@ -8,7 +8,6 @@
 DEFAULT_SETTINGS = Path('greengagepath.toml')
 DEFAULT_CONFIGURATION = Path('configuration.toml')
 DEFAULT_WAIT_S = 10.0
-DEFAULT_CALL_TIMEOUT_S = 3.0
 
 SettingsOption = Annotated[
     Path,
--- a/greengagepath/cli/prompts.py
+++ b/greengagepath/cli/prompts.py
@@ -5,9 +5,9 @@
 import questionary
 from msgspec import NODEFAULT, convert, inspect
 
+from ..foundation.type_checks import check_value
+from ..foundation.type_words import describe_type
 from ..generated.questionnaire import Answers
-from ..type_checks import check_value
-from ..type_words import describe_type
 
 _QUESTIONS_BY_FIELD = {
     'deployment': 'Name of the deployment',
--- a/greengagepath/cli/report.py
+++ b/greengagepath/cli/report.py
@@ -9,14 +9,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from ..exit_codes import ExitCode
+from ..foundation.exit_codes import ExitCode
 from ..generated.messages import Service
-from ..outcomes import (
-    RequestOutcome,
-    measure_outcomes,
-    read_outcomes,
-    tally_outcomes,
-)
 from ..output.burn import BurnReport, render_report
 from ..output.console import (
     make_console,
@@ -25,14 +19,25 @@
     print_problems,
 )
 from ..output.html_report import render_html
-from ..scrapes import (
+from ..reports.outcomes import (
+    RequestOutcome,
+    measure_outcomes,
+    read_outcomes,
+    tally_outcomes,
+)
+from ..reports.scrapes import (
     Snapshot,
     append_snapshots,
     read_snapshots,
     scrape,
     tally_snapshots,
 )
-from ..slo import Tally, collect_objectives, compute_burn, compute_series
+from ..reports.slo import (
+    Tally,
+    collect_objectives,
+    compute_burn,
+    compute_series,
+)
 from .call import load_services
 from .options import (
     DEFAULT_SETTINGS,
--- a/greengagepath/cli/status.py
+++ b/greengagepath/cli/status.py
@@ -9,7 +9,9 @@
 from result import Err, Ok
 
 from ..configuration.rollout import query_any
-from ..exit_codes import ExitCode
+from ..daemon.connections import Connections, open_connections
+from ..foundation.exit_codes import ExitCode
+from ..foundation.settings import parse_address
 from ..output.console import (
     make_console,
     print_error,
@@ -17,8 +19,6 @@
     print_problems,
 )
 from ..output.status_table import render_status
-from ..settings import parse_address
-from .connections import Connections, open_connections
 from .options import DEFAULT_SETTINGS, JsonOption, SettingsOption
 
 DEFAULT_EVERY_S = 2.0
--- a/greengagepath/cli/tool.py
+++ b/greengagepath/cli/tool.py
@@ -8,9 +8,9 @@
 import cappa
 from rich.console import Console
 
-from ..exit_codes import ExitCode
+from ..foundation.exit_codes import ExitCode
+from ..foundation.logs import configure_logs
 from ..generated.settings import LogSettings
-from ..logs import configure_logs
 from .apply import Apply
 from .bench import Bench
 from .call import Call
--- a/greengagepath/configuration/checks.py
+++ b/greengagepath/configuration/checks.py
@@ -5,9 +5,9 @@
 
 import msgspec
 
+from ..foundation.settings import is_ipv4
+from ..foundation.type_checks import Finding
 from ..generated.messages import Objective, Operation, Service, SizeClass
-from ..settings import is_ipv4
-from ..type_checks import Finding
 
 # What the platform's object API takes as one object.
 MAX_OBJECT_BYTES = 1_000_000
--- a/greengagepath/configuration/files.py
+++ b/greengagepath/configuration/files.py
@@ -16,14 +16,14 @@
 import tomli_w
 from result import Result
 
-from ..generated.messages import Service
-from ..type_checks import Finding
-from ..validation import (
+from ..foundation.type_checks import Finding
+from ..foundation.validation import (
     SettingProblem,
     check_document,
     locate_keys,
     read_toml,
 )
+from ..generated.messages import Service
 from .checks import find_contradictions
 
 DIGEST_BYTES = 8
--- a/greengagepath/configuration/questionnaire.py
+++ b/greengagepath/configuration/questionnaire.py
@@ -6,14 +6,14 @@
 
 from result import Result
 
+from ..foundation.settings import is_ipv4
+from ..foundation.type_checks import Finding
+from ..foundation.validation import SettingProblem, check_document, read_toml
 from ..generated.questionnaire import (
     Answers,
     OperationAnswers,
     ServiceAnswers,
 )
-from ..settings import is_ipv4
-from ..type_checks import Finding
-from ..validation import SettingProblem, check_document, read_toml
 from .checks import MIN_SLOTS_FOR_LONG_WORK, check_route, find_repeated
 from .derivation import MS_PER_S, is_long
 
--- a/greengagepath/configuration/rollout.py
+++ b/greengagepath/configuration/rollout.py
@@ -13,6 +13,8 @@
 from msgspec import structs
 from result import Err, Ok, Result
 
+from ..foundation.addresses import Address
+from ..foundation.timers import TimerService
 from ..generated.messages import (
     Configuration,
     ConfigurationDelta,
@@ -22,8 +24,6 @@
     Service,
     StatusReply,
 )
-from ..packets import Address
-from ..timers import TimerService
 from .diff import FieldChange, diff_services
 from .files import ConfigurationFile, compute_digest
 
--- a/greengagepath/daemon/agent.py
+++ b/greengagepath/daemon/agent.py
@@ -12,16 +12,16 @@
 from msgspec import structs
 from result import Err, Ok
 
-from ..agent_flows import TICK_S, AgentFlows
-from ..exit_codes import ExitCode
+from ..agent.flows import TICK_S, AgentFlows
+from ..agent.work import Work
+from ..foundation.exit_codes import ExitCode
+from ..foundation.logs import configure_logs, log_event
+from ..foundation.timers import LoopTimerService
+from ..foundation.tls import TlsContexts, load_tls
 from ..generated.messages import MemberState, Service
 from ..generated.settings import Settings, TargetSettings
-from ..keys import KeyReloader, load_keys
-from ..logs import configure_logs, log_event
-from ..tags import KeyRing
-from ..timers import LoopTimerService
-from ..tls import TlsContexts, load_tls
-from ..work import Work
+from ..protocol.keys import KeyReloader, load_keys
+from ..protocol.tags import KeyRing
 from .agent_metrics import AgentMetrics
 from .agent_records import (
     initial_service,
--- a/greengagepath/daemon/agent_metrics.py
+++ b/greengagepath/daemon/agent_metrics.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable
 
-from ..agent_flows import AgentFlows
+from ..agent.flows import AgentFlows
+from ..agent.work import Answered, RunOutcome, Work
+from ..foundation.metrics import Metrics
 from ..generated.settings import NodeSettings
-from ..metrics import Metrics
-from ..work import Answered, RunOutcome, Work
 from .agent_socket import AgentSocket
 from .backend import ConnectionPool
 from .http_status import StatusServer
--- a/greengagepath/daemon/agent_records.py
+++ b/greengagepath/daemon/agent_records.py
@@ -6,7 +6,7 @@
 from msgspec import structs
 
 from ..admission.gate import MILLISECONDS
-from ..agent_replies import AgentIdentity
+from ..agent.replies import AgentIdentity
 from ..generated.messages import (
     Limits,
     MemberKind,
--- a/greengagepath/daemon/agent_socket.py
+++ b/greengagepath/daemon/agent_socket.py
@@ -5,8 +5,8 @@
 
 from gevent.socket import wait_read
 
-from ..agent_replies import Outgoing
-from ..packets import Address
+from ..agent.replies import Outgoing
+from ..foundation.addresses import Address
 
 # Asked of the kernel, which limits it to net.core.rmem_max.
 SOCKET_BUFFER_BYTES = 4194304
--- a/greengagepath/daemon/backend.py
+++ b/greengagepath/daemon/backend.py
@@ -18,11 +18,11 @@
 from gevent import Timeout, socket
 
 from ..admission.gate import MILLISECONDS
+from ..agent.work import Answered, NotRun, OutcomeUnknown, RunOutcome, Work
+from ..foundation.addresses import Address
+from ..foundation.logs import log_event
+from ..foundation.timers import TimerService
 from ..generated.messages import RefusalReason
-from ..logs import log_event
-from ..packets import Address
-from ..timers import TimerService
-from ..work import Answered, NotRun, OutcomeUnknown, RunOutcome, Work
 
 CONNECT_TIMEOUT_S = 1.0
 # A connection that was idle for longer may have gone silent without a
--- a/greengagepath/daemon/balancer.py
+++ b/greengagepath/daemon/balancer.py
@@ -9,17 +9,17 @@
 import gevent
 from gevent.event import Event
 
-from ..exit_codes import ExitCode
+from ..datapath.packet_router import PacketRouter, RouterParts
+from ..foundation.exit_codes import ExitCode
+from ..foundation.logs import log_event
+from ..foundation.timers import LoopTimerService
+from ..foundation.tls import TlsContexts
 from ..generated.messages import Configuration
 from ..generated.settings import Settings
-from ..logs import log_event
-from ..packet_router import PacketRouter, RouterParts
+from ..protocol.tags import KeyRing
 from ..routing.choice import ChooserServices, Place
 from ..routing.choosers import ServiceChoosers
 from ..routing.targets import TargetInfo
-from ..tags import KeyRing
-from ..timers import LoopTimerService
-from ..tls import TlsContexts
 from .balancer_metrics import BalancerMetrics
 from .control import BalancerControl
 from .datapath import DataPath, open_data_socket
--- a/greengagepath/daemon/balancer_metrics.py
+++ b/greengagepath/daemon/balancer_metrics.py
@@ -2,13 +2,13 @@
 
 from collections import Counter
 
+from ..datapath.probing import MAX_PENDING
+from ..foundation.metrics import Metrics
+from ..foundation.timers import TimerService
 from ..generated.messages import MemberKind, MemberState
-from ..metrics import Metrics
-from ..packets import Kind
-from ..probing import MAX_PENDING
+from ..protocol.packets import Kind
 from ..routing.choosers import ServiceChoosers
 from ..routing.targets import TargetState
-from ..timers import TimerService
 from .control import BalancerControl
 from .datapath import DataPath
 
--- a/greengagepath/daemon/balancer_start.py
+++ b/greengagepath/daemon/balancer_start.py
@@ -4,11 +4,11 @@
 
 from result import Err, Ok
 
-from ..exit_codes import ExitCode
+from ..foundation.exit_codes import ExitCode
+from ..foundation.logs import configure_logs
+from ..foundation.tls import load_tls
 from ..generated.settings import Settings
-from ..keys import KeyReloader, load_keys
-from ..logs import configure_logs
-from ..tls import load_tls
+from ..protocol.keys import KeyReloader, load_keys
 from .balancer import Balancer
 from .reloads import Reloader
 from .start_checks import refuse_settings
--- a/greengagepath/daemon/command.py
+++ b/greengagepath/daemon/command.py
@@ -8,9 +8,9 @@
 import cappa
 from result import Err
 
-from ..exit_codes import ExitCode
+from ..foundation.exit_codes import ExitCode
+from ..foundation.settings import load_settings
 from ..generated.settings import Role
-from ..settings import load_settings
 from .agent import run_agent
 from .balancer_start import run_balancer
 
--- a/greengagepath/cli/connections.py
+++ b/greengagepath/daemon/connections.py
@@ -11,7 +11,20 @@
 from result import Err, Ok, Result
 
 from ..configuration.rollout import StoredConfiguration, query_any
-from ..daemon.links import LinkOptions, ask
+from ..foundation.addresses import Address
+from ..foundation.object_api import (
+    Conflict,
+    HttpTransport,
+    ObjectClient,
+    ObjectKind,
+    ObjectOutcome,
+    OnOutcome,
+    StoredObject,
+)
+from ..foundation.settings import load_tool_settings, parse_address
+from ..foundation.timers import LoopTimerService
+from ..foundation.tls import load_tls
+from ..foundation.validation import SettingProblem
 from ..generated.messages import (
     Configuration,
     ConfigurationDelta,
@@ -24,26 +37,15 @@
     ObjectApiSettings,
     ToolSettings,
 )
-from ..keys import load_keys
-from ..object_api import (
-    Conflict,
-    HttpTransport,
-    ObjectClient,
-    ObjectKind,
-    ObjectOutcome,
-    OnOutcome,
-    StoredObject,
-)
-from ..packets import Address
-from ..settings import load_tool_settings, parse_address
-from ..timers import LoopTimerService
-from ..tls import load_tls
-from ..validation import SettingProblem
-from .options import DEFAULT_CALL_TIMEOUT_S
+from ..protocol.keys import load_keys
+from .links import LinkOptions, ask
 
 CONFIGURATION_NAME = 'current'
 _EMPTY = Configuration(version=0, services=[])
 
+# How long the tool waits for a balancer's answer.
+CALL_TIMEOUT_S = 3.0
+
 
 class ObjectStore:
     """The configuration in the platform's object API."""
@@ -108,7 +110,7 @@
     def _ask(
         self, address: Address, question: msgspec.Struct
     ) -> Result[msgspec.Struct, str]:
-        answer = ask(address, self._options, question, DEFAULT_CALL_TIMEOUT_S)
+        answer = ask(address, self._options, question, CALL_TIMEOUT_S)
         return answer.and_then(_refuse_errors)
 
 
--- a/greengagepath/daemon/control.py
+++ b/greengagepath/daemon/control.py
@@ -4,6 +4,10 @@
 import time
 from collections.abc import Callable, Mapping
 
+from ..foundation.addresses import Address
+from ..foundation.object_api import HttpTransport, ObjectClient
+from ..foundation.timers import LoopTimerService
+from ..foundation.tls import TlsContexts
 from ..generated.messages import (
     Configuration,
     MemberKind,
@@ -20,11 +24,7 @@
     OnTargets,
 )
 from ..membership.ports import NodePorts
-from ..object_api import HttpTransport, ObjectClient
-from ..packets import Address
-from ..tags import KeyRing
-from ..timers import LoopTimerService
-from ..tls import TlsContexts
+from ..protocol.tags import KeyRing
 from .links import LinkOptions, WebsocketLinks
 
 
--- a/greengagepath/daemon/datagram_socket.py
+++ b/greengagepath/daemon/datagram_socket.py
@@ -7,7 +7,7 @@
 import gevent
 from gevent.socket import wait_read
 
-from ..native_sockets import open_udp_socket
+from ..foundation.native_sockets import open_udp_socket
 
 MAX_DATAGRAM_BYTES = 2048
 # Datagrams taken for each wake; more would delay timers.
--- a/greengagepath/daemon/datapath.py
+++ b/greengagepath/daemon/datapath.py
@@ -8,11 +8,11 @@
 import gevent
 from gevent.socket import wait_read
 
-from ..logs import log_event
-from ..native_sockets import open_udp_socket
-from ..packet_router import PacketRouter
-from ..packets import MAX_PACKET_BYTES, Address
-from ..timers import Timer, TimerService
+from ..datapath.packet_router import PacketRouter
+from ..foundation.logs import log_event
+from ..foundation.native_sockets import open_udp_socket
+from ..foundation.timers import Timer, TimerService
+from ..protocol.packets import MAX_PACKET_BYTES, Address
 from .target_sockets import TargetSockets
 
 # Datagrams taken for each wake; more would delay the control plane.
--- a/greengagepath/daemon/frames.py
+++ b/greengagepath/daemon/frames.py
@@ -10,8 +10,8 @@
 import msgspec
 from result import Err, Result
 
-from ..codec import decode_link_message, encode_link_message
-from ..tags import TAG_BYTES, KeyRing
+from ..protocol.codec import decode_link_message, encode_link_message
+from ..protocol.tags import TAG_BYTES, KeyRing
 
 NONCE_BYTES = 16
 _PREFIX = struct.Struct('!BQ')
--- a/greengagepath/daemon/http_status.py
+++ b/greengagepath/daemon/http_status.py
@@ -6,7 +6,7 @@
 from gevent.pool import Pool
 from gevent.pywsgi import WSGIServer
 
-from ..metrics import Metrics
+from ..foundation.metrics import Metrics
 
 # Scrapers and probes of one process; further connections wait.
 MAX_CONNECTIONS = 32
--- a/greengagepath/daemon/link_session.py
+++ b/greengagepath/daemon/link_session.py
@@ -10,8 +10,8 @@
 from websockets.exceptions import WebSocketException
 from websockets.sync.connection import Connection
 
-from ..logs import log_event
-from ..tags import KeyRing
+from ..foundation.logs import log_event
+from ..protocol.tags import KeyRing
 from .frames import NONCE_BYTES, FrameOpener, FrameSealer
 
 # Time for the nonce of the other side.
--- a/greengagepath/daemon/links.py
+++ b/greengagepath/daemon/links.py
@@ -14,12 +14,12 @@
 from websockets.sync import client, server
 from websockets.sync.connection import Connection
 
+from ..foundation.addresses import Address
+from ..foundation.logs import log_event
+from ..foundation.tls import TlsContexts
 from ..generated.settings import LimitSettings
-from ..logs import log_event
 from ..membership.ports import LinkEvents
-from ..packets import Address
-from ..tags import KeyRing
-from ..tls import TlsContexts
+from ..protocol.tags import KeyRing
 from .link_session import (
     DRAIN_S,
     DRAIN_STEP_S,
--- a/greengagepath/daemon/membership_listing.py
+++ b/greengagepath/daemon/membership_listing.py
@@ -7,7 +7,7 @@
 import gevent
 from result import Err
 
-from ..logs import log_event
+from ..foundation.logs import log_event
 from ..steering.store import Member, MemberRole, SteeringStore
 
 FIRST_RETRY_S = 0.3
--- a/greengagepath/daemon/reloads.py
+++ b/greengagepath/daemon/reloads.py
@@ -6,8 +6,8 @@
 
 import gevent
 
-from ..metrics import Metrics
-from ..timers import TimerService
+from ..foundation.metrics import Metrics
+from ..foundation.timers import TimerService
 
 CHECK_S = 1.0
 
--- a/greengagepath/daemon/route_follower.py
+++ b/greengagepath/daemon/route_follower.py
@@ -7,7 +7,7 @@
 from gevent.event import Event
 from result import Err
 
-from ..logs import log_event
+from ..foundation.logs import log_event
 from ..steering.balancer_steering import BalancerSteering
 from ..steering.store import SteeringStore, StoredRoutes, StoreProblem
 
--- a/greengagepath/daemon/start_checks.py
+++ b/greengagepath/daemon/start_checks.py
@@ -3,8 +3,8 @@
 import logging
 from collections.abc import Iterable
 
-from ..exit_codes import ExitCode
-from ..logs import log_event
+from ..foundation.exit_codes import ExitCode
+from ..foundation.logs import log_event
 
 _logger = logging.getLogger(__name__)
 
--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -6,8 +6,8 @@
 import gevent
 from result import Err, Result
 
-from ..exit_codes import ExitCode
-from ..logs import log_event
+from ..foundation.exit_codes import ExitCode
+from ..foundation.logs import log_event
 from ..steering.agent_context import AgentIdentity
 from ..steering.agent_steering import AgentSteering
 from ..steering.peer_messages import PeerKind, PeerMessage, digest_service
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -5,8 +5,8 @@
 
 import gevent
 
-from ..exit_codes import ExitCode
-from ..logs import log_event
+from ..foundation.exit_codes import ExitCode
+from ..foundation.logs import log_event
 from ..steering.balancer_contacts import BalancerIdentity
 from ..steering.balancer_steering import BalancerSteering
 from ..steering.peer_messages import PeerMessage
--- a/greengagepath/daemon/steering_metrics.py
+++ b/greengagepath/daemon/steering_metrics.py
@@ -10,7 +10,7 @@
 from .http_listener import NOT_FOUND, OK, HttpListener, HttpReply, HttpRequest
 
 if TYPE_CHECKING:
-    from ..metrics import Metrics
+    from ..foundation.metrics import Metrics
 
 METRICS_PATH = '/metrics'
 _METRICS_TEXT = 'text/plain; version=0.0.4; charset=utf-8'
@@ -43,7 +43,7 @@
     def render(self) -> bytes:
         """Return all metrics in the text format of Prometheus."""
         if self._metrics is None:
-            from ..metrics import Metrics
+            from ..foundation.metrics import Metrics
 
             self._metrics = Metrics()
         self._copy(self._metrics)
--- a/greengagepath/daemon/steering_process.py
+++ b/greengagepath/daemon/steering_process.py
@@ -9,12 +9,12 @@
 from gevent.event import Event
 from result import Err
 
-from ..logs import log_event
+from ..foundation.logs import log_event
+from ..foundation.timers import LoopTimerService
 from ..steering.peer_messages import PeerMessage, decode_message
 from ..steering.segments import Segment
 from ..steering.settings import Address, SteeringSettings, pack_address
 from ..steering.store import Member, MemberRole, SteeringStore
-from ..timers import LoopTimerService
 from .datagram_socket import DatagramSocket, OnEmpty
 from .http_listener import HttpListener, HttpReply, HttpRequest
 from .membership_listing import MembershipListing
--- a/greengagepath/daemon/target_sockets.py
+++ b/greengagepath/daemon/target_sockets.py
@@ -8,9 +8,9 @@
 import resource
 import socket
 
-from ..native_sockets import open_udp_socket
-from ..packets import Address
-from ..tokens import Send
+from ..foundation.addresses import Address
+from ..foundation.native_sockets import open_udp_socket
+from ..protocol.tokens import Send
 
 MAX_TARGET_SOCKETS = 4096
 
--- /dev/null
+++ b/greengagepath/datapath/__init__.py
@@ -0,0 +1,1 @@
+"""What a balancer does with each packet of the own protocol."""
--- a/greengagepath/forwarder.py
+++ b/greengagepath/datapath/forwarder.py
@@ -13,8 +13,13 @@
 from itertools import count
 from random import Random
 
-from .envelopes import NO_ADDRESS, TAGGED_BYTES, Envelope, seal_envelope
-from .packets import (
+from ..protocol.envelopes import (
+    NO_ADDRESS,
+    TAGGED_BYTES,
+    Envelope,
+    seal_envelope,
+)
+from ..protocol.packets import (
     ENVELOPE_MAGIC,
     FABRIC_HEADER_BYTES,
     FABRIC_MAGIC,
@@ -30,8 +35,8 @@
     ServiceDatagram,
     decode_address,
 )
-from .tags import TAG_BYTES, KeyRing
-from .tokens import CLAIMS_BYTES, Send, VerifiedTokenCache
+from ..protocol.tags import TAG_BYTES, KeyRing
+from ..protocol.tokens import CLAIMS_BYTES, Send, VerifiedTokenCache
 
 # Most agents in sight at once; the table starts afresh when full.
 MAX_ADDRESSES = 20000
--- a/greengagepath/packet_router.py
+++ b/greengagepath/datapath/packet_router.py
@@ -11,10 +11,10 @@
 
 from result import Result
 
-from .envelopes import open_envelope
-from .forwarder import NO_ALTERNATES, Forwarder
-from .generated.messages import Configuration, SizeClass
-from .packets import (
+from ..foundation.timers import TimerService
+from ..generated.messages import Configuration, SizeClass
+from ..protocol.envelopes import open_envelope
+from ..protocol.packets import (
     ENVELOPE_MAGIC,
     FABRIC_HEADER_BYTES,
     Address,
@@ -26,12 +26,12 @@
     decode_service_datagram,
     encode_address,
 )
+from ..protocol.tags import KeyRing
+from ..protocol.tokens import Send
+from ..routing.choice import Choice, NoTarget, TargetChooser
+from ..routing.targets import TargetInfo
+from .forwarder import NO_ALTERNATES, Forwarder
 from .probing import ProbeLoad, ProbeTracker, decode_load
-from .routing.choice import Choice, NoTarget, TargetChooser
-from .routing.targets import TargetInfo
-from .tags import KeyRing
-from .timers import TimerService
-from .tokens import Send
 
 MAX_ALTERNATES = 2
 _ENVELOPE_START = bytes((ENVELOPE_MAGIC,))
--- a/greengagepath/probing.py
+++ b/greengagepath/datapath/probing.py
@@ -7,10 +7,10 @@
 
 from result import Err, Ok, Result
 
-from .packets import DropReason
-from .routing.choice import ProbeReply, ProbeState
-from .routing.targets import TargetInfo
-from .timers import TimerService
+from ..foundation.timers import TimerService
+from ..protocol.packets import DropReason
+from ..routing.choice import ProbeReply, ProbeState
+from ..routing.targets import TargetInfo
 
 _LOAD = struct.Struct('!HHIB')
 _MAX_U16 = 65535
--- a/greengagepath/emulator/demo.py
+++ b/greengagepath/emulator/demo.py
@@ -18,12 +18,12 @@
 from rich.console import Console
 from rich.table import Table
 
-from ..cli.connections import Connections, open_connections
 from ..configuration.questionnaire import load_answers
-from ..exit_codes import ExitCode
+from ..daemon.connections import Connections, open_connections
+from ..foundation.exit_codes import ExitCode
 from ..generated.messages import Operation, Service, SizeClass
 from ..generated.questionnaire import OperationAnswers
-from ..packets import SizeCode
+from ..protocol.packets import SizeCode
 from .backend import Run
 from .control_paths import now_ms, read_runs
 from .deployment import Deployment
--- a/greengagepath/emulator/fabric.py
+++ b/greengagepath/emulator/fabric.py
@@ -19,7 +19,7 @@
 import msgspec
 from gevent import monkey
 
-from ..packets import (
+from ..protocol.packets import (
     FABRIC_HEADER_BYTES,
     Address,
     FabricHeader,
--- a/greengagepath/emulator/load.py
+++ b/greengagepath/emulator/load.py
@@ -19,15 +19,15 @@
 from gevent import monkey
 from result import Err, Ok
 
-from ..call_types import (
+from ..caller.call_types import (
     CallError,
     CallErrorKind,
     CallRequest,
     ServiceAddress,
 )
-from ..client import Client, HeldFlow
+from ..caller.client import Client, HeldFlow
 from ..generated.messages import Answer
-from ..packets import SizeCode
+from ..protocol.packets import SizeCode
 from .backend import checksum
 
 MS_PER_S = 1000
--- /dev/null
+++ b/greengagepath/foundation/__init__.py
@@ -0,0 +1,1 @@
+"""Parts that every role builds on: timers, logs, settings, the store."""
--- /dev/null
+++ b/greengagepath/foundation/addresses.py
@@ -0,0 +1,4 @@
+"""Addresses of sockets."""
+
+# Host and port.
+Address = tuple[str, int]
--- a/greengagepath/logs.py
+++ b/greengagepath/foundation/logs.py
@@ -15,8 +15,7 @@
 from typing import TYPE_CHECKING, Any, TextIO
 
 if TYPE_CHECKING:
-    from .generated.settings import LogSettings
-    from .steering.settings import LogOptions
+    from ..generated.settings import LogSettings
 
 ROOT_LOGGER = 'greengagepath'
 FLOW_ID_DIGITS = 16
@@ -26,6 +25,17 @@
 ).encode
 
 
+class LogOptions:
+    """Style, lowest level and repeats of one event in a second."""
+
+    __slots__ = ('level', 'repeats_per_s', 'style')
+
+    def __init__(self) -> None:
+        self.level = 'INFO'
+        self.style = 'json'
+        self.repeats_per_s = 100.0
+
+
 class JsonFormatter(logging.Formatter):
     """One JSON object for each line."""
 
--- a/greengagepath/settings.py
+++ b/greengagepath/foundation/settings.py
@@ -9,7 +9,7 @@
 from msgspec import structs
 from result import Result
 
-from .generated.settings import (
+from ..generated.settings import (
     KeySettings,
     Role,
     Settings,
@@ -17,7 +17,7 @@
     TlsSettings,
     ToolSettings,
 )
-from .packets import Address
+from .addresses import Address
 from .validation import (
     Finding,
     SettingProblem,
--- a/greengagepath/tls.py
+++ b/greengagepath/foundation/tls.py
@@ -11,7 +11,7 @@
 
 from result import Err, Ok, Result
 
-from .generated.settings import TlsSettings
+from ..generated.settings import TlsSettings
 from .logs import log_event
 from .validation import SettingProblem
 
@@ -48,10 +48,6 @@
         log_event(_logger, 'tls.reloaded')
         return True
 
-    def reload_if_changed(self) -> bool:
-        """Reload if a file has a new time of change or size."""
-        return self.has_changed() and self.reload()
-
     def has_changed(self) -> bool:
         """Return whether a file has changed since the last call."""
         stamps = _read_stamps(self._settings)
--- a/greengagepath/membership/agent_node.py
+++ b/greengagepath/membership/agent_node.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from ..foundation.addresses import Address
+from ..foundation.timers import Timer
 from ..generated.messages import (
     ConfigurationDelta,
     Hello,
@@ -13,8 +15,6 @@
     Records,
     Service,
 )
-from ..packets import Address
-from ..timers import Timer
 from .handshake import PROTOCOL_VERSION
 from .link_monitor import LinkMonitor
 from .overlay import rank_by_hash
--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from ..configuration.spread import ConfigurationSpread
+from ..foundation.addresses import Address
+from ..foundation.timers import Timer
 from ..generated.messages import (
     Configuration,
     ConfigurationDelta,
@@ -21,10 +22,9 @@
     StatusReply,
     Versions,
 )
-from ..packets import Address
-from ..timers import Timer
 from .bridge import BridgeRole
 from .bridge_parts import BridgeParts
+from .configuration_spread import ConfigurationSpread
 from .detector import FailureDetector
 from .exchange import RecordExchange
 from .handshake import Handshake
--- a/greengagepath/membership/bridge.py
+++ b/greengagepath/membership/bridge.py
@@ -8,11 +8,11 @@
 
 from collections.abc import Callable, Mapping
 
+from ..foundation.addresses import Address
 from ..generated.messages import Configuration, MemberState
-from ..leases import Lease, LeaseTerms
-from ..packets import Address
 from .bridge_parts import BridgeParts
 from .configuration_watch import ConfigurationWatch
+from .leases import Lease, LeaseTerms
 from .overlay import rank_by_hash
 from .peers import PeerRole
 from .seeds import SeedWriter
--- a/greengagepath/configuration/spread.py
+++ b/greengagepath/membership/configuration_spread.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+from ..configuration.delta import FULL
+from ..configuration.holder import Applied, ConfigurationHolder, MissingBase
 from ..generated.messages import (
     Configuration,
     ConfigurationDelta,
@@ -9,11 +11,9 @@
     ConfigurationPull,
     Service,
 )
-from ..membership.peers import Peer, PeerRole, PeerTable
-from ..membership.ports import LinkService
-from ..membership.table import MemberTable
-from .delta import FULL
-from .holder import Applied, ConfigurationHolder, MissingBase
+from .peers import Peer, PeerRole, PeerTable
+from .ports import LinkService
+from .table import MemberTable
 
 
 class ConfigurationSpread:
--- a/greengagepath/membership/configuration_watch.py
+++ b/greengagepath/membership/configuration_watch.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from ..foundation.object_api import ObjectKind, ObjectOutcome, StoredObject
 from ..generated.messages import Configuration
-from ..object_api import ObjectKind, ObjectOutcome, StoredObject
 from .ports import NodePorts
 
 CONFIGURATION_NAME = 'current'
--- a/greengagepath/membership/detector.py
+++ b/greengagepath/membership/detector.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable
 
+from ..foundation.timers import TimerService
 from ..generated.messages import MemberKind, MemberRecord
 from ..generated.settings import LimitSettings
-from ..timers import TimerService
 from .overlay import rank_by_hash
 from .peers import PeerTable
 from .records import is_gone
--- a/greengagepath/membership/dissemination.py
+++ b/greengagepath/membership/dissemination.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from ..foundation.timers import Timer
 from ..generated.messages import (
     Digest,
     DigestEntry,
@@ -9,7 +10,6 @@
     Records,
     Versions,
 )
-from ..timers import Timer
 from .peers import Peer, PeerRole, PeerTable
 from .ports import NodePorts
 from .records import BUCKETS
--- a/greengagepath/membership/exchange.py
+++ b/greengagepath/membership/exchange.py
@@ -1,6 +1,5 @@
 """Exchange of records with other members."""
 
-from ..configuration.spread import ConfigurationSpread
 from ..generated.messages import (
     Digest,
     MemberRecord,
@@ -8,6 +7,7 @@
     Pull,
     Versions,
 )
+from .configuration_spread import ConfigurationSpread
 from .dissemination import Dissemination
 from .own_record import OwnRecord
 from .peers import Peer, PeerRole, PeerTable
--- a/greengagepath/leases.py
+++ b/greengagepath/membership/leases.py
@@ -10,14 +10,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .object_api import (
+from ..foundation.object_api import (
     Conflict,
     ObjectClient,
     ObjectKind,
     ObjectOutcome,
     StoredObject,
 )
-from .timers import TimerService
+from ..foundation.timers import TimerService
 
 # Clocks may drift apart by some parts in a thousand; an observer waits
 # longer than the holder counts.
--- a/greengagepath/membership/overlay_links.py
+++ b/greengagepath/membership/overlay_links.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
-from ..packets import Address
+from ..foundation.addresses import Address
 from .peers import PeerTable
 from .ports import NodePorts
 
--- a/greengagepath/membership/own_record.py
+++ b/greengagepath/membership/own_record.py
@@ -4,8 +4,8 @@
 
 import msgspec
 
+from ..foundation.timers import TimerService
 from ..generated.messages import MemberRecord
-from ..timers import TimerService
 from .records import order_of
 
 # Two processes with the same id refute each other without end; this
--- a/greengagepath/membership/ports.py
+++ b/greengagepath/membership/ports.py
@@ -6,10 +6,10 @@
 
 import msgspec
 
+from ..foundation.addresses import Address
+from ..foundation.object_api import ObjectClient
+from ..foundation.timers import TimerService
 from ..generated.settings import LimitSettings
-from ..object_api import ObjectClient
-from ..packets import Address
-from ..timers import TimerService
 
 
 class LinkEvents(Protocol):
--- a/greengagepath/membership/seeds.py
+++ b/greengagepath/membership/seeds.py
@@ -2,10 +2,15 @@
 
 import msgspec
 
-from ..leases import Lease
-from ..object_api import Conflict, ObjectKind, ObjectOutcome, StoredObject
-from ..packets import Address
+from ..foundation.addresses import Address
+from ..foundation.object_api import (
+    Conflict,
+    ObjectKind,
+    ObjectOutcome,
+    StoredObject,
+)
 from .bridge_parts import BridgeParts
+from .leases import Lease
 from .overlay import rank_by_hash
 
 # Addresses in a seed object; any one of them is enough to start.
--- a/greengagepath/membership/table.py
+++ b/greengagepath/membership/table.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
+from ..foundation.timers import TimerService
 from ..generated.messages import MemberKind, MemberRecord, MemberState
 from ..generated.settings import LimitSettings
 from ..routing.targets import TargetInfo
-from ..timers import TimerService
 from .records import (
     BUCKETS,
     bucket_of,
--- a/greengagepath/membership/views.py
+++ b/greengagepath/membership/views.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable, Mapping
 
-from ..object_api import ObjectKind, ObjectOutcome
-from ..packets import Address
+from ..foundation.addresses import Address
+from ..foundation.object_api import ObjectKind, ObjectOutcome
+from ..foundation.timers import Timer
 from ..routing.targets import TargetInfo
-from ..timers import Timer
 from .overlay import overlay_peers, predecessor
 from .own_record import OwnRecord
 from .ports import NodePorts
--- a/greengagepath/membership/zone_directory.py
+++ b/greengagepath/membership/zone_directory.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Mapping
 
+from ..foundation.addresses import Address
+from ..foundation.object_api import ObjectKind, ObjectOutcome
 from ..generated.messages import MemberRecord
-from ..object_api import ObjectKind, ObjectOutcome
-from ..packets import Address
 from .bridge_parts import BridgeParts
 from .peers import PeerRole
 from .seeds import SEED_CHECK_S, addresses_of
--- a/greengagepath/output/burn.py
+++ b/greengagepath/output/burn.py
@@ -7,8 +7,8 @@
 from rich.console import Group, RenderableType
 from rich.table import Table
 
-from ..outcomes import MeasureRow
-from ..slo import WINDOW_SECONDS, BurnRow, BurnSeries
+from ..reports.outcomes import MeasureRow
+from ..reports.slo import WINDOW_SECONDS, BurnRow, BurnSeries
 
 NOT_MEASURED = '-'
 SECONDS_PER_MINUTE = 60
--- a/greengagepath/output/plots.py
+++ b/greengagepath/output/plots.py
@@ -5,8 +5,8 @@
 from datetime import UTC, datetime
 from typing import TYPE_CHECKING
 
-from ..outcomes import MeasureRow
-from ..slo import ALL_CUSTOMERS, BURN_WINDOWS, BurnSeries
+from ..reports.outcomes import MeasureRow
+from ..reports.slo import ALL_CUSTOMERS, BURN_WINDOWS, BurnSeries
 
 if TYPE_CHECKING:
     from matplotlib.axes import Axes
--- a/greengagepath/platform/__main__.py
+++ b/greengagepath/platform/__main__.py
@@ -6,8 +6,8 @@
 
 from result import Err
 
-from ..exit_codes import ExitCode
-from ..logs import DroppingStream, configure_logs
+from ..foundation.exit_codes import ExitCode
+from ..foundation.logs import DroppingStream, configure_logs
 from ..steering.settings import SteeringSettings, load_steering_settings
 from .store import PlatformStore
 from .wire import PlatformWire
--- a/greengagepath/platform/wire.py
+++ b/greengagepath/platform/wire.py
@@ -1,6 +1,6 @@
 """The platform's wire as the daemons use it."""
 
-from . import heartbeats, packets
+from ..platform import heartbeats, packets
 
 
 class PlatformWire:
--- /dev/null
+++ b/greengagepath/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Datagrams between callers, balancers and agents."""
--- a/greengagepath/codec.py
+++ b/greengagepath/protocol/codec.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .generated import messages
+from ..generated import messages
 
 Body = TypeVar('Body', bound=msgspec.Struct)
 
--- a/greengagepath/keys.py
+++ b/greengagepath/protocol/keys.py
@@ -13,11 +13,11 @@
 
 from result import Err, Ok, Result
 
-from .generated.settings import KeySettings, Settings
-from .logs import log_event
-from .settings import load_settings, parse_end
+from ..foundation.logs import log_event
+from ..foundation.settings import load_settings, parse_end
+from ..foundation.validation import SettingProblem
+from ..generated.settings import KeySettings, Settings
 from .tags import Key, KeyRing
-from .validation import SettingProblem
 
 _SECRET = re.compile('[0-9a-fA-F]{64}')
 _SECRET_FORMAT = 'a file with 64 hexadecimal digits'
@@ -90,16 +90,13 @@
                 )
                 return True
 
-    def reload_if_changed(self) -> bool:
-        """Reload if a file has a new time of change or size.
+    def has_changed(self) -> bool:
+        """Return whether a file has a new time of change or size.
 
         Call it about once a second; it costs one `stat` for each file.
-        A file that cannot be used is tried again only when it changes.
+        Each change is told once, so that a file that cannot be used is
+        tried again only when it changes.
         """
-        return self.has_changed() and self.reload()
-
-    def has_changed(self) -> bool:
-        """Return whether a file has changed since the last call."""
         stamps = {path: _read_stamp(path) for path in self._stamps}
         if stamps == self._stamps:
             return False
--- a/greengagepath/packets.py
+++ b/greengagepath/protocol/packets.py
@@ -12,7 +12,7 @@
 
 from result import Err, Ok, Result
 
-Address = tuple[str, int]
+from ..foundation.addresses import Address
 
 SERVICE_MAGIC = 0x47
 FABRIC_MAGIC = 0xFA
--- /dev/null
+++ b/greengagepath/reports/__init__.py
@@ -0,0 +1,1 @@
+"""Service levels and their burn."""
--- a/greengagepath/outcomes.py
+++ b/greengagepath/reports/outcomes.py
@@ -10,7 +10,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .generated.messages import Objective, Service, SizeClass
+from ..generated.messages import Objective, Service, SizeClass
 from .slo import ALL_CUSTOMERS, ObjectiveKey, Tally
 
 ANSWERED = 'answered'
--- a/greengagepath/scrapes.py
+++ b/greengagepath/reports/scrapes.py
@@ -17,8 +17,8 @@
 import msgspec
 from result import Err, Ok, Result
 
-from .generated.messages import Objective
-from .metrics import PREFIX
+from ..foundation.metrics import PREFIX
+from ..generated.messages import Objective
 from .slo import UNKNOWN_TIME_S, ObjectiveKey, Tally
 
 REQUESTS = f'{PREFIX}requests_total'
--- a/greengagepath/slo.py
+++ b/greengagepath/reports/slo.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
-from .generated.messages import Objective, Service
+from ..generated.messages import Objective, Service
 
 ALL_CUSTOMERS = '(all)'
 # A tally of unknown time counts for the budget but in no window.
--- a/greengagepath/routing/choice.py
+++ b/greengagepath/routing/choice.py
@@ -8,8 +8,8 @@
 
 from result import Err, Ok, Result
 
+from ..foundation.timers import TimerService
 from ..generated.messages import SizeClass
-from ..timers import TimerService
 from .candidates import CandidateTable
 from .loads import TargetLoad
 from .outliers import OutlierDetector, OutlierSettings
--- a/greengagepath/routing/outliers.py
+++ b/greengagepath/routing/outliers.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..timers import TimerService
+from ..foundation.timers import TimerService
 
 # At most one in three: with more out, the rest would be overloaded.
 EJECTED_PART = 3
--- a/greengagepath/routing/ramp.py
+++ b/greengagepath/routing/ramp.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from ..timers import TimerService
+from ..foundation.timers import TimerService
 from .targets import TargetInfo
 
 # A cold back end fills caches and compiles code; the figure is the
--- a/greengagepath/routing/targets.py
+++ b/greengagepath/routing/targets.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import StrEnum, unique
 
-from ..packets import Address
+from ..foundation.addresses import Address
 
 
 @unique
--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -4,8 +4,8 @@
 from collections import Counter
 from typing import Protocol
 
-from ..logs import log_event
-from ..timers import TimerService
+from ..foundation.logs import log_event
+from ..foundation.timers import TimerService
 from .agent_peers import AgentPeers
 from .held_flows import HeldFlows
 from .placement import find_usual_s
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from ..logs import log_event
+from ..foundation.logs import log_event
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
 from .held_flows import HeldFlow
--- a/greengagepath/steering/agent_peers.py
+++ b/greengagepath/steering/agent_peers.py
@@ -1,6 +1,6 @@
 """Balancers and agents that an agent tells of its target."""
 
-from ..timers import TimerService
+from ..foundation.timers import TimerService
 from .ages import drop_older
 from .homes import HomeTable
 from .peer_messages import LoadReport, ReportedState, Roster
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -2,8 +2,8 @@
 
 import logging
 
-from ..logs import log_event
-from ..timers import TimerService
+from ..foundation.logs import log_event
+from ..foundation.timers import TimerService
 from .agent_context import AgentContext, AgentIdentity, AgentOutbox
 from .agent_openings import AgentOpenings
 from .agent_reports import AgentReports
--- a/greengagepath/steering/backlog.py
+++ b/greengagepath/steering/backlog.py
@@ -5,7 +5,7 @@
 again elsewhere; passed on, they would look like a crest to the targets.
 """
 
-from ..timers import TimerService
+from ..foundation.timers import TimerService
 
 # Callers send copies of an opening packet after 200 and 600 ms.
 STALE_AFTER_S = 0.6
--- a/greengagepath/steering/balancer_contacts.py
+++ b/greengagepath/steering/balancer_contacts.py
@@ -2,7 +2,7 @@
 
 from typing import Protocol
 
-from ..timers import TimerService
+from ..foundation.timers import TimerService
 from .ages import drop_older
 from .known_agents import KnownAgent, KnownAgents
 from .peer_messages import (
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -6,8 +6,8 @@
 
 from result import Err, Result
 
-from ..logs import log_event
-from ..timers import TimerService
+from ..foundation.logs import log_event
+from ..foundation.timers import TimerService
 from .backlog import Backlog
 from .balancer_contacts import (
     BalancerContacts,
--- a/greengagepath/steering/known_agents.py
+++ b/greengagepath/steering/known_agents.py
@@ -2,8 +2,8 @@
 
 import logging
 
-from ..logs import log_event
-from ..timers import TimerService
+from ..foundation.logs import log_event
+from ..foundation.timers import TimerService
 from .homes import HomeTable
 from .peer_messages import NO_SERVICE, LoadReport, ReportedState
 from .settings import format_address
--- a/greengagepath/steering/rotation.py
+++ b/greengagepath/steering/rotation.py
@@ -9,7 +9,7 @@
 
 from enum import IntEnum, unique
 
-from ..timers import TimerService
+from ..foundation.timers import TimerService
 
 # Balancers announce themselves every second.
 SILENT_S = 2.4
--- a/greengagepath/steering/settings.py
+++ b/greengagepath/steering/settings.py
@@ -6,25 +6,14 @@
 
 from result import Err, Ok, Result
 
+from ..foundation.addresses import Address
+from ..foundation.logs import LogOptions
 from .peer_messages import ADDRESS_BYTES
 
-Address = tuple[str, int]
-
 MAX_PORT = 65535
 _UNREADABLE = (OSError, ValueError, TypeError, AttributeError)
 
 
-class LogOptions:
-    """Style, lowest level and repeats of one event in a second."""
-
-    __slots__ = ('level', 'repeats_per_s', 'style')
-
-    def __init__(self) -> None:
-        self.level = 'INFO'
-        self.style = 'json'
-        self.repeats_per_s = 100.0
-
-
 class ListenAddresses:
     """Where a process listens; None where it does not.
 
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -2,7 +2,7 @@
 
 from enum import Enum, unique
 
-from ..timers import TimerService
+from ..foundation.timers import TimerService
 from .peer_messages import ReportedState
 
 # Heartbeats that may be missed.
--- a/tests/admission/builders.py
+++ b/tests/admission/builders.py
@@ -5,8 +5,8 @@
 
 from greengagepath.admission.fair_queue import QueuedRequest
 from greengagepath.admission.gate import AdmissionGate
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.generated.messages import Limits, SizeClass
-from greengagepath.timers import VirtualTimerService
 
 _numbers = itertools.count(1)
 
--- a/tests/agent/run_agent.py
+++ b/tests/agent/run_agent.py
@@ -3,7 +3,7 @@
 import sys
 
 from greengagepath.daemon.agent import run_agent
-from greengagepath.settings import load_settings
+from greengagepath.foundation.settings import load_settings
 
 
 def main():
--- a/tests/agent/surroundings.py
+++ b/tests/agent/surroundings.py
@@ -11,11 +11,14 @@
 from gevent import Timeout, killall, sleep, socket, spawn
 from gevent.pywsgi import WSGIServer
 
-from greengagepath.call_types import ServiceAddress
-from greengagepath.client import Client
-from greengagepath.envelopes import Envelope, seal_envelope
-from greengagepath.packets import FABRIC_HEADER_BYTES, decode_fabric_header
-from greengagepath.tags import Key, KeyRing
+from greengagepath.caller.call_types import ServiceAddress
+from greengagepath.caller.client import Client
+from greengagepath.protocol.envelopes import Envelope, seal_envelope
+from greengagepath.protocol.packets import (
+    FABRIC_HEADER_BYTES,
+    decode_fabric_header,
+)
+from greengagepath.protocol.tags import Key, KeyRing
 
 HOST = '127.0.0.1'
 SERVICE_ID = 7
--- a/tests/agent/test_agent_flows.py
+++ b/tests/agent/test_agent_flows.py
@@ -1,7 +1,7 @@
 from testtools import TestCase
 
-from greengagepath.agent_openings import MAX_HAND_OFFS
-from greengagepath.flow_table import FLOW_LIFETIME_S, IDLE_S, REORDER_S
+from greengagepath.agent.flow_table import FLOW_LIFETIME_S, IDLE_S, REORDER_S
+from greengagepath.agent.openings import MAX_HAND_OFFS
 from greengagepath.generated.messages import (
     Limits,
     Operation,
@@ -9,7 +9,7 @@
     RefusalReason,
     SizeClass,
 )
-from greengagepath.packets import DropReason, Kind, ServiceDatagram
+from greengagepath.protocol.packets import DropReason, Kind, ServiceDatagram
 from greengagepath.routing.choice import ProbeState
 
 from .world import (
--- a/tests/agent/test_agent_fuzz.py
+++ b/tests/agent/test_agent_fuzz.py
@@ -6,8 +6,8 @@
 
 from greengagepath.daemon.agent_metrics import AgentMetrics
 from greengagepath.daemon.backend import ConnectionPool
-from greengagepath.envelopes import Envelope, seal_envelope
-from greengagepath.packets import MAX_BODY_BYTES, Kind
+from greengagepath.protocol.envelopes import Envelope, seal_envelope
+from greengagepath.protocol.packets import MAX_BODY_BYTES, Kind
 
 from .world import BALANCER, SERVICE_ADDRESS, World
 
--- a/tests/agent/test_agent_machine.py
+++ b/tests/agent/test_agent_machine.py
@@ -9,7 +9,7 @@
     rule,
 )
 
-from greengagepath.packets import Kind
+from greengagepath.protocol.packets import Kind
 
 from .world import SentRequest, World
 
--- a/tests/agent/test_agent_process.py
+++ b/tests/agent/test_agent_process.py
@@ -10,7 +10,7 @@
 import pytest
 from testtools import TestCase
 
-from greengagepath.call_types import CallErrorKind
+from greengagepath.caller.call_types import CallErrorKind
 from greengagepath.generated.messages import RefusalReason
 
 from .surroundings import Surroundings
--- a/tests/agent/test_backend.py
+++ b/tests/agent/test_backend.py
@@ -8,16 +8,16 @@
 from testtools import TestCase
 
 from greengagepath.admission.fair_queue import QueuedRequest
-from greengagepath.agent_replies import Route
+from greengagepath.agent.replies import Route
+from greengagepath.agent.request_records import Attempt, RequestRecord
+from greengagepath.agent.work import Answered, NotRun, OutcomeUnknown, Work
 from greengagepath.daemon.backend import (
     PROBE_AFTER_S,
     BackEnd,
     ConnectionPool,
 )
+from greengagepath.foundation.timers import LoopTimerService
 from greengagepath.generated.messages import RefusalReason, Request
-from greengagepath.request_records import Attempt, RequestRecord
-from greengagepath.timers import LoopTimerService
-from greengagepath.work import Answered, NotRun, OutcomeUnknown, Work
 
 from .surroundings import HOST, free_port
 
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -6,11 +6,10 @@
 from dataclasses import dataclass
 from random import Random
 
-from greengagepath.acks import encode_final_ack
-from greengagepath.agent_flows import TICK_S, AgentFlows
-from greengagepath.agent_replies import AgentIdentity
-from greengagepath.codec import decode_body, encode_body
-from greengagepath.envelopes import Envelope, open_envelope, seal_envelope
+from greengagepath.agent.flows import TICK_S, AgentFlows
+from greengagepath.agent.replies import AgentIdentity
+from greengagepath.agent.work import Answered, NotRun, OutcomeUnknown
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.generated.messages import (
     Answer,
     Limits,
@@ -18,17 +17,26 @@
     Request,
     Service,
 )
-from greengagepath.packets import (
+from greengagepath.protocol.acks import encode_final_ack
+from greengagepath.protocol.codec import decode_body, encode_body
+from greengagepath.protocol.envelopes import (
+    Envelope,
+    open_envelope,
+    seal_envelope,
+)
+from greengagepath.protocol.packets import (
     FABRIC_HEADER_BYTES,
     Kind,
     ServiceDatagram,
     decode_fabric_header,
     decode_service_datagram,
 )
-from greengagepath.tags import Key, KeyRing
-from greengagepath.timers import VirtualTimerService
-from greengagepath.transfer import PART_BYTES, PartReceiver, count_parts
-from greengagepath.work import Answered, NotRun, OutcomeUnknown
+from greengagepath.protocol.tags import Key, KeyRing
+from greengagepath.protocol.transfer import (
+    PART_BYTES,
+    PartReceiver,
+    count_parts,
+)
 
 SERVICE_ID = 7
 SERVICE_ADDRESS = ('192.0.2.7', 80)
--- a/tests/call_builders.py
+++ b/tests/caller/builders.py
@@ -4,27 +4,27 @@
 from collections import Counter
 from random import Random
 
-from greengagepath.acks import decode_ack, encode_ack, encode_final_ack
 from greengagepath.admission.retry_budget import RetryBudget
-from greengagepath.call_types import (
+from greengagepath.caller.call_types import (
     CallLimits,
     CallRequest,
     CallSetup,
     ServiceAddress,
 )
-from greengagepath.calls import Call
-from greengagepath.codec import decode_body, encode_body
+from greengagepath.caller.calls import Call
 from greengagepath.generated.messages import (
     Answer,
     Refusal,
     Request,
 )
-from greengagepath.packets import (
+from greengagepath.protocol.acks import decode_ack, encode_ack, encode_final_ack
+from greengagepath.protocol.codec import decode_body, encode_body
+from greengagepath.protocol.packets import (
     Kind,
     ServiceDatagram,
     decode_service_datagram,
 )
-from greengagepath.transfer import PartReceiver, PartSender
+from greengagepath.protocol.transfer import PartReceiver, PartSender
 
 SERVICE = ServiceAddress(7, ('192.0.2.7', 80))
 ONE_WAY_S = 0.001
--- a/tests/test_calls.py
+++ b/tests/caller/test_calls.py
@@ -7,16 +7,17 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from greengagepath.call_types import CallDrop, CallErrorKind
-from greengagepath.calls import Call
-from greengagepath.flows import Flow
+from greengagepath.caller.call_types import CallDrop, CallErrorKind
+from greengagepath.caller.calls import Call
+from greengagepath.caller.flows import Flow
 from greengagepath.generated.messages import RefusalReason
-from greengagepath.packets import (
+from greengagepath.protocol.packets import (
     Kind,
     ServiceDatagram,
     decode_service_datagram,
 )
-from tests.call_builders import (
+
+from .builders import (
     SERVICE,
     FakeTarget,
     build_request,
--- a/tests/test_client.py
+++ b/tests/caller/test_client.py
@@ -1,5 +1,6 @@
 """The client's sockets against a target on 127.0.0.1."""
 
+import importlib
 import socket
 import time
 
@@ -7,10 +8,11 @@
 from gevent.socket import wait_read
 from testtools import TestCase
 
-from greengagepath.call_types import CallErrorKind, ServiceAddress
-from greengagepath.client import Client, create_setup
-from greengagepath.packets import Kind, decode_service_datagram
-from tests.call_builders import FakeTarget
+from greengagepath.caller.call_types import CallErrorKind, ServiceAddress
+from greengagepath.caller.client import Client, create_setup
+from greengagepath.protocol.packets import Kind, decode_service_datagram
+
+from .builders import FakeTarget
 
 
 class SocketTarget:
@@ -157,3 +159,10 @@
         self.assertEqual(1, len(lost))
         for sender in self.target.senders.values():
             self.assertTrue(sender.is_complete)
+
+
+class PublicNameTest(TestCase):
+    def test_programs_import_the_client_by_its_documented_name(self):
+        # Guards against programs that break when modules move.
+        module = importlib.import_module('greengagepath.client')
+        self.assertIs(Client, module.Client)
--- a/tests/test_hedging.py
+++ b/tests/caller/test_hedging.py
@@ -5,12 +5,13 @@
 import gevent
 from testtools import TestCase
 
-from greengagepath.call_types import CallErrorKind
-from greengagepath.client import Client, create_setup
-from greengagepath.hedging import MIN_SAMPLES, HedgeDelays
-from greengagepath.packets import SizeCode
-from tests.call_builders import FakeTarget
-from tests.test_client import SocketTarget
+from greengagepath.caller.call_types import CallErrorKind
+from greengagepath.caller.client import Client, create_setup
+from greengagepath.caller.hedging import MIN_SAMPLES, HedgeDelays
+from greengagepath.protocol.packets import SizeCode
+
+from .builders import FakeTarget
+from .test_client import SocketTarget
 
 SLOW_S = 5.0
 DEADLINE_S = 1.0
--- a/tests/control/operators.py
+++ b/tests/control/operators.py
@@ -8,8 +8,12 @@
 from greengagepath.bench.virtual_processes import ProcessClock
 from greengagepath.bench.virtual_store import VirtualTransport
 from greengagepath.configuration.delta import compute_delta
+from greengagepath.foundation.object_api import (
+    ObjectClient,
+    ObjectKind,
+    StoredObject,
+)
 from greengagepath.generated.messages import Configuration
-from greengagepath.object_api import ObjectClient, ObjectKind, StoredObject
 
 NAME = (ObjectKind.CONFIGURATION, 'current')
 
--- a/tests/control/processes.py
+++ b/tests/control/processes.py
@@ -15,9 +15,9 @@
 from greengagepath.configuration.delta import compute_delta
 from greengagepath.daemon.control import AgentControl, BalancerControl
 from greengagepath.daemon.links import LinkOptions, ask
+from greengagepath.foundation.timers import LoopTimerService
 from greengagepath.generated import messages, settings
-from greengagepath.tags import Key, KeyRing
-from greengagepath.timers import LoopTimerService
+from greengagepath.protocol.tags import Key, KeyRing
 from tests.control.http_store import HttpStore
 
 HOST = '127.0.0.1'
--- a/tests/control/test_decisions.py
+++ b/tests/control/test_decisions.py
@@ -10,15 +10,15 @@
 from greengagepath.configuration.delta import apply_delta, compute_delta
 from greengagepath.configuration.holder import ConfigurationHolder, MissingBase
 from greengagepath.daemon.frames import FrameOpener, FrameSealer
+from greengagepath.foundation.object_api import StoredObject
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.generated.messages import Heartbeat, MemberState
 from greengagepath.generated.settings import LimitSettings
 from greengagepath.membership.configuration_watch import configuration_of
 from greengagepath.membership.overlay import overlay_peers, rank_by_hash
 from greengagepath.membership.seeds import addresses_of
 from greengagepath.membership.table import MemberTable, MergeOutcome
-from greengagepath.object_api import StoredObject
-from greengagepath.tags import Key, KeyRing
-from greengagepath.timers import VirtualTimerService
+from greengagepath.protocol.tags import Key, KeyRing
 from tests.control.builders import (
     make_configuration,
     make_record,
--- a/tests/control/test_leases.py
+++ b/tests/control/test_leases.py
@@ -4,11 +4,12 @@
 
 from greengagepath.bench.virtual_processes import ProcessClock
 from greengagepath.bench.virtual_store import VirtualStore, VirtualTransport
+from greengagepath.foundation.object_api import ObjectClient
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.generated.messages import MemberState
-from greengagepath.leases import Lease, LeaseTerms
-from greengagepath.object_api import ObjectClient
-from greengagepath.timers import VirtualTimerService
-from tests.control.builders import make_fleet
+from greengagepath.membership.leases import Lease, LeaseTerms
+
+from .builders import make_fleet
 
 DURATION_S = 15
 RENEW_S = 5
--- a/tests/test_daemon.py
+++ b/tests/daemon/test_daemon.py
@@ -15,9 +15,10 @@
 import pytest
 from testtools import TestCase
 
-from greengagepath.exit_codes import ExitCode
-from greengagepath.packets import Kind
-from tests.router_builders import (
+from greengagepath.foundation.exit_codes import ExitCode
+from greengagepath.protocol.packets import Kind
+
+from ..datapath.builders import (
     build_key,
     build_keys,
     build_packet,
--- a/tests/test_datapath.py
+++ b/tests/daemon/test_datapath.py
@@ -10,10 +10,11 @@
 )
 from greengagepath.daemon.datapath import DataPath, open_data_socket
 from greengagepath.daemon.target_sockets import TargetSockets
-from greengagepath.packet_router import PacketRouter
-from greengagepath.packets import Kind
-from greengagepath.timers import LoopTimerService
-from tests.router_builders import (
+from greengagepath.datapath.packet_router import PacketRouter
+from greengagepath.foundation.timers import LoopTimerService
+from greengagepath.protocol.packets import Kind
+
+from ..datapath.builders import (
     build_packet,
     build_router,
     build_target,
--- a/tests/router_builders.py
+++ b/tests/datapath/builders.py
@@ -5,20 +5,20 @@
 
 from result import Err, Ok
 
-from greengagepath.envelopes import open_envelope
+from greengagepath.datapath.packet_router import PacketRouter, RouterParts
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.generated.messages import Configuration, Service
-from greengagepath.packet_router import PacketRouter, RouterParts
-from greengagepath.packets import (
+from greengagepath.protocol.envelopes import open_envelope
+from greengagepath.protocol.packets import (
     FabricHeader,
     Kind,
     ServiceDatagram,
     decode_service_datagram,
 )
+from greengagepath.protocol.tags import Key, KeyRing
+from greengagepath.protocol.tokens import TokenClaims, issue_token
 from greengagepath.routing.choice import Choice, NoTarget, NoTargetReason
 from greengagepath.routing.targets import TargetInfo, TargetState
-from greengagepath.tags import Key, KeyRing
-from greengagepath.timers import VirtualTimerService
-from greengagepath.tokens import TokenClaims, issue_token
 
 CALLER = ('192.0.2.9', 4000)
 SERVICE = ('192.0.2.7', 80)
--- a/tests/test_packet_router.py
+++ b/tests/datapath/test_packet_router.py
@@ -6,18 +6,23 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from greengagepath.envelopes import Envelope, open_envelope, seal_envelope
-from greengagepath.packets import (
+from greengagepath.datapath.probing import ProbeLoad, decode_load, encode_load
+from greengagepath.protocol.envelopes import (
+    Envelope,
+    open_envelope,
+    seal_envelope,
+)
+from greengagepath.protocol.packets import (
     DropReason,
     Kind,
     ServiceDatagram,
     decode_fabric_header,
     decode_service_datagram,
 )
-from greengagepath.probing import ProbeLoad, decode_load, encode_load
+from greengagepath.protocol.tokens import VerifiedTokenCache
 from greengagepath.routing.choice import ProbeState
-from greengagepath.tokens import VerifiedTokenCache
-from tests.router_builders import (
+
+from .builders import (
     CALLER,
     OWN,
     SERVICE,
--- a/tests/operator/test_logs.py
+++ b/tests/foundation/test_logs.py
@@ -4,8 +4,12 @@
 
 from testtools import TestCase
 
+from greengagepath.foundation.logs import (
+    EventRateLimit,
+    configure_logs,
+    log_event,
+)
 from greengagepath.generated.settings import LogSettings
-from greengagepath.logs import EventRateLimit, configure_logs, log_event
 
 LOGGER = logging.getLogger('greengagepath.tests')
 
--- a/tests/operator/test_metrics.py
+++ b/tests/foundation/test_metrics.py
@@ -1,6 +1,6 @@
 from testtools import TestCase
 
-from greengagepath.metrics import DEFINITIONS, MetricKind, Metrics
+from greengagepath.foundation.metrics import DEFINITIONS, MetricKind, Metrics
 
 
 class MetricsTest(TestCase):
--- a/tests/test_timers.py
+++ b/tests/foundation/test_timers.py
@@ -1,6 +1,6 @@
 from testtools import TestCase
 
-from greengagepath.timers import VirtualTimerService
+from greengagepath.foundation.timers import VirtualTimerService
 
 
 class VirtualTimersTest(TestCase):
--- a/tests/operator/builders.py
+++ b/tests/operator/builders.py
@@ -73,3 +73,8 @@
         folder,
         f'balancers = [{named}]\n[object_api]\nurl = "{url}"\n[[keys]]{keys}',
     )
+
+
+def reload_changed(files) -> bool:
+    """Reload as daemons do once a second; True if new files are in force."""
+    return files.has_changed() and files.reload()
--- a/tests/operator/fleet.py
+++ b/tests/operator/fleet.py
@@ -12,10 +12,10 @@
 from gevent.fileobject import FileObject
 
 from greengagepath.daemon.control import AgentControl, BalancerControl
+from greengagepath.foundation.timers import LoopTimerService
+from greengagepath.foundation.tls import TlsContexts
 from greengagepath.generated.settings import TlsSettings
-from greengagepath.tags import Key, KeyRing
-from greengagepath.timers import LoopTimerService
-from greengagepath.tls import TlsContexts
+from greengagepath.protocol.tags import Key, KeyRing
 from tests.control.http_store import HttpStore
 from tests.control.processes import (
     HOST,
--- a/tests/operator/test_call.py
+++ b/tests/operator/test_call.py
@@ -6,12 +6,12 @@
 from result import Err, Ok
 from testtools import TestCase
 
-from greengagepath.call_types import CallError, CallErrorKind
+from greengagepath.caller.call_types import CallError, CallErrorKind
+from greengagepath.caller.client import Client
 from greengagepath.cli import call
 from greengagepath.cli.tool import run_tool
-from greengagepath.client import Client
 from greengagepath.configuration.files import format_configuration
-from greengagepath.exit_codes import ExitCode
+from greengagepath.foundation.exit_codes import ExitCode
 from greengagepath.generated.messages import Answer, RefusalReason
 
 from .builders import build_services
--- a/tests/operator/test_cli.py
+++ b/tests/operator/test_cli.py
@@ -14,10 +14,10 @@
 
 from greengagepath.cli.tool import run_tool
 from greengagepath.daemon.http_status import StatusServer
-from greengagepath.exit_codes import ExitCode
-from greengagepath.keys import load_keys
-from greengagepath.metrics import Metrics
-from greengagepath.settings import load_tool_settings
+from greengagepath.foundation.exit_codes import ExitCode
+from greengagepath.foundation.metrics import Metrics
+from greengagepath.foundation.settings import load_tool_settings
+from greengagepath.protocol.keys import load_keys
 
 from .builders import (
     COOPERATIVE,
--- a/tests/operator/test_documents.py
+++ b/tests/operator/test_documents.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from greengagepath.cli.tool import Tool
-from greengagepath.metrics import DEFINITIONS, PREFIX
+from greengagepath.foundation.metrics import DEFINITIONS, PREFIX
 
 from .builders import ROOT
 
--- a/tests/operator/test_fleet.py
+++ b/tests/operator/test_fleet.py
@@ -8,7 +8,7 @@
 import msgspec
 import pytest
 
-from greengagepath.exit_codes import ExitCode
+from greengagepath.foundation.exit_codes import ExitCode
 
 from .builders import ROOT, write_tool_settings
 from .certificates import Authority
--- a/tests/operator/test_http_status.py
+++ b/tests/operator/test_http_status.py
@@ -2,7 +2,7 @@
 from testtools import TestCase
 
 from greengagepath.daemon.http_status import StatusServer
-from greengagepath.metrics import Metrics
+from greengagepath.foundation.metrics import Metrics
 
 
 class HttpStatusTest(TestCase):
--- a/tests/operator/test_keys.py
+++ b/tests/operator/test_keys.py
@@ -5,12 +5,18 @@
 
 from testtools import TestCase
 
+from greengagepath.foundation.logs import configure_logs
+from greengagepath.foundation.settings import load_settings
 from greengagepath.generated.settings import LogSettings
-from greengagepath.keys import KeyReloader, load_keys
-from greengagepath.logs import configure_logs
-from greengagepath.settings import load_settings
+from greengagepath.protocol.keys import KeyReloader, load_keys
 
-from .builders import OTHER_SECRET, SETTINGS, age_file, write_settings
+from .builders import (
+    OTHER_SECRET,
+    SETTINGS,
+    age_file,
+    reload_changed,
+    write_settings,
+)
 
 SECOND_KEY = '[[keys]]\nkey_id = 2\nsecret_file = "second.key"\n'
 
@@ -35,7 +41,7 @@
         (self.folder / 'second.key').write_text(OTHER_SECRET)
         head, first_key = SETTINGS.split('[[keys]]')
         self.path.write_text(f'{head}{SECOND_KEY}[[keys]]{first_key}')
-        self.assertTrue(reloader.reload_if_changed())
+        self.assertTrue(reload_changed(reloader))
         self.assertEqual(2, ring.signing_key_id)
         self.assertTrue(ring.verify(1, old_tag, b'datagram'))
         self.assertEqual('keys.reloaded', self.events()[-1]['event'])
@@ -46,8 +52,8 @@
         reloader = KeyReloader(self.path, self.settings, ring)
         tag = ring.sign(b'datagram')
         (self.folder / 'tag.key').write_text('ab' * 31)
-        self.assertFalse(reloader.reload_if_changed())
-        self.assertFalse(reloader.reload_if_changed())
+        self.assertFalse(reload_changed(reloader))
+        self.assertFalse(reload_changed(reloader))
         self.assertTrue(ring.verify(1, tag, b'datagram'))
         event = self.events()[0]
         self.assertEqual(1, len(self.events()))
@@ -61,7 +67,7 @@
         reloader = KeyReloader(self.path, self.settings, ring)
         old_tag = ring.sign(b'datagram')
         (self.folder / 'tag.key').write_text(OTHER_SECRET)
-        self.assertTrue(reloader.reload_if_changed())
+        self.assertTrue(reload_changed(reloader))
         self.assertFalse(ring.verify(1, old_tag, b'datagram'))
 
     def test_expired_signing_key_is_refused(self):
--- a/tests/operator/test_reloads.py
+++ b/tests/operator/test_reloads.py
@@ -7,10 +7,10 @@
 from testtools import TestCase
 
 from greengagepath.daemon.reloads import CHECK_S, Reloads
-from greengagepath.keys import KeyReloader, load_keys
-from greengagepath.metrics import Metrics
-from greengagepath.settings import load_settings
-from greengagepath.timers import VirtualTimerService
+from greengagepath.foundation.metrics import Metrics
+from greengagepath.foundation.settings import load_settings
+from greengagepath.foundation.timers import VirtualTimerService
+from greengagepath.protocol.keys import KeyReloader, load_keys
 
 from .builders import OTHER_SECRET, age_file, write_settings
 
--- a/tests/operator/test_rollout.py
+++ b/tests/operator/test_rollout.py
@@ -19,8 +19,8 @@
     wait_in_force,
     write_plan,
 )
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.generated.messages import Configuration, StatusReply
-from greengagepath.timers import VirtualTimerService
 
 from .builders import build_services, replace_limits
 from .fakes import EMPTY, FakeBalancers, FakeStore, build_balancer
--- a/tests/operator/test_settings.py
+++ b/tests/operator/test_settings.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from greengagepath.settings import load_settings
+from greengagepath.foundation.settings import load_settings
 
 from .builders import SETTINGS, write_settings
 
--- a/tests/operator/test_slo.py
+++ b/tests/operator/test_slo.py
@@ -1,13 +1,17 @@
 from testtools import TestCase
 
 from greengagepath.generated.messages import Objective
-from greengagepath.outcomes import (
+from greengagepath.reports.outcomes import (
     RequestOutcome,
     measure_outcomes,
     tally_outcomes,
 )
-from greengagepath.scrapes import Snapshot, parse_counts, tally_snapshots
-from greengagepath.slo import (
+from greengagepath.reports.scrapes import (
+    Snapshot,
+    parse_counts,
+    tally_snapshots,
+)
+from greengagepath.reports.slo import (
     ALL_CUSTOMERS,
     Tally,
     collect_objectives,
--- a/tests/operator/test_tls.py
+++ b/tests/operator/test_tls.py
@@ -5,8 +5,9 @@
 
 from testtools import TestCase
 
-from greengagepath.tls import describe_tls_error, load_tls
+from greengagepath.foundation.tls import describe_tls_error, load_tls
 
+from .builders import reload_changed
 from .certificates import Authority
 
 
@@ -73,7 +74,7 @@
         peer = load_tls(self.write('peer', other)).unwrap()
         self.assertRaises(ssl.SSLError, shake_hands, kept_server, peer.client)
         self.write('own', other)
-        self.assertTrue(self.contexts.reload_if_changed())
+        self.assertTrue(reload_changed(self.contexts))
         self.assertIsNotNone(shake_hands(kept_server, peer.client))
         self.assertIsNotNone(shake_hands(peer.server, self.contexts.client))
 
@@ -81,7 +82,7 @@
         # Guards against a half-written certificate that closes all links.
         peer = load_tls(self.write('peer', self.authority)).unwrap()
         Path(self.settings.certificate_file).write_text('broken')
-        self.assertFalse(self.contexts.reload_if_changed())
+        self.assertFalse(reload_changed(self.contexts))
         self.assertIsNotNone(shake_hands(self.contexts.server, peer.client))
         problems = load_tls(self.settings).unwrap_err()
         self.assertIn('certificate_file', problems[0].path)
--- a/tests/platform/test_module_bundle.py
+++ b/tests/platform/test_module_bundle.py
@@ -18,7 +18,9 @@
         # the slow import takes over in silence.
         folder = self._make_folder()
         path = str(folder / 'modules.bundle')
-        write_bundle(path, ['json', 'json.decoder', 'greengagepath.timers'])
+        write_bundle(
+            path, ['json', 'json.decoder', 'greengagepath.foundation.timers']
+        )
         script = (
             'import sys\n'
             'from greengagepath.startup.module_bundle import install_bundle\n'
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -22,7 +22,7 @@
 from greengagepath.emulator.deployment import Deployment
 from greengagepath.emulator.processes import run_tool, wait_until
 from greengagepath.emulator.verdict import count_outcomes
-from greengagepath.exit_codes import ExitCode
+from greengagepath.foundation.exit_codes import ExitCode
 
 LOAD_S = 6
 LOAD_SHARE = 0.15
--- a/tests/test_envelopes.py
+++ b/tests/protocol/test_envelopes.py
@@ -4,15 +4,15 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from greengagepath.envelopes import (
+from greengagepath.protocol.envelopes import (
     ENVELOPE_BYTES,
     TAGGED_BYTES,
     Envelope,
     open_envelope,
     seal_envelope,
 )
-from greengagepath.packets import DropReason
-from greengagepath.tags import Key, KeyRing
+from greengagepath.protocol.packets import DropReason
+from greengagepath.protocol.tags import Key, KeyRing
 
 KEYS = KeyRing([Key(1, bytes(32))], time.time)
 ENVELOPE = Envelope(7, 9, ('192.0.2.1', 4000), ('192.0.2.7', 80))
--- a/tests/test_transfer.py
+++ b/tests/protocol/test_transfer.py
@@ -7,9 +7,9 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from greengagepath.acks import Ack, decode_ack, encode_ack
-from greengagepath.packets import MAX_BODY_BYTES
-from greengagepath.transfer import (
+from greengagepath.protocol.acks import Ack, decode_ack, encode_ack
+from greengagepath.protocol.packets import MAX_BODY_BYTES
+from greengagepath.protocol.transfer import (
     PART_BYTES,
     PartOutcome,
     PartReceiver,
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -1,12 +1,12 @@
 import random
 
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.routing.choice import (
     ChooserServices,
     Place,
     TargetChooser,
 )
 from greengagepath.routing.targets import TargetInfo, TargetState
-from greengagepath.timers import VirtualTimerService
 
 SERVICE = 7
 HOME = Place('perth', 'perth-a')
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -2,6 +2,7 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.generated.messages import SizeClass
 from greengagepath.routing.choice import (
     NoTargetReason,
@@ -10,7 +11,6 @@
 )
 from greengagepath.routing.choosers import ServiceChoosers
 from greengagepath.routing.targets import TargetState
-from greengagepath.timers import VirtualTimerService
 
 from .builders import (
     SERVICE,
--- a/tests/steering/test_balancer_steering.py
+++ b/tests/steering/test_balancer_steering.py
@@ -2,11 +2,11 @@
 
 from testtools import TestCase
 
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.steering.balancer_contacts import BalancerIdentity
 from greengagepath.steering.balancer_steering import BalancerSteering
 from greengagepath.steering.peer_messages import PeerKind, ReportedState
 from greengagepath.steering.routes import RouteTable
-from greengagepath.timers import VirtualTimerService
 
 from .builders import (
     OTHER_SERVICE,
--- a/tests/steering/test_rotation.py
+++ b/tests/steering/test_rotation.py
@@ -2,8 +2,8 @@
 
 from testtools import TestCase
 
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.steering.rotation import BalancerStage, Rotation
-from greengagepath.timers import VirtualTimerService
 
 FIRST, SECOND = b'\x0a\x01\x00\x01', b'\x0a\x01\x00\x02'
 
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -2,10 +2,10 @@
 
 from testtools import TestCase
 
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.steering.agent_steering import AgentSteering
 from greengagepath.steering.peer_messages import PeerKind, ReportedState
 from greengagepath.steering.target_gate import HeartbeatOutcome, TargetGate
-from greengagepath.timers import VirtualTimerService
 
 from .builders import (
     OTHER_SERVICE,
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -5,12 +5,12 @@
 datagram takes a millisecond.
 """
 
+from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.steering.agent_steering import AgentSteering
 from greengagepath.steering.balancer_contacts import BalancerIdentity
 from greengagepath.steering.balancer_steering import BalancerSteering
 from greengagepath.steering.peer_messages import PeerKind, decode_message
 from greengagepath.steering.segments import Segment
-from greengagepath.timers import VirtualTimerService
 
 from .builders import (
     TARGET_SEQUENCE,
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,65 @@
+"""The package has layers, and imports go downwards only."""
+
+import ast
+from collections.abc import Iterator
+from pathlib import Path
+
+from testtools import TestCase
+
+PACKAGE = Path(__file__).parents[1] / 'greengagepath'
+# Lowest first. `daemon` has a module of the tool's connections, which
+# the demo and the commands share.
+LAYERS = (
+    'generated',
+    'foundation',
+    'protocol',
+    'routing',
+    'admission',
+    'steering',
+    'configuration',
+    'membership',
+    'agent',
+    'caller',
+    'datapath',
+    'reports',
+    'daemon',
+    'platform',
+    'startup',
+    'output',
+    'emulator',
+    'bench',
+    'cli',
+)
+
+
+class LayersTest(TestCase):
+    def test_every_package_has_a_layer(self):
+        # Guards against a new package that the next test leaves out.
+        packages = {path.parent.name for path in PACKAGE.glob('*/__init__.py')}
+        self.assertEqual(packages, set(LAYERS))
+
+    def test_no_package_imports_from_a_higher_one(self):
+        # Guards against decisions that depend on sockets or commands,
+        # and against roles that load what only others need.
+        found = [
+            f'{path.parent.name} imports {imported} in {path.name}'
+            for path, imported in _list_imports()
+            if LAYERS.index(imported) > LAYERS.index(path.parent.name)
+        ]
+        self.assertEqual([], found)
+
+    def test_the_root_holds_entry_points_only(self):
+        # Guards against a root that fills up again; it held 52 modules.
+        self.assertEqual(
+            {'__init__.py', '__main__.py', 'client.py'},
+            {path.name for path in PACKAGE.glob('*.py')},
+        )
+
+
+def _list_imports() -> Iterator[tuple[Path, str]]:
+    """Yield each module in a package and a package that it imports."""
+    for path in PACKAGE.glob('*/*.py'):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if isinstance(node, ast.ImportFrom) and node.level == 2:
+                imported = node.module or node.names[0].name
+                yield path, imported.partition('.')[0]
