Take an opening packet up to 0.6 of its goal instead of 1.1

Cause: agents took openings whose expected end was up to 1.1 of the goal.

Change: HIGHEST_SHARE 0.6, SHARE_STEP 0.1, LEAST_SHARE 0.3 (1.1, 0.15, 0.5 before). The test asks for the 90% of capacity of docs/design.md and fails on the code before. Two thresholds in tests of the same rule move with the shares; each still tests both sides.

--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -16,19 +16,19 @@
 # A report left its agent this long before it arrived, so placements
 # this young are not in it.
 REPORT_TRANSIT_S = 0.003
-
-
 # After a power loss an agent starts before its target; one that has
 # been heard goes first.
 UNHEARD_PENALTY_S = 0.1
 # States of targets that take new flows.
 TAKING = frozenset((ReportedState.READY, ReportedState.UNHEARD))
 # A request of the highest priority is taken while it should finish
-# within this share of its goal; each lower priority gets less, so that
-# urgent work still finds room at the crest.
-HIGHEST_SHARE = 1.1
-SHARE_STEP = 0.15
-LEAST_SHARE = 0.5
+# within this share of its goal. The rest is for the way between caller
+# and target, which the agent does not see, and for requests that run
+# longer than usual. Each lower priority gets less, so that urgent work
+# still finds room at the crest.
+HIGHEST_SHARE = 0.6
+SHARE_STEP = 0.1
+LEAST_SHARE = 0.3
 
 
 class PeerLoad:
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -167,13 +167,22 @@
     def test_request_that_would_finish_late_is_refused(self):
         # Replays the backlog after an outage: guards against a queue in
         # which every answer comes too late.
-        self.assertTrue(is_in_time(make_estimate(9), 0.15, 2))
-        self.assertFalse(is_in_time(make_estimate(14), 0.15, 2))
+        self.assertTrue(is_in_time(make_estimate(4), 0.15, 2))
+        self.assertFalse(is_in_time(make_estimate(6), 0.15, 2))
+
+    def test_what_is_taken_at_twice_the_capacity_is_answered_in_time(self):
+        # Replays demand of twice the capacity: guards against queues
+        # whose expected end is the goal, so that the way to the caller
+        # and every longer request make the answer late. Goodput at the
+        # crest is to be 90% of capacity (docs/design.md).
+        overload = Overload(slots=2, mean_s=0.025, goal_s=0.15)
+        capacity = overload.run(seconds=20.0)
+        self.assertGreater(overload.in_time, 0.9 * capacity)
 
     def test_urgent_request_finds_room_for_longer(self):
         # Guards against orders that are refused beside look-ups.
-        self.assertTrue(is_in_time(make_estimate(13), 0.15, 1))
-        self.assertFalse(is_in_time(make_estimate(13), 0.15, 2))
+        self.assertTrue(is_in_time(make_estimate(6), 0.15, 1))
+        self.assertFalse(is_in_time(make_estimate(6), 0.15, 2))
 
     def test_route_without_a_goal_is_not_refused(self):
         self.assertTrue(is_in_time(make_estimate(500), 0, 2))
@@ -195,6 +204,43 @@
     return Estimate(load, 2, 0.02, 0.0)
 
 
+class Overload:
+    """Requests of twice the capacity of one target."""
+
+    # Handshake, request and answer cross the way between caller and
+    # target, outside of what the agent sees.
+    WAY_S = 0.012
+
+    def __init__(self, slots: int, mean_s: float, goal_s: float) -> None:
+        self.in_time = 0
+        self.taken = 0
+        self._slots = slots
+        self._mean_s = mean_s
+        self._goal_s = goal_s
+        self._chance = random.Random(7)
+
+    def run(self, seconds: float) -> float:
+        """Play; return how many requests the target could run."""
+        capacity_per_s = self._slots / self._mean_s
+        now_s = 0.0
+        free_at_s = [0.0 for _ in range(self._slots)]
+        ends_s: list[float] = []
+        while now_s < seconds:
+            now_s += self._chance.expovariate(2 * capacity_per_s)
+            ends_s = [end_s for end_s in ends_s if end_s > now_s]
+            estimate = Estimate(len(ends_s), self._slots, self._mean_s, 0.0)
+            if not is_in_time(estimate, self._goal_s, 0):
+                continue
+            slot = free_at_s.index(min(free_at_s))
+            work_s = self._chance.expovariate(1 / self._mean_s)
+            free_at_s[slot] = max(free_at_s[slot], now_s) + work_s
+            ends_s.append(free_at_s[slot])
+            self.taken += 1
+            took_s = free_at_s[slot] - now_s + self.WAY_S
+            self.in_time += took_s <= self._goal_s
+        return capacity_per_s * seconds
+
+
 class Crest:
     """Open load of 1.0 of the capacity of targets with two slots."""
 
