--- a/greengagepath/daemon/steering_process.py
+++ b/greengagepath/daemon/steering_process.py
@@ -43,7 +43,8 @@
     """Signals, peers, membership and metrics of one process.
 
     A role adds its decisions and the sockets towards callers or its
-    target. `counts` are the events of the role's decisions.
+    target: it calls `_bind` once its decisions exist, since they count
+    the events that the metrics show, and `_open` when it starts to run.
     """
 
     def __init__(
--- a/greengagepath/emulator/processes.py
+++ b/greengagepath/emulator/processes.py
@@ -15,6 +15,8 @@
 # Services that come with a system listen below it.
 FIRST_PORT = 10_000
 MAX_PORT = 65_536
+# A deployment of the demo takes about 60 ports.
+LEAST_PORTS = 1000
 OUTGOING_PORTS_FILE = Path('/proc/sys/net/ipv4/ip_local_port_range')
 
 
@@ -79,8 +81,9 @@
     """Ports for processes that start later, each given out once.
 
     They lie below the range that the kernel uses for outgoing
-    connections: such a connection could take a port between its choice
-    and the start of the process that shall listen there.
+    connections, unless that range leaves too few: such a connection
+    could take a port between its choice and the start of the process
+    that shall listen there.
     """
 
     def __init__(self, rng: random.Random | None = None) -> None:
@@ -89,7 +92,9 @@
 
     def find(self, count: int) -> list[int]:
         """Return ports that are free for TCP and UDP on 127.0.0.1."""
-        end = min(_read_first_outgoing_port(), MAX_PORT)
+        end = _read_first_outgoing_port()
+        if end < FIRST_PORT + LEAST_PORTS:
+            end = MAX_PORT
         found: list[int] = []
         while len(found) < count:
             port = self._rng.randrange(FIRST_PORT, end)
