--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -255,6 +255,25 @@
         load = self.agent.context.peers.load_by_address[PEER]
         self.assertTrue(load.is_usable(self.timers.now()))
 
+    def test_flow_that_was_handed_on_is_told_to_its_home(self):
+        # Guards against packets of the flow that end at a home which
+        # knows only the first agent that it chose.
+        self._hear_peer()
+        homes = self.agent.context.peers.homes
+        flow = next(
+            flow
+            for flow in map(make_flow, range(100))
+            if homes.find_home(flow) == PEER
+        )
+        self._offer(flow, hops=2)
+        self.agent.take_from_target(make_answer(flow))
+        told = [
+            (address, message.body)
+            for address, message in self.outbox.at_agents
+            if message.kind is PeerKind.HELD
+        ]
+        self.assertEqual([(PEER, flow)], told)
+
     def test_opened_flow_is_told_to_its_balancer(self):
         # Guards against a relay of every packet through the home.
         flow = make_flow()
