Rename take_peer_message to handle_peer_message

Cause: the verb "take" does not say that a datagram is handled. Change: every use in the package and its tests is renamed; behaviour, logged names and stored names stay.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -173,7 +173,7 @@
         segment = None
         if message.kind <= PeerKind.SEARCH:
             segment = self._codec.decode_from_caller(message.body)
-        self.steering.take_peer_message(sender, message, segment)
+        self.steering.handle_peer_message(sender, message, segment)
 
     def _answer(self, request: HttpRequest) -> HttpReply:
         if request.path.partition('?')[0] == self._codec.readiness_path:
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -128,7 +128,7 @@
         self.steering.take_from_caller(segment)
 
     def _take_message(self, sender: bytes, message: PeerMessage) -> None:
-        self.steering.take_peer_message(sender, message)
+        self.steering.handle_peer_message(sender, message)
 
     def _answer(self, request: HttpRequest) -> HttpReply:
         if request.path.partition('?')[0] != self._codec.readiness_path:
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -50,7 +50,7 @@
         timers.subscribe(SWEEP_S, self._sweep)
         timers.subscribe(ROTATE_S, self._search.rotate)
 
-    def take_peer_message(
+    def handle_peer_message(
         self, sender: bytes, message: PeerMessage, segment: Segment | None
     ) -> None:
         """Handle a datagram of another process.
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -93,7 +93,7 @@
         else:
             self._forward(segment)
 
-    def take_peer_message(self, sender: bytes, message: PeerMessage) -> None:
+    def handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
         """Handle a datagram of another process."""
         if self.routes.note_version(message.version):
             self._on_behind()
--- a/tests/steering/test_balancer_steering.py
+++ b/tests/steering/test_balancer_steering.py
@@ -46,7 +46,7 @@
 
     def _hear_agents(self, **fields) -> None:
         for address in AGENTS:
-            self.balancer.take_peer_message(
+            self.balancer.handle_peer_message(
                 address, make_report_message(**fields)
             )
 
@@ -59,7 +59,7 @@
     def test_unknown_route_is_not_refused_while_behind(self):
         # Guards against a refusal by an older version: the route may be
         # in the version that a peer has shown.
-        self.balancer.take_peer_message(
+        self.balancer.handle_peer_message(
             AGENTS[0], make_report_message(version=9)
         )
         flow = make_flow(port=444)
@@ -75,7 +75,7 @@
 
     def test_version_that_was_seen_is_told_to_agents(self):
         # Guards against balancers that stay behind a silent watch.
-        self.balancer.take_peer_message(
+        self.balancer.handle_peer_message(
             AGENTS[0], make_report_message(version=9)
         )
         self.balancer.contacts.announce()
@@ -88,7 +88,7 @@
         # Guards against opening packets for a VM without power.
         self.timers.advance(0.8)
         for address in AGENTS[1:]:
-            self.balancer.take_peer_message(address, make_report_message())
+            self.balancer.handle_peer_message(address, make_report_message())
         self.timers.advance(0.4)
         for number in range(50):
             self.balancer.take_from_caller(make_opening(make_flow(number)))
@@ -118,7 +118,7 @@
     def test_told_owner_gets_the_packets(self):
         # Guards against a detour through the home for every packet.
         flow = make_flow()
-        self.balancer.take_peer_message(
+        self.balancer.handle_peer_message(
             AGENTS[2], make_message(PeerKind.HELD, body=flow)
         )
         self.balancer.take_from_caller(make_data(flow))
@@ -130,10 +130,10 @@
         # Guards against a packet that enters another service: the agent
         # compares the service that the datagram names.
         flow = make_flow()
-        self.balancer.take_peer_message(
+        self.balancer.handle_peer_message(
             AGENTS[2], make_message(PeerKind.HELD, body=flow)
         )
-        self.balancer.take_peer_message(
+        self.balancer.handle_peer_message(
             AGENTS[2], make_report_message(service=OTHER_SERVICE)
         )
         self.balancer.take_from_caller(make_data(flow))
@@ -144,10 +144,10 @@
     def test_absent_target_does_not_keep_its_flows(self):
         # Guards against packets for a target that has left.
         flow = make_flow()
-        self.balancer.take_peer_message(
+        self.balancer.handle_peer_message(
             AGENTS[0], make_message(PeerKind.HELD, body=flow)
         )
-        self.balancer.take_peer_message(
+        self.balancer.handle_peer_message(
             AGENTS[0], make_report_message(state=ReportedState.ABSENT)
         )
         self.balancer.take_from_caller(make_data(flow))
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -102,11 +102,11 @@
     def _offer(self, flow: bytes, **fields) -> None:
         segment = make_opening(flow)
         message = make_message(PeerKind.PLACE, body=segment.raw, **fields)
-        self.agent.take_peer_message(BALANCER, message, segment)
+        self.agent.handle_peer_message(BALANCER, message, segment)
 
     def _hear_peer(self, load: int = 0, **fields) -> None:
         message = make_report_message(load, **fields)
-        self.agent.take_peer_message(PEER, message, None)
+        self.agent.handle_peer_message(PEER, message, None)
 
     def test_draining_target_gets_no_new_flow_whatever_others_believe(self):
         # Guards against a balancer or home that has not heard of it.
@@ -123,7 +123,7 @@
         started.take_heartbeat(make_heartbeat(is_draining=True))
         segment = make_opening(make_flow())
         message = make_message(PeerKind.OPEN, body=segment.raw)
-        started.take_peer_message(BALANCER, message, segment)
+        started.handle_peer_message(BALANCER, message, segment)
         self.assertEqual([], self.outbox.resets)
 
     def test_target_that_was_not_heard_yet_comes_second(self):
@@ -196,7 +196,7 @@
         started = AgentSteering(make_identity(2), self.timers, self.outbox)
         segment = make_opening(make_flow())
         message = make_message(PeerKind.PLACE, body=segment.raw)
-        started.take_peer_message(BALANCER, message, segment)
+        started.handle_peer_message(BALANCER, message, segment)
         self.assertEqual([segment.raw], self.outbox.at_target)
         started.take_from_target(make_returned(segment))
         self.assertEqual(
@@ -290,7 +290,7 @@
         self.agent.take_from_target(make_answer(flow))
         request = make_data(flow)
         message = make_message(PeerKind.FORWARD, body=request.raw)
-        self.agent.take_peer_message(BALANCER, message, request)
+        self.agent.handle_peer_message(BALANCER, message, request)
         refusal = make_response(flow)
         refusal.is_refusal = True
         self.agent.take_from_target(refusal)
@@ -307,7 +307,7 @@
         before = len(self.outbox.at_target)
         request = make_data(flow, acknowledged=0x70000000)
         message = make_message(PeerKind.FORWARD, body=request.raw)
-        self.agent.take_peer_message(BALANCER, message, request)
+        self.agent.handle_peer_message(BALANCER, message, request)
         self.assertEqual(before, len(self.outbox.at_target))
         asked = [message.kind for _, message in self.outbox.at_agents]
         self.assertIn(PeerKind.SEARCH, asked)
@@ -315,7 +315,7 @@
     def test_unreadable_packet_is_counted_and_dropped(self):
         # Guards against bytes that are no packet.
         message = make_message(PeerKind.FORWARD, body=b'x')
-        self.agent.take_peer_message(BALANCER, message, None)
+        self.agent.handle_peer_message(BALANCER, message, None)
         self.assertEqual(
             1, self.agent.context.counts['dropped_unreadable_packet']
         )
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -226,13 +226,13 @@
         segment = None
         if message.kind <= PeerKind.SEARCH:
             segment = self.segment_by_raw[message.body]
-        agent.take_peer_message(sender, message, segment)
+        agent.handle_peer_message(sender, message, segment)
 
     def receive_at_balancer(
         self, sender: bytes, address: bytes, datagram: bytes
     ) -> None:
         balancer = self.balancer_by_address.get(address)
         if balancer is not None:
-            balancer.take_peer_message(
+            balancer.handle_peer_message(
                 sender, decode_message(datagram).unwrap()
             )
