Rename take_from_target to handle_target_packet

Cause: the verb "take" does not say that a packet is handled. Change: every use in the package and its tests is renamed; behaviour, logged names and stored names stay. Measured: steering, layer and platform translation, store and metrics tests: 100 tests collected in 0.67s, all passed; formatter and ruff clean.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -167,7 +167,7 @@
         if segment is None:
             self.steering.context.counts['dropped_unreadable'] += 1
             return
-        self.steering.take_from_target(segment)
+        self.steering.handle_target_packet(segment)
 
     def _take_message(self, sender: bytes, message: PeerMessage) -> None:
         segment = None
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -88,7 +88,7 @@
             case PeerKind.PULL:
                 self.reports.send_routes(sender)
 
-    def take_from_target(self, segment: Segment) -> None:
+    def handle_target_packet(self, segment: Segment) -> None:
         """Handle a packet that the target sent or gave back."""
         if segment.is_returned:
             self._take_returned(segment)
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -162,11 +162,13 @@
         self._hear_peer()
         flow = make_flow()
         self._offer(flow, hops=3)
-        self.agent.take_from_target(make_returned(make_opening(flow)))
+        self.agent.handle_target_packet(make_returned(make_opening(flow)))
         self.assertEqual([flow], self.outbox.resets)
         self.agent.take_heartbeat(make_heartbeat(2))
         self._offer(make_flow(2), hops=0)
-        self.agent.take_from_target(make_returned(make_opening(make_flow(2))))
+        self.agent.handle_target_packet(
+            make_returned(make_opening(make_flow(2)))
+        )
         self.assertEqual([PEER], self.outbox.placed_at())
 
     def test_opening_that_is_handed_over_keeps_its_goal(self):
@@ -175,7 +177,9 @@
         self._hear_peer()
         self._offer(make_flow(), goal_ms=150, priority=2)
         self.timers.advance(0.02)
-        self.agent.take_from_target(make_returned(make_opening(make_flow())))
+        self.agent.handle_target_packet(
+            make_returned(make_opening(make_flow()))
+        )
         placed = self.outbox.at_agents[-1][1]
         self.assertEqual(
             (PeerKind.PLACE, 130, 2),
@@ -186,7 +190,9 @@
         # Guards against a hop to a target that can only refuse.
         self._offer(make_flow(), goal_ms=150)
         self._hear_peer(20, service_s=0.05)
-        self.agent.take_from_target(make_returned(make_opening(make_flow())))
+        self.agent.handle_target_packet(
+            make_returned(make_opening(make_flow()))
+        )
         self.assertEqual([make_flow()], self.outbox.resets)
 
     def test_target_that_only_returns_openings_is_absent(self):
@@ -198,7 +204,7 @@
         message = make_message(PeerKind.PLACE, body=segment.raw)
         started.handle_peer_message(BALANCER, message, segment)
         self.assertEqual([segment.raw], self.outbox.at_target)
-        started.take_from_target(make_returned(segment))
+        started.handle_target_packet(make_returned(segment))
         self.assertEqual(
             ReportedState.ABSENT, started.context.gate.report_state()
         )
@@ -213,7 +219,9 @@
         self.timers.advance(0.5)
         self._offer(make_flow())
         self.timers.advance(0.002)
-        self.agent.take_from_target(make_returned(make_opening(make_flow())))
+        self.agent.handle_target_packet(
+            make_returned(make_opening(make_flow()))
+        )
         self.assertEqual(
             ReportedState.ABSENT, self.agent.context.gate.report_state()
         )
@@ -224,8 +232,10 @@
         self._offer(make_flow())
         self._offer(make_flow(2))
         self.timers.advance(0.002)
-        self.agent.take_from_target(make_answer(make_flow()))
-        self.agent.take_from_target(make_returned(make_opening(make_flow(2))))
+        self.agent.handle_target_packet(make_answer(make_flow()))
+        self.agent.handle_target_packet(
+            make_returned(make_opening(make_flow(2)))
+        )
         self.assertEqual(
             ReportedState.READY, self.agent.context.gate.report_state()
         )
@@ -266,7 +276,7 @@
             if homes.find_home(flow) == PEER
         )
         self._offer(flow, hops=2)
-        self.agent.take_from_target(make_answer(flow))
+        self.agent.handle_target_packet(make_answer(flow))
         told = [
             (address, message.body)
             for address, message in self.outbox.at_agents
@@ -278,7 +288,7 @@
         # Guards against a relay of every packet through the home.
         flow = make_flow()
         self._offer(flow)
-        self.agent.take_from_target(make_answer(flow))
+        self.agent.handle_target_packet(make_answer(flow))
         told = self.outbox.held_told()
         self.assertEqual([(make_message(PeerKind.HELD).balancer, flow)], told)
 
@@ -287,13 +297,13 @@
         # refuses at once.
         flow = make_flow()
         self._offer(flow)
-        self.agent.take_from_target(make_answer(flow))
+        self.agent.handle_target_packet(make_answer(flow))
         request = make_data(flow)
         message = make_message(PeerKind.FORWARD, body=request.raw)
         self.agent.handle_peer_message(BALANCER, message, request)
         refusal = make_response(flow)
         refusal.is_refusal = True
-        self.agent.take_from_target(refusal)
+        self.agent.handle_target_packet(refusal)
         self.assertFalse(self.agent.context.estimate_service_s())
         self.assertEqual(0, self.agent.context.held.load)
 
@@ -303,7 +313,7 @@
         flow = make_flow()
         self._hear_peer(9)
         self._offer(flow)
-        self.agent.take_from_target(make_answer(flow))
+        self.agent.handle_target_packet(make_answer(flow))
         before = len(self.outbox.at_target)
         request = make_data(flow, acknowledged=0x70000000)
         message = make_message(PeerKind.FORWARD, body=request.raw)
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -205,7 +205,7 @@
         def deliver() -> None:
             agent = self.agent_by_address.get(address)
             if agent is not None:
-                agent.take_from_target(segment)
+                agent.handle_target_packet(segment)
 
         self.later(deliver)
 
