Rename take_from_caller to handle_caller_packet

Cause: the verb "take" does not say that a packet is handled. Change: every use in the package and its tests is renamed; behaviour, logged names and stored names stay.

--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -125,7 +125,7 @@
         if segment is None:
             self.steering.counts['dropped_unreadable'] += 1
             return
-        self.steering.take_from_caller(segment)
+        self.steering.handle_caller_packet(segment)
 
     def _take_message(self, sender: bytes, message: PeerMessage) -> None:
         self.steering.handle_peer_message(sender, message)
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -84,7 +84,7 @@
         """Return whether any agent has reported."""
         return bool(self.contacts.agents.by_service)
 
-    def take_from_caller(self, segment: Segment) -> None:
+    def handle_caller_packet(self, segment: Segment) -> None:
         """Handle a packet that the fabric delivered."""
         if segment.opens_answer or segment.is_returned:
             self.counts['dropped_forged'] += 1
--- a/tests/steering/test_balancer_steering.py
+++ b/tests/steering/test_balancer_steering.py
@@ -53,7 +53,7 @@
     def test_route_that_is_gone_is_refused_at_once(self):
         # Guards against a caller that waits for a route that is not there.
         self.balancer.use_routes(RouteTable(6, {}))
-        self.balancer.take_from_caller(make_opening(make_flow()))
+        self.balancer.handle_caller_packet(make_opening(make_flow()))
         self.assertEqual([make_flow()], self.outbox.resets)
 
     def test_unknown_route_is_not_refused_while_behind(self):
@@ -63,7 +63,7 @@
             AGENTS[0], make_report_message(version=9)
         )
         flow = make_flow(port=444)
-        self.balancer.take_from_caller(make_opening(flow))
+        self.balancer.handle_caller_packet(make_opening(flow))
         self.assertEqual([], self.outbox.resets)
         self.assertEqual(1, self.behind)
 
@@ -91,7 +91,7 @@
             self.balancer.handle_peer_message(address, make_report_message())
         self.timers.advance(0.4)
         for number in range(50):
-            self.balancer.take_from_caller(make_opening(make_flow(number)))
+            self.balancer.handle_caller_packet(make_opening(make_flow(number)))
         self.assertNotIn(AGENTS[0], self.outbox.placed_at())
 
     def test_pause_of_the_balancer_is_no_silence_of_agents(self):
@@ -100,7 +100,7 @@
         self.timers.pause(5.0)
         self.timers.advance(0.0)
         self.balancer.backlog.note_empty()
-        self.balancer.take_from_caller(make_opening(make_flow()))
+        self.balancer.handle_caller_packet(make_opening(make_flow()))
         self.assertEqual([], self.outbox.resets)
         self.assertEqual(1, len(self.outbox.placed_at()))
 
@@ -109,10 +109,10 @@
         # socket: passed on, they made agents refuse fresh ones.
         self.timers.pause(5.0)
         for number in range(300):
-            self.balancer.take_from_caller(make_opening(make_flow(number)))
+            self.balancer.handle_caller_packet(make_opening(make_flow(number)))
         self.assertEqual([], self.outbox.placed_at())
         self.balancer.backlog.note_empty()
-        self.balancer.take_from_caller(make_opening(make_flow(1)))
+        self.balancer.handle_caller_packet(make_opening(make_flow(1)))
         self.assertEqual(1, len(self.outbox.placed_at()))
 
     def test_told_owner_gets_the_packets(self):
@@ -121,7 +121,7 @@
         self.balancer.handle_peer_message(
             AGENTS[2], make_message(PeerKind.HELD, body=flow)
         )
-        self.balancer.take_from_caller(make_data(flow))
+        self.balancer.handle_caller_packet(make_data(flow))
         address, message = self.outbox.at_agents[-1]
         self.assertEqual(AGENTS[2], address)
         self.assertEqual(PeerKind.FORWARD, message.kind)
@@ -136,7 +136,7 @@
         self.balancer.handle_peer_message(
             AGENTS[2], make_report_message(service=OTHER_SERVICE)
         )
-        self.balancer.take_from_caller(make_data(flow))
+        self.balancer.handle_caller_packet(make_data(flow))
         address, message = self.outbox.at_agents[-1]
         self.assertNotEqual(AGENTS[2], address)
         self.assertEqual(SERVICE, message.service)
@@ -150,10 +150,10 @@
         self.balancer.handle_peer_message(
             AGENTS[0], make_report_message(state=ReportedState.ABSENT)
         )
-        self.balancer.take_from_caller(make_data(flow))
+        self.balancer.handle_caller_packet(make_data(flow))
         self.assertNotEqual(AGENTS[0], self.outbox.at_agents[-1][0])
 
     def test_answer_of_a_target_from_outside_is_forged(self):
         # Guards against a caller that pretends to be a target.
-        self.balancer.take_from_caller(make_answer(make_flow()))
+        self.balancer.handle_caller_packet(make_answer(make_flow()))
         self.assertEqual(1, self.balancer.counts['dropped_forged'])
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -168,7 +168,9 @@
         self.segment_by_raw[segment.raw] = segment
         address = make_address(balancer, network=9)
         self.later(
-            lambda: self.balancer_by_address[address].take_from_caller(segment)
+            lambda: self.balancer_by_address[address].handle_caller_packet(
+                segment
+            )
         )
 
     def open(self, flow: bytes, balancer: int = 1) -> int:
