Rename take_heartbeat to handle_heartbeat

Cause: the verb "take" does not say that a heartbeat is handled. Change: every use in the package and its tests is renamed; behaviour, logged names and stored names stay.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -204,5 +204,5 @@
                 reason=decoded.err_value,
             )
             return HttpReply(BAD_REQUEST)
-        self.steering.take_heartbeat(decoded.ok_value)
+        self.steering.handle_heartbeat(decoded.ok_value)
         return HttpReply(OK, self._codec.acknowledgement)
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -102,9 +102,9 @@
         if held is not None:
             self._note_sent(segment, held)
 
-    def take_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
         """Take what the target says of itself."""
-        outcome = self.context.gate.take_heartbeat(heartbeat)
+        outcome = self.context.gate.handle_heartbeat(heartbeat)
         if outcome is HeartbeatOutcome.NEW_LIFETIME:
             self.context.held.clear()
         if outcome in {HeartbeatOutcome.NEW_LIFETIME, HeartbeatOutcome.CHANGED}:
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -71,7 +71,7 @@
         self._heard_s = timers.now()
         self._unanswered = False
 
-    def take_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
+    def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
         """Take what the target says, unless something newer is known."""
         lifetime = (heartbeat.target_id, heartbeat.started_ms)
         is_new = lifetime != (self.target_id, self.started_ms)
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -36,30 +36,30 @@
         # Guards against an earlier start that makes a draining target
         # take flows again.
         new = make_heartbeat(target_id='i-2', started_ms=2000, is_draining=True)
-        self.gate.take_heartbeat(new)
+        self.gate.handle_heartbeat(new)
         late = make_heartbeat(9, target_id='i-1', started_ms=1000)
-        outcome = self.gate.take_heartbeat(late)
+        outcome = self.gate.handle_heartbeat(late)
         self.assertEqual(HeartbeatOutcome.STALE, outcome)
         self.assertFalse(self.gate.is_open)
 
     def test_overtaken_heartbeat_changes_nothing(self):
         # Guards against a delayed `ready` after `draining`.
-        self.gate.take_heartbeat(make_heartbeat(5, is_draining=True))
-        outcome = self.gate.take_heartbeat(make_heartbeat(4))
+        self.gate.handle_heartbeat(make_heartbeat(5, is_draining=True))
+        outcome = self.gate.handle_heartbeat(make_heartbeat(4))
         self.assertEqual(HeartbeatOutcome.STALE, outcome)
         self.assertFalse(self.gate.is_open)
 
     def test_same_id_with_a_later_start_begins_anew(self):
         # Guards against sequence numbers of the earlier start that make
         # all heartbeats of the new one look old.
-        self.gate.take_heartbeat(make_heartbeat(50, is_draining=True))
-        outcome = self.gate.take_heartbeat(make_heartbeat(1, started_ms=2000))
+        self.gate.handle_heartbeat(make_heartbeat(50, is_draining=True))
+        outcome = self.gate.handle_heartbeat(make_heartbeat(1, started_ms=2000))
         self.assertEqual(HeartbeatOutcome.NEW_LIFETIME, outcome)
         self.assertTrue(self.gate.is_open)
 
     def test_departure_of_an_earlier_target_is_ignored(self):
         # Guards against a late departure that closes a new target.
-        self.gate.take_heartbeat(make_heartbeat(target_id='i-2'))
+        self.gate.handle_heartbeat(make_heartbeat(target_id='i-2'))
         self.assertFalse(self.gate.take_departure('i-1'))
         self.assertTrue(self.gate.is_open)
 
@@ -67,16 +67,16 @@
         # Guards against a target without flows that stays closed for
         # ever after one lost datagram; the rest then carries its load
         # and closes one after the other.
-        self.gate.take_heartbeat(make_heartbeat())
+        self.gate.handle_heartbeat(make_heartbeat())
         self.timers.advance(0.1)
         self.gate.note_not_taken(self.timers.now())
         self.assertFalse(self.gate.is_responsive)
-        self.gate.take_heartbeat(make_heartbeat(2))
+        self.gate.handle_heartbeat(make_heartbeat(2))
         self.assertTrue(self.gate.is_responsive)
 
     def test_opening_lost_while_others_are_answered_is_a_lost_datagram(self):
         # Guards against a closed target at each lost datagram.
-        self.gate.take_heartbeat(make_heartbeat())
+        self.gate.handle_heartbeat(make_heartbeat())
         offered_s = self.timers.now()
         self.timers.advance(0.05)
         self.gate.note_answer()
@@ -85,7 +85,7 @@
 
     def test_silent_target_is_reported_absent(self):
         # Guards against new flows for a target that has crashed.
-        self.gate.take_heartbeat(make_heartbeat())
+        self.gate.handle_heartbeat(make_heartbeat())
         self.timers.advance(5.0)
         self.assertEqual(ReportedState.ABSENT, self.gate.report_state())
 
@@ -96,7 +96,7 @@
         self.timers = VirtualTimerService(start_s=100.0)
         self.outbox = RecordingOutbox()
         self.agent = AgentSteering(make_identity(), self.timers, self.outbox)
-        self.agent.take_heartbeat(make_heartbeat())
+        self.agent.handle_heartbeat(make_heartbeat())
         self.timers.advance(0.6)
 
     def _offer(self, flow: bytes, **fields) -> None:
@@ -110,7 +110,7 @@
 
     def test_draining_target_gets_no_new_flow_whatever_others_believe(self):
         # Guards against a balancer or home that has not heard of it.
-        self.agent.take_heartbeat(make_heartbeat(2, is_draining=True))
+        self.agent.handle_heartbeat(make_heartbeat(2, is_draining=True))
         self._hear_peer()
         self._offer(make_flow())
         self.assertEqual([], self.outbox.at_target)
@@ -120,7 +120,7 @@
         # Guards against refusals by an agent that has not heard yet of
         # the others, after a power loss of all.
         started = AgentSteering(make_identity(2), self.timers, self.outbox)
-        started.take_heartbeat(make_heartbeat(is_draining=True))
+        started.handle_heartbeat(make_heartbeat(is_draining=True))
         segment = make_opening(make_flow())
         message = make_message(PeerKind.OPEN, body=segment.raw)
         started.handle_peer_message(BALANCER, message, segment)
@@ -144,7 +144,7 @@
 
     def test_draining_target_without_peers_refuses_at_once(self):
         # Guards against a caller that waits for nobody.
-        self.agent.take_heartbeat(make_heartbeat(2, is_draining=True))
+        self.agent.handle_heartbeat(make_heartbeat(2, is_draining=True))
         self._offer(make_flow())
         self.assertEqual([make_flow()], self.outbox.resets)
 
@@ -164,7 +164,7 @@
         self._offer(flow, hops=3)
         self.agent.handle_target_packet(make_returned(make_opening(flow)))
         self.assertEqual([flow], self.outbox.resets)
-        self.agent.take_heartbeat(make_heartbeat(2))
+        self.agent.handle_heartbeat(make_heartbeat(2))
         self._offer(make_flow(2), hops=0)
         self.agent.handle_target_packet(
             make_returned(make_opening(make_flow(2)))
@@ -208,7 +208,7 @@
         self.assertEqual(
             ReportedState.ABSENT, started.context.gate.report_state()
         )
-        started.take_heartbeat(make_heartbeat())
+        started.handle_heartbeat(make_heartbeat())
         self.assertEqual(
             ReportedState.READY, started.context.gate.report_state()
         )
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -150,7 +150,7 @@
             self.timers,
             FakeOutbox(self, address),
         )
-        steering.take_heartbeat(make_heartbeat(target_id=f'i-{number}'))
+        steering.handle_heartbeat(make_heartbeat(target_id=f'i-{number}'))
         known = list(self.agent_by_address)
         self.agent_by_address[address] = steering
         for balancer in self.balancer_by_address:
