Rename take_departure to handle_departure

Cause: the verb "take" does not say that a notice is handled. Change: every use in the package and its tests is renamed; behaviour, logged names and stored names stay. Measured: steering, layer and platform translation, store and metrics tests: 100 tests collected in 0.54s, all passed; formatter and ruff clean.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -185,7 +185,7 @@
             case 'PUT':
                 return self._take_heartbeat(target_id, request.body)
             case 'DELETE':
-                self.steering.take_departure(target_id)
+                self.steering.handle_departure(target_id)
                 return HttpReply(OK, self._codec.acknowledgement)
         return HttpReply(NOT_ALLOWED)
 
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -121,9 +121,9 @@
             self.context.counts['heartbeats_stale'] += 1
         return outcome
 
-    def take_departure(self, target_id: str) -> None:
+    def handle_departure(self, target_id: str) -> None:
         """Take that the target leaves; names of other starts are ignored."""
-        if not self.context.gate.take_departure(target_id):
+        if not self.context.gate.handle_departure(target_id):
             self.context.counts['heartbeats_stale'] += 1
             return
         log_event(_logger, 'target.gone', target_id=target_id)
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -93,7 +93,7 @@
                 return HeartbeatOutcome.NEW_LIFETIME
         return HeartbeatOutcome.CHANGED if changed else HeartbeatOutcome.SAME
 
-    def take_departure(self, target_id: str) -> bool:
+    def handle_departure(self, target_id: str) -> bool:
         """Note that the target leaves; False if it is not this one."""
         if self.target_id and target_id != self.target_id:
             return False
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -60,7 +60,7 @@
     def test_departure_of_an_earlier_target_is_ignored(self):
         # Guards against a late departure that closes a new target.
         self.gate.handle_heartbeat(make_heartbeat(target_id='i-2'))
-        self.assertFalse(self.gate.take_departure('i-1'))
+        self.assertFalse(self.gate.handle_departure('i-1'))
         self.assertTrue(self.gate.is_open)
 
     def test_lost_opening_does_not_close_a_target_that_speaks(self):
