Rename note_empty to mark_socket_empty

Cause: the old name did not say what is empty. Change: every use in the package and its tests is renamed; behaviour, logged names and stored names stay. Measured: steering, layer and platform translation, store and metrics tests: 100 tests collected in 0.56s, all passed; formatter and ruff clean.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -85,7 +85,7 @@
         self._bind(
             settings.agent_port,
             context.counts,
-            self.steering.backlog.note_empty,
+            self.steering.backlog.mark_socket_empty,
         )
         self._metrics.durations_by_step['handshake'] = context.held.handshakes
         self._metrics.durations_by_step['request'] = context.held.requests
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -62,7 +62,7 @@
             data_address,
             self._take_from_caller,
             counts,
-            self.steering.backlog.note_empty,
+            self.steering.backlog.mark_socket_empty,
         )
         self._bind(settings.balancer_port, counts, ignore_empty)
         self._follower = RouteFollower(store, self.steering, random.Random())
--- a/greengagepath/steering/backlog.py
+++ b/greengagepath/steering/backlog.py
@@ -21,7 +21,7 @@
         self._is_stale = False
         timers.subscribe_pauses(self._note_pause)
 
-    def note_empty(self) -> None:
+    def mark_socket_empty(self) -> None:
         """Note that the socket holds nothing more."""
         self._timers.check_pause()
         self._is_stale = False
--- a/tests/steering/test_balancer_steering.py
+++ b/tests/steering/test_balancer_steering.py
@@ -99,7 +99,7 @@
         # time still wait in the socket.
         self.timers.pause(5.0)
         self.timers.advance(0.0)
-        self.balancer.backlog.note_empty()
+        self.balancer.backlog.mark_socket_empty()
         self.balancer.handle_caller_packet(make_opening(make_flow()))
         self.assertEqual([], self.outbox.resets)
         self.assertEqual(1, len(self.outbox.placed_at()))
@@ -111,7 +111,7 @@
         for number in range(300):
             self.balancer.handle_caller_packet(make_opening(make_flow(number)))
         self.assertEqual([], self.outbox.placed_at())
-        self.balancer.backlog.note_empty()
+        self.balancer.backlog.mark_socket_empty()
         self.balancer.handle_caller_packet(make_opening(make_flow(1)))
         self.assertEqual(1, len(self.outbox.placed_at()))
 
