Rename note_balancer to record_balancer

Cause: "note" is vague; the call records an address and the time. Change: every use in the package and its tests is renamed; behaviour, logged names and stored names stay.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -151,7 +151,7 @@
     ) -> None:
         peers = self.steering.context.peers
         added = [
-            address for address in balancers if peers.note_balancer(address)
+            address for address in balancers if peers.record_balancer(address)
         ]
         # Agents of other services answer with a report of their service
         # and are not kept.
--- a/greengagepath/steering/agent_peers.py
+++ b/greengagepath/steering/agent_peers.py
@@ -41,7 +41,7 @@
         """Return what is known of the other targets."""
         return list(self.load_by_address.values())
 
-    def note_balancer(self, address: bytes) -> bool:
+    def record_balancer(self, address: bytes) -> bool:
         """Note a live balancer; True if it is new."""
         return self._note(self._balancer_seen_s, address)
 
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -81,7 +81,7 @@
             self._context.drop('unreadable_roster', decoded.err_value)
             return
         peers = self._context.peers
-        if peers.note_balancer(sender):
+        if peers.record_balancer(sender):
             self._context.outbox.to_balancer(sender, self._make_report())
         if message.service == self._context.identity.service:
             self.introduce(peers.take_roster(decoded.ok_value))
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -154,7 +154,7 @@
         known = list(self.agent_by_address)
         self.agent_by_address[address] = steering
         for balancer in self.balancer_by_address:
-            steering.context.peers.note_balancer(balancer)
+            steering.context.peers.record_balancer(balancer)
         steering.reports.introduce([*self.balancer_by_address, *known])
         return steering
 
