Rename introduce to report_to

Cause: the call sends a load report to the listed addresses. Change: every use in the package and its tests is renamed; behaviour, logged names and stored names stay.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -160,7 +160,7 @@
             for address in agents
             if address not in peers.agents and address != self._settings.address
         ]
-        self.steering.reports.introduce(added)
+        self.steering.reports.report_to(added)
 
     def _take_from_target(self, raw: bytes, _: str) -> None:
         segment = self._codec.decode_from_target(raw)
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -54,7 +54,7 @@
         if now_s - self._balancers_told_s >= BALANCER_REPORT_S:
             self._tell_balancers()
 
-    def introduce(self, addresses: list[bytes]) -> None:
+    def report_to(self, addresses: list[bytes]) -> None:
         """Report to contacts that were not known before."""
         balancers = self._context.peers.balancers
         encoded = self._make_report()
@@ -84,7 +84,7 @@
         if peers.record_balancer(sender):
             self._context.outbox.to_balancer(sender, self._make_report())
         if message.service == self._context.identity.service:
-            self.introduce(peers.take_roster(decoded.ok_value))
+            self.report_to(peers.take_roster(decoded.ok_value))
 
     def pull_routes(self) -> None:
         """Ask a balancer for the configuration if a newer one was shown."""
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -155,7 +155,7 @@
         self.agent_by_address[address] = steering
         for balancer in self.balancer_by_address:
             steering.context.peers.record_balancer(balancer)
-        steering.reports.introduce([*self.balancer_by_address, *known])
+        steering.reports.report_to([*self.balancer_by_address, *known])
         return steering
 
     def stop_agent(self, number: int) -> None:
