Rename use_routes to apply_routes

Cause: a configuration is applied, not used. Change: every use in the package and its tests is renamed; behaviour, logged names and stored names stay.

--- a/greengagepath/daemon/route_follower.py
+++ b/greengagepath/daemon/route_follower.py
@@ -83,7 +83,7 @@
     def _use(self, stored: StoredRoutes) -> bool:
         if stored.table is None:
             return False
-        return self._steering.use_routes(stored.table).is_ok()
+        return self._steering.apply_routes(stored.table).is_ok()
 
     def _note_problem(self, problem: StoreProblem) -> None:
         if self._is_answering:
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -112,7 +112,7 @@
             case _:
                 self.counts['dropped_unexpected'] += 1
 
-    def use_routes(self, table: RouteTable) -> Result[RouteTable, str]:
+    def apply_routes(self, table: RouteTable) -> Result[RouteTable, str]:
         """Put a configuration in force unless one as new is."""
         outcome = self.routes.offer(table)
         if outcome.is_ok():
@@ -162,7 +162,7 @@
             peer=format_address(sender),
             version=copy.version,
         )
-        self.use_routes(decoded.ok_value)
+        self.apply_routes(decoded.ok_value)
 
     # Packets of callers
 
--- a/tests/steering/test_balancer_steering.py
+++ b/tests/steering/test_balancer_steering.py
@@ -38,7 +38,7 @@
             self.outbox,
             self._note_behind,
         )
-        self.balancer.use_routes(make_table(version=5))
+        self.balancer.apply_routes(make_table(version=5))
         self._hear_agents()
 
     def _note_behind(self) -> None:
@@ -52,7 +52,7 @@
 
     def test_route_that_is_gone_is_refused_at_once(self):
         # Guards against a caller that waits for a route that is not there.
-        self.balancer.use_routes(RouteTable(6, {}))
+        self.balancer.apply_routes(RouteTable(6, {}))
         self.balancer.handle_caller_packet(make_opening(make_flow()))
         self.assertEqual([make_flow()], self.outbox.resets)
 
@@ -69,7 +69,7 @@
 
     def test_lower_version_never_comes_into_force(self):
         # Guards against a configuration that reverts after a stale read.
-        outcome = self.balancer.use_routes(RouteTable(4, {}))
+        outcome = self.balancer.apply_routes(RouteTable(4, {}))
         self.assertTrue(outcome.is_err())
         self.assertEqual(5, self.balancer.routes.version)
 
--- a/tests/steering/test_route_copies.py
+++ b/tests/steering/test_route_copies.py
@@ -78,7 +78,7 @@
         # balancers are killed meanwhile.
         world = World()
         for balancer in world.balancer_by_address.values():
-            balancer.use_routes(make_table(version=5))
+            balancer.apply_routes(make_table(version=5))
         world.timers.advance(2.5)
         world.balancer_by_address.clear()
         started = self._start_without_store(world)
@@ -90,7 +90,7 @@
         # keeps an older version.
         world = World()
         first, second = world.balancer_by_address.values()
-        first.use_routes(make_table(version=5))
+        first.apply_routes(make_table(version=5))
         world.timers.advance(3.5)
         self.assertEqual(5, second.routes.version)
 
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -136,7 +136,7 @@
             FakeOutbox(self, address),
             lambda: None,
         )
-        steering.use_routes(make_table())
+        steering.apply_routes(make_table())
         self.balancer_by_address[address] = steering
         steering.contacts.add_agents(list(self.agent_by_address))
         return steering
