Rename ask_to_leave to request_leave

Cause: the balancer requests to leave the rotation. Change: every use in the package and its tests is renamed; behaviour, logged names and stored names stay.

--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -95,7 +95,7 @@
         """Go out of rotation when others are in, and forward till then."""
         asked_s = self._timers.now()
         log_event(_logger, 'balancer.leaving', **self.steering.counts)
-        self.steering.contacts.rotation.ask_to_leave()
+        self.steering.contacts.rotation.request_leave()
         self.steering.contacts.enter_stage(BalancerStage.LEAVING)
         limit_s = self._settings.termination_s - LEAVE_S - LEAVE_RESERVE_S
         while not self.steering.contacts.rotation.may_leave():
--- a/greengagepath/steering/rotation.py
+++ b/greengagepath/steering/rotation.py
@@ -72,7 +72,7 @@
                 mate.ready_since_s = None
                 mate.leaving_since_s = None
 
-    def ask_to_leave(self) -> None:
+    def request_leave(self) -> None:
         """Start to wait; balancers that ask later wait for this one."""
         if self._asked_s is None:
             self._asked_s = self._timers.now()
--- a/tests/steering/test_rotation.py
+++ b/tests/steering/test_rotation.py
@@ -18,7 +18,7 @@
 
     def test_leaves_while_half_of_the_zone_stays(self):
         # Guards against a restart that waits for nothing.
-        self.rotation.ask_to_leave()
+        self.rotation.request_leave()
         self.assertTrue(self.rotation.may_leave())
 
     def test_waits_for_a_balancer_that_left_before(self):
@@ -27,7 +27,7 @@
         self.rotation.note(FIRST, BalancerStage.LEAVING)
         self.timers.advance(1.2)
         self.rotation.note(SECOND, BalancerStage.READY)
-        self.rotation.ask_to_leave()
+        self.rotation.request_leave()
         self.assertFalse(self.rotation.may_leave())
         self.rotation.note(FIRST, BalancerStage.STARTING)
         self.assertFalse(self.rotation.may_leave())
@@ -38,7 +38,7 @@
 
     def test_later_leaver_does_not_hold_an_earlier_one(self):
         # Guards against two balancers that wait for each other.
-        self.rotation.ask_to_leave()
+        self.rotation.request_leave()
         self.timers.advance(0.1)
         self.rotation.note(FIRST, BalancerStage.LEAVING)
         self.assertTrue(self.rotation.may_leave())
@@ -47,7 +47,7 @@
         # Guards against a wait that helps nobody: without any ready
         # balancer the fabric uses the nearest zones.
         self.timers.advance(3.0)
-        self.rotation.ask_to_leave()
+        self.rotation.request_leave()
         self.assertTrue(self.rotation.may_leave())
 
     def test_removed_balancer_is_forgotten(self):
@@ -56,5 +56,5 @@
         for _ in range(21):
             self.timers.advance(1.0)
             self.rotation.note(SECOND, BalancerStage.READY)
-        self.rotation.ask_to_leave()
+        self.rotation.request_leave()
         self.assertTrue(self.rotation.may_leave())
