Rename opens_answer to is_opening_answer

Cause: the flag marks the answer to an opening packet, like its siblings is_opening and is_final. Change: every use in the package and its tests is renamed; the list of slots is sorted again.

--- a/greengagepath/platform/packets.py
+++ b/greengagepath/platform/packets.py
@@ -76,7 +76,7 @@
         raw, flow, sequence=fields[3], acknowledged=fields[4], data_bytes=length
     )
     segment.is_opening = has_syn and not has_ack
-    segment.opens_answer = has_syn and has_ack
+    segment.is_opening_answer = has_syn and has_ack
     segment.has_acknowledgement = has_ack
     segment.is_final = bool(flags & _FIN)
     segment.is_reset = bool(flags & _RST)
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -97,7 +97,11 @@
         context.outbox.to_caller(segment.flow, segment.raw)
         context.gate.note_answer()
         held = context.held.by_flow.get(segment.flow)
-        if held is None and not segment.is_reset and not segment.opens_answer:
+        if (
+            held is None
+            and not segment.is_reset
+            and not segment.is_opening_answer
+        ):
             held = context.held.learn(segment.flow, context.timers.now())
         if held is not None:
             self._note_sent(segment, held)
@@ -173,7 +177,7 @@
         flows = self.context.held
         now_s = self.context.timers.now()
         held.used_s = now_s
-        if segment.opens_answer:
+        if segment.is_opening_answer:
             self._note_opened(segment, held)
         elif segment.is_refusal:
             self.context.counts['requests_refused'] += 1
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -86,7 +86,7 @@
 
     def handle_caller_packet(self, segment: Segment) -> None:
         """Handle a packet that the fabric delivered."""
-        if segment.opens_answer or segment.is_returned:
+        if segment.is_opening_answer or segment.is_returned:
             self.counts['dropped_forged'] += 1
         elif segment.is_opening:
             self._take_opening(segment)
--- a/greengagepath/steering/segments.py
+++ b/greengagepath/steering/segments.py
@@ -24,10 +24,10 @@
         'has_acknowledgement',
         'is_final',
         'is_opening',
+        'is_opening_answer',
         'is_refusal',
         'is_reset',
         'is_returned',
-        'opens_answer',
         'raw',
         'sequence',
     )
@@ -47,7 +47,7 @@
         self.acknowledged = acknowledged
         self.data_bytes = data_bytes
         self.is_opening = False
-        self.opens_answer = False
+        self.is_opening_answer = False
         self.has_acknowledgement = False
         self.is_final = False
         self.is_reset = False
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -62,7 +62,7 @@
     answer = Segment(
         b'answer%b' % flow, flow, sequence=sequence, acknowledged=2
     )
-    answer.opens_answer = True
+    answer.is_opening_answer = True
     answer.has_acknowledgement = True
     return answer
 
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -213,7 +213,7 @@
 
     def receive_at_caller(self, flow: bytes, raw: bytes) -> None:
         segment = self.segment_by_raw[raw]
-        if segment.opens_answer:
+        if segment.is_opening_answer:
             self.answers.setdefault(flow, []).append(segment.sequence)
         elif segment.data_bytes:
             self.responses[flow] = self.responses.get(flow, 0) + 1
