Rename held of the agent context to held_flows

Cause: the attribute holds the flows of the target; "held" alone does not say of what. Change: every use in the package and its tests is renamed. Measured: steering, layer and platform translation, store and metrics tests: 100 tests, all passed; formatter and ruff clean.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -87,8 +87,10 @@
             context.counts,
             self.steering.backlog.mark_socket_empty,
         )
-        self._metrics.durations_by_step['handshake'] = context.held.handshakes
-        self._metrics.durations_by_step['request'] = context.held.requests
+        self._metrics.durations_by_step['handshake'] = (
+            context.held_flows.handshakes
+        )
+        self._metrics.durations_by_step['request'] = context.held_flows.requests
 
     def run(self) -> ExitCode:
         """Serve until SIGTERM, then until the target's flows end."""
@@ -119,8 +121,8 @@
     def _read_gauges(self) -> dict[str, float]:
         context = self.steering.context
         return {
-            'flows_held': len(context.held.by_flow),
-            'load': context.held.load,
+            'flows_held': len(context.held_flows.by_flow),
+            'load': context.held_flows.load,
             'service_s': context.estimate_service_s(),
             'agents': len(context.peers.agents),
             'balancers': len(context.peers.balancers),
@@ -133,7 +135,7 @@
             _logger,
             'agent.leaving',
             phase=self.steering.context.gate.phase.value,
-            flows=len(self.steering.context.held.by_flow),
+            flows=len(self.steering.context.held_flows.by_flow),
         )
         self.steering.leave()
         if self.steering.context.gate.phase is TargetPhase.GONE:
--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -76,7 +76,7 @@
     __slots__ = (
         'counts',
         'gate',
-        'held',
+        'held_flows',
         'identity',
         'is_leaving',
         'latest_version',
@@ -94,7 +94,7 @@
     ) -> None:
         self.counts: Counter[str] = Counter()
         self.gate = TargetGate(timers, identity.heartbeat_s)
-        self.held = HeldFlows()
+        self.held_flows = HeldFlows()
         self.identity = identity
         self.is_leaving = False
         self.latest_version = 0
@@ -105,7 +105,7 @@
 
     def estimate_service_s(self) -> float:
         """Return the time of a request at the target, 0 if unknown."""
-        return self.held.service_time.estimate_s(
+        return self.held_flows.service_time.estimate_s(
             self.timers.now(), find_usual_s(self.peers.loads)
         )
 
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -50,7 +50,7 @@
 
     def take(self, message: PeerMessage, segment: Segment) -> None:
         """Handle an opening packet or one of its copies."""
-        held = self._context.held.by_flow.get(segment.flow)
+        held = self._context.held_flows.by_flow.get(segment.flow)
         if held is not None and not held.is_closed:
             held.used_s = self._context.timers.now()
             self._context.outbox.to_target(segment.raw)
@@ -72,7 +72,9 @@
     def check_unanswered(self) -> None:
         """Hand over opening packets that the target leaves unanswered."""
         context = self._context
-        for flow, held in tuple(context.held.unanswered(UNANSWERED_CHECKS)):
+        for flow, held in tuple(
+            context.held_flows.unanswered(UNANSWERED_CHECKS)
+        ):
             if held.opening is None:
                 continue
             context.counts['openings_unanswered'] += 1
@@ -84,7 +86,7 @@
                 target_id=context.gate.target_id,
             )
             self._note_not_taken(held)
-            context.held.remove(flow)
+            context.held_flows.remove(flow)
             self._hand_over(held.opening, held)
 
     def _note_not_taken(self, held: HeldFlow) -> None:
@@ -158,13 +160,13 @@
         if context.is_leaving or not gate.is_open or not gate.is_responsive:
             return None
         now_s = context.timers.now()
-        if context.held.is_full(now_s):
+        if context.held_flows.is_full(now_s):
             return None
         usual_s = find_usual_s(context.peers.loads)
         estimate = Estimate(
-            context.held.load,
+            context.held_flows.load,
             gate.slots,
-            context.held.service_time.estimate_s(now_s, usual_s),
+            context.held_flows.service_time.estimate_s(now_s, usual_s),
             usual_s,
         )
         estimate.put_behind(gate.report_state())
@@ -182,11 +184,11 @@
             target_id=context.gate.target_id,
             hops=message.hops,
             copy=segment.copy,
-            load=context.held.load,
+            load=context.held_flows.load,
             finish_s=round(estimate.finish_s, 4),
             version=context.latest_version,
         )
-        context.held.accept(segment, message, context.timers.now())
+        context.held_flows.accept(segment, message, context.timers.now())
         context.counts['flows_offered'] += 1
         context.outbox.to_target(segment.raw)
         self._reports.report_change()
@@ -233,7 +235,7 @@
             finish_s=round(estimate.finish_s, 3) if estimate else None,
             goal_ms=message.goal_ms,
             hops=message.hops,
-            load=context.held.load,
+            load=context.held_flows.load,
             phase=context.gate.phase.value,
             agents=len(context.peers.load_by_address),
             version=context.latest_version,
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -47,7 +47,7 @@
     def report_due(self) -> None:
         """Tell whoever has to be told by now."""
         now_s = self._context.timers.now()
-        load = (self._context.held.load, self._find_state())
+        load = (self._context.held_flows.load, self._find_state())
         idle_s = now_s - self._agents_told_s
         if idle_s >= REPORT_IDLE_S or load != self._told:
             self._tell_agents()
@@ -147,7 +147,7 @@
             return state
         if context.is_leaving:
             return ReportedState.DRAINING
-        is_full = context.held.is_full(context.timers.now())
+        is_full = context.held_flows.is_full(context.timers.now())
         return ReportedState.FULL if is_full else state
 
     def _make_report(self) -> bytes:
@@ -156,7 +156,7 @@
             self._find_state(),
             started_ms=context.gate.started_ms,
             slots=context.gate.slots,
-            load=context.held.load,
+            load=context.held_flows.load,
             service_s=context.estimate_service_s(),
         )
         self._told = (report.load, report.state)
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -96,13 +96,13 @@
         context = self.context
         context.outbox.to_caller(segment.flow, segment.raw)
         context.gate.note_answer()
-        held = context.held.by_flow.get(segment.flow)
+        held = context.held_flows.by_flow.get(segment.flow)
         if (
             held is None
             and not segment.is_reset
             and not segment.is_opening_answer
         ):
-            held = context.held.learn(segment.flow, context.timers.now())
+            held = context.held_flows.learn(segment.flow, context.timers.now())
         if held is not None:
             self._note_sent(segment, held)
 
@@ -110,7 +110,7 @@
         """Take what the target says of itself."""
         outcome = self.context.gate.handle_heartbeat(heartbeat)
         if outcome is HeartbeatOutcome.NEW_LIFETIME:
-            self.context.held.clear()
+            self.context.held_flows.clear()
         if outcome in {HeartbeatOutcome.NEW_LIFETIME, HeartbeatOutcome.CHANGED}:
             log_event(
                 _logger,
@@ -141,7 +141,7 @@
     def _take_packet(
         self, sender: bytes, message: PeerMessage, segment: Segment
     ) -> None:
-        held = self.context.held.by_flow.get(segment.flow)
+        held = self.context.held_flows.by_flow.get(segment.flow)
         if held is None or not held.owns(segment):
             self._search.take_unknown(message, segment, held)
             return
@@ -159,14 +159,14 @@
         held.used_s = now_s
         if segment.data_bytes:
             slots = context.gate.slots
-            context.held.note_request(segment.flow, held, slots, now_s)
+            context.held_flows.note_request(segment.flow, held, slots, now_s)
         elif segment.is_reset:
-            context.held.note_closed(segment.flow, held, now_s)
+            context.held_flows.note_closed(segment.flow, held, now_s)
         context.outbox.to_target(segment.raw)
 
     def _take_returned(self, segment: Segment) -> None:
         # No sign of life: packets for an absent target are given back too.
-        held = self.context.held.remove(segment.flow)
+        held = self.context.held_flows.remove(segment.flow)
         if segment.is_opening:
             self._openings.take_returned(segment, held)
         else:
@@ -174,7 +174,7 @@
 
     def _note_sent(self, segment: Segment, held: HeldFlow) -> None:
         """Note what a packet of the target says of its flow."""
-        flows = self.context.held
+        flows = self.context.held_flows
         now_s = self.context.timers.now()
         held.used_s = now_s
         if segment.is_opening_answer:
@@ -193,7 +193,7 @@
     def _note_opened(self, segment: Segment, held: HeldFlow) -> None:
         if held.is_answered and held.first_sequence == segment.sequence:
             return
-        self.context.held.note_opened(
+        self.context.held_flows.note_opened(
             held, segment.sequence, self.context.timers.now()
         )
         self.context.counts['flows_opened'] += 1
@@ -214,7 +214,7 @@
             repeats=True,
             flow=describe_flow(segment.flow),
             duration_s=round(duration_s, 4),
-            load=self.context.held.load,
+            load=self.context.held_flows.load,
             target_id=self.context.gate.target_id,
         )
 
@@ -226,12 +226,12 @@
 
     def _check(self) -> None:
         self._openings.check_unanswered()
-        self.context.held.expire_expected(self.context.timers.now())
+        self.context.held_flows.expire_expected(self.context.timers.now())
         self.reports.report_due()
 
     def _sweep(self) -> None:
         now_s = self.context.timers.now()
         self._search.renew_allowance()
-        self.context.held.sweep(now_s, self.context.identity.idle_s)
+        self.context.held_flows.sweep(now_s, self.context.identity.idle_s)
         self.context.peers.forget_silent()
         self.reports.pull_routes()
--- a/tests/steering/test_flow_survival.py
+++ b/tests/steering/test_flow_survival.py
@@ -112,7 +112,7 @@
         offer = make_message(
             PeerKind.PLACE, balancer=make_address(1, network=9), hops=1
         )
-        agent.context.held.accept(make_opening(flow), offer, 100.0)
+        agent.context.held_flows.accept(make_opening(flow), offer, 100.0)
         other.receive(make_opening(flow))
         world.timers.advance(0.05)
         passed_over = world.target_by_address[make_address(first)]
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -305,7 +305,7 @@
         refusal.is_refusal = True
         self.agent.handle_target_packet(refusal)
         self.assertFalse(self.agent.context.estimate_service_s())
-        self.assertEqual(0, self.agent.context.held.load)
+        self.assertEqual(0, self.agent.context.held_flows.load)
 
     def test_packet_that_acknowledges_another_target_is_not_delivered(self):
         # Guards against a flow that two targets have opened: the caller
