--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -8,7 +8,7 @@
 from ..foundation.timers import TimerService
 from .agent_peers import AgentPeers
 from .held_flows import HeldFlows
-from .placement import find_usual_s
+from .placement import average_service_s
 from .route_copies import RouteCopy
 from .target_gate import TargetGate
 
@@ -106,7 +106,7 @@
     def estimate_service_s(self) -> float:
         """Return the time of a request at the target, 0 if unknown."""
         return self.held_flows.service_time.estimate_s(
-            self.timers.now(), find_usual_s(self.peers.loads)
+            self.timers.now(), average_service_s(self.peers.loads)
         )
 
     def drop(self, reason: str, detail: str) -> None:
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -10,9 +10,9 @@
 from .placement import (
     Estimate,
     PeerLoad,
+    average_service_s,
     choose_peer,
-    find_usual_s,
-    is_in_time,
+    should_accept,
 )
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
@@ -26,7 +26,7 @@
 UNANSWERED_CHECKS = 5
 MS_PER_S = 1000
 # The other agents have been heard by a process that runs this long.
-SETTLED_S = 0.5
+WARM_UP_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -48,32 +48,32 @@
         self._owner_by_flow = owner_by_flow
         self._started_s = context.timers.now()
 
-    def take(self, message: PeerMessage, segment: Segment) -> None:
+    def handle_opening(self, message: PeerMessage, segment: Segment) -> None:
         """Handle an opening packet or one of its copies."""
         held = self._context.held_flows.by_flow.get(segment.flow)
         if held is not None and not held.is_closed:
-            held.used_s = self._context.timers.now()
+            held.last_used_s = self._context.timers.now()
             self._context.outbox.to_target(segment.raw)
             return
         if message.kind is PeerKind.OPEN:
             owner = self._owner_by_flow.get(segment.flow)
             if owner in self._context.peers.load_by_address:
-                self._pass_on(owner, message, segment)
+                self._send_place(owner, message, segment)
                 return
         self._place(message, segment, self._estimate_own())
 
-    def take_returned(self, segment: Segment, held: HeldFlow | None) -> None:
+    def handle_returned(self, segment: Segment, held: HeldFlow | None) -> None:
         """Hand over an opening packet that the target did not take."""
         self._context.counts['openings_returned'] += 1
         if held is not None:
-            self._note_not_taken(held)
+            self._record_failed_opening(held)
         self._hand_over(segment, held)
 
     def check_unanswered(self) -> None:
         """Hand over opening packets that the target leaves unanswered."""
         context = self._context
         for flow, held in tuple(
-            context.held_flows.unanswered(UNANSWERED_CHECKS)
+            context.held_flows.iter_unanswered(UNANSWERED_CHECKS)
         ):
             if held.opening is None:
                 continue
@@ -85,17 +85,17 @@
                 flow=describe_flow(flow),
                 target_id=context.gate.target_id,
             )
-            self._note_not_taken(held)
+            self._record_failed_opening(held)
             context.held_flows.remove(flow)
             self._hand_over(held.opening, held)
 
-    def _note_not_taken(self, held: HeldFlow) -> None:
+    def _record_failed_opening(self, held: HeldFlow) -> None:
         """Close the target if it has given no sign of life meanwhile."""
         gate = self._context.gate
-        state = gate.report_state()
-        gate.note_not_taken(held.offered_s)
-        if gate.report_state() is not state:
-            self._reports.report()
+        state = gate.reported_state()
+        gate.record_failed_opening(held.offered_s)
+        if gate.reported_state() is not state:
+            self._reports.send_all()
 
     def _place(
         self, message: PeerMessage, segment: Segment, own: Estimate | None
@@ -111,19 +111,19 @@
         else:
             estimate = chosen[0] if chosen else None
         goal_s = message.goal_ms / MS_PER_S
-        if estimate is None or not is_in_time(
+        if estimate is None or not should_accept(
             estimate, goal_s, message.priority
         ):
             self._refuse(segment.flow, message, estimate)
         elif chosen is None:
             self._accept(message, segment, estimate)
         else:
-            self._send_to(chosen[1], message, segment)
+            self._place_at_peer(chosen[1], message, segment)
 
     def _hand_over(self, segment: Segment, held: HeldFlow | None) -> None:
-        self._place(self._make_handed_over(held), segment, None)
+        self._place(self._make_hand_over(held), segment, None)
 
-    def _make_handed_over(self, held: HeldFlow | None) -> PeerMessage:
+    def _make_hand_over(self, held: HeldFlow | None) -> PeerMessage:
         """Return the message of an offered opening for its next agent.
 
         The time that the packet spent here is taken off its goal.
@@ -162,14 +162,14 @@
         now_s = context.timers.now()
         if context.held_flows.is_full(now_s):
             return None
-        usual_s = find_usual_s(context.peers.loads)
+        peer_average_s = average_service_s(context.peers.loads)
         estimate = Estimate(
             context.held_flows.load,
             gate.slots,
-            context.held_flows.service_time.estimate_s(now_s, usual_s),
-            usual_s,
+            context.held_flows.service_time.estimate_s(now_s, peer_average_s),
+            peer_average_s,
         )
-        estimate.put_behind(gate.report_state())
+        estimate.add_state_penalty(gate.reported_state())
         return estimate
 
     def _accept(
@@ -183,7 +183,7 @@
             flow=describe_flow(segment.flow),
             target_id=context.gate.target_id,
             hops=message.hops,
-            copy=segment.copy,
+            copy=segment.copy_number,
             load=context.held_flows.load,
             finish_s=round(estimate.finish_s, 4),
             version=context.latest_version,
@@ -191,16 +191,16 @@
         context.held_flows.accept(segment, message, context.timers.now())
         context.counts['flows_offered'] += 1
         context.outbox.to_target(segment.raw)
-        self._reports.report_change()
+        self._reports.send_change()
 
-    def _send_to(
+    def _place_at_peer(
         self, chosen: PeerLoad, message: PeerMessage, segment: Segment
     ) -> None:
-        chosen.note_placement(self._context.timers.now())
+        chosen.record_placement(self._context.timers.now())
         self._owner_by_flow.put(segment.flow, chosen.address)
-        self._pass_on(chosen.address, message, segment)
+        self._send_place(chosen.address, message, segment)
 
-    def _pass_on(
+    def _send_place(
         self, owner: bytes, message: PeerMessage, segment: Segment
     ) -> None:
         self._context.counts['flows_placed_elsewhere'] += 1
@@ -220,7 +220,7 @@
         self, flow: bytes, message: PeerMessage, estimate: Estimate | None
     ) -> None:
         context = self._context
-        if context.timers.now() - self._started_s < SETTLED_S:
+        if context.timers.now() - self._started_s < WARM_UP_S:
             # Other agents may have room; copies of the packet follow
             # after 200 and 600 ms.
             context.counts['dropped_unsettled'] += 1
--- a/greengagepath/steering/agent_peers.py
+++ b/greengagepath/steering/agent_peers.py
@@ -7,7 +7,7 @@
 from .placement import PeerLoad
 
 # Contacts named by the store or a roster stay this long unheard.
-FORGET_S = 60.0
+REMOVE_AFTER_S = 60.0
 MAX_CONTACTS = 1000
 
 
@@ -43,9 +43,9 @@
 
     def record_balancer(self, address: bytes) -> bool:
         """Note a live balancer; True if it is new."""
-        return self._note(self._balancer_seen_s, address)
+        return self._record(self._balancer_seen_s, address)
 
-    def take_roster(self, roster: Roster) -> list[bytes]:
+    def add_roster(self, roster: Roster) -> list[bytes]:
         """Add unknown contacts; return them."""
         added = []
         for seen_s, addresses in (
@@ -54,45 +54,45 @@
         ):
             for address in addresses:
                 is_unknown = address not in seen_s
-                if is_unknown and self._note(seen_s, address):
+                if is_unknown and self._record(seen_s, address):
                     added.append(address)
         return added
 
-    def take_report(self, address: bytes, report: LoadReport) -> bool:
+    def record_report(self, address: bytes, report: LoadReport) -> bool:
         """Take the load of another target; True if its agent is new."""
         if address == self.own_address:
             return False
-        is_new = self._note(self._agent_seen_s, address)
+        is_new = self._record(self._agent_seen_s, address)
         load = self.load_by_address.get(address)
         if load is None:
             load = PeerLoad(address)
             self.load_by_address[address] = load
         was_absent = load.report.state is ReportedState.ABSENT
-        load.take_report(report, self._timers.now())
+        load.update(report, self._timers.now())
         if was_absent != (report.state is ReportedState.ABSENT):
-            self._rank()
+            self._rebuild_homes()
         return is_new
 
     def remove_agent(self, address: bytes) -> None:
         """Forget an agent that now serves another service."""
         self._agent_seen_s.pop(address, None)
         if self.load_by_address.pop(address, None):
-            self._rank()
+            self._rebuild_homes()
 
-    def forgive(self, pause_s: float) -> None:
+    def exclude_pause(self, pause_s: float) -> None:
         """Don't count a pause of this process as silence of the others."""
         for load in self.load_by_address.values():
-            load.heard_s += pause_s
+            load.last_seen_s += pause_s
 
-    def forget_silent(self) -> None:
-        """Drop contacts that were not heard for `FORGET_S`."""
-        before_s = self._timers.now() - FORGET_S
+    def remove_silent(self) -> None:
+        """Drop contacts that were not heard for `REMOVE_AFTER_S`."""
+        before_s = self._timers.now() - REMOVE_AFTER_S
         drop_older(self._balancer_seen_s, before_s)
         for address in drop_older(self._agent_seen_s, before_s):
             if self.load_by_address.pop(address, None):
-                self._rank()
+                self._rebuild_homes()
 
-    def _note(self, seen_s: dict[bytes, float], address: bytes) -> bool:
+    def _record(self, seen_s: dict[bytes, float], address: bytes) -> bool:
         if address == self.own_address:
             return False
         is_new = address not in seen_s
@@ -101,7 +101,7 @@
         seen_s[address] = self._timers.now()
         return is_new
 
-    def _rank(self) -> None:
+    def _rebuild_homes(self) -> None:
         present = [
             load.address
             for load in self.load_by_address.values()
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -12,7 +12,7 @@
     decode_report,
     decode_roster,
 )
-from .placement import TAKING
+from .placement import ACCEPTING_STATES
 from .route_copies import RouteAssembly
 
 # Least and longest time between reports to agents of the service.
@@ -27,32 +27,32 @@
 
     def __init__(self, context: AgentContext) -> None:
         self._context = context
-        self._agents_told_s = context.timers.now()
-        self._balancers_told_s = self._agents_told_s
+        self._agents_reported_s = context.timers.now()
+        self._balancers_reported_s = self._agents_reported_s
         self._assembly = RouteAssembly()
         self._pulls = 0
-        self._told: tuple[int, ReportedState] | None = None
+        self._last_reported: tuple[int, ReportedState] | None = None
 
-    def report(self) -> None:
+    def send_all(self) -> None:
         """Tell all contacts the load and state now."""
-        self._tell_agents()
-        self._tell_balancers()
+        self._report_to_agents()
+        self._report_to_balancers()
 
-    def report_change(self) -> None:
+    def send_change(self) -> None:
         """Tell the agents of the service unless they were told just now."""
         now_s = self._context.timers.now()
-        if now_s - self._agents_told_s >= REPORT_GAP_S:
-            self._tell_agents()
+        if now_s - self._agents_reported_s >= REPORT_GAP_S:
+            self._report_to_agents()
 
-    def report_due(self) -> None:
+    def send_due(self) -> None:
         """Tell whoever has to be told by now."""
         now_s = self._context.timers.now()
-        load = (self._context.held_flows.load, self._find_state())
-        idle_s = now_s - self._agents_told_s
-        if idle_s >= REPORT_IDLE_S or load != self._told:
-            self._tell_agents()
-        if now_s - self._balancers_told_s >= BALANCER_REPORT_S:
-            self._tell_balancers()
+        load = (self._context.held_flows.load, self._current_state())
+        idle_s = now_s - self._agents_reported_s
+        if idle_s >= REPORT_IDLE_S or load != self._last_reported:
+            self._report_to_agents()
+        if now_s - self._balancers_reported_s >= BALANCER_REPORT_S:
+            self._report_to_balancers()
 
     def report_to(self, addresses: list[bytes]) -> None:
         """Report to contacts that were not known before."""
@@ -64,17 +64,17 @@
             else:
                 self._context.outbox.to_agent(address, encoded)
 
-    def take_report(self, sender: bytes, message: PeerMessage) -> None:
+    def handle_report(self, sender: bytes, message: PeerMessage) -> None:
         """Take the load of another target."""
         decoded = decode_report(message.body)
         if isinstance(decoded, Err):
             self._context.drop('unreadable_report', decoded.err_value)
         elif message.service != self._context.identity.service:
             self._context.peers.remove_agent(sender)
-        elif self._context.peers.take_report(sender, decoded.ok_value):
+        elif self._context.peers.record_report(sender, decoded.ok_value):
             self._context.outbox.to_agent(sender, self._make_report())
 
-    def take_presence(self, sender: bytes, message: PeerMessage) -> None:
+    def handle_presence(self, sender: bytes, message: PeerMessage) -> None:
         """Take a balancer's greeting and the contacts that it names."""
         decoded = decode_roster(message.body)
         if isinstance(decoded, Err):
@@ -84,7 +84,7 @@
         if peers.record_balancer(sender):
             self._context.outbox.to_balancer(sender, self._make_report())
         if message.service == self._context.identity.service:
-            self.report_to(peers.take_roster(decoded.ok_value))
+            self.report_to(peers.add_roster(decoded.ok_value))
 
     def pull_routes(self) -> None:
         """Ask a balancer for the configuration if a newer one was shown."""
@@ -97,7 +97,7 @@
         pull = self._make_message(PeerKind.PULL, body=b'')
         context.outbox.to_balancer(asked, pull.encode())
 
-    def take_part(self, message: PeerMessage) -> None:
+    def handle_part(self, message: PeerMessage) -> None:
         """Take a part of a configuration."""
         copy = self._assembly.add(message)
         if copy is not None and copy.version > self._context.routes.version:
@@ -111,13 +111,13 @@
         for part in self._context.routes.make_parts(service):
             self._context.outbox.to_balancer(sender, part.encode())
 
-    def tell_held(self, flow: bytes, balancer: bytes) -> None:
+    def send_held_to_balancer(self, flow: bytes, balancer: bytes) -> None:
         """Tell a balancer that the target holds the flow."""
         if balancer and balancer != NO_ADDRESS:
             encoded = self._make_message(PeerKind.HELD, body=flow).encode()
             self._context.outbox.to_balancer(balancer, encoded)
 
-    def tell_agent_held(self, flow: bytes, address: bytes) -> None:
+    def send_held_to_agent(self, flow: bytes, address: bytes) -> None:
         """Tell another agent that the target holds the flow."""
         encoded = self._make_message(PeerKind.HELD, body=flow).encode()
         self._context.outbox.to_agent(address, encoded)
@@ -140,10 +140,10 @@
             body=body,
         )
 
-    def _find_state(self) -> ReportedState:
+    def _current_state(self) -> ReportedState:
         context = self._context
-        state = context.gate.report_state()
-        if state not in TAKING:
+        state = context.gate.reported_state()
+        if state not in ACCEPTING_STATES:
             return state
         if context.is_leaving:
             return ReportedState.DRAINING
@@ -153,25 +153,25 @@
     def _make_report(self) -> bytes:
         context = self._context
         report = LoadReport(
-            self._find_state(),
+            self._current_state(),
             started_ms=context.gate.started_ms,
             slots=context.gate.slots,
             load=context.held_flows.load,
             service_s=context.estimate_service_s(),
         )
-        self._told = (report.load, report.state)
+        self._last_reported = (report.load, report.state)
         return self._make_message(
             PeerKind.REPORT, body=report.encode()
         ).encode()
 
-    def _tell_agents(self) -> None:
-        self._agents_told_s = self._context.timers.now()
+    def _report_to_agents(self) -> None:
+        self._agents_reported_s = self._context.timers.now()
         encoded = self._make_report()
         for address in self._context.peers.agents:
             self._context.outbox.to_agent(address, encoded)
 
-    def _tell_balancers(self) -> None:
-        self._balancers_told_s = self._context.timers.now()
+    def _report_to_balancers(self) -> None:
+        self._balancers_reported_s = self._context.timers.now()
         encoded = self._make_report()
         for address in self._context.peers.balancers:
             self._context.outbox.to_balancer(address, encoded)
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -20,7 +20,7 @@
 ROTATE_S = 30.0
 
 # Kinds that speak of processes and not of one flow.
-_BETWEEN_PROCESSES = frozenset(
+_PROCESS_KINDS = frozenset(
     (PeerKind.REPORT, PeerKind.PRESENCE, PeerKind.PART, PeerKind.PULL)
 )
 
@@ -45,7 +45,7 @@
         )
         self._search = OwnerSearch(self.context, self.reports, owner_by_flow)
         self.backlog = Backlog(timers)
-        timers.subscribe_pauses(self._forgive)
+        timers.subscribe_pauses(self._exclude_pause)
         timers.subscribe(CHECK_S, self._check)
         timers.subscribe(SWEEP_S, self._sweep)
         timers.subscribe(ROTATE_S, self._search.rotate)
@@ -61,8 +61,8 @@
         context = self.context
         context.latest_version = max(context.latest_version, message.version)
         match message.kind:
-            case kind if kind in _BETWEEN_PROCESSES:
-                self._take_state(sender, message)
+            case kind if kind in _PROCESS_KINDS:
+                self._handle_process_message(sender, message)
             case _ if message.service != context.identity.service:
                 context.drop('foreign_service', message.kind.name)
             case PeerKind.HELD:
@@ -73,38 +73,42 @@
                 if self.backlog.is_stale():
                     context.counts['dropped_stale'] += 1
                     return
-                self._openings.take(message, segment)
+                self._openings.handle_opening(message, segment)
             case _:
-                self._take_packet(sender, message, segment)
+                self._handle_packet(sender, message, segment)
 
-    def _take_state(self, sender: bytes, message: PeerMessage) -> None:
+    def _handle_process_message(
+        self, sender: bytes, message: PeerMessage
+    ) -> None:
         match message.kind:
             case PeerKind.REPORT:
-                self.reports.take_report(sender, message)
+                self.reports.handle_report(sender, message)
             case PeerKind.PRESENCE:
-                self.reports.take_presence(sender, message)
+                self.reports.handle_presence(sender, message)
             case PeerKind.PART:
-                self.reports.take_part(message)
+                self.reports.handle_part(message)
             case PeerKind.PULL:
                 self.reports.send_routes(sender)
 
     def handle_target_packet(self, segment: Segment) -> None:
         """Handle a packet that the target sent or gave back."""
         if segment.is_returned:
-            self._take_returned(segment)
+            self._handle_returned(segment)
             return
         context = self.context
         context.outbox.to_caller(segment.flow, segment.raw)
-        context.gate.note_answer()
+        context.gate.record_activity()
         held = context.held_flows.by_flow.get(segment.flow)
         if (
             held is None
             and not segment.is_reset
             and not segment.is_opening_answer
         ):
-            held = context.held_flows.learn(segment.flow, context.timers.now())
+            held = context.held_flows.add_existing(
+                segment.flow, context.timers.now()
+            )
         if held is not None:
-            self._note_sent(segment, held)
+            self._record_target_packet(segment, held)
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
         """Take what the target says of itself."""
@@ -120,7 +124,7 @@
                 phase=self.context.gate.phase.value,
                 outcome=outcome.value,
             )
-            self.reports.report()
+            self.reports.send_all()
         if outcome is HeartbeatOutcome.STALE:
             self.context.counts['heartbeats_stale'] += 1
         return outcome
@@ -131,81 +135,81 @@
             self.context.counts['heartbeats_stale'] += 1
             return
         log_event(_logger, 'target.gone', target_id=target_id)
-        self.reports.report()
+        self.reports.send_all()
 
     def leave(self) -> None:
         """Take no more flows; those of the target go on."""
         self.context.is_leaving = True
-        self.reports.report()
+        self.reports.send_all()
 
-    def _take_packet(
+    def _handle_packet(
         self, sender: bytes, message: PeerMessage, segment: Segment
     ) -> None:
         held = self.context.held_flows.by_flow.get(segment.flow)
-        if held is None or not held.owns(segment):
-            self._search.take_unknown(message, segment, held)
+        if held is None or not held.matches(segment):
+            self._search.handle_unknown(message, segment, held)
             return
         self._deliver(segment, held)
         is_relayed = message.kind is not PeerKind.FORWARD
         if is_relayed or message.balancer != held.balancer:
             held.balancer = message.balancer
-            self.reports.tell_held(segment.flow, message.balancer)
+            self.reports.send_held_to_balancer(segment.flow, message.balancer)
         if message.kind is PeerKind.SEARCH:
-            self.reports.tell_agent_held(segment.flow, sender)
+            self.reports.send_held_to_agent(segment.flow, sender)
 
     def _deliver(self, segment: Segment, held: HeldFlow) -> None:
         context = self.context
         now_s = context.timers.now()
-        held.used_s = now_s
+        held.last_used_s = now_s
         if segment.data_bytes:
             slots = context.gate.slots
-            context.held_flows.note_request(segment.flow, held, slots, now_s)
+            context.held_flows.record_request(segment.flow, held, slots, now_s)
         elif segment.is_reset:
-            context.held_flows.note_closed(segment.flow, held, now_s)
+            context.held_flows.record_closed(segment.flow, held, now_s)
         context.outbox.to_target(segment.raw)
 
-    def _take_returned(self, segment: Segment) -> None:
+    def _handle_returned(self, segment: Segment) -> None:
         # No sign of life: packets for an absent target are given back too.
         held = self.context.held_flows.remove(segment.flow)
         if segment.is_opening:
-            self._openings.take_returned(segment, held)
+            self._openings.handle_returned(segment, held)
         else:
-            self._search.take_returned(segment, held)
+            self._search.handle_returned(segment, held)
 
-    def _note_sent(self, segment: Segment, held: HeldFlow) -> None:
+    def _record_target_packet(self, segment: Segment, held: HeldFlow) -> None:
         """Note what a packet of the target says of its flow."""
         flows = self.context.held_flows
         now_s = self.context.timers.now()
-        held.used_s = now_s
+        held.last_used_s = now_s
         if segment.is_opening_answer:
-            self._note_opened(segment, held)
+            self._handle_opened(segment, held)
         elif segment.is_refusal:
             self.context.counts['requests_refused'] += 1
             slots = self.context.gate.slots
-            flows.note_refusal(segment.flow, held, slots, now_s)
+            flows.record_refusal(segment.flow, held, slots, now_s)
         elif segment.data_bytes:
-            duration_s = flows.note_response(segment.flow, held, now_s)
+            duration_s = flows.record_response(segment.flow, held, now_s)
             if duration_s is not None:
                 self._log_answer(segment, duration_s)
         if segment.is_final or segment.is_reset:
-            flows.note_closed(segment.flow, held, now_s)
+            flows.record_closed(segment.flow, held, now_s)
 
-    def _note_opened(self, segment: Segment, held: HeldFlow) -> None:
+    def _handle_opened(self, segment: Segment, held: HeldFlow) -> None:
         if held.is_answered and held.first_sequence == segment.sequence:
             return
-        self.context.held_flows.note_opened(
+        self.context.held_flows.record_opened(
             held, segment.sequence, self.context.timers.now()
         )
         self.context.counts['flows_opened'] += 1
-        self.reports.tell_held(segment.flow, held.balancer)
+        self.reports.send_held_to_balancer(segment.flow, held.balancer)
         if held.hops > 1:
             # The home knows only where it sent the flow itself.
-            self._tell_home(segment.flow)
+            self._notify_home(segment.flow)
 
-    def _tell_home(self, flow: bytes) -> None:
+    def _notify_home(self, flow: bytes) -> None:
         home = self.context.peers.homes.find_home(flow)
         if home and home != self.context.identity.address:
-            self.reports.tell_agent_held(flow, home)
+            self.reports.send_held_to_agent(flow, home)
 
     def _log_answer(self, segment: Segment, duration_s: float) -> None:
         log_event(
@@ -218,20 +222,20 @@
             target_id=self.context.gate.target_id,
         )
 
-    def _forgive(self, pause_s: float) -> None:
+    def _exclude_pause(self, pause_s: float) -> None:
         """Don't count a pause of this process as silence of others."""
         self.context.counts['pauses'] += 1
-        self.context.peers.forgive(pause_s)
-        self.context.gate.forgive(pause_s)
+        self.context.peers.exclude_pause(pause_s)
+        self.context.gate.exclude_pause(pause_s)
 
     def _check(self) -> None:
         self._openings.check_unanswered()
         self.context.held_flows.expire_expected(self.context.timers.now())
-        self.reports.report_due()
+        self.reports.send_due()
 
     def _sweep(self) -> None:
         now_s = self.context.timers.now()
-        self._search.renew_allowance()
+        self._search.reset_search_limit()
         self.context.held_flows.sweep(now_s, self.context.identity.idle_s)
-        self.context.peers.forget_silent()
+        self.context.peers.remove_silent()
         self.reports.pull_routes()
--- a/greengagepath/steering/backlog.py
+++ b/greengagepath/steering/backlog.py
@@ -19,7 +19,7 @@
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
         self._is_stale = False
-        timers.subscribe_pauses(self._note_pause)
+        timers.subscribe_pauses(self._handle_pause)
 
     def mark_socket_empty(self) -> None:
         """Note that the socket holds nothing more."""
@@ -32,6 +32,6 @@
         self._timers.check_pause()
         return self._is_stale
 
-    def _note_pause(self, pause_s: float) -> None:
+    def _handle_pause(self, pause_s: float) -> None:
         if pause_s > STALE_AFTER_S:
             self._is_stale = True
--- a/greengagepath/steering/balancer_contacts.py
+++ b/greengagepath/steering/balancer_contacts.py
@@ -15,7 +15,7 @@
 from .rotation import BalancerStage, Rotation
 from .routes import RouteHolder
 
-FORGET_S = 60.0
+REMOVE_AFTER_S = 60.0
 PRESENCE_S = 1.0
 
 
@@ -65,13 +65,13 @@
         self._routes = routes
         self._balancer_seen_s: dict[bytes, float] = {}
         timers.subscribe(PRESENCE_S, self.announce)
-        timers.subscribe(FORGET_S, self._forget_balancers)
+        timers.subscribe(REMOVE_AFTER_S, self._remove_silent_balancers)
 
     def add_agents(self, addresses: list[bytes]) -> None:
         """Add agents that the store or the settings name, and greet them."""
         for address in addresses:
             if address not in self.agents.by_address:
-                self._greet(self.agents.add(address), Roster([], []))
+                self._send_presence(self.agents.add(address), Roster([], []))
 
     def add_balancers(self, addresses: list[bytes]) -> None:
         """Add balancers that the store or the settings name."""
@@ -86,7 +86,7 @@
         for agent in tuple(self.agents.by_address.values()):
             known = self.agents.by_service.get(agent.service)
             agents = list(known.known.addresses) if known else []
-            self._greet(agent, Roster(balancers, agents))
+            self._send_presence(agent, Roster(balancers, agents))
         presence = self._encode(self._zone, b'', hops=self.stage)
         for address in self._balancer_seen_s:
             self._outbox.to_balancer(address, presence)
@@ -97,26 +97,26 @@
             self.stage = stage
             self.announce()
 
-    def ask_any(self, datagram: bytes, turn: int) -> None:
+    def query_peers(self, datagram: bytes, attempt: int) -> None:
         """Send a question to one balancer and one agent, by turns."""
         balancers = list(self._balancer_seen_s)
         agents = list(self.agents.by_address)
         if balancers:
-            asked = balancers[turn % len(balancers)]
+            asked = balancers[attempt % len(balancers)]
             self._outbox.to_balancer(asked, datagram)
         if agents:
-            self._outbox.to_agent(agents[turn % len(agents)], datagram)
+            self._outbox.to_agent(agents[attempt % len(agents)], datagram)
 
-    def take_presence(self, sender: bytes, message: PeerMessage) -> None:
+    def handle_presence(self, sender: bytes, message: PeerMessage) -> None:
         """Take what another balancer says of itself."""
         self._balancer_seen_s[sender] = self._timers.now()
         if message.service == self._zone and message.hops in _STAGES:
-            self.rotation.note(sender, _STAGES[message.hops])
+            self.rotation.update(sender, _STAGES[message.hops])
 
-    def _forget_balancers(self) -> None:
-        drop_older(self._balancer_seen_s, self._timers.now() - FORGET_S)
+    def _remove_silent_balancers(self) -> None:
+        drop_older(self._balancer_seen_s, self._timers.now() - REMOVE_AFTER_S)
 
-    def _greet(self, agent: KnownAgent, roster: Roster) -> None:
+    def _send_presence(self, agent: KnownAgent, roster: Roster) -> None:
         encoded = self._encode(agent.service, roster.encode())
         self._outbox.to_agent(agent.address, encoded)
 
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -34,7 +34,7 @@
 PULL_AFTER_CHECKS = 2
 MAX_OWNERS = 400000
 # Agents have had time to report to a balancer that runs this long.
-SETTLED_S = 1.5
+WARM_UP_S = 1.5
 
 _logger = logging.getLogger(__name__)
 
@@ -73,7 +73,7 @@
         self._owner_by_flow: RecentMap[bytes, FlowOwner] = RecentMap(MAX_OWNERS)
         self._assembly = RouteAssembly()
         self._copy = RouteCopy()
-        self._lacking_checks = 0
+        self._outdated_checks = 0
         self.backlog = Backlog(timers)
         self._started_s = timers.now()
         timers.subscribe(PULL_CHECK_S, self.pull_routes)
@@ -89,32 +89,32 @@
         if segment.is_opening_answer or segment.is_returned:
             self.counts['dropped_forged'] += 1
         elif segment.is_opening:
-            self._take_opening(segment)
+            self._handle_opening(segment)
         else:
             self._forward(segment)
 
     def handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
         """Handle a datagram of another process."""
-        if self.routes.note_version(message.version):
+        if self.routes.observe_version(message.version):
             self._on_behind()
         match message.kind:
             case PeerKind.HELD:
                 owner = FlowOwner(sender, message.service)
                 self._owner_by_flow.put(message.body, owner)
             case PeerKind.REPORT:
-                self._take_report(sender, message)
+                self._handle_report(sender, message)
             case PeerKind.PULL:
                 self._send_routes(sender, message)
             case PeerKind.PART:
-                self._take_part(sender, message)
+                self._handle_part(sender, message)
             case PeerKind.PRESENCE:
-                self.contacts.take_presence(sender, message)
+                self.contacts.handle_presence(sender, message)
             case _:
                 self.counts['dropped_unexpected'] += 1
 
     def apply_routes(self, table: RouteTable) -> Result[RouteTable, str]:
         """Put a configuration in force unless one as new is."""
-        outcome = self.routes.offer(table)
+        outcome = self.routes.apply(table)
         if outcome.is_ok():
             self._copy = RouteCopy(table.version, encode_routes(table))
             log_event(
@@ -129,14 +129,14 @@
     def pull_routes(self) -> None:
         """Ask a balancer and an agent for the configuration if it lacks."""
         if self.routes.table is not None and not self.routes.is_behind:
-            self._lacking_checks = 0
+            self._outdated_checks = 0
             return
-        self._lacking_checks += 1
-        if self._lacking_checks < PULL_AFTER_CHECKS:
+        self._outdated_checks += 1
+        if self._outdated_checks < PULL_AFTER_CHECKS:
             return
         self.counts['pulls'] += 1
-        self.contacts.ask_any(
-            self._encode(PeerKind.PULL, NO_SERVICE, b''), self._lacking_checks
+        self.contacts.query_peers(
+            self._encode(PeerKind.PULL, NO_SERVICE, b''), self._outdated_checks
         )
 
     def _send_routes(self, sender: bytes, message: PeerMessage) -> None:
@@ -148,7 +148,7 @@
         for part in self._copy.make_parts(message.service):
             send(sender, part.encode())
 
-    def _take_part(self, sender: bytes, message: PeerMessage) -> None:
+    def _handle_part(self, sender: bytes, message: PeerMessage) -> None:
         copy = self._assembly.add(message)
         if copy is None or copy.version <= self.routes.version:
             return
@@ -166,22 +166,22 @@
 
     # Packets of callers
 
-    def _take_opening(self, segment: Segment) -> None:
+    def _handle_opening(self, segment: Segment) -> None:
         if self.backlog.is_stale():
             self.counts['dropped_stale'] += 1
             return
-        self._open(segment)
+        self._route_opening(segment)
 
-    def _open(self, segment: Segment) -> None:
+    def _route_opening(self, segment: Segment) -> None:
         flow = segment.flow
         route = self.routes.find(flow)
         if route is None:
-            self._refuse_route(flow)
+            self._refuse_unknown_route(flow)
             return
         service = route.choose_service(flow)
         home = self._choose_home(service, segment)
         if home is None or service is None:
-            self._refuse_agent(flow, route)
+            self._refuse_without_agent(flow, route)
             return
         self.counts['openings'] += 1
         log_event(
@@ -191,7 +191,7 @@
             flow=describe_flow(flow),
             route=route.name,
             home=format_address(home),
-            copy=segment.copy,
+            copy=segment.copy_number,
             version=self.routes.version,
         )
         opening = PeerMessage(
@@ -211,18 +211,18 @@
         known = self.contacts.agents.by_service.get(service or NO_SERVICE)
         if known is None or not known.live.addresses:
             return None
-        if not segment.copy:
+        if not segment.copy_number:
             return known.live.find_home(segment.flow)
         # The home of the first copy may be dead without notice.
         ranked = known.live.rank(segment.flow)
-        return ranked[segment.copy % len(ranked)]
+        return ranked[segment.copy_number % len(ranked)]
 
     def _forward(self, segment: Segment) -> None:
         flow = segment.flow
         owner = self._owner_by_flow.get(flow)
         if owner is not None:
             agent = self.contacts.agents.by_address.get(owner.agent)
-            if agent is not None and agent.holds_flows_of(owner.service):
+            if agent is not None and agent.may_hold_flows_of(owner.service):
                 self.counts['packets_forwarded'] += 1
                 self._send(
                     owner.agent, PeerKind.FORWARD, owner.service, segment.raw
@@ -243,7 +243,7 @@
                 self.counts['packets_to_home'] += 1
                 self._send(home, PeerKind.FORWARD, share.service, segment.raw)
 
-    def _refuse_route(self, flow: bytes) -> None:
+    def _refuse_unknown_route(self, flow: bytes) -> None:
         if self.routes.table is None or self.routes.is_behind:
             # The route may be in a version that is not here yet; copies
             # of the packet follow after 200 and 600 ms.
@@ -260,8 +260,8 @@
         )
         self._outbox.reset(flow)
 
-    def _refuse_agent(self, flow: bytes, route: Route) -> None:
-        if self._timers.now() - self._started_s < SETTLED_S:
+    def _refuse_without_agent(self, flow: bytes, route: Route) -> None:
+        if self._timers.now() - self._started_s < WARM_UP_S:
             self.counts['dropped_unsettled'] += 1
             return
         self.counts['refused_no_agent'] += 1
@@ -279,12 +279,12 @@
 
     # Agents
 
-    def _take_report(self, sender: bytes, message: PeerMessage) -> None:
+    def _handle_report(self, sender: bytes, message: PeerMessage) -> None:
         decoded = decode_report(message.body)
         if isinstance(decoded, Err):
             self.counts['dropped_unreadable'] += 1
             return
-        self.contacts.agents.take_report(
+        self.contacts.agents.record_report(
             sender, message.service, decoded.ok_value
         )
 
--- a/greengagepath/steering/homes.py
+++ b/greengagepath/steering/homes.py
@@ -24,9 +24,11 @@
     def rank(self, flow: bytes) -> list[bytes]:
         """Return all agents, the home first."""
         digest = xxhash.xxh3_64_intdigest
-        races = [(digest(flow, seed), address) for seed, address in self._seeds]
-        races.sort()
-        return [address for _, address in races]
+        ranked = [
+            (digest(flow, seed), address) for seed, address in self._seeds
+        ]
+        ranked.sort()
+        return [address for _, address in ranked]
 
     def find_home(self, flow: bytes) -> bytes | None:
         """Return the home, None if there is no agent."""
--- a/greengagepath/steering/known_agents.py
+++ b/greengagepath/steering/known_agents.py
@@ -10,8 +10,8 @@
 
 # Agents report every 250 ms; three lost in a row mean that an agent
 # does not run or cannot be reached.
-SILENT_S = 0.9
-FORGET_S = 60.0
+SILENCE_LIMIT_S = 0.9
+REMOVE_AFTER_S = 60.0
 CHECK_S = 0.25
 
 _logger = logging.getLogger(__name__)
@@ -20,15 +20,15 @@
 class KnownAgent:
     """What a balancer knows of an agent; `service` is empty until told."""
 
-    __slots__ = ('address', 'heard_s', 'service', 'state')
+    __slots__ = ('address', 'last_seen_s', 'service', 'state')
 
-    def __init__(self, address: bytes, heard_s: float) -> None:
+    def __init__(self, address: bytes, last_seen_s: float) -> None:
         self.address = address
         self.service = NO_SERVICE
         self.state = ReportedState.ABSENT
-        self.heard_s = heard_s
+        self.last_seen_s = last_seen_s
 
-    def holds_flows_of(self, service: bytes) -> bool:
+    def may_hold_flows_of(self, service: bytes) -> bool:
         """Return whether flows of the service may be at the target."""
         is_present = self.state is not ReportedState.ABSENT
         return is_present and self.service == service
@@ -58,7 +58,7 @@
         self.pauses = 0
         self._timers = timers
         timers.subscribe(CHECK_S, self._check)
-        timers.subscribe_pauses(self._forgive)
+        timers.subscribe_pauses(self._exclude_pause)
 
     def add(self, address: bytes) -> KnownAgent:
         """Add an agent that has not reported yet."""
@@ -66,18 +66,18 @@
         self.by_address[address] = agent
         return agent
 
-    def take_report(
+    def record_report(
         self, address: bytes, service: bytes, report: LoadReport
     ) -> None:
         """Take what an agent says of its target."""
         agent = self.by_address.get(address) or self.add(address)
         now_s = self._timers.now()
-        was_silent = now_s - agent.heard_s > SILENT_S
-        agent.heard_s = now_s
+        was_silent = now_s - agent.last_seen_s > SILENCE_LIMIT_S
+        agent.last_seen_s = now_s
         is_same = agent.service == service and agent.state is report.state
         if is_same and not was_silent:
             return
-        if _is_change(agent, report) or was_silent:
+        if _is_notable_change(agent, report) or was_silent:
             log_event(
                 _logger,
                 'agent.changed',
@@ -88,30 +88,30 @@
             )
         agent.service = service
         agent.state = report.state
-        self._rank()
+        self._index_by_service()
 
-    def _forgive(self, pause_s: float) -> None:
+    def _exclude_pause(self, pause_s: float) -> None:
         """Don't count a pause of this process as silence of the agents."""
         self.pauses += 1
         for agent in self.by_address.values():
-            agent.heard_s += pause_s
+            agent.last_seen_s += pause_s
 
     def _check(self) -> None:
         now_s = self._timers.now()
         for address, agent in tuple(self.by_address.items()):
-            if now_s - agent.heard_s > FORGET_S:
+            if now_s - agent.last_seen_s > REMOVE_AFTER_S:
                 del self.by_address[address]
-        self._rank()
+        self._index_by_service()
 
-    def _rank(self) -> None:
-        heard_after_s = self._timers.now() - SILENT_S
+    def _index_by_service(self) -> None:
+        seen_after_s = self._timers.now() - SILENCE_LIMIT_S
         known: dict[bytes, list[bytes]] = {}
         live: dict[bytes, list[bytes]] = {}
         for agent in self.by_address.values():
             if agent.state is ReportedState.ABSENT:
                 continue
             known.setdefault(agent.service, []).append(agent.address)
-            if agent.heard_s >= heard_after_s:
+            if agent.last_seen_s >= seen_after_s:
                 live.setdefault(agent.service, []).append(agent.address)
         self.by_service = {
             service: ServiceAgents(addresses, live.get(service, []))
@@ -119,7 +119,7 @@
         }
 
 
-def _is_change(agent: KnownAgent, report: LoadReport) -> bool:
+def _is_notable_change(agent: KnownAgent, report: LoadReport) -> bool:
     """Return whether a state is worth a line; full and back is not."""
     usual = {
         ReportedState.READY,
--- a/greengagepath/steering/owner_search.py
+++ b/greengagepath/steering/owner_search.py
@@ -29,13 +29,15 @@
         self._reports = reports
         self._owner_by_flow = owner_by_flow
         # The balancer to answer, empty if others are asked already.
-        self._tried: RecentMap[bytes, bytes] = RecentMap(MAX_OWNERS)
+        self._balancer_by_tried_flow: RecentMap[bytes, bytes] = RecentMap(
+            MAX_OWNERS
+        )
         self._searches_left = MAX_SEARCHES_PER_S
-        self._young_until_s = context.timers.now()
+        self._try_target_until_s = context.timers.now()
         if not context.identity.is_first_start:
-            self._young_until_s += context.identity.idle_s
+            self._try_target_until_s += context.identity.idle_s
 
-    def take_unknown(
+    def handle_unknown(
         self, message: PeerMessage, segment: Segment, held: HeldFlow | None
     ) -> None:
         """Handle a packet of a flow that the target may not hold."""
@@ -51,36 +53,42 @@
                 owner, PeerKind.RELAY, message.balancer, segment.raw
             )
             return
-        self._ask_all(segment, message.balancer)
+        self._search_all_agents(segment, message.balancer)
 
-    def take_returned(self, segment: Segment, held: HeldFlow | None) -> None:
+    def handle_returned(self, segment: Segment, held: HeldFlow | None) -> None:
         """Handle a packet that the target gave back."""
         self._context.counts['packets_returned'] += 1
-        balancer = held.balancer if held else self._tried.get(segment.flow)
+        balancer = (
+            held.balancer
+            if held
+            else self._balancer_by_tried_flow.get(segment.flow)
+        )
         if balancer:
-            self._ask_all(segment, balancer)
+            self._search_all_agents(segment, balancer)
 
-    def renew_allowance(self) -> None:
+    def reset_search_limit(self) -> None:
         """Allow the searches of another second."""
         self._searches_left = MAX_SEARCHES_PER_S
 
     def rotate(self) -> None:
         """Forget flows that have been idle."""
         self._owner_by_flow.rotate()
-        self._tried.rotate()
+        self._balancer_by_tried_flow.rotate()
 
     def _try_target(self, message: PeerMessage, segment: Segment) -> bool:
-        if self._context.timers.now() >= self._young_until_s:
+        if self._context.timers.now() >= self._try_target_until_s:
             return False
-        if self._tried.get(segment.flow) is not None:
+        if self._balancer_by_tried_flow.get(segment.flow) is not None:
             return False
         is_search = message.kind is PeerKind.SEARCH
-        self._tried.put(segment.flow, b'' if is_search else message.balancer)
+        self._balancer_by_tried_flow.put(
+            segment.flow, b'' if is_search else message.balancer
+        )
         self._context.counts['packets_tried'] += 1
         self._context.outbox.to_target(segment.raw)
         return True
 
-    def _ask_all(self, segment: Segment, balancer: bytes) -> None:
+    def _search_all_agents(self, segment: Segment, balancer: bytes) -> None:
         if self._searches_left <= 0:
             self._context.drop('searches', describe_flow(segment.flow))
             return
--- a/greengagepath/steering/routes.py
+++ b/greengagepath/steering/routes.py
@@ -4,7 +4,7 @@
 from result import Err, Ok, Result
 
 _SPLIT_SEED = 0x5B
-_DIGESTS = 0x10000000000000000
+_DIGEST_RANGE = 0x10000000000000000
 
 
 class ServiceShare:
@@ -46,10 +46,12 @@
         total = sum(share.weight for share in self.shares)
         if total <= 0:
             return None
-        drawn = xxhash.xxh3_64_intdigest(flow, _SPLIT_SEED) / _DIGESTS * total
+        point = (
+            xxhash.xxh3_64_intdigest(flow, _SPLIT_SEED) / _DIGEST_RANGE * total
+        )
         for share in self.shares:
-            drawn -= share.weight
-            if drawn < 0:
+            point -= share.weight
+            if point < 0:
                 return share.service
         return self.shares[-1].service
 
@@ -83,14 +85,14 @@
         """Return whether a higher version than that in force exists."""
         return self.latest_seen > self.version
 
-    def note_version(self, version: int) -> bool:
+    def observe_version(self, version: int) -> bool:
         """Take a version that a peer has seen; True if it is news."""
         if version <= self.latest_seen:
             return False
         self.latest_seen = version
         return self.is_behind
 
-    def offer(self, table: RouteTable) -> Result[RouteTable, str]:
+    def apply(self, table: RouteTable) -> Result[RouteTable, str]:
         """Put the table in force unless one as new is."""
         if self.table and table.version <= self.version:
             return Err(f'version {table.version} is not above {self.version}')
--- a/greengagepath/steering/segments.py
+++ b/greengagepath/steering/segments.py
@@ -55,7 +55,7 @@
         self.is_refusal = False
 
     @property
-    def copy(self) -> int:
+    def copy_number(self) -> int:
         """Return how many copies of an opening packet came before."""
         return self.acknowledged if self.is_opening else 0
 
--- a/greengagepath/steering/service_times.py
+++ b/greengagepath/steering/service_times.py
@@ -32,13 +32,13 @@
         self._samples += 1
         self._sampled_s = now_s
         gain = max(GAIN, 1 / (self._samples + PRIOR_REQUESTS))
-        taken_s = min(duration_s, self._average_s * MAX_RATIO)
-        self._average_s += (taken_s - self._average_s) * gain
+        clamped_s = min(duration_s, self._average_s * MAX_RATIO)
+        self._average_s += (clamped_s - self._average_s) * gain
 
-    def estimate_s(self, now_s: float, usual_s: float) -> float:
+    def estimate_s(self, now_s: float, peer_average_s: float) -> float:
         """Return the time of a request now, 0 before the first.
 
-        Without requests an estimate above `usual_s`, that of other
+        Without requests an estimate above `peer_average_s`, that of other
         targets, and above the default halves its distance to the lower
         of them every second: a misjudged target, or a service all of
         whose targets are misjudged, would otherwise never get the work
@@ -47,8 +47,8 @@
         if not self._samples:
             return 0.0
         idle_s = now_s - self._sampled_s - IDLE_S
-        floor_s = min(usual_s or DEFAULT_S, DEFAULT_S)
+        floor_s = min(peer_average_s or DEFAULT_S, DEFAULT_S)
         if idle_s <= 0 or self._average_s <= floor_s:
             return self._average_s
-        kept = 0.5 ** (idle_s / IDLE_HALF_LIFE_S)
-        return floor_s + (self._average_s - floor_s) * kept
+        remaining = 0.5 ** (idle_s / IDLE_HALF_LIFE_S)
+        return floor_s + (self._average_s - floor_s) * remaining
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -68,7 +68,7 @@
         self._timers = timers
         self._heartbeat_s = heartbeat_s
         self._sequence = -1
-        self._heard_s = timers.now()
+        self._last_seen_s = timers.now()
         self._unanswered = False
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
@@ -77,7 +77,7 @@
         is_new = lifetime != (self.target_id, self.started_ms)
         if self._is_stale(heartbeat, is_new):
             return HeartbeatOutcome.STALE
-        self.note_answer()
+        self.record_activity()
         self._sequence = heartbeat.sequence
         self.slots = heartbeat.slots
         phase = (
@@ -100,22 +100,22 @@
         self.phase = TargetPhase.GONE
         return True
 
-    def note_answer(self) -> None:
+    def record_activity(self) -> None:
         """Note that the target sent a packet or a heartbeat."""
         self._unanswered = False
-        self._heard_s = self._timers.now()
+        self._last_seen_s = self._timers.now()
 
-    def forgive(self, pause_s: float) -> None:
+    def exclude_pause(self, pause_s: float) -> None:
         """Don't count a pause of this process as silence of the target."""
-        self._heard_s += pause_s
+        self._last_seen_s += pause_s
 
-    def note_not_taken(self, offered_s: float) -> None:
+    def record_failed_opening(self, offered_s: float) -> None:
         """Note that an opening packet was not answered or came back.
 
         If the target was heard since it was offered, the target runs:
         the packet is lost, or the target holds as many flows as it can.
         """
-        self._unanswered = self._heard_s <= offered_s
+        self._unanswered = self._last_seen_s <= offered_s
 
     @property
     def is_open(self) -> bool:
@@ -125,11 +125,11 @@
     @property
     def is_responsive(self) -> bool:
         """Return whether the target has been heard lately."""
-        silent_s = self._timers.now() - self._heard_s
+        silent_s = self._timers.now() - self._last_seen_s
         limit_s = self._heartbeat_s * MISSED_HEARTBEATS
         return not self._unanswered and silent_s < limit_s
 
-    def report_state(self) -> ReportedState:
+    def reported_state(self) -> ReportedState:
         """Return the state for load reports."""
         match self.phase:
             case TargetPhase.GONE:
--- a/tests/steering/test_balancer_steering.py
+++ b/tests/steering/test_balancer_steering.py
@@ -36,15 +36,15 @@
             BalancerIdentity(OWN, 'zone-a'),
             self.timers,
             self.outbox,
-            self._note_behind,
+            self._count_behind,
         )
         self.balancer.apply_routes(make_table(version=5))
-        self._hear_agents()
+        self._report_from_agents()
 
-    def _note_behind(self) -> None:
+    def _count_behind(self) -> None:
         self.behind += 1
 
-    def _hear_agents(self, **fields) -> None:
+    def _report_from_agents(self, **fields) -> None:
         for address in AGENTS:
             self.balancer.handle_peer_message(
                 address, make_report_message(**fields)
@@ -80,7 +80,7 @@
         )
         self.balancer.contacts.announce()
         versions = {
-            message.version for _, message in self.outbox.at_agents[-3:]
+            message.version for _, message in self.outbox.sent_to_agents[-3:]
         }
         self.assertEqual({9}, versions)
 
@@ -92,7 +92,7 @@
         self.timers.advance(0.4)
         for number in range(50):
             self.balancer.handle_caller_packet(make_opening(make_flow(number)))
-        self.assertNotIn(AGENTS[0], self.outbox.placed_at())
+        self.assertNotIn(AGENTS[0], self.outbox.placed_agents())
 
     def test_pause_of_the_balancer_is_no_silence_of_agents(self):
         # Guards against refusals after a freeze, while reports of that
@@ -102,7 +102,7 @@
         self.balancer.backlog.mark_socket_empty()
         self.balancer.handle_caller_packet(make_opening(make_flow()))
         self.assertEqual([], self.outbox.resets)
-        self.assertEqual(1, len(self.outbox.placed_at()))
+        self.assertEqual(1, len(self.outbox.placed_agents()))
 
     def test_openings_from_before_a_pause_are_dropped(self):
         # Replays a balancer that wakes with the openings of 5 s in its
@@ -110,10 +110,10 @@
         self.timers.pause(5.0)
         for number in range(300):
             self.balancer.handle_caller_packet(make_opening(make_flow(number)))
-        self.assertEqual([], self.outbox.placed_at())
+        self.assertEqual([], self.outbox.placed_agents())
         self.balancer.backlog.mark_socket_empty()
         self.balancer.handle_caller_packet(make_opening(make_flow(1)))
-        self.assertEqual(1, len(self.outbox.placed_at()))
+        self.assertEqual(1, len(self.outbox.placed_agents()))
 
     def test_told_owner_gets_the_packets(self):
         # Guards against a detour through the home for every packet.
@@ -122,7 +122,7 @@
             AGENTS[2], make_message(PeerKind.HELD, body=flow)
         )
         self.balancer.handle_caller_packet(make_data(flow))
-        address, message = self.outbox.at_agents[-1]
+        address, message = self.outbox.sent_to_agents[-1]
         self.assertEqual(AGENTS[2], address)
         self.assertEqual(PeerKind.FORWARD, message.kind)
 
@@ -137,7 +137,7 @@
             AGENTS[2], make_report_message(service=OTHER_SERVICE)
         )
         self.balancer.handle_caller_packet(make_data(flow))
-        address, message = self.outbox.at_agents[-1]
+        address, message = self.outbox.sent_to_agents[-1]
         self.assertNotEqual(AGENTS[2], address)
         self.assertEqual(SERVICE, message.service)
 
@@ -151,7 +151,7 @@
             AGENTS[0], make_report_message(state=ReportedState.ABSENT)
         )
         self.balancer.handle_caller_packet(make_data(flow))
-        self.assertNotEqual(AGENTS[0], self.outbox.at_agents[-1][0])
+        self.assertNotEqual(AGENTS[0], self.outbox.sent_to_agents[-1][0])
 
     def test_answer_of_a_target_from_outside_is_forged(self):
         # Guards against a caller that pretends to be a target.
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -14,7 +14,7 @@
     Estimate,
     PeerLoad,
     choose_peer,
-    is_in_time,
+    should_accept,
 )
 from greengagepath.steering.service_times import ServiceTime
 
@@ -24,13 +24,13 @@
 
 
 def make_load(
-    number: int, load: int, service_s: float, heard_s: float = 0.0
+    number: int, load: int, service_s: float, last_seen_s: float = 0.0
 ) -> PeerLoad:
     peer = PeerLoad(make_address(number))
     report = LoadReport(
         ReportedState.READY, slots=2, load=load, service_s=service_s
     )
-    peer.take_report(report, heard_s)
+    peer.update(report, last_seen_s)
     return peer
 
 
@@ -41,8 +41,8 @@
         held = HeldFlows()
         flow = make_flow()
         entry = held.accept(make_opening(flow), OFFER, 0.0)
-        held.note_request(flow, entry, 2, 0.0)
-        held.note_refusal(flow, entry, 2, 0.001)
+        held.record_request(flow, entry, 2, 0.0)
+        held.record_refusal(flow, entry, 2, 0.001)
         self.assertFalse(held.service_time.estimate_s(0.1, 0.0))
         self.assertEqual(0, held.load)
 
@@ -53,9 +53,9 @@
         for number in range(6):
             flow = make_flow(number)
             entry = held.accept(make_opening(flow), OFFER, 0.0)
-            held.note_request(flow, entry, 2, 0.0)
+            held.record_request(flow, entry, 2, 0.0)
         self.assertFalse(held.is_full(0.0))
-        held.note_refusal(flow, entry, 2, 0.001)
+        held.record_refusal(flow, entry, 2, 0.001)
         self.assertTrue(held.is_full(0.001))
         for number in range(3):
             held.remove(make_flow(number))
@@ -80,10 +80,10 @@
         for number in range(40):
             flow = make_flow(number)
             entry = held.accept(make_opening(flow), OFFER, now_s)
-            held.note_request(flow, entry, 2, now_s)
+            held.record_request(flow, entry, 2, now_s)
             if number >= 8:
                 done = make_flow(number - 8)
-                held.note_response(done, held.by_flow[done], now_s)
+                held.record_response(done, held.by_flow[done], now_s)
             now_s += 0.03
         estimate_ms = held.service_time.estimate_s(now_s, 0.0) * 1000
         self.assertTrue(50 < estimate_ms < 70, estimate_ms)
@@ -95,9 +95,9 @@
         for number in range(6):
             flow = make_flow(number)
             entry = held.accept(make_opening(flow), OFFER, 0.0)
-            held.note_request(flow, entry, 2, 0.0)
+            held.record_request(flow, entry, 2, 0.0)
         for flow, entry in tuple(held.by_flow.items()):
-            held.note_refusal(flow, entry, 2, 0.001)
+            held.record_refusal(flow, entry, 2, 0.001)
         self.assertFalse(held.is_full(0.001))
 
 
@@ -116,13 +116,13 @@
         chosen = []
         for _ in range(8):
             best = choose_peer([first, second], 0.0)[1]
-            best.note_placement(0.0)
+            best.record_placement(0.0)
             chosen.append(best)
         self.assertEqual(4, chosen.count(first))
 
     def test_silent_target_gets_nothing(self):
         # Guards against new flows for a VM that froze.
-        peer = make_load(1, 0, 0.02, heard_s=0.0)
+        peer = make_load(1, 0, 0.02, last_seen_s=0.0)
         self.assertIsNone(choose_peer([peer], 0.5))
 
     def test_queue_lengthens_the_expected_time(self):
@@ -132,33 +132,33 @@
 
     def test_straggler_moves_the_usual_time_a_little(self):
         # Guards against one long request that empties a fast target.
-        usual = ServiceTime()
+        service_time = ServiceTime()
         for _ in range(20):
-            usual.add(0.02, now_s=1.0)
-        usual.add(2.0, now_s=1.0)
-        self.assertTrue(usual.estimate_s(1.0, 0.02) * 1000 < 25)
+            service_time.add(0.02, now_s=1.0)
+        service_time.add(2.0, now_s=1.0)
+        self.assertTrue(service_time.estimate_s(1.0, 0.02) * 1000 < 25)
 
     def test_first_request_that_is_a_straggler_counts_little(self):
         # Guards against a fast target that gets no flow after a restart,
         # because its first request ran many times longer than the rest.
-        usual = ServiceTime()
-        usual.add(0.2, now_s=1.0)
-        self.assertTrue(usual.estimate_s(1.0, 0.03) * 1000 < 90)
+        service_time = ServiceTime()
+        service_time.add(0.2, now_s=1.0)
+        self.assertTrue(service_time.estimate_s(1.0, 0.03) * 1000 < 90)
 
     def test_estimate_of_a_target_without_work_returns_to_the_usual(self):
         # Guards against an estimate that keeps all flows away, so that
         # no request ever corrects it.
-        usual = ServiceTime()
+        service_time = ServiceTime()
         for _ in range(20):
-            usual.add(0.1, now_s=1.0)
-        self.assertTrue(usual.estimate_s(1.1, 0.03) * 1000 > 80)
-        self.assertTrue(usual.estimate_s(6.0, 0.03) * 1000 < 35)
-        self.assertTrue(usual.estimate_s(60.0, 0.03) * 1000 >= 30)
+            service_time.add(0.1, now_s=1.0)
+        self.assertTrue(service_time.estimate_s(1.1, 0.03) * 1000 > 80)
+        self.assertTrue(service_time.estimate_s(6.0, 0.03) * 1000 < 35)
+        self.assertTrue(service_time.estimate_s(60.0, 0.03) * 1000 >= 30)
 
     def test_mixed_speeds_share_a_crest_by_capacity(self):
         # Replays a crest of 1.0 of the capacity over targets that differ
         # 2.7 times in speed; guards against queues at the slow ones.
-        crest = Crest((0.018, 0.03, 0.048, 0.018, 0.03))
+        crest = PeakLoad((0.018, 0.03, 0.048, 0.018, 0.03))
         for _ in range(2000):
             crest.place_next()
         busy = crest.list_busy_s()
@@ -167,8 +167,8 @@
     def test_request_that_would_finish_late_is_refused(self):
         # Replays the backlog after an outage: guards against a queue in
         # which every answer comes too late.
-        self.assertTrue(is_in_time(make_estimate(4), 0.15, 2))
-        self.assertFalse(is_in_time(make_estimate(6), 0.15, 2))
+        self.assertTrue(should_accept(make_estimate(4), 0.15, 2))
+        self.assertFalse(should_accept(make_estimate(6), 0.15, 2))
 
     def test_what_is_taken_at_twice_the_capacity_is_answered_in_time(self):
         # Replays demand of twice the capacity: guards against queues
@@ -181,23 +181,23 @@
 
     def test_urgent_request_finds_room_for_longer(self):
         # Guards against orders that are refused beside look-ups.
-        self.assertTrue(is_in_time(make_estimate(6), 0.15, 1))
-        self.assertFalse(is_in_time(make_estimate(6), 0.15, 2))
+        self.assertTrue(should_accept(make_estimate(6), 0.15, 1))
+        self.assertFalse(should_accept(make_estimate(6), 0.15, 2))
 
     def test_route_without_a_goal_is_not_refused(self):
-        self.assertTrue(is_in_time(make_estimate(500), 0, 2))
+        self.assertTrue(should_accept(make_estimate(500), 0, 2))
 
     def test_free_slot_is_used_however_slow_the_target_seems(self):
         # Guards against a service that refuses everything for ever after
         # stragglers made all its targets look slower than the goal.
-        self.assertTrue(is_in_time(Estimate(1, 2, 9.0, 0.0), 0.15, 2))
+        self.assertTrue(should_accept(Estimate(1, 2, 9.0, 0.0), 0.15, 2))
 
     def test_service_misjudged_as_a_whole_is_tried_again(self):
         # Guards against estimates that hold each other up.
-        usual = ServiceTime()
+        service_time = ServiceTime()
         for _ in range(20):
-            usual.add(0.5, now_s=1.0)
-        self.assertTrue(usual.estimate_s(12.0, 0.5) * 1000 < 35)
+            service_time.add(0.5, now_s=1.0)
+        self.assertTrue(service_time.estimate_s(12.0, 0.5) * 1000 < 35)
 
 
 def make_estimate(load: int) -> Estimate:
@@ -209,7 +209,7 @@
 
     # Handshake, request and answer cross the way between caller and
     # target, outside of what the agent sees.
-    WAY_S = 0.012
+    NETWORK_S = 0.012
 
     def __init__(self, slots: int, mean_s: float, goal_s: float) -> None:
         self.in_time = 0
@@ -217,7 +217,7 @@
         self._slots = slots
         self._mean_s = mean_s
         self._goal_s = goal_s
-        self._chance = random.Random(7)
+        self._random = random.Random(7)
 
     def run(self, seconds: float) -> float:
         """Play; return how many requests the target could run."""
@@ -226,28 +226,28 @@
         free_at_s = [0.0 for _ in range(self._slots)]
         ends_s: list[float] = []
         while now_s < seconds:
-            now_s += self._chance.expovariate(2 * capacity_per_s)
+            now_s += self._random.expovariate(2 * capacity_per_s)
             ends_s = [end_s for end_s in ends_s if end_s > now_s]
             estimate = Estimate(len(ends_s), self._slots, self._mean_s, 0.0)
-            if not is_in_time(estimate, self._goal_s, 0):
+            if not should_accept(estimate, self._goal_s, 0):
                 continue
             slot = free_at_s.index(min(free_at_s))
-            work_s = self._chance.expovariate(1 / self._mean_s)
+            work_s = self._random.expovariate(1 / self._mean_s)
             free_at_s[slot] = max(free_at_s[slot], now_s) + work_s
             ends_s.append(free_at_s[slot])
             self.taken += 1
-            took_s = free_at_s[slot] - now_s + self.WAY_S
+            took_s = free_at_s[slot] - now_s + self.NETWORK_S
             self.in_time += took_s <= self._goal_s
         return capacity_per_s * seconds
 
 
-class Crest:
+class PeakLoad:
     """Open load of 1.0 of the capacity of targets with two slots."""
 
     def __init__(self, speeds: tuple[float, ...]) -> None:
         self.now_s = 0.0
         self._speeds = speeds
-        self._chance = random.Random(3)
+        self._random = random.Random(3)
         self._loads = [
             make_load(number, 0, service_s)
             for number, service_s in enumerate(speeds, 1)
@@ -258,13 +258,13 @@
 
     def place_next(self) -> None:
         """Place the next request with reports as of now."""
-        self.now_s += self._chance.expovariate(self._rate)
+        self.now_s += self._random.expovariate(self._rate)
         self._report()
         best = choose_peer(self._loads, self.now_s)[1]
         chosen = self._loads.index(best)
         ends_s = self._ends_s[chosen]
         free_s = sorted(ends_s)[-2] if len(ends_s) > 1 else self.now_s
-        work_s = self._chance.uniform(0.5, 1.5) * self._speeds[chosen]
+        work_s = self._random.uniform(0.5, 1.5) * self._speeds[chosen]
         ends_s.append(max(free_s, self.now_s) + work_s)
         self._placed[chosen] += 1
 
@@ -285,4 +285,4 @@
                 load=len(ends_s),
                 service_s=self._speeds[index],
             )
-            load.take_report(report, self.now_s)
+            load.update(report, self.now_s)
--- a/tests/steering/test_rotation.py
+++ b/tests/steering/test_rotation.py
@@ -14,7 +14,7 @@
         self.timers = VirtualTimerService(start_s=100.0)
         self.rotation = Rotation(self.timers)
         for address in (FIRST, SECOND):
-            self.rotation.note(address, BalancerStage.READY)
+            self.rotation.update(address, BalancerStage.READY)
 
     def test_leaves_while_half_of_the_zone_stays(self):
         # Guards against a restart that waits for nothing.
@@ -24,14 +24,14 @@
     def test_waits_for_a_balancer_that_left_before(self):
         # Replays a rolling restart closer together than a restart takes:
         # the fabric would use the balancer that does not run.
-        self.rotation.note(FIRST, BalancerStage.LEAVING)
+        self.rotation.update(FIRST, BalancerStage.LEAVING)
         self.timers.advance(1.2)
-        self.rotation.note(SECOND, BalancerStage.READY)
+        self.rotation.update(SECOND, BalancerStage.READY)
         self.rotation.request_leave()
         self.assertFalse(self.rotation.may_leave())
-        self.rotation.note(FIRST, BalancerStage.STARTING)
+        self.rotation.update(FIRST, BalancerStage.STARTING)
         self.assertFalse(self.rotation.may_leave())
-        self.rotation.note(FIRST, BalancerStage.READY)
+        self.rotation.update(FIRST, BalancerStage.READY)
         self.assertFalse(self.rotation.may_leave())
         self.timers.advance(0.8)
         self.assertTrue(self.rotation.may_leave())
@@ -40,7 +40,7 @@
         # Guards against two balancers that wait for each other.
         self.rotation.request_leave()
         self.timers.advance(0.1)
-        self.rotation.note(FIRST, BalancerStage.LEAVING)
+        self.rotation.update(FIRST, BalancerStage.LEAVING)
         self.assertTrue(self.rotation.may_leave())
 
     def test_leaves_at_once_if_no_other_is_ready(self):
@@ -52,9 +52,9 @@
 
     def test_removed_balancer_is_forgotten(self):
         # Guards against waiting for a VM that never comes back.
-        self.rotation.note(FIRST, BalancerStage.LEAVING)
+        self.rotation.update(FIRST, BalancerStage.LEAVING)
         for _ in range(21):
             self.timers.advance(1.0)
-            self.rotation.note(SECOND, BalancerStage.READY)
+            self.rotation.update(SECOND, BalancerStage.READY)
         self.rotation.request_leave()
         self.assertTrue(self.rotation.may_leave())
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -69,7 +69,7 @@
         # and closes one after the other.
         self.gate.handle_heartbeat(make_heartbeat())
         self.timers.advance(0.1)
-        self.gate.note_not_taken(self.timers.now())
+        self.gate.record_failed_opening(self.timers.now())
         self.assertFalse(self.gate.is_responsive)
         self.gate.handle_heartbeat(make_heartbeat(2))
         self.assertTrue(self.gate.is_responsive)
@@ -79,18 +79,18 @@
         self.gate.handle_heartbeat(make_heartbeat())
         offered_s = self.timers.now()
         self.timers.advance(0.05)
-        self.gate.note_answer()
-        self.gate.note_not_taken(offered_s)
+        self.gate.record_activity()
+        self.gate.record_failed_opening(offered_s)
         self.assertTrue(self.gate.is_responsive)
 
     def test_silent_target_is_reported_absent(self):
         # Guards against new flows for a target that has crashed.
         self.gate.handle_heartbeat(make_heartbeat())
         self.timers.advance(5.0)
-        self.assertEqual(ReportedState.ABSENT, self.gate.report_state())
+        self.assertEqual(ReportedState.ABSENT, self.gate.reported_state())
 
 
-class LastGateTest(TestCase):
+class AgentSteeringTest(TestCase):
     def setUp(self):
         super().setUp()
         self.timers = VirtualTimerService(start_s=100.0)
@@ -104,17 +104,17 @@
         message = make_message(PeerKind.PLACE, body=segment.raw, **fields)
         self.agent.handle_peer_message(BALANCER, message, segment)
 
-    def _hear_peer(self, load: int = 0, **fields) -> None:
+    def _report_from_peer(self, load: int = 0, **fields) -> None:
         message = make_report_message(load, **fields)
         self.agent.handle_peer_message(PEER, message, None)
 
     def test_draining_target_gets_no_new_flow_whatever_others_believe(self):
         # Guards against a balancer or home that has not heard of it.
         self.agent.handle_heartbeat(make_heartbeat(2, is_draining=True))
-        self._hear_peer()
+        self._report_from_peer()
         self._offer(make_flow())
-        self.assertEqual([], self.outbox.at_target)
-        self.assertEqual([PEER], self.outbox.placed_at())
+        self.assertEqual([], self.outbox.sent_to_target)
+        self.assertEqual([PEER], self.outbox.placed_agents())
 
     def test_agent_that_has_just_started_refuses_nothing(self):
         # Guards against refusals by an agent that has not heard yet of
@@ -129,17 +129,17 @@
     def test_target_that_was_not_heard_yet_comes_second(self):
         # Guards against opening packets for a target that has not
         # started yet after a power loss of all.
-        self._hear_peer(0, state=ReportedState.UNHEARD, service_s=0.001)
+        self._report_from_peer(0, state=ReportedState.UNHEARD, service_s=0.001)
         self._offer(make_flow())
-        self.assertEqual([], self.outbox.placed_at())
+        self.assertEqual([], self.outbox.placed_agents())
         started = AgentSteering(make_identity(2), self.timers, self.outbox)
-        state = started.context.gate.report_state()
+        state = started.context.gate.reported_state()
         self.assertEqual(ReportedState.UNHEARD, state)
 
     def test_target_that_was_not_heard_does_not_slow_the_estimates(self):
         # Guards against refusals as too late while slots are free: the
         # penalty of unheard targets had entered the usual time of all.
-        self._hear_peer(0, state=ReportedState.UNHEARD, service_s=0.0)
+        self._report_from_peer(0, state=ReportedState.UNHEARD, service_s=0.0)
         self.assertFalse(self.agent.context.estimate_service_s())
 
     def test_draining_target_without_peers_refuses_at_once(self):
@@ -152,14 +152,14 @@
         # Guards against a reused address: a balancer still believes that
         # the VM serves another service.
         self._offer(make_flow(), service=OTHER_SERVICE)
-        self.assertEqual([], self.outbox.at_target)
+        self.assertEqual([], self.outbox.sent_to_target)
         self.assertEqual(
             1, self.agent.context.counts['dropped_foreign_service']
         )
 
     def test_returned_opening_goes_to_the_next_target(self):
         # Guards against a refusal while another target has room.
-        self._hear_peer()
+        self._report_from_peer()
         flow = make_flow()
         self._offer(flow, hops=3)
         self.agent.handle_target_packet(make_returned(make_opening(flow)))
@@ -169,18 +169,18 @@
         self.agent.handle_target_packet(
             make_returned(make_opening(make_flow(2)))
         )
-        self.assertEqual([PEER], self.outbox.placed_at())
+        self.assertEqual([PEER], self.outbox.placed_agents())
 
     def test_opening_that_is_handed_over_keeps_its_goal(self):
         # Replays a power loss: handed-over flows had no goal any more,
         # were never refused as too late and lengthened every queue.
-        self._hear_peer()
+        self._report_from_peer()
         self._offer(make_flow(), goal_ms=150, priority=2)
         self.timers.advance(0.02)
         self.agent.handle_target_packet(
             make_returned(make_opening(make_flow()))
         )
-        placed = self.outbox.at_agents[-1][1]
+        placed = self.outbox.sent_to_agents[-1][1]
         self.assertEqual(
             (PeerKind.PLACE, 130, 2),
             (placed.kind, placed.goal_ms, placed.priority),
@@ -189,7 +189,7 @@
     def test_opening_is_not_handed_over_to_a_queue_that_is_too_long(self):
         # Guards against a hop to a target that can only refuse.
         self._offer(make_flow(), goal_ms=150)
-        self._hear_peer(20, service_s=0.05)
+        self._report_from_peer(20, service_s=0.05)
         self.agent.handle_target_packet(
             make_returned(make_opening(make_flow()))
         )
@@ -203,14 +203,14 @@
         segment = make_opening(make_flow())
         message = make_message(PeerKind.PLACE, body=segment.raw)
         started.handle_peer_message(BALANCER, message, segment)
-        self.assertEqual([segment.raw], self.outbox.at_target)
+        self.assertEqual([segment.raw], self.outbox.sent_to_target)
         started.handle_target_packet(make_returned(segment))
         self.assertEqual(
-            ReportedState.ABSENT, started.context.gate.report_state()
+            ReportedState.ABSENT, started.context.gate.reported_state()
         )
         started.handle_heartbeat(make_heartbeat())
         self.assertEqual(
-            ReportedState.READY, started.context.gate.report_state()
+            ReportedState.READY, started.context.gate.reported_state()
         )
 
     def test_target_that_crashed_and_returns_openings_is_absent(self):
@@ -223,7 +223,7 @@
             make_returned(make_opening(make_flow()))
         )
         self.assertEqual(
-            ReportedState.ABSENT, self.agent.context.gate.report_state()
+            ReportedState.ABSENT, self.agent.context.gate.reported_state()
         )
 
     def test_full_target_that_answers_others_stays_open(self):
@@ -237,30 +237,30 @@
             make_returned(make_opening(make_flow(2)))
         )
         self.assertEqual(
-            ReportedState.READY, self.agent.context.gate.report_state()
+            ReportedState.READY, self.agent.context.gate.reported_state()
         )
 
     def test_unanswered_opening_goes_to_the_next_target(self):
         # Guards against a target that crashed without a word: the caller
         # would wait for its whole time budget.
         self._offer(make_flow(), hops=1)
-        self._hear_peer()
+        self._report_from_peer()
         self.timers.advance(0.08)
-        self._hear_peer()
+        self._report_from_peer()
         self.timers.advance(0.1)
-        self.assertEqual([PEER], self.outbox.placed_at())
+        self.assertEqual([PEER], self.outbox.placed_agents())
         self.assertEqual(
-            ReportedState.ABSENT, self.agent.context.gate.report_state()
+            ReportedState.ABSENT, self.agent.context.gate.reported_state()
         )
 
     def test_pause_of_the_agent_is_no_silence_of_others(self):
         # Guards against refusals after a freeze: answers and reports of
         # that time still wait in the sockets.
-        self._hear_peer()
+        self._report_from_peer()
         self._offer(make_flow())
         self.timers.pause(4.0)
         self.timers.advance(0.0)
-        self.assertEqual([], self.outbox.placed_at())
+        self.assertEqual([], self.outbox.placed_agents())
         self.assertTrue(self.agent.context.gate.is_responsive)
         load = self.agent.context.peers.load_by_address[PEER]
         self.assertTrue(load.is_usable(self.timers.now()))
@@ -268,7 +268,7 @@
     def test_flow_that_was_handed_on_is_told_to_its_home(self):
         # Guards against packets of the flow that end at a home which
         # knows only the first agent that it chose.
-        self._hear_peer()
+        self._report_from_peer()
         homes = self.agent.context.peers.homes
         flow = next(
             flow
@@ -279,7 +279,7 @@
         self.agent.handle_target_packet(make_answer(flow))
         told = [
             (address, message.body)
-            for address, message in self.outbox.at_agents
+            for address, message in self.outbox.sent_to_agents
             if message.kind is PeerKind.HELD
         ]
         self.assertEqual([(PEER, flow)], told)
@@ -289,7 +289,7 @@
         flow = make_flow()
         self._offer(flow)
         self.agent.handle_target_packet(make_answer(flow))
-        told = self.outbox.held_told()
+        told = self.outbox.held_notifications()
         self.assertEqual([(make_message(PeerKind.HELD).balancer, flow)], told)
 
     def test_refusal_of_the_target_is_no_answer(self):
@@ -311,15 +311,15 @@
         # Guards against a flow that two targets have opened: the caller
         # chose the answer of the other.
         flow = make_flow()
-        self._hear_peer(9)
+        self._report_from_peer(9)
         self._offer(flow)
         self.agent.handle_target_packet(make_answer(flow))
-        before = len(self.outbox.at_target)
+        before = len(self.outbox.sent_to_target)
         request = make_data(flow, acknowledged=0x70000000)
         message = make_message(PeerKind.FORWARD, body=request.raw)
         self.agent.handle_peer_message(BALANCER, message, request)
-        self.assertEqual(before, len(self.outbox.at_target))
-        asked = [message.kind for _, message in self.outbox.at_agents]
+        self.assertEqual(before, len(self.outbox.sent_to_target))
+        asked = [message.kind for _, message in self.outbox.sent_to_agents]
         self.assertIn(PeerKind.SEARCH, asked)
 
     def test_unreadable_packet_is_counted_and_dropped(self):
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -82,10 +82,12 @@
             return
         segment = self.world.segment_by_raw[raw]
         target = self.world.target_by_address[self.address]
-        self.world.later(lambda: target.receive(segment))
+        self.world.deliver_later(lambda: target.receive(segment))
 
     def to_caller(self, flow: bytes, raw: bytes) -> None:
-        self.world.later(lambda: self.world.receive_at_caller(flow, raw))
+        self.world.deliver_later(
+            lambda: self.world.receive_at_caller(flow, raw)
+        )
 
     def reset(self, flow: bytes) -> None:
         self.world.resets.append(flow)
@@ -93,14 +95,14 @@
     def to_agent(self, address: bytes, datagram: bytes) -> None:
         if self.is_dead:
             return
-        self.world.later(
+        self.world.deliver_later(
             lambda: self.world.receive_at_agent(self.address, address, datagram)
         )
 
     def to_balancer(self, address: bytes, datagram: bytes) -> None:
         if self.is_dead:
             return
-        self.world.later(
+        self.world.deliver_later(
             lambda: self.world.receive_at_balancer(
                 self.address, address, datagram
             )
@@ -167,7 +169,7 @@
         """Hand a caller's packet to a balancer, as the fabric does."""
         self.segment_by_raw[segment.raw] = segment
         address = make_address(balancer, network=9)
-        self.later(
+        self.deliver_later(
             lambda: self.balancer_by_address[address].handle_caller_packet(
                 segment
             )
@@ -196,7 +198,7 @@
                 return target.number
         raise LookupError(flow)
 
-    def later(self, callback) -> None:
+    def deliver_later(self, callback) -> None:
         self.timers.call_after(HOP_S, callback)
 
     def send_from_target(self, number: int, segment: Segment) -> None:
@@ -209,7 +211,7 @@
             if agent is not None:
                 agent.handle_target_packet(segment)
 
-        self.later(deliver)
+        self.deliver_later(deliver)
 
     def receive_at_caller(self, flow: bytes, raw: bytes) -> None:
         segment = self.segment_by_raw[raw]
