Reword comments of the small steering modules

Cause: some docstrings were terse or figurative. Change: plain terms with units and errors; no code.

--- a/greengagepath/steering/__init__.py
+++ b/greengagepath/steering/__init__.py
@@ -1,5 +1,5 @@
-"""Decisions for plain flows, whose callers carry no token.
+"""Routing of plain flows, whose callers send no token.
 
-Modules of this package do no I/O: time comes from a `TimerService`,
-chance from a seeded generator, datagrams leave through an outbox.
+The modules do no I/O, apart from `settings`, which reads a file: time
+comes from a `TimerService`, and datagrams are sent through an outbox.
 """
--- a/greengagepath/steering/backlog.py
+++ b/greengagepath/steering/backlog.py
@@ -1,8 +1,8 @@
-"""Packets that waited while the process itself did not run.
+"""Detection of packets that were queued while the process was paused.
 
-Load pattern: a VM freezes for seconds and wakes with thousands of
-opening packets in its socket. Their callers have given up or tried
-again elsewhere; passed on, they would look like a crest to the targets.
+Load pattern: a VM freezes for seconds and resumes with thousands of
+opening packets in its socket. Their callers have timed out or retried
+elsewhere; forwarding the packets would overload the targets.
 """
 
 from ..foundation.timers import TimerService
@@ -12,7 +12,7 @@
 
 
 class Backlog:
-    """Whether packets in the socket are from before a pause."""
+    """Tracks whether packets in the socket may predate a pause."""
 
     __slots__ = ('_is_stale', '_timers')
 
@@ -22,12 +22,12 @@
         timers.subscribe_pauses(self._handle_pause)
 
     def mark_socket_empty(self) -> None:
-        """Note that the socket holds nothing more."""
+        """Record that the socket has been read until it was empty."""
         self._timers.check_pause()
         self._is_stale = False
 
     def is_stale(self) -> bool:
-        """Return whether a packet has waited through a pause."""
+        """Return whether packets read now may have waited during a pause."""
         # After a pause the socket may be read before any timer runs.
         self._timers.check_pause()
         return self._is_stale
--- a/greengagepath/steering/durations.py
+++ b/greengagepath/steering/durations.py
@@ -1,13 +1,14 @@
-"""Counts of durations, cheap enough for every flow."""
+"""Histogram of durations that is cheap enough to update per flow."""
 
 from bisect import bisect_left
 
-# Upper bounds in seconds; dense around the goals of short requests.
+# Upper bounds in seconds; dense around the latency goals of short
+# requests.
 BOUNDS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5)
 
 
 class DurationCounts:
-    """How many durations fell below each of `BOUNDS_S`, and their sum."""
+    """Number of durations in each bucket of `BOUNDS_S`, and their sum."""
 
     __slots__ = ('counts', 'total_s')
 
@@ -21,7 +22,10 @@
         self.total_s += duration_s
 
     def list_cumulative(self) -> list[tuple[str, int]]:
-        """Return bound and count of all durations up to it."""
+        """Return each bound with the number of durations up to it.
+
+        The last bound is `+Inf`.
+        """
         found = 0
         rows = []
         for bound, count in zip((*BOUNDS_S, '+Inf'), self.counts, strict=True):
--- a/greengagepath/steering/homes.py
+++ b/greengagepath/steering/homes.py
@@ -1,4 +1,4 @@
-"""Home agents of flows by rendezvous hashing."""
+"""Selection of the home agent of a flow by rendezvous hashing."""
 
 from collections.abc import Iterable
 
@@ -8,8 +8,8 @@
 class HomeTable:
     """Agents of one service, ranked for each flow.
 
-    Built from the same addresses in any order, two tables rank them
-    identically, so that balancers and agents agree without a message.
+    Two tables with the same addresses, in any order, rank them
+    identically, so balancers and agents agree without a message.
     """
 
     __slots__ = ('_seeds', 'addresses')
@@ -22,7 +22,7 @@
         )
 
     def rank(self, flow: bytes) -> list[bytes]:
-        """Return all agents, the home first."""
+        """Return the addresses of all agents, the home first."""
         digest = xxhash.xxh3_64_intdigest
         ranked = [
             (digest(flow, seed), address) for seed, address in self._seeds
@@ -31,7 +31,7 @@
         return [address for _, address in ranked]
 
     def find_home(self, flow: bytes) -> bytes | None:
-        """Return the home, None if there is no agent."""
+        """Return the address of the home, None if there is no agent."""
         digest = xxhash.xxh3_64_intdigest
         if not self._seeds:
             return None
--- a/greengagepath/steering/recent_map.py
+++ b/greengagepath/steering/recent_map.py
@@ -1,4 +1,4 @@
-"""Bounded map whose idle entries expire."""
+"""Bounded map that drops idle entries."""
 
 from typing import Generic, TypeVar
 
@@ -34,17 +34,17 @@
         return found
 
     def put(self, key: Key, entry: Entry) -> None:
-        """Remember the value."""
+        """Store the value."""
         if len(self._current) >= self._limit:
             self.rotate()
         self._current[key] = entry
 
     def discard(self, key: Key) -> None:
-        """Forget the value, if there is one."""
+        """Remove the value, if there is one."""
         self._current.pop(key, None)
         self._previous.pop(key, None)
 
     def rotate(self) -> None:
-        """Drop what was not used since the last rotation."""
+        """Drop the entries not used since the last rotation."""
         self._previous = self._current
         self._current = {}
--- a/greengagepath/steering/rotation.py
+++ b/greengagepath/steering/rotation.py
@@ -1,27 +1,27 @@
-"""When a balancer that is told to stop may go out of rotation.
+"""Decides when a stopping balancer may leave the rotation.
 
-Load pattern: balancers of an availability zone are restarted one after
-the other, closer together than a restart takes. The fabric uses all
-balancers of a zone, also those that do not run, while some but fewer
-than half of them are ready; so a balancer stays ready until earlier
-ones are back.
+Load pattern: the balancers of an availability zone are restarted one
+after the other, at intervals shorter than a restart takes. While some
+but fewer than half of a zone's balancers are ready, the fabric sends to
+all of them, including those that are not running. A balancer therefore
+stays ready until those that left before it are back.
 """
 
 from enum import IntEnum, unique
 
 from ..foundation.timers import TimerService
 
-# Balancers announce themselves every second.
+# Balancers send a PRESENCE every second; this allows two lost ones.
 SILENCE_LIMIT_S = 2.4
-# The fabric sees a balancer that is ready again at its next probe.
+# The fabric notices a ready balancer only at its next probe.
 PROBE_DELAY_S = 0.7
-# A balancer silent for this long has been removed.
+# A balancer that was silent for this long is assumed to be removed.
 REMOVE_AFTER_S = 20.0
 
 
 @unique
 class BalancerStage(IntEnum):
-    """What a balancer says of itself; sent as `hops` of a PRESENCE."""
+    """Stage of a balancer's life cycle; sent as `hops` of a PRESENCE."""
 
     READY = 0
     LEAVING = 1
@@ -29,7 +29,10 @@
 
 
 class ZonePeer:
-    """Another balancer of the same availability zone."""
+    """Another balancer of the same availability zone.
+
+    All times are monotonic seconds.
+    """
 
     __slots__ = ('last_seen_s', 'leaving_since_s', 'ready_since_s')
 
@@ -40,7 +43,7 @@
 
 
 class Rotation:
-    """Balancers of one availability zone, as one of them hears them."""
+    """Stages of the other balancers of an availability zone."""
 
     def __init__(self, timers: TimerService) -> None:
         self._timers = timers
@@ -48,13 +51,14 @@
         self._leave_requested_s: float | None = None
 
     def update(self, address: bytes, stage: BalancerStage) -> None:
-        """Take what another balancer of the zone says."""
+        """Record the stage that another balancer of the zone announced."""
         now_s = self._timers.now()
         peer = self._peer_by_address.get(address)
         if peer is None:
             peer = ZonePeer(now_s)
             self._peer_by_address[address] = peer
-            # Balancers that are met in service have been ready before.
+            # A balancer that is ready at the first contact was ready
+            # before, so the fabric has noticed it already.
             if stage is BalancerStage.READY and self._leave_requested_s is None:
                 peer.ready_since_s = now_s - PROBE_DELAY_S
         if now_s - peer.last_seen_s > SILENCE_LIMIT_S:
@@ -73,12 +77,16 @@
                 peer.leaving_since_s = None
 
     def request_leave(self) -> None:
-        """Start to wait; balancers that ask later wait for this one."""
+        """Ask to leave; balancers that ask later wait for this one."""
         if self._leave_requested_s is None:
             self._leave_requested_s = self._timers.now()
 
     def may_leave(self) -> bool:
-        """Return whether the fabric would use only ready balancers."""
+        """Return whether the fabric would still send to ready ones only.
+
+        True too if no other balancer is ready: the fabric then uses the
+        nearest zones.
+        """
         now_s = self._timers.now()
         self._remove_silent(now_s)
         peers = list(self._peer_by_address.values())
--- a/greengagepath/steering/segments.py
+++ b/greengagepath/steering/segments.py
@@ -1,4 +1,4 @@
-"""Packet of a plain flow, as the decisions see it."""
+"""Packet of a plain flow, independent of the wire format."""
 
 import struct
 
@@ -12,9 +12,10 @@
 
     `flow` identifies the flow by the caller's addresses and ports, in
     both directions. `sequence` and `acknowledged` are unsigned 32-bit
-    numbers.
-    `is_returned` marks a caller's packet that the target gave back,
-    `is_refusal` the answer of a target that has not run a request.
+    numbers; `acknowledged` of an opening packet is its copy number.
+    `is_opening_answer` marks a target's answer to an opening packet,
+    `is_returned` a caller's packet that the target sent back, and
+    `is_refusal` a response that says that the request was not run.
     """
 
     __slots__ = (
@@ -56,12 +57,12 @@
 
     @property
     def copy_number(self) -> int:
-        """Return how many copies of an opening packet came before."""
+        """Return how often the opening packet was sent before this copy."""
         return self.acknowledged if self.is_opening else 0
 
 
 def describe_flow(flow: bytes) -> str:
-    """Return `source:port>destination:port` for logs."""
+    """Return the flow as `source:port>destination:port` for logs."""
     source_port, port, destination, source = _FLOW.unpack(flow)
     caller = '.'.join(map(str, source))
     route = '.'.join(map(str, destination))
--- a/greengagepath/steering/service_times.py
+++ b/greengagepath/steering/service_times.py
@@ -1,23 +1,24 @@
-"""Usual service time of a target, from its flows in passing."""
+"""Estimated service time of a target, measured on its flows."""
 
-# A request in a few runs many times longer than the rest; the estimate
-# moves by at most this factor of itself for each request.
+# A few requests run many times longer than the rest; a sample is limited
+# to this multiple of the current estimate.
 MAX_RATIO = 3.0
 GAIN = 0.08
-# What a target is taken for before its first request.
+# Assumed service time before the first request.
 DEFAULT_S = 0.03
-# The first estimate counts as much as this many requests.
+# Weight of the assumed service time, in requests.
 PRIOR_REQUESTS = 2
-# A target that gets no work for this long may have been misjudged.
+# The estimate starts to decay after this time without requests, since it
+# may be wrong.
 IDLE_S = 0.5
 IDLE_HALF_LIFE_S = 1.0
 
 
 class ServiceTime:
-    """Moving average of request times in seconds.
+    """Moving average of request durations in seconds.
 
-    The time of a request that waited in the target's queue is divided
-    by the requests before it in its slot.
+    The duration of a request that waited in the target's queue is
+    divided by the number of requests that its slot ran until it was done.
     """
 
     __slots__ = ('_average_s', '_sampled_s', '_samples')
@@ -28,7 +29,7 @@
         self._sampled_s = 0.0
 
     def add(self, duration_s: float, now_s: float) -> None:
-        """Take the time of one request."""
+        """Add the duration of one request."""
         self._samples += 1
         self._sampled_s = now_s
         gain = max(GAIN, 1 / (self._samples + PRIOR_REQUESTS))
@@ -36,13 +37,14 @@
         self._average_s += (clamped_s - self._average_s) * gain
 
     def estimate_s(self, now_s: float, peer_average_s: float) -> float:
-        """Return the time of a request now, 0 before the first.
-
-        Without requests an estimate above `peer_average_s`, that of other
-        targets, and above the default halves its distance to the lower
-        of them every second: a misjudged target, or a service all of
-        whose targets are misjudged, would otherwise never get the work
-        that corrects it.
+        """Return the estimate in seconds, 0 before the first request.
+
+        `peer_average_s` is the average of the other targets. While the
+        target is idle, an estimate above both `peer_average_s` and the
+        default halves its distance to the lower of the two every second.
+        Otherwise a target with a wrong estimate, or a service whose
+        targets all have one, would never get the requests that correct
+        it.
         """
         if not self._samples:
             return 0.0
--- a/greengagepath/steering/settings.py
+++ b/greengagepath/steering/settings.py
@@ -15,11 +15,11 @@
 
 
 class ListenAddresses:
-    """Where a process listens; None where it does not.
+    """Addresses on which a process listens; None if it does not.
 
-    `data` takes packets of callers, `target_outbound` those of the
-    target, `heartbeats` what the target says of itself. A `metrics_port`
-    of 0 switches the metrics off.
+    `data` receives packets from callers, `target_outbound` packets from
+    the target and `heartbeats` the target's heartbeats over HTTP. A
+    `metrics_port` of 0 disables the metrics.
     """
 
     __slots__ = (
@@ -39,7 +39,11 @@
 
 
 class SteeringSettings:
-    """Who this process is, where it listens and whom it knows."""
+    """Identity, addresses and initial peers of a steering daemon.
+
+    Raises KeyError for a missing setting and ValueError, TypeError,
+    AttributeError or OSError for an unreadable one.
+    """
 
     __slots__ = (
         'address',
@@ -83,19 +87,19 @@
 
     @property
     def balancer_port(self) -> int:
-        """Return the UDP port of balancers for other processes."""
+        """Return the UDP port on which balancers receive peer messages."""
         return self.peer_ports[0]
 
     @property
     def agent_port(self) -> int:
-        """Return the UDP port of agents for other processes."""
+        """Return the UDP port on which agents receive peer messages."""
         return self.peer_ports[0] + 1
 
 
 def load_steering_settings(path: str) -> Result[SteeringSettings, str]:
-    """Return the settings, or what is wrong with the file."""
+    """Return the settings, or a message that names the problem."""
     try:
-        # pathlib would load 1 MB that nothing else needs.
+        # Importing pathlib would take 1 MB that nothing else needs.
         with open(path, 'rb') as opened:  # noqa: PTH123
             return Ok(SteeringSettings(tomllib.load(opened)))
     except KeyError as error:
@@ -105,7 +109,7 @@
 
 
 def pack_address(host: str) -> bytes | None:
-    """Return the 4 bytes of an IPv4 address, None if it is none."""
+    """Return the 4 bytes of an IPv4 address, None if it is invalid."""
     try:
         return socket.inet_pton(socket.AF_INET, host)
     except OSError:
@@ -113,7 +117,7 @@
 
 
 def format_address(address: bytes) -> str:
-    """Return four bytes as an IPv4 address in text."""
+    """Return the dotted text form of a packed IPv4 address."""
     return '.'.join(str(octet) for octet in address[:ADDRESS_BYTES])
 
 
--- a/greengagepath/steering/store.py
+++ b/greengagepath/steering/store.py
@@ -1,4 +1,4 @@
-"""What the steering daemons read from and write to the platform's store."""
+"""Interface of the steering daemons to the platform's store."""
 
 from collections import Counter
 from enum import Enum, unique
@@ -18,7 +18,7 @@
 
 
 class Member:
-    """Address of a process of the system, as the store lists it."""
+    """Address and role of a process that is registered in the store."""
 
     __slots__ = ('address', 'role')
 
@@ -28,7 +28,7 @@
 
 
 class StoredRoutes:
-    """Routes and the store's revision; None if nothing has changed."""
+    """Routes and the store's revision; `table` is None if unchanged."""
 
     __slots__ = ('revision', 'table')
 
@@ -38,7 +38,11 @@
 
 
 class StoreProblem:
-    """Why a call failed; `is_history_lost` asks for a read from the start."""
+    """Reason why a call failed.
+
+    `is_history_lost` means that the store cannot watch from the revision
+    any more, so that the caller has to read again.
+    """
 
     __slots__ = ('is_history_lost', 'reason')
 
@@ -48,24 +52,24 @@
 
 
 class SteeringStore(Protocol):
-    """Calls block the greenlet until the answer or a time-out.
+    """Store whose calls block the greenlet until an answer or time-out.
 
-    `calls` counts them by operation and outcome.
+    `calls` counts the calls by operation and outcome.
     """
 
     calls: Counter[tuple[str, str]]
 
     def read_routes(self) -> Result[StoredRoutes, StoreProblem]:
-        """Return the configuration, linearizable."""
+        """Return the configuration of a linearizable read."""
 
     def watch_routes(self, revision: int) -> Result[StoredRoutes, StoreProblem]:
-        """Wait for a configuration after the revision."""
+        """Wait for a configuration that is newer than the revision."""
 
     def list_members(self) -> Result[list[Member], StoreProblem]:
-        """Return all processes that are registered."""
+        """Return all registered processes."""
 
     def add_member(self, member: Member) -> Result[None, StoreProblem]:
-        """Register a process; once more changes nothing."""
+        """Register a process; idempotent."""
 
     def remove_member(self, member: Member) -> Result[None, StoreProblem]:
-        """Remove a process for good."""
+        """Remove the registration of a process."""
