Reword messages, placement, routes and flow tables of steering

Cause: docstrings were terse or personified the processes, and one named a constant that does not exist. Change: plain terms with units; decoding errors of reports and rosters name what was expected. Rules, numbers and their reasons stay.

--- a/greengagepath/steering/held_flows.py
+++ b/greengagepath/steering/held_flows.py
@@ -1,4 +1,4 @@
-"""Flows that the target beside an agent holds."""
+"""Flows that an agent's target holds, and the load they cause."""
 
 from collections.abc import Iterator
 
@@ -9,19 +9,22 @@
 from .service_times import ServiceTime
 
 MAX_FLOWS = 20000
-# The caller's request follows the opening packet within a round trip;
-# after an outage many callers of opening packets have given up.
+# How long an opened flow counts as load without a request. The request
+# follows the opening packet within a round trip, but after an outage many
+# callers have timed out and send none.
 REQUEST_EXPECTED_S = 0.15
-# A request in progress for longer is not counted as load.
+# A request that runs for longer is no longer counted as load.
 MAX_REQUEST_S = 10.0
-# A target that refused is tried with one more request after this time.
+# After a refusal the load limit rises by one request per interval.
 LIMIT_STEP_S = 0.25
-# Requests for each slot that a target takes in any case; a target also
-# refuses what has waited too long, whatever its queue holds.
+# Lowest load limit per slot. A target also refuses requests that have
+# waited too long, however short its queue is; without this minimum such
+# refusals would leave it idle.
 MIN_LOAD_PER_SLOT = 2
-# Late packets of a closed flow are still answered by the target.
+# Closed flows are kept this long, since the target still answers their
+# late packets.
 CLOSED_RETENTION_S = 3.0
-# Acknowledgements lie at most this far above the first sequence number.
+# Largest distance of an acknowledgement from the first sequence number.
 MAX_SENT_BYTES = 0x10000000
 _SEQUENCE_MASK = 0xFFFFFFFF
 
@@ -29,11 +32,12 @@
 class HeldFlow:
     """One flow at the target.
 
-    `service_rounds` is how many requests one after the other its slot works on
-    until this one is done, estimated when the request came.
-    `offer` and `opening` are kept until the target answers, to hand the
-    flow over; `first_sequence` is the target's, None if its answer was
-    not seen.
+    `service_rounds` is how many requests a slot has to run one after the
+    other until that of this flow is done, estimated at its arrival.
+    `offer` (the message) and `opening` (its packet) are kept until the
+    target answers, so that the flow can be handed over to another agent.
+    `first_sequence` is the target's first sequence number, None if its
+    answer was not seen. All times are monotonic seconds.
     """
 
     __slots__ = (
@@ -66,7 +70,7 @@
         self.service_rounds = 1.0
 
     def matches(self, segment: Segment) -> bool:
-        """Return whether the caller's packet belongs to this opening.
+        """Return whether the caller's packet belongs to the target's answer.
 
         Two targets may answer copies of one opening packet; the caller
         acknowledges the first sequence number of one of them.
@@ -80,7 +84,7 @@
 
 
 class HeldFlows:
-    """All flows of the target, and the work they cause."""
+    """All flows of the target, and the load that they cause."""
 
     def __init__(self) -> None:
         self.by_flow: dict[bytes, HeldFlow] = {}
@@ -94,13 +98,13 @@
 
     @property
     def load(self) -> int:
-        """Return requests in progress and those about to come."""
+        """Return the number of requests in progress or expected."""
         return len(self._expected_since_s) + len(self._started_s_by_flow)
 
     def accept(
         self, segment: Segment, offer: PeerMessage, now_s: float
     ) -> HeldFlow:
-        """Add the flow of an opening packet that goes to the target."""
+        """Add the flow of an opening packet that is sent to the target."""
         held = HeldFlow(offer.balancer, offer.hops, now_s)
         held.offer = offer
         held.opening = segment
@@ -118,7 +122,7 @@
     def record_request(
         self, flow: bytes, held: HeldFlow, slots: int, now_s: float
     ) -> None:
-        """Note data on its way to the target."""
+        """Record request data that is sent to the target."""
         held.last_used_s = now_s
         self._expected_since_s.pop(flow, None)
         if held.request_started_s is None:
@@ -130,7 +134,7 @@
     def record_opened(
         self, held: HeldFlow, sequence: int, now_s: float
     ) -> None:
-        """Note the target's answer to an opening packet."""
+        """Record the target's answer to an opening packet."""
         held.first_sequence = sequence
         held.is_answered = True
         held.offer = None
@@ -140,9 +144,10 @@
     def record_response(
         self, flow: bytes, held: HeldFlow, now_s: float
     ) -> float | None:
-        """Note data from the target, which ends the work.
+        """Record response data of the target, which ends the request.
 
-        Return how many seconds the work took, None if there was none.
+        Return the duration of the request in seconds, None if none was
+        in progress.
         """
         held.last_used_s = now_s
         if held.request_started_s is None:
@@ -158,9 +163,9 @@
     def record_refusal(
         self, flow: bytes, held: HeldFlow, slots: int, now_s: float
     ) -> None:
-        """Note that the target refused a request, since its queue is full.
+        """Record that the target refused a request as its queue is full.
 
-        The load at that moment, without the request, is its limit.
+        The load at that moment, without the request, becomes the limit.
         """
         held.last_used_s = now_s
         held.request_started_s = None
@@ -169,27 +174,27 @@
         self._limit_set_s = now_s
 
     def is_full(self, now_s: float) -> bool:
-        """Return whether one more flow would probably be refused."""
+        """Return whether the target would probably refuse another flow."""
         if self._limit is None:
             return False
         risen = int((now_s - self._limit_set_s) / LIMIT_STEP_S)
         return self.load >= self._limit + risen
 
     def record_closed(self, flow: bytes, held: HeldFlow, now_s: float) -> None:
-        """Note that the target ended the flow."""
+        """Record that the flow was closed."""
         held.is_closed = True
         held.last_used_s = now_s
         self._expected_since_s.pop(flow, None)
         self._started_s_by_flow.pop(flow, None)
 
     def remove(self, flow: bytes) -> HeldFlow | None:
-        """Forget a flow that the target does not hold."""
+        """Remove a flow that the target does not hold; return it."""
         self._expected_since_s.pop(flow, None)
         self._started_s_by_flow.pop(flow, None)
         return self.by_flow.pop(flow, None)
 
     def clear(self) -> None:
-        """Forget all flows, which a restarted target has lost."""
+        """Remove all flows, since a restarted target has lost them."""
         self.by_flow.clear()
         self._expected_since_s.clear()
         self._started_s_by_flow.clear()
@@ -199,10 +204,11 @@
     def iter_unanswered(
         self, min_checks: int
     ) -> Iterator[tuple[bytes, HeldFlow]]:
-        """Yield flows not answered at that many calls, this one included.
+        """Yield flows without an answer after `min_checks` calls.
 
-        Calls and not seconds are counted: after a pause of the process
-        the answers wait in its socket.
+        The present call is included. Calls are counted instead of
+        seconds because the answers are still queued in the socket after
+        a pause of the process.
         """
         for flow in tuple(self._expected_since_s):
             held = self.by_flow[flow]
@@ -213,7 +219,7 @@
                 yield flow, held
 
     def expire_expected(self, now_s: float) -> None:
-        """Don't count flows any more whose request has not come."""
+        """Stop counting flows whose request has not arrived in time."""
         before_s = now_s - REQUEST_EXPECTED_S
         while self._expected_since_s:
             flow, since_s = next(iter(self._expected_since_s.items()))
@@ -222,7 +228,10 @@
             del self._expected_since_s[flow]
 
     def sweep(self, now_s: float, idle_s: float) -> None:
-        """Drop closed and idle flows, and work that takes too long."""
+        """Remove closed and idle flows; stop counting overlong requests.
+
+        Flows without a packet for `idle_s` seconds are idle.
+        """
         drop_older(self._started_s_by_flow, now_s - MAX_REQUEST_S)
         closed_before_s = now_s - CLOSED_RETENTION_S
         idle_before_s = now_s - idle_s
--- a/greengagepath/steering/known_agents.py
+++ b/greengagepath/steering/known_agents.py
@@ -1,4 +1,4 @@
-"""Agents as a balancer hears them."""
+"""Agents known to a balancer, by address and by service."""
 
 import logging
 
@@ -8,8 +8,8 @@
 from .peer_messages import NO_SERVICE, LoadReport, ReportedState
 from .settings import format_address
 
-# Agents report every 250 ms; three lost in a row mean that an agent
-# does not run or cannot be reached.
+# Agents report every 250 ms; three lost reports in a row mean that an
+# agent is not running or cannot be reached.
 SILENCE_LIMIT_S = 0.9
 REMOVE_AFTER_S = 60.0
 CHECK_S = 0.25
@@ -18,7 +18,11 @@
 
 
 class KnownAgent:
-    """What a balancer knows of an agent; `service` is empty until told."""
+    """Last reported service and state of an agent.
+
+    `service` is `NO_SERVICE` and `state` ABSENT until the first report;
+    `last_seen_s` is in monotonic seconds.
+    """
 
     __slots__ = ('address', 'last_seen_s', 'service', 'state')
 
@@ -29,13 +33,13 @@
         self.last_seen_s = last_seen_s
 
     def may_hold_flows_of(self, service: bytes) -> bool:
-        """Return whether flows of the service may be at the target."""
+        """Return whether the target may hold flows of the service."""
         is_present = self.state is not ReportedState.ABSENT
         return is_present and self.service == service
 
 
 class ServiceAgents:
-    """Agents of one service: all, and those heard lately."""
+    """Agents of one service: all, and those with a recent report."""
 
     __slots__ = ('known', 'live')
 
@@ -44,13 +48,19 @@
         self.live = HomeTable(live)
 
     def find_home(self, flow: bytes) -> bytes | None:
-        """Return the home of an open flow, None if there is no agent."""
+        """Return the home of an open flow, None if there is no agent.
+
+        Silent agents are considered only if no other agent is left.
+        """
         homes = self.live if self.live.addresses else self.known
         return homes.find_home(flow)
 
 
 class KnownAgents:
-    """Agents by address, ranked by service."""
+    """Table of agents by address and, for routing, by service.
+
+    `pauses` counts the pauses of this process.
+    """
 
     def __init__(self, timers: TimerService) -> None:
         self.by_address: dict[bytes, KnownAgent] = {}
@@ -61,7 +71,7 @@
         timers.subscribe_pauses(self._exclude_pause)
 
     def add(self, address: bytes) -> KnownAgent:
-        """Add an agent that has not reported yet."""
+        """Add an agent that has not sent a report yet."""
         agent = KnownAgent(address, self._timers.now())
         self.by_address[address] = agent
         return agent
@@ -69,7 +79,7 @@
     def record_report(
         self, address: bytes, service: bytes, report: LoadReport
     ) -> None:
-        """Take what an agent says of its target."""
+        """Record the load report of an agent."""
         agent = self.by_address.get(address) or self.add(address)
         now_s = self._timers.now()
         was_silent = now_s - agent.last_seen_s > SILENCE_LIMIT_S
@@ -91,7 +101,7 @@
         self._index_by_service()
 
     def _exclude_pause(self, pause_s: float) -> None:
-        """Don't count a pause of this process as silence of the agents."""
+        """Exclude a pause of this process from the silence of agents."""
         self.pauses += 1
         for agent in self.by_address.values():
             agent.last_seen_s += pause_s
@@ -120,7 +130,10 @@
 
 
 def _is_notable_change(agent: KnownAgent, report: LoadReport) -> bool:
-    """Return whether a state is worth a line; full and back is not."""
+    """Return whether a change of state is logged.
+
+    Changes between READY, UNHEARD and FULL are not.
+    """
     usual = {
         ReportedState.READY,
         ReportedState.UNHEARD,
--- a/greengagepath/steering/owner_search.py
+++ b/greengagepath/steering/owner_search.py
@@ -1,4 +1,4 @@
-"""Finds the agent whose target holds a flow."""
+"""Search for the agent whose target holds a flow."""
 
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
@@ -13,10 +13,11 @@
 
 
 class OwnerSearch:
-    """Passes on packets of flows that the agent's target does not hold.
+    """Forwards packets of flows that the agent's target does not hold.
 
-    A process that has just started does not know which flows its target
-    holds; until `idle_s` after its start it tries the target once.
+    A restarted agent does not know which flows its target holds. Until
+    `idle_s` after its start it therefore first sends one packet of each
+    unknown flow to the target, which returns it if it has no such flow.
     """
 
     def __init__(
@@ -28,7 +29,8 @@
         self._context = context
         self._reports = reports
         self._owner_by_flow = owner_by_flow
-        # The balancer to answer, empty if others are asked already.
+        # Balancer to notify, by flow that was tried at the target; empty if
+        # another agent has started the search.
         self._balancer_by_tried_flow: RecentMap[bytes, bytes] = RecentMap(
             MAX_OWNERS
         )
@@ -56,7 +58,7 @@
         self._search_all_agents(segment, message.balancer)
 
     def handle_returned(self, segment: Segment, held: HeldFlow | None) -> None:
-        """Handle a packet that the target gave back."""
+        """Handle a packet of an open flow that the target sent back."""
         self._context.counts['packets_returned'] += 1
         balancer = (
             held.balancer
@@ -67,11 +69,11 @@
             self._search_all_agents(segment, balancer)
 
     def reset_search_limit(self) -> None:
-        """Allow the searches of another second."""
+        """Start a new second of the limit on searches."""
         self._searches_left = MAX_SEARCHES_PER_S
 
     def rotate(self) -> None:
-        """Forget flows that have been idle."""
+        """Drop entries of idle flows."""
         self._owner_by_flow.rotate()
         self._balancer_by_tried_flow.rotate()
 
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -1,8 +1,8 @@
 """Datagrams between balancers and agents.
 
 All start with the same header: kind, hops, priority and response-time
-goal of the route, digest of the service, address of a balancer and the
-highest configuration version that the sender has seen.
+goal of the route in ms, digest of the service, address of a balancer
+and the highest configuration version that the sender has seen.
 """
 
 import struct
@@ -19,7 +19,7 @@
 MAX_GOAL_MS = 0xFFFF
 MAX_COUNT = 0xFFFF
 ADDRESS_BYTES = 4
-# Addresses of one roster; a datagram stays below 1,300 B.
+# Addresses in one roster; keeps the datagram below 1,300 B.
 MAX_ROSTER = 300
 _REPORT = struct.Struct('!QIHHfB')
 _COUNT = struct.Struct('!H')
@@ -27,17 +27,17 @@
 
 @unique
 class PeerKind(IntEnum):
-    """What a datagram between processes carries."""
+    """Kind of a datagram between processes."""
 
-    # A caller's packet: opening, to the home of its flow.
+    # An opening packet, from a balancer to the home of its flow.
     OPEN = 1
-    # A caller's packet: opening, to the agent chosen by another agent.
+    # An opening packet, to the agent that another agent has chosen.
     PLACE = 2
-    # A caller's packet of an open flow, from a balancer.
+    # A packet of an open flow, from a balancer.
     FORWARD = 3
-    # The same, from the home of its flow to the owner.
+    # A packet of an open flow, from its home to the owner.
     RELAY = 4
-    # The same, to every agent of the service.
+    # A packet of an open flow, to every agent of the service.
     SEARCH = 5
     # The sender's target holds the flow in the body.
     HELD = 6
@@ -45,17 +45,17 @@
     REPORT = 7
     # The sender is a balancer; the body is a roster.
     PRESENCE = 8
-    # The sender asks for the configuration that the receiver holds.
+    # Request for the receiver's copy of the configuration.
     PULL = 9
-    # One part of a configuration.
+    # One part of a configuration copy.
     PART = 10
 
 
 class PeerMessage:
-    """A datagram from another process of the system.
+    """A datagram between two processes of the system.
 
-    `priority` (0 is highest) and `goal_ms` (0 if none) are those of the
-    route of an opening packet.
+    `priority` (0 is highest) and `goal_ms` (0 if there is no goal) come
+    from the route of an opening packet.
     """
 
     __slots__ = (
@@ -91,7 +91,7 @@
         self.body = body
 
     def encode(self) -> bytes:
-        """Return the datagram."""
+        """Return the datagram; too large values are set to the maximum."""
         head = HEADER.pack(
             self.kind,
             self.hops,
@@ -109,22 +109,23 @@
     """State of a target in a report."""
 
     READY = 1
-    # Serves its flows and takes no new ones.
+    # Serves its flows and accepts no new ones.
     DRAINING = 2
     # Has left or does not answer.
     ABSENT = 3
-    # Serves, but its queue takes no more.
+    # Serves, but its queue is full.
     FULL = 4
-    # Not heard since the start of its agent.
+    # Has sent no heartbeat since its agent started.
     UNHEARD = 5
 
 
 class LoadReport:
-    """What an agent says of its target.
+    """Load and state of a target, as reported by its agent.
 
-    `started_ms` is the target's start in ms since the epoch, 0 if not
-    known yet; `load` counts requests in progress and flows opened
-    without a request; `service_s` is the usual time of a request.
+    `started_ms` is the target's start in ms since the epoch, 0 if
+    unknown; `load` counts requests in progress and opened flows whose
+    request is still expected; `service_s` is the estimated duration of
+    a request in seconds, 0 if unknown.
     """
 
     __slots__ = ('load', 'service_s', 'slots', 'started_ms', 'state')
@@ -166,20 +167,20 @@
         self.agents = agents
 
     def encode(self) -> bytes:
-        """Return the body of a PRESENCE; addresses past the limit are cut."""
+        """Return the body of a PRESENCE with at most `MAX_ROSTER` addresses."""
         balancers = self.balancers[: MAX_ROSTER // 2]
         agents = self.agents[: MAX_ROSTER - len(balancers)]
         return _COUNT.pack(len(balancers)) + b''.join(balancers + agents)
 
 
 def digest_service(name: str) -> bytes:
-    """Return the 8 bytes that name a service in datagrams."""
-    # hashlib would load OpenSSL, 3.5 MB in each process.
+    """Return the 8-byte digest that identifies a service in datagrams."""
+    # Importing hashlib would load OpenSSL, 3.5 MB in each process.
     return xxhash.xxh3_64_digest(name.encode())
 
 
 def decode_message(datagram: bytes) -> Result[PeerMessage, str]:
-    """Return the message, or why the datagram is none."""
+    """Return the message, or why the datagram is invalid."""
     if len(datagram) < HEADER.size:
         return Err('datagram is shorter than a header')
     fields = HEADER.unpack_from(datagram)
@@ -201,12 +202,12 @@
 
 
 def decode_report(body: bytes) -> Result[LoadReport, str]:
-    """Return the report of a REPORT, or why the body is none."""
+    """Return the report in the body of a REPORT, or why it is invalid."""
     if len(body) != _REPORT.size:
-        return Err(f'report of {len(body)} B')
+        return Err(f'report has {len(body)} B, expected {_REPORT.size} B')
     started_ms, _, slots, load, service_s, state = _REPORT.unpack(body)
     if state not in _STATES or not 0 <= service_s < _MAX_SERVICE_S:
-        return Err('report holds values out of range')
+        return Err('report has values out of range')
     report = LoadReport(
         _STATES[state],
         started_ms=started_ms,
@@ -218,13 +219,13 @@
 
 
 def decode_roster(body: bytes) -> Result[Roster, str]:
-    """Return the roster of a PRESENCE, or why the body is none."""
+    """Return the roster in the body of a PRESENCE, or why it is invalid."""
     if len(body) < _COUNT.size:
-        return Err('roster without a count')
+        return Err('roster has no count of balancers')
     count = _COUNT.unpack_from(body)[0]
     listed = body[_COUNT.size :]
     if len(listed) % ADDRESS_BYTES or count * ADDRESS_BYTES > len(listed):
-        return Err('roster is cut')
+        return Err('roster is truncated')
     addresses = [
         listed[start : start + ADDRESS_BYTES]
         for start in range(0, len(listed), ADDRESS_BYTES)
--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -1,38 +1,41 @@
-"""Which target gets a new flow.
+"""Choice of the target for a new flow.
 
 Load pattern: flows carry one request each, demand triples within
-seconds, targets differ in speed by up to three times and hold a few
-requests at once. Each new flow goes where it is expected to finish
-first; reports are up to `STALE_S` old, so placements of one's own since
-then are added.
+seconds, targets differ in speed by a factor of up to three and run a
+few requests at once. Each new flow goes to the target that is expected
+to finish it first. Reports are up to `SILENCE_LIMIT_S` old, so the flows
+that this agent has placed since a report are added to its load.
 """
 
 from .peer_messages import LoadReport, ReportedState
 from .service_times import DEFAULT_S
 
-# Reports come at least every 100 ms; three lost in a row mean that the
-# agent does not run or cannot be reached.
+# Reports arrive at least every 100 ms; three lost in a row mean that the
+# agent is not running or cannot be reached.
 SILENCE_LIMIT_S = 0.35
-# A report left its agent this long before it arrived, so placements
-# this young are not in it.
+# Transit time of a report: flows placed less than this long before its
+# arrival are not included in its load.
 REPORT_TRANSIT_S = 0.003
-# After a power loss an agent starts before its target; one that has
-# been heard goes first.
+# After a power loss an agent starts before its target, so targets that
+# have sent a heartbeat are preferred.
 UNHEARD_PENALTY_S = 0.1
-# States of targets that take new flows.
+# States of targets that accept new flows.
 ACCEPTING_STATES = frozenset((ReportedState.READY, ReportedState.UNHEARD))
-# A request of the highest priority is taken while it should finish
-# within this share of its goal. The rest is for the way between caller
-# and target, which the agent does not see, and for requests that run
-# longer than usual. Each lower priority gets less, so that urgent work
-# still finds room at the crest.
+# A request of the highest priority is accepted if it is expected to finish
+# within this share of its goal. The rest is for the network between
+# caller and target, which the agent cannot measure, and for requests that
+# run longer than average. Each lower priority gets a smaller share, so
+# that urgent requests are still accepted at peak load.
 TOP_PRIORITY_SHARE = 0.6
 SHARE_STEP = 0.1
 MIN_SHARE = 0.3
 
 
 class PeerLoad:
-    """What an agent believes of one target of its service."""
+    """Last report of another target, and the flows placed there since.
+
+    `last_seen_s` is the monotonic time of the report in seconds.
+    """
 
     __slots__ = ('_placements_s', 'address', 'last_seen_s', 'report')
 
@@ -43,7 +46,7 @@
         self._placements_s: list[float] = []
 
     def update(self, report: LoadReport, now_s: float) -> None:
-        """Replace the load; placements in transit stay added."""
+        """Store a report; keep the placements that it cannot include yet."""
         self.report = report
         self.last_seen_s = now_s
         if self._placements_s:
@@ -53,25 +56,26 @@
             ]
 
     def record_placement(self, now_s: float) -> None:
-        """Add a flow that was sent to the target."""
+        """Count a flow that was sent to the target."""
         self._placements_s.append(now_s)
 
     def is_usable(self, now_s: float) -> bool:
-        """Return whether the target takes new flows."""
+        """Return whether the target accepts new flows and is not silent."""
         if self.report.state not in ACCEPTING_STATES:
             return False
         return now_s - self.last_seen_s < SILENCE_LIMIT_S
 
     def estimate_load(self) -> int:
-        """Return requests and opened flows believed to be there."""
+        """Return the reported load plus the placements since."""
         return self.report.load + len(self._placements_s)
 
 
 class Estimate:
-    """How long a request takes that starts now, and whether it waits.
+    """Expected duration of a request that arrives now.
 
-    `rank_s` orders targets; it lies above `finish_s` for one that may
-    not run.
+    `finish_s` is the duration in seconds; `is_waiting` tells whether the
+    request would be queued. `rank_s` orders the targets; it is above
+    `finish_s` for a target that may not be running.
     """
 
     __slots__ = ('finish_s', 'is_waiting', 'rank_s')
@@ -79,9 +83,10 @@
     def __init__(
         self, load: int, slots: int, service_s: float, peer_average_s: float
     ) -> None:
-        """Estimate from the load and the time of one request.
+        """Estimate from the load and the duration of one request.
 
-        `peer_average_s` stands in for a target that has not served a request.
+        `peer_average_s` replaces a `service_s` of 0, which is that of a
+        target that has not served a request.
         """
         request_s = service_s or peer_average_s or DEFAULT_S
         waiting = max(load - slots + 1, 0)
@@ -90,13 +95,16 @@
         self.is_waiting = waiting > 0
 
     def add_state_penalty(self, state: ReportedState) -> None:
-        """Rank a target that was not heard yet behind the others."""
+        """Rank a target without a heartbeat behind the others."""
         if state is ReportedState.UNHEARD:
             self.rank_s += UNHEARD_PENALTY_S
 
 
 def average_service_s(loads: list[PeerLoad]) -> float:
-    """Return the mean service time of targets that have one, or 0."""
+    """Return the mean service time in seconds, 0 if none is known.
+
+    Targets that have not served a request are left out.
+    """
     known = [load.report.service_s for load in loads if load.report.service_s]
     return sum(known) / len(known) if known else 0.0
 
@@ -104,9 +112,9 @@
 def choose_peer(
     loads: list[PeerLoad], now_s: float, excluded: bytes = b''
 ) -> tuple[Estimate, PeerLoad] | None:
-    """Return the target that should finish first.
+    """Return the target that is expected to finish first.
 
-    None if no target takes new flows.
+    None if no target accepts new flows.
     """
     peer_average_s = average_service_s(loads)
     best: tuple[Estimate, PeerLoad] | None = None
@@ -124,13 +132,14 @@
 
 
 def should_accept(estimate: Estimate, goal_s: float, priority: int) -> bool:
-    """Return whether a request should be taken rather than refused.
-
-    Load pattern: after an outage, or when demand triples, more comes
-    than can finish. A full queue would make all answers late; refused
-    callers may try again at once. A goal of 0 means that none is known.
-    A free slot is always used: refusals for want of speed would leave a
-    misjudged service idle.
+    """Return whether a request should be accepted rather than refused.
+
+    Load pattern: after an outage, or when demand triples, more requests
+    arrive than can finish. A full queue would make all responses late,
+    whereas refused callers can retry at once. A `goal_s` of 0 means that
+    the route has no goal. A free slot is always used: refusing requests
+    because targets seem too slow would leave a service idle whose
+    estimates are wrong.
     """
     if not goal_s or not estimate.is_waiting:
         return True
--- a/greengagepath/steering/route_codec.py
+++ b/greengagepath/steering/route_codec.py
@@ -1,4 +1,4 @@
-"""Compact form of routes for the transfer between processes."""
+"""Compact encoding of routes for the transfer between processes."""
 
 import struct
 from collections.abc import Iterator
@@ -17,7 +17,7 @@
 
 
 def encode_routes(table: RouteTable) -> bytes:
-    """Return all routes of a table; the version goes beside them."""
+    """Return all routes of a table; the version is sent separately."""
     return b''.join(
         _encode_route(destination, route)
         for destination, route in sorted(table.by_destination.items())
@@ -25,7 +25,7 @@
 
 
 def decode_routes(version: int, encoded: bytes) -> Result[RouteTable, str]:
-    """Return the table, or that the bytes are none."""
+    """Return the table, or why the bytes cannot be decoded."""
     try:
         return Ok(RouteTable(version, dict(_decode(encoded))))
     except (struct.error, UnicodeDecodeError, IndexError) as error:
--- a/greengagepath/steering/route_copies.py
+++ b/greengagepath/steering/route_copies.py
@@ -1,8 +1,9 @@
-"""Copies of the configuration that processes take from each other.
+"""Copies of the configuration that processes request from each other.
 
-The store is asked first. While it is down or turns a VM away, a process
-that has started or that is behind takes the configuration from a peer;
-agents keep a copy so that it outlives the restart of all balancers.
+The store is asked first. While it is down or rejects a VM, a process that
+has just started or has an outdated version gets the configuration from a
+peer. Agents keep a copy too, so that it survives a restart of all
+balancers.
 """
 
 import struct
@@ -16,7 +17,7 @@
 
 
 class RouteCopy:
-    """Encoded routes of one version; version 0 is none."""
+    """Encoded routes of one version; version 0 means no copy."""
 
     __slots__ = ('encoded', 'version')
 
@@ -25,7 +26,7 @@
         self.encoded = encoded
 
     def make_parts(self, service: bytes) -> Iterator[PeerMessage]:
-        """Return the datagrams that carry the copy."""
+        """Yield the messages that carry the copy."""
         count = -(-len(self.encoded) // PART_BYTES) or 1
         for index in range(count):
             start = index * PART_BYTES
@@ -39,7 +40,7 @@
 
 
 class RouteAssembly:
-    """Puts parts of the highest version together."""
+    """Assembles the parts of the highest version received."""
 
     __slots__ = ('_count', '_part_by_index', '_version')
 
@@ -49,7 +50,10 @@
         self._part_by_index: dict[int, bytes] = {}
 
     def add(self, message: PeerMessage) -> RouteCopy | None:
-        """Take a part; return the copy when it is complete."""
+        """Add a part; return the copy once it is complete.
+
+        Parts of older versions and malformed parts are ignored.
+        """
         if len(message.body) < _PART.size:
             return None
         index, count = _PART.unpack_from(message.body)
--- a/greengagepath/steering/routes.py
+++ b/greengagepath/steering/routes.py
@@ -1,4 +1,4 @@
-"""Routes of the configuration in force."""
+"""Routes of the active configuration."""
 
 import xxhash
 from result import Err, Ok, Result
@@ -8,7 +8,7 @@
 
 
 class ServiceShare:
-    """Digest of a service and its share of the new flows of a route."""
+    """Digest of a service and its weight among the services of a route."""
 
     __slots__ = ('service', 'weight')
 
@@ -18,10 +18,10 @@
 
 
 class Route:
-    """Where new flows to one address and port go.
+    """Services that get the new flows to one address and port.
 
-    `goal_s` is the response-time goal, 0 if there is none; 0 is the
-    highest `priority`.
+    `goal_s` is the response-time goal in seconds, 0 if there is none;
+    a `priority` of 0 is the highest.
     """
 
     __slots__ = ('goal_s', 'name', 'priority', 'shares')
@@ -40,7 +40,13 @@
         self.priority = priority
 
     def choose_service(self, flow: bytes) -> bytes | None:
-        """Return the service of a new flow; all copies get the same."""
+        """Return the service of a new flow, None if there is none to choose.
+
+        A single service is chosen whatever its weight; of several, the
+        sum of the weights has to be above 0. The choice depends on the
+        flow only, so that all copies of an opening packet get the same
+        service.
+        """
         if len(self.shares) == 1:
             return self.shares[0].service
         total = sum(share.weight for share in self.shares)
@@ -57,7 +63,7 @@
 
 
 class RouteTable:
-    """Routes of one version, by packed address and port of callers."""
+    """Routes of one version, by packed destination port and address."""
 
     __slots__ = ('by_destination', 'version')
 
@@ -67,7 +73,7 @@
 
 
 class RouteHolder:
-    """Applies only higher versions and knows whether it is behind."""
+    """Holds the active routes and the highest version seen at a peer."""
 
     __slots__ = ('latest_seen', 'table')
 
@@ -77,23 +83,26 @@
 
     @property
     def version(self) -> int:
-        """Return the version in force, 0 if there is none."""
+        """Return the active version, 0 if there is none."""
         return self.table.version if self.table else 0
 
     @property
     def is_behind(self) -> bool:
-        """Return whether a higher version than that in force exists."""
+        """Return whether a version above the active one exists."""
         return self.latest_seen > self.version
 
     def observe_version(self, version: int) -> bool:
-        """Take a version that a peer has seen; True if it is news."""
+        """Record a version seen at a peer.
+
+        Return True if it is the highest so far and above the active one.
+        """
         if version <= self.latest_seen:
             return False
         self.latest_seen = version
         return self.is_behind
 
     def apply(self, table: RouteTable) -> Result[RouteTable, str]:
-        """Put the table in force unless one as new is."""
+        """Make the table active if its version is above the active one."""
         if self.table and table.version <= self.version:
             return Err(f'version {table.version} is not above {self.version}')
         self.table = table
@@ -101,12 +110,12 @@
         return Ok(table)
 
     def find(self, flow: bytes) -> Route | None:
-        """Return the route of a flow, None if no route has its address."""
+        """Return the route of a flow, None if its destination has none."""
         if self.table is None:
             return None
         return self.table.by_destination.get(pack_destination(flow))
 
 
 def pack_destination(flow: bytes) -> bytes:
-    """Return destination port and address of a flow as one key."""
+    """Return the packed destination port and address of a flow."""
     return flow[2:8]
