Reword the agent and balancer modules of steering

Cause: docstrings personified processes (tells, hears, greets, life) and left out units and errors. Change: plain terms; a few private names of report intervals and of the target gate follow. Rules, numbers and their reasons stay.

--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -1,4 +1,4 @@
-"""What the parts of an agent share."""
+"""State that the parts of an agent share."""
 
 import logging
 from collections import Counter
@@ -16,7 +16,7 @@
 
 
 class AgentOutbox(Protocol):
-    """Where the datagrams of an agent go."""
+    """Sends the datagrams of an agent."""
 
     def to_target(self, raw: bytes) -> None:
         """Send a caller's packet to the target."""
@@ -25,20 +25,21 @@
         """Send a target's packet to the caller of the flow."""
 
     def reset(self, flow: bytes) -> None:
-        """Send a reset of a flow that has not opened to its caller."""
+        """Send a reset to the caller of a flow that has not opened."""
 
     def to_agent(self, address: bytes, datagram: bytes) -> None:
-        """Send to an agent."""
+        """Send a datagram to another agent."""
 
     def to_balancer(self, address: bytes, datagram: bytes) -> None:
-        """Send to a balancer."""
+        """Send a datagram to a balancer."""
 
 
 class AgentIdentity:
-    """Who the agent is.
+    """Address, service and time limits of an agent.
 
-    `idle_s` is how long a silent flow is kept; `is_first_start` is True
-    only if no flow can have been opened before this process.
+    `heartbeat_s` is the interval of the target's heartbeats and `idle_s`
+    how long an idle flow is kept, both in seconds. `is_first_start` is
+    True only if no flow can have been opened before this process started.
     """
 
     __slots__ = (
@@ -66,11 +67,11 @@
 
 
 class AgentContext:
-    """State of one agent and the way out of it.
+    """State, counters and outbox of one agent.
 
-    `latest_version` is the highest version of the configuration that
-    any peer has shown, `routes` a copy of it for balancers that start
-    while the store does not answer.
+    `latest_version` is the highest configuration version seen in any
+    message. `routes` is a copy of the configuration for balancers that
+    start while the store does not answer.
     """
 
     __slots__ = (
@@ -104,13 +105,13 @@
         self.timers = timers
 
     def estimate_service_s(self) -> float:
-        """Return the time of a request at the target, 0 if unknown."""
+        """Return the estimated duration of a request in s, 0 if unknown."""
         return self.held_flows.service_time.estimate_s(
             self.timers.now(), average_service_s(self.peers.loads)
         )
 
     def drop(self, reason: str, detail: str) -> None:
-        """Count and log a datagram that cannot be used."""
+        """Count and log a datagram that is dropped."""
         self.counts[f'dropped_{reason}'] += 1
         log_event(
             _logger,
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -1,4 +1,4 @@
-"""Which target takes an opening packet, or that none does."""
+"""Placement of opening packets: accept, hand over or refuse."""
 
 import logging
 
@@ -17,15 +17,17 @@
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
 
-# Agents that an opening packet passes after its home.
+# An opening packet is forwarded by its home and at most this many more
+# agents.
 MAX_HOPS = 3
-# A target that would finish this much sooner is worth another hop.
+# Another target has to finish sooner by this time per hop so far.
 HAND_OVER_GAIN_S = 0.004
-# An opening packet is answered within a millisecond; a target that
-# leaves one unanswered at this many checks does not run.
+# A running target answers an opening packet within a millisecond; if one
+# is unanswered after this many checks, the target is not running.
 UNANSWERED_CHECKS = 5
 MS_PER_S = 1000
-# The other agents have been heard by a process that runs this long.
+# Until this time after its start an agent may not have received the reports
+# of all other agents.
 WARM_UP_S = 0.5
 
 _logger = logging.getLogger(__name__)
@@ -34,7 +36,7 @@
 class AgentOpenings:
     """Accepts, hands over or refuses opening packets.
 
-    `owner_by_flow` remembers where this agent sent a flow.
+    `owner_by_flow` stores the agent to which this agent sent a flow.
     """
 
     def __init__(
@@ -49,7 +51,7 @@
         self._started_s = context.timers.now()
 
     def handle_opening(self, message: PeerMessage, segment: Segment) -> None:
-        """Handle an opening packet or one of its copies."""
+        """Handle an opening packet from a balancer or another agent."""
         held = self._context.held_flows.by_flow.get(segment.flow)
         if held is not None and not held.is_closed:
             held.last_used_s = self._context.timers.now()
@@ -63,14 +65,14 @@
         self._place(message, segment, self._estimate_own())
 
     def handle_returned(self, segment: Segment, held: HeldFlow | None) -> None:
-        """Hand over an opening packet that the target did not take."""
+        """Hand over an opening packet that the target sent back."""
         self._context.counts['openings_returned'] += 1
         if held is not None:
             self._record_failed_opening(held)
         self._hand_over(segment, held)
 
     def check_unanswered(self) -> None:
-        """Hand over opening packets that the target leaves unanswered."""
+        """Hand over opening packets that the target has not answered."""
         context = self._context
         for flow, held in tuple(
             context.held_flows.iter_unanswered(UNANSWERED_CHECKS)
@@ -90,7 +92,7 @@
             self._hand_over(held.opening, held)
 
     def _record_failed_opening(self, held: HeldFlow) -> None:
-        """Close the target if it has given no sign of life meanwhile."""
+        """Mark the target absent if it has sent nothing since the offer."""
         gate = self._context.gate
         state = gate.reported_state()
         gate.record_failed_opening(held.offered_s)
@@ -100,9 +102,9 @@
     def _place(
         self, message: PeerMessage, segment: Segment, own: Estimate | None
     ) -> None:
-        """Choose between this target and the others.
+        """Choose between this target and those of other agents.
 
-        `own` is None if this target does not take the flow.
+        `own` is None if this target does not accept the flow.
         """
         chosen = self._choose_peer(message)
         if own is not None and _is_own_better(own, chosen, message.hops):
@@ -124,14 +126,15 @@
         self._place(self._make_hand_over(held), segment, None)
 
     def _make_hand_over(self, held: HeldFlow | None) -> PeerMessage:
-        """Return the message of an offered opening for its next agent.
+        """Return the message that hands an opening to another agent.
 
-        The time that the packet spent here is taken off its goal.
+        The time that the packet spent here is subtracted from its goal.
         """
         service = self._context.identity.service
         offer = held.offer if held else None
         if held is None or offer is None:
-            # An earlier process of this VM offered the packet.
+            # The agent has restarted since the packet was offered, so
+            # its goal and priority are not known.
             return PeerMessage(PeerKind.PLACE, service, hops=1)
         goal_ms = offer.goal_ms
         if goal_ms:
@@ -221,8 +224,8 @@
     ) -> None:
         context = self._context
         if context.timers.now() - self._started_s < WARM_UP_S:
-            # Other agents may have room; copies of the packet follow
-            # after 200 and 600 ms.
+            # Agents that have not reported yet may accept the flow; the
+            # caller sends copies of the packet after 200 and 600 ms.
             context.counts['dropped_unsettled'] += 1
             return
         context.counts['flows_refused'] += 1
@@ -246,7 +249,7 @@
 def _is_own_better(
     own: Estimate, chosen: tuple[Estimate, PeerLoad] | None, hops: int
 ) -> bool:
-    """Return whether another hop is not worth what it gains."""
+    """Return whether the gain at the other target is below a hop's cost."""
     if chosen is None:
         return True
     return own.rank_s <= chosen[0].rank_s + HAND_OVER_GAIN_S * hops
--- a/greengagepath/steering/agent_peers.py
+++ b/greengagepath/steering/agent_peers.py
@@ -1,4 +1,4 @@
-"""Balancers and agents that an agent tells of its target."""
+"""Balancers and agents to which an agent reports its load."""
 
 from ..foundation.timers import TimerService
 from .ages import drop_older
@@ -6,16 +6,17 @@
 from .peer_messages import LoadReport, ReportedState, Roster
 from .placement import PeerLoad
 
-# Contacts named by the store or a roster stay this long unheard.
+# Contacts without a message for this long are removed, also those that the
+# store or a roster has named.
 REMOVE_AFTER_S = 60.0
 MAX_CONTACTS = 1000
 
 
 class AgentPeers:
-    """Contacts of one agent, learned from any of them.
+    """Contacts of one agent and the reported loads of other targets.
 
-    `homes` ranks all agents of the service that are not known to be
-    absent, with the agent itself.
+    `homes` ranks this agent and all other agents of the service that
+    have reported a target that is not absent.
     """
 
     def __init__(self, own_address: bytes, timers: TimerService) -> None:
@@ -38,15 +39,15 @@
 
     @property
     def loads(self) -> list[PeerLoad]:
-        """Return what is known of the other targets."""
+        """Return the reported loads of the other targets."""
         return list(self.load_by_address.values())
 
     def record_balancer(self, address: bytes) -> bool:
-        """Note a live balancer; True if it is new."""
+        """Record contact with a balancer; True if it is new."""
         return self._record(self._balancer_seen_s, address)
 
     def add_roster(self, roster: Roster) -> list[bytes]:
-        """Add unknown contacts; return them."""
+        """Add the contacts of a roster; return those that are new."""
         added = []
         for seen_s, addresses in (
             (self._balancer_seen_s, roster.balancers),
@@ -59,7 +60,7 @@
         return added
 
     def record_report(self, address: bytes, report: LoadReport) -> bool:
-        """Take the load of another target; True if its agent is new."""
+        """Record the load of another target; True if its agent is new."""
         if address == self.own_address:
             return False
         is_new = self._record(self._agent_seen_s, address)
@@ -74,18 +75,18 @@
         return is_new
 
     def remove_agent(self, address: bytes) -> None:
-        """Forget an agent that now serves another service."""
+        """Remove an agent that now serves another service."""
         self._agent_seen_s.pop(address, None)
         if self.load_by_address.pop(address, None):
             self._rebuild_homes()
 
     def exclude_pause(self, pause_s: float) -> None:
-        """Don't count a pause of this process as silence of the others."""
+        """Exclude a pause of this process from the silence of peers."""
         for load in self.load_by_address.values():
             load.last_seen_s += pause_s
 
     def remove_silent(self) -> None:
-        """Drop contacts that were not heard for `REMOVE_AFTER_S`."""
+        """Remove contacts without a message for `REMOVE_AFTER_S`."""
         before_s = self._timers.now() - REMOVE_AFTER_S
         drop_older(self._balancer_seen_s, before_s)
         for address in drop_older(self._agent_seen_s, before_s):
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -1,4 +1,4 @@
-"""What an agent tells balancers and other agents, and hears from them."""
+"""Messages about processes that an agent exchanges with its peers."""
 
 from result import Err
 
@@ -15,15 +15,15 @@
 from .placement import ACCEPTING_STATES
 from .route_copies import RouteAssembly
 
-# Least and longest time between reports to agents of the service.
-REPORT_GAP_S = 0.01
-REPORT_IDLE_S = 0.1
+# Shortest and longest time between reports to agents of the service.
+MIN_REPORT_INTERVAL_S = 0.01
+MAX_REPORT_INTERVAL_S = 0.1
 # Longest time between reports to balancers.
-BALANCER_REPORT_S = 0.25
+BALANCER_REPORT_INTERVAL_S = 0.25
 
 
 class AgentReports:
-    """Sends load reports and keeps the agent's contacts."""
+    """Sends load reports and handles messages that update contacts."""
 
     def __init__(self, context: AgentContext) -> None:
         self._context = context
@@ -34,28 +34,31 @@
         self._last_reported: tuple[int, ReportedState] | None = None
 
     def send_all(self) -> None:
-        """Tell all contacts the load and state now."""
+        """Report load and state to all contacts now."""
         self._report_to_agents()
         self._report_to_balancers()
 
     def send_change(self) -> None:
-        """Tell the agents of the service unless they were told just now."""
+        """Report to the agents unless the last report is too recent."""
         now_s = self._context.timers.now()
-        if now_s - self._agents_reported_s >= REPORT_GAP_S:
+        if now_s - self._agents_reported_s >= MIN_REPORT_INTERVAL_S:
             self._report_to_agents()
 
     def send_due(self) -> None:
-        """Tell whoever has to be told by now."""
+        """Send the reports that are due.
+
+        Agents get one after a change of load or state, too.
+        """
         now_s = self._context.timers.now()
         load = (self._context.held_flows.load, self._current_state())
         idle_s = now_s - self._agents_reported_s
-        if idle_s >= REPORT_IDLE_S or load != self._last_reported:
+        if idle_s >= MAX_REPORT_INTERVAL_S or load != self._last_reported:
             self._report_to_agents()
-        if now_s - self._balancers_reported_s >= BALANCER_REPORT_S:
+        if now_s - self._balancers_reported_s >= BALANCER_REPORT_INTERVAL_S:
             self._report_to_balancers()
 
     def report_to(self, addresses: list[bytes]) -> None:
-        """Report to contacts that were not known before."""
+        """Report to the given contacts only, usually new ones."""
         balancers = self._context.peers.balancers
         encoded = self._make_report()
         for address in addresses:
@@ -65,7 +68,7 @@
                 self._context.outbox.to_agent(address, encoded)
 
     def handle_report(self, sender: bytes, message: PeerMessage) -> None:
-        """Take the load of another target."""
+        """Handle a load report of another agent."""
         decoded = decode_report(message.body)
         if isinstance(decoded, Err):
             self._context.drop('unreadable_report', decoded.err_value)
@@ -75,7 +78,7 @@
             self._context.outbox.to_agent(sender, self._make_report())
 
     def handle_presence(self, sender: bytes, message: PeerMessage) -> None:
-        """Take a balancer's greeting and the contacts that it names."""
+        """Handle a PRESENCE of a balancer and the contacts in it."""
         decoded = decode_roster(message.body)
         if isinstance(decoded, Err):
             self._context.drop('unreadable_roster', decoded.err_value)
@@ -87,7 +90,7 @@
             self.report_to(peers.add_roster(decoded.ok_value))
 
     def pull_routes(self) -> None:
-        """Ask a balancer for the configuration if a newer one was shown."""
+        """Ask a balancer for the configuration if a newer version exists."""
         context = self._context
         balancers = context.peers.balancers
         if context.latest_version <= context.routes.version or not balancers:
@@ -98,13 +101,13 @@
         context.outbox.to_balancer(asked, pull.encode())
 
     def handle_part(self, message: PeerMessage) -> None:
-        """Take a part of a configuration."""
+        """Handle a part of a configuration copy."""
         copy = self._assembly.add(message)
         if copy is not None and copy.version > self._context.routes.version:
             self._context.routes = copy
 
     def send_routes(self, sender: bytes) -> None:
-        """Send a balancer the copy of the configuration, if there is one."""
+        """Send the copy of the configuration, if any, to a balancer."""
         if not self._context.routes.version:
             return
         service = self._context.identity.service
@@ -112,13 +115,13 @@
             self._context.outbox.to_balancer(sender, part.encode())
 
     def send_held_to_balancer(self, flow: bytes, balancer: bytes) -> None:
-        """Tell a balancer that the target holds the flow."""
+        """Notify a balancer that the target holds the flow."""
         if balancer and balancer != NO_ADDRESS:
             encoded = self._make_message(PeerKind.HELD, body=flow).encode()
             self._context.outbox.to_balancer(balancer, encoded)
 
     def send_held_to_agent(self, flow: bytes, address: bytes) -> None:
-        """Tell another agent that the target holds the flow."""
+        """Notify another agent that the target holds the flow."""
         encoded = self._make_message(PeerKind.HELD, body=flow).encode()
         self._context.outbox.to_agent(address, encoded)
 
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -1,4 +1,4 @@
-"""Decisions of an agent for each packet of a plain flow."""
+"""Packet and message handling of an agent for plain flows."""
 
 import logging
 
@@ -19,7 +19,7 @@
 SWEEP_S = 1.0
 ROTATE_S = 30.0
 
-# Kinds that speak of processes and not of one flow.
+# Kinds of messages about processes instead of a single flow.
 _PROCESS_KINDS = frozenset(
     (PeerKind.REPORT, PeerKind.PRESENCE, PeerKind.PART, PeerKind.PULL)
 )
@@ -28,7 +28,12 @@
 
 
 class AgentSteering:
-    """Last gate of one target, and home of a share of its service's flows."""
+    """Admits flows to one target and is the home of part of the flows.
+
+    Every new flow of the target passes this agent, which knows the
+    target's state best. As a home, it places the opening packets of its
+    share of the service's flows.
+    """
 
     def __init__(
         self,
@@ -91,7 +96,7 @@
                 self.reports.send_routes(sender)
 
     def handle_target_packet(self, segment: Segment) -> None:
-        """Handle a packet that the target sent or gave back."""
+        """Handle a packet that the target sent or sent back."""
         if segment.is_returned:
             self._handle_returned(segment)
             return
@@ -111,7 +116,7 @@
             self._record_target_packet(segment, held)
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
-        """Take what the target says of itself."""
+        """Handle a heartbeat of the target; return what it changed."""
         outcome = self.context.gate.handle_heartbeat(heartbeat)
         if outcome is HeartbeatOutcome.NEW_LIFETIME:
             self.context.held_flows.clear()
@@ -130,7 +135,7 @@
         return outcome
 
     def handle_departure(self, target_id: str) -> None:
-        """Take that the target leaves; names of other starts are ignored."""
+        """Handle the target's departure; ignore that of an earlier target."""
         if not self.context.gate.handle_departure(target_id):
             self.context.counts['heartbeats_stale'] += 1
             return
@@ -138,7 +143,7 @@
         self.reports.send_all()
 
     def leave(self) -> None:
-        """Take no more flows; those of the target go on."""
+        """Stop accepting flows; those at the target continue."""
         self.context.is_leaving = True
         self.reports.send_all()
 
@@ -169,7 +174,8 @@
         context.outbox.to_target(segment.raw)
 
     def _handle_returned(self, segment: Segment) -> None:
-        # No sign of life: packets for an absent target are given back too.
+        # Not recorded as activity of the target: packets for an absent
+        # target are sent back too.
         held = self.context.held_flows.remove(segment.flow)
         if segment.is_opening:
             self._openings.handle_returned(segment, held)
@@ -177,7 +183,7 @@
             self._search.handle_returned(segment, held)
 
     def _record_target_packet(self, segment: Segment, held: HeldFlow) -> None:
-        """Note what a packet of the target says of its flow."""
+        """Update a flow after a packet of the target."""
         flows = self.context.held_flows
         now_s = self.context.timers.now()
         held.last_used_s = now_s
@@ -203,7 +209,8 @@
         self.context.counts['flows_opened'] += 1
         self.reports.send_held_to_balancer(segment.flow, held.balancer)
         if held.hops > 1:
-            # The home knows only where it sent the flow itself.
+            # The home only knows the first agent, to which it sent the
+            # flow itself.
             self._notify_home(segment.flow)
 
     def _notify_home(self, flow: bytes) -> None:
@@ -223,7 +230,7 @@
         )
 
     def _exclude_pause(self, pause_s: float) -> None:
-        """Don't count a pause of this process as silence of others."""
+        """Exclude a pause of this process from the silence of others."""
         self.context.counts['pauses'] += 1
         self.context.peers.exclude_pause(pause_s)
         self.context.gate.exclude_pause(pause_s)
--- a/greengagepath/steering/balancer_contacts.py
+++ b/greengagepath/steering/balancer_contacts.py
@@ -1,4 +1,4 @@
-"""Agents and balancers that a balancer greets."""
+"""Agents and balancers that exchange messages with a balancer."""
 
 from typing import Protocol
 
@@ -20,16 +20,16 @@
 
 
 class BalancerOutbox(Protocol):
-    """Where the datagrams of a balancer go."""
+    """Sends the datagrams of a balancer."""
 
     def to_agent(self, address: bytes, datagram: bytes) -> None:
-        """Send to an agent."""
+        """Send a datagram to an agent."""
 
     def to_balancer(self, address: bytes, datagram: bytes) -> None:
-        """Send to a balancer."""
+        """Send a datagram to another balancer."""
 
     def reset(self, flow: bytes) -> None:
-        """Send a reset of a flow that has not opened to its caller."""
+        """Send a reset to the caller of a flow that has not opened."""
 
 
 class BalancerIdentity:
@@ -43,9 +43,9 @@
 
 
 class BalancerContacts:
-    """Tells agents and other balancers that this one lives.
+    """Announces this balancer to agents and to other balancers.
 
-    `stage` is where this balancer is in its life.
+    `stage` is the stage of this balancer's life cycle.
     """
 
     def __init__(
@@ -68,20 +68,24 @@
         timers.subscribe(REMOVE_AFTER_S, self._remove_silent_balancers)
 
     def add_agents(self, addresses: list[bytes]) -> None:
-        """Add agents that the store or the settings name, and greet them."""
+        """Add agents from the store or settings; send them a PRESENCE."""
         for address in addresses:
             if address not in self.agents.by_address:
                 self._send_presence(self.agents.add(address), Roster([], []))
 
     def add_balancers(self, addresses: list[bytes]) -> None:
-        """Add balancers that the store or the settings name."""
+        """Add balancers from the store or the settings."""
         now_s = self._timers.now()
         for address in addresses:
             if address != self._address:
                 self._balancer_seen_s.setdefault(address, now_s)
 
     def announce(self) -> None:
-        """Tell all agents that this balancer lives, and whom it knows."""
+        """Send a PRESENCE to all known agents and balancers.
+
+        Agents get a roster of the balancers and agents that this
+        balancer knows, balancers its stage.
+        """
         balancers = [self._address, *self._balancer_seen_s]
         for agent in tuple(self.agents.by_address.values()):
             known = self.agents.by_service.get(agent.service)
@@ -92,13 +96,16 @@
             self._outbox.to_balancer(address, presence)
 
     def enter_stage(self, stage: BalancerStage) -> None:
-        """Take a stage of this balancer's life and tell the others."""
+        """Set the stage of this balancer and announce a change."""
         if stage is not self.stage:
             self.stage = stage
             self.announce()
 
     def query_peers(self, datagram: bytes, attempt: int) -> None:
-        """Send a question to one balancer and one agent, by turns."""
+        """Send a query to one balancer and one agent.
+
+        Both are chosen in turn by the number of the attempt.
+        """
         balancers = list(self._balancer_seen_s)
         agents = list(self.agents.by_address)
         if balancers:
@@ -108,7 +115,7 @@
             self._outbox.to_agent(agents[attempt % len(agents)], datagram)
 
     def handle_presence(self, sender: bytes, message: PeerMessage) -> None:
-        """Take what another balancer says of itself."""
+        """Handle a PRESENCE of another balancer."""
         self._balancer_seen_s[sender] = self._timers.now()
         if message.service == self._zone and message.hops in _STAGES:
             self.rotation.update(sender, _STAGES[message.hops])
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -1,4 +1,4 @@
-"""Decisions of a balancer for each packet of a plain flow."""
+"""Packet and message handling of a balancer for plain flows."""
 
 import logging
 from collections import Counter
@@ -29,18 +29,20 @@
 
 MS_PER_S = 1000
 ROTATE_S = 30.0
-# The store is given this many checks before a peer is asked.
+# Peers are asked once the configuration is missing or outdated at this
+# many checks in a row, which gives the store time to deliver it.
 PULL_CHECK_S = 0.3
 PULL_AFTER_CHECKS = 2
 MAX_OWNERS = 400000
-# Agents have had time to report to a balancer that runs this long.
+# Until this time after its start a balancer may not have received the
+# reports of all agents.
 WARM_UP_S = 1.5
 
 _logger = logging.getLogger(__name__)
 
 
 class FlowOwner:
-    """Agent that holds a flow, and the service it held it for."""
+    """Agent whose target holds a flow, and the service of the flow."""
 
     __slots__ = ('agent', 'service')
 
@@ -50,10 +52,10 @@
 
 
 class BalancerSteering:
-    """Sends packets of callers to agents.
+    """Forwards packets of callers to agents.
 
-    `on_behind` is called when a peer shows a configuration version
-    above the one in force.
+    `on_behind` is called when a message shows a configuration version
+    above the active one.
     """
 
     def __init__(
@@ -113,7 +115,7 @@
                 self.counts['dropped_unexpected'] += 1
 
     def apply_routes(self, table: RouteTable) -> Result[RouteTable, str]:
-        """Put a configuration in force unless one as new is."""
+        """Make a configuration active if its version is higher."""
         outcome = self.routes.apply(table)
         if outcome.is_ok():
             self._copy = RouteCopy(table.version, encode_routes(table))
@@ -127,7 +129,7 @@
         return outcome
 
     def pull_routes(self) -> None:
-        """Ask a balancer and an agent for the configuration if it lacks."""
+        """Ask peers for the configuration while it is missing or outdated."""
         if self.routes.table is not None and not self.routes.is_behind:
             self._outdated_checks = 0
             return
@@ -142,7 +144,7 @@
     def _send_routes(self, sender: bytes, message: PeerMessage) -> None:
         if not self._copy.version:
             return
-        # Agents name their service in a message, balancers none.
+        # Messages of agents have their service, those of balancers none.
         is_agent = message.service != NO_SERVICE
         send = self._outbox.to_agent if is_agent else self._outbox.to_balancer
         for part in self._copy.make_parts(message.service):
@@ -213,7 +215,7 @@
             return None
         if not segment.copy_number:
             return known.live.find_home(segment.flow)
-        # The home of the first copy may be dead without notice.
+        # The home that got the first copy may have crashed unnoticed.
         ranked = known.live.rank(segment.flow)
         return ranked[segment.copy_number % len(ranked)]
 
@@ -245,8 +247,8 @@
 
     def _refuse_unknown_route(self, flow: bytes) -> None:
         if self.routes.table is None or self.routes.is_behind:
-            # The route may be in a version that is not here yet; copies
-            # of the packet follow after 200 and 600 ms.
+            # The route may be in a version that has not arrived yet; the
+            # caller sends copies of the packet after 200 and 600 ms.
             self.counts['dropped_behind'] += 1
             return
         self.counts['refused_no_route'] += 1
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -1,19 +1,19 @@
-"""What the agent knows of its target first hand."""
+"""State of an agent's target, from its heartbeats and packets."""
 
 from enum import Enum, unique
 
 from ..foundation.timers import TimerService
 from .peer_messages import ReportedState
 
-# Heartbeats that may be missed.
+# A target is silent after this many heartbeat intervals.
 MISSED_HEARTBEATS = 3.5
 
 
 @unique
 class TargetPhase(Enum):
-    """Part of its life that a target reports."""
+    """Phase of a target's life cycle, as the target reports it."""
 
-    # Not heard since the agent's own start.
+    # No heartbeat since the agent's start.
     UNKNOWN = 'unknown'
     READY = 'ready'
     DRAINING = 'draining'
@@ -22,21 +22,22 @@
 
 @unique
 class HeartbeatOutcome(Enum):
-    """What a heartbeat changed."""
+    """Change that a heartbeat caused."""
 
     SAME = 'same'
     CHANGED = 'changed'
-    # First of a start of the target that was not known.
+    # First heartbeat after a restart of the target, or of a new target.
     NEW_LIFETIME = 'new_lifetime'
-    # Of an earlier start, or overtaken by a later heartbeat.
+    # Ignored: of an earlier start, older than the last heartbeat, or
+    # sent before the departure of the target.
     STALE = 'stale'
 
 
 class Heartbeat:
-    """What a target says of itself.
+    """Message in which a target reports its state to its agent.
 
-    `started_ms` is its start in ms since the epoch, 0 if not told;
-    `sequence` increases with each heartbeat of a start.
+    `started_ms` is the target's start in ms since the epoch, 0 if not
+    given; `sequence` increases with each heartbeat since that start.
     """
 
     __slots__ = ('is_draining', 'sequence', 'slots', 'started_ms', 'target_id')
@@ -58,7 +59,7 @@
 
 
 class TargetGate:
-    """State of the target beside an agent, and whether it takes flows."""
+    """State of an agent's target, and whether it accepts flows."""
 
     def __init__(self, timers: TimerService, heartbeat_s: float) -> None:
         self.phase = TargetPhase.UNKNOWN
@@ -69,10 +70,10 @@
         self._heartbeat_s = heartbeat_s
         self._sequence = -1
         self._last_seen_s = timers.now()
-        self._unanswered = False
+        self._opening_failed = False
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
-        """Take what the target says, unless something newer is known."""
+        """Apply a heartbeat unless it is stale; return what it changed."""
         lifetime = (heartbeat.target_id, heartbeat.started_ms)
         is_new = lifetime != (self.target_id, self.started_ms)
         if self._is_stale(heartbeat, is_new):
@@ -94,40 +95,41 @@
         return HeartbeatOutcome.CHANGED if changed else HeartbeatOutcome.SAME
 
     def handle_departure(self, target_id: str) -> bool:
-        """Note that the target leaves; False if it is not this one."""
+        """Record that the target leaves; False if the id is another one."""
         if self.target_id and target_id != self.target_id:
             return False
         self.phase = TargetPhase.GONE
         return True
 
     def record_activity(self) -> None:
-        """Note that the target sent a packet or a heartbeat."""
-        self._unanswered = False
+        """Record that the target sent a packet or a heartbeat."""
+        self._opening_failed = False
         self._last_seen_s = self._timers.now()
 
     def exclude_pause(self, pause_s: float) -> None:
-        """Don't count a pause of this process as silence of the target."""
+        """Exclude a pause of this process from the target's silence."""
         self._last_seen_s += pause_s
 
     def record_failed_opening(self, offered_s: float) -> None:
-        """Note that an opening packet was not answered or came back.
+        """Record that an opening packet was unanswered or sent back.
 
-        If the target was heard since it was offered, the target runs:
-        the packet is lost, or the target holds as many flows as it can.
+        `offered_s` is when the packet was sent. If the target has sent
+        anything since, it is running: the packet was lost, or the target
+        holds as many flows as it can.
         """
-        self._unanswered = self._last_seen_s <= offered_s
+        self._opening_failed = self._last_seen_s <= offered_s
 
     @property
     def is_open(self) -> bool:
-        """Return whether the target may get new flows at all."""
+        """Return whether the phase of the target allows new flows."""
         return self.phase in {TargetPhase.UNKNOWN, TargetPhase.READY}
 
     @property
     def is_responsive(self) -> bool:
-        """Return whether the target has been heard lately."""
+        """Return whether the target is not silent and answers openings."""
         silent_s = self._timers.now() - self._last_seen_s
         limit_s = self._heartbeat_s * MISSED_HEARTBEATS
-        return not self._unanswered and silent_s < limit_s
+        return not self._opening_failed and silent_s < limit_s
 
     def reported_state(self) -> ReportedState:
         """Return the state for load reports."""
