--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -1,4 +1,4 @@
-"""Builders of packets, messages and routes for tests of steering."""
+"""Builders of packets, messages and routes for the steering tests."""
 
 import struct
 
@@ -30,7 +30,7 @@
 def make_flow(
     number: int = 1, port: int = ROUTE_PORT, caller: int = 7
 ) -> bytes:
-    """Return the key of a caller's flow."""
+    """Return the packed ports and addresses that identify a flow."""
     source = bytes((100, 64, 0, caller))
     return struct.pack('!HH4s4s', 40000 + number, port, ROUTE_ADDRESS, source)
 
@@ -45,7 +45,7 @@
 def make_data(
     flow: bytes, acknowledged: int = FIRST_ACKNOWLEDGED, data_bytes: int = 100
 ) -> Segment:
-    """Return a caller's packet of an open flow."""
+    """Return a caller's packet with a request on an open flow."""
     packet = Segment(
         b'data%b' % flow,
         flow,
@@ -68,7 +68,7 @@
 
 
 def make_response(flow: bytes, data_bytes: int = 600) -> Segment:
-    """Return data of the target."""
+    """Return a packet with response data of the target."""
     response = Segment(
         b'response%b' % flow,
         flow,
@@ -80,7 +80,7 @@
 
 
 def make_returned(segment: Segment) -> Segment:
-    """Return a caller's packet as the target gives it back."""
+    """Return a caller's packet as the target sends it back."""
     returned = Segment(
         segment.raw,
         segment.flow,
@@ -136,7 +136,7 @@
     goal_ms: int = 0,
     body: bytes = b'',
 ) -> PeerMessage:
-    """Return a message of a peer."""
+    """Return a message of another process."""
     return PeerMessage(
         kind,
         service,
@@ -158,7 +158,7 @@
     slots: int = 2,
     version: int = 0,
 ) -> PeerMessage:
-    """Return the report of an agent."""
+    """Return a load report of an agent."""
     report = LoadReport(
         state, started_ms=1, slots=slots, load=load, service_s=service_s
     )
--- a/tests/steering/recorder.py
+++ b/tests/steering/recorder.py
@@ -1,4 +1,4 @@
-"""Outbox that records what a part sends."""
+"""Outbox that records all datagrams for assertions."""
 
 from greengagepath.steering.peer_messages import (
     PeerKind,
@@ -8,7 +8,7 @@
 
 
 class RecordingOutbox:
-    """Keeps datagrams by destination."""
+    """Records datagrams by the kind of their destination."""
 
     def __init__(self) -> None:
         self.sent_to_target: list[bytes] = []
@@ -44,7 +44,7 @@
         ]
 
     def held_notifications(self) -> list[tuple[bytes, bytes]]:
-        """Return balancer and flow of each HELD."""
+        """Return balancer and flow of each HELD that was sent."""
         return [
             (address, message.body)
             for address, message in self.sent_to_balancers
--- a/tests/steering/test_balancer_steering.py
+++ b/tests/steering/test_balancer_steering.py
@@ -1,4 +1,4 @@
-"""Decisions of a balancer without a network."""
+"""Tests of a balancer's packet and message handling."""
 
 from testtools import TestCase
 
@@ -50,15 +50,16 @@
                 address, make_report_message(**fields)
             )
 
-    def test_route_that_is_gone_is_refused_at_once(self):
-        # Guards against a caller that waits for a route that is not there.
+    def test_flow_to_a_removed_route_is_refused_at_once(self):
+        # Guards against a caller that waits for a timeout because the
+        # route was removed.
         self.balancer.apply_routes(RouteTable(6, {}))
         self.balancer.handle_caller_packet(make_opening(make_flow()))
         self.assertEqual([make_flow()], self.outbox.resets)
 
-    def test_unknown_route_is_not_refused_while_behind(self):
-        # Guards against a refusal by an older version: the route may be
-        # in the version that a peer has shown.
+    def test_unknown_route_is_not_refused_with_an_outdated_version(self):
+        # Guards against refusals by a balancer with an outdated version:
+        # the route may be in the newer version that a peer has seen.
         self.balancer.handle_peer_message(
             AGENTS[0], make_report_message(version=9)
         )
@@ -67,14 +68,16 @@
         self.assertEqual([], self.outbox.resets)
         self.assertEqual(1, self.behind)
 
-    def test_lower_version_never_comes_into_force(self):
-        # Guards against a configuration that reverts after a stale read.
+    def test_lower_version_never_becomes_active(self):
+        # Guards against a configuration that is reverted by a stale read
+        # of the store.
         outcome = self.balancer.apply_routes(RouteTable(4, {}))
         self.assertTrue(outcome.is_err())
         self.assertEqual(5, self.balancer.routes.version)
 
-    def test_version_that_was_seen_is_told_to_agents(self):
-        # Guards against balancers that stay behind a silent watch.
+    def test_version_that_was_seen_is_announced_to_agents(self):
+        # Guards against balancers that stay outdated because their watch
+        # of the store delivers nothing.
         self.balancer.handle_peer_message(
             AGENTS[0], make_report_message(version=9)
         )
@@ -85,7 +88,8 @@
         self.assertEqual({9}, versions)
 
     def test_silent_agent_is_no_home_of_new_flows(self):
-        # Guards against opening packets for a VM without power.
+        # Guards against opening packets that are lost because they are
+        # sent to a VM without power.
         self.timers.advance(0.8)
         for address in AGENTS[1:]:
             self.balancer.handle_peer_message(address, make_report_message())
@@ -95,8 +99,8 @@
         self.assertNotIn(AGENTS[0], self.outbox.placed_agents())
 
     def test_pause_of_the_balancer_is_no_silence_of_agents(self):
-        # Guards against refusals after a freeze, while reports of that
-        # time still wait in the socket.
+        # Guards against refusals after the VM was frozen, while reports
+        # that arrived meanwhile are still queued in the socket.
         self.timers.pause(5.0)
         self.timers.advance(0.0)
         self.balancer.backlog.mark_socket_empty()
@@ -105,8 +109,8 @@
         self.assertEqual(1, len(self.outbox.placed_agents()))
 
     def test_openings_from_before_a_pause_are_dropped(self):
-        # Replays a balancer that wakes with the openings of 5 s in its
-        # socket: passed on, they made agents refuse fresh ones.
+        # Replays a balancer that resumes with the opening packets of 5 s
+        # in its socket: when it forwarded them, agents refused new ones.
         self.timers.pause(5.0)
         for number in range(300):
             self.balancer.handle_caller_packet(make_opening(make_flow(number)))
@@ -115,8 +119,9 @@
         self.balancer.handle_caller_packet(make_opening(make_flow(1)))
         self.assertEqual(1, len(self.outbox.placed_agents()))
 
-    def test_told_owner_gets_the_packets(self):
-        # Guards against a detour through the home for every packet.
+    def test_packets_go_to_the_owner_that_was_announced(self):
+        # Guards against an additional hop through the home for every
+        # packet of an open flow.
         flow = make_flow()
         self.balancer.handle_peer_message(
             AGENTS[2], make_message(PeerKind.HELD, body=flow)
@@ -126,9 +131,10 @@
         self.assertEqual(AGENTS[2], address)
         self.assertEqual(PeerKind.FORWARD, message.kind)
 
-    def test_owner_that_now_serves_another_service_is_told_its_service(self):
-        # Guards against a packet that enters another service: the agent
-        # compares the service that the datagram names.
+    def test_owner_that_now_serves_another_service_gets_no_packets(self):
+        # Guards against packets that reach another service after the
+        # owner's VM was given to it: agents compare the service that the
+        # message names.
         flow = make_flow()
         self.balancer.handle_peer_message(
             AGENTS[2], make_message(PeerKind.HELD, body=flow)
@@ -141,8 +147,9 @@
         self.assertNotEqual(AGENTS[2], address)
         self.assertEqual(SERVICE, message.service)
 
-    def test_absent_target_does_not_keep_its_flows(self):
-        # Guards against packets for a target that has left.
+    def test_absent_target_gets_no_packets_of_its_flows(self):
+        # Guards against packets that are lost because they are sent to a
+        # target that has left.
         flow = make_flow()
         self.balancer.handle_peer_message(
             AGENTS[0], make_message(PeerKind.HELD, body=flow)
@@ -153,7 +160,7 @@
         self.balancer.handle_caller_packet(make_data(flow))
         self.assertNotEqual(AGENTS[0], self.outbox.sent_to_agents[-1][0])
 
-    def test_answer_of_a_target_from_outside_is_forged(self):
-        # Guards against a caller that pretends to be a target.
+    def test_answer_of_a_target_from_outside_is_dropped(self):
+        # Guards against a caller that forges answers of a target.
         self.balancer.handle_caller_packet(make_answer(make_flow()))
         self.assertEqual(1, self.balancer.counts['dropped_forged'])
--- a/tests/steering/test_flow_survival.py
+++ b/tests/steering/test_flow_survival.py
@@ -1,4 +1,4 @@
-"""Flows survive changes of balancers, agents and homes."""
+"""Tests that flows survive restarts of balancers, agents and homes."""
 
 from testtools import TestCase
 
@@ -16,13 +16,14 @@
 
 
 class FlowSurvivalTest(TestCase):
-    def test_flow_goes_on_through_a_balancer_that_has_just_started(self):
-        # Fails if a balancer needs to have seen the opening packet.
+    def test_flow_continues_through_a_balancer_that_has_just_started(self):
+        # Guards against lost flows when the fabric moves them to a
+        # balancer that has not seen their opening packets.
         world = World()
         flow = make_flow()
         sequence = world.open(flow)
         world.start_balancer(3)
-        # Agents answer the newcomer's greeting within a round trip.
+        # Agents answer the new balancer's PRESENCE within a round trip.
         world.timers.advance(0.01)
         world.request(flow, sequence, balancer=3)
         world.timers.advance(0.1)
@@ -30,7 +31,8 @@
         self.assertEqual(1, world.responses[flow])
 
     def test_owner_is_found_after_its_home_was_lost(self):
-        # Fails if only the home knows where a flow was placed.
+        # Guards against lost flows when the home of a flow crashes and no
+        # other agent knows where the flow was placed.
         world = World()
         flow = self._open_away_from_home(world)
         home = self._rank(flow)[0]
@@ -44,7 +46,8 @@
         self.assertEqual(1, world.count_runs(flow))
 
     def test_agent_that_restarts_serves_flows_of_its_target(self):
-        # Fails if a restarted agent takes its own flows for strangers'.
+        # Guards against an agent that has lost its flow table in a restart
+        # and treats its target's flows as those of other agents.
         world = World()
         flow = make_flow()
         sequence = world.open(flow)
@@ -57,8 +60,10 @@
         self.assertEqual(1, world.count_runs(flow))
         self.assertEqual(1, world.responses[flow])
 
-    def test_flow_of_another_agent_passes_agents_that_all_restarted(self):
-        # Fails if young agents keep packets that their target returned.
+    def test_owner_is_found_after_all_agents_restarted(self):
+        # Guards against restarted agents that try a packet at their
+        # target and drop it when the target sends it back, instead of
+        # searching for the owner.
         world = World()
         flow = make_flow()
         sequence = world.open(flow)
@@ -73,7 +78,8 @@
         self.assertEqual(1, world.count_runs(flow))
 
     def test_copies_through_two_balancers_open_one_flow(self):
-        # Fails if each balancer places a copy for itself.
+        # Guards against a flow that is opened twice because each balancer
+        # chooses another home for its copy of the opening packet.
         world = World()
         flow = make_flow()
         world.send(make_opening(flow), balancer=1)
@@ -86,8 +92,9 @@
         ]
         self.assertEqual(1, len(holders))
 
-    def test_copy_goes_to_another_home_when_the_first_is_dead(self):
-        # Fails if all copies wait for the same dead home.
+    def test_copy_goes_to_another_home_when_the_first_has_crashed(self):
+        # Guards against a caller that times out because all copies of its
+        # opening packet are sent to the same crashed home.
         world = World()
         flow = make_flow()
         home = self._rank(flow)[0]
@@ -99,8 +106,9 @@
         self.assertEqual(1, len(world.answers[flow]))
 
     def test_packet_reaches_the_target_whose_answer_was_acknowledged(self):
-        # Fails if the first target that opened a flow takes its packets
-        # although the caller chose the answer of the second.
+        # Two targets may answer copies of one opening packet. Guards
+        # against packets that are delivered to the first of them although
+        # the caller has acknowledged the answer of the second.
         world = World()
         flow = make_flow()
         world.open(flow)
@@ -123,8 +131,9 @@
         self.assertEqual(1, other.runs_by_flow.get(flow, 0))
         self.assertEqual(1, world.count_runs(flow))
 
-    def test_packet_of_nobody_ends_without_a_loop(self):
-        # Fails if agents keep sending an unknown packet to each other.
+    def test_packet_of_an_unknown_flow_is_dropped_after_one_search(self):
+        # Guards against agents that keep forwarding a packet to each other
+        # if no target holds its flow.
         world = World()
         world.send(make_data(make_flow(77)))
         world.timers.advance(1.0)
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -1,4 +1,4 @@
-"""Replays of the loads that placement answers."""
+"""Tests of placement and load estimates under replayed loads."""
 
 import random
 
@@ -35,9 +35,9 @@
 
 
 class HeldFlowsTest(TestCase):
-    def test_refusal_is_no_short_service_time(self):
-        # Guards against a full target that looks the fastest because it
-        # refuses at once, and so draws all flows.
+    def test_refusal_is_not_counted_as_a_service_time(self):
+        # Guards against a full target that gets all new flows because it
+        # refuses requests at once and so seems to be the fastest.
         held = HeldFlows()
         flow = make_flow()
         entry = held.accept(make_opening(flow), OFFER, 0.0)
@@ -46,9 +46,9 @@
         self.assertFalse(held.service_time.estimate_s(0.1, 0.0))
         self.assertEqual(0, held.load)
 
-    def test_refusal_bounds_the_load_that_is_taken(self):
-        # Guards against flows for a queue that is known to be full while
-        # another target has room.
+    def test_refusal_limits_the_load_that_is_accepted(self):
+        # Guards against flows for a target whose queue is known to be full
+        # while another target can accept them.
         held = HeldFlows()
         for number in range(6):
             flow = make_flow(number)
@@ -61,9 +61,10 @@
             held.remove(make_flow(number))
         self.assertFalse(held.is_full(0.002))
 
-    def test_flows_without_a_request_count_for_a_round_trip(self):
-        # Replays opening packets of callers that have given up, after an
-        # outage: guards against refusals for a load that is not there.
+    def test_flows_without_a_request_count_only_for_a_round_trip(self):
+        # Replays opening packets of callers that have timed out after an
+        # outage: guards against refusals because of flows that will never
+        # carry a request.
         held = HeldFlows()
         for number in range(50):
             held.accept(make_opening(make_flow(number)), OFFER, 0.0)
@@ -73,8 +74,8 @@
 
     def test_service_time_is_learned_under_a_queue(self):
         # Replays cold targets after a power loss, where every request
-        # waits: guards against an estimate that keeps its first guess of
-        # 30 ms and takes what will be late.
+        # waits in a queue: guards against an estimate that stays at the
+        # default of 30 ms, so that requests are accepted that finish late.
         held = HeldFlows()
         now_s = 0.0
         for number in range(40):
@@ -88,9 +89,9 @@
         estimate_ms = held.service_time.estimate_s(now_s, 0.0) * 1000
         self.assertTrue(50 < estimate_ms < 70, estimate_ms)
 
-    def test_refusals_in_a_row_leave_the_slots_open(self):
-        # Guards against a target that drains its queue of refused
-        # requests and then stands idle behind a limit of one.
+    def test_refusals_in_a_row_do_not_limit_the_load_below_the_slots(self):
+        # Guards against a target that refuses its whole queue, after which
+        # a load limit of one request leaves its slots idle.
         held = HeldFlows()
         for number in range(6):
             flow = make_flow(number)
@@ -103,15 +104,16 @@
 
 class PlacementTest(TestCase):
     def test_fast_target_is_preferred_until_it_would_finish_later(self):
-        # Guards against a slow target that stands idle at the crest, and
-        # against one that gets work while a fast one is free.
+        # Guards against a slow target that is idle at peak load, and
+        # against one that gets requests while a fast one is idle.
         fast, slow = make_load(1, 1, 0.02), make_load(2, 0, 0.05)
         self.assertIs(fast, choose_peer([fast, slow], 0.0)[1])
         fast = make_load(1, 6, 0.02)
         self.assertIs(slow, choose_peer([fast, slow], 0.0)[1])
 
     def test_placements_since_the_report_are_added(self):
-        # Guards against a burst that one home sends to one target.
+        # Guards against a home that sends a burst to a single target
+        # because the next report has not arrived yet.
         first, second = make_load(1, 0, 0.02), make_load(2, 0, 0.021)
         chosen = []
         for _ in range(8):
@@ -121,33 +123,34 @@
         self.assertEqual(4, chosen.count(first))
 
     def test_silent_target_gets_nothing(self):
-        # Guards against new flows for a VM that froze.
+        # Guards against new flows for a VM that is frozen.
         peer = make_load(1, 0, 0.02, last_seen_s=0.0)
         self.assertIsNone(choose_peer([peer], 0.5))
 
     def test_queue_lengthens_the_expected_time(self):
-        # Guards against an estimate that ignores requests in the queue.
+        # Guards against an estimate that ignores queued requests.
         self.assertEqual(20, make_estimate(1).finish_s * 1000)
         self.assertEqual(40, make_estimate(3).finish_s * 1000)
 
-    def test_straggler_moves_the_usual_time_a_little(self):
-        # Guards against one long request that empties a fast target.
+    def test_straggler_changes_the_service_time_only_a_little(self):
+        # Guards against a fast target that gets no more flows because one
+        # request ran much longer than the others.
         service_time = ServiceTime()
         for _ in range(20):
             service_time.add(0.02, now_s=1.0)
         service_time.add(2.0, now_s=1.0)
         self.assertTrue(service_time.estimate_s(1.0, 0.02) * 1000 < 25)
 
-    def test_first_request_that_is_a_straggler_counts_little(self):
-        # Guards against a fast target that gets no flow after a restart,
-        # because its first request ran many times longer than the rest.
+    def test_straggler_as_the_first_request_counts_little(self):
+        # Guards against a fast target that gets no flows after a restart
+        # because its first request ran many times longer than the others.
         service_time = ServiceTime()
         service_time.add(0.2, now_s=1.0)
         self.assertTrue(service_time.estimate_s(1.0, 0.03) * 1000 < 90)
 
-    def test_estimate_of_a_target_without_work_returns_to_the_usual(self):
-        # Guards against an estimate that keeps all flows away, so that
-        # no request ever corrects it.
+    def test_estimate_of_an_idle_target_returns_to_the_average(self):
+        # Guards against an estimate that is so high that the target gets
+        # no flows, so that no request ever corrects it.
         service_time = ServiceTime()
         for _ in range(20):
             service_time.add(0.1, now_s=1.0)
@@ -155,9 +158,9 @@
         self.assertTrue(service_time.estimate_s(6.0, 0.03) * 1000 < 35)
         self.assertTrue(service_time.estimate_s(60.0, 0.03) * 1000 >= 30)
 
-    def test_mixed_speeds_share_a_crest_by_capacity(self):
-        # Replays a crest of 1.0 of the capacity over targets that differ
-        # 2.7 times in speed; guards against queues at the slow ones.
+    def test_targets_of_mixed_speed_share_a_peak_by_capacity(self):
+        # Replays a load of 1.0 of the capacity on targets that differ 2.7
+        # times in speed: guards against long queues at the slow ones.
         crest = PeakLoad((0.018, 0.03, 0.048, 0.018, 0.03))
         for _ in range(2000):
             crest.place_next()
@@ -165,35 +168,39 @@
         self.assertTrue(max(busy) * 2 < min(busy) * 3, busy)
 
     def test_request_that_would_finish_late_is_refused(self):
-        # Replays the backlog after an outage: guards against a queue in
-        # which every answer comes too late.
+        # Replays the backlog after an outage: guards against a queue so
+        # long that every response is late.
         self.assertTrue(should_accept(make_estimate(4), 0.15, 2))
         self.assertFalse(should_accept(make_estimate(6), 0.15, 2))
 
-    def test_what_is_taken_at_twice_the_capacity_is_answered_in_time(self):
-        # Replays demand of twice the capacity: guards against queues
-        # whose expected end is the goal, so that the way to the caller
-        # and every longer request make the answer late. Goodput at the
-        # crest is to be 90% of capacity (docs/design.md).
+    def test_requests_accepted_at_twice_the_capacity_finish_in_time(self):
+        # Replays a demand of twice the capacity: guards against requests
+        # that are accepted although they are expected to finish only just
+        # at the goal, so that the network to the caller or a longer
+        # request makes the response late. Goodput at peak load has to be
+        # 90% of the capacity (docs/design.md).
         overload = Overload(slots=2, mean_s=0.025, goal_s=0.15)
         capacity = overload.run(seconds=20.0)
         self.assertGreater(overload.in_time, 0.9 * capacity)
 
-    def test_urgent_request_finds_room_for_longer(self):
-        # Guards against orders that are refused beside look-ups.
+    def test_urgent_request_is_accepted_at_a_higher_load(self):
+        # Guards against urgent requests (orders) that are refused like
+        # those of lower priority (look-ups).
         self.assertTrue(should_accept(make_estimate(6), 0.15, 1))
         self.assertFalse(should_accept(make_estimate(6), 0.15, 2))
 
     def test_route_without_a_goal_is_not_refused(self):
+        # Guards against refusals because a missing goal counts as 0 s.
         self.assertTrue(should_accept(make_estimate(500), 0, 2))
 
     def test_free_slot_is_used_however_slow_the_target_seems(self):
-        # Guards against a service that refuses everything for ever after
-        # stragglers made all its targets look slower than the goal.
+        # Guards against a service that refuses all requests forever after
+        # stragglers made all its targets seem slower than the goal.
         self.assertTrue(should_accept(Estimate(1, 2, 9.0, 0.0), 0.15, 2))
 
-    def test_service_misjudged_as_a_whole_is_tried_again(self):
-        # Guards against estimates that hold each other up.
+    def test_high_estimates_of_all_targets_return_to_the_default(self):
+        # Guards against wrong estimates of all targets of a service that
+        # never fall because each is compared with the average of the rest.
         service_time = ServiceTime()
         for _ in range(20):
             service_time.add(0.5, now_s=1.0)
@@ -205,10 +212,10 @@
 
 
 class Overload:
-    """Requests of twice the capacity of one target."""
+    """Open-loop load of twice the capacity of one target."""
 
-    # Handshake, request and answer cross the way between caller and
-    # target, outside of what the agent sees.
+    # Time that handshake, request and response spend in the network
+    # between caller and target, which the agent cannot measure.
     NETWORK_S = 0.012
 
     def __init__(self, slots: int, mean_s: float, goal_s: float) -> None:
@@ -220,7 +227,7 @@
         self._random = random.Random(7)
 
     def run(self, seconds: float) -> float:
-        """Play; return how many requests the target could run."""
+        """Simulate; return how many requests the target could run."""
         capacity_per_s = self._slots / self._mean_s
         now_s = 0.0
         free_at_s = [0.0 for _ in range(self._slots)]
@@ -242,7 +249,7 @@
 
 
 class PeakLoad:
-    """Open load of 1.0 of the capacity of targets with two slots."""
+    """Open-loop load of 1.0 of the capacity of targets with two slots."""
 
     def __init__(self, speeds: tuple[float, ...]) -> None:
         self.now_s = 0.0
@@ -269,7 +276,7 @@
         self._placed[chosen] += 1
 
     def list_busy_s(self) -> list[float]:
-        """Return the work that each target was given."""
+        """Return the work in seconds that each target was given."""
         return [
             count * service_s
             for count, service_s in zip(self._placed, self._speeds, strict=True)
--- a/tests/steering/test_rotation.py
+++ b/tests/steering/test_rotation.py
@@ -1,4 +1,4 @@
-"""Balancers leave rotation one after the other."""
+"""Tests that balancers leave the rotation one after the other."""
 
 from testtools import TestCase
 
@@ -16,14 +16,16 @@
         for address in (FIRST, SECOND):
             self.rotation.update(address, BalancerStage.READY)
 
-    def test_leaves_while_half_of_the_zone_stays(self):
-        # Guards against a restart that waits for nothing.
+    def test_leaves_at_once_while_half_of_the_zone_stays_ready(self):
+        # Guards against a restart that waits although enough balancers of
+        # the zone are ready.
         self.rotation.request_leave()
         self.assertTrue(self.rotation.may_leave())
 
     def test_waits_for_a_balancer_that_left_before(self):
-        # Replays a rolling restart closer together than a restart takes:
-        # the fabric would use the balancer that does not run.
+        # Replays a rolling restart at intervals shorter than a restart
+        # takes: with fewer than half of the balancers ready, the fabric
+        # would also send to the one that is not running.
         self.rotation.update(FIRST, BalancerStage.LEAVING)
         self.timers.advance(1.2)
         self.rotation.update(SECOND, BalancerStage.READY)
@@ -36,22 +38,24 @@
         self.timers.advance(0.8)
         self.assertTrue(self.rotation.may_leave())
 
-    def test_later_leaver_does_not_hold_an_earlier_one(self):
-        # Guards against two balancers that wait for each other.
+    def test_balancer_that_leaves_later_does_not_delay_an_earlier_one(self):
+        # Guards against a deadlock of two balancers that ask to leave at
+        # almost the same time and wait for each other.
         self.rotation.request_leave()
         self.timers.advance(0.1)
         self.rotation.update(FIRST, BalancerStage.LEAVING)
         self.assertTrue(self.rotation.may_leave())
 
     def test_leaves_at_once_if_no_other_is_ready(self):
-        # Guards against a wait that helps nobody: without any ready
-        # balancer the fabric uses the nearest zones.
+        # Guards against a useless wait: if no balancer of the zone is
+        # ready, the fabric uses the nearest zones.
         self.timers.advance(3.0)
         self.rotation.request_leave()
         self.assertTrue(self.rotation.may_leave())
 
-    def test_removed_balancer_is_forgotten(self):
-        # Guards against waiting for a VM that never comes back.
+    def test_balancer_that_stays_silent_is_not_waited_for(self):
+        # Guards against waiting for a VM that was removed after it left
+        # and never comes back.
         self.rotation.update(FIRST, BalancerStage.LEAVING)
         for _ in range(21):
             self.timers.advance(1.0)
--- a/tests/steering/test_route_copies.py
+++ b/tests/steering/test_route_copies.py
@@ -1,4 +1,4 @@
-"""The configuration while the store does not answer."""
+"""Tests of the configuration while the store does not answer."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -23,7 +23,7 @@
 
 
 def make_large_table(version: int, count: int = 700) -> RouteTable:
-    """Return a configuration of several datagrams."""
+    """Return a configuration that needs several datagrams."""
     route = Route(
         'a-route', (ServiceShare(SERVICE, 1.0),), goal_s=0.15, priority=2
     )
@@ -34,7 +34,8 @@
 
 class RouteCopiesTest(TestCase):
     def test_parts_in_any_order_give_the_table(self):
-        # Guards against routes that a transfer loses or changes.
+        # Guards against routes that are lost or changed when the parts of
+        # a copy arrive out of order.
         table = make_large_table(9)
         parts = list(RouteCopy(9, encode_routes(table)).make_parts(SERVICE))
         assembly = RouteAssembly()
@@ -46,7 +47,8 @@
         self.assertEqual(150, round(route.goal_s * 1000))
 
     def test_parts_of_two_versions_do_not_mix(self):
-        # Guards against a configuration that nobody wrote.
+        # Guards against a mixed configuration when a newer version
+        # arrives between the parts of an older one.
         old = list(RouteCopy(8, b'x' * 2400).make_parts(SERVICE))
         new = list(RouteCopy(9, b'y' * 2400).make_parts(SERVICE))
         assembly = RouteAssembly()
@@ -55,15 +57,15 @@
         self.assertEqual(b'y' * 2400, assembly.add(new[1]).encoded)
 
     @given(st.binary(max_size=60))
-    def test_any_bytes_are_an_outcome(self, encoded):
-        # Guards against a datagram that ends the process.
+    def test_malformed_bytes_raise_no_exception(self, encoded):
+        # Guards against a malformed datagram that ends the process.
         decode_routes(1, encoded)
         part = make_message(PeerKind.PART, body=encoded, version=1)
         RouteAssembly().add(part)
 
     def test_balancer_that_starts_without_the_store_serves(self):
-        # Guards against a balancer that drops everything while the store
-        # is down, although its peers hold the configuration.
+        # Guards against a balancer that starts while the store is down
+        # and drops all packets although its peers have the configuration.
         world = World()
         started = self._start_without_store(world)
         world.timers.advance(2.5)
@@ -73,9 +75,9 @@
         world.timers.advance(0.05)
         self.assertIn(flow, world.answers)
 
-    def test_configuration_outlives_the_restart_of_all_balancers(self):
-        # Guards against an outage as long as that of the store when all
-        # balancers are killed meanwhile.
+    def test_configuration_survives_a_restart_of_all_balancers(self):
+        # Guards against an outage that lasts as long as that of the store
+        # because all balancers were killed during it.
         world = World()
         for balancer in world.balancer_by_address.values():
             balancer.apply_routes(make_table(version=5))
@@ -85,9 +87,9 @@
         world.timers.advance(2.5)
         self.assertEqual(5, started.routes.version)
 
-    def test_balancer_that_is_behind_asks_peers(self):
-        # Guards against a balancer that the store turns away and that
-        # keeps an older version.
+    def test_balancer_with_an_outdated_version_asks_peers(self):
+        # Guards against a balancer that keeps an outdated version because
+        # the store rejects its calls.
         world = World()
         first, second = world.balancer_by_address.values()
         first.apply_routes(make_table(version=5))
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -1,4 +1,4 @@
-"""The agent is the last gate of its target."""
+"""Tests of how an agent admits flows to its target."""
 
 from testtools import TestCase
 
@@ -33,8 +33,8 @@
         self.gate = TargetGate(self.timers, heartbeat_s=1.2)
 
     def test_late_heartbeat_of_an_earlier_start_changes_nothing(self):
-        # Guards against an earlier start that makes a draining target
-        # take flows again.
+        # Guards against a delayed heartbeat of an earlier start that makes
+        # a draining target accept flows again.
         new = make_heartbeat(target_id='i-2', started_ms=2000, is_draining=True)
         self.gate.handle_heartbeat(new)
         late = make_heartbeat(9, target_id='i-1', started_ms=1000)
@@ -43,30 +43,32 @@
         self.assertFalse(self.gate.is_open)
 
     def test_overtaken_heartbeat_changes_nothing(self):
-        # Guards against a delayed `ready` after `draining`.
+        # Guards against a `ready` heartbeat that arrives after a later
+        # `draining` one and opens the target again.
         self.gate.handle_heartbeat(make_heartbeat(5, is_draining=True))
         outcome = self.gate.handle_heartbeat(make_heartbeat(4))
         self.assertEqual(HeartbeatOutcome.STALE, outcome)
         self.assertFalse(self.gate.is_open)
 
-    def test_same_id_with_a_later_start_begins_anew(self):
-        # Guards against sequence numbers of the earlier start that make
-        # all heartbeats of the new one look old.
+    def test_same_id_with_a_later_start_is_a_new_lifetime(self):
+        # Guards against a restarted target whose heartbeats all look stale
+        # because its sequence numbers start from the beginning.
         self.gate.handle_heartbeat(make_heartbeat(50, is_draining=True))
         outcome = self.gate.handle_heartbeat(make_heartbeat(1, started_ms=2000))
         self.assertEqual(HeartbeatOutcome.NEW_LIFETIME, outcome)
         self.assertTrue(self.gate.is_open)
 
     def test_departure_of_an_earlier_target_is_ignored(self):
-        # Guards against a late departure that closes a new target.
+        # Guards against a delayed departure message of an earlier target
+        # that closes its successor.
         self.gate.handle_heartbeat(make_heartbeat(target_id='i-2'))
         self.assertFalse(self.gate.handle_departure('i-1'))
         self.assertTrue(self.gate.is_open)
 
-    def test_lost_opening_does_not_close_a_target_that_speaks(self):
-        # Guards against a target without flows that stays closed for
-        # ever after one lost datagram; the rest then carries its load
-        # and closes one after the other.
+    def test_lost_opening_does_not_close_a_target_with_heartbeats(self):
+        # Guards against a target without flows that stays closed forever
+        # after one lost datagram. The other targets would then carry its
+        # load and close one after the other.
         self.gate.handle_heartbeat(make_heartbeat())
         self.timers.advance(0.1)
         self.gate.record_failed_opening(self.timers.now())
@@ -75,7 +77,8 @@
         self.assertTrue(self.gate.is_responsive)
 
     def test_opening_lost_while_others_are_answered_is_a_lost_datagram(self):
-        # Guards against a closed target at each lost datagram.
+        # Guards against a target that is closed by every lost datagram
+        # although it answers other flows.
         self.gate.handle_heartbeat(make_heartbeat())
         offered_s = self.timers.now()
         self.timers.advance(0.05)
@@ -84,7 +87,8 @@
         self.assertTrue(self.gate.is_responsive)
 
     def test_silent_target_is_reported_absent(self):
-        # Guards against new flows for a target that has crashed.
+        # Guards against new flows for a target that crashed and sends no
+        # more heartbeats.
         self.gate.handle_heartbeat(make_heartbeat())
         self.timers.advance(5.0)
         self.assertEqual(ReportedState.ABSENT, self.gate.reported_state())
@@ -108,8 +112,9 @@
         message = make_report_message(load, **fields)
         self.agent.handle_peer_message(PEER, message, None)
 
-    def test_draining_target_gets_no_new_flow_whatever_others_believe(self):
-        # Guards against a balancer or home that has not heard of it.
+    def test_draining_target_gets_no_new_flow_from_uninformed_peers(self):
+        # Guards against new flows for a draining target from a balancer
+        # or home that does not know yet that it is draining.
         self.agent.handle_heartbeat(make_heartbeat(2, is_draining=True))
         self._report_from_peer()
         self._offer(make_flow())
@@ -117,8 +122,8 @@
         self.assertEqual([PEER], self.outbox.placed_agents())
 
     def test_agent_that_has_just_started_refuses_nothing(self):
-        # Guards against refusals by an agent that has not heard yet of
-        # the others, after a power loss of all.
+        # Guards against refusals after a power loss of all VMs, by an
+        # agent that has not received the reports of the others yet.
         started = AgentSteering(make_identity(2), self.timers, self.outbox)
         started.handle_heartbeat(make_heartbeat(is_draining=True))
         segment = make_opening(make_flow())
@@ -126,9 +131,9 @@
         started.handle_peer_message(BALANCER, message, segment)
         self.assertEqual([], self.outbox.resets)
 
-    def test_target_that_was_not_heard_yet_comes_second(self):
+    def test_target_without_a_heartbeat_is_ranked_second(self):
         # Guards against opening packets for a target that has not
-        # started yet after a power loss of all.
+        # started yet after a power loss of all VMs.
         self._report_from_peer(0, state=ReportedState.UNHEARD, service_s=0.001)
         self._offer(make_flow())
         self.assertEqual([], self.outbox.placed_agents())
@@ -136,21 +141,24 @@
         state = started.context.gate.reported_state()
         self.assertEqual(ReportedState.UNHEARD, state)
 
-    def test_target_that_was_not_heard_does_not_slow_the_estimates(self):
+    def test_target_without_a_heartbeat_does_not_raise_the_estimates(self):
         # Guards against refusals as too late while slots are free: the
-        # penalty of unheard targets had entered the usual time of all.
+        # penalty for targets without a heartbeat was once included in the
+        # average service time of all targets.
         self._report_from_peer(0, state=ReportedState.UNHEARD, service_s=0.0)
         self.assertFalse(self.agent.context.estimate_service_s())
 
     def test_draining_target_without_peers_refuses_at_once(self):
-        # Guards against a caller that waits for nobody.
+        # Guards against a caller that waits for a timeout although no
+        # target can accept its flow.
         self.agent.handle_heartbeat(make_heartbeat(2, is_draining=True))
         self._offer(make_flow())
         self.assertEqual([make_flow()], self.outbox.resets)
 
     def test_flow_of_another_service_never_enters(self):
-        # Guards against a reused address: a balancer still believes that
-        # the VM serves another service.
+        # Guards against a flow that reaches the wrong service because the
+        # address of a VM was reused and a balancer still has its former
+        # service.
         self._offer(make_flow(), service=OTHER_SERVICE)
         self.assertEqual([], self.outbox.sent_to_target)
         self.assertEqual(
@@ -158,7 +166,8 @@
         )
 
     def test_returned_opening_goes_to_the_next_target(self):
-        # Guards against a refusal while another target has room.
+        # Guards against a refusal while another target can accept the
+        # flow.
         self._report_from_peer()
         flow = make_flow()
         self._offer(flow, hops=3)
@@ -172,8 +181,9 @@
         self.assertEqual([PEER], self.outbox.placed_agents())
 
     def test_opening_that_is_handed_over_keeps_its_goal(self):
-        # Replays a power loss: handed-over flows had no goal any more,
-        # were never refused as too late and lengthened every queue.
+        # Replays a power loss: flows that were handed over had lost their
+        # goal, so they were never refused as too late and made all queues
+        # longer.
         self._report_from_peer()
         self._offer(make_flow(), goal_ms=150, priority=2)
         self.timers.advance(0.02)
@@ -187,7 +197,7 @@
         )
 
     def test_opening_is_not_handed_over_to_a_queue_that_is_too_long(self):
-        # Guards against a hop to a target that can only refuse.
+        # Guards against a hop to a target that would finish too late.
         self._offer(make_flow(), goal_ms=150)
         self._report_from_peer(20, service_s=0.05)
         self.agent.handle_target_packet(
@@ -196,9 +206,9 @@
         self.assertEqual([make_flow()], self.outbox.resets)
 
     def test_target_that_only_returns_openings_is_absent(self):
-        # Replays agents whose targets have left, after a power loss:
-        # packets for an absent target come back, so it looked alive and
-        # idle and drew the flows that the others had room for.
+        # Replays a power loss after which the targets of some agents were
+        # gone: packets for an absent target are sent back, so it looked
+        # running and idle and was given flows that others could accept.
         started = AgentSteering(make_identity(2), self.timers, self.outbox)
         segment = make_opening(make_flow())
         message = make_message(PeerKind.PLACE, body=segment.raw)
@@ -214,8 +224,8 @@
         )
 
     def test_target_that_crashed_and_returns_openings_is_absent(self):
-        # Guards against a crashed target that stays the idlest of all
-        # while packets for it come back.
+        # Guards against a crashed target that gets all new flows because
+        # packets for it are sent back and its load stays the lowest.
         self.timers.advance(0.5)
         self._offer(make_flow())
         self.timers.advance(0.002)
@@ -227,8 +237,8 @@
         )
 
     def test_full_target_that_answers_others_stays_open(self):
-        # Guards against a target closed until its next heartbeat because
-        # it holds as many flows as it can.
+        # Guards against a target that is closed until its next heartbeat
+        # because it holds as many flows as it can and sends one back.
         self._offer(make_flow())
         self._offer(make_flow(2))
         self.timers.advance(0.002)
@@ -241,8 +251,8 @@
         )
 
     def test_unanswered_opening_goes_to_the_next_target(self):
-        # Guards against a target that crashed without a word: the caller
-        # would wait for its whole time budget.
+        # Guards against a caller that waits until its time budget is used
+        # up because the target crashed without a notice.
         self._offer(make_flow(), hops=1)
         self._report_from_peer()
         self.timers.advance(0.08)
@@ -254,8 +264,8 @@
         )
 
     def test_pause_of_the_agent_is_no_silence_of_others(self):
-        # Guards against refusals after a freeze: answers and reports of
-        # that time still wait in the sockets.
+        # Guards against refusals after the VM was frozen: answers and
+        # reports that arrived meanwhile are still queued in the sockets.
         self._report_from_peer()
         self._offer(make_flow())
         self.timers.pause(4.0)
@@ -265,9 +275,9 @@
         load = self.agent.context.peers.load_by_address[PEER]
         self.assertTrue(load.is_usable(self.timers.now()))
 
-    def test_flow_that_was_handed_on_is_told_to_its_home(self):
-        # Guards against packets of the flow that end at a home which
-        # knows only the first agent that it chose.
+    def test_home_is_notified_of_a_flow_that_was_handed_over(self):
+        # Guards against packets that the home of a flow forwards to the
+        # first agent that it chose although that one handed the flow over.
         self._report_from_peer()
         homes = self.agent.context.peers.homes
         flow = next(
@@ -277,24 +287,27 @@
         )
         self._offer(flow, hops=2)
         self.agent.handle_target_packet(make_answer(flow))
-        told = [
+        notified = [
             (address, message.body)
             for address, message in self.outbox.sent_to_agents
             if message.kind is PeerKind.HELD
         ]
-        self.assertEqual([(PEER, flow)], told)
+        self.assertEqual([(PEER, flow)], notified)
 
-    def test_opened_flow_is_told_to_its_balancer(self):
-        # Guards against a relay of every packet through the home.
+    def test_balancer_is_notified_of_an_opened_flow(self):
+        # Guards against an additional hop through the home for every
+        # packet of the flow.
         flow = make_flow()
         self._offer(flow)
         self.agent.handle_target_packet(make_answer(flow))
-        told = self.outbox.held_notifications()
-        self.assertEqual([(make_message(PeerKind.HELD).balancer, flow)], told)
+        notified = self.outbox.held_notifications()
+        self.assertEqual(
+            [(make_message(PeerKind.HELD).balancer, flow)], notified
+        )
 
     def test_refusal_of_the_target_is_no_answer(self):
-        # Guards against a full target that looks the fastest because it
-        # refuses at once.
+        # Guards against a full target that seems to be the fastest because
+        # it refuses requests at once.
         flow = make_flow()
         self._offer(flow)
         self.agent.handle_target_packet(make_answer(flow))
@@ -308,8 +321,9 @@
         self.assertEqual(0, self.agent.context.held_flows.load)
 
     def test_packet_that_acknowledges_another_target_is_not_delivered(self):
-        # Guards against a flow that two targets have opened: the caller
-        # chose the answer of the other.
+        # Two targets may open the same flow. Guards against packets that
+        # are delivered here although the caller has acknowledged the
+        # answer of the other target.
         flow = make_flow()
         self._report_from_peer(9)
         self._offer(flow)
@@ -323,7 +337,8 @@
         self.assertIn(PeerKind.SEARCH, asked)
 
     def test_unreadable_packet_is_counted_and_dropped(self):
-        # Guards against bytes that are no packet.
+        # Guards against an exception at a message whose body is not a
+        # packet.
         message = make_message(PeerKind.FORWARD, body=b'x')
         self.agent.handle_peer_message(BALANCER, message, None)
         self.assertEqual(
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -1,8 +1,8 @@
-"""Balancers, agents, targets and callers in virtual time.
+"""Simulation of balancers, agents, targets and callers in virtual time.
 
-A small stand-in of the users' platform: the fabric hashes flows over
-balancers, targets return packets of flows that they do not hold, every
-datagram takes a millisecond.
+A small stand-in for the users' platform: the test chooses the balancer
+of each packet in place of the fabric, targets send back packets of
+flows that they do not hold, and every datagram takes a millisecond.
 """
 
 from greengagepath.foundation.timers import VirtualTimerService
@@ -30,7 +30,7 @@
 
 
 class FakeTarget:
-    """A target that holds flows and returns packets of others."""
+    """A target that opens flows and sends back packets of unknown ones."""
 
     def __init__(self, world: 'World', number: int) -> None:
         self.world = world
@@ -70,7 +70,7 @@
 
 
 class FakeOutbox:
-    """Passes datagrams of one process on after a hop."""
+    """Delivers the datagrams of one process after `HOP_S`."""
 
     def __init__(self, world: 'World', address: bytes) -> None:
         self.world = world
@@ -161,12 +161,12 @@
         return steering
 
     def stop_agent(self, number: int) -> None:
-        """Kill the process; its timers do nothing any more."""
+        """Kill the process; what its timers send is discarded."""
         steering = self.agent_by_address.pop(make_address(number))
         steering.context.outbox.is_dead = True
 
     def send(self, segment: Segment, balancer: int = 1) -> None:
-        """Hand a caller's packet to a balancer, as the fabric does."""
+        """Deliver a caller's packet to a balancer, as the fabric does."""
         self.segment_by_raw[segment.raw] = segment
         address = make_address(balancer, network=9)
         self.deliver_later(
