Clarify the role of the agent and the names of agent groups

Change: the docstring of AgentSteering states why it decides last; local variables that hold the agents of a service are named so; tests use peak and accepted instead of crest and taken.

--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -30,9 +30,10 @@
 class AgentSteering:
     """Admits flows to one target and is the home of part of the flows.
 
-    Every new flow of the target passes this agent, which knows the
-    target's state best. As a home, it places the opening packets of its
-    share of the service's flows.
+    Every packet for the target passes this agent last, so it can refuse
+    or hand over a flow that others sent with an outdated state of the
+    target. As a home, it places the opening packets of its share of the
+    service's flows.
     """
 
     def __init__(
--- a/greengagepath/steering/balancer_contacts.py
+++ b/greengagepath/steering/balancer_contacts.py
@@ -88,8 +88,10 @@
         """
         balancers = [self._address, *self._balancer_seen_s]
         for agent in tuple(self.agents.by_address.values()):
-            known = self.agents.by_service.get(agent.service)
-            agents = list(known.known.addresses) if known else []
+            service_agents = self.agents.by_service.get(agent.service)
+            agents = (
+                list(service_agents.known.addresses) if service_agents else []
+            )
             self._send_presence(agent, Roster(balancers, agents))
         presence = self._encode(self._zone, b'', hops=self.stage)
         for address in self._balancer_seen_s:
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -210,13 +210,15 @@
     def _choose_home(
         self, service: bytes | None, segment: Segment
     ) -> bytes | None:
-        known = self.contacts.agents.by_service.get(service or NO_SERVICE)
-        if known is None or not known.live.addresses:
+        service_agents = self.contacts.agents.by_service.get(
+            service or NO_SERVICE
+        )
+        if service_agents is None or not service_agents.live.addresses:
             return None
         if not segment.copy_number:
-            return known.live.find_home(segment.flow)
+            return service_agents.live.find_home(segment.flow)
         # The home that got the first copy may have crashed unnoticed.
-        ranked = known.live.rank(segment.flow)
+        ranked = service_agents.live.rank(segment.flow)
         return ranked[segment.copy_number % len(ranked)]
 
     def _forward(self, segment: Segment) -> None:
@@ -239,8 +241,12 @@
             self.counts['dropped_no_route'] += 1
             return
         for share in route.shares:
-            known = self.contacts.agents.by_service.get(share.service)
-            home = known.find_home(segment.flow) if known else None
+            service_agents = self.contacts.agents.by_service.get(share.service)
+            home = (
+                service_agents.find_home(segment.flow)
+                if service_agents
+                else None
+            )
             if home is not None:
                 self.counts['packets_to_home'] += 1
                 self._send(home, PeerKind.FORWARD, share.service, segment.raw)
@@ -279,7 +285,7 @@
         )
         self._outbox.reset(flow)
 
-    # Agents
+    # Messages of agents
 
     def _handle_report(self, sender: bytes, message: PeerMessage) -> None:
         decoded = decode_report(message.body)
--- a/greengagepath/steering/known_agents.py
+++ b/greengagepath/steering/known_agents.py
@@ -134,9 +134,9 @@
 
     Changes between READY, UNHEARD and FULL are not.
     """
-    usual = {
+    unlogged = {
         ReportedState.READY,
         ReportedState.UNHEARD,
         ReportedState.FULL,
     }
-    return agent.state not in usual or report.state not in usual
+    return agent.state not in unlogged or report.state not in unlogged
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -161,10 +161,10 @@
     def test_targets_of_mixed_speed_share_a_peak_by_capacity(self):
         # Replays a load of 1.0 of the capacity on targets that differ 2.7
         # times in speed: guards against long queues at the slow ones.
-        crest = PeakLoad((0.018, 0.03, 0.048, 0.018, 0.03))
+        peak = PeakLoad((0.018, 0.03, 0.048, 0.018, 0.03))
         for _ in range(2000):
-            crest.place_next()
-        busy = crest.list_busy_s()
+            peak.place_next()
+        busy = peak.list_busy_s()
         self.assertTrue(max(busy) * 2 < min(busy) * 3, busy)
 
     def test_request_that_would_finish_late_is_refused(self):
@@ -220,7 +220,7 @@
 
     def __init__(self, slots: int, mean_s: float, goal_s: float) -> None:
         self.in_time = 0
-        self.taken = 0
+        self.accepted = 0
         self._slots = slots
         self._mean_s = mean_s
         self._goal_s = goal_s
@@ -242,7 +242,7 @@
             work_s = self._random.expovariate(1 / self._mean_s)
             free_at_s[slot] = max(free_at_s[slot], now_s) + work_s
             ends_s.append(free_at_s[slot])
-            self.taken += 1
+            self.accepted += 1
             took_s = free_at_s[slot] - now_s + self.NETWORK_S
             self.in_time += took_s <= self._goal_s
         return capacity_per_s * seconds
