Name the membership modules' methods and fields in usual terms

Several names in greengagepath/membership were figurative or private to the project (patience, judge, tell, rival, keeper). They now say what they stand for, for instance timeout factor, may_declare_dead, send_candidates and LinkManager. No name outside the package changes.

--- a/greengagepath/membership/agent_node.py
+++ b/greengagepath/membership/agent_node.py
@@ -18,7 +18,7 @@
 from .handshake import PROTOCOL_VERSION
 from .link_monitor import LinkMonitor
 from .overlay import rank_by_hash
-from .overlay_links import LinkKeeper
+from .overlay_links import LinkManager
 from .own_record import OwnRecord
 from .peers import Peer, PeerRole, PeerTable
 from .ports import NodePorts
@@ -29,7 +29,7 @@
 # A balancer to which this many attempts failed is passed over.
 MAX_FAILURES = 2
 # After this time a balancer that was passed over is tried again.
-PASS_OVER_S = 30.0
+SKIP_UNRESPONSIVE_S = 30.0
 
 
 class AgentNode:
@@ -50,9 +50,9 @@
         self.configuration_version = 0
         self._ports = ports
         self._on_service = on_service
-        self._keeper = LinkKeeper(self.peers, ports)
-        self._care = LinkMonitor(self.peers, ports)
-        self._choice = HomeChoice(record, ports, self._keeper)
+        self._link_manager = LinkManager(self.peers, ports)
+        self._link_monitor = LinkMonitor(self.peers, ports)
+        self._home_selector = HomeSelector(record, ports, self._link_manager)
         self._timers: list[Timer] = []
 
     def start(self) -> None:
@@ -60,7 +60,10 @@
         timers = self._ports.timers
         self._timers = [
             timers.subscribe(STEP_S, self._step),
-            timers.subscribe(self._ports.limits.heartbeat_s, self._care.beat),
+            timers.subscribe(
+                self._ports.limits.heartbeat_s,
+                self._link_monitor.send_heartbeats,
+            ),
         ]
         self._step()
 
@@ -87,8 +90,8 @@
 
     def link_closed(self, link_id: int) -> None:
         """Forget the link and what was learnt on it."""
-        self._keeper.failed(link_id)
-        self._choice.forget(link_id)
+        self._link_manager.mark_closed(link_id)
+        self._home_selector.remove_link(link_id)
         self.peers.remove(link_id)
         self._publish_homes()
 
@@ -112,8 +115,8 @@
         earlier = self.peers.identify(peer, record, PeerRole.ZONE)
         if earlier is not None:
             self._ports.links.close(earlier.link_id)
-        self._keeper.succeeded(peer.link_id)
-        self._choice.learn(peer.link_id, [record])
+        self._link_manager.mark_established(peer.link_id)
+        self._home_selector.set_candidates(peer.link_id, [record])
         self._publish_homes()
 
     def _receive_records(self, link_id: int, message: Records) -> None:
@@ -121,11 +124,11 @@
         candidates = []
         for record in message.records:
             if record.member_id == self.own.member_id:
-                self.own.note_claim(record)
+                self.own.receive_claim(record)
             elif is_balancer(record):
                 candidates.append(record)
         if candidates:
-            self._choice.learn(link_id, candidates)
+            self._home_selector.set_candidates(link_id, candidates)
 
     def _receive_delta(self, delta: ConfigurationDelta) -> None:
         if delta.version <= self.configuration_version:
@@ -136,9 +139,9 @@
                 self._on_service(service)
 
     def _step(self) -> None:
-        self._care.close_silent()
+        self._link_monitor.close_silent()
         self.own.refute_pending()
-        self._keeper.adjust(self._choice.wanted_links())
+        self._link_manager.adjust(self._home_selector.wanted_links())
         self._publish_homes()
 
     def _publish_homes(self) -> None:
@@ -160,7 +163,7 @@
                 self._ports.links.send(peer.link_id, Records(records=[record]))
 
 
-class HomeChoice:
+class HomeSelector:
     """Which balancers an agent wants as homes.
 
     What the homes said last is kept when all links are lost, so that an
@@ -168,58 +171,63 @@
     """
 
     def __init__(
-        self, own: MemberRecord, ports: NodePorts, keeper: LinkKeeper
+        self, own: MemberRecord, ports: NodePorts, link_manager: LinkManager
     ) -> None:
         self._own = own
         self._ports = ports
-        self._keeper = keeper
-        self._balancers_by_link: dict[int, list[MemberRecord]] = {}
+        self._link_manager = link_manager
+        self._candidates_by_link: dict[int, list[MemberRecord]] = {}
         self._last_known: dict[str, MemberRecord] = {}
-        self._passed_over_s_by_id: dict[str, float] = {}
+        self._skipped_since_by_id: dict[str, float] = {}
         self._seeds = SeedReader(own.availability_zone, ports)
         self._sample: list[Address] = []
 
-    def learn(self, link_id: int, balancers: list[MemberRecord]) -> None:
+    def set_candidates(
+        self, link_id: int, balancers: list[MemberRecord]
+    ) -> None:
         """Take the candidates that a home has sent."""
-        self._balancers_by_link[link_id] = balancers
+        self._candidates_by_link[link_id] = balancers
         self._last_known = {
             record.member_id: record
-            for records in self._balancers_by_link.values()
+            for records in self._candidates_by_link.values()
             for record in records
         }
 
-    def forget(self, link_id: int) -> None:
+    def remove_link(self, link_id: int) -> None:
         """Drop what a home has sent whose link has closed."""
-        self._balancers_by_link.pop(link_id, None)
+        self._candidates_by_link.pop(link_id, None)
 
     def wanted_links(self) -> dict[str, Address]:
         """Return the homes, and seeds while no balancer answers."""
         known = self._last_known
-        self._pass_over(known)
-        usable = known.keys() - self._passed_over_s_by_id.keys()
+        self._skip_unresponsive(known)
+        usable = known.keys() - self._skipped_since_by_id.keys()
         ranked = rank_by_hash(self._own.member_id, usable)
         wanted = {
             home: (known[home].host, known[home].control_port)
             for home in ranked[: self._ports.limits.homes]
         }
-        if self._balancers_by_link:
-            self._seeds.rest()
+        if self._candidates_by_link:
+            self._seeds.reset_pause()
             return wanted
         return wanted | {
             f'seed {entry}': entry for entry in self._sample_seeds()
         }
 
-    def _pass_over(self, known: dict[str, MemberRecord]) -> None:
+    def _skip_unresponsive(self, known: dict[str, MemberRecord]) -> None:
         """Leave out balancers that do not answer, for a while."""
         now_s = self._ports.timers.now()
         for record in known.values():
             address = (record.host, record.control_port)
-            if self._keeper.failures(address) > MAX_FAILURES:
-                self._passed_over_s_by_id.setdefault(record.member_id, now_s)
-        self._passed_over_s_by_id = {
+            if (
+                self._link_manager.attempts_since_success(address)
+                > MAX_FAILURES
+            ):
+                self._skipped_since_by_id.setdefault(record.member_id, now_s)
+        self._skipped_since_by_id = {
             member_id: since_s
-            for member_id, since_s in self._passed_over_s_by_id.items()
-            if now_s - since_s < PASS_OVER_S
+            for member_id, since_s in self._skipped_since_by_id.items()
+            if now_s - since_s < SKIP_UNRESPONSIVE_S
         }
 
     def _sample_seeds(self) -> list[Address]:
--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -30,12 +30,18 @@
 from .handshake import Handshake
 from .homes import HomeDirectory
 from .link_monitor import LinkMonitor
-from .overlay_links import LinkKeeper
+from .overlay_links import LinkManager
 from .own_record import OwnRecord
 from .peers import Peer, PeerRole, PeerTable
 from .ports import NodePorts
 from .table import MemberTable
-from .views import OnTargets, OverlayView, SeedReader, TargetReport, ZoneWatch
+from .views import (
+    OnTargets,
+    OverlayView,
+    SeedReader,
+    TargetNotifier,
+    ZoneMonitor,
+)
 
 STEP_S = 0.1
 # Scans of the whole table take about 1 ms at 3,320 members.
@@ -77,13 +83,15 @@
         self.link_monitor = LinkMonitor(self.peers, ports)
         self._ports = ports
         self._on_configuration = listeners.on_configuration
-        self._report = TargetReport(self.table, ports, listeners.on_targets)
+        self._target_notifier = TargetNotifier(
+            self.table, ports, listeners.on_targets
+        )
         self._exchange = RecordExchange(
-            self.own, self.table, self.peers, ports, self._report
+            self.own, self.table, self.peers, ports, self._target_notifier
         )
         self._handshake = Handshake(self.own, self.peers, ports)
         self._homes = HomeDirectory(self.table, self.peers, ports, record)
-        self._watch = _Watch(self, ports)
+        self._monitor = _MembershipMonitor(self, ports)
         self._timers: list[Timer] = []
         self.table.merge(record)
 
@@ -94,7 +102,9 @@
         self._timers = [
             timers.subscribe(STEP_S, self._step),
             timers.subscribe(SCAN_S, self._scan),
-            timers.subscribe(limits.heartbeat_s, self.link_monitor.beat),
+            timers.subscribe(
+                limits.heartbeat_s, self.link_monitor.send_heartbeats
+            ),
             timers.subscribe(limits.anti_entropy_s, self._compare_tables),
         ]
         self._step()
@@ -115,8 +125,8 @@
 
     def link_closed(self, link_id: int) -> None:
         """Forget the link."""
-        self._watch.keeper.failed(link_id)
-        self._homes.forget(link_id)
+        self._monitor.link_manager.mark_closed(link_id)
+        self._homes.remove_link(link_id)
         self.peers.remove(link_id)
 
     def link_received(self, link_id: int, message: msgspec.Struct) -> None:
@@ -163,10 +173,10 @@
     def _receive_hello(self, peer: Peer, hello: Hello) -> None:
         if not self._handshake.accept(peer, hello):
             return
-        self._watch.keeper.succeeded(peer.link_id)
+        self._monitor.link_manager.mark_established(peer.link_id)
         self._exchange.merge(hello.record, peer)
         if peer.role is PeerRole.AGENT:
-            self._homes.tell(peer)
+            self._homes.send_candidates(peer)
             self.spread.send_service(peer)
         elif peer.outgoing:
             self._exchange.send_initial_state(peer, self.spread)
@@ -183,37 +193,37 @@
         )
         self._exchange.publish_version(configuration.version)
         self._on_configuration(configuration)
-        self._report.schedule()
+        self._target_notifier.schedule()
 
     def _compare_tables(self) -> None:
         self._exchange.compare_tables(self.spread)
 
     def _step(self) -> None:
         """Notice silent members and links, keep links and the slot."""
-        for suspect in self._watch.silent_members():
+        for suspect in self._monitor.silent_members():
             self._exchange.pass_on(suspect, source=None)
-        for dead in self._watch.dead_members():
+        for dead in self._monitor.dead_members():
             self._exchange.pass_on(dead, source=None)
         self.link_monitor.close_silent()
         self.own.refute_pending()
-        self._watch.adjust_links()
+        self._monitor.adjust_links()
 
     def _scan(self) -> None:
         """Keep the slot, see silent zones, tell agents of new homes."""
         self.bridge.step()
-        if self._watch.zones.step():
-            self._report.schedule()
-        self._homes.tell_all()
+        if self._monitor.zone_monitor.step():
+            self._target_notifier.schedule()
+        self._homes.send_changed_candidates()
 
 
-class _Watch:
+class _MembershipMonitor:
     """Which balancers to link to, and which members are silent."""
 
     def __init__(self, node: BalancerNode, ports: NodePorts) -> None:
         self._node = node
         record = node.own.record
-        self.keeper = LinkKeeper(node.peers, ports)
-        self.zones = ZoneWatch(node.own, node.table, ports)
+        self.link_manager = LinkManager(node.peers, ports)
+        self.zone_monitor = ZoneMonitor(node.own, node.table, ports)
         self._overlay = OverlayView(node.own, node.table, ports)
         self._own_address = (record.host, record.control_port)
         self._seeds = SeedReader(record.availability_zone, ports)
@@ -229,11 +239,11 @@
 
     def dead_members(self) -> list[MemberRecord]:
         """Declare overdue suspects dead and return their records."""
-        return self._node.table.expire(self._detector.may_judge)
+        return self._node.table.expire(self._detector.may_declare_dead)
 
     def adjust_links(self) -> None:
         """Open and close links as the overlay and the slot ask for."""
-        self.keeper.adjust(self._wanted_links())
+        self.link_manager.adjust(self._wanted_links())
 
     def _wanted_links(self) -> dict[str, Address]:
         wanted = {
@@ -241,7 +251,7 @@
             **self._node.bridge.wanted_links(),
         }
         if self._node.peers.with_role(PeerRole.ZONE):
-            self._seeds.rest()
+            self._seeds.reset_pause()
             return wanted
         seeds = set(self._seeds.addresses()) - {self._own_address}
         return wanted | {f'seed {entry}': entry for entry in seeds}
--- a/greengagepath/membership/bridge.py
+++ b/greengagepath/membership/bridge.py
@@ -67,7 +67,7 @@
 
     def step(self) -> None:
         """Take, keep or give up a slot, and do a bridge's work."""
-        if self._should_move_up():
+        if self._should_take_first_slot():
             self._drop_slot()
         if not self.is_bridge:
             self._choose_slot()
@@ -75,8 +75,8 @@
             self._lease.step()
         self._directory.update_reached()
         if self.is_bridge:
-            self._yield_to_rival()
-        if self._links_zones():
+            self._drop_contested_slot()
+        if self._should_link_zones():
             self._watch.step()
             self._directory.step()
         if self.is_bridge and self._slot == 1 and self._lease is not None:
@@ -89,9 +89,11 @@
 
     def wanted_links(self) -> Mapping[str, Address]:
         """Return the balancers of other zones to link to, by member id."""
-        return self._directory.wanted_links() if self._links_zones() else {}
+        return (
+            self._directory.wanted_links() if self._should_link_zones() else {}
+        )
 
-    def _links_zones(self) -> bool:
+    def _should_link_zones(self) -> bool:
         """Return whether to link to other zones and to watch.
 
         A balancer that finds nobody in its own zone does so without a
@@ -105,7 +107,7 @@
             PeerRole.ZONE
         )
 
-    def _should_move_up(self) -> bool:
+    def _should_take_first_slot(self) -> bool:
         """Return whether nobody else can take the first slot.
 
         Its holder writes the seed; with the slot empty new processes
@@ -180,12 +182,12 @@
         lease = self._lease
         if lease is None:
             return
-        if lease.is_held() or lease.is_store_silent:
+        if lease.is_held() or lease.is_store_unavailable:
             self._parts.own.update(bridge_slot=self._slot)
-        elif lease.is_contested and self.is_bridge:
+        elif lease.is_held_elsewhere and self.is_bridge:
             self._parts.own.update(bridge_slot=0, reached_zones=[])
 
-    def _yield_to_rival(self) -> None:
+    def _drop_contested_slot(self) -> None:
         """Give the slot up if another bridge has it with more right.
 
         Two may take one slot while the object API is silent.
@@ -194,13 +196,13 @@
             return
         own_id = self._parts.own.member_id
         for record in self._parts.table.balancers():
-            is_rival = (
+            has_priority = (
                 record.availability_zone == self._zone
                 and record.bridge_slot == self._slot
                 and record.member_id < own_id
                 and record.state is MemberState.alive
             )
-            if is_rival:
+            if has_priority:
                 self._drop_slot()
                 return
 
--- a/greengagepath/membership/configuration_watch.py
+++ b/greengagepath/membership/configuration_watch.py
@@ -26,11 +26,11 @@
         self._object_version = 0
         self._is_pending = False
         self._is_stopped = False
-        self._next_s = 0.0
+        self._next_watch_s = 0.0
 
     def step(self) -> None:
         """Start the next watch when none is pending."""
-        is_due = self._ports.timers.now() >= self._next_s
+        is_due = self._ports.timers.now() >= self._next_watch_s
         if is_due and not self._is_pending and not self._is_stopped:
             self._is_pending = True
             self._ports.store.watch(
@@ -49,13 +49,13 @@
         now_s = self._ports.timers.now()
         if outcome.is_err():
             jitter = self._ports.random.uniform(0.5, 1)
-            self._next_s = now_s + WATCH_PAUSE_S * jitter
+            self._next_watch_s = now_s + WATCH_PAUSE_S * jitter
             return
         stored = outcome.unwrap()
         if stored.version == 0:
             # Nothing new, or no object yet; the API answers the latter
             # at once.
-            self._next_s = now_s + WATCH_PAUSE_S / 2
+            self._next_watch_s = now_s + WATCH_PAUSE_S / 2
             return
         self._object_version = max(self._object_version, stored.version)
         configuration = configuration_of(stored)
--- a/greengagepath/membership/detector.py
+++ b/greengagepath/membership/detector.py
@@ -12,10 +12,10 @@
 
 # A check that is later than this means that the process itself was
 # paused; the others have not been silent, it has not listened.
-PAUSE_S = 1.0
+MAX_CHECK_GAP_S = 1.0
 # A member that refutes a suspicion is given twice the time before the
 # next one, up to this factor: its link to us is broken, not the member.
-MAX_PATIENCE = 16
+MAX_TIMEOUT_FACTOR = 16
 
 
 class FailureDetector:
@@ -40,29 +40,29 @@
         self._peers = peers
         self._timers = timers
         self._limits = limits
-        self._heard_s_by_id: dict[str, float] = {}
-        self._patience_by_id: dict[str, int] = {}
-        self._checked_s = timers.now()
+        self._last_heard_s_by_id: dict[str, float] = {}
+        self._timeout_factor_by_id: dict[str, int] = {}
+        self._last_check_s = timers.now()
         self._seen_version = -1
-        self._agents: frozenset[str] = frozenset()
+        self._watched_agent_ids: frozenset[str] = frozenset()
 
     def check(
         self, overlay_ids: Iterable[str], zone_balancer_ids: Iterable[str]
     ) -> list[MemberRecord]:
         """Suspect the silent ones; return their changed records."""
         now_s = self._timers.now()
-        if now_s - self._checked_s > PAUSE_S:
-            self._restart_silence(now_s)
-        self._checked_s = now_s
+        if now_s - self._last_check_s > MAX_CHECK_GAP_S:
+            self._restart_timeouts(now_s)
+        self._last_check_s = now_s
         if self._seen_version != self._table.version:
             self._seen_version = self._table.version
             zone_ids = frozenset(zone_balancer_ids)
-            self._agents = self._watched_agents(zone_ids)
-        watched = self._agents.union(overlay_ids)
+            self._watched_agent_ids = self._watched_agents(zone_ids)
+        watched = self._watched_agent_ids.union(overlay_ids)
         self._track(watched, now_s)
         return self._suspect_silent(watched, now_s)
 
-    def may_judge(self, record: MemberRecord) -> bool:
+    def may_declare_dead(self, record: MemberRecord) -> bool:
         """Return whether this balancer may declare the member dead.
 
         Only members of the same zone, or a home, judge: from elsewhere a
@@ -73,11 +73,11 @@
             or self._member_id in record.homes
         )
 
-    def _restart_silence(self, now_s: float) -> None:
+    def _restart_timeouts(self, now_s: float) -> None:
         for peer in self._peers:
             peer.last_heard_s = now_s
-        for member_id in self._heard_s_by_id:
-            self._heard_s_by_id[member_id] = now_s
+        for member_id in self._last_heard_s_by_id:
+            self._last_heard_s_by_id[member_id] = now_s
 
     def _watched_agents(
         self, zone_balancer_ids: frozenset[str]
@@ -107,36 +107,36 @@
         return held is not None and not is_gone(held)
 
     def _track(self, watched: frozenset[str], now_s: float) -> None:
-        for member_id in self._heard_s_by_id.keys() - watched:
-            self._heard_s_by_id.pop(member_id)
-            self._patience_by_id.pop(member_id, None)
+        for member_id in self._last_heard_s_by_id.keys() - watched:
+            self._last_heard_s_by_id.pop(member_id)
+            self._timeout_factor_by_id.pop(member_id, None)
         for member_id in watched:
             peer = self._peers.by_member(member_id)
             if peer is not None:
-                self._heard_s_by_id[member_id] = peer.last_heard_s
-            self._heard_s_by_id.setdefault(member_id, now_s)
+                self._last_heard_s_by_id[member_id] = peer.last_heard_s
+            self._last_heard_s_by_id.setdefault(member_id, now_s)
 
     def _suspect_silent(
         self, watched: frozenset[str], now_s: float
     ) -> list[MemberRecord]:
         suspected = []
         for member_id in watched:
-            patience = self._patience_by_id.get(member_id, 1)
-            silent_s = now_s - self._heard_s_by_id[member_id]
-            if silent_s < self._limits.suspect_after_s * patience:
-                self._reset_patience(member_id, silent_s)
+            factor = self._timeout_factor_by_id.get(member_id, 1)
+            silent_s = now_s - self._last_heard_s_by_id[member_id]
+            if silent_s < self._limits.suspect_after_s * factor:
+                self._reset_timeout_factor(member_id, silent_s)
                 continue
             record = self._table.suspect(member_id)
             if record is not None:
                 suspected.append(record)
-                self._patience_by_id[member_id] = min(
-                    patience * 2, MAX_PATIENCE
+                self._timeout_factor_by_id[member_id] = min(
+                    factor * 2, MAX_TIMEOUT_FACTOR
                 )
-                self._heard_s_by_id[member_id] = now_s
+                self._last_heard_s_by_id[member_id] = now_s
         return suspected
 
-    def _reset_patience(self, member_id: str, silent_s: float) -> None:
+    def _reset_timeout_factor(self, member_id: str, silent_s: float) -> None:
         if silent_s < self._limits.heartbeat_s:
             has_link = self._peers.by_member(member_id) is not None
             if has_link:
-                self._patience_by_id.pop(member_id, None)
+                self._timeout_factor_by_id.pop(member_id, None)
--- a/greengagepath/membership/dissemination.py
+++ b/greengagepath/membership/dissemination.py
@@ -47,7 +47,7 @@
     def push(self, record: MemberRecord, source: Peer | None = None) -> None:
         """Queue a change for all links that should carry it."""
         for peer in self._peers.with_role(PeerRole.ZONE, PeerRole.BRIDGE):
-            if peer is not source and self._carries(peer, record):
+            if peer is not source and self._should_send(peer, record):
                 self.push_to(peer, record)
 
     def push_to(self, peer: Peer, record: MemberRecord) -> None:
@@ -56,11 +56,14 @@
         With a full queue the record is dropped, and a digest follows.
         """
         limit = self._ports.limits.link_queue
-        if record.member_id not in peer.pending and len(peer.pending) >= limit:
+        if (
+            record.member_id not in peer.pending_records
+            and len(peer.pending_records) >= limit
+        ):
             peer.needs_digest = True
             self.dropped_records += 1
             return
-        peer.pending[record.member_id] = record
+        peer.pending_records[record.member_id] = record
         if self._flush_timer is None:
             self._flush_timer = self._ports.timers.call_after(
                 FLUSH_S, self.flush
@@ -75,10 +78,10 @@
         meanwhile need not be sent to it.
         """
         for peer in self._peers.with_role(PeerRole.ZONE, PeerRole.BRIDGE):
-            if peer is not source and self._carries(peer, record):
-                peer.raised.add(record.member_id)
+            if peer is not source and self._should_send(peer, record):
+                peer.pending_version_ids.add(record.member_id)
         if source is not None:
-            source.raised.discard(record.member_id)
+            source.pending_version_ids.discard(record.member_id)
         if self._versions_timer is None:
             self._versions_timer = self._ports.timers.call_after(
                 FLUSH_VERSIONS_S, self._flush_versions
@@ -88,9 +91,9 @@
         """Send what is queued."""
         self._flush_timer = None
         for peer in self._peers:
-            if peer.pending:
-                records = list(peer.pending.values())
-                peer.pending.clear()
+            if peer.pending_records:
+                records = list(peer.pending_records.values())
+                peer.pending_records.clear()
                 if not self._ports.links.send(
                     peer.link_id, Records(records=records)
                 ):
@@ -99,8 +102,11 @@
     def _flush_versions(self) -> None:
         self._versions_timer = None
         for peer in self._peers:
-            found = [self._table.get(entry) for entry in sorted(peer.raised)]
-            peer.raised.clear()
+            found = [
+                self._table.get(entry)
+                for entry in sorted(peer.pending_version_ids)
+            ]
+            peer.pending_version_ids.clear()
             records = [entry for entry in found if entry is not None]
             if records:
                 self._send_versions(peer, records)
@@ -148,7 +154,7 @@
             batch = found[start : start + MAX_RECORDS]
             self._ports.links.send(peer.link_id, Records(records=batch))
 
-    def _carries(self, peer: Peer, record: MemberRecord) -> bool:
+    def _should_send(self, peer: Peer, record: MemberRecord) -> bool:
         return (
             peer.role is PeerRole.ZONE or record.availability_zone == self._zone
         )
--- a/greengagepath/membership/exchange.py
+++ b/greengagepath/membership/exchange.py
@@ -14,11 +14,11 @@
 from .ports import NodePorts
 from .records import is_gone
 from .table import CHANGES, MemberTable, MergeOutcome
-from .views import FirstSync, TargetReport
+from .views import FirstSync, TargetNotifier
 
 # While versions in force spread, all tables differ in all buckets; a
 # comparison would exchange whole tables for nothing.
-SPREAD_S = 3.0
+VERSION_QUIET_S = 3.0
 
 
 class RecordExchange:
@@ -30,15 +30,15 @@
         table: MemberTable,
         peers: PeerTable,
         ports: NodePorts,
-        report: TargetReport,
+        target_notifier: TargetNotifier,
     ) -> None:
         self._own = own
         self._table = table
         self._peers = peers
         self._ports = ports
-        self._report = report
-        self._sync = FirstSync(ports)
-        self._version_news_s = 0.0
+        self._target_notifier = target_notifier
+        self._first_sync = FirstSync(ports)
+        self._last_version_change_s = 0.0
         self.dissemination = Dissemination(
             table, peers, ports, own.record.availability_zone
         )
@@ -46,7 +46,7 @@
     def merge(self, record: MemberRecord, source: Peer) -> None:
         """Take a record from a link, answer an old one with a newer."""
         if record.member_id == self._own.member_id:
-            self._own.note_claim(record)
+            self._own.receive_claim(record)
             return
         outcome = self._table.merge(record)
         if outcome in CHANGES:
@@ -54,7 +54,7 @@
         elif outcome is MergeOutcome.VERSION:
             self.dissemination.push_version(record, source)
         elif outcome is MergeOutcome.STALE:
-            self._correct(record, source)
+            self._send_newer(record, source)
 
     def merge_versions(self, versions: Versions, source: Peer) -> None:
         """Take versions in force from a link and pass on what is news."""
@@ -65,9 +65,9 @@
             strict=False,
         )
         for member_id, incarnation, version in columns:
-            source.raised.discard(member_id)
+            source.pending_version_ids.discard(member_id)
             if self._table.raise_version(member_id, incarnation, version):
-                self._version_news_s = self._ports.timers.now()
+                self._last_version_change_s = self._ports.timers.now()
                 record = self._table.get(member_id)
                 self.dissemination.push_version(record, source)
 
@@ -81,16 +81,17 @@
         self.dissemination.push_version(own.record)
 
     def pass_on(self, record: MemberRecord, source: Peer | None) -> None:
-        """Push a change, and tell its subject if it is linked here.
+        """Push a changed record to the linked balancers.
 
-        The member can then refute the suspicion.
+        A suspected or dead member that is linked gets the record too, so
+        that it can refute it.
         """
         self.dissemination.push(record, source)
-        subject = self._peers.by_member(record.member_id)
+        member = self._peers.by_member(record.member_id)
         is_suspected = is_gone(record) or record.state is MemberState.suspect
-        if is_suspected and subject is not None and subject is not source:
-            self.dissemination.push_to(subject, record)
-        self._report.schedule()
+        if is_suspected and member is not None and member is not source:
+            self.dissemination.push_to(member, record)
+        self._target_notifier.schedule()
 
     def receive_digest(
         self, peer: Peer, digest: Digest, spread: ConfigurationSpread
@@ -98,7 +99,7 @@
         """Compare tables and configuration versions with the sender."""
         spread.receive_offer(peer.link_id, digest.configuration_version)
         buckets = self.dissemination.differing_buckets(digest)
-        if buckets and not self._sync.is_running:
+        if buckets and not self._first_sync.is_running:
             self._ports.links.send(peer.link_id, Pull(buckets=buckets))
             self.dissemination.send_buckets(peer, buckets)
 
@@ -106,7 +107,7 @@
         self, peer: Peer, spread: ConfigurationSpread
     ) -> None:
         """Compare tables over a new link."""
-        self._sync.delay(lambda: self.send_digest(peer, spread))
+        self._first_sync.schedule(lambda: self.send_digest(peer, spread))
 
     def send_digest(self, peer: Peer, spread: ConfigurationSpread) -> None:
         """Start a comparison, unless the link has closed meanwhile."""
@@ -117,8 +118,8 @@
 
     def compare_tables(self, spread: ConfigurationSpread) -> None:
         """Send a digest to one balancer, and where records were dropped."""
-        spread_s = self._ports.timers.now() - self._version_news_s
-        if spread_s < SPREAD_S:
+        spread_s = self._ports.timers.now() - self._last_version_change_s
+        if spread_s < VERSION_QUIET_S:
             return
         linked = self._peers.with_role(PeerRole.ZONE, PeerRole.BRIDGE)
         chosen = [peer for peer in linked if peer.needs_digest]
@@ -127,7 +128,7 @@
         for peer in chosen:
             self.send_digest(peer, spread)
 
-    def _correct(self, record: MemberRecord, source: Peer) -> None:
+    def _send_newer(self, record: MemberRecord, source: Peer) -> None:
         """Send the newer record; agents are told only about themselves."""
         held = self._table.get(record.member_id)
         is_concerned = source.is_balancer or (
--- a/greengagepath/membership/handshake.py
+++ b/greengagepath/membership/handshake.py
@@ -29,7 +29,7 @@
             return
         self._peers.open(peer)
         if outgoing:
-            self._say_hello(link_id)
+            self._send_hello(link_id)
 
     def accept(self, peer: Peer, hello: Hello) -> bool:
         """Answer a Hello; return whether the link is kept."""
@@ -43,7 +43,7 @@
             peer, hello.record, self._role_of(hello.record)
         )
         if not peer.outgoing:
-            self._say_hello(peer.link_id)
+            self._send_hello(peer.link_id)
         if earlier is None:
             return True
         return self._drop_duplicate(peer, earlier) is not peer
@@ -54,9 +54,12 @@
         Two links in the same direction mean that the earlier one is
         broken and its end has not been noticed yet.
         """
-        own_first = self._own.member_id < peer.member_id
+        is_own_id_smaller = self._own.member_id < peer.member_id
         dropped, kept = earlier, peer
-        if peer.outgoing != earlier.outgoing and peer.outgoing != own_first:
+        if (
+            peer.outgoing != earlier.outgoing
+            and peer.outgoing != is_own_id_smaller
+        ):
             dropped, kept = peer, earlier
         self._peers.prefer(kept)
         self._ports.links.close(dropped.link_id)
@@ -73,7 +76,7 @@
         self._send(peer.link_id, LinkError(reason=reason))
         self._ports.links.close(peer.link_id)
 
-    def _say_hello(self, link_id: int) -> None:
+    def _send_hello(self, link_id: int) -> None:
         self._send(
             link_id,
             Hello(record=self._own.record, protocol_version=PROTOCOL_VERSION),
--- a/greengagepath/membership/homes.py
+++ b/greengagepath/membership/homes.py
@@ -25,27 +25,27 @@
         self._ports = ports
         self._zone = own.availability_zone
         self._seen_version = -1
-        self._told_by_link: dict[int, list[tuple[str, int]]] = {}
+        self._sent_by_link: dict[int, list[tuple[str, int]]] = {}
 
-    def tell_all(self) -> None:
+    def send_changed_candidates(self) -> None:
         """Tell each agent what has changed for it."""
         if self._seen_version == self._table.version:
             return
         self._seen_version = self._table.version
         for peer in self._peers.with_role(PeerRole.AGENT):
-            self.tell(peer)
+            self.send_candidates(peer)
 
-    def tell(self, peer: Peer) -> None:
+    def send_candidates(self, peer: Peer) -> None:
         """Tell one agent its candidates, unless it knows them."""
         candidates = self._candidates(peer.member_id)
-        told = [(entry.member_id, entry.incarnation) for entry in candidates]
-        if self._told_by_link.get(peer.link_id) != told:
-            self._told_by_link[peer.link_id] = told
+        sent = [(entry.member_id, entry.incarnation) for entry in candidates]
+        if self._sent_by_link.get(peer.link_id) != sent:
+            self._sent_by_link[peer.link_id] = sent
             self._ports.links.send(peer.link_id, Records(records=candidates))
 
-    def forget(self, link_id: int) -> None:
+    def remove_link(self, link_id: int) -> None:
         """Drop what was told on a link that has closed."""
-        self._told_by_link.pop(link_id, None)
+        self._sent_by_link.pop(link_id, None)
 
     def _candidates(self, agent_id: str) -> list[MemberRecord]:
         balancers = {
--- a/greengagepath/membership/leases.py
+++ b/greengagepath/membership/leases.py
@@ -64,20 +64,20 @@
         terms: LeaseTerms,
         store: ObjectClient,
         timers: TimerService,
-        chance: random.Random,
+        rng: random.Random,
         on_change: Callable[[], None],
     ) -> None:
         self.terms = terms
         self._store = store
         self._timers = timers
-        self._chance = chance
+        self._rng = rng
         self._on_change = on_change
         self._held: StoredObject | None = None
         self._valid_until_s = 0.0
-        self._sighting: _ObservedLease | None = None
+        self._observed: _ObservedLease | None = None
         self._is_pending = False
-        self._next_try_s = 0.0
-        self.is_store_silent = False
+        self._next_attempt_s = 0.0
+        self.is_store_unavailable = False
 
     @property
     def fencing_token(self) -> int:
@@ -87,9 +87,9 @@
         return int(str(self._held.body[_TOKEN]))
 
     @property
-    def is_contested(self) -> bool:
+    def is_held_elsewhere(self) -> bool:
         """Whether somebody else was seen to hold the lease."""
-        return self._held is None and self._sighting is not None
+        return self._held is None and self._observed is not None
 
     def is_held(self) -> bool:
         """Return whether the lease is valid right now."""
@@ -100,13 +100,15 @@
     def step(self) -> None:
         """Renew or try to acquire when it is time to; call often."""
         now_s = self._timers.now()
-        if self._is_pending or now_s < self._next_try_s:
+        if self._is_pending or now_s < self._next_attempt_s:
             return
         self._is_pending = True
-        jitter = self._chance.uniform(*RENEWAL_JITTER)
-        self._next_try_s = now_s + self.terms.renew_s * jitter
+        jitter = self._rng.uniform(*RENEWAL_JITTER)
+        self._next_attempt_s = now_s + self.terms.renew_s * jitter
         if self._held is None:
-            self._store.read(ObjectKind.LEASE, self.terms.name, self._consider)
+            self._store.read(
+                ObjectKind.LEASE, self.terms.name, self._handle_read
+            )
         else:
             self._write(self._held.version, self.fencing_token)
 
@@ -125,10 +127,10 @@
             _ignore,
         )
 
-    def _consider(self, outcome: ObjectOutcome) -> None:
+    def _handle_read(self, outcome: ObjectOutcome) -> None:
         """Take a lease that is free, or that nobody has renewed."""
         self._is_pending = False
-        self.is_store_silent = outcome.is_err()
+        self.is_store_unavailable = outcome.is_err()
         if outcome.is_err():
             self._on_change()
             return
@@ -146,11 +148,11 @@
             # An own write whose answer and all repetitions were lost.
             return True
         now_s = self._timers.now()
-        sighting = self._sighting
-        if sighting is None or sighting.stored.version != stored.version:
-            self._sighting = _ObservedLease(stored, now_s)
+        observed = self._observed
+        if observed is None or observed.stored.version != stored.version:
+            self._observed = _ObservedLease(stored, now_s)
             return False
-        seen_s = now_s - sighting.since_s
+        seen_s = now_s - observed.since_s
         return seen_s >= self.terms.duration_s * OBSERVER_FACTOR
 
     def _write(self, version: int, token: int) -> None:
@@ -172,18 +174,18 @@
         if outcome.is_ok():
             self._held = outcome.unwrap()
             self._valid_until_s = sent_s + self.terms.duration_s
-            self._sighting = None
-            self.is_store_silent = False
+            self._observed = None
+            self.is_store_unavailable = False
         elif isinstance(outcome.unwrap_err(), Conflict):
-            self._lose(outcome.unwrap_err().current)
+            self._handle_conflict(outcome.unwrap_err().current)
         else:
-            self.is_store_silent = True
+            self.is_store_unavailable = True
         self._on_change()
 
-    def _lose(self, current: StoredObject) -> None:
+    def _handle_conflict(self, current: StoredObject) -> None:
         """Remember who won; a conflict tells that it was not us."""
         self._held = None
-        self._sighting = _ObservedLease(current, self._timers.now())
+        self._observed = _ObservedLease(current, self._timers.now())
 
 
 def _ignore(outcome: ObjectOutcome) -> None:
--- a/greengagepath/membership/link_monitor.py
+++ b/greengagepath/membership/link_monitor.py
@@ -14,7 +14,7 @@
         self._sequence = 0
         self.silent_links = 0
 
-    def beat(self) -> None:
+    def send_heartbeats(self) -> None:
         """Send a heartbeat to every member that is linked."""
         self._sequence += 1
         heartbeat = Heartbeat(sequence=self._sequence)
--- a/greengagepath/membership/overlay_links.py
+++ b/greengagepath/membership/overlay_links.py
@@ -19,11 +19,11 @@
     """Connection attempts to one address since the last success."""
 
     count: int = 0
-    next_s: float = 0
+    next_attempt_s: float = 0
     link_id: int | None = None
 
 
-class LinkKeeper:
+class LinkManager:
     """Connects to wanted addresses with jittered, growing pauses.
 
     The number of attempts under way is the number of wanted addresses.
@@ -48,19 +48,19 @@
         self._open(missing)
         self._close_unwanted(addresses_by_member)
 
-    def failed(self, link_id: int) -> None:
+    def mark_closed(self, link_id: int) -> None:
         """Note that an attempt failed or its link has closed."""
         for attempts in self._attempts_by_address.values():
             if attempts.link_id == link_id:
                 attempts.link_id = None
 
-    def succeeded(self, link_id: int) -> None:
+    def mark_established(self, link_id: int) -> None:
         """Note that the other side said Hello."""
         for attempts in self._attempts_by_address.values():
             if attempts.link_id == link_id:
                 attempts.count = 0
 
-    def failures(self, address: Address) -> int:
+    def attempts_since_success(self, address: Address) -> int:
         """Return the attempts since the last success."""
         attempts = self._attempts_by_address.get(address)
         return 0 if attempts is None else attempts.count
@@ -75,8 +75,8 @@
             attempts = self._attempts_by_address.setdefault(
                 address, _Attempts()
             )
-            if attempts.link_id is None and attempts.next_s <= now_s:
-                attempts.next_s = now_s + self._pause_s(attempts.count)
+            if attempts.link_id is None and attempts.next_attempt_s <= now_s:
+                attempts.next_attempt_s = now_s + self._pause_s(attempts.count)
                 attempts.count += 1
                 attempts.link_id = self._ports.links.connect(address)
 
--- a/greengagepath/membership/own_record.py
+++ b/greengagepath/membership/own_record.py
@@ -25,7 +25,7 @@
         self.record = record
         self._timers = timers
         self._on_change = on_change
-        self._claim: MemberRecord | None = None
+        self._pending_claim: MemberRecord | None = None
         self._refuted_s: float | None = None
 
     @property
@@ -45,23 +45,23 @@
             self.record, configuration_version=configuration_version
         )
 
-    def note_claim(self, claim: MemberRecord) -> None:
+    def receive_claim(self, claim: MemberRecord) -> None:
         """Take note of what another process says of this one.
 
         A claim that is newer than the own record, such as a suspicion,
         is answered by a record that is newer still.
         """
         if order_of(claim) > order_of(self.record):
-            self._claim = claim
+            self._pending_claim = claim
             self.refute_pending()
 
     def refute_pending(self) -> None:
         """Refute the last claim, unless one was refuted just now."""
-        claim = self._claim
+        claim = self._pending_claim
         now_s = self._timers.now()
         if claim is None or self._is_too_early(now_s):
             return
-        self._claim = None
+        self._pending_claim = None
         self._refuted_s = now_s
         if order_of(claim) > order_of(self.record):
             renewed = msgspec.structs.replace(
--- a/greengagepath/membership/peers.py
+++ b/greengagepath/membership/peers.py
@@ -1,4 +1,4 @@
-"""Links of a node and what it knows of the other ends."""
+"""Open links of a node and the members at their other ends."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -9,7 +9,7 @@
 
 @unique
 class PeerRole(Enum):
-    """What a link is for; known from the other side's Hello."""
+    """Role of the other end, known once its Hello has arrived."""
 
     UNKNOWN = 'unknown'
     # A balancer of the same availability zone.
@@ -21,11 +21,11 @@
 
 @dataclass(slots=True)
 class Peer:
-    """One open link.
+    """One open link and what is queued for it.
 
-    `pending` holds the records to be sent, the newest of each member,
-    `raised` the members of which only the configuration version rose.
-    `needs_digest` is set when records had to be dropped.
+    `pending_records` holds the newest record of each member to be sent,
+    `pending_version_ids` the members of which only the configuration
+    version rose. `needs_digest` is set when records had to be dropped.
     """
 
     link_id: int
@@ -33,14 +33,14 @@
     last_heard_s: float
     role: PeerRole = PeerRole.UNKNOWN
     member_id: str = ''
-    pending: dict[str, MemberRecord] = field(default_factory=dict)
-    raised: set[str] = field(default_factory=set)
+    pending_records: dict[str, MemberRecord] = field(default_factory=dict)
+    pending_version_ids: set[str] = field(default_factory=set)
     needs_digest: bool = False
     unwanted_since_s: float | None = None
 
     @property
     def is_balancer(self) -> bool:
-        """Whether the other end is a balancer that said Hello."""
+        """Whether the other end has sent a Hello as a balancer."""
         return self.role in {PeerRole.ZONE, PeerRole.BRIDGE}
 
 
@@ -56,7 +56,7 @@
         return len(self._peers_by_link)
 
     def __iter__(self) -> Iterator[Peer]:
-        """Iterate over a copy, so that links may close meanwhile."""
+        """Iterate over a copy, so that links may close during iteration."""
         return iter(tuple(self._peers_by_link.values()))
 
     def open(self, peer: Peer) -> None:
@@ -66,7 +66,7 @@
     def identify(
         self, peer: Peer, record: MemberRecord, role: PeerRole
     ) -> Peer | None:
-        """Name the other end; return an earlier link to it, if any."""
+        """Set the member at the other end; return an earlier link to it."""
         earlier = self._peers_by_member.get(record.member_id)
         peer.member_id = record.member_id
         peer.role = role
@@ -82,11 +82,11 @@
         return self._peers_by_link.get(link_id)
 
     def by_member(self, member_id: str) -> Peer | None:
-        """Return the open link to a member."""
+        """Return the open link to a member, or None."""
         return self._peers_by_member.get(member_id)
 
     def remove(self, link_id: int) -> Peer | None:
-        """Forget a link that has closed."""
+        """Remove a closed link and return it, or None if it is unknown."""
         peer = self._peers_by_link.pop(link_id, None)
         if peer is not None and self.by_member(peer.member_id) is peer:
             self._peers_by_member.pop(peer.member_id)
--- a/greengagepath/membership/seeds.py
+++ b/greengagepath/membership/seeds.py
@@ -30,24 +30,24 @@
     def __init__(self, parts: BridgeParts) -> None:
         self._parts = parts
         self._zone = parts.own.record.availability_zone
-        self._written: list[list[object]] = []
+        self._last_written: list[list[object]] = []
         self._next_check_s = 0.0
         self.refused_writes = 0
 
     def step(self, lease: Lease) -> None:
         """Write the seed if it changed and the lease is valid."""
         now_s = self._parts.ports.timers.now()
-        wanted = self._wanted()
-        if now_s < self._next_check_s or wanted == self._written:
+        wanted = self._choose_addresses()
+        if now_s < self._next_check_s or wanted == self._last_written:
             return
         self._next_check_s = now_s + SEED_CHECK_S
         self._parts.ports.store.read(
             ObjectKind.SEED,
             self._zone,
-            lambda outcome: self._compare(lease, wanted, outcome),
+            lambda outcome: self._write_unless_newer(lease, wanted, outcome),
         )
 
-    def _wanted(self) -> list[list[object]]:
+    def _choose_addresses(self) -> list[list[object]]:
         """Return the addresses of the bridges and a few other balancers."""
         balancers = {
             record.member_id: record
@@ -59,7 +59,7 @@
         chosen = [balancers[entry] for entry in ranked[:SEED_ADDRESSES]]
         return [[record.host, record.control_port] for record in chosen]
 
-    def _compare(
+    def _write_unless_newer(
         self, lease: Lease, wanted: list[list[object]], outcome: ObjectOutcome
     ) -> None:
         """Write unless a holder with a newer lease has written."""
@@ -75,15 +75,15 @@
             ObjectKind.SEED,
             self._zone,
             StoredObject(stored.version, body),
-            lambda written: self._remember(wanted, written),
+            lambda written: self._finish_write(wanted, written),
             may_send=lease.is_held,
         )
 
-    def _remember(
+    def _finish_write(
         self, wanted: list[list[object]], outcome: ObjectOutcome
     ) -> None:
         if outcome.is_ok():
-            self._written = wanted
+            self._last_written = wanted
         elif isinstance(outcome.unwrap_err(), Conflict):
             self._next_check_s = 0
 
--- a/greengagepath/membership/table.py
+++ b/greengagepath/membership/table.py
@@ -157,20 +157,20 @@
         each new configuration, and nothing is derived from it.
         """
         held = self._records_by_id.get(member_id)
-        is_news = (
+        is_newer = (
             held is not None
             and not is_gone(held)
             and held.incarnation == incarnation
             and held.configuration_version < configuration_version
         )
-        if is_news:
+        if is_newer:
             raised = msgspec.structs.replace(
                 held, configuration_version=configuration_version
             )
             self.checksums.toggle(held)
             self.checksums.toggle(raised)
             self._records_by_id[member_id] = raised
-        return is_news
+        return is_newer
 
     def suspect(self, member_id: str) -> MemberRecord | None:
         """Mark a member as suspect; return its record if that changed it."""
@@ -180,11 +180,11 @@
         return self._replace_state(held, MemberState.suspect)
 
     def expire(
-        self, may_judge: Callable[[MemberRecord], bool]
+        self, may_declare_dead: Callable[[MemberRecord], bool]
     ) -> list[MemberRecord]:
         """Turn overdue suspects into dead members and drop old tombstones.
 
-        Returns the records of the dead. Only suspects that `may_judge`
+        Returns the records of the dead. Only suspects that `may_declare_dead`
         accepts are touched.
         """
         now_s = self._timers.now()
@@ -196,12 +196,12 @@
         dead = [
             self._replace_state(record, MemberState.dead)
             for record in overdue
-            if may_judge(record)
+            if may_declare_dead(record)
         ]
         self._drop_tombstones(now_s)
         return dead
 
-    def forget(self, member_ids: Iterable[str]) -> None:
+    def discard(self, member_ids: Iterable[str]) -> None:
         """Drop members without a trace."""
         for member_id in member_ids:
             self._remove(member_id)
@@ -264,7 +264,7 @@
             if len(expired) >= excess and not is_old:
                 break
             expired.append(member_id)
-        self.forget(expired)
+        self.discard(expired)
 
 
 def _with_higher_version(
--- a/greengagepath/membership/views.py
+++ b/greengagepath/membership/views.py
@@ -46,7 +46,7 @@
             return False
         return self._ports.timers.now() - self._started_s < FIRST_SYNC_S
 
-    def delay(self, send_digest: Callable[[], None]) -> None:
+    def schedule(self, send_digest: Callable[[], None]) -> None:
         """Compare now, but after the first neighbour's records came."""
         is_first = self._started_s is None
         if is_first:
@@ -68,25 +68,25 @@
         self._table = table
         self._degree = ports.limits.overlay_degree
         self._seen_version = -1
-        self._ids: frozenset[str] = frozenset()
-        self._wanted: frozenset[str] = frozenset()
+        self._zone_balancer_ids: frozenset[str] = frozenset()
+        self._peer_ids: frozenset[str] = frozenset()
 
     def zone_balancer_ids(self) -> frozenset[str]:
         """Return the balancers of the zone, this one included."""
         self._refresh()
-        return self._ids
+        return self._zone_balancer_ids
 
     def watched(self) -> frozenset[str]:
         """Return the balancers whose silence this one notices."""
         others = self.zone_balancer_ids() - {self._own.member_id}
         if not others:
             return frozenset()
-        return self._wanted | {predecessor(self._own.member_id, others)}
+        return self._peer_ids | {predecessor(self._own.member_id, others)}
 
     def wanted_links(self) -> dict[str, Address]:
         """Return the balancers to link to, by member id."""
         self._refresh()
-        records = [self._table.get(entry) for entry in self._wanted]
+        records = [self._table.get(entry) for entry in self._peer_ids]
         return {
             record.member_id: (record.host, record.control_port)
             for record in records
@@ -103,12 +103,14 @@
             for record in self._table.balancers()
             if record.availability_zone == zone
         )
-        if ids != self._ids:
-            self._ids = ids
-            self._wanted = overlay_peers(self._own.member_id, ids, self._degree)
+        if ids != self._zone_balancer_ids:
+            self._zone_balancer_ids = ids
+            self._peer_ids = overlay_peers(
+                self._own.member_id, ids, self._degree
+            )
 
 
-class ZoneWatch:
+class ZoneMonitor:
     """Marks zones as unreachable after `UNREACHABLE_S` without a link."""
 
     def __init__(
@@ -117,8 +119,8 @@
         self._own = own
         self._table = table
         self._timers = ports.timers
-        self._silent_since_by_zone: dict[str, float] = {}
-        self._silent: frozenset[str] = frozenset()
+        self._unreachable_since_by_zone: dict[str, float] = {}
+        self._unreachable: frozenset[str] = frozenset()
         self._seen_version = -1
 
     def step(self) -> bool:
@@ -126,14 +128,14 @@
         now_s = self._timers.now()
         if self._seen_version != self._table.version:
             self._seen_version = self._table.version
-            self._silent = unreachable_zones(self._own.record, self._table)
-        since_s_by_zone = self._silent_since_by_zone
-        self._silent_since_by_zone = {
-            zone: since_s_by_zone.get(zone, now_s) for zone in self._silent
+            self._unreachable = unreachable_zones(self._own.record, self._table)
+        since_s_by_zone = self._unreachable_since_by_zone
+        self._unreachable_since_by_zone = {
+            zone: since_s_by_zone.get(zone, now_s) for zone in self._unreachable
         }
         overdue = frozenset(
             zone
-            for zone, since_s in self._silent_since_by_zone.items()
+            for zone, since_s in self._unreachable_since_by_zone.items()
             if now_s - since_s >= UNREACHABLE_S
         )
         view = self._table.target_view
@@ -149,31 +151,31 @@
         self._zone = zone
         self._ports = ports
         self._addresses: list[Address] = []
-        self._next_s = 0.0
+        self._next_read_s = 0.0
         self._pause_s = FIRST_SEED_RETRY_S
 
     def addresses(self) -> list[Address]:
         """Return what is known; read again if it is time to."""
         now_s = self._ports.timers.now()
-        if now_s >= self._next_s:
+        if now_s >= self._next_read_s:
             jitter = self._ports.random.uniform(0.5, 1)
-            self._next_s = now_s + self._pause_s * jitter
+            self._next_read_s = now_s + self._pause_s * jitter
             self._pause_s = min(self._pause_s * 2, MAX_SEED_RETRY_S)
-            self._ports.store.read(ObjectKind.SEED, self._zone, self._learn)
+            self._ports.store.read(ObjectKind.SEED, self._zone, self._receive)
         return self._addresses
 
-    def rest(self) -> None:
+    def reset_pause(self) -> None:
         """Start with a short pause the next time."""
         self._pause_s = FIRST_SEED_RETRY_S
 
-    def _learn(self, outcome: ObjectOutcome) -> None:
+    def _receive(self, outcome: ObjectOutcome) -> None:
         if outcome.is_ok():
             self._addresses = addresses_of(outcome.unwrap().body)
         elif not self._addresses:
             self._addresses = list(self._ports.fallback_seeds)
 
 
-class TargetReport:
+class TargetNotifier:
     """Tells routing of changed targets, several changes at a time."""
 
     def __init__(
--- a/greengagepath/membership/zone_directory.py
+++ b/greengagepath/membership/zone_directory.py
@@ -21,18 +21,20 @@
         self._parts = parts
         self._zone = parts.own.record.availability_zone
         self._seeds_by_zone: dict[str, list[Address]] = {}
-        self._next_s = 0.0
+        self._next_read_s = 0.0
 
     def step(self) -> None:
         """Read the seeds of all zones from time to time."""
         now_s = self._parts.ports.timers.now()
-        if now_s >= self._next_s:
+        if now_s >= self._next_read_s:
             jitter = self._parts.ports.random.uniform(0.5, 1)
             # Zones that start together read before the others' seeds
             # are written, so one that reaches nobody looks again soon.
             period_s = DISCOVERY_S if self._linked_zones() else SEED_CHECK_S
-            self._next_s = now_s + period_s * jitter
-            self._parts.ports.store.list_names(ObjectKind.SEED, self._learn)
+            self._next_read_s = now_s + period_s * jitter
+            self._parts.ports.store.list_names(
+                ObjectKind.SEED, self._receive_seeds
+            )
 
     def update_reached(self) -> None:
         """Publish to which zones this balancer has links."""
@@ -66,9 +68,9 @@
             record.availability_zone for record in records if record is not None
         )
 
-    def _learn(self, outcome: ObjectOutcome) -> None:
+    def _receive_seeds(self, outcome: ObjectOutcome) -> None:
         if outcome.is_err():
-            self._next_s = self._parts.ports.timers.now() + SEED_CHECK_S
+            self._next_read_s = self._parts.ports.timers.now() + SEED_CHECK_S
             return
         for zone, stored in outcome.unwrap().body.items():
             body = stored.get('body') if isinstance(stored, dict) else None
