--- a/greengagepath/membership/__init__.py
+++ b/greengagepath/membership/__init__.py
@@ -1,1 +1,1 @@
-"""Membership: who exists, who watches whom, and how changes spread."""
+"""Group membership, failure detection and dissemination of changes."""
--- a/greengagepath/membership/agent_node.py
+++ b/greengagepath/membership/agent_node.py
@@ -1,4 +1,4 @@
-"""Control plane of one agent, without sockets."""
+"""Control plane of one agent, independent of sockets."""
 
 from collections.abc import Callable
 
@@ -26,17 +26,19 @@
 from .views import SeedReader
 
 STEP_S = 0.1
-# A balancer to which this many attempts failed is passed over.
+# A balancer is skipped after more than this many attempts without success.
 MAX_FAILURES = 2
-# After this time a balancer that was passed over is tried again.
+# A skipped balancer is tried again after this time.
 SKIP_UNRESPONSIVE_S = 30.0
 
 
 class AgentNode:
     """Announces a target to its home balancers.
 
-    Implements `LinkEvents`. All calls come from one loop. A version of
-    the service lower than one seen before is ignored.
+    Implements `LinkEvents`. Not thread-safe: all calls come from one
+    event loop. `on_service` is called with the service of the target
+    when a newer configuration version brings it; lower versions are
+    ignored.
     """
 
     def __init__(
@@ -56,7 +58,7 @@
         self._timers: list[Timer] = []
 
     def start(self) -> None:
-        """Read the seed and start the timers."""
+        """Start the timers and the search for home balancers."""
         timers = self._ports.timers
         self._timers = [
             timers.subscribe(STEP_S, self._step),
@@ -76,11 +78,11 @@
             self._ports.links.close(peer.link_id)
 
     def set_state(self, state: MemberState) -> None:
-        """Publish a state of the target."""
+        """Publish the state of the target to its homes."""
         self.own.update(state=state, draining=state is MemberState.draining)
 
     def link_opened(self, link_id: int, *, outgoing: bool) -> None:
-        """Announce the target."""
+        """Register the link and announce the target on it."""
         now_s = self._ports.timers.now()
         self.peers.open(Peer(link_id, outgoing, now_s))
         self._ports.links.send(
@@ -89,14 +91,14 @@
         )
 
     def link_closed(self, link_id: int) -> None:
-        """Forget the link and what was learnt on it."""
+        """Remove the link and the candidates received on it."""
         self._link_manager.mark_closed(link_id)
         self._home_selector.remove_link(link_id)
         self.peers.remove(link_id)
         self._publish_homes()
 
     def link_received(self, link_id: int, message: msgspec.Struct) -> None:
-        """Act on a message of a balancer."""
+        """Handle a message from a balancer; ignore unknown links."""
         peer = self.peers.by_link(link_id)
         if peer is None:
             return
@@ -120,7 +122,7 @@
         self._publish_homes()
 
     def _receive_records(self, link_id: int, message: Records) -> None:
-        """Take the candidates of a home, or a claim about this agent."""
+        """Store candidate homes; handle records about this agent itself."""
         candidates = []
         for record in message.records:
             if record.member_id == self.own.member_id:
@@ -145,10 +147,10 @@
         self._publish_homes()
 
     def _publish_homes(self) -> None:
-        """Name the balancers that watch this agent.
+        """Publish which balancers watch this agent.
 
-        A link that is about to be closed does not count, so that its
-        end is not taken for the death of the target.
+        A balancer whose link is about to be closed is left out, because
+        it would take the closed link for a failure of the target.
         """
         homes = sorted(
             peer.member_id
@@ -164,10 +166,10 @@
 
 
 class HomeSelector:
-    """Which balancers an agent wants as homes.
+    """Chooses the home balancers of an agent.
 
-    What the homes said last is kept when all links are lost, so that an
-    agent finds other balancers also while the object API is down.
+    The last known candidates are kept when all links are lost, so that
+    an agent finds other balancers even while the object API is down.
     """
 
     def __init__(
@@ -185,7 +187,7 @@
     def set_candidates(
         self, link_id: int, balancers: list[MemberRecord]
     ) -> None:
-        """Take the candidates that a home has sent."""
+        """Replace the candidates received on a link."""
         self._candidates_by_link[link_id] = balancers
         self._last_known = {
             record.member_id: record
@@ -194,11 +196,15 @@
         }
 
     def remove_link(self, link_id: int) -> None:
-        """Drop what a home has sent whose link has closed."""
+        """Drop the candidates received on a closed link."""
         self._candidates_by_link.pop(link_id, None)
 
     def wanted_links(self) -> dict[str, Address]:
-        """Return the homes, and seeds while no balancer answers."""
+        """Return the addresses to connect to, by member id.
+
+        While no balancer answers, a few seeds are included under keys
+        that start with `seed`.
+        """
         known = self._last_known
         self._skip_unresponsive(known)
         usable = known.keys() - self._skipped_since_by_id.keys()
@@ -215,7 +221,7 @@
         }
 
     def _skip_unresponsive(self, known: dict[str, MemberRecord]) -> None:
-        """Leave out balancers that do not answer, for a while."""
+        """Skip unresponsive balancers for `SKIP_UNRESPONSIVE_S`."""
         now_s = self._ports.timers.now()
         for record in known.values():
             address = (record.host, record.control_port)
@@ -231,7 +237,7 @@
         }
 
     def _sample_seeds(self) -> list[Address]:
-        """Choose a few seeds, so that none gets all new agents."""
+        """Return a random sample, so that no seed gets all new agents."""
         found = self._seeds.addresses()
         if not set(self._sample) <= set(found) or not self._sample:
             count = min(self._ports.limits.homes, len(found))
--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -1,4 +1,4 @@
-"""Control plane of one balancer, without sockets."""
+"""Control plane of one balancer, independent of sockets."""
 
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -44,7 +44,7 @@
 )
 
 STEP_S = 0.1
-# Scans of the whole table take about 1 ms at 3,320 members.
+# A scan of the whole table takes about 1 ms with 3,320 members.
 SCAN_S = 0.5
 
 OnConfiguration = Callable[[Configuration], None]
@@ -52,7 +52,11 @@
 
 @dataclass(slots=True, frozen=True)
 class BalancerListeners:
-    """Who is told of new targets and configurations."""
+    """Callbacks for new targets and configurations.
+
+    `on_targets` gets the targets by service id, `on_configuration` each
+    configuration that comes into force.
+    """
 
     on_targets: OnTargets
     on_configuration: OnConfiguration
@@ -61,7 +65,8 @@
 class BalancerNode:
     """Routes events between the decision modules of a balancer.
 
-    Implements `LinkEvents`. All calls come from one loop.
+    Implements `LinkEvents`. Not thread-safe: all calls come from one
+    event loop.
     """
 
     def __init__(
@@ -96,7 +101,7 @@
         self.table.merge(record)
 
     def start(self) -> None:
-        """Read the seed and start the timers."""
+        """Start the timers and the search for other balancers."""
         timers = self._ports.timers
         limits = self._ports.limits
         self._timers = [
@@ -120,17 +125,17 @@
             self._ports.links.close(peer.link_id)
 
     def link_opened(self, link_id: int, *, outgoing: bool) -> None:
-        """Introduce this balancer, or close a link above the limit."""
+        """Start the handshake, or close a link above the limit."""
         self._handshake.open(link_id, outgoing=outgoing)
 
     def link_closed(self, link_id: int) -> None:
-        """Forget the link."""
+        """Remove the link."""
         self._monitor.link_manager.mark_closed(link_id)
         self._homes.remove_link(link_id)
         self.peers.remove(link_id)
 
     def link_received(self, link_id: int, message: msgspec.Struct) -> None:
-        """Act on a message."""
+        """Handle a message; ignore unknown links."""
         peer = self.peers.by_link(link_id)
         if peer is None:
             return
@@ -151,7 +156,7 @@
                 self._receive_other(link_id, message)
 
     def _receive_other(self, link_id: int, message: msgspec.Struct) -> None:
-        """Act on what operator tools may send as well."""
+        """Handle the messages that operator tools may send as well."""
         match message:
             case ConfigurationDelta():
                 self.spread.receive_delta(link_id, message)
@@ -199,7 +204,7 @@
         self._exchange.compare_tables(self.spread)
 
     def _step(self) -> None:
-        """Notice silent members and links, keep links and the slot."""
+        """Detect failed members and silent links, then adjust the links."""
         for suspect in self._monitor.silent_members():
             self._exchange.pass_on(suspect, source=None)
         for dead in self._monitor.dead_members():
@@ -209,7 +214,7 @@
         self._monitor.adjust_links()
 
     def _scan(self) -> None:
-        """Keep the slot, see silent zones, tell agents of new homes."""
+        """Update the bridge slot, unreachable zones and agents' homes."""
         self.bridge.step()
         if self._monitor.zone_monitor.step():
             self._target_notifier.schedule()
@@ -217,7 +222,7 @@
 
 
 class _MembershipMonitor:
-    """Which balancers to link to, and which members are silent."""
+    """Maintains the links of a balancer and detects failed members."""
 
     def __init__(self, node: BalancerNode, ports: NodePorts) -> None:
         self._node = node
@@ -232,7 +237,7 @@
         )
 
     def silent_members(self) -> list[MemberRecord]:
-        """Suspect the silent members and return their records."""
+        """Mark silent members as suspect and return their records."""
         return self._detector.check(
             self._overlay.watched(), self._overlay.zone_balancer_ids()
         )
@@ -242,7 +247,7 @@
         return self._node.table.expire(self._detector.may_declare_dead)
 
     def adjust_links(self) -> None:
-        """Open and close links as the overlay and the slot ask for."""
+        """Open and close links as the overlay and bridge slot require."""
         self.link_manager.adjust(self._wanted_links())
 
     def _wanted_links(self) -> dict[str, Address]:
--- a/greengagepath/membership/bridge.py
+++ b/greengagepath/membership/bridge.py
@@ -1,9 +1,9 @@
 """Bridges: links between availability zones, and the object API.
 
-Only bridges talk to the object API after their start: each keeps one
-watch on the configuration and renews one lease, and the one in the
-first slot writes the seed of its zone. So the calls do not grow with
-the number of members.
+After their start only bridges call the object API: each keeps one watch
+on the configuration and renews one lease, and the bridge in the first
+slot writes the seed of its zone. The number of calls therefore
+does not grow with the number of members.
 """
 
 from collections.abc import Callable, Mapping
@@ -18,8 +18,8 @@
 from .seeds import SeedWriter
 from .zone_directory import ZoneDirectory
 
-# A new balancer waits for its neighbours' records before it concludes
-# that a slot is free.
+# A new balancer waits this long for its neighbours' records before it
+# treats a slot as free.
 SETTLE_S = 1.0
 RUN_ID_BITS = 64
 
@@ -27,10 +27,10 @@
 class BridgeRole:
     """Decides whether this balancer is a bridge, and acts as one.
 
-    A slot without a living bridge is taken by the balancer that comes
-    first for it, once it holds the lease. With the object API silent it
-    takes the slot without the lease: links between zones need none,
-    only writes do.
+    A slot without a live bridge goes to the balancer that ranks first
+    for it, once that balancer holds the lease. While the object API is
+    unavailable it takes the slot without the lease: only writes need
+    the lease, links between zones do not.
     """
 
     def __init__(
@@ -41,7 +41,7 @@
         self._parts = parts
         self._zone = parts.own.record.availability_zone
         self._started_s = parts.ports.timers.now()
-        # Differs between two runs of the same member.
+        # Distinguishes two runs of the same member.
         self._run_id = parts.ports.random.getrandbits(RUN_ID_BITS)
         self._on_configuration = on_configuration
         self._lease: Lease | None = None
@@ -52,21 +52,21 @@
 
     @property
     def is_bridge(self) -> bool:
-        """Whether this balancer has a slot."""
+        """Whether this balancer has a bridge slot."""
         return self._parts.own.record.bridge_slot > 0
 
     @property
     def holds_lease(self) -> bool:
-        """Whether this balancer may write right now."""
+        """Whether the lease is valid now, so that this balancer may write."""
         return self._lease is not None and self._lease.is_held()
 
     @property
     def lease_name(self) -> str:
-        """The lease this balancer holds or applies for, if any."""
+        """Name of the lease held or applied for, empty if there is none."""
         return '' if self._lease is None else self._lease.terms.name
 
     def step(self) -> None:
-        """Take, keep or give up a slot, and do a bridge's work."""
+        """Acquire, keep or release a slot, and do the work of a bridge."""
         if self._should_take_first_slot():
             self._drop_slot()
         if not self.is_bridge:
@@ -83,7 +83,7 @@
             self._seeds.step(self._lease)
 
     def stop(self) -> None:
-        """Give the lease back and end the watch."""
+        """Release the slot and its lease, and stop the watch."""
         self._watch.stop()
         self._drop_slot()
 
@@ -94,12 +94,11 @@
         )
 
     def _should_link_zones(self) -> bool:
-        """Return whether to link to other zones and to watch.
+        """Return whether to link to other zones and watch the store.
 
-        A balancer that finds nobody in its own zone does so without a
-        slot: the lease of a bridge that has died lasts up to `lease_s`,
-        and until then nobody else would bring it records and the
-        configuration.
+        A balancer without a link in its own zone does so without a slot:
+        the lease of a dead bridge lasts up to `lease_s`, and until it
+        expires there is no other source of records and configurations.
         """
         if self.is_bridge:
             return True
@@ -108,10 +107,10 @@
         )
 
     def _should_take_first_slot(self) -> bool:
-        """Return whether nobody else can take the first slot.
+        """Return whether no other balancer can take the first slot.
 
-        Its holder writes the seed; with the slot empty new processes
-        would find the addresses of dead balancers only.
+        Its holder writes the seed. With the slot empty, new processes
+        would find only addresses of dead balancers.
         """
         if self._slot <= 1:
             return False
@@ -124,7 +123,7 @@
         return not any(record.bridge_slot in {0, 1} for record in others)
 
     def _choose_slot(self) -> None:
-        """Apply for the first slot for which this balancer comes first."""
+        """Apply for the first free slot for which this balancer ranks first."""
         free = self._free_slots()
         if self._slot and self._slot not in free:
             self._drop_slot()
@@ -137,9 +136,9 @@
         return now_s - self._started_s >= SETTLE_S
 
     def _free_slots(self) -> list[int]:
-        """Return the slots without a bridge that this balancer should take.
+        """Return the free slots for which this balancer ranks first.
 
-        A suspected bridge still counts; its death will free the slot.
+        A suspected bridge keeps its slot until it is declared dead.
         """
         balancers = [
             record
@@ -188,9 +187,10 @@
             self._parts.own.update(bridge_slot=0, reached_zones=[])
 
     def _drop_contested_slot(self) -> None:
-        """Give the slot up if another bridge has it with more right.
+        """Release the slot if another live bridge in it has a smaller id.
 
-        Two may take one slot while the object API is silent.
+        Two bridges can take the same slot while the object API is
+        unavailable. A bridge that holds the lease keeps the slot.
         """
         if self.holds_lease:
             return
--- a/greengagepath/membership/bridge_parts.py
+++ b/greengagepath/membership/bridge_parts.py
@@ -1,4 +1,4 @@
-"""What the parts of a bridge work on."""
+"""State and interfaces that the modules of a bridge share."""
 
 from dataclasses import dataclass
 
@@ -10,7 +10,7 @@
 
 @dataclass(slots=True, frozen=True)
 class BridgeParts:
-    """What a bridge works on."""
+    """Member state and node interfaces that a bridge uses."""
 
     own: OwnRecord
     table: MemberTable
--- a/greengagepath/membership/configuration_spread.py
+++ b/greengagepath/membership/configuration_spread.py
@@ -1,4 +1,4 @@
-"""How a configuration reaches all balancers and agents."""
+"""Distribution of configurations to balancers and agents."""
 
 from collections.abc import Callable
 
@@ -17,10 +17,11 @@
 
 
 class ConfigurationSpread:
-    """Applies what arrives and passes on what was applied.
+    """Applies received configurations and forwards them.
 
-    Balancers get the delta from the version before, agents only a
-    changed service of their own.
+    Balancers get the delta to the previous version, agents only the
+    service of their target, and only if it changed. `on_applied` is
+    called with each configuration that comes into force.
     """
 
     def __init__(
@@ -37,13 +38,13 @@
         self._on_applied = on_applied
 
     def offer(self, configuration: Configuration) -> None:
-        """Take a whole configuration, from the object API."""
+        """Apply a complete configuration that the object API returned."""
         outcome = self.holder.offer(configuration)
         if outcome.is_ok():
             self._pass_on(outcome.unwrap(), source_link=None)
 
     def receive_delta(self, link_id: int, delta: ConfigurationDelta) -> None:
-        """Apply a delta; ask for more if its base is missing."""
+        """Apply a delta; pull the difference if its base is missing."""
         outcome = self.holder.offer_delta(delta)
         if outcome.is_ok():
             self._pass_on(outcome.unwrap(), source_link=link_id)
@@ -55,7 +56,7 @@
             )
 
     def receive_offer(self, link_id: int, version: int) -> None:
-        """Pull a higher version, give a lower holder what it lacks."""
+        """Pull a higher version; send the difference to a lower one."""
         if version > self.holder.version:
             self.pull(link_id)
         elif version < self.holder.version:
@@ -64,19 +65,19 @@
             self._links.send(link_id, ConfigurationOffer(version=version))
 
     def pull(self, link_id: int) -> None:
-        """Ask for what changed since the version in force."""
+        """Request the changes since the version in force."""
         self._links.send(
             link_id, ConfigurationPull(held_version=self.holder.version)
         )
 
     def send_since(self, link_id: int, held_version: int) -> None:
-        """Send what a holder of `held_version` lacks, if anything."""
+        """Send the changes since `held_version`, if there are any."""
         delta = self.holder.delta_since(held_version)
         if delta is not None:
             self._links.send(link_id, delta)
 
     def send_service(self, peer: Peer) -> None:
-        """Send an agent the service of its target."""
+        """Send an agent the service of its target, if it is configured."""
         service = self._service_of(peer, self.holder.current)
         if service is not None:
             self._links.send(
--- a/greengagepath/membership/configuration_watch.py
+++ b/greengagepath/membership/configuration_watch.py
@@ -1,4 +1,4 @@
-"""The watch of a bridge on the configuration object."""
+"""Watch on the configuration object, kept by each bridge."""
 
 from collections.abc import Callable
 
@@ -9,12 +9,16 @@
 from .ports import NodePorts
 
 CONFIGURATION_NAME = 'current'
-# Pause after a failed watch, so that an outage is not met with a storm.
+# Pause after a failed watch, so that an outage does not cause a storm of
+# requests.
 WATCH_PAUSE_S = 2.0
 
 
 class ConfigurationWatch:
-    """Keeps one watch on the configuration object."""
+    """Keeps one watch on the configuration object.
+
+    `on_configuration` is called with each valid configuration.
+    """
 
     def __init__(
         self,
@@ -29,7 +33,7 @@
         self._next_watch_s = 0.0
 
     def step(self) -> None:
-        """Start the next watch when none is pending."""
+        """Start the next watch if it is due and none is pending."""
         is_due = self._ports.timers.now() >= self._next_watch_s
         if is_due and not self._is_pending and not self._is_stopped:
             self._is_pending = True
@@ -41,7 +45,7 @@
             )
 
     def stop(self) -> None:
-        """Ignore what a pending watch still brings."""
+        """Stop watching and ignore the result of a pending watch."""
         self._is_stopped = True
 
     def _finish(self, outcome: ObjectOutcome) -> None:
@@ -53,8 +57,8 @@
             return
         stored = outcome.unwrap()
         if stored.version == 0:
-            # Nothing new, or no object yet; the API answers the latter
-            # at once.
+            # Nothing new, or no object yet. The API answers the second
+            # case at once, so a pause is needed.
             self._next_watch_s = now_s + WATCH_PAUSE_S / 2
             return
         self._object_version = max(self._object_version, stored.version)
@@ -65,7 +69,7 @@
 
 
 def configuration_of(stored: StoredObject) -> Configuration | None:
-    """Return the configuration in an object, None if it is not valid."""
+    """Return the configuration in an object, or None if it is invalid."""
     try:
         return msgspec.convert(stored.body, Configuration)
     except msgspec.ValidationError:
--- a/greengagepath/membership/detector.py
+++ b/greengagepath/membership/detector.py
@@ -1,4 +1,4 @@
-"""Decides which members have been silent for too long."""
+"""Failure detection by silence on control links."""
 
 from collections.abc import Iterable
 
@@ -10,20 +10,20 @@
 from .records import is_gone
 from .table import MemberTable
 
-# A check that is later than this means that the process itself was
-# paused; the others have not been silent, it has not listened.
+# A longer gap between two checks means that this process was paused, so
+# the silence of the others in the meantime says nothing about them.
 MAX_CHECK_GAP_S = 1.0
-# A member that refutes a suspicion is given twice the time before the
-# next one, up to this factor: its link to us is broken, not the member.
+# The suspicion timeout of a member doubles with each suspicion up to this
+# factor: if the member refutes it, the link is broken, not the member.
 MAX_TIMEOUT_FACTOR = 16
 
 
 class FailureDetector:
-    """Tracks how long watched members have not been heard.
+    """Suspects watched members from which nothing has been received.
 
-    A balancer watches its overlay peers and the agents that name it as
-    a home. An agent all of whose homes have gone is watched by the
-    balancer that comes first for it.
+    A balancer watches its overlay peers and the agents that list it as
+    a home. An agent whose homes have all gone is watched by the balancer
+    that ranks first for it.
     """
 
     def __init__(
@@ -49,7 +49,11 @@
     def check(
         self, overlay_ids: Iterable[str], zone_balancer_ids: Iterable[str]
     ) -> list[MemberRecord]:
-        """Suspect the silent ones; return their changed records."""
+        """Mark silent members as suspect and return their changed records.
+
+        `overlay_ids` are the overlay peers to watch, `zone_balancer_ids`
+        all balancers of the zone.
+        """
         now_s = self._timers.now()
         if now_s - self._last_check_s > MAX_CHECK_GAP_S:
             self._restart_timeouts(now_s)
@@ -65,8 +69,8 @@
     def may_declare_dead(self, record: MemberRecord) -> bool:
         """Return whether this balancer may declare the member dead.
 
-        Only members of the same zone, or a home, judge: from elsewhere a
-        partition looks the same as a death.
+        Only balancers of the member's zone and its homes may. From
+        elsewhere a partition cannot be told from a failure.
         """
         return (
             record.availability_zone == self._zone
--- a/greengagepath/membership/dissemination.py
+++ b/greengagepath/membership/dissemination.py
@@ -1,4 +1,4 @@
-"""How changed records spread: push, and digests that repair it."""
+"""Dissemination of records: push, repaired by digests."""
 
 from collections.abc import Iterable
 
@@ -15,22 +15,23 @@
 from .records import BUCKETS
 from .table import MemberTable
 
-# Changes wait this long for others. Ten hops of 20 ms keep a change
-# well under the second that is left of the 5 s for a dead target.
+# Changes are batched for this time. Ten hops of 20 ms stay well under the
+# second that is left of the 5 s in which a dead target must be removed.
 FLUSH_S = 0.02
-# An operator waits for the versions in force; at 520 balancers the
-# reports of each change are most of the traffic, so they are batched.
+# Reports of versions in force are batched longer: with 520 balancers they
+# are most of the traffic of a configuration change. An operator waits
+# for them, which limits the delay.
 FLUSH_VERSIONS_S = 0.3
-# Records in one message; a schema limit of 10,000 bounds what arrives.
+# Records in one message. The schema limits received messages to 10,000.
 MAX_RECORDS = 1000
 
 
 class Dissemination:
     """Queues changes for each link and sends them in batches.
 
-    A change goes to all balancers of the zone that are linked, except
-    the one it came from. Links to other zones carry only records of the
-    own zone: the other zones' bridges send their own.
+    A change goes to all linked balancers of the zone except its sender.
+    Links to other zones carry only records of this zone, because the
+    bridges of the other zones send theirs.
     """
 
     def __init__(
@@ -45,7 +46,7 @@
         self.dropped_records = 0
 
     def push(self, record: MemberRecord, source: Peer | None = None) -> None:
-        """Queue a change for all links that should carry it."""
+        """Queue a changed record for all links that should carry it."""
         for peer in self._peers.with_role(PeerRole.ZONE, PeerRole.BRIDGE):
             if peer is not source and self._should_send(peer, record):
                 self.push_to(peer, record)
@@ -53,7 +54,8 @@
     def push_to(self, peer: Peer, record: MemberRecord) -> None:
         """Queue a record for one link.
 
-        With a full queue the record is dropped, and a digest follows.
+        If the queue is full, the record is dropped and counted, and a
+        digest is sent later to repair the loss.
         """
         limit = self._ports.limits.link_queue
         if (
@@ -72,10 +74,10 @@
     def push_version(
         self, record: MemberRecord, source: Peer | None = None
     ) -> None:
-        """Queue a risen configuration version for all links but one.
+        """Queue a higher configuration version for all links but `source`.
 
-        These wait longer than records: what comes from the other end
-        meanwhile need not be sent to it.
+        Versions are batched longer than records: one that arrives from a
+        peer in the meantime need not be sent to it.
         """
         for peer in self._peers.with_role(PeerRole.ZONE, PeerRole.BRIDGE):
             if peer is not source and self._should_send(peer, record):
@@ -88,7 +90,7 @@
             )
 
     def flush(self) -> None:
-        """Send what is queued."""
+        """Send the queued records on all links."""
         self._flush_timer = None
         for peer in self._peers:
             if peer.pending_records:
@@ -123,7 +125,7 @@
             peer.needs_digest = True
 
     def make_digest(self, configuration_version: int) -> Digest:
-        """Return the checksums of all buckets that hold records."""
+        """Return a digest with the checksums of all non-empty buckets."""
         return Digest(
             entries=[
                 DigestEntry(bucket=bucket, checksum=checksum)
@@ -136,7 +138,7 @@
         )
 
     def differing_buckets(self, digest: Digest) -> list[int]:
-        """Return the buckets in which the sender's table differs."""
+        """Return the buckets in which the digest differs from this table."""
         theirs_by_bucket = {
             entry.bucket: entry.checksum for entry in digest.entries
         }
@@ -148,7 +150,7 @@
         ]
 
     def send_buckets(self, peer: Peer, buckets: Iterable[int]) -> None:
-        """Send the records of the buckets, tombstones included."""
+        """Send the records in the buckets, tombstones included."""
         found = self._table.records_in(buckets)
         for start in range(0, len(found), MAX_RECORDS):
             batch = found[start : start + MAX_RECORDS]
--- a/greengagepath/membership/exchange.py
+++ b/greengagepath/membership/exchange.py
@@ -1,4 +1,4 @@
-"""Exchange of records with other members."""
+"""Exchange of member records over links."""
 
 from ..generated.messages import (
     Digest,
@@ -16,13 +16,14 @@
 from .table import CHANGES, MemberTable, MergeOutcome
 from .views import FirstSync, TargetNotifier
 
-# While versions in force spread, all tables differ in all buckets; a
-# comparison would exchange whole tables for nothing.
+# No comparison starts within this time after a higher configuration
+# version has arrived. While such versions spread, all tables differ in
+# all buckets, and a comparison would exchange whole tables needlessly.
 VERSION_QUIET_S = 3.0
 
 
 class RecordExchange:
-    """Merges what arrives and passes on what is news."""
+    """Merges received records and versions and forwards the changes."""
 
     def __init__(
         self,
@@ -44,7 +45,7 @@
         )
 
     def merge(self, record: MemberRecord, source: Peer) -> None:
-        """Take a record from a link, answer an old one with a newer."""
+        """Merge a record from a link; answer a stale one with a newer."""
         if record.member_id == self._own.member_id:
             self._own.receive_claim(record)
             return
@@ -57,7 +58,7 @@
             self._send_newer(record, source)
 
     def merge_versions(self, versions: Versions, source: Peer) -> None:
-        """Take versions in force from a link and pass on what is news."""
+        """Merge versions in force from a link and forward the higher ones."""
         columns = zip(
             versions.member_ids,
             versions.incarnations,
@@ -72,7 +73,7 @@
                 self.dissemination.push_version(record, source)
 
     def publish_version(self, configuration_version: int) -> None:
-        """Report the own version in force."""
+        """Announce the configuration version in force at this balancer."""
         own = self._own
         own.raise_version(configuration_version)
         self._table.raise_version(
@@ -106,20 +107,23 @@
     def send_initial_state(
         self, peer: Peer, spread: ConfigurationSpread
     ) -> None:
-        """Compare tables over a new link."""
+        """Schedule a comparison of tables over a new link."""
         self._first_sync.schedule(lambda: self.send_digest(peer, spread))
 
     def send_digest(self, peer: Peer, spread: ConfigurationSpread) -> None:
-        """Start a comparison, unless the link has closed meanwhile."""
+        """Start a comparison of tables unless the link has closed."""
         if self._peers.by_link(peer.link_id) is peer:
             peer.needs_digest = False
             digest = self.dissemination.make_digest(spread.holder.version)
             self._ports.links.send(peer.link_id, digest)
 
     def compare_tables(self, spread: ConfigurationSpread) -> None:
-        """Send a digest to one balancer, and where records were dropped."""
-        spread_s = self._ports.timers.now() - self._last_version_change_s
-        if spread_s < VERSION_QUIET_S:
+        """Send a digest to each balancer for which records were dropped.
+
+        If there is none, send one to a random linked balancer.
+        """
+        quiet_s = self._ports.timers.now() - self._last_version_change_s
+        if quiet_s < VERSION_QUIET_S:
             return
         linked = self._peers.with_role(PeerRole.ZONE, PeerRole.BRIDGE)
         chosen = [peer for peer in linked if peer.needs_digest]
@@ -129,7 +133,7 @@
             self.send_digest(peer, spread)
 
     def _send_newer(self, record: MemberRecord, source: Peer) -> None:
-        """Send the newer record; agents are told only about themselves."""
+        """Send the newer record; an agent gets only its own."""
         held = self._table.get(record.member_id)
         is_concerned = source.is_balancer or (
             source.member_id == record.member_id
--- a/greengagepath/membership/handshake.py
+++ b/greengagepath/membership/handshake.py
@@ -1,4 +1,4 @@
-"""First messages on a link of a balancer."""
+"""Handshake on the links of a balancer."""
 
 import msgspec
 
@@ -11,7 +11,7 @@
 
 
 class Handshake:
-    """Introduces this balancer and finds out who is at the other end."""
+    """Exchanges Hello messages and identifies the other end of a link."""
 
     def __init__(
         self, own: OwnRecord, peers: PeerTable, ports: NodePorts
@@ -21,7 +21,10 @@
         self._ports = ports
 
     def open(self, link_id: int, *, outgoing: bool) -> None:
-        """Introduce this balancer, or close a link above the limit."""
+        """Register a link, or refuse it if there are too many.
+
+        The side that opened the link sends its Hello first.
+        """
         now_s = self._ports.timers.now()
         peer = Peer(link_id, outgoing, now_s)
         if len(self._peers) >= self._ports.limits.links:
@@ -32,7 +35,7 @@
             self._send_hello(link_id)
 
     def accept(self, peer: Peer, hello: Hello) -> bool:
-        """Answer a Hello; return whether the link is kept."""
+        """Check and answer a Hello; return whether the link is kept."""
         if hello.protocol_version != PROTOCOL_VERSION:
             self._refuse(peer, 'unknown protocol version')
             return False
@@ -49,10 +52,11 @@
         return self._drop_duplicate(peer, earlier) is not peer
 
     def _drop_duplicate(self, peer: Peer, earlier: Peer) -> Peer:
-        """Keep the link that the member with the smaller id has opened.
+        """Close one of two links to a member and return it.
 
-        Two links in the same direction mean that the earlier one is
-        broken and its end has not been noticed yet.
+        The link opened by the member with the smaller id is kept. Of two
+        links in the same direction the earlier one is closed: it must be
+        broken, although its end has not been detected yet.
         """
         is_own_id_smaller = self._own.member_id < peer.member_id
         dropped, kept = earlier, peer
--- a/greengagepath/membership/hashes.py
+++ b/greengagepath/membership/hashes.py
@@ -1,8 +1,8 @@
-"""Hash of text that is the same in every process."""
+"""Text hash that gives the same value in every process."""
 
 from xxhash import xxh3_64_intdigest
 
 
 def hash_text(text: str) -> int:
-    """Return 64 bits; not for use against an adversary."""
+    """Return a 64-bit hash. It is not cryptographically secure."""
     return xxh3_64_intdigest(text.encode())
--- a/greengagepath/membership/homes.py
+++ b/greengagepath/membership/homes.py
@@ -1,4 +1,4 @@
-"""What a balancer does for the agents that are linked to it."""
+"""Distribution of home candidates to linked agents."""
 
 from ..generated.messages import MemberRecord, Records
 from .overlay import rank_by_hash
@@ -6,12 +6,12 @@
 from .ports import NodePorts
 from .table import MemberTable
 
-# Balancers that an agent is told of beyond its homes, to fall back on.
+# Balancers sent to an agent in addition to its homes, as a fallback.
 SPARE_HOMES = 3
 
 
 class HomeDirectory:
-    """Tells agents which balancers come first as their homes."""
+    """Sends each agent the balancers that rank first as its homes."""
 
     def __init__(
         self,
@@ -28,7 +28,7 @@
         self._sent_by_link: dict[int, list[tuple[str, int]]] = {}
 
     def send_changed_candidates(self) -> None:
-        """Tell each agent what has changed for it."""
+        """Send candidates to each agent whose candidates have changed."""
         if self._seen_version == self._table.version:
             return
         self._seen_version = self._table.version
@@ -36,7 +36,7 @@
             self.send_candidates(peer)
 
     def send_candidates(self, peer: Peer) -> None:
-        """Tell one agent its candidates, unless it knows them."""
+        """Send one agent its candidates unless they were sent before."""
         candidates = self._candidates(peer.member_id)
         sent = [(entry.member_id, entry.incarnation) for entry in candidates]
         if self._sent_by_link.get(peer.link_id) != sent:
@@ -44,7 +44,7 @@
             self._ports.links.send(peer.link_id, Records(records=candidates))
 
     def remove_link(self, link_id: int) -> None:
-        """Drop what was told on a link that has closed."""
+        """Remove the state of a closed link."""
         self._sent_by_link.pop(link_id, None)
 
     def _candidates(self, agent_id: str) -> list[MemberRecord]:
--- a/greengagepath/membership/leases.py
+++ b/greengagepath/membership/leases.py
@@ -1,9 +1,10 @@
-"""Leases in the object API: at most one holder writes.
+"""Leases in the object API, so that at most one holder writes.
 
-No two clocks are compared. A holder counts its lease from the moment it
-sent the request that won it, on a clock that counts suspension. Others
-take a lease over only after they have seen the same version of it for
-the whole duration on their own clock.
+Clocks of different processes are never compared. A holder measures its
+lease from the moment it sent the request that acquired it, on a clock
+that includes time in suspension. Others take over a lease only after
+they have observed the same version of it for its whole duration on
+their own clock.
 """
 
 import random
@@ -19,10 +20,10 @@
 )
 from ..foundation.timers import TimerService
 
-# Clocks may drift apart by some parts in a thousand; an observer waits
-# longer than the holder counts.
+# Clocks may drift apart by a few parts per thousand, so an observer waits
+# longer than the holder's duration.
 OBSERVER_FACTOR = 1.1
-# Keeps the renewals of different holders apart.
+# Spreads the renewals of different holders over time.
 RENEWAL_JITTER = (0.8, 1.0)
 _HOLDER = 'holder'
 _RELEASED = 'released'
@@ -31,10 +32,12 @@
 
 @dataclass(slots=True, frozen=True)
 class LeaseTerms:
-    """Name of the lease object, and whose process asks for it.
+    """Name, applicant and timing of a lease.
 
     `process_id` differs between two runs of the same member, so that a
-    restarted process does not take its predecessor's lease for its own.
+    restarted process does not mistake the lease of the previous run for
+    its own. The lease lasts `duration_s` and is renewed, or tried for,
+    about every `renew_s`, both in seconds.
     """
 
     name: str
@@ -45,18 +48,19 @@
 
 @dataclass(slots=True, frozen=True)
 class _ObservedLease:
-    """A version of the lease object and when it was first seen."""
+    """A version of the lease object and when it was first observed."""
 
     stored: StoredObject
     since_s: float
 
 
 class Lease:
-    """Acquires and renews one lease; `is_held` before every use.
+    """Acquires and renews one lease; check `is_held` before every use.
 
-    `on_lost` is called when another holder is known. The fencing token
-    is the version of the lease object that was replaced when the lease
-    was won; it increases from holder to holder.
+    `on_change` is called after each attempt to acquire or renew it.
+    The fencing token is one more than the version of the lease object
+    that was replaced when the lease was acquired; it increases from
+    holder to holder.
     """
 
     def __init__(
@@ -81,24 +85,27 @@
 
     @property
     def fencing_token(self) -> int:
-        """The token of the holding; 0 if there is none."""
+        """The fencing token, or 0 while this process has no lease."""
         if self._held is None:
             return 0
         return int(str(self._held.body[_TOKEN]))
 
     @property
     def is_held_elsewhere(self) -> bool:
-        """Whether somebody else was seen to hold the lease."""
+        """Whether another holder of the lease has been observed."""
         return self._held is None and self._observed is not None
 
     def is_held(self) -> bool:
-        """Return whether the lease is valid right now."""
+        """Return whether this process holds the lease and it is valid."""
         return (
             self._held is not None and self._timers.now() < self._valid_until_s
         )
 
     def step(self) -> None:
-        """Renew or try to acquire when it is time to; call often."""
+        """Renew or try to acquire the lease when due.
+
+        Must be called much more often than every `renew_s`.
+        """
         now_s = self._timers.now()
         if self._is_pending or now_s < self._next_attempt_s:
             return
@@ -113,7 +120,7 @@
             self._write(self._held.version, self.fencing_token)
 
     def release(self) -> None:
-        """Give the lease back, so that the next holder need not wait."""
+        """Release the lease, so that the next holder need not wait."""
         held = self._held
         self._held = None
         if held is None or self._timers.now() >= self._valid_until_s:
@@ -128,7 +135,7 @@
         )
 
     def _handle_read(self, outcome: ObjectOutcome) -> None:
-        """Take a lease that is free, or that nobody has renewed."""
+        """Try to acquire a lease that is free or was not renewed in time."""
         self._is_pending = False
         self.is_store_unavailable = outcome.is_err()
         if outcome.is_err():
@@ -145,7 +152,8 @@
         if stored.version == 0 or stored.body.get(_RELEASED):
             return True
         if stored.body.get(_HOLDER) == self.terms.process_id:
-            # An own write whose answer and all repetitions were lost.
+            # Written by this process, but all answers to the write and its
+            # retries were lost.
             return True
         now_s = self._timers.now()
         observed = self._observed
@@ -183,10 +191,10 @@
         self._on_change()
 
     def _handle_conflict(self, current: StoredObject) -> None:
-        """Remember who won; a conflict tells that it was not us."""
+        """Record the current holder after a conflicting write."""
         self._held = None
         self._observed = _ObservedLease(current, self._timers.now())
 
 
 def _ignore(outcome: ObjectOutcome) -> None:
-    """A lease that could not be released expires by itself."""
+    """Ignore the result: a lease that is not released expires."""
--- a/greengagepath/membership/overlay.py
+++ b/greengagepath/membership/overlay.py
@@ -1,8 +1,8 @@
-"""Who links to whom: overlay peers, homes of agents, bridges.
+"""Overlay topology: overlay peers and rendezvous ranking.
 
 All functions are deterministic in the set of members, so that members
-with the same view agree without asking each other. Homes follow
-rendezvous hashing (Thaler and Ravishankar, 1998).
+with the same view agree without communication. Homes of agents and
+bridges are chosen by rendezvous hashing (Thaler and Ravishankar, 1998).
 """
 
 from collections.abc import Iterable
@@ -16,10 +16,12 @@
 def overlay_peers(
     member_id: str, balancer_ids: Iterable[str], degree: int
 ) -> frozenset[str]:
-    """Return the balancers that this one links to on its own account.
+    """Return the balancers to which this one opens links.
 
-    The ring successor, and chords chosen by hash. Links of other
-    balancers to this one bring the average to `degree`.
+    These are its ring successor and chords chosen by hash. Together with
+    the links that other balancers open to it, the average number of
+    links per balancer is `degree`. With at most `degree` other balancers
+    all of them are returned.
     """
     others = frozenset(balancer_ids) - {member_id}
     if len(others) <= degree:
@@ -64,7 +66,7 @@
 
 
 def rank_by_hash(key: str, member_ids: Iterable[str]) -> list[str]:
-    """Return the members in rendezvous order for the key."""
+    """Return the members in rendezvous order for the key, best first."""
     return sorted(
         member_ids,
         key=lambda member_id: hash_text(f'{key}/{member_id}'),
@@ -72,7 +74,7 @@
 
 
 def _chord_count(member_id: str, degree: int) -> int:
-    # Every chord counts at both ends. With an odd number of chord ends
-    # half of the members take one chord more.
+    # Every chord counts at both ends. If the number of chord ends per
+    # member is odd, half of the members open one chord more.
     halves, odd = divmod(degree - _RING_LINKS, 2)
     return halves + (odd & hash_text(member_id))
--- a/greengagepath/membership/overlay_links.py
+++ b/greengagepath/membership/overlay_links.py
@@ -1,4 +1,4 @@
-"""Keeps the links open that a balancer wants."""
+"""Opens and closes the outgoing links of a node."""
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
@@ -7,8 +7,8 @@
 from .peers import PeerTable
 from .ports import NodePorts
 
-# A link that is no longer wanted stays this long, because the views of
-# two balancers change at different moments.
+# A link that is no longer wanted stays open this long, because the views
+# of two balancers do not change at the same moment.
 UNWANTED_S = 3.0
 FIRST_RETRY_S = 0.2
 MAX_DOUBLINGS = 6
@@ -24,9 +24,9 @@
 
 
 class LinkManager:
-    """Connects to wanted addresses with jittered, growing pauses.
+    """Connects to wanted addresses with jittered exponential backoff.
 
-    The number of attempts under way is the number of wanted addresses.
+    There is at most one attempt at a time for each wanted address.
     """
 
     def __init__(self, peers: PeerTable, ports: NodePorts) -> None:
@@ -37,8 +37,7 @@
     def adjust(self, addresses_by_member: Mapping[str, Address]) -> None:
         """Open missing links to the wanted members, close unwanted ones.
 
-        Members that the caller does not know by id are keyed by any
-        unique text.
+        A member whose id is not known yet is keyed by any unique text.
         """
         missing = {
             address
@@ -49,19 +48,19 @@
         self._close_unwanted(addresses_by_member)
 
     def mark_closed(self, link_id: int) -> None:
-        """Note that an attempt failed or its link has closed."""
+        """Record that an attempt failed or its link has closed."""
         for attempts in self._attempts_by_address.values():
             if attempts.link_id == link_id:
                 attempts.link_id = None
 
     def mark_established(self, link_id: int) -> None:
-        """Note that the other side said Hello."""
+        """Record that the Hello of the other end has arrived."""
         for attempts in self._attempts_by_address.values():
             if attempts.link_id == link_id:
                 attempts.count = 0
 
     def attempts_since_success(self, address: Address) -> int:
-        """Return the attempts since the last success."""
+        """Return the number of attempts since the last success."""
         attempts = self._attempts_by_address.get(address)
         return 0 if attempts is None else attempts.count
 
--- a/greengagepath/membership/own_record.py
+++ b/greengagepath/membership/own_record.py
@@ -1,4 +1,4 @@
-"""The record that a process publishes of itself."""
+"""The record that a process publishes about itself."""
 
 from collections.abc import Callable
 
@@ -8,13 +8,16 @@
 from ..generated.messages import MemberRecord
 from .records import order_of
 
-# Two processes with the same id refute each other without end; this
-# limits what that costs.
+# Two processes with the same id refute each other endlessly. This pause
+# limits the traffic that causes.
 MIN_REFUTATION_S = 0.5
 
 
 class OwnRecord:
-    """Raises the record version with each change and refutes others."""
+    """Raises the record version with each change and refutes claims.
+
+    `on_change` is called with each record to be published.
+    """
 
     def __init__(
         self,
@@ -34,29 +37,32 @@
         return self.record.member_id
 
     def update(self, **changes: object) -> None:
-        """Publish the changed fields, if they change anything."""
+        """Set fields of the record and publish it if any value changed."""
         changed = msgspec.structs.replace(self.record, **changes)
         if changed != self.record:
             self._publish(changed, self.record.record_version + 1)
 
     def raise_version(self, configuration_version: int) -> None:
-        """Note the version in force; it needs no new record version."""
+        """Set the configuration version in force.
+
+        This neither raises the record version nor publishes the record.
+        """
         self.record = msgspec.structs.replace(
             self.record, configuration_version=configuration_version
         )
 
     def receive_claim(self, claim: MemberRecord) -> None:
-        """Take note of what another process says of this one.
+        """Handle a record about this process from another one.
 
         A claim that is newer than the own record, such as a suspicion,
-        is answered by a record that is newer still.
+        is refuted by publishing a record that is newer still.
         """
         if order_of(claim) > order_of(self.record):
             self._pending_claim = claim
             self.refute_pending()
 
     def refute_pending(self) -> None:
-        """Refute the last claim, unless one was refuted just now."""
+        """Refute the pending claim if `MIN_REFUTATION_S` has passed."""
         claim = self._pending_claim
         now_s = self._timers.now()
         if claim is None or self._is_too_early(now_s):
--- a/greengagepath/membership/ports.py
+++ b/greengagepath/membership/ports.py
@@ -1,4 +1,4 @@
-"""What the decision modules of a node need from its surroundings."""
+"""Interfaces through which a node uses its environment."""
 
 import random
 from dataclasses import dataclass
@@ -13,23 +13,29 @@
 
 
 class LinkEvents(Protocol):
-    """Called by the link service; never re-entered from `LinkService`."""
+    """Callbacks of the link service.
+
+    None of them is called during a call of a `LinkService` method.
+    """
 
     def link_opened(self, link_id: int, *, outgoing: bool) -> None:
-        """Both sides may send from now on."""
+        """Handle a new link; both sides may send from now on."""
 
     def link_received(self, link_id: int, message: msgspec.Struct) -> None:
-        """A message with a valid tag has arrived."""
+        """Handle a message whose authentication tag is valid."""
 
     def link_closed(self, link_id: int) -> None:
-        """The link is gone, or could not be opened."""
+        """Handle a link that has closed or could not be opened."""
 
 
 class LinkService(Protocol):
     """Opens links and sends on them without blocking."""
 
     def connect(self, address: Address) -> int:
-        """Return the id of a link that will be opened or closed."""
+        """Start to connect and return the id of the link.
+
+        `link_opened` or `link_closed` follows.
+        """
 
     def send(self, link_id: int, message: msgspec.Struct) -> bool:
         """Queue a message; return False if the queue is full."""
@@ -40,9 +46,9 @@
 
 @dataclass(slots=True, frozen=True)
 class NodePorts:
-    """Surroundings of a node: time, links, store, chance and limits.
+    """Environment of a node: time, links, store, randomness and limits.
 
-    `fallback_seeds` are tried while the object API does not answer.
+    `fallback_seeds` are used while the object API does not answer.
     """
 
     timers: TimerService
--- a/greengagepath/membership/records.py
+++ b/greengagepath/membership/records.py
@@ -1,15 +1,15 @@
-"""Order, checksums and conversions of member records."""
+"""Ordering, checksums and conversion of member records."""
 
 from ..generated.messages import MemberKind, MemberRecord, MemberState
 from ..routing.targets import TargetInfo, TargetState
 from .hashes import hash_text
 
-# 64 buckets of 52 records each at 3,320 members: a digest of about 2 KB,
-# and about 10 KB to exchange one differing bucket.
+# With 3,320 members each of the 64 buckets has 52 records. A digest takes
+# about 2 KB, the exchange of one differing bucket about 10 KB.
 BUCKETS = 64
 
-# Of two records with the same versions the higher precedence wins, so
-# that a suspicion holds until its subject raises its record version.
+# Of two records with equal versions the higher precedence wins, so that a
+# suspicion holds until the suspected member raises its record version.
 _PRECEDENCE_BY_STATE = {
     MemberState.alive: 0,
     MemberState.draining: 0,
@@ -21,7 +21,7 @@
 
 
 def order_of(record: MemberRecord) -> tuple[int, int, int]:
-    """Return the key by which the newer of two records is chosen."""
+    """Return the sort key of a record; the newer record has the higher."""
     return (
         record.incarnation,
         record.record_version,
@@ -30,12 +30,12 @@
 
 
 def is_gone(record: MemberRecord) -> bool:
-    """Return whether the record is a tombstone."""
+    """Return whether the record is a tombstone: dead or left."""
     return record.state in _GONE_STATES
 
 
 def is_balancer(record: MemberRecord) -> bool:
-    """Return whether the member is a balancer that has not gone."""
+    """Return whether the member is a balancer that is not gone."""
     return record.kind is MemberKind.balancer and not is_gone(record)
 
 
@@ -45,7 +45,7 @@
 
 
 def checksum_of(record: MemberRecord) -> int:
-    """Return 64 bits that differ when order or configuration differ."""
+    """Return 64 bits over id, order and configuration version."""
     incarnation, version, precedence = order_of(record)
     return hash_text(
         f'{record.member_id}/{incarnation}/{version}/{precedence}'
@@ -56,10 +56,10 @@
 def target_of(
     record: MemberRecord, *, is_drained: bool, is_unreachable: bool
 ) -> TargetInfo:
-    """Return what routing sees of an agent's record.
+    """Return an agent's record as a target for routing.
 
-    A drained target stays DRAINING even while it is suspected, so that
-    a suspicion cannot send new work to it.
+    A drained target stays DRAINING even while it is suspected, so that a
+    suspicion cannot cause new work to be sent to it.
     """
     state = TargetState.ALIVE
     if is_unreachable or record.state is MemberState.suspect:
--- a/greengagepath/membership/seeds.py
+++ b/greengagepath/membership/seeds.py
@@ -1,4 +1,4 @@
-"""Seed objects: where the balancers of an availability zone are."""
+"""Seed objects: addresses of balancers in an availability zone."""
 
 import msgspec
 
@@ -13,7 +13,7 @@
 from .leases import Lease
 from .overlay import rank_by_hash
 
-# Addresses in a seed object; any one of them is enough to start.
+# Number of addresses in a seed object; one that answers is enough.
 SEED_ADDRESSES = 5
 SEED_CHECK_S = 5.0
 _TOKEN = 'fencing_token'
@@ -25,7 +25,12 @@
 
 
 class SeedWriter:
-    """Keeps the seed object of the zone in line with its balancers."""
+    """Keeps the seed object of the zone up to date.
+
+    `refused_writes` counts writes that were not sent because the object
+    could not be read, the lease had expired or a newer holder had
+    written.
+    """
 
     def __init__(self, parts: BridgeParts) -> None:
         self._parts = parts
@@ -35,7 +40,7 @@
         self.refused_writes = 0
 
     def step(self, lease: Lease) -> None:
-        """Write the seed if it changed and the lease is valid."""
+        """Write the seed if it has changed and the lease is valid."""
         now_s = self._parts.ports.timers.now()
         wanted = self._choose_addresses()
         if now_s < self._next_check_s or wanted == self._last_written:
@@ -62,7 +67,7 @@
     def _write_unless_newer(
         self, lease: Lease, wanted: list[list[object]], outcome: ObjectOutcome
     ) -> None:
-        """Write unless a holder with a newer lease has written."""
+        """Write the seed unless a holder with a newer lease has written."""
         if outcome.is_err() or not lease.is_held():
             self.refused_writes += 1
             return
@@ -96,7 +101,7 @@
 
 
 def addresses_of(body: object) -> list[Address]:
-    """Return the addresses in a seed object, none if it is not valid."""
+    """Return the addresses in a seed object, or none if it is invalid."""
     try:
         return msgspec.convert(body, _SeedBody).addresses
     except msgspec.ValidationError:
--- a/greengagepath/membership/table.py
+++ b/greengagepath/membership/table.py
@@ -1,4 +1,4 @@
-"""Table of all members that a process knows of."""
+"""Table of all members known to a process."""
 
 from collections.abc import Callable, Iterable, Mapping
 from enum import Enum, unique
@@ -22,7 +22,7 @@
 
 @unique
 class MergeOutcome(Enum):
-    """What became of an offered record."""
+    """Result of merging a record into the table."""
 
     NEW = 'new'
     UPDATED = 'updated'
@@ -42,8 +42,8 @@
 class BucketChecksums:
     """Exclusive-or of the checksums of the records in each bucket.
 
-    Tombstones do not count: one expires at a different moment at each
-    member, which would make equal tables differ for ever.
+    Tombstones are left out: they expire at different moments at each
+    member, so the checksums of equal tables would keep differing.
     """
 
     __slots__ = ('values_by_bucket',)
@@ -52,17 +52,17 @@
         self.values_by_bucket = [0 for _ in range(BUCKETS)]
 
     def toggle(self, record: MemberRecord) -> None:
-        """Add the record, or take it out again."""
+        """Add the record, or remove it if it was added before."""
         if not is_gone(record):
             bucket = bucket_of(record.member_id)
             self.values_by_bucket[bucket] ^= checksum_of(record)
 
 
 class TargetView:
-    """How records of agents look to routing.
+    """Converts records of agents to targets for routing.
 
     `drained_ids` are the targets that the configuration drains,
-    `unreachable_zones` those whose bridges are all silent.
+    `unreachable_zones` the zones that no bridge reaches.
     """
 
     def __init__(self) -> None:
@@ -96,22 +96,23 @@
 class MemberTable:
     """Merges records by incarnation, record version and state.
 
-    Tombstones count against their own limit. `refused_records` counts
-    records that found the table full.
+    Tombstones have a limit of their own. `refused_records` counts the
+    records refused because the table was full. `version` rises with each
+    change other than a higher configuration version.
     """
 
     def __init__(self, limits: LimitSettings, timers: TimerService) -> None:
         self._limits = limits
         self._timers = timers
         self._records_by_id: dict[str, MemberRecord] = {}
-        # Insertion order is order of death, so the oldest is first.
+        # In order of insertion, so the oldest tombstone is first.
         self._gone_since_by_id: dict[str, float] = {}
         self._suspect_since_by_id: dict[str, float] = {}
         self.checksums = BucketChecksums()
         self.target_view = TargetView()
         self.refused_records = 0
         self.version = 0
-        # Asked for several times a second, changed a few times a minute.
+        # Cached: read several times a second, changed a few times a minute.
         self._balancers: tuple[MemberRecord, ...] = ()
         self._balancers_version = -1
 
@@ -124,7 +125,7 @@
         return tuple(self._records_by_id.values())
 
     def balancers(self) -> tuple[MemberRecord, ...]:
-        """Return the balancers that have not gone."""
+        """Return the balancers that are not gone."""
         if self._balancers_version != self.version:
             self._balancers_version = self.version
             self._balancers = tuple(
@@ -133,7 +134,7 @@
         return self._balancers
 
     def merge(self, record: MemberRecord) -> MergeOutcome:
-        """Take the record if it is newer than the one held."""
+        """Store the record if it is newer than the one in the table."""
         held = self._records_by_id.get(record.member_id)
         if held is None:
             return self._insert(record)
@@ -151,10 +152,10 @@
     def raise_version(
         self, member_id: str, incarnation: int, configuration_version: int
     ) -> bool:
-        """Take a higher configuration version; return whether it was.
+        """Store a configuration version if it is higher; return whether.
 
-        Does not count as a change of the table: 520 balancers report
-        each new configuration, and nothing is derived from it.
+        This does not raise the version of the table: up to 520 balancers
+        report each new configuration, and nothing is derived from it.
         """
         held = self._records_by_id.get(member_id)
         is_newer = (
@@ -173,7 +174,7 @@
         return is_newer
 
     def suspect(self, member_id: str) -> MemberRecord | None:
-        """Mark a member as suspect; return its record if that changed it."""
+        """Mark a member as suspect; return its record if it changed."""
         held = self._records_by_id.get(member_id)
         if held is None or held.state not in _WATCHED_STATES:
             return None
@@ -182,10 +183,10 @@
     def expire(
         self, may_declare_dead: Callable[[MemberRecord], bool]
     ) -> list[MemberRecord]:
-        """Turn overdue suspects into dead members and drop old tombstones.
+        """Declare overdue suspects dead and drop expired tombstones.
 
-        Returns the records of the dead. Only suspects that `may_declare_dead`
-        accepts are touched.
+        Returns the records of the members declared dead. Suspects that
+        `may_declare_dead` rejects stay as they are.
         """
         now_s = self._timers.now()
         overdue = [
@@ -202,7 +203,7 @@
         return dead
 
     def discard(self, member_ids: Iterable[str]) -> None:
-        """Drop members without a trace."""
+        """Remove members without leaving tombstones."""
         for member_id in member_ids:
             self._remove(member_id)
 
@@ -270,7 +271,10 @@
 def _with_higher_version(
     record: MemberRecord, held: MemberRecord
 ) -> MemberRecord:
-    """Keep a version that was reported on its own in the meantime."""
+    """Return the record with the higher of both configuration versions.
+
+    The held version may have been reported separately in the meantime.
+    """
     is_lower = record.configuration_version < held.configuration_version
     if record.incarnation == held.incarnation and is_lower:
         return msgspec.structs.replace(
--- a/greengagepath/membership/views.py
+++ b/greengagepath/membership/views.py
@@ -1,4 +1,4 @@
-"""What a balancer derives from its table, and when it looks again."""
+"""Views that a node derives from its member table and the seeds."""
 
 from collections.abc import Callable, Mapping
 
@@ -13,15 +13,16 @@
 from .table import MemberTable
 from .zone_directory import unreachable_zones
 
-# Changes of the target set are reported together after this time.
+# Changes of the target set are batched for this time.
 REPORT_S = 0.05
-# How long a new balancer asks only one neighbour for its records.
+# For this time a new balancer compares tables with one neighbour only.
 FIRST_SYNC_S = 2.0
-# A zone counts as unreachable only after this time, so that a bridge
-# that is replaced does not change the state of its targets.
+# A zone is marked unreachable only after this time, so that the
+# replacement of a bridge does not change the state of its targets.
 UNREACHABLE_S = 5.0
-# Pauses between reads of the seed while no balancer answers. They grow,
-# so that a fleet that starts together stays under the object API's rate.
+# Pauses between reads of the seed while no balancer answers. They grow, so
+# that a fleet that starts all at once stays within the rate limit of the
+# object API.
 FIRST_SEED_RETRY_S = 0.5
 MAX_SEED_RETRY_S = 8.0
 
@@ -29,9 +30,9 @@
 
 
 class FirstSync:
-    """Spreads a new balancer's first comparisons over its links.
+    """Delays a new balancer's first table comparisons but for one.
 
-    Without it each neighbour would send the whole table at once.
+    Without the delay all neighbours would send the whole table at once.
     """
 
     def __init__(self, ports: NodePorts) -> None:
@@ -41,13 +42,13 @@
 
     @property
     def is_running(self) -> bool:
-        """Whether the first neighbour's records are still coming in."""
+        """Whether the first digest was sent within `FIRST_SYNC_S`."""
         if self._started_s is None:
             return False
         return self._ports.timers.now() - self._started_s < FIRST_SYNC_S
 
     def schedule(self, send_digest: Callable[[], None]) -> None:
-        """Compare now, but after the first neighbour's records came."""
+        """Send a digest now, or later while the first sync is running."""
         is_first = self._started_s is None
         if is_first:
             self._started_s = self._ports.timers.now()
@@ -59,7 +60,7 @@
 
 
 class OverlayView:
-    """The overlay among the living balancers of the own zone."""
+    """The overlay of the balancers in this zone that are not gone."""
 
     def __init__(
         self, own: OwnRecord, table: MemberTable, ports: NodePorts
@@ -72,12 +73,12 @@
         self._peer_ids: frozenset[str] = frozenset()
 
     def zone_balancer_ids(self) -> frozenset[str]:
-        """Return the balancers of the zone, this one included."""
+        """Return the ids of the zone's balancers, this one included."""
         self._refresh()
         return self._zone_balancer_ids
 
     def watched(self) -> frozenset[str]:
-        """Return the balancers whose silence this one notices."""
+        """Return the ids of the balancers that this one monitors."""
         others = self.zone_balancer_ids() - {self._own.member_id}
         if not others:
             return frozenset()
@@ -111,7 +112,7 @@
 
 
 class ZoneMonitor:
-    """Marks zones as unreachable after `UNREACHABLE_S` without a link."""
+    """Marks zones unreachable after `UNREACHABLE_S` without a bridge."""
 
     def __init__(
         self, own: OwnRecord, table: MemberTable, ports: NodePorts
@@ -124,7 +125,7 @@
         self._seen_version = -1
 
     def step(self) -> bool:
-        """Return whether the set of unreachable zones has changed."""
+        """Update the unreachable zones; return whether they changed."""
         now_s = self._timers.now()
         if self._seen_version != self._table.version:
             self._seen_version = self._table.version
@@ -155,7 +156,7 @@
         self._pause_s = FIRST_SEED_RETRY_S
 
     def addresses(self) -> list[Address]:
-        """Return what is known; read again if it is time to."""
+        """Return the known addresses; start a read if one is due."""
         now_s = self._ports.timers.now()
         if now_s >= self._next_read_s:
             jitter = self._ports.random.uniform(0.5, 1)
@@ -165,7 +166,7 @@
         return self._addresses
 
     def reset_pause(self) -> None:
-        """Start with a short pause the next time."""
+        """Reset the pause between reads to its initial length."""
         self._pause_s = FIRST_SEED_RETRY_S
 
     def _receive(self, outcome: ObjectOutcome) -> None:
@@ -176,7 +177,7 @@
 
 
 class TargetNotifier:
-    """Tells routing of changed targets, several changes at a time."""
+    """Notifies routing of changed targets, in batches."""
 
     def __init__(
         self, table: MemberTable, ports: NodePorts, on_targets: OnTargets
@@ -188,7 +189,7 @@
         self._last: Mapping[int, tuple[TargetInfo, ...]] = {}
 
     def schedule(self) -> None:
-        """Report within `REPORT_S`."""
+        """Report the targets within `REPORT_S` if they have changed."""
         if self._timer is None:
             self._timer = self._timers.call_after(REPORT_S, self._send)
 
--- a/greengagepath/membership/zone_directory.py
+++ b/greengagepath/membership/zone_directory.py
@@ -1,4 +1,4 @@
-"""Where a bridge finds the balancers of other availability zones."""
+"""Discovery of balancers in other availability zones."""
 
 from collections.abc import Mapping
 
@@ -10,12 +10,12 @@
 from .seeds import SEED_CHECK_S, addresses_of
 from .table import MemberTable
 
-# How often a bridge looks for zones it has not heard of.
+# Period in which a bridge lists the seeds of all zones to find new ones.
 DISCOVERY_S = 60.0
 
 
 class ZoneDirectory:
-    """Where the balancers of other zones are."""
+    """Addresses of bridges and seeds in other zones."""
 
     def __init__(self, parts: BridgeParts) -> None:
         self._parts = parts
@@ -24,12 +24,12 @@
         self._next_read_s = 0.0
 
     def step(self) -> None:
-        """Read the seeds of all zones from time to time."""
+        """Read the seeds of all zones when due."""
         now_s = self._parts.ports.timers.now()
         if now_s >= self._next_read_s:
             jitter = self._parts.ports.random.uniform(0.5, 1)
-            # Zones that start together read before the others' seeds
-            # are written, so one that reaches nobody looks again soon.
+            # Zones that start together read the list before the others'
+            # seeds are written, so a zone without links reads again soon.
             period_s = DISCOVERY_S if self._linked_zones() else SEED_CHECK_S
             self._next_read_s = now_s + period_s * jitter
             self._parts.ports.store.list_names(
@@ -37,13 +37,17 @@
             )
 
     def update_reached(self) -> None:
-        """Publish to which zones this balancer has links."""
+        """Publish the zones to which this bridge has links."""
         own = self._parts.own
         if own.record.bridge_slot:
             own.update(reached_zones=sorted(self._linked_zones()))
 
     def wanted_links(self) -> Mapping[str, Address]:
-        """Return known bridges, and seeds of zones without any."""
+        """Return addresses of known bridges, and of seeds in other zones.
+
+        Seeds are included for zones without a link, under keys that
+        start with `seed`.
+        """
         bridges = [
             record
             for record in self._parts.table.balancers()
@@ -80,7 +84,7 @@
 
 
 def unreachable_zones(own: MemberRecord, table: MemberTable) -> frozenset[str]:
-    """Return the zones that no living bridge of the own zone reaches."""
+    """Return the zones that no live bridge of this zone reaches."""
     zones = {record.availability_zone for record in table.records()}
     reached = {own.availability_zone}
     for record in table.balancers():
