Reword the descriptions of the control plane tests

Comments told stories or used private words; they now name the failure a test guards against and how it comes about.

--- a/tests/control/builders.py
+++ b/tests/control/builders.py
@@ -1,4 +1,4 @@
-"""Test data of the control plane."""
+"""Test data for the control plane."""
 
 from greengagepath.bench.control_fleet import ControlFleet
 from greengagepath.generated.messages import (
@@ -42,7 +42,7 @@
 
 
 def make_fleet(seed=1, balancers=6, agents=6, zones=2, **options):
-    """Return a fleet that has settled, members spread over the zones."""
+    """Return a settled fleet with its members spread over the zones."""
     fleet = ControlFleet(seed, **options)
     for index in range(balancers):
         fleet.add_balancer(f'b{index}', f'z{index % zones}')
--- a/tests/control/http_store.py
+++ b/tests/control/http_store.py
@@ -1,4 +1,4 @@
-"""Smallest object API over HTTP for tests of the client."""
+"""Minimal object API over HTTP for tests."""
 
 import json
 from urllib.parse import parse_qs
@@ -10,7 +10,11 @@
 
 
 class HttpStore:
-    """Serves versioned objects; `lose_answers` drops that many answers."""
+    """Serves versioned objects from memory.
+
+    The next `lose_answers` writes are handled but answered with status
+    503, as if their answers had been lost.
+    """
 
     def __init__(self):
         self.objects = {}
--- a/tests/control/operators.py
+++ b/tests/control/operators.py
@@ -1,4 +1,4 @@
-"""An operator tool in virtual time: conditional write, then hand over."""
+"""Operator tool in virtual time: conditional write, then delivery."""
 
 import random
 
@@ -19,7 +19,11 @@
 
 
 class Operator:
-    """Applies configurations; `outcomes` holds what each write gave."""
+    """Applies configurations.
+
+    `outcomes` holds the outcome of each write, or of a failed read,
+    `accepted` the configurations that were written.
+    """
 
     def __init__(self, fleet, name, zone='z0'):
         self.fleet = fleet
@@ -38,7 +42,7 @@
         self.pending = {}
 
     def apply(self, services, balancers):
-        """Read, write conditionally, hand over to the balancers."""
+        """Read, write conditionally, then send it to the balancers."""
         self.store.read(
             *NAME,
             lambda found: self.write(found, services, balancers),
--- a/tests/control/processes.py
+++ b/tests/control/processes.py
@@ -1,7 +1,7 @@
-"""Real control planes on 127.0.0.1; started by test_daemon_control.
+"""Control planes with real links on 127.0.0.1, for test_daemon_control.
 
-Runs in a process of its own as `python -m gevent.monkey processes.py`,
-because gevent's patches would change all other tests.
+Runs in a separate process as `python -m gevent.monkey processes.py`,
+because the patches of gevent would affect all other tests.
 """
 
 import json
@@ -22,7 +22,7 @@
 
 HOST = '127.0.0.1'
 LIMITS = settings.LimitSettings()
-STRANGER = KeyRing([Key(1, b'x' * 32)], time.time)
+FOREIGN_KEYS = KeyRing([Key(1, b'x' * 32)], time.time)
 
 
 def free_ports(count):
@@ -143,7 +143,7 @@
     report['in_force_s'] = wait_until(fleet.is_configured, 5)
     report['service_s'] = wait_until(lambda: bool(fleet.services), 5)
     query = messages.StatusQuery(query_id=1)
-    report['wrong_key'] = fleet.ask(0, query, STRANGER).is_err()
+    report['wrong_key'] = fleet.ask(0, query, FOREIGN_KEYS).is_err()
     report['records'] = len(fleet.ask(1, query).unwrap().records)
     fleet.agent.set_state(messages.MemberState.draining)
     report['draining_s'] = wait_until(lambda: fleet.all_see('draining'), 5)
--- a/tests/control/test_control_machine.py
+++ b/tests/control/test_control_machine.py
@@ -1,4 +1,9 @@
-"""Random faults over the real decision modules in virtual time."""
+"""Random faults against the real decision modules in virtual time.
+
+With the profile `ci` hypothesis derives its histories from a hash of the
+source of `ControlMachine` without comments, so a changed name in the
+class changes the histories.
+"""
 
 from hypothesis import Phase, settings
 from hypothesis import strategies as st
@@ -15,17 +20,18 @@
 from tests.control.operators import Operator
 
 ZONES = ('z0', 'z1')
-# The design page's limits.
+# Limits stated on the design page.
 IN_FORCE_S = 3
 DEAD_S = 5
-# After this time without a new fault the overlay has been repaired: two
-# rounds of suspicion of 4.5 s and one reconnect pause of at most 5 s.
+# After this time without a new fault the overlay is repaired: two rounds
+# of suspicion of 4.5 s and one reconnect pause of at most 5 s.
 CALM_S = 15
-# After the last fault ends, in the worst case: 4.5 s until a dead bridge
-# is noticed, 27 s until its lease is seen to expire, 5 s until the seed
-# is written, 8 s until a lonely agent reads it, 10 s to compare tables.
+# Time to converge after the last fault, in the worst case: 4.5 s until a
+# dead bridge is detected, 27 s until its lease is observed to expire, 5 s
+# until the seed is written, 8 s until an agent without links reads it,
+# 10 s to compare tables.
 CONVERGED_S = 60
-# More than all attempts of a read and a write.
+# Longer than all attempts of a read and a write together.
 GIVEN_UP_S = 30
 
 seeds = st.integers(0, 2**16)
@@ -382,7 +388,7 @@
 ControlMachine.TestCase.settings = settings(
     max_examples=30,
     stateful_step_count=20,
-    # Shrinking takes minutes; the failing history is printed as it is.
+    # Shrinking takes minutes; a failing history is printed unshrunk.
     phases=[Phase.generate],
 )
 TestControlMachine = ControlMachine.TestCase
--- a/tests/control/test_control_scenarios.py
+++ b/tests/control/test_control_scenarios.py
@@ -1,4 +1,4 @@
-"""Single failures over the real decision modules in virtual time."""
+"""Single failures against the real decision modules in virtual time."""
 
 from testtools import TestCase
 
@@ -22,8 +22,8 @@
     }
 
 
-def name_seeds(fleet):
-    """Give processes that start later the addresses of two balancers."""
+def set_fallback_seeds(fleet):
+    """Set two balancers as fallback seeds of processes started later."""
     records = [entry.record for entry in fleet.running_balancers()]
     fleet.fallback_seeds = tuple(
         (record.host, record.control_port) for record in records[:2]
@@ -32,7 +32,8 @@
 
 class MembershipTest(TestCase):
     def test_dead_target_disappears_within_5_s(self):
-        # Guards against a silent host that keeps receiving new flows.
+        # Guards against new flows to a host that failed without closing
+        # its links.
         fleet = make_fleet()
         fleet.kill(fleet.agents['a0'], silently=True)
         fleet.advance(5)
@@ -40,7 +41,8 @@
             self.assertNotIn('a0', balancer.target_ids())
 
     def test_target_disappears_also_when_its_homes_die_with_it(self):
-        # Guards against an agent that nobody watches any more.
+        # Guards against an agent that no balancer watches because all its
+        # homes have failed.
         fleet = make_fleet(balancers=8)
         agent = fleet.agents['a0']
         for home in agent.node.own.record.homes:
@@ -51,7 +53,8 @@
             self.assertNotIn('a0', balancer.target_ids())
 
     def test_paused_agent_comes_back(self):
-        # Guards against a live target that is removed for good.
+        # Guards against a live target that stays removed because it was
+        # declared dead during a pause.
         fleet = make_fleet()
         fleet.pause(fleet.agents['a0'])
         fleet.advance(30)
@@ -62,9 +65,9 @@
             state = find_targets(balancer)['a0'].state
             self.assertIs(TargetState.ALIVE, state)
 
-    def test_paused_balancer_accuses_nobody(self):
-        # Guards against a process that takes its own pause for the
-        # silence of all others.
+    def test_resumed_balancer_suspects_nobody(self):
+        # Guards against a process that, after a pause of its own, takes
+        # all other members for silent.
         fleet = make_fleet(balancers=6, zones=1)
         fleet.pause(fleet.balancers['b0'])
         fleet.advance(2.5)
@@ -79,7 +82,8 @@
             self.assertEqual(versions[member_id], record.record_version)
 
     def test_silenced_link_is_replaced(self):
-        # Guards against a connection that stays open but carries nothing.
+        # Guards against a connection that stays open but loses all that
+        # is sent on it.
         fleet = make_fleet(balancers=2, agents=1, zones=1)
         links = fleet.agents['a0'].links
         links.silence(next(iter(links.ends_by_link)))
@@ -90,8 +94,9 @@
             self.assertIn('a0', balancer.target_ids())
 
     def test_agent_cut_off_from_one_home_stays(self):
-        # Guards against one broken path that removes a live target: the
-        # other home must hand the suspicion to the agent.
+        # Guards against the removal of a live target because of one broken
+        # path. The other home must forward the suspicion to the agent, so
+        # that the agent can refute it.
         fleet = make_fleet(balancers=4, agents=1, zones=1)
         agent = fleet.agents['a0']
         home = fleet.balancers[agent.node.own.record.homes[0]]
@@ -104,7 +109,8 @@
                 self.assertIn('a0', balancer.target_ids())
 
     def test_partitioned_zone_is_unreachable_but_not_dead(self):
-        # Guards against a partition that removes a whole zone's targets.
+        # Guards against the removal of all targets of a zone because of a
+        # partition.
         fleet = make_fleet()
         fleet.network.block('z0', 'z1')
         fleet.advance(120)
@@ -127,9 +133,9 @@
             self.assertEqual({TargetState.ALIVE}, states)
         self.assertIn('a9', fleet.balancers['b1'].target_ids())
 
-    def test_suspect_zone_member_is_not_judged_from_elsewhere(self):
-        # Guards against a partition that begins during a suspicion: the
-        # refutation cannot cross it.
+    def test_other_zone_does_not_declare_a_suspect_dead(self):
+        # Guards against a live target declared dead across a partition. It
+        # begins during a suspicion, so the refutation cannot arrive.
         fleet = make_fleet()
         agent = fleet.agents['a0']
         fleet.pause(agent)
@@ -141,7 +147,8 @@
         self.assertIn('a0', far)
 
     def test_membership_changes_while_the_store_is_down(self):
-        # Guards against membership that needs the object API.
+        # Guards against changes of membership that depend on the object
+        # API.
         fleet = make_fleet()
         fleet.store.faults.is_down = True
         fleet.advance(OUTAGE_S / 2)
@@ -154,7 +161,7 @@
         fleet.kill(bridge, silently=False)
         fleet.advance(OUTAGE_S / 4)
         fleet.agents['a1'].node.set_state(MemberState.draining)
-        name_seeds(fleet)
+        set_fallback_seeds(fleet)
         fleet.add_agent('a0', 'z0')
         fleet.advance(OUTAGE_S / 4)
         for balancer in fleet.running_balancers():
@@ -163,7 +170,8 @@
             self.assertIs(TargetState.DRAINING, found['a1'].state)
 
     def test_agent_finds_homes_again_while_the_store_is_down(self):
-        # Guards against an agent that forgets the balancers it knew.
+        # Guards against an agent that loses the known balancers together
+        # with its links and cannot read the seed either.
         fleet = make_fleet(balancers=6, agents=1, zones=1)
         fleet.store.faults.is_down = True
         for home in fleet.agents['a0'].node.own.record.homes:
@@ -172,7 +180,8 @@
         self.assertEqual(2, len(fleet.agents['a0'].node.own.record.homes))
 
     def test_calls_to_the_store_do_not_grow_with_the_fleet(self):
-        # Guards against members that each talk to the object API.
+        # Guards against load on the object API from members that are not
+        # bridges.
         counts = []
         for members in (6, 18):
             fleet = make_fleet(balancers=members, agents=members)
@@ -184,8 +193,8 @@
 
 class ConfigurationTest(TestCase):
     def test_missing_base_is_pulled(self):
-        # Guards against a balancer that skipped a version and waits for
-        # the next comparison of tables.
+        # Guards against a balancer that missed a version and lacks the base
+        # of the next delta until tables are compared.
         fleet = make_fleet()
         spread = fleet.balancers['b0'].node.spread
         spread.holder.offer(make_configuration(5))
@@ -197,8 +206,8 @@
             self.assertEqual([make_service(1)], services)
 
     def test_old_version_never_comes_back(self):
-        # Guards against a late tool, a stale read and a late neighbour
-        # that bring an earlier version back into force.
+        # Guards against an earlier version that comes back into force
+        # through a late tool, a stale read or a late neighbour.
         fleet = make_fleet()
         operator = Operator(fleet, 'o1')
         balancer = fleet.balancers['b0']
@@ -215,8 +224,8 @@
             self.assertEqual(operator.accepted[1], holder.current)
 
     def test_any_balancer_knows_where_a_version_is_in_force(self):
-        # Guards against an operator who waits for a report that only
-        # the neighbours of a balancer ever get.
+        # Guards against an operator who waits in vain because versions in
+        # force are reported to direct neighbours only.
         fleet = make_fleet(balancers=24, agents=0)
         fleet.balancers['b0'].node.spread.offer(make_configuration(1))
         fleet.advance(3)
@@ -228,9 +237,9 @@
             versions = [record.configuration_version for record in records]
             self.assertEqual([1 for _ in range(24)], versions)
 
-    def test_started_balancer_gets_it_while_the_store_is_down(self):
-        # Guards against a balancer that is not ready for the length of
-        # an outage of the object API.
+    def test_restarted_balancer_is_configured_while_the_store_is_down(self):
+        # Guards against a balancer that gets its configuration only after
+        # an outage of the object API has ended.
         fleet = make_fleet(zones=1)
         fleet.balancers['b0'].node.spread.offer(make_configuration(3))
         fleet.advance(1)
@@ -238,13 +247,14 @@
         fleet.kill(old, silently=False)
         fleet.store.faults.is_down = True
         fleet.advance(60)
-        name_seeds(fleet)
+        set_fallback_seeds(fleet)
         started = fleet.add_balancer('b1', 'z0')
         fleet.advance(5)
         self.assertEqual(3, started.node.spread.holder.version)
 
     def test_agent_learns_that_it_is_drained(self):
-        # Guards against a drained target that its agent knows nothing of.
+        # Guards against an agent that is not told that its target is
+        # drained.
         fleet = make_fleet()
         drained = make_service(1, drained_targets=['a0'])
         spread = fleet.balancers['b1'].node.spread
@@ -256,7 +266,8 @@
             self.assertIs(TargetState.DRAINING, state)
 
     def test_second_of_two_operators_gets_a_conflict(self):
-        # Guards against two changes of which one is lost silently.
+        # Guards against a lost update: two operators write at the same
+        # time and one change is overwritten without an error.
         fleet = make_fleet()
         operators = [Operator(fleet, 'o1'), Operator(fleet, 'o2')]
         for operator in operators:
@@ -266,8 +277,8 @@
         self.assertEqual([0, 1], sorted(accepted))
 
     def test_lost_answer_of_a_write_is_recognised(self):
-        # Guards against an accepted change that is reported as a
-        # conflict with itself.
+        # Guards against a conflict of a change with itself, when the answer
+        # to an accepted write is lost and the write is repeated.
         fleet = make_fleet()
         fleet.store.faults.lose_answers = 1
         operator = Operator(fleet, 'o1')
--- a/tests/control/test_daemon_control.py
+++ b/tests/control/test_daemon_control.py
@@ -14,8 +14,9 @@
 @pytest.mark.processes
 class DaemonControlTest(TestCase):
     def test_real_links_carry_members_and_configuration(self):
-        # Guards against nodes that work on simulated links only: frames,
-        # websockets under gevent, the HTTP client and operator messages.
+        # Guards against nodes that work on simulated links only. Covers
+        # frames, websockets under gevent, the HTTP client and operator
+        # messages.
         finished = subprocess.run(
             [sys.executable, '-m', 'gevent.monkey', str(SCRIPT)],
             env={**os.environ, 'PYTHONPATH': str(ROOT)},
--- a/tests/control/test_decisions.py
+++ b/tests/control/test_decisions.py
@@ -1,4 +1,4 @@
-"""Table, overlay, deltas, frames: pure decisions and decoders."""
+"""Member table, overlay, configuration deltas and decoders."""
 
 import time
 
@@ -57,8 +57,8 @@
 class TableTest(TestCase):
     @given(st.lists(records, max_size=8), st.randoms())
     def test_order_of_arrival_does_not_matter(self, offered, chance):
-        # Guards against members that keep different records for ever.
-        # Tombstones of unknown members are refused, so all are known.
+        # Guards against members that never agree on a record. Tombstones
+        # of unknown members are refused, so all members are known first.
         known = [make_record(name) for name in ('m1', 'm2', 'm3')]
         tables = []
         for _ in range(2):
@@ -86,7 +86,7 @@
         )
 
     def test_late_record_does_not_revive_a_dead_member(self):
-        # Guards against a target that comes back from an old message.
+        # Guards against a dead target that a delayed message revives.
         table, timers = make_table()
         table.merge(make_record())
         table.suspect('m1')
@@ -96,7 +96,8 @@
         self.assertEqual({}, table.targets_by_service())
 
     def test_version_in_force_shows_in_the_checksum(self):
-        # Guards against a report that was lost and never repaired.
+        # Guards against a lost report that no comparison of tables repairs,
+        # because the checksum leaves out the configuration version.
         table, _timers = make_table()
         table.merge(make_record())
         before = list(table.checksums.values_by_bucket)
@@ -107,7 +108,7 @@
         self.assertEqual(5, table.get('m1').configuration_version)
 
     def test_full_table_refuses_and_counts(self):
-        # Guards against a table that grows without a limit.
+        # Guards against unbounded growth of the table.
         table, _timers = make_table(members=2)
         for index in range(5):
             table.merge(make_record(f'm{index}'))
@@ -115,7 +116,7 @@
         self.assertEqual(3, table.refused_records)
 
     def test_tombstones_are_limited_in_number_and_time(self):
-        # Guards against tombstones that fill the table over the months.
+        # Guards against tombstones that accumulate in a long run.
         table, timers = make_table(tombstones=3, tombstone_s=10)
         for index in range(6):
             table.merge(make_record(f'm{index}'))
@@ -130,7 +131,7 @@
 
 class OverlayTest(TestCase):
     def test_overlay_is_connected_with_the_wanted_degree(self):
-        # Guards against an island that no change ever reaches.
+        # Guards against a part of the overlay that no change reaches.
         ids = [f'b{index}' for index in range(87)]
         links_by_id = {entry: overlay_peers(entry, ids, 5) for entry in ids}
         total = sum(len(links) for links in links_by_id.values())
@@ -144,7 +145,8 @@
         self.assertEqual(set(ids), reached)
 
     def test_few_agents_move_when_a_balancer_leaves(self):
-        # Guards against homes that all change with one balancer.
+        # Guards against a ranking in which the loss of one balancer moves
+        # most agents instead of a tenth.
         ids = [f'b{index}' for index in range(10)]
         moved = sum(
             rank_by_hash(f'a{index}', ids)[0]
@@ -157,7 +159,8 @@
 class ConfigurationDeltaTest(TestCase):
     @given(service_lists, service_lists)
     def test_delta_gives_the_newer_configuration(self, old, new):
-        # Guards against balancers that agree on a version only.
+        # Guards against balancers that have the same version but different
+        # content.
         base = make_configuration(1, *old)
         newer = make_configuration(2, *new)
         ordered = sorted(newer.services, key=lambda entry: entry.service_id)
@@ -167,7 +170,7 @@
         self.assertEqual(applied, whole)
 
     def test_wrong_base_is_not_applied(self):
-        # Guards against a delta on top of another version.
+        # Guards against a delta applied to a version other than its base.
         holder = ConfigurationHolder()
         holder.offer(make_configuration(1))
         delta = compute_delta(make_configuration(2), make_configuration(3))
@@ -176,7 +179,7 @@
         self.assertEqual(1, holder.version)
 
     def test_same_version_with_other_content_is_a_conflict(self):
-        # Guards against a silent fork of one version.
+        # Guards against two contents of one version that go unnoticed.
         holder = ConfigurationHolder()
         holder.offer(make_configuration(1, operation_id='a'))
         rival = make_configuration(1, operation_id='b')
@@ -187,26 +190,27 @@
 class DecoderTest(TestCase):
     @given(st.binary(max_size=200))
     def test_any_frame_is_refused(self, frame):
-        # Guards against input that ends a process.
+        # Guards against arbitrary bytes that raise an exception.
         self.assertTrue(FrameOpener(KEYS, NONCE).open(frame).is_err())
 
     @given(st.integers(0, 60), st.integers(1, 255))
     def test_changed_frame_is_refused(self, position, difference):
-        # Guards against a frame that is taken in spite of a wrong tag.
+        # Guards against a frame that is accepted with a wrong tag.
         frame = bytearray(FrameSealer(KEYS, NONCE).seal(Heartbeat(sequence=1)))
         frame[position % len(frame)] ^= difference
         self.assertTrue(FrameOpener(KEYS, NONCE).open(bytes(frame)).is_err())
 
     def test_replayed_frame_is_refused(self):
-        # Guards against frames that are valid twice or on another link.
+        # Guards against frames accepted twice or on another link.
         frame = FrameSealer(KEYS, NONCE).seal(Heartbeat(sequence=1))
         opener = FrameOpener(KEYS, NONCE)
         self.assertEqual(Ok(Heartbeat(sequence=1)), opener.open(frame))
         self.assertTrue(opener.open(frame).is_err())
         self.assertTrue(FrameOpener(KEYS, b'o' * 16).open(frame).is_err())
 
-    def test_expired_key_is_refused_by_name(self):
-        # Guards against an old key that goes on opening links.
+    def test_refusal_of_an_expired_key_states_the_reason(self):
+        # Guards against an expired key that still opens frames, or that is
+        # refused without a usable reason.
         keys = KeyRing([Key(1, bytes(32), not_after_s=1)], time.time)
         frame = FrameSealer(keys, NONCE).seal(Heartbeat(sequence=1))
         refusal = FrameOpener(keys, NONCE).open(frame).unwrap_err()
@@ -214,7 +218,8 @@
 
     @given(json_values)
     def test_any_object_is_read_without_an_exception(self, value):
-        # Guards against an object in the store that ends all bridges.
+        # Guards against an object in the store that makes all bridges raise
+        # an exception.
         addresses_of(value)
         addresses_of({'addresses': value})
         body = value if isinstance(value, dict) else {'services': value}
--- a/tests/control/test_isolated_balancer.py
+++ b/tests/control/test_isolated_balancer.py
@@ -7,9 +7,9 @@
 
 
 class IsolatedBalancerTest(TestCase):
-    def test_balancer_alone_in_its_zone_gets_ready_soon(self):
-        # Guards against a new balancer that waits for the lease of a
-        # dead bridge before it learns targets and the configuration.
+    def test_balancer_alone_in_its_zone_becomes_ready_soon(self):
+        # Guards against a new balancer that gets targets and configuration
+        # only after the lease of a dead bridge has expired.
         fleet = make_fleet(balancers=3, agents=6, zones=3)
         operator = Operator(fleet, 'alice')
         operator.apply([make_service()], fleet.running_balancers())
@@ -23,8 +23,8 @@
         self.assertLessEqual(far, started.target_ids())
 
     def test_zones_that_start_together_find_each_other(self):
-        # Guards against zones that read the list of seeds too early and
-        # then look again only a minute later.
+        # Guards against zones that read the list of seeds before the other
+        # zones have written theirs, and again only a minute later.
         fleet = make_fleet(balancers=3, agents=3, zones=3)
         fleet.advance(10)
         for balancer in fleet.running_balancers():
--- a/tests/control/test_leases.py
+++ b/tests/control/test_leases.py
@@ -19,12 +19,12 @@
     def __init__(self, timers, store, name):
         self.clock = ProcessClock(timers)
         self.transport = VirtualTransport(store, self.clock, name)
-        chance = random.Random(name)
+        rng = random.Random(name)
         self.lease = Lease(
             LeaseTerms('bridge-z0-1', name, DURATION_S, RENEW_S),
-            ObjectClient(self.transport, self.clock, chance),
+            ObjectClient(self.transport, self.clock, rng),
             self.clock,
-            chance,
+            rng,
             lambda: None,
         )
         self.clock.subscribe(0.1, self.lease.step)
@@ -54,14 +54,15 @@
             self.timers.advance(0.1)
             self.assertLessEqual(len(self.holders()), 1)
 
-    def test_renewing_holder_keeps_it(self):
-        # Guards against a lease that is taken from a healthy holder.
+    def test_renewing_holder_keeps_the_lease(self):
+        # Guards against the takeover of a lease that is renewed in time.
         self.advance_checked(100)
         self.assertEqual([self.first], self.holders())
 
-    def test_paused_holder_loses_it_unaware(self):
-        # Guards against a paused process that still takes itself for the
-        # holder when it goes on, and against a second holder before that.
+    def test_paused_holder_loses_the_lease(self):
+        # Guards against a process that still counts as the holder when it
+        # resumes after its lease has expired, and against two holders at
+        # the same time.
         self.first.clock.is_paused = True
         self.advance_checked(40)
         self.assertEqual([self.second], self.holders())
@@ -74,16 +75,17 @@
         self.assertEqual([self.second], self.holders())
 
     def test_short_pause_leaves_one_holder(self):
-        # Guards against an observer that does not wait for the whole
-        # duration before it takes the lease over.
+        # Guards against an observer that takes over the lease before its
+        # whole duration has passed.
         self.first.clock.is_paused = True
         self.advance_checked(DURATION_S - RENEW_S - 2)
         self.first.clock.resume()
         self.advance_checked(30)
         self.assertEqual([self.first], self.holders())
 
-    def test_silent_store_ends_the_lease(self):
-        # Guards against a holder that cannot renew and goes on writing.
+    def test_lease_expires_while_the_store_is_down(self):
+        # Guards against a holder that continues to write although it could
+        # not renew its lease.
         self.store.faults.is_down = True
         self.advance_checked(DURATION_S + 1)
         self.assertEqual([], self.holders())
@@ -91,8 +93,9 @@
         self.advance_checked(30)
         self.assertEqual(1, len(self.holders()))
 
-    def test_lost_answer_still_gives_the_lease(self):
-        # Guards against a holder that waits for its own lease to expire.
+    def test_lease_is_acquired_when_the_answer_is_lost(self):
+        # Guards against a process that does not recognise its own lease in
+        # the store and waits for it to expire.
         self.store.faults.lose_answers = 1
         self.first.clock.is_dead = True
         self.advance_checked(DURATION_S * 2)
@@ -100,8 +103,9 @@
         self.advance_checked(RENEW_S * 2)
         self.assertEqual([self.second], self.holders())
 
-    def test_released_lease_is_taken_at_once(self):
-        # Guards against a planned restart that costs a whole duration.
+    def test_released_lease_is_acquired_at_once(self):
+        # Guards against a planned restart after which the next holder waits
+        # for the whole duration of the lease.
         self.first.lease.release()
         self.first.clock.is_dead = True
         self.advance_checked(RENEW_S + 1)
@@ -128,7 +132,7 @@
         return self.holder.record.member_id
 
     def start_seed_check(self):
-        """Make the holder want to write; return once it has read."""
+        """Change the seed addresses; return when the holder has read."""
         reads = []
         self.holder.transport.on_send = lambda call: reads.append(call.path)
         self.fleet.add_balancer('b9', 'z0')
@@ -136,7 +140,8 @@
             self.fleet.advance(0.001)
 
     def test_lease_is_checked_between_read_and_write(self):
-        # Guards against a write after a pause inside the operation.
+        # Guards against a write without a lease after a pause between the
+        # read and the write.
         before = self.count_writes()
         self.fleet.store.faults.delay_s = 1.5
         self.start_seed_check()
@@ -148,7 +153,8 @@
         self.assertEqual(before, self.count_writes())
 
     def test_retry_of_a_write_checks_the_lease(self):
-        # Guards against a retry that outlives the lease of its writer.
+        # Guards against a retry that is sent after the lease of its writer
+        # has expired.
         sent = []
         self.start_seed_check()
         self.holder.transport.on_send = lambda call: sent.append(
@@ -164,7 +170,8 @@
         self.assertEqual([True], seeds)
 
     def test_older_token_does_not_overwrite(self):
-        # Guards against an earlier holder that undoes a later one's seed.
+        # Guards against an earlier holder that overwrites the seed of a
+        # later one.
         seed = ('seed', 'z0')
         version, body = self.fleet.store.objects_by_key[seed]
         self.fleet.store.objects_by_key[seed] = (
@@ -177,7 +184,8 @@
         self.assertEqual(before, self.count_writes())
 
     def test_suspected_bridge_keeps_its_slot(self):
-        # Guards against slots that move with every lost heartbeat.
+        # Guards against slots that move to another balancer with each short
+        # silence of a bridge.
         self.fleet.pause(self.holder)
         self.fleet.advance(3.5)
         self.fleet.resume(self.holder)
@@ -187,8 +195,8 @@
         self.assertIs(MemberState.alive, record.state)
 
     def test_last_bridge_writes_the_seed(self):
-        # Guards against a zone whose seed names dead balancers only,
-        # because the last one holds the second slot.
+        # Guards against a seed that lists only dead balancers, because the
+        # only live one has the second slot and does not write it.
         last = next(
             entry
             for entry in self.fleet.running_balancers()
