Tighten four comments of the membership package

The reasons behind the suspicion timeout, the pause between comparisons and the first sync read more exactly.

--- a/greengagepath/membership/detector.py
+++ b/greengagepath/membership/detector.py
@@ -13,8 +13,9 @@
 # A longer gap between two checks means that this process was paused, so
 # the silence of the others in the meantime says nothing about them.
 MAX_CHECK_GAP_S = 1.0
-# The suspicion timeout of a member doubles with each suspicion up to this
-# factor: if the member refutes it, the link is broken, not the member.
+# Each suspicion that a member refutes doubles the timeout for the next one,
+# up to this factor, because its link to this process is broken and not the
+# member.
 MAX_TIMEOUT_FACTOR = 16
 
 
--- a/greengagepath/membership/exchange.py
+++ b/greengagepath/membership/exchange.py
@@ -16,9 +16,10 @@
 from .table import CHANGES, MemberTable, MergeOutcome
 from .views import FirstSync, TargetNotifier
 
-# No comparison starts within this time after a higher configuration
-# version has arrived. While such versions spread, all tables differ in
-# all buckets, and a comparison would exchange whole tables needlessly.
+# A balancer starts no periodic comparison within this time after it has
+# received higher configuration versions. While versions spread, all tables
+# differ in all buckets, and a comparison would exchange whole tables for
+# nothing.
 VERSION_QUIET_S = 3.0
 
 
--- a/greengagepath/membership/table.py
+++ b/greengagepath/membership/table.py
@@ -152,7 +152,7 @@
     def raise_version(
         self, member_id: str, incarnation: int, configuration_version: int
     ) -> bool:
-        """Store a configuration version if it is higher; return whether.
+        """Store a higher configuration version; return True if stored.
 
         This does not raise the version of the table: up to 520 balancers
         report each new configuration, and nothing is derived from it.
--- a/greengagepath/membership/views.py
+++ b/greengagepath/membership/views.py
@@ -30,7 +30,7 @@
 
 
 class FirstSync:
-    """Delays a new balancer's first table comparisons but for one.
+    """Delays all but the first table comparison of a new balancer.
 
     Without the delay all neighbours would send the whole table at once.
     """
