Name the tables of AgentFlows and the metric labels of ServiceView

AgentFlows.flows, table and windows said little at their uses (flows.flows.active); they are now flow_table, request_table and replay_windows. ServiceView.label and customer_name return metric labels of bounded cardinality; they are now operation_label and customer_label. Used by the daemon's agent metrics. Metric names, labels and values are unchanged.

--- a/greengagepath/agent/flows.py
+++ b/greengagepath/agent/flows.py
@@ -60,9 +60,9 @@
         limits = service.limits
         self.drops: Counter[DropReason] = Counter()
         self.events: Counter[str] = Counter()
-        self.flows = FlowTable(timers, limits.max_flows)
-        self.table = RequestTable(
-            self.flows,
+        self.flow_table = FlowTable(timers, limits.max_flows)
+        self.request_table = RequestTable(
+            self.flow_table,
             limits.request_records,
             ANSWERS_KEPT * limits.max_answer_bytes,
         )
@@ -72,15 +72,15 @@
         self._keys = keys
         self._timers = timers
         self._swept_s = timers.now()
-        self.windows = ReplayWindows()
-        self._replies = Replies(identity, keys, self.flows)
+        self.replay_windows = ReplayWindows()
+        self._replies = Replies(identity, keys, self.flow_table)
         self._parts = AgentParts(
             timers=timers,
             random=random,
             gate=self.gate,
-            table=self.table,
+            table=self.request_table,
             transfers=self.transfers,
-            flows=self.flows,
+            flows=self.flow_table,
             replies=self._replies,
             budget=RetryBudget(limits.retry_share),
             view=ServiceView(service),
@@ -120,9 +120,11 @@
         self._parts.view = view
         self._parts.budget.replace_share(limits.retry_share)
         self.gate.replace_limits(limits, view.shares_by_customer)
-        self.flows.max_active = limits.max_flows
-        self.table.records.max_records = limits.request_records
-        self.table.max_answer_bytes = ANSWERS_KEPT * limits.max_answer_bytes
+        self.flow_table.max_active = limits.max_flows
+        self.request_table.records.max_records = limits.request_records
+        self.request_table.max_answer_bytes = (
+            ANSWERS_KEPT * limits.max_answer_bytes
+        )
         self._requests.replace_limits(limits)
 
     def start_draining(self) -> None:
@@ -151,13 +153,13 @@
         self.scheduler.refuse_late()
         for transfer in self.transfers.check_due():
             self.events['answers_abandoned'] += 1
-            self.table.records.settle(transfer.record)
+            self.request_table.records.settle(transfer.record)
         if now_s >= self._swept_s + SWEEP_S:
             self._swept_s = now_s
             self.scheduler.failures.decay()
             self.reassembly.expire()
-            self.flows.expire()
-            self.table.records.expire()
+            self.flow_table.expire()
+            self.request_table.records.expire()
 
     def take_outgoing(self) -> list[Outgoing]:
         """Return the datagrams to send, except parts of answers."""
@@ -171,7 +173,7 @@
     def _receive_opened(
         self, envelope: Envelope, encoded: bytes, source: Address
     ) -> None:
-        if not self.windows.accept(envelope.sender, envelope.sequence):
+        if not self.replay_windows.accept(envelope.sender, envelope.sequence):
             self.drops[DropReason.REPLAYED] += 1
             return
         match decode_service_datagram(encoded):
@@ -211,12 +213,12 @@
         """Return whether requests of the flow are no longer known."""
         if claims.incarnation != self._identity.incarnation:
             return True
-        is_held = self.flows.find(flow_id) is not None
-        return not (is_held or self.flows.is_known(claims.issued_s))
+        is_held = self.flow_table.find(flow_id) is not None
+        return not (is_held or self.flow_table.is_known(claims.issued_s))
 
     def _take_flow(self, arrival: Arrival, claims: TokenClaims) -> None:
         datagram = arrival.datagram
-        entry = self.flows.touch(
+        entry = self.flow_table.touch(
             datagram.flow_id, claims.issued_s, arrival.envelope.caller
         )
         if entry is None:
@@ -225,5 +227,5 @@
                 self._replies.refuse_flow(arrival)
             return
         self._requests.receive(
-            arrival, is_open=self.flows.is_open(claims.issued_s)
+            arrival, is_open=self.flow_table.is_open(claims.issued_s)
         )
--- a/greengagepath/agent/operation_match.py
+++ b/greengagepath/agent/operation_match.py
@@ -48,12 +48,12 @@
         operation = self.match(request)
         return operation.name if operation else request.operation
 
-    def label(self, request: Request) -> str:
+    def operation_label(self, request: Request) -> str:
         """Return the operation as a label of bounded cardinality."""
         operation = self.match(request)
         return operation.name if operation else OTHER
 
-    def customer_name(self, customer_id: int) -> str:
+    def customer_label(self, customer_id: int) -> str:
         """Return the customer as a label of bounded cardinality."""
         return self._names_by_customer.get(customer_id, OTHER)
 
--- a/greengagepath/agent/outcomes.py
+++ b/greengagepath/agent/outcomes.py
@@ -124,5 +124,7 @@
 
     def _count(self, work: Work, outcome: str) -> None:
         view = self._parts.view
-        customer = view.customer_name(work.request.customer_id)
-        self.outcomes[customer, view.label(work.request), outcome] += 1
+        customer = view.customer_label(work.request.customer_id)
+        self.outcomes[
+            customer, view.operation_label(work.request), outcome
+        ] += 1
--- a/greengagepath/daemon/agent_metrics.py
+++ b/greengagepath/daemon/agent_metrics.py
@@ -41,8 +41,8 @@
                 'request_duration_seconds',
                 now_s - work.queued.queued_s,
                 service=service,
-                customer=view.customer_name(work.request.customer_id),
-                operation=view.label(work.request),
+                customer=view.customer_label(work.request.customer_id),
+                operation=view.operation_label(work.request),
             )
 
     def serve(
@@ -124,17 +124,27 @@
         flows = self._flows
         load = flows.gate.load()
         fill = self.metrics.set_fill
-        records = flows.table.records
+        records = flows.request_table.records
         reassembly = flows.reassembly
         fill('queue', load.queued, load.queue_length)
-        fill('active_flows', flows.flows.active, flows.flows.max_active)
-        fill('flows', len(flows.flows), flows.flows.capacity)
+        fill(
+            'active_flows', flows.flow_table.active, flows.flow_table.max_active
+        )
+        fill('flows', len(flows.flow_table), flows.flow_table.capacity)
         fill('request_records', len(records), records.max_records)
-        fill('answer_bytes', records.answer_bytes, flows.table.max_answer_bytes)
+        fill(
+            'answer_bytes',
+            records.answer_bytes,
+            flows.request_table.max_answer_bytes,
+        )
         fill(
             'request_bytes',
             reassembly.reserved_bytes,
             reassembly.max_total_bytes,
         )
-        fill('replay_windows', len(flows.windows), flows.windows.max_senders)
+        fill(
+            'replay_windows',
+            len(flows.replay_windows),
+            flows.replay_windows.max_senders,
+        )
         fill('connections', len(self._pool), self._pool.max_connections)
--- a/tests/agent/test_agent_flows.py
+++ b/tests/agent/test_agent_flows.py
@@ -37,7 +37,7 @@
         self.assertEqual('target-1', answer.target_id)
         self.world.acknowledge(attempt)
         self.assertTrue(self.agent.is_idle)
-        self.assertEqual(0, self.agent.table.records.answer_bytes)
+        self.assertEqual(0, self.agent.request_table.records.answer_bytes)
 
     def test_lost_refusal_is_repeated_on_ping(self):
         # Guards against a caller that waits for a datagram that was lost.
@@ -109,7 +109,7 @@
         flow.callers = {flow.caller}
         self.world.tell(flow, Kind.PING, attempt[1])
         late = self.world.datagram(flow, Kind.CANCEL, 99)
-        entry = self.agent.flows.find(flow.flow_id)
+        entry = self.agent.flow_table.find(flow.flow_id)
         self.agent.receive(self.world.seal(late, ('198.51.100.1', 1)), BALANCER)
         self.assertEqual(flow.caller, entry.caller)
         self.world.timers.advance(REORDER_S)
@@ -258,7 +258,7 @@
             attempt = world.request(flow)
             world.finish(0, 'answered')
             world.acknowledge(attempt)
-        self.assertIsNone(world.agent.table.find((flow.flow_id, 1)))
+        self.assertIsNone(world.agent.request_table.find((flow.flow_id, 1)))
         datagram, caller = world.sent[1]
         world.send(datagram, caller)
         self.assertEqual([], world.running)
@@ -344,10 +344,10 @@
             world.finish(0, 'answered')
             world.acknowledge(attempt)
             world.advance(IDLE_S + 1)
-        self.assertLessEqual(len(world.agent.flows), 6 * 16)
+        self.assertLessEqual(len(world.agent.flow_table), 6 * 16)
         first, caller = world.sent[1]
         self.assertEqual(Kind.REQUEST, first.kind)
-        self.assertIsNone(world.agent.flows.find(first.flow_id))
+        self.assertIsNone(world.agent.flow_table.find(first.flow_id))
         world.send(first, caller)
         self.assertEqual([], world.running)
         self.assertEqual(
--- a/tests/agent/test_agent_machine.py
+++ b/tests/agent/test_agent_machine.py
@@ -164,8 +164,11 @@
         load = agent.gate.load()
         assert load.in_flight <= 2
         assert load.queued <= 3
-        assert len(agent.table.records) <= agent.table.records.max_records
-        assert agent.flows.active <= agent.flows.max_active
+        assert (
+            len(agent.request_table.records)
+            <= agent.request_table.records.max_records
+        )
+        assert agent.flow_table.active <= agent.flow_table.max_active
         assert agent.reassembly.reserved_bytes <= (
             agent.reassembly.max_total_bytes
         )
