--- a/greengagepath/agent/flow_table.py
+++ b/greengagepath/agent/flow_table.py
@@ -32,7 +32,7 @@
 
     __slots__ = ()
 
-    def has(self, number: int) -> bool:
+    def may_have_begun(self, number: int) -> bool:
         """Return whether the number was begun or is too old to tell."""
         age = self._highest - number
         if age >= REPLAY_WINDOW_BITS:
@@ -55,7 +55,7 @@
     open_requests: int = 0
     window: RequestWindow = field(default_factory=RequestWindow)
 
-    def move(self, caller: Address, now_s: float) -> bool:
+    def update_caller(self, caller: Address, now_s: float) -> bool:
         """Take the address of a new datagram; return if it changed."""
         if caller == self.caller:
             return False
@@ -81,12 +81,12 @@
         self._timers = timers
         self._entries_by_flow: dict[int, FlowEntry] = {}
         # Last datagram of each active flow, the longest ago first.
-        self._heard_by_flow: OrderedDict[int, float] = OrderedDict()
-        self._flows_by_issue: dict[int, list[int]] = {}
+        self._last_seen_by_flow: OrderedDict[int, float] = OrderedDict()
+        self._flow_ids_by_issue: dict[int, list[int]] = {}
         # Tokens issued until then get no entry; their flows began nothing.
-        self._closed_until_s = -1
+        self._rejected_until_s = -1
         # Flows with tokens issued until then may have been forgotten.
-        self._forgotten_until_s = -1
+        self._evicted_until_s = -1
 
     def __len__(self) -> int:
         """Return the number of entries."""
@@ -95,7 +95,7 @@
     @property
     def active(self) -> int:
         """Flows that were heard from lately or have open requests."""
-        return len(self._heard_by_flow)
+        return len(self._last_seen_by_flow)
 
     @property
     def capacity(self) -> int:
@@ -124,80 +124,80 @@
         now_s = self._timers.now()
         if entry is None:
             if self.is_full or not self._make_room():
-                self._closed_until_s = int(now_s)
-            if issued_s <= self._closed_until_s:
+                self._rejected_until_s = int(now_s)
+            if issued_s <= self._rejected_until_s:
                 return None
             entry = FlowEntry(issued_s, caller)
             self._entries_by_flow[flow_id] = entry
-            self._remember_issue(flow_id, issued_s)
+            self._index_by_issue(flow_id, issued_s)
         elif issued_s > entry.issued_s:
             entry.issued_s = issued_s
-            self._remember_issue(flow_id, issued_s)
-        entry.move(caller, now_s)
-        self._heard_by_flow[flow_id] = now_s
-        self._heard_by_flow.move_to_end(flow_id)
+            self._index_by_issue(flow_id, issued_s)
+        entry.update_caller(caller, now_s)
+        self._last_seen_by_flow[flow_id] = now_s
+        self._last_seen_by_flow.move_to_end(flow_id)
         return entry
 
-    def is_open(self, issued_s: int) -> bool:
+    def may_begin_requests(self, issued_s: int) -> bool:
         """Return whether a token of that time may begin requests."""
         return self._timers.now() < issued_s + FLOW_LIFETIME_S
 
-    def is_known(self, issued_s: int) -> bool:
+    def is_known_unused(self, issued_s: int) -> bool:
         """Return whether a flow without entry has begun nothing."""
-        if issued_s <= self._forgotten_until_s:
+        if issued_s <= self._evicted_until_s:
             return False
         return self._timers.now() < issued_s + FLOW_LIFETIME_S + FLOW_GRACE_S
 
     def expire(self) -> None:
         """Forget flows whose tokens are too old to begin a request."""
-        self._forget_idle()
-        for issued_s in sorted(self._flows_by_issue):
+        self._deactivate_idle()
+        for issued_s in sorted(self._flow_ids_by_issue):
             # Another second, as times of issue are whole seconds.
-            if self.is_known(issued_s + 1):
+            if self.is_known_unused(issued_s + 1):
                 return
-            for flow_id in self._flows_by_issue.pop(issued_s):
-                self._forget(flow_id, issued_s)
+            for flow_id in self._flow_ids_by_issue.pop(issued_s):
+                self._remove_if_idle(flow_id, issued_s)
 
-    def _remember_issue(self, flow_id: int, issued_s: int) -> None:
-        self._flows_by_issue.setdefault(issued_s, []).append(flow_id)
+    def _index_by_issue(self, flow_id: int, issued_s: int) -> None:
+        self._flow_ids_by_issue.setdefault(issued_s, []).append(flow_id)
 
-    def _forget_idle(self) -> None:
+    def _deactivate_idle(self) -> None:
         now_s = self._timers.now()
-        while self._heard_by_flow:
-            flow_id, heard_s = next(iter(self._heard_by_flow.items()))
-            if heard_s > now_s - IDLE_S:
+        while self._last_seen_by_flow:
+            flow_id, last_seen_s = next(iter(self._last_seen_by_flow.items()))
+            if last_seen_s > now_s - IDLE_S:
                 return
-            self._heard_by_flow.pop(flow_id)
+            self._last_seen_by_flow.pop(flow_id)
             entry = self._entries_by_flow.get(flow_id)
             if entry is not None and entry.open_requests:
-                self._heard_by_flow[flow_id] = now_s
+                self._last_seen_by_flow[flow_id] = now_s
 
     def _make_room(self) -> bool:
         if len(self) < self.capacity:
             return True
         now_s = int(self._timers.now())
-        for issued_s in sorted(self._flows_by_issue):
-            if issued_s < now_s and self._forget_one(issued_s):
-                self._forgotten_until_s = max(self._forgotten_until_s, issued_s)
+        for issued_s in sorted(self._flow_ids_by_issue):
+            if issued_s < now_s and self._evict_one(issued_s):
+                self._evicted_until_s = max(self._evicted_until_s, issued_s)
                 return True
         return False
 
-    def _forget_one(self, issued_s: int) -> bool:
-        flow_ids = self._flows_by_issue[issued_s]
+    def _evict_one(self, issued_s: int) -> bool:
+        flow_ids = self._flow_ids_by_issue[issued_s]
         while flow_ids:
-            if self._forget(flow_ids.pop(), issued_s):
+            if self._remove_if_idle(flow_ids.pop(), issued_s):
                 return True
-        self._flows_by_issue.pop(issued_s)
+        self._flow_ids_by_issue.pop(issued_s)
         return False
 
-    def _forget(self, flow_id: int, issued_s: int) -> bool:
+    def _remove_if_idle(self, flow_id: int, issued_s: int) -> bool:
         entry = self._entries_by_flow.get(flow_id)
         if entry is None or entry.issued_s > issued_s:
             return False
-        if entry.open_requests or flow_id in self._heard_by_flow:
+        if entry.open_requests or flow_id in self._last_seen_by_flow:
             # Looked at again when the present second is looked at.
             entry.issued_s = int(self._timers.now())
-            self._remember_issue(flow_id, entry.issued_s)
+            self._index_by_issue(flow_id, entry.issued_s)
             return False
         self._entries_by_flow.pop(flow_id)
         return True
--- a/greengagepath/agent/flows.py
+++ b/greengagepath/agent/flows.py
@@ -28,7 +28,7 @@
 from .flow_table import FlowTable
 from .openings import Openings
 from .operation_match import ServiceView
-from .outcomes import AgentParts, OutcomeReporter
+from .outcomes import AgentContext, OutcomeReporter
 from .replay_windows import ReplayWindows
 from .replies import AgentIdentity, Arrival, Outgoing, Replies
 from .requests import FlowRequests
@@ -37,9 +37,9 @@
 TICK_S = 0.01
 SWEEP_S = 5.0
 # Answers of the largest size that may be kept at once.
-ANSWERS_KEPT = 2
+MAX_KEPT_ANSWERS = 2
 # Kinds that ask what became of a request, or ask to run it.
-_ASKING = frozenset((Kind.REQUEST, Kind.CANCEL, Kind.PING))
+_EXPECT_OUTCOME = frozenset((Kind.REQUEST, Kind.CANCEL, Kind.PING))
 
 
 class AgentFlows:
@@ -64,35 +64,35 @@
         self.request_table = RequestTable(
             self.flow_table,
             limits.request_records,
-            ANSWERS_KEPT * limits.max_answer_bytes,
+            MAX_KEPT_ANSWERS * limits.max_answer_bytes,
         )
         self.transfers = AnswerTransfers(timers)
         self.gate = AdmissionGate(timers, limits)
         self._identity = identity
         self._keys = keys
         self._timers = timers
-        self._swept_s = timers.now()
+        self._last_sweep_s = timers.now()
         self.replay_windows = ReplayWindows()
         self._replies = Replies(identity, keys, self.flow_table)
-        self._parts = AgentParts(
+        self._context = AgentContext(
             timers=timers,
             random=random,
             gate=self.gate,
-            table=self.request_table,
+            request_table=self.request_table,
             transfers=self.transfers,
-            flows=self.flow_table,
+            flow_table=self.flow_table,
             replies=self._replies,
             budget=RetryBudget(limits.retry_share),
             view=ServiceView(service),
         )
-        self.reporter = OutcomeReporter(self._parts)
+        self.reporter = OutcomeReporter(self._context)
         self._requests = FlowRequests(
-            self._parts, self.reporter, limits, self.drops
+            self._context, self.reporter, limits, self.drops
         )
         self.scheduler = self._requests.scheduler
         self.reassembly = self._requests.reassembly
         self._openings = Openings(
-            self._parts, keys, self.scheduler, self.drops, self.events
+            self._context, keys, self.scheduler, self.drops, self.events
         )
         self.replace_service(service)
 
@@ -111,19 +111,19 @@
     @property
     def view(self) -> ServiceView:
         """The configuration of the service."""
-        return self._parts.view
+        return self._context.view
 
     def replace_service(self, service: Service) -> None:
         """Take a new configuration of the service."""
         limits = service.limits
         view = ServiceView(service)
-        self._parts.view = view
-        self._parts.budget.replace_share(limits.retry_share)
+        self._context.view = view
+        self._context.budget.replace_share(limits.retry_share)
         self.gate.replace_limits(limits, view.shares_by_customer)
         self.flow_table.max_active = limits.max_flows
         self.request_table.records.max_records = limits.request_records
         self.request_table.max_answer_bytes = (
-            ANSWERS_KEPT * limits.max_answer_bytes
+            MAX_KEPT_ANSWERS * limits.max_answer_bytes
         )
         self._requests.replace_limits(limits)
 
@@ -154,16 +154,16 @@
         for transfer in self.transfers.check_due():
             self.events['answers_abandoned'] += 1
             self.request_table.records.settle(transfer.record)
-        if now_s >= self._swept_s + SWEEP_S:
-            self._swept_s = now_s
-            self.scheduler.failures.decay()
+        if now_s >= self._last_sweep_s + SWEEP_S:
+            self._last_sweep_s = now_s
+            self.scheduler.failure_rate.decay()
             self.reassembly.expire()
             self.flow_table.expire()
             self.request_table.records.expire()
 
     def take_outgoing(self) -> list[Outgoing]:
         """Return the datagrams to send, except parts of answers."""
-        return self._replies.take()
+        return self._replies.take_outgoing()
 
     def answer_parts(self, max_count: int) -> Iterator[Outgoing]:
         """Return at most `max_count` parts of answers to send now."""
@@ -188,9 +188,9 @@
             return
         match arrival.datagram.kind:
             case Kind.OPEN:
-                self._openings.take_open(arrival)
+                self._openings.receive_open(arrival)
             case Kind.PROBE:
-                self._openings.take_probe(arrival, source)
+                self._openings.receive_probe(arrival, source)
             case Kind.REQUEST | Kind.ANSWER_ACK | Kind.CANCEL | Kind.PING:
                 self._check_token(arrival)
             case _:
@@ -203,29 +203,32 @@
         )
         if claims is None or claims.address != self._identity.address:
             self.drops[DropReason.BAD_TOKEN] += 1
-        elif self._is_forgotten(claims, datagram.flow_id):
-            if datagram.kind in _ASKING:
+        elif self._is_history_lost(claims, datagram.flow_id):
+            if datagram.kind in _EXPECT_OUTCOME:
                 self._replies.reply(arrival, Kind.UNKNOWN_OUTCOME)
         else:
-            self._take_flow(arrival, claims)
+            self._receive_in_flow(arrival, claims)
 
-    def _is_forgotten(self, claims: TokenClaims, flow_id: int) -> bool:
+    def _is_history_lost(self, claims: TokenClaims, flow_id: int) -> bool:
         """Return whether requests of the flow are no longer known."""
         if claims.incarnation != self._identity.incarnation:
             return True
-        is_held = self.flow_table.find(flow_id) is not None
-        return not (is_held or self.flow_table.is_known(claims.issued_s))
+        has_entry = self.flow_table.find(flow_id) is not None
+        return not (
+            has_entry or self.flow_table.is_known_unused(claims.issued_s)
+        )
 
-    def _take_flow(self, arrival: Arrival, claims: TokenClaims) -> None:
+    def _receive_in_flow(self, arrival: Arrival, claims: TokenClaims) -> None:
         datagram = arrival.datagram
         entry = self.flow_table.touch(
             datagram.flow_id, claims.issued_s, arrival.envelope.caller
         )
         if entry is None:
-            if datagram.kind in _ASKING:
+            if datagram.kind in _EXPECT_OUTCOME:
                 # The flow has begun nothing, and never will.
                 self._replies.refuse_flow(arrival)
             return
         self._requests.receive(
-            arrival, is_open=self.flow_table.is_open(claims.issued_s)
+            arrival,
+            may_begin=self.flow_table.may_begin_requests(claims.issued_s),
         )
--- a/greengagepath/agent/openings.py
+++ b/greengagepath/agent/openings.py
@@ -8,13 +8,13 @@
 from ..protocol.tags import KeyRing
 from ..protocol.tokens import TokenClaims, issue_token
 from ..routing.choice import ProbeState
-from .outcomes import AgentParts
+from .outcomes import AgentContext
 from .replies import Arrival
 from .scheduler import WorkScheduler
 
 MAX_HAND_OFFS = 2
 # A back end of which more requests fail is reported as failing.
-FAILING_SHARE = 0.5
+FAILING_RATE = 0.5
 # In flight, queued, latency estimate in microseconds, state.
 _PROBE_REPLY = struct.Struct('!HHIB')
 _MAX_U16 = 0xFFFF
@@ -30,19 +30,19 @@
 
     def __init__(
         self,
-        parts: AgentParts,
+        context: AgentContext,
         keys: KeyRing,
         scheduler: WorkScheduler,
         drops: Counter[DropReason],
         events: Counter[str],
     ) -> None:
-        self._parts = parts
+        self._context = context
         self._keys = keys
         self._scheduler = scheduler
         self._drops = drops
         self._events = events
 
-    def take_open(self, arrival: Arrival) -> None:
+    def receive_open(self, arrival: Arrival) -> None:
         """Accept, hand off to an alternate, or refuse an OPEN."""
         if len(arrival.datagram.body) < TOKEN_BYTES:
             # The ACCEPT would be longer than the OPEN.
@@ -50,19 +50,19 @@
         elif arrival.envelope.hops > MAX_HAND_OFFS:
             self._drops[DropReason.TOO_MANY_HOPS] += 1
         else:
-            reason = self._refusal_of_open()
+            reason = self._refusal_reason()
             if reason is None:
                 self._accept(arrival)
             else:
-                self._pass_on(arrival, reason)
+                self._hand_off_or_refuse(arrival, reason)
 
-    def take_probe(self, arrival: Arrival, source: Address) -> None:
+    def receive_probe(self, arrival: Arrival, source: Address) -> None:
         """Answer a probe to the socket at `source`."""
-        load = self._parts.gate.load()
+        load = self._context.gate.load()
         state = ProbeState.ACCEPTING
-        if self._scheduler.failures.share > FAILING_SHARE:
+        if self._scheduler.failure_rate.rate > FAILING_RATE:
             state = ProbeState.FAILING
-        if self._parts.gate.is_draining:
+        if self._context.gate.is_draining:
             state = ProbeState.DRAINING
         body = _PROBE_REPLY.pack(
             min(load.in_flight, _MAX_U16),
@@ -70,26 +70,32 @@
             min(int(load.latency_s * _MICROSECONDS), _MAX_U32),
             state,
         )
-        self._parts.replies.reply_probe(arrival, source, body)
+        self._context.replies.reply_probe(arrival, source, body)
 
-    def _refusal_of_open(self) -> RefusalReason | None:
-        if self._parts.gate.is_draining:
+    def _refusal_reason(self) -> RefusalReason | None:
+        if self._context.gate.is_draining:
             return RefusalReason.draining
-        if self._parts.gate.load().is_full:
+        if self._context.gate.load().is_full:
             return RefusalReason.queue_full
-        return RefusalReason.table_full if self._parts.flows.is_full else None
+        return (
+            RefusalReason.table_full
+            if self._context.flow_table.is_full
+            else None
+        )
 
-    def _pass_on(self, arrival: Arrival, reason: RefusalReason) -> None:
+    def _hand_off_or_refuse(
+        self, arrival: Arrival, reason: RefusalReason
+    ) -> None:
         envelope = arrival.envelope
         if envelope.alternates and envelope.hops < MAX_HAND_OFFS:
             self._events['handed_off'] += 1
-            self._parts.replies.hand_off(arrival)
+            self._context.replies.hand_off(arrival)
         else:
-            self._parts.replies.refuse_open(arrival, reason)
+            self._context.replies.refuse_open(arrival, reason)
 
     def _accept(self, arrival: Arrival) -> None:
         self._events['opened'] += 1
-        identity = self._parts.replies.identity
+        identity = self._context.replies.identity
         token = issue_token(
             self._keys,
             identity.service_id,
@@ -97,7 +103,7 @@
             TokenClaims(
                 address=identity.address,
                 incarnation=identity.incarnation,
-                issued_s=int(self._parts.timers.now()),
+                issued_s=int(self._context.timers.now()),
             ),
         )
-        self._parts.replies.reply(arrival, Kind.ACCEPT, token)
+        self._context.replies.reply(arrival, Kind.ACCEPT, token)
--- a/greengagepath/agent/operation_match.py
+++ b/greengagepath/agent/operation_match.py
@@ -3,7 +3,7 @@
 from ..generated.messages import Operation, Request, Service, SizeClass
 from ..protocol.packets import SizeCode
 
-OTHER = 'other'
+OTHER_LABEL = 'other'
 _SIZE_CLASSES = {
     SizeCode.UNKNOWN: SizeClass.unknown,
     SizeCode.SHORT: SizeClass.short,
@@ -51,11 +51,11 @@
     def operation_label(self, request: Request) -> str:
         """Return the operation as a label of bounded cardinality."""
         operation = self.match(request)
-        return operation.name if operation else OTHER
+        return operation.name if operation else OTHER_LABEL
 
     def customer_label(self, customer_id: int) -> str:
         """Return the customer as a label of bounded cardinality."""
-        return self._names_by_customer.get(customer_id, OTHER)
+        return self._names_by_customer.get(customer_id, OTHER_LABEL)
 
     def customer_header(self, request: Request) -> str:
         """Return the customer as the back end is told."""
--- a/greengagepath/agent/outcomes.py
+++ b/greengagepath/agent/outcomes.py
@@ -21,14 +21,14 @@
 
 
 @dataclass(slots=True)
-class AgentParts:
+class AgentContext:
     """The parts of an agent that share its state."""
 
     timers: TimerService
     random: Random
-    flows: FlowTable
+    flow_table: FlowTable
     gate: AdmissionGate
-    table: RequestTable
+    request_table: RequestTable
     transfers: AnswerTransfers
     replies: Replies
     budget: RetryBudget
@@ -42,15 +42,15 @@
     reasons.
     """
 
-    def __init__(self, parts: AgentParts) -> None:
+    def __init__(self, context: AgentContext) -> None:
         self.outcomes: Counter[tuple[str, str, str]] = Counter()
         self.refusals: Counter[RefusalReason] = Counter()
-        self._parts = parts
+        self._context = context
 
-    def refuse_unseen(self, route: Route, reason: RefusalReason) -> None:
+    def refuse_incomplete(self, route: Route, reason: RefusalReason) -> None:
         """Refuse an attempt that has not arrived as a whole."""
         refusal = Refusal(reason=reason)
-        self._parts.table.refuse_unseen(route.attempt, refusal)
+        self._context.request_table.refuse_incomplete(route.attempt, refusal)
         self.send_refusal(route, refusal)
 
     def refuse(
@@ -63,7 +63,7 @@
             retry_after_ms=retry_after_ms,
         )
         self._count(work, 'refused')
-        self._parts.table.refuse(work.record, refusal)
+        self._context.request_table.refuse(work.record, refusal)
         self.send_refusal(work.route, refusal)
 
     def answer(self, work: Work, outcome: Answered) -> None:
@@ -75,55 +75,55 @@
                 status=outcome.status,
                 headers=outcome.headers,
                 body=outcome.body,
-                target_id=self._parts.replies.identity.target_id,
+                target_id=self._context.replies.identity.target_id,
             )
         )
-        self._parts.table.answer(work.record, payload)
+        self._context.request_table.answer(work.record, payload)
         self._start_transfer(work.record, work.route)
 
-    def lose(self, work: Work) -> None:
+    def report_unknown(self, work: Work) -> None:
         """Tell that a request may have run."""
         self._count(work, 'unknown')
-        self._parts.table.lose(work.record)
-        self._parts.replies.send(work.route, Kind.UNKNOWN_OUTCOME)
+        self._context.request_table.mark_unknown(work.record)
+        self._context.replies.send(work.route, Kind.UNKNOWN_OUTCOME)
 
-    def repeat(self, record: RequestRecord, route: Route) -> None:
+    def resend_outcome(self, record: RequestRecord, route: Route) -> None:
         """Tell the caller again what became of an attempt."""
         match record.state:
             case RequestState.REFUSED if record.refusal is not None:
-                self._parts.replies.send(
+                self._context.replies.send(
                     route, Kind.REFUSE, encode_body(record.refusal)
                 )
             case RequestState.UNKNOWN:
-                self._parts.replies.send(route, Kind.UNKNOWN_OUTCOME)
+                self._context.replies.send(route, Kind.UNKNOWN_OUTCOME)
             case RequestState.ANSWERED:
-                self._parts.table.records.reopen(record)
+                self._context.request_table.records.reopen(record)
                 self._start_transfer(record, route)
 
     def stop_answer(self, record: RequestRecord) -> None:
         """Drop an answer that the caller does not want any more."""
-        self._parts.transfers.stop(record.attempt)
-        self._parts.table.acknowledge(record)
+        self._context.transfers.stop(record.attempt)
+        self._context.request_table.acknowledge(record)
 
     def send_refusal(self, route: Route, refusal: Refusal) -> None:
         """Tell that an attempt was not run."""
         self.refusals[refusal.reason] += 1
-        self._parts.replies.send(route, Kind.REFUSE, encode_body(refusal))
+        self._context.replies.send(route, Kind.REFUSE, encode_body(refusal))
 
     def _start_transfer(self, record: RequestRecord, route: Route) -> None:
         if record.answer is None:
             return
-        self._parts.transfers.start(
+        self._context.transfers.start(
             AnswerTransfer(
                 record=record,
-                sender=PartSender(record.answer, self._parts.timers.now()),
-                service_id=self._parts.replies.identity.service_id,
+                sender=PartSender(record.answer, self._context.timers.now()),
+                service_id=self._context.replies.identity.service_id,
                 route=route,
             )
         )
 
     def _count(self, work: Work, outcome: str) -> None:
-        view = self._parts.view
+        view = self._context.view
         customer = view.customer_label(work.request.customer_id)
         self.outcomes[
             customer, view.operation_label(work.request), outcome
--- a/greengagepath/agent/reassembly.py
+++ b/greengagepath/agent/reassembly.py
@@ -9,18 +9,18 @@
 from .request_records import Attempt
 
 # Room for the fields of a request beside its body.
-ENVELOPE_ROOM_BYTES = 16384
+REQUEST_OVERHEAD_BYTES = 16384
 # A caller sends missing parts again several times within this time.
-STALLED_S = 15.0
+STALL_TIMEOUT_S = 15.0
 
 
 @dataclass(slots=True)
-class Partial:
-    """A request in arrival; `heard_s` is when its last part came."""
+class PartialRequest:
+    """A request in arrival; `last_part_s` is when its last part came."""
 
     receiver: PartReceiver
     route: Route
-    heard_s: float
+    last_part_s: float
 
 
 class Reassembly:
@@ -38,7 +38,9 @@
     ) -> None:
         self._timers = timers
         self.replace_limits(max_request_bytes, max_total_bytes)
-        self._partials_by_attempt: OrderedDict[Attempt, Partial] = OrderedDict()
+        self._partials_by_attempt: OrderedDict[Attempt, PartialRequest] = (
+            OrderedDict()
+        )
         self.reserved_bytes = 0
 
     def __len__(self) -> int:
@@ -49,7 +51,9 @@
         self, max_request_bytes: int, max_total_bytes: int
     ) -> None:
         """Take new limits from the configuration."""
-        self._max_parts = count_parts(max_request_bytes + ENVELOPE_ROOM_BYTES)
+        self._max_parts = count_parts(
+            max_request_bytes + REQUEST_OVERHEAD_BYTES
+        )
         self.max_total_bytes = max_total_bytes
 
     def is_acceptable(self, part_count: int) -> bool:
@@ -70,10 +74,10 @@
             needed_bytes = part_count * PART_BYTES
             if self.reserved_bytes + needed_bytes > self.max_total_bytes:
                 return None
-            partial = Partial(PartReceiver(part_count), route, now_s)
+            partial = PartialRequest(PartReceiver(part_count), route, now_s)
             self._partials_by_attempt[attempt] = partial
             self.reserved_bytes += needed_bytes
-        partial.heard_s = now_s
+        partial.last_part_s = now_s
         self._partials_by_attempt.move_to_end(attempt)
         return partial.receiver
 
@@ -87,7 +91,7 @@
         """Return the routes of the requests in arrival."""
         return [entry.route for entry in self._partials_by_attempt.values()]
 
-    def due_acks(self) -> list[Partial]:
+    def due_acks(self) -> list[PartialRequest]:
         """Return the requests whose ACK is due."""
         now_s = self._timers.now()
         return [
@@ -98,8 +102,8 @@
 
     def expire(self) -> None:
         """Forget requests whose parts no longer arrive."""
-        stalled_since_s = self._timers.now() - STALLED_S
+        stalled_since_s = self._timers.now() - STALL_TIMEOUT_S
         for attempt, partial in tuple(self._partials_by_attempt.items()):
-            if partial.heard_s > stalled_since_s:
+            if partial.last_part_s > stalled_since_s:
                 return
             self.discard(attempt)
--- a/greengagepath/agent/replies.py
+++ b/greengagepath/agent/replies.py
@@ -74,7 +74,10 @@
 
 
 class Replies:
-    """Builds outgoing datagrams; `take` returns those not yet taken."""
+    """Builds the datagrams that the agent sends.
+
+    `take_outgoing` returns those built since its last call.
+    """
 
     def __init__(
         self, identity: AgentIdentity, keys: KeyRing, flows: FlowTable
@@ -85,7 +88,7 @@
         self._sequence = 0
         self._outgoing: list[Outgoing] = []
 
-    def take(self) -> list[Outgoing]:
+    def take_outgoing(self) -> list[Outgoing]:
         """Return what has to be sent."""
         outgoing = self._outgoing
         self._outgoing = []
--- a/greengagepath/agent/requests.py
+++ b/greengagepath/agent/requests.py
@@ -9,16 +9,16 @@
 from ..protocol.codec import decode_body
 from ..protocol.packets import DropReason, Kind
 from ..protocol.transfer import PartOutcome, PartReceiver
-from .outcomes import AgentParts, OutcomeReporter
+from .outcomes import AgentContext, OutcomeReporter
 from .reassembly import Reassembly
 from .replies import Arrival
 from .request_records import RequestState
-from .requests_table import Begin
+from .requests_table import BeginOutcome
 from .scheduler import WorkScheduler
 
 REQUEST_ID_BYTES = 16
 # Requests of the largest size that may be in arrival at once.
-REQUESTS_IN_ARRIVAL = 16
+MAX_INCOMPLETE_REQUESTS = 16
 
 
 class FlowRequests:
@@ -29,35 +29,35 @@
 
     def __init__(
         self,
-        parts: AgentParts,
+        context: AgentContext,
         reporter: OutcomeReporter,
         limits: Limits,
         drops: Counter[DropReason],
     ) -> None:
-        self.scheduler = WorkScheduler(parts, reporter)
+        self.scheduler = WorkScheduler(context, reporter)
         self.reassembly = Reassembly(
-            parts.timers,
+            context.timers,
             limits.max_request_bytes,
-            REQUESTS_IN_ARRIVAL * limits.max_request_bytes,
+            MAX_INCOMPLETE_REQUESTS * limits.max_request_bytes,
         )
         self._drops = drops
-        self._parts = parts
+        self._context = context
         self._reporter = reporter
 
     def replace_limits(self, limits: Limits) -> None:
         """Take new limits from the configuration."""
         self.reassembly.replace_limits(
             limits.max_request_bytes,
-            REQUESTS_IN_ARRIVAL * limits.max_request_bytes,
+            MAX_INCOMPLETE_REQUESTS * limits.max_request_bytes,
         )
 
-    def receive(self, arrival: Arrival, *, is_open: bool) -> None:
-        """Take a datagram; `is_open` allows the flow new requests."""
+    def receive(self, arrival: Arrival, *, may_begin: bool) -> None:
+        """Take a datagram; `may_begin` allows the flow new requests."""
         match arrival.datagram.kind:
             case Kind.REQUEST:
-                self._take_part(arrival, is_open=is_open)
+                self._receive_part(arrival, may_begin=may_begin)
             case Kind.ANSWER_ACK:
-                self._take_answer_ack(arrival)
+                self._receive_answer_ack(arrival)
             case Kind.CANCEL:
                 self._cancel(arrival)
             case Kind.PING:
@@ -67,26 +67,26 @@
         """Refuse all requests that do not run yet."""
         for route in self.reassembly.routes():
             self.reassembly.discard(route.attempt)
-            self._reporter.refuse_unseen(route, RefusalReason.draining)
+            self._reporter.refuse_incomplete(route, RefusalReason.draining)
         self.scheduler.start_draining()
 
     def send_due_acks(self) -> None:
         """Acknowledge parts of requests in arrival."""
         for partial in self.reassembly.due_acks():
             body = encode_ack(partial.receiver.take_ack())
-            self._parts.replies.send(partial.route, Kind.REQUEST_ACK, body)
-
-    def _take_part(self, arrival: Arrival, *, is_open: bool) -> None:
-        match self._parts.table.look_up(arrival.attempt):
-            case Begin.KNOWN:
-                self._repeat(arrival)
-            case Begin.UNKNOWN:
-                self._parts.replies.send(arrival.route, Kind.UNKNOWN_OUTCOME)
+            self._context.replies.send(partial.route, Kind.REQUEST_ACK, body)
+
+    def _receive_part(self, arrival: Arrival, *, may_begin: bool) -> None:
+        match self._context.request_table.classify(arrival.attempt):
+            case BeginOutcome.KNOWN:
+                self._repeat_outcome(arrival)
+            case BeginOutcome.UNKNOWN:
+                self._context.replies.send(arrival.route, Kind.UNKNOWN_OUTCOME)
             case _:
-                self._take_new(arrival, is_open=is_open)
+                self._receive_new(arrival, may_begin=may_begin)
 
-    def _take_new(self, arrival: Arrival, *, is_open: bool) -> None:
-        reason = self._refusal_of(arrival, is_open=is_open)
+    def _receive_new(self, arrival: Arrival, *, may_begin: bool) -> None:
+        reason = self._refusal_reason(arrival, may_begin=may_begin)
         receiver = None
         if reason is None:
             reason = RefusalReason.table_full
@@ -95,16 +95,16 @@
             )
         if receiver is None:
             self.reassembly.discard(arrival.attempt)
-            self._reporter.refuse_unseen(arrival.route, reason)
+            self._reporter.refuse_incomplete(arrival.route, reason)
         else:
             self._collect(arrival, receiver)
 
-    def _refusal_of(
-        self, arrival: Arrival, *, is_open: bool
+    def _refusal_reason(
+        self, arrival: Arrival, *, may_begin: bool
     ) -> RefusalReason | None:
-        if not is_open:
+        if not may_begin:
             return RefusalReason.flow_expired
-        if self._parts.gate.is_draining:
+        if self._context.gate.is_draining:
             return RefusalReason.draining
         if not self.reassembly.is_acceptable(arrival.datagram.part_count):
             return RefusalReason.bad_request
@@ -112,7 +112,7 @@
 
     def _collect(self, arrival: Arrival, receiver: PartReceiver) -> None:
         datagram = arrival.datagram
-        now_s = self._parts.timers.now()
+        now_s = self._context.timers.now()
         outcome = receiver.accept(
             datagram.part, datagram.part_count, datagram.body, now_s
         )
@@ -121,7 +121,7 @@
             return
         if receiver.is_ack_due(now_s):
             body = encode_ack(receiver.take_ack())
-            self._parts.replies.send(arrival.route, Kind.REQUEST_ACK, body)
+            self._context.replies.send(arrival.route, Kind.REQUEST_ACK, body)
         if receiver.is_complete:
             payload = receiver.payload()
             self.reassembly.discard(arrival.attempt)
@@ -133,50 +133,58 @@
             isinstance(decoded, Err)
             or len(decoded.ok_value.request_id) != REQUEST_ID_BYTES
         ):
-            self._reporter.refuse_unseen(
+            self._reporter.refuse_incomplete(
                 arrival.route, RefusalReason.bad_request
             )
             return
         self.scheduler.admit(arrival, decoded.ok_value)
 
-    def _repeat(self, arrival: Arrival) -> None:
-        record = self._parts.table.find(arrival.attempt)
+    def _repeat_outcome(self, arrival: Arrival) -> None:
+        record = self._context.request_table.find(arrival.attempt)
         if record is None:
             return
         if record.state is RequestState.IN_PROGRESS:
             # The ACK of the request was lost.
             body = encode_final_ack(arrival.datagram.part_count)
-            self._parts.replies.send(arrival.route, Kind.REQUEST_ACK, body)
+            self._context.replies.send(arrival.route, Kind.REQUEST_ACK, body)
         else:
-            self._reporter.repeat(record, arrival.route)
+            self._reporter.resend_outcome(record, arrival.route)
 
-    def _take_answer_ack(self, arrival: Arrival) -> None:
+    def _receive_answer_ack(self, arrival: Arrival) -> None:
         decoded = decode_ack(arrival.datagram.body)
         if isinstance(decoded, Err):
             self._drops[decoded.err_value] += 1
             return
-        transfer = self._parts.transfers.acknowledge(
+        transfer = self._context.transfers.acknowledge(
             arrival.attempt, decoded.ok_value
         )
         if transfer is not None:
-            self._parts.table.acknowledge(transfer.record)
+            self._context.request_table.acknowledge(transfer.record)
 
     def _cancel(self, arrival: Arrival) -> None:
-        record = self._parts.table.find(arrival.attempt)
+        record = self._context.request_table.find(arrival.attempt)
         if record:
             self.scheduler.cancel(record, arrival.route)
-        elif self._parts.table.look_up(arrival.attempt) is Begin.UNKNOWN:
-            self._parts.replies.send(arrival.route, Kind.UNKNOWN_OUTCOME)
+        elif (
+            self._context.request_table.classify(arrival.attempt)
+            is BeginOutcome.UNKNOWN
+        ):
+            self._context.replies.send(arrival.route, Kind.UNKNOWN_OUTCOME)
         else:
             self.reassembly.discard(arrival.attempt)
-            self._reporter.refuse_unseen(arrival.route, RefusalReason.cancelled)
+            self._reporter.refuse_incomplete(
+                arrival.route, RefusalReason.cancelled
+            )
 
     def _ping(self, arrival: Arrival) -> None:
-        self._parts.replies.reply(arrival, Kind.PONG)
+        self._context.replies.reply(arrival, Kind.PONG)
         if not arrival.datagram.request_number:
             return
-        record = self._parts.table.find(arrival.attempt)
+        record = self._context.request_table.find(arrival.attempt)
         if record:
-            self._reporter.repeat(record, arrival.route)
-        elif self._parts.table.look_up(arrival.attempt) is Begin.UNKNOWN:
-            self._parts.replies.send(arrival.route, Kind.UNKNOWN_OUTCOME)
+            self._reporter.resend_outcome(record, arrival.route)
+        elif (
+            self._context.request_table.classify(arrival.attempt)
+            is BeginOutcome.UNKNOWN
+        ):
+            self._context.replies.send(arrival.route, Kind.UNKNOWN_OUTCOME)
--- a/greengagepath/agent/requests_table.py
+++ b/greengagepath/agent/requests_table.py
@@ -18,7 +18,7 @@
 
 
 @unique
-class Begin(Enum):
+class BeginOutcome(Enum):
     """What to do with an attempt."""
 
     NEW = 'new'
@@ -49,18 +49,18 @@
         """Return the record of an attempt."""
         return self.records.find(attempt)
 
-    def look_up(self, attempt: Attempt) -> Begin:
+    def classify(self, attempt: Attempt) -> BeginOutcome:
         """Return NEW, KNOWN or UNKNOWN as far as the attempt tells."""
         if self.records.find(attempt) is not None:
-            return Begin.KNOWN
+            return BeginOutcome.KNOWN
         entry = self._flows.find(attempt.flow_id)
-        if entry is None or entry.window.has(attempt.request_number):
-            return Begin.UNKNOWN
-        return Begin.NEW
+        if entry is None or entry.window.may_have_begun(attempt.request_number):
+            return BeginOutcome.UNKNOWN
+        return BeginOutcome.NEW
 
     def begin(
         self, attempt: Attempt, request_id: bytes, *, idempotent: bool = False
-    ) -> Begin:
+    ) -> BeginOutcome:
         """Record an attempt; only NEW may be run.
 
         The flow must be in the flow table, else LookupError is raised.
@@ -69,8 +69,8 @@
         the outcome of this one is unknown, because the answer belongs
         to the flow that asked first.
         """
-        known = self.look_up(attempt)
-        if known is not Begin.NEW:
+        known = self.classify(attempt)
+        if known is not BeginOutcome.NEW:
             return known
         self._mark_begun(attempt)
         earlier = self.records.find_by_id(request_id)
@@ -78,10 +78,10 @@
             earlier is not None and earlier.state is not RequestState.REFUSED
         )
         if may_have_run and not idempotent:
-            return Begin.UNKNOWN
+            return BeginOutcome.UNKNOWN
         if self.records.add(RequestRecord(attempt, request_id)):
-            return Begin.NEW
-        return Begin.FULL
+            return BeginOutcome.NEW
+        return BeginOutcome.FULL
 
     def answer(self, record: RequestRecord, payload: bytes) -> None:
         """Keep the answer of an attempt."""
@@ -95,7 +95,7 @@
         record.refusal = refusal
         self.records.settle(record)
 
-    def refuse_unseen(self, attempt: Attempt, refusal: Refusal) -> None:
+    def refuse_incomplete(self, attempt: Attempt, refusal: Refusal) -> None:
         """Refuse an attempt whose request has not arrived as a whole.
 
         The flow must be in the flow table, else LookupError is raised.
@@ -105,7 +105,7 @@
         if self.records.add(record):
             self.refuse(record, refusal)
 
-    def lose(self, record: RequestRecord) -> None:
+    def mark_unknown(self, record: RequestRecord) -> None:
         """Record that the outcome is unknown."""
         record.state = RequestState.UNKNOWN
         self.records.settle(record)
--- a/greengagepath/agent/scheduler.py
+++ b/greengagepath/agent/scheduler.py
@@ -8,10 +8,10 @@
 from ..generated.messages import Refusal, RefusalReason, Request
 from ..protocol.packets import Kind
 from .operation_match import ServiceView
-from .outcomes import AgentParts, OutcomeReporter
+from .outcomes import AgentContext, OutcomeReporter
 from .replies import Arrival, Route
 from .request_records import Attempt, RequestRecord, RequestState
-from .requests_table import Begin
+from .requests_table import BeginOutcome
 from .work import Answered, NotRun, OutcomeUnknown, RunOutcome, Work
 
 MILLISECONDS = 1000
@@ -20,26 +20,26 @@
 BACKOFF_S = 0.02
 # Answers by which a back end or a proxy of it says that it is overloaded.
 # A 504 after the deadline says nothing of the load.
-OVERLOADED = frozenset((502, 503))
-SERVER_ERROR = 500
+OVERLOAD_STATUSES = frozenset((502, 503))
+MIN_SERVER_ERROR_STATUS = 500
 FAILURE_WEIGHT = 0.1
-_KEY_BYTES_OF_FLOW = 8
-_KEY_BYTES_OF_NUMBER = 4
+_FLOW_ID_BYTES = 8
+_REQUEST_NUMBER_BYTES = 4
 
 
-class FailureShare:
+class FailureRate:
     """Recent share of runs that the back end failed."""
 
-    __slots__ = ('_runs', 'share')
+    __slots__ = ('_runs', 'rate')
 
     def __init__(self) -> None:
-        self.share = 0.0
+        self.rate = 0.0
         self._runs = 0
 
     def record(self, failed: bool) -> None:
         """Take the end of a run."""
         self._runs += 1
-        self.share += FAILURE_WEIGHT * (failed - self.share)
+        self.rate += FAILURE_WEIGHT * (failed - self.rate)
 
     def decay(self) -> None:
         """Halve the share if there was no run since the last call.
@@ -48,7 +48,7 @@
         be tried again.
         """
         if not self._runs:
-            self.share /= 2
+            self.rate /= 2
         self._runs = 0
 
 
@@ -58,10 +58,12 @@
     `events` counts retries, `failures` the runs that the back end failed.
     """
 
-    def __init__(self, parts: AgentParts, reporter: OutcomeReporter) -> None:
+    def __init__(
+        self, context: AgentContext, reporter: OutcomeReporter
+    ) -> None:
         self.events: Counter[str] = Counter()
-        self.failures = FailureShare()
-        self._parts = parts
+        self.failure_rate = FailureRate()
+        self._context = context
         self._reporter = reporter
         self._works_by_key: dict[bytes, Work] = {}
         self._cancelled: list[Work] = []
@@ -72,75 +74,75 @@
 
     def admit(self, arrival: Arrival, request: Request) -> None:
         """Offer a request that has arrived as a whole."""
-        parts = self._parts
+        context = self._context
         route = arrival.route
-        begin = parts.table.begin(
+        begin = context.request_table.begin(
             route.attempt,
             request.request_id,
-            idempotent=parts.view.is_idempotent(request),
+            idempotent=context.view.is_idempotent(request),
         )
-        record = parts.table.find(route.attempt)
-        if begin is Begin.FULL:
+        record = context.request_table.find(route.attempt)
+        if begin is BeginOutcome.FULL:
             refusal = Refusal(
                 reason=RefusalReason.table_full, request_id=request.request_id
             )
             self._reporter.send_refusal(route, refusal)
-        elif begin is Begin.NEW and record is not None:
-            parts.budget.record_request()
+        elif begin is BeginOutcome.NEW and record is not None:
+            context.budget.record_request()
             work = _make_work(
-                arrival, request, record, parts.view, parts.timers.now()
+                arrival, request, record, context.view, context.timers.now()
             )
             self._works_by_key[work.key] = work
             self._offer(work)
         else:
-            parts.replies.send(route, Kind.UNKNOWN_OUTCOME)
+            context.replies.send(route, Kind.UNKNOWN_OUTCOME)
 
     def next_work(self) -> Work | None:
         """Return the next request to hand to the back end, or None."""
-        parts = self._parts
+        context = self._context
         queued = None
-        if parts.table.has_answer_room():
-            queued = parts.gate.next_request()
+        if context.request_table.has_answer_room():
+            queued = context.gate.next_request()
         self._report_refused()
         if queued is None:
             return None
         work = self._works_by_key[queued.request_id]
-        work.started_s = parts.timers.now()
+        work.started_s = context.timers.now()
         return work
 
     def refuse_late(self) -> None:
         """Refuse queued requests whose deadline is too near."""
-        self._parts.gate.refuse_late()
+        self._context.gate.refuse_late()
         self._report_refused()
 
     def complete(self, work: Work, outcome: RunOutcome) -> None:
         """Take how the run of a request ended."""
-        duration_s = self._parts.timers.now() - work.started_s
+        duration_s = self._context.timers.now() - work.started_s
         match outcome:
             case Answered(status=status):
-                self._parts.gate.finish(
-                    work.key, duration_s, status not in OVERLOADED
+                self._context.gate.finish(
+                    work.key, duration_s, status not in OVERLOAD_STATUSES
                 )
-                self.failures.record(status >= SERVER_ERROR)
+                self.failure_rate.record(status >= MIN_SERVER_ERROR_STATUS)
                 self._works_by_key.pop(work.key, None)
                 self._reporter.answer(work, outcome)
             case NotRun(reason=reason):
-                self._parts.gate.release(work.key)
-                self.failures.record(reason is RefusalReason.no_target)
+                self._context.gate.release(work.key)
+                self.failure_rate.record(reason is RefusalReason.no_target)
                 self._retry_or_refuse(work, outcome)
             case OutcomeUnknown():
                 self._free_slot(work, duration_s)
                 self._works_by_key.pop(work.key, None)
-                self._reporter.lose(work)
+                self._reporter.report_unknown(work)
 
     def _free_slot(self, work: Work, duration_s: float) -> None:
         """Free the slot of a run without an answer."""
-        is_late = self._parts.timers.now() >= work.deadline_s
+        is_late = self._context.timers.now() >= work.deadline_s
         if work.is_cancelled or is_late:
-            self._parts.gate.abandon(work.key, duration_s)
+            self._context.gate.abandon(work.key, duration_s)
         else:
-            self._parts.gate.finish(work.key, duration_s, succeeded=False)
-            self.failures.record(failed=True)
+            self._context.gate.finish(work.key, duration_s, succeeded=False)
+            self.failure_rate.record(failed=True)
 
     def cancel(self, record: RequestRecord, route: Route) -> None:
         """Cancel an attempt on behalf of its caller."""
@@ -149,9 +151,9 @@
             return
         work = self._works_by_key.get(_gate_key(record.attempt))
         if work is None:
-            self._reporter.repeat(record, route)
+            self._reporter.resend_outcome(record, route)
             return
-        match self._parts.gate.cancel(work.key):
+        match self._context.gate.cancel(work.key):
             case CancelOutcome.REMOVED:
                 self._report_refused()
             case CancelOutcome.RUNNING:
@@ -169,32 +171,32 @@
 
     def start_draining(self) -> None:
         """Refuse all requests that do not run yet."""
-        self._parts.gate.start_draining()
+        self._context.gate.start_draining()
         self._report_refused()
         for work in tuple(self._works_by_key.values()):
-            if work.key not in self._parts.gate.running:
+            if work.key not in self._context.gate.running:
                 self._refuse(work, RefusalReason.draining)
 
     def _offer(self, work: Work) -> None:
-        offered = self._parts.gate.offer(work.queued)
+        offered = self._context.gate.offer(work.queued)
         self._report_refused()
         if offered.is_err():
             refusal = offered.unwrap_err()
             self._refuse(work, refusal.reason, refusal.retry_after_ms)
 
     def _report_refused(self) -> None:
-        for refusal in self._parts.gate.take_refused():
+        for refusal in self._context.gate.take_refused():
             work = self._works_by_key.get(refusal.request_id)
             if work is not None:
                 self._refuse(work, refusal.reason, refusal.retry_after_ms)
 
     def _retry_or_refuse(self, work: Work, outcome: NotRun) -> None:
         backoff_s = BACKOFF_S * 2**work.retries
-        delay_s = self._parts.random.uniform(backoff_s / 2, backoff_s)
-        retry_s = self._parts.timers.now() + delay_s
+        delay_s = self._context.random.uniform(backoff_s / 2, backoff_s)
+        retry_s = self._context.timers.now() + delay_s
         if work.is_cancelled:
             self._refuse(work, RefusalReason.cancelled)
-        elif self._parts.gate.is_draining:
+        elif self._context.gate.is_draining:
             self._refuse(work, RefusalReason.draining)
         elif (
             outcome.reason is not RefusalReason.bad_request
@@ -206,13 +208,15 @@
             self._refuse(work, outcome.reason)
 
     def _retry(self, work: Work, delay_s: float, outcome: NotRun) -> None:
-        if not self._parts.budget.try_retry():
+        if not self._context.budget.try_retry():
             self.events['retries_suppressed'] += 1
             self._refuse(work, outcome.reason)
             return
         self.events['retries'] += 1
         work.retries += 1
-        self._parts.timers.call_after(delay_s, lambda: self._offer_again(work))
+        self._context.timers.call_after(
+            delay_s, lambda: self._offer_again(work)
+        )
 
     def _offer_again(self, work: Work) -> None:
         # It may have been cancelled or refused while it waited.
@@ -252,5 +256,5 @@
 def _gate_key(attempt: Attempt) -> bytes:
     # An idempotent request may have two attempts in the gate at once.
     return attempt.flow_id.to_bytes(
-        _KEY_BYTES_OF_FLOW, 'big'
-    ) + attempt.request_number.to_bytes(_KEY_BYTES_OF_NUMBER, 'big')
+        _FLOW_ID_BYTES, 'big'
+    ) + attempt.request_number.to_bytes(_REQUEST_NUMBER_BYTES, 'big')
--- a/tests/agent/surroundings.py
+++ b/tests/agent/harness.py
@@ -72,7 +72,7 @@
         return [body]
 
 
-class Front:
+class FakeBalancer:
     """Balancer and fabric in one: wraps datagrams for the agent."""
 
     def __init__(self, agent_port):
@@ -157,14 +157,14 @@
         self.process.wait()
 
 
-class Surroundings:
+class AgentHarness:
     """All of it; `client` calls through the front."""
 
     def __init__(self, folder):
         self.folder = folder
         self.back_end = BackEndServer()
         self.agent_port = free_port()
-        self.front = Front(self.agent_port)
+        self.balancer = FakeBalancer(self.agent_port)
         self.client = Client()
         self.agent = self.start_agent()
 
@@ -172,18 +172,18 @@
         return AgentProcess(
             self.folder,
             self.agent_port,
-            self.front.fabric.getsockname()[1],
+            self.balancer.fabric.getsockname()[1],
             self.back_end.server.server_port,
         )
 
     def call(self, path, deadline_s=10.0, **fields):
         request = self.client.create_request(3, 'POST', path, **fields)
-        return self.client.call(self.front.address, request, deadline_s)
+        return self.client.call(self.balancer.address, request, deadline_s)
 
     def close(self):
         self.agent.end()
         self.client.close()
-        self.front.close()
+        self.balancer.close()
         self.back_end.server.stop(timeout=0)
 
 
--- a/tests/agent/test_agent_flows.py
+++ b/tests/agent/test_agent_flows.py
@@ -43,7 +43,7 @@
         # Guards against a caller that waits for a datagram that was lost.
         attempt = self.world.request(self.world.open_flow(), deadline_ms=0)
         self.world.replies_by_attempt.clear()
-        self.world.tell(self.world.flows[0], Kind.PING, attempt[1])
+        self.world.send_in_flow(self.world.flows[0], Kind.PING, attempt[1])
         reasons = [
             reply.reason
             for reply in self.world.replies_by_attempt[attempt]
@@ -67,7 +67,7 @@
         self.world.advance(20.0)
         self.assertTrue(self.agent.is_idle)
         self.world.answers_by_attempt.clear()
-        self.world.tell(self.world.flows[0], Kind.PING, attempt[1])
+        self.world.send_in_flow(self.world.flows[0], Kind.PING, attempt[1])
         self.assertEqual(b'kept', self.world.answers_by_attempt[attempt].body)
 
     def test_token_of_earlier_incarnation_has_unknown_outcome(self):
@@ -107,7 +107,7 @@
         attempt = self.world.request(flow)
         flow.caller = ('198.51.100.1', 2)
         flow.callers = {flow.caller}
-        self.world.tell(flow, Kind.PING, attempt[1])
+        self.world.send_in_flow(flow, Kind.PING, attempt[1])
         late = self.world.datagram(flow, Kind.CANCEL, 99)
         entry = self.agent.flow_table.find(flow.flow_id)
         self.agent.receive(self.world.seal(late, ('198.51.100.1', 1)), BALANCER)
@@ -131,7 +131,7 @@
         short = ServiceDatagram(Kind.OPEN, SERVICE_ID, 1)
         self.world.send(short, flow.caller)
         flow.token = bytes(16) + flow.token[16:]
-        self.world.tell(flow, Kind.PING, 1)
+        self.world.send_in_flow(flow, Kind.PING, 1)
         for datagram in (b'', b'x', sealed[:40], sealed[:-1]):
             self.agent.receive(datagram, BALANCER)
         self.assertEqual(
@@ -205,7 +205,7 @@
     def test_running_request_is_cancelled_at_the_back_end(self):
         # Guards against "not run" for a request that had begun.
         attempt = self.world.request(self.world.open_flow())
-        self.world.tell(self.world.flows[0], Kind.CANCEL, attempt[1])
+        self.world.send_in_flow(self.world.flows[0], Kind.CANCEL, attempt[1])
         self.assertEqual(self.world.running, self.world.cancelled)
         self.world.finish(0, 'unknown')
         self.assertEqual(
@@ -226,7 +226,7 @@
         # Guards against a run after the caller was told "not run".
         attempt = self.world.request(self.world.open_flow())
         self.world.finish(0, 'not_run')
-        self.world.tell(self.world.flows[0], Kind.CANCEL, attempt[1])
+        self.world.send_in_flow(self.world.flows[0], Kind.CANCEL, attempt[1])
         self.world.advance(1.0)
         refusal = self.world.replies_by_attempt[attempt][-1]
         self.assertEqual(RefusalReason.cancelled, refusal.reason)
@@ -269,7 +269,7 @@
     def test_cancel_that_overtakes_its_request_holds(self):
         # Guards against a request that runs after its cancellation.
         flow = self.world.open_flow()
-        self.world.tell(flow, Kind.CANCEL, flow.next_number)
+        self.world.send_in_flow(flow, Kind.CANCEL, flow.next_number)
         attempt = self.world.request(flow)
         reasons = {
             entry.reason for entry in self.world.replies_by_attempt[attempt]
--- a/tests/agent/test_agent_machine.py
+++ b/tests/agent/test_agent_machine.py
@@ -89,13 +89,13 @@
     @rule(position=POSITION, kind=st.sampled_from((Kind.CANCEL, Kind.PING)))
     def cancel_or_ping(self, position, kind):
         attempt = self._pick(list(self.world.requests_by_attempt), position)
-        self.world.tell(self.world.flow_of(attempt), kind, attempt[1])
+        self.world.send_in_flow(self.world.flow_of(attempt), kind, attempt[1])
 
     @precondition(lambda machine: machine.world.flows)
     @rule(position=POSITION)
     def cancel_before_the_request(self, position):
         flow = self._pick(self.world.flows, position)
-        self.world.tell(flow, Kind.CANCEL, flow.next_number)
+        self.world.send_in_flow(flow, Kind.CANCEL, flow.next_number)
 
     @precondition(lambda machine: machine.world.answers_by_attempt)
     @rule(position=POSITION)
@@ -109,7 +109,7 @@
         flow = self._pick(self.world.flows, position)
         flow.caller = ('198.51.100.1', port)
         flow.callers.add(flow.caller)
-        self.world.tell(flow, Kind.PING, 0)
+        self.world.send_in_flow(flow, Kind.PING, 0)
 
     @precondition(lambda machine: machine.world.running)
     @rule(
@@ -147,7 +147,7 @@
         for attempt in self.world.refused_attempts():
             runs = (
                 self.world.started_by_attempt[attempt]
-                - self.world.turned_down_by_attempt[attempt]
+                - self.world.not_run_by_attempt[attempt]
             )
             assert not runs, f'{attempt} was refused and ran'
 
--- a/tests/agent/test_agent_process.py
+++ b/tests/agent/test_agent_process.py
@@ -13,7 +13,7 @@
 from greengagepath.caller.call_types import CallErrorKind
 from greengagepath.generated.messages import RefusalReason
 
-from .surroundings import Surroundings
+from .harness import AgentHarness
 
 pytestmark = pytest.mark.processes
 
@@ -23,16 +23,16 @@
         super().setUp()
         folder = tempfile.mkdtemp()
         self.addCleanup(shutil.rmtree, folder)
-        self.around = Surroundings(folder)
-        self.addCleanup(self.around.close)
-        self.assertTrue(self.around.call('/echo', body=b'up').is_ok())
+        self.harness = AgentHarness(folder)
+        self.addCleanup(self.harness.close)
+        self.assertTrue(self.harness.call('/echo', body=b'up').is_ok())
 
     def test_mixed_load_is_answered_once(self):
         # Guards against lost, repeated or damaged answers under load.
         body = b'0123456789abcdef' * 65536
-        large = gevent.spawn(self.around.call, '/echo', 30.0, body=body)
+        large = gevent.spawn(self.harness.call, '/echo', 30.0, body=body)
         small = [
-            gevent.spawn(self.around.call, '/sleep/0.01') for _ in range(40)
+            gevent.spawn(self.harness.call, '/sleep/0.01') for _ in range(40)
         ]
         gevent.joinall([large, *small])
         self.assertTrue(all(call.value.is_ok() for call in small))
@@ -40,40 +40,40 @@
             hashlib.sha256(body).digest(),
             hashlib.sha256(large.value.unwrap().body).digest(),
         )
-        self.assertEqual(1, max(self.around.back_end.runs.values()))
+        self.assertEqual(1, max(self.harness.back_end.runs.values()))
 
     def test_sigterm_finishes_what_runs(self):
         # Guards against a graceful shutdown that cuts requests.
-        running = gevent.spawn(self.around.call, '/sleep/1')
+        running = gevent.spawn(self.harness.call, '/sleep/1')
         gevent.sleep(0.3)
-        self.around.agent.process.send_signal(signal.SIGTERM)
+        self.harness.agent.process.send_signal(signal.SIGTERM)
         gevent.sleep(0.2)
-        refused = self.around.call('/echo', 1.0)
+        refused = self.harness.call('/echo', 1.0)
         self.assertEqual(RefusalReason.draining, refused.err_value.reason)
         self.assertTrue(refused.err_value.not_run)
         self.assertTrue(running.get().is_ok())
-        self.assertEqual(0, self.around.agent.wait(10))
+        self.assertEqual(0, self.harness.agent.wait(10))
 
     def test_second_sigterm_ends_at_once_and_logs_the_rest(self):
         # Guards against a process that cannot be ended.
-        running = gevent.spawn(self.around.call, '/sleep/5', 3.0)
+        running = gevent.spawn(self.harness.call, '/sleep/5', 3.0)
         gevent.sleep(0.3)
         for _ in range(2):
-            self.around.agent.process.send_signal(signal.SIGTERM)
+            self.harness.agent.process.send_signal(signal.SIGTERM)
             gevent.sleep(0.1)
         started_s = time.monotonic()
-        self.assertEqual(1, self.around.agent.wait(5))
+        self.assertEqual(1, self.harness.agent.wait(5))
         self.assertLess(time.monotonic() - started_s, 1.0)
-        log = self.around.agent.log.read_text()
+        log = self.harness.agent.log.read_text()
         self.assertIn('"requests_left":1', log)
         running.kill()
 
     def test_killed_agent_runs_nothing_again(self):
         # Guards against a restart that repeats a non-idempotent request.
-        running = gevent.spawn(self.around.call, '/sleep/0.5', 8.0)
+        running = gevent.spawn(self.harness.call, '/sleep/0.5', 8.0)
         gevent.sleep(0.3)
-        self.around.agent.end()
-        self.around.agent = self.around.start_agent()
+        self.harness.agent.end()
+        self.harness.agent = self.harness.start_agent()
         outcome = running.get()
         self.assertEqual(CallErrorKind.UNKNOWN_OUTCOME, outcome.err_value.kind)
-        self.assertEqual(1, max(self.around.back_end.runs.values()))
+        self.assertEqual(1, max(self.harness.back_end.runs.values()))
--- a/tests/agent/test_backend.py
+++ b/tests/agent/test_backend.py
@@ -19,7 +19,7 @@
 from greengagepath.foundation.timers import LoopTimerService
 from greengagepath.generated.messages import RefusalReason, Request
 
-from .surroundings import HOST, free_port
+from .harness import HOST, free_port
 
 OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
 SHED = b'HTTP/1.1 503 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n'
@@ -32,11 +32,11 @@
 class ScriptedServer:
     """Answers each request of each connection with the next reply."""
 
-    def __init__(self, *replies, silence_after=0):
+    def __init__(self, *replies, silent_connections=0):
         self.replies = list(replies)
         self.requests = []
         self.connections = 0
-        self.silence_after = silence_after
+        self.silent_connections = silent_connections
         self.server = StreamServer((HOST, 0), self._serve)
         self.server.start()
 
@@ -47,7 +47,7 @@
             request = connection.recv(65536)
             if not request:
                 return
-            may_fall_silent = number <= self.silence_after
+            may_fall_silent = number <= self.silent_connections
             if may_fall_silent and self.requests:
                 gevent.sleep(10)
             self.requests.append(request)
@@ -115,7 +115,7 @@
 
     def test_silence_past_the_deadline_is_unknown(self):
         # Guards against a slot that a silent back end holds for ever.
-        self._start(OK, silence_after=1)
+        self._start(OK, silent_connections=1)
         self._run(_work(self.timers))
         started_s = time.monotonic()
         outcome = self._run(_work(self.timers, limit_s=0.2))
@@ -124,7 +124,7 @@
 
     def test_silent_idle_connection_is_replaced(self):
         # Guards against requests into a connection that went silent.
-        server = self._start(OK, OK, silence_after=1)
+        server = self._start(OK, OK, silent_connections=1)
         self._run(_work(self.timers))
         gevent.sleep(PROBE_AFTER_S + 0.05)
         self.assertIsInstance(self._run(_work(self.timers)), Answered)
@@ -141,7 +141,7 @@
 
     def test_cancel_closes_the_connection(self):
         # Guards against a cancelled request that holds its slot.
-        self._start(OK, silence_after=1)
+        self._start(OK, silent_connections=1)
         self._run(_work(self.timers))
         work = _work(self.timers)
         greenlet = gevent.spawn(self._run, work)
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -116,7 +116,7 @@
         self.receivers_by_attempt = {}
         self.answers_by_attempt = {}
         self.started_by_attempt = Counter()
-        self.turned_down_by_attempt = Counter()
+        self.not_run_by_attempt = Counter()
         self.running = []
         self.cancelled = []
         self.sent = []
@@ -184,7 +184,7 @@
             body=body,
         )
 
-    def tell(self, flow, kind, number, body=b''):
+    def send_in_flow(self, flow, kind, number, body=b''):
         self.send(self.datagram(flow, kind, number, body), flow.caller)
 
     def request(self, flow, parts=1, request=None, **fields):
@@ -221,7 +221,7 @@
 
     def acknowledge(self, attempt):
         receiver = self.receivers_by_attempt[attempt]
-        self.tell(
+        self.send_in_flow(
             self.flow_of(attempt),
             Kind.ANSWER_ACK,
             attempt[1],
@@ -235,7 +235,7 @@
             case 'answered':
                 outcome = Answered(200, body=body)
             case 'not_run':
-                self.turned_down_by_attempt[tuple(work.record.attempt)] += 1
+                self.not_run_by_attempt[tuple(work.record.attempt)] += 1
                 outcome = NotRun('refused connection')
             case 'unknown':
                 outcome = OutcomeUnknown('reset')
@@ -272,9 +272,9 @@
             work = self.agent.scheduler.next_work()
         self.cancelled += self.agent.scheduler.take_cancelled()
         for outgoing in self.agent.take_outgoing():
-            self._take(outgoing)
+            self._deliver(outgoing)
         for part in self.agent.answer_parts(100):
-            self._take(part)
+            self._deliver(part)
 
     def runs_of_request(self):
         """Return runs by request id, of non-idempotent requests."""
@@ -283,7 +283,7 @@
             request = self.requests_by_attempt[attempt]
             if not request.idempotent:
                 runs[request.request_id] += (
-                    started - self.turned_down_by_attempt[attempt]
+                    started - self.not_run_by_attempt[attempt]
                 )
         return runs
 
@@ -294,7 +294,7 @@
             if any(isinstance(reply, Refusal) for reply in replies)
         }
 
-    def _take(self, outgoing):
+    def _deliver(self, outgoing):
         if outgoing.address != FABRIC_ADDRESS:
             _, datagram = open_envelope(self.keys, outgoing.payload).unwrap()
             decoded = decode_service_datagram(datagram).unwrap()
