--- a/greengagepath/agent/__init__.py
+++ b/greengagepath/agent/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions of an agent for requests of the own protocol."""
+"""State machine of an agent that serves the greengagepath protocol."""
--- a/greengagepath/agent/answer_transfers.py
+++ b/greengagepath/agent/answer_transfers.py
@@ -1,4 +1,4 @@
-"""Answers that an agent is sending to callers."""
+"""Transfers of answers from an agent to its callers."""
 
 from collections import deque
 from collections.abc import Iterator
@@ -14,7 +14,11 @@
 
 @dataclass(slots=True)
 class AnswerTransfer:
-    """One answer on its way."""
+    """An answer of which the caller has not acknowledged all parts.
+
+    `is_ready` tells whether the transfer waits in the queue of ready
+    transfers.
+    """
 
     record: RequestRecord
     sender: PartSender
@@ -24,11 +28,11 @@
 
     @property
     def attempt(self) -> Attempt:
-        """The attempt that is answered."""
+        """The attempt that this answer belongs to."""
         return self.record.attempt
 
     def datagram(self, part: int) -> ServiceDatagram:
-        """Return one part of the answer."""
+        """Return the datagram with the part of this index."""
         return ServiceDatagram(
             kind=Kind.ANSWER,
             service_id=self.service_id,
@@ -42,10 +46,10 @@
 
 
 class AnswerTransfers:
-    """Sends parts of all answers in turn, one part each.
+    """Sends the parts of all answers in round-robin order.
 
-    Parts are of equal size, so that taking turns shares the sending
-    rate evenly and a long answer does not hold up a short one.
+    Parts have the same size, so round-robin order shares the sending
+    rate evenly and a long answer does not delay a short one.
     """
 
     def __init__(self, timers: TimerService) -> None:
@@ -54,25 +58,25 @@
         self._ready: deque[AnswerTransfer] = deque()
 
     def __len__(self) -> int:
-        """Return the number of answers on their way."""
+        """Return the number of unfinished transfers."""
         return len(self._transfers_by_attempt)
 
     def start(self, transfer: AnswerTransfer) -> None:
-        """Send an answer, unless it is already being sent."""
+        """Start a transfer, unless the attempt already has one."""
         if transfer.attempt not in self._transfers_by_attempt:
             self._transfers_by_attempt[transfer.attempt] = transfer
             self._make_ready(transfer)
 
     def find(self, attempt: Attempt) -> AnswerTransfer | None:
-        """Return the transfer of an attempt."""
+        """Return the unfinished transfer of an attempt, or None."""
         return self._transfers_by_attempt.get(attempt)
 
     def stop(self, attempt: Attempt) -> None:
-        """Send nothing more of an answer."""
+        """Stop the transfer of an attempt, if there is one."""
         self._transfers_by_attempt.pop(attempt, None)
 
     def acknowledge(self, attempt: Attempt, ack: Ack) -> AnswerTransfer | None:
-        """Take an ACK; return the transfer if that completed it."""
+        """Process an ACK; return the transfer if it is now complete."""
         transfer = self._transfers_by_attempt.get(attempt)
         if transfer is None:
             return None
@@ -86,7 +90,7 @@
     def next_parts(
         self, max_count: int
     ) -> Iterator[tuple[AnswerTransfer, ServiceDatagram]]:
-        """Return at most `max_count` parts to send now."""
+        """Yield at most `max_count` parts that may be sent now."""
         now_s = self._timers.now()
         while self._ready and max_count > 0:
             transfer = self._ready.popleft()
@@ -100,7 +104,7 @@
                 yield transfer, transfer.datagram(part)
 
     def check_due(self) -> list[AnswerTransfer]:
-        """Retransmit what timed out; return transfers that failed."""
+        """Queue timed-out parts again; return transfers that failed."""
         now_s = self._timers.now()
         failed = []
         for transfer in tuple(self._transfers_by_attempt.values()):
--- a/greengagepath/agent/flow_table.py
+++ b/greengagepath/agent/flow_table.py
@@ -1,7 +1,9 @@
-"""Flows at an agent: which requests they have begun, and their caller.
+"""Table of the flows at an agent.
 
-An entry outlives the time in which its flow may begin requests, so that
-"never begun" is known while such a request could still be in transit.
+It holds the address of each flow's caller and the request numbers that
+the flow has begun. An entry is kept for longer than its flow may begin
+requests, so that the agent can tell that a request was never begun
+while datagrams of it may still be in transit.
 """
 
 from collections import OrderedDict
@@ -11,19 +13,21 @@
 from ..foundation.timers import TimerService
 from ..protocol.tags import REPLAY_WINDOW_BITS, ReplayWindow
 
-# A flow begins requests for this long after its token was issued; the
-# caller then opens another one. Answers in transfer are not limited.
+# A flow may begin requests for this long after its token was issued; then
+# the caller has to open another flow. Transfers of answers may go on.
 FLOW_LIFETIME_S = 600.0
-# How long after that an old request is still known to be refused.
+# For this long after that, the agent still knows which requests of the
+# flow were never begun.
 FLOW_GRACE_S = 60.0
-# A flow without open requests that was silent for this long does not
-# count as active; most flows carry one request.
+# A flow without open requests stops counting as active after this long
+# without a datagram. Most flows carry only one request.
 IDLE_S = 1.0
-# Datagrams of the previous address may still arrive this long after the
-# caller has moved; they do not move the flow back.
+# For this long after a caller has changed its address, late datagrams
+# from the previous address do not change it back.
 REORDER_S = 1.0
-# Idle and finished flows keep an entry, of about 500 B, until their
-# token is too old or the place is needed.
+# An idle flow keeps its entry, of about 500 B, until its token is too old
+# or the table needs the space. This is the ratio of all entries to active
+# flows.
 ENTRIES_PER_ACTIVE_FLOW = 16
 
 
@@ -33,7 +37,11 @@
     __slots__ = ()
 
     def may_have_begun(self, number: int) -> bool:
-        """Return whether the number was begun or is too old to tell."""
+        """Return False only if the number has certainly not been begun.
+
+        Numbers too far below the highest one are no longer tracked and
+        count as begun.
+        """
         age = self._highest - number
         if age >= REPLAY_WINDOW_BITS:
             return True
@@ -42,10 +50,12 @@
 
 @dataclass(slots=True)
 class FlowEntry:
-    """What the agent keeps of a flow.
+    """State of one flow at an agent.
 
-    `issued_s` is when its token was issued, later if the flow was in use
-    when it should have been forgotten.
+    `issued_s` is when its token was issued, in whole seconds; it is
+    moved to a later time if the flow is still in use when its entry is
+    due for removal. `moved_s` is when the caller last changed its
+    address from `previous_caller` to `caller`.
     """
 
     issued_s: int
@@ -56,7 +66,10 @@
     window: RequestWindow = field(default_factory=RequestWindow)
 
     def update_caller(self, caller: Address, now_s: float) -> bool:
-        """Take the address of a new datagram; return if it changed."""
+        """Store the address of a new datagram; return whether it changed.
+
+        A late datagram from the previous address changes nothing.
+        """
         if caller == self.caller:
             return False
         is_late = now_s - self.moved_s < REORDER_S
@@ -71,21 +84,23 @@
 class FlowTable:
     """Bounded table of flows by flow id.
 
-    `max_active` bounds the flows that have open requests or have been
-    heard from lately, `capacity` all entries. A full table forgets idle
-    flows, those with the oldest tokens first.
+    `max_active` limits the flows that have open requests or have sent a
+    datagram within `IDLE_S`; `capacity` limits all entries. A full table
+    evicts idle flows, those with the oldest tokens first.
     """
 
     def __init__(self, timers: TimerService, max_active: int) -> None:
         self.max_active = max_active
         self._timers = timers
         self._entries_by_flow: dict[int, FlowEntry] = {}
-        # Last datagram of each active flow, the longest ago first.
+        # Time of the last datagram of each active flow, oldest first.
         self._last_seen_by_flow: OrderedDict[int, float] = OrderedDict()
         self._flow_ids_by_issue: dict[int, list[int]] = {}
-        # Tokens issued until then get no entry; their flows began nothing.
+        # Flows with tokens issued up to this time get no new entry. Those
+        # that never had one have begun no request.
         self._rejected_until_s = -1
-        # Flows with tokens issued until then may have been forgotten.
+        # Entries of flows with tokens issued up to this time may have been
+        # evicted.
         self._evicted_until_s = -1
 
     def __len__(self) -> int:
@@ -94,31 +109,31 @@
 
     @property
     def active(self) -> int:
-        """Flows that were heard from lately or have open requests."""
+        """Number of flows with a recent datagram or open requests."""
         return len(self._last_seen_by_flow)
 
     @property
     def capacity(self) -> int:
-        """Entries that the table can hold."""
+        """Maximum number of entries."""
         return self.max_active * ENTRIES_PER_ACTIVE_FLOW
 
     @property
     def is_full(self) -> bool:
-        """Whether the table takes no further flow."""
+        """Whether the number of active flows has reached its limit."""
         return self.active >= self.max_active
 
     def find(self, flow_id: int) -> FlowEntry | None:
-        """Return the entry of a flow."""
+        """Return the entry of a flow, or None."""
         return self._entries_by_flow.get(flow_id)
 
     def touch(
         self, flow_id: int, issued_s: int, caller: Address
     ) -> FlowEntry | None:
-        """Return the entry of a flow just heard from, made if needed.
+        """Return the entry of a flow that has sent a datagram.
 
-        Returns None if there is no place for a new one. Such a flow
-        never gets an entry later, so that a request of it that was
-        refused cannot run when the table has emptied.
+        Creates the entry if needed; returns None if there is no room.
+        A flow that got no entry never gets one later. Otherwise a
+        request of it that was refused could run once there is room.
         """
         entry = self._entries_by_flow.get(flow_id)
         now_s = self._timers.now()
@@ -139,20 +154,23 @@
         return entry
 
     def may_begin_requests(self, issued_s: int) -> bool:
-        """Return whether a token of that time may begin requests."""
+        """Return whether flows with tokens of this time may begin requests."""
         return self._timers.now() < issued_s + FLOW_LIFETIME_S
 
     def is_known_unused(self, issued_s: int) -> bool:
-        """Return whether a flow without entry has begun nothing."""
+        """Return whether a flow without an entry has certainly begun nothing.
+
+        False if its entry may have been evicted or have expired.
+        """
         if issued_s <= self._evicted_until_s:
             return False
         return self._timers.now() < issued_s + FLOW_LIFETIME_S + FLOW_GRACE_S
 
     def expire(self) -> None:
-        """Forget flows whose tokens are too old to begin a request."""
+        """Remove flows whose tokens and grace period have expired."""
         self._deactivate_idle()
         for issued_s in sorted(self._flow_ids_by_issue):
-            # Another second, as times of issue are whole seconds.
+            # Add a second because issue times are whole seconds.
             if self.is_known_unused(issued_s + 1):
                 return
             for flow_id in self._flow_ids_by_issue.pop(issued_s):
@@ -195,7 +213,7 @@
         if entry is None or entry.issued_s > issued_s:
             return False
         if entry.open_requests or flow_id in self._last_seen_by_flow:
-            # Looked at again when the present second is looked at.
+            # Still in use: check it again with the tokens issued now.
             entry.issued_s = int(self._timers.now())
             self._index_by_issue(flow_id, entry.issued_s)
             return False
--- a/greengagepath/agent/flows.py
+++ b/greengagepath/agent/flows.py
@@ -1,8 +1,9 @@
-"""Decisions of an agent for each datagram, without I/O.
+"""State machine of an agent, without I/O.
 
-The owner passes datagrams to `receive`, calls `tick` every `TICK_S`,
-runs what `scheduler.next_work` hands out, reports to `scheduler.complete`, and
-sends what `take_outgoing` and `answer_parts` return.
+The owner passes datagrams to `receive` and calls `tick` every `TICK_S`.
+It runs the requests that `scheduler.next_work` returns, passes their
+outcomes to `scheduler.complete`, and sends the datagrams that
+`take_outgoing` and `answer_parts` return.
 """
 
 from collections import Counter
@@ -36,17 +37,17 @@
 
 TICK_S = 0.01
 SWEEP_S = 5.0
-# Answers of the largest size that may be kept at once.
+# Limit of the bytes of kept answers, in answers of the largest size.
 MAX_KEPT_ANSWERS = 2
-# Kinds that ask what became of a request, or ask to run it.
+# Kinds whose sender waits for the outcome of a request.
 _EXPECT_OUTCOME = frozenset((Kind.REQUEST, Kind.CANCEL, Kind.PING))
 
 
 class AgentFlows:
     """The flows and requests of one agent.
 
-    `drops` counts datagrams dropped by reason, `events` what was done to
-    flows and answers.
+    `drops` counts dropped datagrams by reason. `events` counts flows
+    that were opened or handed off, and answers whose transfer failed.
     """
 
     def __init__(
@@ -103,18 +104,22 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request runs or arrives, and no answer is sent."""
+        """Whether no request or answer is in progress.
+
+        Requests being received, queued or running and answers being
+        sent are in progress.
+        """
         return not (
             len(self.scheduler) or len(self.transfers) or len(self.reassembly)
         )
 
     @property
     def view(self) -> ServiceView:
-        """The configuration of the service."""
+        """The current configuration of the service."""
         return self._context.view
 
     def replace_service(self, service: Service) -> None:
-        """Take a new configuration of the service."""
+        """Apply a new configuration of the service."""
         limits = service.limits
         view = ServiceView(service)
         self._context.view = view
@@ -128,17 +133,18 @@
         self._requests.replace_limits(limits)
 
     def start_draining(self) -> None:
-        """Refuse what does not run yet, and hand off each OPEN."""
+        """Refuse requests that do not run yet, and hand off new flows."""
         self._requests.start_draining()
 
     def stop_draining(self) -> None:
-        """Accept again."""
+        """Accept flows and requests again."""
         self.gate.stop_draining()
 
     def receive(self, sealed: bytes, source: Address) -> None:
-        """Take a datagram; never raises on bad input.
+        """Process a datagram; never raises on bad input.
 
-        `source` is the address of the socket that sent it.
+        `sealed` is an envelope with its tag, `source` the address of the
+        socket that sent it.
         """
         match open_envelope(self._keys, sealed):
             case Err(reason):
@@ -147,7 +153,7 @@
                 self._receive_opened(envelope, encoded, source)
 
     def tick(self) -> None:
-        """Do what is due: ACKs, retransmissions, expiry."""
+        """Send due ACKs and retransmissions, and expire old state."""
         now_s = self._timers.now()
         self._requests.send_due_acks()
         self.scheduler.refuse_late()
@@ -162,11 +168,14 @@
             self.request_table.records.expire()
 
     def take_outgoing(self) -> list[Outgoing]:
-        """Return the datagrams to send, except parts of answers."""
+        """Return the datagrams to send, except parts of answers.
+
+        Each one is returned once.
+        """
         return self._replies.take_outgoing()
 
     def answer_parts(self, max_count: int) -> Iterator[Outgoing]:
-        """Return at most `max_count` parts of answers to send now."""
+        """Yield at most `max_count` parts of answers to send now."""
         for transfer, datagram in self.transfers.next_parts(max_count):
             yield from self._replies.to_flow(transfer.route, datagram)
 
@@ -210,7 +219,7 @@
             self._receive_in_flow(arrival, claims)
 
     def _is_history_lost(self, claims: TokenClaims, flow_id: int) -> bool:
-        """Return whether requests of the flow are no longer known."""
+        """Return whether the agent cannot tell what the flow has begun."""
         if claims.incarnation != self._identity.incarnation:
             return True
         has_entry = self.flow_table.find(flow_id) is not None
@@ -225,7 +234,7 @@
         )
         if entry is None:
             if datagram.kind in _EXPECT_OUTCOME:
-                # The flow has begun nothing, and never will.
+                # The flow has begun no request and will never get an entry.
                 self._replies.refuse_flow(arrival)
             return
         self._requests.receive(
--- a/greengagepath/agent/openings.py
+++ b/greengagepath/agent/openings.py
@@ -1,4 +1,4 @@
-"""Datagrams of an agent that belong to no accepted flow yet."""
+"""Datagrams that need no accepted flow: OPEN and PROBE."""
 
 import struct
 from collections import Counter
@@ -13,9 +13,10 @@
 from .scheduler import WorkScheduler
 
 MAX_HAND_OFFS = 2
-# A back end of which more requests fail is reported as failing.
+# Above this failure rate, probe replies report the back end as failing.
 FAILING_RATE = 0.5
-# In flight, queued, latency estimate in microseconds, state.
+# Requests in flight, requests queued, latency estimate in microseconds,
+# state.
 _PROBE_REPLY = struct.Struct('!HHIB')
 _MAX_U16 = 0xFFFF
 _MAX_U32 = 0xFFFFFFFF
@@ -25,7 +26,7 @@
 class Openings:
     """Accepts flows, hands them off or refuses them; answers probes.
 
-    `drops` and `events` are the counters of the owner.
+    `drops` and `events` are counters shared with the owner.
     """
 
     def __init__(
@@ -45,7 +46,8 @@
     def receive_open(self, arrival: Arrival) -> None:
         """Accept, hand off to an alternate, or refuse an OPEN."""
         if len(arrival.datagram.body) < TOKEN_BYTES:
-            # The ACCEPT would be longer than the OPEN.
+            # The ACCEPT has a token as its body. It must not be longer
+            # than the OPEN, which may have a forged source address.
             self._drops[DropReason.TRUNCATED] += 1
         elif arrival.envelope.hops > MAX_HAND_OFFS:
             self._drops[DropReason.TOO_MANY_HOPS] += 1
@@ -57,7 +59,7 @@
                 self._hand_off_or_refuse(arrival, reason)
 
     def receive_probe(self, arrival: Arrival, source: Address) -> None:
-        """Answer a probe to the socket at `source`."""
+        """Send load and state to the socket at `source`."""
         load = self._context.gate.load()
         state = ProbeState.ACCEPTING
         if self._scheduler.failure_rate.rate > FAILING_RATE:
--- a/greengagepath/agent/outcomes.py
+++ b/greengagepath/agent/outcomes.py
@@ -1,4 +1,4 @@
-"""What callers are told of their requests."""
+"""Reports of the outcomes of requests to their callers."""
 
 from collections import Counter
 from dataclasses import dataclass
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True)
 class AgentContext:
-    """The parts of an agent that share its state."""
+    """State and services that the components of an agent share."""
 
     timers: TimerService
     random: Random
@@ -36,10 +36,10 @@
 
 
 class OutcomeReporter:
-    """Records outcomes in the request table and tells the callers.
+    """Records outcomes in the request table and sends them to callers.
 
-    `outcomes` counts (customer, operation, outcome), `refusals` counts
-    reasons.
+    `outcomes` counts requests by (customer, operation, outcome),
+    `refusals` counts refused attempts by reason.
     """
 
     def __init__(self, context: AgentContext) -> None:
@@ -47,16 +47,16 @@
         self.refusals: Counter[RefusalReason] = Counter()
         self._context = context
 
-    def refuse_incomplete(self, route: Route, reason: RefusalReason) -> None:
-        """Refuse an attempt that has not arrived as a whole."""
+    def refuse_undecoded(self, route: Route, reason: RefusalReason) -> None:
+        """Refuse an attempt without a complete, well-formed request."""
         refusal = Refusal(reason=reason)
-        self._context.request_table.refuse_incomplete(route.attempt, refusal)
+        self._context.request_table.refuse_undecoded(route.attempt, refusal)
         self.send_refusal(route, refusal)
 
     def refuse(
         self, work: Work, reason: RefusalReason, retry_after_ms: int
     ) -> None:
-        """Tell that an admitted request was not run."""
+        """Record and report that an admitted request was not run."""
         refusal = Refusal(
             reason=reason,
             request_id=work.request.request_id,
@@ -67,7 +67,7 @@
         self.send_refusal(work.route, refusal)
 
     def answer(self, work: Work, outcome: Answered) -> None:
-        """Start to send an answer."""
+        """Record an answer and start its transfer."""
         self._count(work, 'answered')
         payload = encode_body(
             Answer(
@@ -82,13 +82,13 @@
         self._start_transfer(work.record, work.route)
 
     def report_unknown(self, work: Work) -> None:
-        """Tell that a request may have run."""
+        """Record and report that the outcome of a request is unknown."""
         self._count(work, 'unknown')
         self._context.request_table.mark_unknown(work.record)
         self._context.replies.send(work.route, Kind.UNKNOWN_OUTCOME)
 
     def resend_outcome(self, record: RequestRecord, route: Route) -> None:
-        """Tell the caller again what became of an attempt."""
+        """Send the outcome of an attempt again, if it is known."""
         match record.state:
             case RequestState.REFUSED if record.refusal is not None:
                 self._context.replies.send(
@@ -101,12 +101,12 @@
                 self._start_transfer(record, route)
 
     def stop_answer(self, record: RequestRecord) -> None:
-        """Drop an answer that the caller does not want any more."""
+        """Stop and drop the answer to an attempt that was cancelled."""
         self._context.transfers.stop(record.attempt)
         self._context.request_table.acknowledge(record)
 
     def send_refusal(self, route: Route, refusal: Refusal) -> None:
-        """Tell that an attempt was not run."""
+        """Send the refusal of an attempt and count its reason."""
         self.refusals[refusal.reason] += 1
         self._context.replies.send(route, Kind.REFUSE, encode_body(refusal))
 
--- a/greengagepath/agent/reassembly.py
+++ b/greengagepath/agent/reassembly.py
@@ -1,4 +1,4 @@
-"""Requests whose parts have not all arrived yet."""
+"""Reassembly of requests from their parts."""
 
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -8,15 +8,19 @@
 from .replies import Route
 from .request_records import Attempt
 
-# Room for the fields of a request beside its body.
+# Space for the fields of a request other than its body.
 REQUEST_OVERHEAD_BYTES = 16384
-# A caller sends missing parts again several times within this time.
+# An incomplete request is dropped after this long without a new part; a
+# caller retransmits missing parts several times within it.
 STALL_TIMEOUT_S = 15.0
 
 
 @dataclass(slots=True)
 class PartialRequest:
-    """A request in arrival; `last_part_s` is when its last part came."""
+    """An incomplete request.
+
+    `last_part_s` is when its latest part arrived.
+    """
 
     receiver: PartReceiver
     route: Route
@@ -24,10 +28,10 @@
 
 
 class Reassembly:
-    """Bounded set of partly received requests.
+    """Bounded set of incomplete requests.
 
-    `max_request_bytes` bounds one request, `max_total_bytes` the parts
-    that all of them may come to hold.
+    `max_request_bytes` limits one request. `max_total_bytes` limits the
+    memory reserved for the parts of all requests, received or not.
     """
 
     def __init__(
@@ -44,26 +48,26 @@
         self.reserved_bytes = 0
 
     def __len__(self) -> int:
-        """Return the number of requests in arrival."""
+        """Return the number of incomplete requests."""
         return len(self._partials_by_attempt)
 
     def replace_limits(
         self, max_request_bytes: int, max_total_bytes: int
     ) -> None:
-        """Take new limits from the configuration."""
+        """Apply new limits from the configuration."""
         self._max_parts = count_parts(
             max_request_bytes + REQUEST_OVERHEAD_BYTES
         )
         self.max_total_bytes = max_total_bytes
 
     def is_acceptable(self, part_count: int) -> bool:
-        """Return whether a request of so many parts is allowed."""
+        """Return whether a request may have this number of parts."""
         return 1 <= part_count <= self._max_parts
 
     def receiver_for(
         self, route: Route, part_count: int
     ) -> PartReceiver | None:
-        """Return the receiver of an attempt, or None without room.
+        """Return the receiver of an attempt, or None if there is no room.
 
         `is_acceptable` must hold for `part_count`.
         """
@@ -82,13 +86,13 @@
         return partial.receiver
 
     def discard(self, attempt: Attempt) -> None:
-        """Forget the parts of an attempt."""
+        """Drop the parts of an attempt, if there are any."""
         partial = self._partials_by_attempt.pop(attempt, None)
         if partial is not None:
             self.reserved_bytes -= partial.receiver.part_count * PART_BYTES
 
     def routes(self) -> list[Route]:
-        """Return the routes of the requests in arrival."""
+        """Return the routes of the incomplete requests."""
         return [entry.route for entry in self._partials_by_attempt.values()]
 
     def due_acks(self) -> list[PartialRequest]:
@@ -101,7 +105,7 @@
         ]
 
     def expire(self) -> None:
-        """Forget requests whose parts no longer arrive."""
+        """Drop requests that got no part for `STALL_TIMEOUT_S`."""
         stalled_since_s = self._timers.now() - STALL_TIMEOUT_S
         for attempt, partial in tuple(self._partials_by_attempt.items()):
             if partial.last_part_s > stalled_since_s:
--- a/greengagepath/agent/replay_windows.py
+++ b/greengagepath/agent/replay_windows.py
@@ -6,11 +6,11 @@
 
 
 class ReplayWindows:
-    """One window for each sender, at most `max_senders`.
+    """One replay window for each sender, at most `max_senders`.
 
-    The sender heard from longest ago gives way to a new one. A replay
-    of its datagrams would then be let through; the request table still
-    keeps it from running anything again.
+    A new sender evicts the least recently seen one. Replayed datagrams
+    of the evicted sender are then accepted; the request table still
+    prevents them from running a request again.
     """
 
     def __init__(self, max_senders: int = MAX_SENDERS) -> None:
@@ -22,7 +22,7 @@
         return len(self._windows_by_sender)
 
     def accept(self, sender: int, sequence: int) -> bool:
-        """Return whether the sender's number is new, and remember it."""
+        """Return whether the sequence number is new, and record it."""
         window = self._windows_by_sender.get(sender)
         if window is None:
             if len(self) >= self.max_senders:
--- a/greengagepath/agent/replies.py
+++ b/greengagepath/agent/replies.py
@@ -1,4 +1,4 @@
-"""Datagrams that an agent sends, collected for its shell."""
+"""Datagrams that an agent sends, queued until its owner takes them."""
 
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
@@ -21,10 +21,11 @@
 
 @dataclass(slots=True, frozen=True)
 class AgentIdentity:
-    """Who the agent is.
+    """Identity and addresses of an agent process.
 
-    `target_id` is in its answers, `address` in the tokens it issues;
-    `fabric` takes datagrams to callers, `sender` is random for each process.
+    `target_id` is sent with its answers, `address` is part of the tokens
+    that it issues. Datagrams to callers are sent to `fabric`. `sender`
+    identifies the process in envelopes; it is random for each process.
     """
 
     service_id: int
@@ -37,7 +38,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Outgoing:
-    """A datagram to send."""
+    """A datagram and the address to send it to."""
 
     address: Address
     payload: bytes
@@ -45,9 +46,9 @@
 
 @dataclass(slots=True, frozen=True)
 class Route:
-    """What a later answer to an attempt is sent with.
+    """Header fields for replies to an attempt.
 
-    `service` is the address that the caller has sent to.
+    `service` is the address to which the caller has sent its datagram.
     """
 
     attempt: Attempt
@@ -57,7 +58,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Arrival:
-    """A service datagram and the envelope it came in."""
+    """A received service datagram and its envelope."""
 
     envelope: Envelope
     datagram: ServiceDatagram
@@ -69,7 +70,7 @@
 
     @property
     def route(self) -> Route:
-        """What an answer to the attempt is sent with."""
+        """The header fields for replies to the attempt."""
         return Route(self.attempt, self.datagram.token, self.envelope.service)
 
 
@@ -89,13 +90,13 @@
         self._outgoing: list[Outgoing] = []
 
     def take_outgoing(self) -> list[Outgoing]:
-        """Return what has to be sent."""
+        """Return the datagrams built since the last call."""
         outgoing = self._outgoing
         self._outgoing = []
         return outgoing
 
     def reply(self, arrival: Arrival, kind: Kind, body: bytes = b'') -> None:
-        """Answer to the address that a datagram came from."""
+        """Send a reply to the caller's address in the envelope."""
         envelope = arrival.envelope
         datagram = ServiceDatagram(
             kind=kind,
@@ -110,7 +111,7 @@
         )
 
     def send(self, route: Route, kind: Kind, body: bytes = b'') -> None:
-        """Send to where the caller of a flow is now."""
+        """Send to the current address of the caller of a flow."""
         datagram = ServiceDatagram(
             kind=kind,
             service_id=self.identity.service_id,
@@ -124,31 +125,32 @@
     def to_flow(
         self, route: Route, datagram: ServiceDatagram
     ) -> Iterator[Outgoing]:
-        """Return the datagram addressed to the caller of a flow.
+        """Yield the datagram, addressed to the caller of its flow.
 
-        Nothing if the flow is forgotten.
+        Yields nothing if the flow no longer has an entry.
         """
         entry = self._flows.find(route.attempt.flow_id)
         if entry is not None:
             yield self._to_caller(route.service, entry.caller, datagram)
 
     def refuse_open(self, arrival: Arrival, reason: RefusalReason) -> None:
-        """Refuse an OPEN, with no more bytes than it had.
+        """Refuse an OPEN with a body that is no longer than its own.
 
-        Anybody can send an OPEN with a forged source address; the reply
-        must not amplify it. Fields with default values are left out.
+        Anyone can send an OPEN with a forged source address, so a
+        longer reply would allow amplification attacks. Fields with
+        default values are left out to keep the body short.
         """
         body = cbor2.dumps({'reason': str(reason)})
         if len(body) <= len(arrival.datagram.body):
             self.reply(arrival, Kind.REFUSE, body)
 
     def refuse_flow(self, arrival: Arrival) -> None:
-        """Refuse a flow for which there is no room."""
+        """Refuse a flow that cannot get an entry in the flow table."""
         refusal = Refusal(reason=RefusalReason.flow_expired)
         self.reply(arrival, Kind.REFUSE, encode_body(refusal))
 
     def hand_off(self, arrival: Arrival) -> None:
-        """Pass an OPEN on to its first alternate."""
+        """Forward an OPEN to its first alternate."""
         envelope = arrival.envelope
         self._seal(
             envelope.alternates[0],
@@ -165,7 +167,7 @@
     def reply_probe(
         self, arrival: Arrival, source: Address, body: bytes
     ) -> None:
-        """Answer a probe to the socket that it came from."""
+        """Send a probe reply to the socket that sent the probe."""
         envelope = Envelope(
             sender=self.identity.sender,
             sequence=self._next_sequence(),
--- a/greengagepath/agent/request_records.py
+++ b/greengagepath/agent/request_records.py
@@ -1,4 +1,4 @@
-"""Bounded store of what is known of requests at an agent."""
+"""Bounded store of the states of requests at an agent."""
 
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -10,7 +10,7 @@
 
 
 class Attempt(NamedTuple):
-    """A request as it was sent in one flow, with its number there."""
+    """A request sent in one flow, identified by its number there."""
 
     flow_id: int
     request_number: int
@@ -18,21 +18,25 @@
 
 @unique
 class RequestState(Enum):
-    """What is known of an attempt."""
+    """State of an attempt at the agent."""
 
     IN_PROGRESS = 'in_progress'
-    # The answer is kept until the caller has acknowledged it.
+    # The answer is kept until the caller has acknowledged it or its space
+    # is needed.
     ANSWERED = 'answered'
     DELIVERED = 'delivered'
     # Never handed to the back end, or not run by it.
     REFUSED = 'refused'
-    # Handed to the back end; its answer is not known or not kept.
+    # Sent to the back end; there is no answer, or it is no longer kept.
     UNKNOWN = 'unknown'
 
 
 @dataclass(slots=True)
 class RequestRecord:
-    """One attempt. A settled record may give way to new ones."""
+    """State of one attempt.
+
+    A settled record may be evicted to make room for a new one.
+    """
 
     attempt: Attempt
     request_id: bytes
@@ -45,8 +49,8 @@
 class RecordStore:
     """At most `max_records` records, by attempt and by request id.
 
-    Settled records give way to new ones, the oldest first. Kept answers
-    are counted in `answer_bytes`.
+    A full store evicts settled records, in the order in which they were
+    settled. `answer_bytes` is the size of all kept answers.
     """
 
     def __init__(self, flows: FlowTable, max_records: int) -> None:
@@ -62,15 +66,15 @@
         return len(self._records_by_attempt)
 
     def find(self, attempt: Attempt) -> RequestRecord | None:
-        """Return the record of an attempt."""
+        """Return the record of an attempt, or None."""
         return self._records_by_attempt.get(attempt)
 
     def find_by_id(self, request_id: bytes) -> RequestRecord | None:
-        """Return the record of the last attempt of a request."""
+        """Return the record of the latest attempt of a request, or None."""
         return self._records_by_id.get(request_id)
 
     def add(self, record: RequestRecord) -> bool:
-        """Keep a new record; return False if there is no room."""
+        """Store a new record; return False if there is no room."""
         if len(self) >= self.max_records:
             if not self._settled:
                 return False
@@ -82,40 +86,40 @@
         return True
 
     def settle(self, record: RequestRecord) -> None:
-        """Let the record give way to others."""
+        """Allow the eviction of the record."""
         if not record.is_settled:
             record.is_settled = True
             self._settled[record.attempt] = record
             self._count_open(record, -1)
 
     def reopen(self, record: RequestRecord) -> None:
-        """Keep a settled record again."""
+        """Prevent the eviction of the record again."""
         if record.is_settled:
             record.is_settled = False
             self._settled.pop(record.attempt)
             self._count_open(record, 1)
 
     def keep_answer(self, record: RequestRecord, payload: bytes) -> None:
-        """Keep the answer with its record."""
+        """Store the answer in its record."""
         record.answer = payload
         self.answer_bytes += len(payload)
 
     def drop_answer(self, record: RequestRecord) -> None:
-        """Free the answer, if there is one."""
+        """Free the answer, if there is one; the outcome is then UNKNOWN."""
         if record.answer is not None:
             self.answer_bytes -= len(record.answer)
             record.answer = None
             record.state = RequestState.UNKNOWN
 
     def drop_settled_answers(self, max_bytes: int) -> None:
-        """Free answers of settled records until they fit."""
+        """Free answers of settled records down to `max_bytes` in total."""
         for record in self._settled.values():
             if self.answer_bytes <= max_bytes:
                 return
             self.drop_answer(record)
 
     def expire(self) -> None:
-        """Forget settled records of flows that are forgotten."""
+        """Remove settled records of flows that have no entry any more."""
         for attempt, record in tuple(self._settled.items()):
             if self._flows.find(attempt.flow_id) is None:
                 self._remove(record)
--- a/greengagepath/agent/requests.py
+++ b/greengagepath/agent/requests.py
@@ -1,4 +1,4 @@
-"""Requests in the flows of an agent: arrival, repetition, cancel."""
+"""Requests in the flows of an agent: reception, repeats, cancellation."""
 
 from collections import Counter
 
@@ -17,14 +17,16 @@
 from .scheduler import WorkScheduler
 
 REQUEST_ID_BYTES = 16
-# Requests of the largest size that may be in arrival at once.
+# Limit of the memory for incomplete requests, in requests of the largest
+# size.
 MAX_INCOMPLETE_REQUESTS = 16
 
 
 class FlowRequests:
-    """Takes the datagrams of flows whose token is valid and own.
+    """Processes the datagrams of flows that this agent has accepted.
 
-    `drops` counts datagrams dropped by reason; it is the owner's.
+    The caller has verified the token. `drops` counts dropped datagrams
+    by reason and is shared with the owner.
     """
 
     def __init__(
@@ -45,14 +47,17 @@
         self._reporter = reporter
 
     def replace_limits(self, limits: Limits) -> None:
-        """Take new limits from the configuration."""
+        """Apply new limits from the configuration."""
         self.reassembly.replace_limits(
             limits.max_request_bytes,
             MAX_INCOMPLETE_REQUESTS * limits.max_request_bytes,
         )
 
     def receive(self, arrival: Arrival, *, may_begin: bool) -> None:
-        """Take a datagram; `may_begin` allows the flow new requests."""
+        """Process a datagram.
+
+        `may_begin` tells whether the flow may begin new requests.
+        """
         match arrival.datagram.kind:
             case Kind.REQUEST:
                 self._receive_part(arrival, may_begin=may_begin)
@@ -64,14 +69,14 @@
                 self._ping(arrival)
 
     def start_draining(self) -> None:
-        """Refuse all requests that do not run yet."""
+        """Refuse all requests that do not run yet, incomplete ones too."""
         for route in self.reassembly.routes():
             self.reassembly.discard(route.attempt)
-            self._reporter.refuse_incomplete(route, RefusalReason.draining)
+            self._reporter.refuse_undecoded(route, RefusalReason.draining)
         self.scheduler.start_draining()
 
     def send_due_acks(self) -> None:
-        """Acknowledge parts of requests in arrival."""
+        """Acknowledge received parts of incomplete requests."""
         for partial in self.reassembly.due_acks():
             body = encode_ack(partial.receiver.take_ack())
             self._context.replies.send(partial.route, Kind.REQUEST_ACK, body)
@@ -95,7 +100,7 @@
             )
         if receiver is None:
             self.reassembly.discard(arrival.attempt)
-            self._reporter.refuse_incomplete(arrival.route, reason)
+            self._reporter.refuse_undecoded(arrival.route, reason)
         else:
             self._collect(arrival, receiver)
 
@@ -133,7 +138,7 @@
             isinstance(decoded, Err)
             or len(decoded.ok_value.request_id) != REQUEST_ID_BYTES
         ):
-            self._reporter.refuse_incomplete(
+            self._reporter.refuse_undecoded(
                 arrival.route, RefusalReason.bad_request
             )
             return
@@ -144,7 +149,7 @@
         if record is None:
             return
         if record.state is RequestState.IN_PROGRESS:
-            # The ACK of the request was lost.
+            # The caller sends it again because the ACK was lost.
             body = encode_final_ack(arrival.datagram.part_count)
             self._context.replies.send(arrival.route, Kind.REQUEST_ACK, body)
         else:
@@ -172,7 +177,7 @@
             self._context.replies.send(arrival.route, Kind.UNKNOWN_OUTCOME)
         else:
             self.reassembly.discard(arrival.attempt)
-            self._reporter.refuse_incomplete(
+            self._reporter.refuse_undecoded(
                 arrival.route, RefusalReason.cancelled
             )
 
--- a/greengagepath/agent/requests_table.py
+++ b/greengagepath/agent/requests_table.py
@@ -1,8 +1,8 @@
 """Decides for each attempt of a request whether it may run.
 
-The window of a flow knows which attempts were begun even after their
-records have gone; such an attempt never runs again, and its outcome is
-reported as unknown.
+The window of a flow tracks which attempts were begun even after their
+records have been evicted. Such an attempt never runs again; its outcome
+is reported as unknown.
 """
 
 from enum import Enum, unique
@@ -19,23 +19,23 @@
 
 @unique
 class BeginOutcome(Enum):
-    """What to do with an attempt."""
+    """Whether an attempt may run."""
 
     NEW = 'new'
-    # A record says what became of it.
+    # It was begun before and has a record with its state.
     KNOWN = 'known'
-    # It may have run, and no record says how it ended.
+    # It may have run, and there is no record of its outcome.
     UNKNOWN = 'unknown'
-    # The table has no room; it is not run.
+    # The table has no room for a record, so it must not run.
     FULL = 'full'
 
 
 class RequestTable:
-    """At most one run for each attempt and each non-idempotent request.
+    """Allows one run for each attempt and each non-idempotent request.
 
-    Kept answers are bounded by `max_answer_bytes`: answers that callers
-    no longer fetch are dropped first, and while `has_answer_room` is
-    False the owner starts no further request.
+    `max_answer_bytes` limits the kept answers: those that callers no
+    longer fetch are dropped first, and while `has_answer_room` returns
+    False the owner must not start another request.
     """
 
     def __init__(
@@ -46,11 +46,15 @@
         self._flows = flows
 
     def find(self, attempt: Attempt) -> RequestRecord | None:
-        """Return the record of an attempt."""
+        """Return the record of an attempt, or None."""
         return self.records.find(attempt)
 
     def classify(self, attempt: Attempt) -> BeginOutcome:
-        """Return NEW, KNOWN or UNKNOWN as far as the attempt tells."""
+        """Return NEW, KNOWN or UNKNOWN, without the request id.
+
+        Earlier attempts of the same request in other flows are not
+        considered.
+        """
         if self.records.find(attempt) is not None:
             return BeginOutcome.KNOWN
         entry = self._flows.find(attempt.flow_id)
@@ -61,13 +65,13 @@
     def begin(
         self, attempt: Attempt, request_id: bytes, *, idempotent: bool = False
     ) -> BeginOutcome:
-        """Record an attempt; only NEW may be run.
+        """Record an attempt; it may run only if the result is NEW.
 
-        The flow must be in the flow table, else LookupError is raised.
-        A request that was refused, or is idempotent, may be run by a
-        new attempt. Otherwise, if an earlier attempt has run or runs,
-        the outcome of this one is unknown, because the answer belongs
-        to the flow that asked first.
+        Raises LookupError if the flow is not in the flow table.
+        A request that was refused or is idempotent may run again in a
+        new attempt. Otherwise, if an earlier attempt may have run, the
+        outcome of this one is unknown, because the answer belongs to
+        the flow of the earlier attempt.
         """
         known = self.classify(attempt)
         if known is not BeginOutcome.NEW:
@@ -84,7 +88,7 @@
         return BeginOutcome.FULL
 
     def answer(self, record: RequestRecord, payload: bytes) -> None:
-        """Keep the answer of an attempt."""
+        """Record the answer to an attempt."""
         record.state = RequestState.ANSWERED
         self.records.keep_answer(record, payload)
         self.records.drop_settled_answers(self.max_answer_bytes)
@@ -95,10 +99,10 @@
         record.refusal = refusal
         self.records.settle(record)
 
-    def refuse_incomplete(self, attempt: Attempt, refusal: Refusal) -> None:
-        """Refuse an attempt whose request has not arrived as a whole.
+    def refuse_undecoded(self, attempt: Attempt, refusal: Refusal) -> None:
+        """Record the refusal of an attempt without a decoded request.
 
-        The flow must be in the flow table, else LookupError is raised.
+        Raises LookupError if the flow is not in the flow table.
         """
         self._mark_begun(attempt)
         record = RequestRecord(attempt, request_id=b'')
@@ -111,13 +115,13 @@
         self.records.settle(record)
 
     def acknowledge(self, record: RequestRecord) -> None:
-        """Free an answer that has arrived at the caller as a whole."""
+        """Free an answer that the caller has received or cancelled."""
         self.records.drop_answer(record)
         record.state = RequestState.DELIVERED
         self.records.settle(record)
 
     def has_answer_room(self) -> bool:
-        """Return whether another answer may be produced."""
+        """Return whether the kept answers are below their limit."""
         return self.records.answer_bytes < self.max_answer_bytes
 
     def _mark_begun(self, attempt: Attempt) -> None:
--- a/greengagepath/agent/scheduler.py
+++ b/greengagepath/agent/scheduler.py
@@ -1,4 +1,4 @@
-"""Admitted requests of an agent, from admission to their outcome."""
+"""Scheduling of requests at an agent, from admission to outcome."""
 
 from collections import Counter
 from dataclasses import replace
@@ -15,20 +15,23 @@
 from .work import Answered, NotRun, OutcomeUnknown, RunOutcome, Work
 
 MILLISECONDS = 1000
-# Runs that the back end turned down are tried again so many times.
+# Retries of a request that the back end has not run.
 MAX_RETRIES = 2
+# Upper bound of the random delay before the first retry; it doubles with
+# each retry.
 BACKOFF_S = 0.02
-# Answers by which a back end or a proxy of it says that it is overloaded.
-# A 504 after the deadline says nothing of the load.
+# Statuses with which a back end or its proxy reports overload. A 504 after
+# the deadline is no sign of overload.
 OVERLOAD_STATUSES = frozenset((502, 503))
 MIN_SERVER_ERROR_STATUS = 500
+# Weight of a new run in the moving average of the failure rate.
 FAILURE_WEIGHT = 0.1
 _FLOW_ID_BYTES = 8
 _REQUEST_NUMBER_BYTES = 4
 
 
 class FailureRate:
-    """Recent share of runs that the back end failed."""
+    """Moving average of the share of runs that failed, from 0 to 1."""
 
     __slots__ = ('_runs', 'rate')
 
@@ -37,15 +40,15 @@
         self._runs = 0
 
     def record(self, failed: bool) -> None:
-        """Take the end of a run."""
+        """Add the result of a run."""
         self._runs += 1
         self.rate += FAILURE_WEIGHT * (failed - self.rate)
 
     def decay(self) -> None:
-        """Halve the share if there was no run since the last call.
+        """Halve the rate if there was no run since the last call.
 
-        A target that is avoided for its failures would otherwise never
-        be tried again.
+        Otherwise a target that balancers avoid because it is failing
+        would never get another request.
         """
         if not self._runs:
             self.rate /= 2
@@ -53,9 +56,10 @@
 
 
 class WorkScheduler:
-    """Offers requests to the gate and takes how their runs end.
+    """Offers requests to the gate and handles their outcomes.
 
-    `events` counts retries, `failures` the runs that the back end failed.
+    `events` counts retries and suppressed retries. `failure_rate` is
+    that of the runs at the back end.
     """
 
     def __init__(
@@ -73,7 +77,7 @@
         return len(self._works_by_key)
 
     def admit(self, arrival: Arrival, request: Request) -> None:
-        """Offer a request that has arrived as a whole."""
+        """Offer a complete request to the gate."""
         context = self._context
         route = arrival.route
         begin = context.request_table.begin(
@@ -98,7 +102,7 @@
             context.replies.send(route, Kind.UNKNOWN_OUTCOME)
 
     def next_work(self) -> Work | None:
-        """Return the next request to hand to the back end, or None."""
+        """Return the next request to send to the back end, or None."""
         context = self._context
         queued = None
         if context.request_table.has_answer_room():
@@ -116,7 +120,7 @@
         self._report_refused()
 
     def complete(self, work: Work, outcome: RunOutcome) -> None:
-        """Take how the run of a request ended."""
+        """Handle the outcome of a run and free its slot."""
         duration_s = self._context.timers.now() - work.started_s
         match outcome:
             case Answered(status=status):
@@ -136,7 +140,11 @@
                 self._reporter.report_unknown(work)
 
     def _free_slot(self, work: Work, duration_s: float) -> None:
-        """Free the slot of a run without an answer."""
+        """Free the slot of a run without an answer.
+
+        Only a run that ended before its deadline, and was not cancelled,
+        counts as a failure of the back end.
+        """
         is_late = self._context.timers.now() >= work.deadline_s
         if work.is_cancelled or is_late:
             self._context.gate.abandon(work.key, duration_s)
@@ -145,7 +153,7 @@
             self.failure_rate.record(failed=True)
 
     def cancel(self, record: RequestRecord, route: Route) -> None:
-        """Cancel an attempt on behalf of its caller."""
+        """Cancel an attempt at the request of its caller."""
         if record.state is RequestState.ANSWERED:
             self._reporter.stop_answer(record)
             return
@@ -160,11 +168,11 @@
                 work.is_cancelled = True
                 self._cancelled.append(work)
             case CancelOutcome.NOT_HELD:
-                # It waits for its next try at the back end.
+                # It waits for its next retry.
                 self._refuse(work, RefusalReason.cancelled)
 
     def take_cancelled(self) -> list[Work]:
-        """Return running requests to stop at the back end."""
+        """Return running requests that were cancelled since the last call."""
         cancelled = self._cancelled
         self._cancelled = []
         return cancelled
@@ -219,7 +227,7 @@
         )
 
     def _offer_again(self, work: Work) -> None:
-        # It may have been cancelled or refused while it waited.
+        # It may have been cancelled or refused during the delay.
         if work.key in self._works_by_key:
             work.queued = replace(work.queued)
             self._offer(work)
@@ -254,7 +262,8 @@
 
 
 def _gate_key(attempt: Attempt) -> bytes:
-    # An idempotent request may have two attempts in the gate at once.
+    # Not the request id: an idempotent request may have two attempts in
+    # the gate at the same time.
     return attempt.flow_id.to_bytes(
         _FLOW_ID_BYTES, 'big'
     ) + attempt.request_number.to_bytes(_REQUEST_NUMBER_BYTES, 'big')
--- a/greengagepath/agent/work.py
+++ b/greengagepath/agent/work.py
@@ -1,4 +1,4 @@
-"""A request that an agent has admitted, and how its run ended."""
+"""Admitted requests of an agent and the outcomes of their runs."""
 
 from dataclasses import dataclass, field
 
@@ -12,8 +12,9 @@
 class Work:
     """An admitted attempt.
 
-    `queued` is its entry in the gate. `retries` counts runs that the
-    back end turned down.
+    `queued` is its entry in the gate. `started_s` is when its latest run
+    started, in time of the timer service. `retries` counts its runs
+    after the first.
     """
 
     route: Route
@@ -26,18 +27,18 @@
 
     @property
     def deadline_s(self) -> float:
-        """When the caller gives up, in time of the timer service."""
+        """Deadline of the caller, in time of the timer service."""
         return self.queued.deadline_s
 
     @property
     def key(self) -> bytes:
-        """The id of the attempt in the gate."""
+        """Id of the attempt in the gate."""
         return self.queued.request_id
 
 
 @dataclass(slots=True, frozen=True)
 class Answered:
-    """The back end has answered."""
+    """The back end has answered with an HTTP status."""
 
     status: int
     headers: dict[str, str] = field(default_factory=dict)
@@ -48,8 +49,9 @@
 class NotRun:
     """The back end has certainly not run the request.
 
-    `reason` is what the caller is told: that the back end shed it, that
-    no connection took any byte of it, or that it cannot be sent.
+    `cause` describes it in words. `reason` is sent to the caller:
+    the back end shed the request (`queue_full`), no byte of it was sent
+    (`no_target`), or it cannot be sent (`bad_request`).
     """
 
     cause: str
