--- a/greengagepath/agent/requests_table.py
+++ b/greengagepath/agent/requests_table.py
@@ -50,10 +50,9 @@
         return self.records.find(attempt)
 
     def classify(self, attempt: Attempt) -> BeginOutcome:
-        """Return NEW, KNOWN or UNKNOWN, without the request id.
+        """Return whether an attempt is NEW, KNOWN or UNKNOWN.
 
-        Earlier attempts of the same request in other flows are not
-        considered.
+        Attempts of the same request in other flows are not considered.
         """
         if self.records.find(attempt) is not None:
             return BeginOutcome.KNOWN
@@ -127,5 +126,7 @@
     def _mark_begun(self, attempt: Attempt) -> None:
         entry = self._flows.find(attempt.flow_id)
         if entry is None:
-            raise LookupError(f'flow {attempt.flow_id:016x} has no entry')
+            raise LookupError(
+                f'flow {attempt.flow_id:016x} is not in the flow table'
+            )
         entry.window.accept(attempt.request_number)
--- a/greengagepath/agent/work.py
+++ b/greengagepath/agent/work.py
@@ -13,8 +13,8 @@
     """An admitted attempt.
 
     `queued` is its entry in the gate. `started_s` is when its latest run
-    started, in time of the timer service. `retries` counts its runs
-    after the first.
+    started, in time of the timer service. `retries` counts its
+    retries so far.
     """
 
     route: Route
--- a/tests/agent/harness.py
+++ b/tests/agent/harness.py
@@ -1,4 +1,4 @@
-"""Back end, fabric and balancer around one agent process."""
+"""Runs one agent process with a fake back end, fabric and balancer."""
 
 import os
 import socket as plain_socket
@@ -34,7 +34,11 @@
 
 
 class BackEndServer:
-    """Counts runs by request id; the path says what to do."""
+    """Back end that counts runs by request id.
+
+    The first path segment selects the behaviour: `health`, `shed`,
+    `sleep/<seconds>`, `bytes/<count>`, or anything else for an echo.
+    """
 
     def __init__(self):
         self.runs = Counter()
@@ -73,7 +77,11 @@
 
 
 class FakeBalancer:
-    """Balancer and fabric in one: wraps datagrams for the agent."""
+    """Balancer and fabric in one process.
+
+    Forwards datagrams of callers to the agent in envelopes, and replies
+    of the agent to the callers.
+    """
 
     def __init__(self, agent_port):
         self.agent = (HOST, agent_port)
@@ -119,7 +127,7 @@
 
 
 class AgentProcess:
-    """An agent with its settings file in a folder of the test."""
+    """An agent process; its settings and log are files in `folder`."""
 
     def __init__(self, folder, port, fabric_port, back_end_port):
         secret = Path(folder, 'tag.key')
@@ -131,7 +139,7 @@
                 control_port=free_port(),
                 fabric_port=fabric_port,
                 back_end_port=back_end_port,
-                # Nothing listens there: the object API is down.
+                # Nothing listens on this port: the object API is down.
                 object_port=free_port(),
             ),
             encoding='utf-8',
@@ -158,7 +166,7 @@
 
 
 class AgentHarness:
-    """All of it; `client` calls through the front."""
+    """An agent process, its back end and balancer, and a client."""
 
     def __init__(self, folder):
         self.folder = folder
--- a/tests/agent/run_agent.py
+++ b/tests/agent/run_agent.py
@@ -1,4 +1,4 @@
-"""Runs one agent; started by test_agent_process with a settings file."""
+"""Entry point of the agent process that the harness starts."""
 
 import sys
 
--- a/tests/agent/test_agent_fuzz.py
+++ b/tests/agent/test_agent_fuzz.py
@@ -18,7 +18,8 @@
 class AgentFuzzTest(TestCase):
     @given(st.lists(st.binary(max_size=200), max_size=10))
     def test_any_bytes_from_outside_are_dropped(self, datagrams):
-        # Guards against a datagram that ends the process.
+        # Guards against a malformed envelope that raises an exception, which
+        # ends the process, or that is not counted as dropped.
         world = World()
         for datagram in datagrams:
             world.receive(datagram)
@@ -37,8 +38,8 @@
         )
     )
     def test_any_datagram_of_a_flow_is_handled(self, fields):
-        # Guards against fields of a caller that ends the process, or
-        # that lead to work.
+        # Guards against field values, such as a part count of 0, that raise
+        # an exception or start a request that is not well-formed.
         world = World()
         flow = world.open_flow()
         for kind, number, part, part_count, body in fields:
@@ -51,7 +52,8 @@
 
     @given(st.binary(max_size=100))
     def test_any_bytes_in_an_envelope_are_dropped(self, inner):
-        # Guards against a balancer that forwards what it did not check.
+        # Guards against a malformed datagram in a valid envelope: balancers
+        # forward datagrams without checking their content.
         world = World()
         envelope = Envelope(1, 1, BALANCER, SERVICE_ADDRESS)
         world.receive(seal_envelope(world.keys, envelope, inner))
@@ -60,7 +62,8 @@
 
 class AgentMetricsTest(TestCase):
     def test_fill_of_every_table_is_shown(self):
-        # Guards against a limit that nobody can see coming.
+        # Guards against a bounded table without metrics, which fills up
+        # unnoticed.
         world = World()
         world.request(world.open_flow())
         work = world.running[0]
--- a/tests/agent/test_agent_machine.py
+++ b/tests/agent/test_agent_machine.py
@@ -1,4 +1,4 @@
-"""Invariants of an agent under duplicated, late and replayed datagrams."""
+"""Invariants of an agent with duplicated, late and replayed datagrams."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -17,7 +17,10 @@
 
 
 class AgentMachine(RuleBasedStateMachine):
-    """Callers retry only what was refused, or is idempotent."""
+    """Random sequences of events at one agent.
+
+    Callers retry only requests that the agent has refused.
+    """
 
     def __init__(self):
         super().__init__()
@@ -153,7 +156,7 @@
 
     @invariant()
     def caller_receives_the_answer_to_its_own_request(self):
-        # Flows and tokens are checked by the world for each datagram.
+        # World checks flow and token of each datagram to a caller.
         for attempt, answer in self.world.answers_by_attempt.items():
             request = self.world.requests_by_attempt[attempt]
             assert answer.request_id == request.request_id
@@ -174,7 +177,7 @@
         )
 
     def _retriable(self):
-        """Return attempts whose request certainly did not run."""
+        """Return refused attempts that were not retried yet."""
         refused = self.world.refused_attempts() - self.retried
         return sorted(refused & self.world.requests_by_attempt.keys())
 
--- a/tests/agent/test_agent_process.py
+++ b/tests/agent/test_agent_process.py
@@ -1,4 +1,4 @@
-"""One real agent process between a front and a back end."""
+"""Tests of one agent process between a fake balancer and a back end."""
 
 import hashlib
 import shutil
@@ -28,7 +28,8 @@
         self.assertTrue(self.harness.call('/echo', body=b'up').is_ok())
 
     def test_mixed_load_is_answered_once(self):
-        # Guards against lost, repeated or damaged answers under load.
+        # Guards against answers that are lost or damaged, and requests that
+        # run twice, when one large and many small requests share the agent.
         body = b'0123456789abcdef' * 65536
         large = gevent.spawn(self.harness.call, '/echo', 30.0, body=body)
         small = [
@@ -43,7 +44,8 @@
         self.assertEqual(1, max(self.harness.back_end.runs.values()))
 
     def test_sigterm_finishes_what_runs(self):
-        # Guards against a graceful shutdown that cuts requests.
+        # Guards against a graceful shutdown that aborts running requests or
+        # leaves new ones without a reply.
         running = gevent.spawn(self.harness.call, '/sleep/1')
         gevent.sleep(0.3)
         self.harness.agent.process.send_signal(signal.SIGTERM)
@@ -55,7 +57,8 @@
         self.assertEqual(0, self.harness.agent.wait(10))
 
     def test_second_sigterm_ends_at_once_and_logs_the_rest(self):
-        # Guards against a process that cannot be ended.
+        # Guards against a process that cannot be stopped while a request
+        # still runs, and against requests left without a log record.
         running = gevent.spawn(self.harness.call, '/sleep/5', 3.0)
         gevent.sleep(0.3)
         for _ in range(2):
@@ -69,7 +72,8 @@
         running.kill()
 
     def test_killed_agent_runs_nothing_again(self):
-        # Guards against a restart that repeats a non-idempotent request.
+        # Guards against a restarted agent that runs a non-idempotent request
+        # again when its caller retransmits it.
         running = gevent.spawn(self.harness.call, '/sleep/0.5', 8.0)
         gevent.sleep(0.3)
         self.harness.agent.end()
--- a/tests/agent/test_backend.py
+++ b/tests/agent/test_backend.py
@@ -1,4 +1,4 @@
-"""Outcomes of requests by what the back end does with its connection."""
+"""Outcomes of requests for each way in which a back end can fail."""
 
 import time
 from random import Random
@@ -30,7 +30,11 @@
 
 
 class ScriptedServer:
-    """Answers each request of each connection with the next reply."""
+    """Answers each request with the next of `replies`.
+
+    The first `silent_connections` connections stop answering after the
+    first request.
+    """
 
     def __init__(self, *replies, silent_connections=0):
         self.replies = list(replies)
@@ -65,7 +69,8 @@
         self.timers = LoopTimerService()
 
     def test_answer_and_headers(self):
-        # Guards against a back end that cannot tell requests apart.
+        # Guards against missing headers, without which the back end cannot
+        # detect repeats, tell customers apart or respect the deadline.
         server = self._start(OK)
         outcome = self._run(_work(self.timers, headers={'A': 'b'}))
         self.assertEqual(Answered(200, {}, b'ok'), outcome)
@@ -77,21 +82,23 @@
         self.assertTrue(4500 < left_ms <= 5000)
 
     def test_connection_is_reused(self):
-        # Guards against a connection for each request.
+        # Guards against a new connection for each request.
         server = self._start(OK, OK)
         for _ in range(2):
             self._run(_work(self.timers))
         self.assertEqual(1, server.connections)
 
     def test_refused_connection_is_not_run(self):
-        # Guards against an unknown outcome where nothing was sent.
+        # Guards against an unknown outcome although nothing was sent; the
+        # caller could not retry a non-idempotent request.
         self._connect(free_port())
         outcome = self._run(_work(self.timers))
         self.assertIsInstance(outcome, NotRun)
         self.assertEqual(RefusalReason.no_target, outcome.reason)
 
     def test_shed_request_is_not_run(self):
-        # Guards against a shed request that is taken for a failure.
+        # Guards against a shed request that is reported as an answer or as
+        # unknown, so that the caller does not retry it.
         self._start(SHED, OK)
         self.assertEqual(
             RefusalReason.queue_full, self._run(_work(self.timers)).reason
@@ -99,22 +106,26 @@
         self.assertIsInstance(self._run(_work(self.timers)), Answered)
 
     def test_plain_503_is_an_answer(self):
-        # Guards against "not run" that the back end did not say.
+        # Guards against "not run" for a 503 without X-Not-Run, after which
+        # the request may have run.
         self._start(BUSY)
         self.assertEqual(503, self._run(_work(self.timers)).status)
 
     def test_connection_lost_after_sending_is_unknown(self):
-        # Guards against a request that runs again after a lost answer.
+        # Guards against "not run" when the connection closes before the
+        # answer: the request may have run, and a retry would repeat it.
         self._start(CLOSE)
         self.assertIsInstance(self._run(_work(self.timers)), OutcomeUnknown)
 
     def test_cut_answer_is_unknown(self):
-        # Guards against half an answer that passes for a whole one.
+        # Guards against a truncated answer that is passed on as complete
+        # when the connection closes before Content-Length bytes.
         self._start(CUT)
         self.assertIsInstance(self._run(_work(self.timers)), OutcomeUnknown)
 
     def test_silence_past_the_deadline_is_unknown(self):
-        # Guards against a slot that a silent back end holds for ever.
+        # Guards against a slot that stays occupied when the back end never
+        # answers.
         self._start(OK, silent_connections=1)
         self._run(_work(self.timers))
         started_s = time.monotonic()
@@ -123,7 +134,8 @@
         self.assertLess(time.monotonic() - started_s, 1.0)
 
     def test_silent_idle_connection_is_replaced(self):
-        # Guards against requests into a connection that went silent.
+        # Guards against requests sent over an idle connection whose peer has
+        # stopped answering without closing it.
         server = self._start(OK, OK, silent_connections=1)
         self._run(_work(self.timers))
         gevent.sleep(PROBE_AFTER_S + 0.05)
@@ -131,8 +143,8 @@
         self.assertEqual(2, server.connections)
 
     def test_closed_idle_connection_is_replaced(self):
-        # Guards against an unknown outcome for want of a look at the
-        # connection.
+        # Guards against an unknown outcome because a request is sent over an
+        # idle connection that has been closed.
         server = self._start(OK, OK)
         self._run(_work(self.timers))
         self.pool._idle[0].sock.shutdown(2)
@@ -140,7 +152,8 @@
         self.assertEqual(2, server.connections)
 
     def test_cancel_closes_the_connection(self):
-        # Guards against a cancelled request that holds its slot.
+        # Guards against a cancelled request that keeps its slot until the
+        # deadline.
         self._start(OK, silent_connections=1)
         self._run(_work(self.timers))
         work = _work(self.timers)
@@ -151,13 +164,14 @@
         self.assertIsInstance(greenlet.get(timeout=1), OutcomeUnknown)
 
     def test_too_large_answer_is_reported(self):
-        # Guards against memory without bound for one answer.
+        # Guards against unbounded memory for one large answer.
         self._start(LARGE)
         self.back_end.max_answer_bytes = 4096
         self.assertEqual(502, self._run(_work(self.timers)).status)
 
     def test_request_that_cannot_be_sent_is_bad(self):
-        # Guards against callers that write headers of their own making.
+        # Guards against header injection: line breaks in a header, path or
+        # method would let a caller set X-Customer itself.
         server = self._start(OK)
         for fields in (
             {'headers': {'A': 'b\r\nX-Customer: blue'}},
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -1,4 +1,4 @@
-"""An agent, its callers and its back end in virtual time."""
+"""Simulates an agent, its callers and its back end in virtual time."""
 
 import itertools
 import time
@@ -67,7 +67,7 @@
 
 @dataclass
 class SentRequest:
-    """A request as a caller knows it."""
+    """Fields of a request that a caller sends."""
 
     request_id: bytes
     idempotent: bool = False
@@ -90,7 +90,10 @@
 
 @dataclass
 class SentFlow:
-    """A flow as its caller knows it."""
+    """State of an accepted flow at its caller.
+
+    `callers` holds all addresses that the caller has used.
+    """
 
     flow_id: int
     token: bytes
@@ -100,7 +103,11 @@
 
 
 class World:
-    """Collects what happens; `check` raises on a broken invariant."""
+    """Runs an agent and records the datagrams and runs of requests.
+
+    Raises AssertionError if the agent starts a request while draining
+    or sends a datagram to the wrong caller.
+    """
 
     def __init__(self, limits=SMALL, service=None):
         self.timers = VirtualTimerService(1000.0)
@@ -110,7 +117,7 @@
         self.sequence = 0
         self.numbers = itertools.count(1)
         self.flows = []
-        # (flow, number) to what was sent, and to what came back.
+        # Sent requests and received replies by (flow id, request number).
         self.requests_by_attempt = {}
         self.replies_by_attempt = {}
         self.receivers_by_attempt = {}
@@ -126,7 +133,7 @@
         self.restart()
 
     def restart(self):
-        """Replace the agent; what runs goes on unseen."""
+        """Replace the agent; running requests get no outcome."""
         self.incarnation += 1
         self.running = []
         self.draining = False
@@ -146,7 +153,7 @@
         )
 
     def send(self, datagram, caller, **envelope):
-        """Deliver a datagram as a balancer forwards it."""
+        """Deliver a datagram in an envelope, as a balancer does."""
         self.sent.append((datagram, caller))
         self.sealed.append(self.seal(datagram, caller, **envelope))
         self.receive(self.sealed[-1])
@@ -163,7 +170,7 @@
         self.pump()
 
     def open_flow(self, caller=('198.51.100.1', 4000), **envelope):
-        """Return the accepted flow, or None."""
+        """Send an OPEN; return the accepted flow, or None."""
         flow_id = next(self.numbers)
         known = len(self.flows)
         opening = ServiceDatagram(
@@ -188,7 +195,7 @@
         self.send(self.datagram(flow, kind, number, body), flow.caller)
 
     def request(self, flow, parts=1, request=None, **fields):
-        """Send a request; return its attempt."""
+        """Send a request; return its (flow id, request number)."""
         if request is None:
             request = SentRequest(
                 next(self.numbers).to_bytes(16, 'big'), parts=parts, **fields
@@ -229,7 +236,7 @@
         )
 
     def finish(self, position, kind, body=b''):
-        """End a run: 'answered', 'not_run' or 'unknown'."""
+        """End a run; `kind` is 'answered', 'not_run' or 'unknown'."""
         work = self.running.pop(position % len(self.running))
         match kind:
             case 'answered':
@@ -254,7 +261,7 @@
         self.pump()
 
     def advance(self, duration_s):
-        """Move time; the agent ticks at the end of each step."""
+        """Advance the time in steps; the agent ticks after each one."""
         end_s = self.timers.now() + duration_s
         while self.timers.now() < end_s:
             left_s = end_s - self.timers.now()
@@ -277,7 +284,7 @@
             self._deliver(part)
 
     def runs_of_request(self):
-        """Return runs by request id, of non-idempotent requests."""
+        """Return the number of runs of each non-idempotent request."""
         runs = Counter()
         for attempt, started in self.started_by_attempt.items():
             request = self.requests_by_attempt[attempt]
@@ -310,7 +317,7 @@
 
     def _receive_at_caller(self, caller, datagram):
         if datagram.kind is Kind.ACCEPT:
-            # A caller keeps the first of several.
+            # A caller keeps the first of several ACCEPTs.
             if all(flow.flow_id != datagram.flow_id for flow in self.flows):
                 self.flows.append(
                     SentFlow(datagram.flow_id, datagram.body, caller, {caller})
@@ -319,7 +326,7 @@
         attempt = (datagram.flow_id, datagram.request_number)
         replies = self.replies_by_attempt.setdefault(attempt, [])
         if datagram.token == bytes(32):
-            # The refusal of an OPEN.
+            # Without a token, it is the refusal of an OPEN.
             replies.append(Kind.REFUSE)
             return
         flow = self.flow_of(attempt)
