--- a/tests/agent/test_agent_flows.py
+++ b/tests/agent/test_agent_flows.py
@@ -29,7 +29,8 @@
         self.agent = self.world.agent
 
     def test_request_is_answered(self):
-        # Guards against an agent that does not serve at all.
+        # Guards against a failure in the basic exchange: a request in several
+        # parts, its answer, and the release of the answer after its ACK.
         attempt = self.world.request(self.world.open_flow(), parts=3)
         self.world.finish(0, 'answered', b'done')
         answer = self.world.answers_by_attempt[attempt]
@@ -40,7 +41,8 @@
         self.assertEqual(0, self.agent.request_table.records.answer_bytes)
 
     def test_lost_refusal_is_repeated_on_ping(self):
-        # Guards against a caller that waits for a datagram that was lost.
+        # Guards against a caller that waits until its deadline because the
+        # datagram with the refusal was lost.
         attempt = self.world.request(self.world.open_flow(), deadline_ms=0)
         self.world.replies_by_attempt.clear()
         self.world.send_in_flow(self.world.flows[0], Kind.PING, attempt[1])
@@ -52,7 +54,8 @@
         self.assertEqual([RefusalReason.deadline], reasons)
 
     def test_lost_parts_of_an_answer_are_sent_again(self):
-        # Guards against an answer that stays incomplete.
+        # Guards against an answer that stays incomplete because lost parts
+        # are not retransmitted.
         attempt = self.world.request(self.world.open_flow())
         self.world.finish(0, 'answered', bytes(4000))
         self.world.receivers_by_attempt.clear()
@@ -61,7 +64,8 @@
         self.assertIn(attempt, self.world.answers_by_attempt)
 
     def test_answer_is_kept_for_a_caller_that_returns(self):
-        # Guards against an answer that is lost while its caller is away.
+        # Guards against an answer that is dropped when its transfer fails;
+        # the caller may be unreachable for a time and then ask for it.
         attempt = self.world.request(self.world.open_flow())
         self.world.finish(0, 'answered', b'kept')
         self.world.advance(20.0)
@@ -71,7 +75,8 @@
         self.assertEqual(b'kept', self.world.answers_by_attempt[attempt].body)
 
     def test_token_of_earlier_incarnation_has_unknown_outcome(self):
-        # Guards against a restarted agent that runs old requests again.
+        # Guards against a restarted agent that has lost its records and runs
+        # requests of earlier flows again.
         flow = self.world.open_flow()
         self.world.restart()
         attempt = self.world.request(flow)
@@ -81,7 +86,8 @@
         self.assertEqual([], self.world.running)
 
     def test_old_flow_begins_no_request(self):
-        # Guards against requests that outlive the record of their flow.
+        # Guards against requests that begin so late that their duplicates
+        # arrive after the entry of the flow was removed.
         flow = self.world.open_flow()
         self.world.advance(FLOW_LIFETIME_S + 1)
         attempt = self.world.request(flow)
@@ -89,7 +95,8 @@
         self.assertEqual(RefusalReason.flow_expired, refusal.reason)
 
     def test_second_attempt_of_a_running_request_does_not_run(self):
-        # Guards against at-most-once by flow only.
+        # Guards against a check of attempts within one flow only, which lets
+        # a retry in another flow run the same request again.
         first = self.world.request(self.world.open_flow())
         other = self.world.open_flow()
         again = self.world.request(
@@ -101,8 +108,8 @@
         )
 
     def test_answers_go_to_the_newest_address(self):
-        # Guards against answers to a port that the caller has left, and
-        # against a late datagram of that port that moves the flow back.
+        # Guards against answers to the old address after a caller has changed
+        # it, and against a late datagram from there that changes it back.
         flow = self.world.open_flow(('198.51.100.1', 1))
         attempt = self.world.request(flow)
         flow.caller = ('198.51.100.1', 2)
@@ -117,13 +124,15 @@
         self.assertEqual(('198.51.100.1', 1), entry.caller)
 
     def test_replayed_envelope_is_dropped(self):
-        # Guards against replays between the system's processes.
+        # Guards against replays of envelopes from other processes of the
+        # system.
         self.world.open_flow()
         self.world.receive(self.world.sealed[-1])
         self.assertEqual(1, self.agent.drops[DropReason.REPLAYED])
 
     def test_foreign_and_malformed_datagrams_are_counted(self):
-        # Guards against datagrams that end the process or get a reply.
+        # Guards against invalid datagrams that raise an exception, which ends
+        # the process, or that are not counted under their reason.
         flow = self.world.open_flow()
         sealed = self.world.sealed[-1]
         wrong_service = ServiceDatagram(Kind.OPEN, 8, 1, body=bytes(32))
@@ -145,7 +154,7 @@
         )
 
     def test_open_is_handed_off_when_draining(self):
-        # Guards against new flows at a leaving target.
+        # Guards against new flows at a target that is about to stop.
         self.agent.start_draining()
         self.world.open_flow(alternates=(OTHER_AGENT, BALANCER))
         outgoing, datagram = self.world.to_peers[-1]
@@ -153,8 +162,9 @@
         self.assertEqual(Kind.OPEN, datagram.kind)
         self.assertEqual([], self.world.flows)
 
-    def test_request_in_arrival_is_refused_when_draining(self):
-        # Guards against callers that wait for a target that has left.
+    def test_incomplete_request_is_refused_when_draining(self):
+        # Guards against callers that go on sending parts to a target that
+        # will not run the request, and against a drain that never ends.
         flow = self.world.open_flow()
         request = SentRequest(bytes(16), parts=3)
         parts = self.world.request_datagrams(flow, 1, request)
@@ -165,14 +175,16 @@
         self.assertTrue(self.agent.is_idle)
 
     def test_open_is_refused_after_the_last_hand_off(self):
-        # Guards against an OPEN that circulates.
+        # Guards against an OPEN that is passed between full or draining
+        # agents without end.
         self.agent.start_draining()
         self.world.open_flow(alternates=(OTHER_AGENT,), hops=MAX_HAND_OFFS)
         self.assertEqual([], self.world.to_peers)
         self.assertIn([Kind.REFUSE], self.world.replies_by_attempt.values())
 
     def test_probe_reports_the_load(self):
-        # Guards against balancers that choose by wrong figures.
+        # Guards against wrong load figures in probe replies, by which
+        # balancers choose targets.
         flow = self.world.open_flow()
         for _ in range(3):
             self.world.request(flow)
@@ -185,9 +197,10 @@
         self.assertEqual(2, int.from_bytes(reply.body[:2], 'big'))
         self.assertEqual(ProbeState.ACCEPTING, reply.body[-1])
 
-    def test_failing_back_end_is_reported_and_forgiven(self):
-        # Guards against a target that fails unseen, and against one that
-        # is avoided for ever.
+    def test_failing_back_end_is_reported_until_the_rate_decays(self):
+        # Guards against a failing target that balancers go on choosing, and
+        # against one that they never choose again because, without requests,
+        # its failure rate does not fall.
         flow = self.world.open_flow()
         states = []
         for _ in range(10):
@@ -203,7 +216,8 @@
         self.assertEqual([ProbeState.FAILING, ProbeState.ACCEPTING], states)
 
     def test_running_request_is_cancelled_at_the_back_end(self):
-        # Guards against "not run" for a request that had begun.
+        # Guards against "not run" for a request that was cancelled while it
+        # ran at the back end.
         attempt = self.world.request(self.world.open_flow())
         self.world.send_in_flow(self.world.flows[0], Kind.CANCEL, attempt[1])
         self.assertEqual(self.world.running, self.world.cancelled)
@@ -212,8 +226,9 @@
             Kind.UNKNOWN_OUTCOME, self.world.replies_by_attempt[attempt][-1]
         )
 
-    def test_work_that_was_not_run_is_tried_again_within_the_budget(self):
-        # Guards against retry storms and against giving up at once.
+    def test_request_that_was_not_run_is_retried_at_most_twice(self):
+        # Guards against unlimited retries, which overload the back end, and
+        # against a refusal after the first failed connection.
         attempt = self.world.request(self.world.open_flow())
         for _ in range(3):
             self.world.finish(0, 'not_run')
@@ -223,7 +238,8 @@
         self.assertEqual(RefusalReason.no_target, refusal.reason)
 
     def test_cancelled_request_is_not_tried_again(self):
-        # Guards against a run after the caller was told "not run".
+        # Guards against a retry that runs a request after its caller got a
+        # refusal, which promises that it was not run.
         attempt = self.world.request(self.world.open_flow())
         self.world.finish(0, 'not_run')
         self.world.send_in_flow(self.world.flows[0], Kind.CANCEL, attempt[1])
@@ -233,7 +249,8 @@
         self.assertEqual(1, self.world.started_by_attempt[attempt])
 
     def test_duplicate_of_a_refused_request_is_refused_again(self):
-        # Guards against an unknown outcome where the refusal was lost.
+        # Guards against an unknown outcome for a retransmitted request whose
+        # refusal was lost.
         self.world.request(self.world.open_flow(), deadline_ms=0)
         datagram, caller = self.world.sent[-1]
         self.world.send(datagram, caller)
@@ -242,7 +259,8 @@
         self.assertEqual(2, len(refusals))
 
     def test_duplicate_of_a_running_request_is_acknowledged(self):
-        # Guards against a caller that sends a long request over and over.
+        # Guards against a caller that keeps retransmitting a request because
+        # the ACK was lost, and against a second run of it.
         self.world.request(self.world.open_flow())
         datagram, caller = self.world.sent[-1]
         self.world.send(datagram, caller)
@@ -250,8 +268,9 @@
         self.assertEqual([Kind.REQUEST_ACK, Kind.REQUEST_ACK], replies)
         self.assertEqual(1, len(self.world.running))
 
-    def test_request_runs_once_after_its_record_has_given_way(self):
-        # Guards against at-most-once that ends with the record.
+    def test_request_runs_once_after_its_record_was_evicted(self):
+        # Guards against a duplicate that runs again because the record of its
+        # request was evicted.
         world = World(Limits(slots=2, request_records=1))
         flow = world.open_flow()
         for _ in range(2):
@@ -267,7 +286,8 @@
         )
 
     def test_cancel_that_overtakes_its_request_holds(self):
-        # Guards against a request that runs after its cancellation.
+        # Guards against a request that runs because its cancellation arrived
+        # first and was not recorded.
         flow = self.world.open_flow()
         self.world.send_in_flow(flow, Kind.CANCEL, flow.next_number)
         attempt = self.world.request(flow)
@@ -278,7 +298,8 @@
         self.assertEqual([], self.world.running)
 
     def test_full_request_table_refuses(self):
-        # Guards against a table that forgets what still runs.
+        # Guards against a full table that evicts the records of requests that
+        # are queued or running.
         world = World(Limits(slots=1, queue_length=5, request_records=2))
         flow = world.open_flow()
         attempts = [world.request(flow) for _ in range(3)]
@@ -286,7 +307,8 @@
         self.assertEqual(RefusalReason.table_full, refusal.reason)
 
     def test_unfetched_answers_hold_back_new_work(self):
-        # Guards against memory without bound for answers.
+        # Guards against unbounded memory for answers that callers do not
+        # acknowledge.
         world = World(Limits(slots=2, max_answer_bytes=1024))
         flow = world.open_flow()
         for _ in range(4):
@@ -301,7 +323,8 @@
         self.assertEqual(1, len(world.running))
 
     def test_operation_comes_from_the_configuration(self):
-        # Guards against callers that declare long work as short.
+        # Guards against callers that override the configuration by declaring
+        # an operation idempotent or its requests short.
         operation = Operation(
             name='order',
             method='POST',
@@ -318,7 +341,8 @@
 
 class FlowTableTest(TestCase):
     def test_full_table_never_runs_what_it_refused(self):
-        # Guards against a refused request that runs once there is room.
+        # Guards against a refused request whose duplicate runs once the table
+        # has room again.
         world = World()
         flows = [world.open_flow() for _ in range(7)]
         attempts = [world.request(flow) for flow in flows]
@@ -335,9 +359,9 @@
         self.assertEqual([], world.running)
         self.assertNotIn(attempts[6], world.started_by_attempt)
 
-    def test_forgotten_flow_runs_nothing_again(self):
-        # Guards against a duplicate that comes after its flow has given
-        # way to others.
+    def test_evicted_flow_runs_nothing_again(self):
+        # Guards against a duplicate that runs again because the entry of its
+        # flow was evicted before it arrived.
         world = World()
         for _ in range(6 * 16 + 10):
             attempt = world.request(world.open_flow())
--- a/tests/agent/world.py
+++ b/tests/agent/world.py
@@ -106,7 +106,7 @@
     """Runs an agent and records the datagrams and runs of requests.
 
     Raises AssertionError if the agent starts a request while draining
-    or sends a datagram to the wrong caller.
+    or sends a datagram from a wrong address or to the wrong caller.
     """
 
     def __init__(self, limits=SMALL, service=None):
