--- a/greengagepath/agent/flows.py
+++ b/greengagepath/agent/flows.py
@@ -115,7 +115,7 @@
 
     @property
     def view(self) -> ServiceView:
-        """The current configuration of the service."""
+        """Lookups in the current configuration of the service."""
         return self._context.view
 
     def replace_service(self, service: Service) -> None:
@@ -219,7 +219,7 @@
             self._receive_in_flow(arrival, claims)
 
     def _is_history_lost(self, claims: TokenClaims, flow_id: int) -> bool:
-        """Return whether the agent cannot tell what the flow has begun."""
+        """Return whether the agent may not know all requests of the flow."""
         if claims.incarnation != self._identity.incarnation:
             return True
         has_entry = self.flow_table.find(flow_id) is not None
--- a/greengagepath/agent/requests.py
+++ b/greengagepath/agent/requests.py
@@ -25,8 +25,8 @@
 class FlowRequests:
     """Processes the datagrams of flows that this agent has accepted.
 
-    The caller has verified the token. `drops` counts dropped datagrams
-    by reason and is shared with the owner.
+    The owner verifies their tokens first. `drops` counts dropped
+    datagrams by reason and is shared with the owner.
     """
 
     def __init__(
@@ -84,7 +84,7 @@
     def _receive_part(self, arrival: Arrival, *, may_begin: bool) -> None:
         match self._context.request_table.classify(arrival.attempt):
             case BeginOutcome.KNOWN:
-                self._repeat_outcome(arrival)
+                self._repeat_reply(arrival)
             case BeginOutcome.UNKNOWN:
                 self._context.replies.send(arrival.route, Kind.UNKNOWN_OUTCOME)
             case _:
@@ -144,7 +144,7 @@
             return
         self.scheduler.admit(arrival, decoded.ok_value)
 
-    def _repeat_outcome(self, arrival: Arrival) -> None:
+    def _repeat_reply(self, arrival: Arrival) -> None:
         record = self._context.request_table.find(arrival.attempt)
         if record is None:
             return
--- a/tests/agent/harness.py
+++ b/tests/agent/harness.py
@@ -77,7 +77,7 @@
 
 
 class FakeBalancer:
-    """Balancer and fabric in one process.
+    """Plays the balancer and the fabric between callers and the agent.
 
     Forwards datagrams of callers to the agent in envelopes, and replies
     of the agent to the callers.
