--- a/greengagepath/agent/outcomes.py
+++ b/greengagepath/agent/outcomes.py
@@ -1,4 +1,4 @@
-"""What callers are told of their requests."""
+"""Reports of the outcomes of requests to their callers."""
 
 from collections import Counter
 from dataclasses import dataclass
@@ -21,14 +21,14 @@
 
 
 @dataclass(slots=True)
-class AgentParts:
-    """The parts of an agent that share its state."""
+class AgentContext:
+    """State and services that the components of an agent share."""
 
     timers: TimerService
     random: Random
-    flows: FlowTable
+    flow_table: FlowTable
     gate: AdmissionGate
-    table: RequestTable
+    request_table: RequestTable
     transfers: AnswerTransfers
     replies: Replies
     budget: RetryBudget
@@ -36,38 +36,38 @@
 
 
 class OutcomeReporter:
-    """Records outcomes in the request table and tells the callers.
+    """Records outcomes in the request table and sends them to callers.
 
-    `outcomes` counts (customer, operation, outcome), `refusals` counts
-    reasons.
+    `outcomes` counts requests by (customer, operation, outcome),
+    `refusals` counts refused attempts by reason.
     """
 
-    def __init__(self, parts: AgentParts) -> None:
+    def __init__(self, context: AgentContext) -> None:
         self.outcomes: Counter[tuple[str, str, str]] = Counter()
         self.refusals: Counter[RefusalReason] = Counter()
-        self._parts = parts
+        self._context = context
 
-    def refuse_unseen(self, route: Route, reason: RefusalReason) -> None:
-        """Refuse an attempt that has not arrived as a whole."""
+    def refuse_undecoded(self, route: Route, reason: RefusalReason) -> None:
+        """Refuse an attempt without a complete, well-formed request."""
         refusal = Refusal(reason=reason)
-        self._parts.table.refuse_unseen(route.attempt, refusal)
+        self._context.request_table.refuse_undecoded(route.attempt, refusal)
         self.send_refusal(route, refusal)
 
     def refuse(
         self, work: Work, reason: RefusalReason, retry_after_ms: int
     ) -> None:
-        """Tell that an admitted request was not run."""
+        """Record and report that an admitted request was not run."""
         refusal = Refusal(
             reason=reason,
             request_id=work.request.request_id,
             retry_after_ms=retry_after_ms,
         )
         self._count(work, 'refused')
-        self._parts.table.refuse(work.record, refusal)
+        self._context.request_table.refuse(work.record, refusal)
         self.send_refusal(work.route, refusal)
 
     def answer(self, work: Work, outcome: Answered) -> None:
-        """Start to send an answer."""
+        """Record an answer and start its transfer."""
         self._count(work, 'answered')
         payload = encode_body(
             Answer(
@@ -75,54 +75,56 @@
                 status=outcome.status,
                 headers=outcome.headers,
                 body=outcome.body,
-                target_id=self._parts.replies.identity.target_id,
+                target_id=self._context.replies.identity.target_id,
             )
         )
-        self._parts.table.answer(work.record, payload)
+        self._context.request_table.answer(work.record, payload)
         self._start_transfer(work.record, work.route)
 
-    def lose(self, work: Work) -> None:
-        """Tell that a request may have run."""
+    def report_unknown(self, work: Work) -> None:
+        """Record and report that the outcome of a request is unknown."""
         self._count(work, 'unknown')
-        self._parts.table.lose(work.record)
-        self._parts.replies.send(work.route, Kind.UNKNOWN_OUTCOME)
+        self._context.request_table.mark_unknown(work.record)
+        self._context.replies.send(work.route, Kind.UNKNOWN_OUTCOME)
 
-    def repeat(self, record: RequestRecord, route: Route) -> None:
-        """Tell the caller again what became of an attempt."""
+    def resend_outcome(self, record: RequestRecord, route: Route) -> None:
+        """Send the outcome of an attempt again, if it is known."""
         match record.state:
             case RequestState.REFUSED if record.refusal is not None:
-                self._parts.replies.send(
+                self._context.replies.send(
                     route, Kind.REFUSE, encode_body(record.refusal)
                 )
             case RequestState.UNKNOWN:
-                self._parts.replies.send(route, Kind.UNKNOWN_OUTCOME)
+                self._context.replies.send(route, Kind.UNKNOWN_OUTCOME)
             case RequestState.ANSWERED:
-                self._parts.table.records.reopen(record)
+                self._context.request_table.records.reopen(record)
                 self._start_transfer(record, route)
 
     def stop_answer(self, record: RequestRecord) -> None:
-        """Drop an answer that the caller does not want any more."""
-        self._parts.transfers.stop(record.attempt)
-        self._parts.table.acknowledge(record)
+        """Stop and drop the answer to an attempt that was cancelled."""
+        self._context.transfers.stop(record.attempt)
+        self._context.request_table.acknowledge(record)
 
     def send_refusal(self, route: Route, refusal: Refusal) -> None:
-        """Tell that an attempt was not run."""
+        """Send the refusal of an attempt and count its reason."""
         self.refusals[refusal.reason] += 1
-        self._parts.replies.send(route, Kind.REFUSE, encode_body(refusal))
+        self._context.replies.send(route, Kind.REFUSE, encode_body(refusal))
 
     def _start_transfer(self, record: RequestRecord, route: Route) -> None:
         if record.answer is None:
             return
-        self._parts.transfers.start(
+        self._context.transfers.start(
             AnswerTransfer(
                 record=record,
-                sender=PartSender(record.answer, self._parts.timers.now()),
-                service_id=self._parts.replies.identity.service_id,
+                sender=PartSender(record.answer, self._context.timers.now()),
+                service_id=self._context.replies.identity.service_id,
                 route=route,
             )
         )
 
     def _count(self, work: Work, outcome: str) -> None:
-        view = self._parts.view
-        customer = view.customer_name(work.request.customer_id)
-        self.outcomes[customer, view.label(work.request), outcome] += 1
+        view = self._context.view
+        customer = view.customer_label(work.request.customer_id)
+        self.outcomes[
+            customer, view.operation_label(work.request), outcome
+        ] += 1
