Name the milliseconds of a second MS_PER_S in the admission gate

Other folders call this factor MS_PER_S; the gate called it MILLISECONDS. The name is replaced in the gate and its two users in daemon.

tests/admission, tests/daemon and tests/agent/test_backend.py: 51 passed.

--- a/greengagepath/admission/gate.py
+++ b/greengagepath/admission/gate.py
@@ -27,7 +27,7 @@
 # Time for a refusal to reach the caller before its deadline ends the
 # call, which would leave the caller unsure whether the request ran.
 REFUSAL_MARGIN_S = 0.05
-MILLISECONDS = 1000
+MS_PER_S = 1000
 
 
 @dataclass(slots=True, frozen=True)
@@ -286,5 +286,5 @@
     return Refusal(
         reason=reason,
         request_id=request.request_id,
-        retry_after_ms=int(wait_s * MILLISECONDS),
+        retry_after_ms=int(wait_s * MS_PER_S),
     )
--- a/greengagepath/daemon/agent_records.py
+++ b/greengagepath/daemon/agent_records.py
@@ -5,7 +5,7 @@
 import gevent
 from msgspec import structs
 
-from ..admission.gate import MILLISECONDS
+from ..admission.gate import MS_PER_S
 from ..agent.replies import AgentIdentity
 from ..generated.messages import (
     Limits,
@@ -76,5 +76,5 @@
         state=MemberState.alive,
         service_id=target.service_id,
         weight=target.weight,
-        started_ms=started_s * MILLISECONDS,
+        started_ms=started_s * MS_PER_S,
     )
--- a/greengagepath/daemon/backend.py
+++ b/greengagepath/daemon/backend.py
@@ -17,7 +17,7 @@
 
 from gevent import Timeout, socket
 
-from ..admission.gate import MILLISECONDS
+from ..admission.gate import MS_PER_S
 from ..agent.work import Answered, NotRun, OutcomeUnknown, RunOutcome, Work
 from ..foundation.addresses import Address
 from ..foundation.logs import log_event
@@ -249,7 +249,7 @@
             if name.lower() not in HOP_BY_HOP
         }
         headers['X-Request-Id'] = request.request_id.hex()
-        headers['X-Deadline-Ms'] = str(int(left_s * MILLISECONDS))
+        headers['X-Deadline-Ms'] = str(int(left_s * MS_PER_S))
         headers['X-Customer'] = customer
         connection.request(
             request.method, request.path, request.body or None, headers
