Rename RouterParts to RouterDependencies

The class holds what a PacketRouter is given: keys, choosers, timers and the functions that send. The test namespace of build_router has the same name for it. The keys are a local variable in one setUp because the longer line would be split at the subscript.

--- a/greengagepath/bench/wall_clock.py
+++ b/greengagepath/bench/wall_clock.py
@@ -18,7 +18,7 @@
 
 from ..daemon.datapath import MAX_DRAINED, drain_socket, open_data_socket
 from ..daemon.target_sockets import TargetSockets
-from ..datapath.packet_router import PacketRouter, RouterParts
+from ..datapath.packet_router import PacketRouter, RouterDependencies
 from ..foundation.native_sockets import open_udp_socket
 from ..foundation.timers import VirtualTimerService
 from ..generated.messages import SizeClass
@@ -185,7 +185,7 @@
     def create_router(self, verified_tokens: int) -> PacketRouter:
         """Return a router that sends through the sockets."""
         return PacketRouter(
-            RouterParts(
+            RouterDependencies(
                 keys=self._keys,
                 choosers=NoChoosers(),
                 timers=VirtualTimerService(),
--- a/greengagepath/daemon/balancer.py
+++ b/greengagepath/daemon/balancer.py
@@ -9,7 +9,7 @@
 import gevent
 from gevent.event import Event
 
-from ..datapath.packet_router import PacketRouter, RouterParts
+from ..datapath.packet_router import PacketRouter, RouterDependencies
 from ..foundation.exit_codes import ExitCode
 from ..foundation.logs import log_event
 from ..foundation.timers import LoopTimerService
@@ -59,7 +59,7 @@
         data_socket = open_data_socket(address)
         sockets = TargetSockets(data_socket, limit_target_sockets())
         router = PacketRouter(
-            RouterParts(
+            RouterDependencies(
                 keys=keys,
                 choosers=self._choosers,
                 timers=self._timers,
--- a/greengagepath/datapath/packet_router.py
+++ b/greengagepath/datapath/packet_router.py
@@ -55,7 +55,7 @@
 
 
 @dataclass(slots=True)
-class RouterParts:
+class RouterDependencies:
     """What a router works with.
 
     `connect` returns a function that sends datagrams to one address;
@@ -77,19 +77,19 @@
 class PacketRouter:
     """Routes datagrams from the fabric, and probes targets."""
 
-    def __init__(self, parts: RouterParts) -> None:
+    def __init__(self, dependencies: RouterDependencies) -> None:
         self.probes = ProbeTracker(
-            parts.timers, parts.random, parts.probes_per_s
+            dependencies.timers, dependencies.random, dependencies.probes_per_s
         )
         self.forwarder = Forwarder(
-            parts.keys,
-            parts.random,
-            parts.connect,
-            parts.verified_tokens,
+            dependencies.keys,
+            dependencies.random,
+            dependencies.connect,
+            dependencies.verified_tokens,
             self._route_slowly,
         )
         self.counters = self.forwarder.counters
-        self._parts = parts
+        self._dependencies = dependencies
         self._services_by_address: Mapping[Address, int] = {}
 
     @property
@@ -110,7 +110,7 @@
 
     def probe(self, service_id: int) -> None:
         """Send the probes that are due for the targets of a service."""
-        chooser = self._parts.choosers.get_chooser(service_id)
+        chooser = self._dependencies.choosers.get_chooser(service_id)
         if chooser is None:
             return
         for target in chooser.targets_to_probe():
@@ -122,7 +122,7 @@
         """Tell the choosers which probes had no reply in time."""
         for lost in self.probes.take_lost():
             self.counters.probes_lost += 1
-            chooser = self._parts.choosers.get_chooser(lost.service_id)
+            chooser = self._dependencies.choosers.get_chooser(lost.service_id)
             if chooser is not None:
                 chooser.record_outcome(lost.target_id, succeeded=False)
 
@@ -152,7 +152,7 @@
         service_id = datagram.service_id
         if self._services_by_address.get(destination) != service_id:
             return DropReason.UNKNOWN_SERVICE
-        chosen = self._parts.choosers.choose(
+        chosen = self._dependencies.choosers.choose(
             service_id,
             datagram.flow_id,
             _SIZE_CLASSES_BY_CODE[datagram.size_code],
@@ -177,15 +177,15 @@
         datagram = ServiceDatagram(
             kind=Kind.PROBE, service_id=target.service, flow_id=probe_id
         )
-        sealed = self.forwarder.seal(self._parts.own_address, datagram)
+        sealed = self.forwarder.seal(self._dependencies.own_address, datagram)
         try:
-            self._parts.send_probe(sealed, target.address)
+            self._dependencies.send_probe(sealed, target.address)
         except OSError:
             self.counters.send_failures += 1
         self.counters.probes_sent += 1
 
     def _take_envelope(self, packet: bytes) -> DropReason | None:
-        opened = open_envelope(self._parts.keys, packet)
+        opened = open_envelope(self._dependencies.keys, packet)
         if opened.is_err():
             return opened.unwrap_err()
         decoded = decode_service_datagram(opened.unwrap()[1])
@@ -206,7 +206,7 @@
         if reply is None:
             return DropReason.REPLAYED
         self.counters.probes_answered += 1
-        chooser = self._parts.choosers.get_chooser(datagram.service_id)
+        chooser = self._dependencies.choosers.get_chooser(datagram.service_id)
         if chooser is not None:
             chooser.record_probe(reply)
         return None
--- a/tests/daemon/test_datapath.py
+++ b/tests/daemon/test_datapath.py
@@ -35,7 +35,7 @@
         self.sockets = TargetSockets(self.inbox, 10)
         timers = LoopTimerService()
         timers.start()
-        self.parts = build_router([build_target()]).parts
+        self.parts = build_router([build_target()]).dependencies
         self.parts.timers = timers
         self.parts.connect = self.sockets.connect
         self.parts.send_probe = self.inbox.sendto
--- a/tests/datapath/builders.py
+++ b/tests/datapath/builders.py
@@ -5,7 +5,10 @@
 
 from result import Err, Ok
 
-from greengagepath.datapath.packet_router import PacketRouter, RouterParts
+from greengagepath.datapath.packet_router import (
+    PacketRouter,
+    RouterDependencies,
+)
 from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.generated.messages import Configuration, Service
 from greengagepath.protocol.envelopes import open_envelope
@@ -80,13 +83,13 @@
 
 
 def build_router(targets=(), keys=None, verified_tokens=100, seed=1):
-    """Return a router with `sent` (packet, address), and its parts."""
+    """Return a router with `sent` (packet, address), and its dependencies."""
     sent = []
 
     def send_probe(packet, address):
         sent.append((packet, address))
 
-    parts = RouterParts(
+    dependencies = RouterDependencies(
         keys=keys or build_keys(),
         choosers=FakeChooser(list(targets)),
         timers=VirtualTimerService(),
@@ -97,7 +100,7 @@
         verified_tokens=verified_tokens,
         probes_per_s=100,
     )
-    router = PacketRouter(parts)
+    router = PacketRouter(dependencies)
     router.use_configuration(
         Configuration(
             version=1,
@@ -112,7 +115,10 @@
         )
     )
     return SimpleNamespace(
-        router=router, sent=sent, parts=parts, dropped=router.counters.dropped
+        router=router,
+        sent=sent,
+        dependencies=dependencies,
+        dropped=router.counters.dropped,
     )
 
 
--- a/tests/datapath/test_packet_router.py
+++ b/tests/datapath/test_packet_router.py
@@ -76,7 +76,7 @@
             {'flow_id': 1, 'service_id': 8},
         ):
             each = build_router()
-            token = build_token(each.parts.keys, 1)
+            token = build_token(each.dependencies.keys, 1)
             valid = build_packet(Kind.REQUEST, 1, token=token)
             each.router.route(valid)
             each.router.route(build_packet(Kind.REQUEST, token=token, **fields))
@@ -86,7 +86,7 @@
     def test_replaced_key_ends_cached_tokens(self):
         # Guards against tokens of a removed key that still pass.
         each = build_router()
-        keys = each.parts.keys
+        keys = each.dependencies.keys
         packet = build_packet(Kind.PING, 1, token=build_token(keys, 1))
         each.router.route(packet)
         keys.replace_keys([build_key(2)])
@@ -123,7 +123,7 @@
         targets = [build_target(each) for each in (1, 2, 3, 4)]
         each = build_router(targets)
         each.router.route(build_packet(Kind.OPEN, 5, body=bytes(80)))
-        envelope, datagram = unseal(each.parts.keys, each.sent[0][0])
+        envelope, datagram = unseal(each.dependencies.keys, each.sent[0][0])
         self.assertEqual(targets[1].address, each.sent[0][1])
         self.assertEqual(
             (targets[2].address, targets[3].address), envelope.alternates
@@ -148,9 +148,10 @@
     def setUp(self):
         super().setUp()
         self.each = build_router([build_target()])
-        self.chooser = self.each.parts.choosers
+        self.chooser = self.each.dependencies.choosers
         self.each.router.probe(7)
-        self.probe = unseal(self.each.parts.keys, self.each.sent[0][0])[1]
+        keys = self.each.dependencies.keys
+        self.probe = unseal(keys, self.each.sent[0][0])[1]
 
     def reply(self, body, flow_id=None):
         datagram = ServiceDatagram(
@@ -160,7 +161,7 @@
             body=body,
         )
         return seal_envelope(
-            self.each.parts.keys,
+            self.each.dependencies.keys,
             Envelope(9, 1, OWN, OWN),
             datagram.encode(),
         )
@@ -178,7 +179,7 @@
 
     def test_lost_probe_is_reported(self):
         # Guards against a dead target that keeps its last good load.
-        self.each.parts.timers.advance(1.5)
+        self.each.dependencies.timers.advance(1.5)
         self.each.router.check_probes()
         self.assertEqual([('t1', False)], self.chooser.outcomes)
 
@@ -217,7 +218,7 @@
             decode_load,
         ):
             decode(data)
-        open_envelope(each.parts.keys, data)
+        open_envelope(each.dependencies.keys, data)
 
     @given(
         kind=st.sampled_from((*TOKEN_KINDS, Kind.OPEN, Kind.ANSWER)),
@@ -228,7 +229,7 @@
     def test_changed_and_truncated(self, kind, position, changed, length):
         # Guards against damaged datagrams that are sent on as valid.
         each = build_router([build_target()])
-        token = build_token(each.parts.keys, 1)
+        token = build_token(each.dependencies.keys, 1)
         body = bytes(1200)
         valid = build_packet(kind, 1, token=token, body=body)
         if kind in TOKEN_KINDS:
@@ -249,7 +250,7 @@
     def test_truncated_and_oversized_are_counted(self):
         # Guards against drops that no counter shows.
         each = build_router()
-        token = build_token(each.parts.keys, 1)
+        token = build_token(each.dependencies.keys, 1)
         valid = build_packet(Kind.PING, 1, token=token)
         each.router.route(valid[:75])
         each.router.route(valid[:10])
