Rename Forwarder.forget_targets to clear_senders

It drops the cached send functions and the tokens that refer to them; it does not change what the balancer knows of targets.

--- a/greengagepath/daemon/datapath.py
+++ b/greengagepath/daemon/datapath.py
@@ -124,7 +124,7 @@
     def _renew_sockets(self) -> None:
         # Sockets of targets that have left make room for those in use.
         if self.sockets.is_full:
-            self.router.forwarder.forget_targets()
+            self.router.forwarder.clear_senders()
             self.sockets.close()
 
     def _count_left(self) -> int:
--- a/greengagepath/datapath/forwarder.py
+++ b/greengagepath/datapath/forwarder.py
@@ -140,7 +140,7 @@
         if self._generation != self._keys.generation:
             self.refresh_keys()
 
-    def forget_targets(self) -> None:
+    def clear_senders(self) -> None:
         """Forget the functions that send to targets."""
         self.cache.clear()
         self._senders_by_address.clear()
@@ -197,7 +197,7 @@
         send = self._senders_by_address.get(address)
         if send is None:
             if len(self._senders_by_address) >= MAX_ADDRESSES:
-                self.forget_targets()
+                self.clear_senders()
             send = self._connect(decode_address(address))
             self._senders_by_address[address] = send
         return send
