Rename ServiceChoosers.offer_targets to update_targets

The method replaces the target sets and schedules the changed services for a rebuild; nothing is offered that could be declined.

--- a/greengagepath/daemon/balancer.py
+++ b/greengagepath/daemon/balancer.py
@@ -134,7 +134,7 @@
     def _take_targets(
         self, targets_by_service: Mapping[int, tuple[TargetInfo, ...]]
     ) -> None:
-        self._choosers.offer_targets(targets_by_service)
+        self._choosers.update_targets(targets_by_service)
         self._path.use_services(tuple(sorted(targets_by_service)))
         self._metrics.count_targets(
             Counter(
--- a/greengagepath/routing/choosers.py
+++ b/greengagepath/routing/choosers.py
@@ -25,7 +25,7 @@
 class ServiceChoosers:
     """Keeps one chooser for each service that has targets.
 
-    `offer_targets` only notes which services changed; `rebuild_slice`
+    `update_targets` only notes which services changed; `rebuild_slice`
     makes their tables for a few milliseconds at a time, and `choose`
     makes the table of its own service at once if it is still due.
     """
@@ -44,7 +44,7 @@
             for service, chooser in self._choosers_by_service.items()
         }
 
-    def offer_targets(
+    def update_targets(
         self, targets_by_service: Mapping[int, tuple[TargetInfo, ...]]
     ) -> int:
         """Take the present targets; return how many services changed."""
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -160,16 +160,16 @@
         # Guards against rebuilding all tables for one change.
         choosers = ServiceChoosers(build_shared())
         by_service = {number: build_targets(3) for number in range(20)}
-        self.assertEqual(20, choosers.offer_targets(by_service))
+        self.assertEqual(20, choosers.update_targets(by_service))
         self.assertEqual(0, choosers.rebuild_slice())
         by_service[3] = build_targets(4)
-        self.assertEqual(1, choosers.offer_targets(by_service))
+        self.assertEqual(1, choosers.update_targets(by_service))
 
     def test_choice_does_not_wait_for_the_rebuild(self):
         # Guards against choosing from the old set after a change.
         choosers = ServiceChoosers(build_shared())
-        choosers.offer_targets({SERVICE: (build_target(1),)})
+        choosers.update_targets({SERVICE: (build_target(1),)})
         self.assertTrue(choosers.choose(SERVICE, 1, SHORT).is_ok())
-        choosers.offer_targets({})
+        choosers.update_targets({})
         problem = choosers.choose(SERVICE, 1, SHORT).unwrap_err()
         self.assertEqual(NoTargetReason.UNKNOWN_SERVICE, problem.reason)
