Rename AdmissionGate.refuse_late to refuse_expiring

The method refuses queued requests whose deadline is so near that they can no longer be answered in time. The method of the same old name in agent/scheduler.py belongs to that folder and is not touched.

--- a/greengagepath/admission/gate.py
+++ b/greengagepath/admission/gate.py
@@ -195,7 +195,7 @@
         """Admit again, after an operator has undone the draining."""
         self.is_draining = False
 
-    def refuse_late(self) -> None:
+    def refuse_expiring(self) -> None:
         """Refuse queued requests that can no longer be answered in time.
 
         Without it they would wait for a slot to become free, which
--- a/greengagepath/agent/scheduler.py
+++ b/greengagepath/agent/scheduler.py
@@ -110,7 +110,7 @@
 
     def refuse_late(self) -> None:
         """Refuse queued requests whose deadline is too near."""
-        self._parts.gate.refuse_late()
+        self._parts.gate.refuse_expiring()
         self._report_refused()
 
     def complete(self, work: Work, outcome: RunOutcome) -> None:
--- a/tests/admission/test_gate.py
+++ b/tests/admission/test_gate.py
@@ -37,10 +37,10 @@
         late = build_request(deadline_s=1.0, payload=0.01)
         self.assertTrue(self.back_end.offer(late).is_ok())
         self.back_end.timers.advance(0.9)
-        self.gate.refuse_late()
+        self.gate.refuse_expiring()
         self.assertEqual([], self.gate.take_refused())
         self.back_end.timers.advance(0.06)
-        self.gate.refuse_late()
+        self.gate.refuse_expiring()
         refusal = self.gate.take_refused()[0]
         self.assertEqual(late.request_id, refusal.request_id)
         self.assertEqual(RefusalReason.deadline, refusal.reason)
