Name the eligible targets and the reported requests in routing

TargetChooser._list_pool is _list_eligible: it leaves out draining and ejected targets and some that start slowly. TargetLoad.reported is reported_requests. bench/policies.py uses both.

--- a/greengagepath/bench/policies.py
+++ b/greengagepath/bench/policies.py
@@ -44,7 +44,7 @@
         self, flow_id: int, size_class: SizeClass
     ) -> Result[Choice, NoTarget]:
         """Return the first candidate."""
-        pool = self._list_pool(flow_id)
+        pool = self._list_eligible(flow_id)
         if not pool:
             return Err(NoTarget(self.service, NoTargetReason.NONE_ALIVE))
         return Ok(Choice(pool[0], tuple(pool[1:])))
@@ -57,7 +57,7 @@
         self, flow_id: int, size_class: SizeClass
     ) -> Result[Choice, NoTarget]:
         """Return the one with fewer in flight, then of less latency."""
-        pool = self._list_pool(flow_id)
+        pool = self._list_eligible(flow_id)
         if not pool:
             return Err(NoTarget(self.service, NoTargetReason.NONE_ALIVE))
         self._add_probe_credit()
@@ -67,7 +67,7 @@
 
     def _compare(self, target: TargetInfo) -> tuple[float, float]:
         load = self._loads_by_target_id[target.target_id]
-        return load.reported, load.latency_s
+        return load.reported_requests, load.latency_s
 
 
 class TwoByReportsChooser(TwoByProbesChooser):
--- a/greengagepath/routing/choice.py
+++ b/greengagepath/routing/choice.py
@@ -179,7 +179,7 @@
         self, flow_id: int, size_class: SizeClass
     ) -> Result[Choice, NoTarget]:
         """Return the target for a new flow and its alternates."""
-        pool = self._list_pool(flow_id)
+        pool = self._list_eligible(flow_id)
         if not pool:
             return Err(NoTarget(self.service, NoTargetReason.NONE_ALIVE))
         pool.sort(key=self._rank)
@@ -259,7 +259,7 @@
         own = [target for target in alive if target.region == region]
         return own or alive
 
-    def _list_pool(self, flow_id: int) -> list[TargetInfo]:
+    def _list_eligible(self, flow_id: int) -> list[TargetInfo]:
         """Return candidates without draining, ejected and some cold ones.
 
         More are taken from the table than needed, so that those left
--- a/greengagepath/routing/loads.py
+++ b/greengagepath/routing/loads.py
@@ -15,12 +15,12 @@
 class TargetLoad:
     """Reports of one target, and flows sent to it since the last.
 
-    `reported` and `sent` count requests in flight and queued;
+    `reported_requests` and `sent` count requests in flight and queued;
     `latency_s` is 0 until reported; `busy_slots` is the average of the
     requests in flight. Times are those of the timer service.
     """
 
-    reported: float = 0.0
+    reported_requests: float = 0.0
     sent: float = 0.0
     latency_s: float = 0.0
     busy_slots: float = 0.0
@@ -32,13 +32,13 @@
         if self.probed_s is None:
             return self.sent
         age_s = now_s - self.probed_s
-        return self.reported * 0.5 ** (age_s / half_life_s) + self.sent
+        return self.reported_requests * 0.5 ** (age_s / half_life_s) + self.sent
 
     def take_report(
         self, in_flight: int, queued: int, latency_s: float, now_s: float
     ) -> None:
         """Replace the reported load and average the rest."""
-        self.reported = float(in_flight + queued)
+        self.reported_requests = float(in_flight + queued)
         self.sent = 0.0
         kept = 0.0
         if self.probed_s is not None:
