Reword the routing package and its tests

Comments, docstrings, internal names and test names use the usual terms: score and rank for weighted rendezvous hashing, ejection, slow start, moving average. Docstrings name units and errors. OwnerTable.find_owner no longer promises an IndexError for an empty table: three of the five tables raise another exception.

A comparison of the syntax trees without docstrings with the commit before the renames shows names as the only differences. tests/routing and tests/bench/test_simulation: 32 passed. Formatter, ruff and flake8 of the whole tree are clean.

--- a/greengagepath/routing/__init__.py
+++ b/greengagepath/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Choice of a target for a new flow."""
+"""Selection of a target for a new flow."""
--- a/greengagepath/routing/alternatives.py
+++ b/greengagepath/routing/alternatives.py
@@ -1,7 +1,7 @@
-"""Published alternatives to the candidate table, for measurements.
+"""Published alternatives to `CandidateTable`, for benchmarks only.
 
-All of them answer one question: which target owns a flow id. The
-figures that decided between them are in docs/routing.md.
+Each table maps a flow id to the target that owns it. The measurements
+behind the choice between them are in docs/routing.md.
 """
 
 import bisect
@@ -17,11 +17,11 @@
 _FLOW_ID_BYTES = 8
 _WORD_BITS = 64
 _WORD_MASK = (1 << _WORD_BITS) - 1
-# The look-up table should have at least 100 entries for each target.
+# The Maglev paper asks for at least 100 entries for each target.
 MAGLEV_ENTRIES = 65537
-# 21 probes keep the largest share within 1.05 of the mean.
+# With 21 probes the largest share is at most 1.05 times the mean.
 MULTI_PROBES = 21
-# Weights are rounded to steps of the smallest weight over this.
+# Weights are rounded to multiples of the smallest weight divided by this.
 BUCKETS_PER_WEIGHT = 4
 _JUMP_MULTIPLIER = 2862933555777941757
 _JUMP_SHIFT = 33
@@ -30,18 +30,22 @@
 
 
 class OwnerTable:
-    """Maps a flow id to the one target that owns it."""
+    """Base of the tables that map a flow id to its owner."""
 
     def __init__(self, targets: Iterable[TargetInfo]) -> None:
         self.targets = tuple(sorted(targets, key=_get_target_id))
 
     def find_owner(self, flow_id: int) -> TargetInfo:
-        """Return the owner; raises IndexError for an empty table."""
+        """Return the target that owns a flow.
+
+        `flow_id` is an unsigned 64-bit number. A table without targets
+        raises an exception, which one depends on the table.
+        """
         raise NotImplementedError
 
 
 class ModuloTable(OwnerTable):
-    """Remainder of the flow's hash, without weights."""
+    """Hash of the flow id modulo the number of targets; no weights."""
 
     def find_owner(self, flow_id: int) -> TargetInfo:
         """Return the owner."""
@@ -49,7 +53,7 @@
 
 
 class RendezvousTable(OwnerTable):
-    """First candidate of the table that is in use."""
+    """The first candidate of `CandidateTable`, which balancers use."""
 
     def __init__(self, targets: Iterable[TargetInfo]) -> None:
         super().__init__(targets)
@@ -61,7 +65,9 @@
 
 
 class MaglevTable(OwnerTable):
-    """Look-up table that targets fill in turns by their preferences.
+    """Look-up table whose entries the targets claim in turns.
+
+    Each target claims entries in its own pseudo-random order.
 
     Source: Eisenbud et al., "Maglev: a fast and reliable software
     network load balancer", 2016. A target of twice the weight takes
@@ -73,53 +79,54 @@
     ) -> None:
         super().__init__(targets)
         self._entries = entries
-        self._owners = self._fill()
+        self._owners = self._assign_entries()
 
     def find_owner(self, flow_id: int) -> TargetInfo:
         """Return the owner."""
         entry = _hash_flow(flow_id, 0) % self._entries
         return self.targets[self._owners[entry]]
 
-    def _fill(self) -> list[int]:
+    def _assign_entries(self) -> list[int]:
         owners = [-1 for _ in range(self._entries)]
-        places = [self._start_place(target) for target in self.targets]
+        positions = [self._find_start(target) for target in self.targets]
         heaviest = max(target.weight for target in self.targets)
         rates = [target.weight / heaviest for target in self.targets]
         turns = [0.0 for _ in self.targets]
-        left = self._entries
+        unassigned = self._entries
         for index in itertools.cycle(range(len(self.targets))):
             turns[index] += rates[index]
             if turns[index] < 1:
                 continue
             turns[index] -= 1
-            self._take_entry(owners, places, index)
-            left -= 1
-            if not left:
+            self._claim_entry(owners, positions, index)
+            unassigned -= 1
+            if not unassigned:
                 break
         return owners
 
-    def _start_place(self, target: TargetInfo) -> tuple[int, int]:
+    def _find_start(self, target: TargetInfo) -> tuple[int, int]:
         name = target.target_id.encode()
         offset = xxhash.xxh3_64_intdigest(name, 1) % self._entries
         skip = xxhash.xxh3_64_intdigest(name, 2) % (self._entries - 1) + 1
         return offset, skip
 
-    def _take_entry(
-        self, owners: list[int], places: list[tuple[int, int]], index: int
+    def _claim_entry(
+        self, owners: list[int], positions: list[tuple[int, int]], index: int
     ) -> None:
-        place, skip = places[index]
-        while owners[place] >= 0:
-            place = (place + skip) % self._entries
-        owners[place] = index
-        places[index] = (place, skip)
+        position, skip = positions[index]
+        while owners[position] >= 0:
+            position = (position + skip) % self._entries
+        owners[position] = index
+        positions[index] = (position, skip)
 
 
 class JumpTable(OwnerTable):
-    """Numbered buckets; only the highest can go without reshuffling.
+    """Jump consistent hash over numbered buckets.
 
-    Source: Lamping and Veach, "A fast, minimal memory, consistent hash
-    algorithm", 2014. Targets get buckets in proportion to the weight,
-    in the order of their ids.
+    Only the bucket of the highest number can be added or removed
+    without moving other flows. Source: Lamping and Veach, "A fast,
+    minimal memory, consistent hash algorithm", 2014. Targets get
+    buckets in proportion to the weight, in the order of their ids.
     """
 
     def __init__(self, targets: Iterable[TargetInfo]) -> None:
@@ -130,21 +137,22 @@
         """Return the owner."""
         key = _hash_flow(flow_id, 0)
         bucket = -1
-        following = 0
-        while following < len(self._buckets):
-            bucket = following
+        next_bucket = 0
+        while next_bucket < len(self._buckets):
+            bucket = next_bucket
             key = (key * _JUMP_MULTIPLIER + 1) & _WORD_MASK
             step = _JUMP_SCALE / ((key >> _JUMP_SHIFT) + 1)
-            following = int((bucket + 1) * step)
+            next_bucket = int((bucket + 1) * step)
         return self._buckets[bucket]
 
 
 class MultiProbeTable(OwnerTable):
-    """One point for each target on a circle and several for the flow.
+    """Hash ring with one point for each target and several per flow.
 
     Source: Appleton and O'Reilly, "Multi-probe consistent hashing",
-    2015. The flow goes to the point that follows any of its probes
-    most closely. Heavier targets get more points.
+    2015. A flow is hashed to several probes on the ring; its owner is
+    the target whose point follows one of them at the smallest distance.
+    Heavier targets get more points.
     """
 
     def __init__(
@@ -164,12 +172,12 @@
         """Return the owner."""
         packed = flow_id.to_bytes(_FLOW_ID_BYTES, 'big')
         closest = min(
-            self._measure(xxhash.xxh3_64_intdigest(packed, seed))
+            self._find_successor(xxhash.xxh3_64_intdigest(packed, seed))
             for seed in self._seeds
         )
         return self._owners[closest[1]]
 
-    def _measure(self, probe: int) -> tuple[int, int]:
+    def _find_successor(self, probe: int) -> tuple[int, int]:
         index = bisect.bisect_left(self._points, probe)
         index %= len(self._points)
         return (self._points[index] - probe) & _WORD_MASK, index
--- a/greengagepath/routing/candidates.py
+++ b/greengagepath/routing/candidates.py
@@ -1,11 +1,12 @@
 """Candidates for a flow by weighted rendezvous hashing.
 
-Each target runs an exponential race with its weight as the rate; the
-targets with the shortest times are the candidates. A target wins a
-flow with probability weight / sum of weights, and a change of the set
-moves only flows that the changed target wins or loses. Source: Thaler
-and Ravishankar, "Using name-based mappings to increase hit rates",
-1998, with the logarithmic weights of Schindelhauer and Schomaker, 2005.
+The hash of flow and target gives each target an exponentially
+distributed score with its weight as the rate; the targets with the
+lowest scores are the candidates. A target owns a flow with probability
+weight / sum of weights, and a change of the target set moves only the
+flows that the changed target gains or loses. Source: Thaler and
+Ravishankar, "Using name-based mappings to increase hit rates", 1998,
+with the logarithmic weights of Schindelhauer and Schomaker, 2005.
 """
 
 import itertools
@@ -18,13 +19,14 @@
 from .targets import TargetInfo
 
 # Ranking 300 targets takes 200 us, too long for thousands of new flows
-# per second. A remembered ranking takes about 250 B.
-LARGE_SET = 32
+# per second, so larger sets cache rankings of about 250 B each.
+MIN_TARGETS_TO_CACHE = 32
 BUCKETS = 8192
 RANKED_PER_BUCKET = 16
 _FLOW_ID_BYTES = 8
 _HASH_BITS = 64
-# Half a step keeps the scaled hash inside the open interval (0, 1).
+# Adding half a step keeps the scaled hash inside the open interval
+# (0, 1), where its logarithm is finite and negative.
 _HALF_STEP = 0.5
 _HASH_SCALE = math.ldexp(1.0, -_HASH_BITS)
 
@@ -32,18 +34,18 @@
 class CandidateTable:
     """The targets of one service, ranked for each flow.
 
-    Immutable but for remembered ranks: in a large set, flows of the same
-    bucket share their ranking, which is computed once. Two tables built
-    from the same targets in any order rank them identically, so
-    balancers agree without exchanging messages.
+    Immutable except for its cache: in a set of `MIN_TARGETS_TO_CACHE`
+    or more, the flows of a bucket share one ranking, which is computed
+    once. Two tables built from the same targets in any order rank them
+    identically, so balancers agree without exchanging messages.
     """
 
-    __slots__ = ('_racers', '_ranked_by_bucket', 'targets')
+    __slots__ = ('_ranked_by_bucket', '_score_inputs', 'targets')
 
     def __init__(self, targets: tuple[TargetInfo, ...]) -> None:
         self.targets = targets
         self._ranked_by_bucket: dict[int, tuple[TargetInfo, ...]] = {}
-        self._racers = tuple(
+        self._score_inputs = tuple(
             (
                 xxhash.xxh3_64_intdigest(target.target_id.encode()),
                 -1.0 / target.weight,
@@ -77,31 +79,32 @@
     def candidates(self, flow_id: int, count: int) -> tuple[TargetInfo, ...]:
         """Return up to `count` different targets, the owner first.
 
-        `flow_id` is an unsigned 64-bit number.
+        `flow_id` is an unsigned 64-bit number; OverflowError is raised
+        for any other.
         """
         packed = flow_id.to_bytes(_FLOW_ID_BYTES, 'big')
-        if len(self.targets) < LARGE_SET:
-            return self._race(packed, count)
+        if len(self.targets) < MIN_TARGETS_TO_CACHE:
+            return self._rank(packed, count)
         bucket = xxhash.xxh3_64_intdigest(packed) % BUCKETS
         ranked = self._ranked_by_bucket.get(bucket, ())
         if len(ranked) < min(count, len(self.targets)):
             packed = bucket.to_bytes(_FLOW_ID_BYTES, 'big')
-            ranked = self._race(packed, max(count, RANKED_PER_BUCKET))
+            ranked = self._rank(packed, max(count, RANKED_PER_BUCKET))
             self._ranked_by_bucket[bucket] = ranked
         return ranked[:count]
 
-    def _race(self, packed: bytes, count: int) -> tuple[TargetInfo, ...]:
+    def _rank(self, packed: bytes, count: int) -> tuple[TargetInfo, ...]:
         digest = xxhash.xxh3_64_intdigest
         log = math.log
-        finishes = [
+        scores = [
             (
                 log((digest(packed, seed) + _HALF_STEP) * _HASH_SCALE) * rate,
                 index,
             )
-            for seed, rate, index in self._racers
+            for seed, rate, index in self._score_inputs
         ]
-        finishes.sort()
-        return tuple(self.targets[index] for _, index in finishes[:count])
+        scores.sort()
+        return tuple(self.targets[index] for _, index in scores[:count])
 
 
 def _get_target_id(target: TargetInfo) -> str:
--- a/greengagepath/routing/choice.py
+++ b/greengagepath/routing/choice.py
@@ -1,4 +1,8 @@
-"""Choice of a target for a new flow: hash first, then expected wait."""
+"""Choice of a target for a new flow.
+
+Rendezvous hashing selects candidates; the one with the shortest
+expected wait gets the flow.
+"""
 
 import random
 import time
@@ -17,20 +21,22 @@
 from .targets import TargetInfo, TargetState
 
 _US_PER_S = 1000000.0
-# Assumed for a target of weight 1 until a probe reports its latency.
+# Time of one request, assumed for a target of weight 1 until a probe
+# reports its latency.
 DEFAULT_SERVICE_S = 0.01
-# A request that runs already may turn out to be long work, so a target
-# with one in flight counts as this part of a service time of wait.
-SHARED_TARGET_SHARE = 0.25
-# Wait added for a target that is always busy, in usual service times of
-# the service. It evens out the busy time of targets of any speed, also
-# for requests on flows that cannot be moved; docs/routing.md has the
-# figures for other values.
+# A running request may turn out to be long work, so a target with one
+# request in flight is ranked as if a new one waited for this share of
+# its service time.
+IN_FLIGHT_WAIT_SHARE = 0.25
+# Wait added for a target whose slots are always busy, in mean service
+# times of the service. It evens out the busy time of targets of any
+# speed, also for requests on flows that cannot be moved;
+# docs/routing.md has the results for other values.
 BUSY_GAIN = 4.0
-# Weight of a new report in the usual service time.
-USUAL_SERVICE_WEIGHT = 0.05
-# New flows of a size class count as this many requests in flight until
-# the next probe shows their real effect.
+# Weight of a new report in the mean service time.
+MEAN_SERVICE_WEIGHT = 0.05
+# Requests in flight that a new flow of a size class counts as until the
+# next probe reply reports the real load.
 _LOAD_BY_SIZE_CLASS = {
     SizeClass.unknown: 1.0,
     SizeClass.short: 1.0,
@@ -40,17 +46,18 @@
 
 @unique
 class ProbeState(IntEnum):
-    """State in a probe reply, one byte on the wire."""
+    """State of a target in a probe reply, one byte on the wire."""
 
     ACCEPTING = 0
     DRAINING = 1
-    # Requests of the back end fail, whatever its health endpoint says.
+    # Requests of the back end fail, even if its health endpoint reports
+    # it as healthy.
     FAILING = 2
 
 
 @unique
 class NoTargetReason(StrEnum):
-    """Why no target can be chosen."""
+    """Reason why no target can be chosen."""
 
     UNKNOWN_SERVICE = 'unknown_service'
     NONE_ALIVE = 'none_alive'
@@ -58,7 +65,7 @@
 
 @dataclass(slots=True, frozen=True)
 class NoTarget:
-    """The service has no target for a new flow."""
+    """Error: the service has no target for a new flow."""
 
     service: int
     reason: NoTargetReason
@@ -66,7 +73,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Choice:
-    """The target for an OPEN, and where it may be handed off."""
+    """The target for an OPEN, and targets it may hand the OPEN off to."""
 
     target: TargetInfo
     alternates: tuple[TargetInfo, ...] = ()
@@ -76,8 +83,9 @@
 class ProbeReply:
     """Load of a target as its agent reports it.
 
-    `latency_us` is the estimated time of one request at the back end
-    without queueing, 0 if unknown.
+    `in_flight` and `queued` are numbers of requests. `latency_us` is
+    the estimated time of one request at the back end without queueing,
+    in microseconds, 0 if unknown.
     """
 
     target_id: str
@@ -89,14 +97,18 @@
 
 @dataclass(slots=True, frozen=True)
 class ChoiceSettings:
-    """Constants of the choice.
-
-    `candidates` is how many targets the hash offers, of which one is
-    chosen and `alternates` are passed on. `slots` is how many requests
-    a target runs at once. A probe loses half its influence every
-    `half_life_s`. One probe is sent for `flows_per_probe` new flows,
-    and to one target not more often than every `min_probe_gap_s`.
-    `zone_cost_s` is added for a target of another availability zone.
+    """Parameters of `TargetChooser`.
+
+    `candidates` is the number of targets selected by the hash, of which
+    one is chosen and up to `alternates` are passed on with the OPEN.
+    `slots` is the number of requests a target runs at once. The load
+    reported by a probe reply is halved every `half_life_s`.
+
+    One probe is sent for `flows_per_probe` new flows; up to
+    `probe_burst` unused probes are kept. Probes of one target are at
+    least `min_probe_gap_s` apart, those of an ejected target
+    `ejected_probe_gap_s`. `zone_cost_s` is added to the expected wait
+    at a target in another availability zone.
     """
 
     candidates: int = 8
@@ -112,7 +124,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Place:
-    """Where the balancer runs."""
+    """Region and availability zone in which the balancer runs."""
 
     region: str
     availability_zone: str
@@ -120,7 +132,10 @@
 
 @dataclass(slots=True)
 class ChooserServices:
-    """What choosers of one balancer share."""
+    """Dependencies and parameters shared by a balancer's choosers.
+
+    `wall_clock` returns seconds since the epoch.
+    """
 
     place: Place
     timers: TimerService
@@ -145,28 +160,32 @@
         self._loads_by_target_id: dict[str, TargetLoad] = {}
         self._draining: set[str] = set()
         self._table = CandidateTable(())
-        self._usual_service_s = DEFAULT_SERVICE_S
+        self._mean_service_s = DEFAULT_SERVICE_S
         self._probe_credit = shared.choice.probe_burst
 
     @property
     def ejected(self) -> frozenset[str]:
-        """Ids of the targets that are softly ejected."""
+        """Ids of the targets that are ejected now."""
         return frozenset(self._outliers.ejected)
 
     @property
     def ejections_total(self) -> int:
-        """Return how often a target was softly ejected."""
+        """Number of ejections since the chooser was created."""
         return self._outliers.ejections_total
 
     def replace_targets(self, targets: Iterable[TargetInfo]) -> None:
-        """Take the present targets of the service, in any state."""
+        """Replace the target set of the service.
+
+        `targets` are all current targets, whatever their state. Raises
+        ValueError if the weight of a target in use is not positive.
+        """
         old_by_id = self._targets_by_id
         new_by_id = {target.target_id: target for target in targets}
         for target_id in old_by_id.keys() - new_by_id.keys():
-            self._ramp.forget(target_id)
+            self._ramp.remove(target_id)
             self._loads_by_target_id.pop(target_id, None)
         if old_by_id:
-            self._start_cold_targets(new_by_id)
+            self._start_ramps(new_by_id)
         for target_id in new_by_id:
             self._loads_by_target_id.setdefault(target_id, TargetLoad())
         self._targets_by_id = new_by_id
@@ -178,31 +197,37 @@
     def choose(
         self, flow_id: int, size_class: SizeClass
     ) -> Result[Choice, NoTarget]:
-        """Return the target for a new flow and its alternates."""
+        """Return the target for a new flow and its alternates.
+
+        The error is `NoTarget` if no target is alive and accepting.
+        """
         pool = self._list_eligible(flow_id)
         if not pool:
             return Err(NoTarget(self.service, NoTargetReason.NONE_ALIVE))
         pool.sort(key=self._rank)
         target = pool[0]
         load = self._loads_by_target_id[target.target_id]
-        load.sent += _LOAD_BY_SIZE_CLASS[size_class]
+        load.requests_since_report += _LOAD_BY_SIZE_CLASS[size_class]
         self._add_probe_credit()
         end = 1 + self._settings.alternates
         return Ok(Choice(target, tuple(pool[1:end])))
 
     def record_probe(self, reply: ProbeReply) -> None:
-        """Take the load that a target reports."""
+        """Update load, drain state and ejection from a probe reply.
+
+        A reply from an unknown target is ignored.
+        """
         load = self._loads_by_target_id.get(reply.target_id)
         if load is None:
             return
-        load.take_report(
+        load.record_report(
             reply.in_flight,
             reply.queued,
             reply.latency_us / _US_PER_S,
             self._timers.now(),
         )
-        self._usual_service_s += USUAL_SERVICE_WEIGHT * (
-            load.latency_s - self._usual_service_s
+        self._mean_service_s += MEAN_SERVICE_WEIGHT * (
+            load.latency_s - self._mean_service_s
         )
         self._draining.discard(reply.target_id)
         if reply.state == ProbeState.DRAINING:
@@ -214,35 +239,36 @@
             self._ramp.restart(reply.target_id)
 
     def record_outcome(self, target_id: str, *, succeeded: bool) -> None:
-        """Count a flow that was accepted or failed, or a lost probe."""
+        """Count an accepted or failed flow; a lost probe is a failure."""
         self._outliers.record_outcome(target_id, succeeded=succeeded)
         if not succeeded:
             self._outliers.record_probe(target_id, succeeded=False)
 
     def targets_to_probe(self) -> tuple[TargetInfo, ...]:
-        """Return targets to probe now, and count them as asked.
+        """Return the targets to probe now and record them as probed.
 
-        Called after `choose` and once every few hundred milliseconds.
-        Ejected targets are probed at a fixed gap, all others from the
-        credit that new flows bring, the longest unasked first.
+        To be called after `choose` and every few hundred milliseconds.
+        Ejected targets are probed at a fixed interval. All others are
+        probed as far as the credit from new flows allows, those with
+        the oldest probe first.
         """
         now_s = self._timers.now()
         gap_s = self._settings.ejected_probe_gap_s
         chosen = [
             self._targets_by_id[target_id]
             for target_id in sorted(self._outliers.ejected)
-            if self._loads_by_target_id[target_id].is_due(now_s, gap_s)
+            if self._loads_by_target_id[target_id].is_probe_due(now_s, gap_s)
         ]
-        spend = int(self._probe_credit)
-        if spend > 0:
-            usual = self._list_stalest()[:spend]
-            self._probe_credit -= len(usual)
-            chosen.extend(usual)
+        allowance = int(self._probe_credit)
+        if allowance > 0:
+            due = self._list_due_targets()[:allowance]
+            self._probe_credit -= len(due)
+            chosen.extend(due)
         for target in chosen:
-            self._loads_by_target_id[target.target_id].asked_s = now_s
+            self._loads_by_target_id[target.target_id].probe_sent_s = now_s
         return tuple(chosen)
 
-    def _start_cold_targets(self, new_by_id: dict[str, TargetInfo]) -> None:
+    def _start_ramps(self, new_by_id: dict[str, TargetInfo]) -> None:
         for target_id, target in new_by_id.items():
             old = self._targets_by_id.get(target_id)
             if old is None or old.incarnation != target.incarnation:
@@ -260,17 +286,18 @@
         return own or alive
 
     def _list_eligible(self, flow_id: int) -> list[TargetInfo]:
-        """Return candidates without draining, ejected and some cold ones.
+        """Return the candidates that may get a new flow.
 
-        More are taken from the table than needed, so that those left
-        out are replaced. Ejected targets are used if no other is left,
-        draining ones never.
+        Draining and ejected targets are left out, and targets in slow
+        start at random. More candidates are ranked than needed, so that
+        others replace those left out. Ejected targets are used if no
+        other is left, draining ones never.
         """
-        left_out = len(self._outliers.ejected) + len(self._draining)
+        excluded = len(self._outliers.ejected) + len(self._draining)
         count = self._settings.candidates
         accepting = [
             target
-            for target in self._table.candidates(flow_id, count + left_out)
+            for target in self._table.candidates(flow_id, count + excluded)
             if target.target_id not in self._draining
         ]
         healthy = [
@@ -282,25 +309,28 @@
         warm = [
             target
             for target in healthy
-            if self._random.random() < self._ramp.share(target.target_id)
+            if self._random.random()
+            < self._ramp.traffic_share(target.target_id)
         ]
         return warm or healthy
 
     def _rank(self, target: TargetInfo) -> tuple[float, float]:
-        """Return the expected wait in s and a random tie-break.
+        """Return the expected wait and a random tie-break, in seconds.
 
-        Idle targets of twice the speed win ties twice as often.
+        The tie-break is exponentially distributed with the service time
+        as its mean, so that of two idle targets one of twice the speed
+        is chosen twice as often.
         """
         load = self._loads_by_target_id[target.target_id]
         service_s = load.latency_s or DEFAULT_SERVICE_S / target.weight
         slots = self._settings.slots
-        believed = load.estimate_requests(
+        requests = load.estimate_requests(
             self._timers.now(), self._settings.half_life_s
         )
-        wait_s = max(believed + 1 - slots, 0.0) * service_s / slots
-        wait_s += SHARED_TARGET_SHARE * service_s * min(believed, 1.0)
+        wait_s = max(requests + 1 - slots, 0.0) * service_s / slots
+        wait_s += IN_FLIGHT_WAIT_SHARE * service_s * min(requests, 1.0)
         busy = load.busy_slots / slots
-        wait_s += BUSY_GAIN * self._usual_service_s * busy
+        wait_s += BUSY_GAIN * self._mean_service_s * busy
         if target.availability_zone != self._shared.place.availability_zone:
             wait_s += self._settings.zone_cost_s
         return wait_s, self._random.expovariate(1.0) * service_s
@@ -311,17 +341,19 @@
             self._settings.probe_burst,
         )
 
-    def _list_stalest(self) -> list[TargetInfo]:
+    def _list_due_targets(self) -> list[TargetInfo]:
         now_s = self._timers.now()
         gap_s = self._settings.min_probe_gap_s
         due = [
             target
             for target in self._table.targets
             if target.target_id not in self._outliers.ejected
-            and self._loads_by_target_id[target.target_id].is_due(now_s, gap_s)
+            and self._loads_by_target_id[target.target_id].is_probe_due(
+                now_s, gap_s
+            )
         ]
-        return sorted(due, key=self._get_asked_s)
+        return sorted(due, key=self._get_probe_sent_s)
 
-    def _get_asked_s(self, target: TargetInfo) -> float:
-        asked_s = self._loads_by_target_id[target.target_id].asked_s
-        return float('-inf') if asked_s is None else asked_s
+    def _get_probe_sent_s(self, target: TargetInfo) -> float:
+        probe_sent_s = self._loads_by_target_id[target.target_id].probe_sent_s
+        return float('-inf') if probe_sent_s is None else probe_sent_s
--- a/greengagepath/routing/choosers.py
+++ b/greengagepath/routing/choosers.py
@@ -1,4 +1,4 @@
-"""The choosers of all services at a balancer, updated in small steps."""
+"""The choosers of all services at a balancer, rebuilt in time slices."""
 
 from collections import deque
 from collections.abc import Mapping
@@ -16,29 +16,30 @@
 )
 from .targets import TargetInfo
 
-# How often a slice of tables reads the clock.
-_SERVICES_PER_CHECK = 4
-# Far below the 50 ms that the event loop may stall.
+# Tables that are rebuilt between two readings of the clock.
+_SERVICES_PER_CLOCK_READ = 4
+# Far below 50 ms, the longest time that the event loop may be blocked.
 SLICE_S = 0.005
 
 
 class ServiceChoosers:
-    """Keeps one chooser for each service that has targets.
+    """One `TargetChooser` for each service that has targets.
 
-    `update_targets` only notes which services changed; `rebuild_slice`
-    makes their tables for a few milliseconds at a time, and `choose`
-    makes the table of its own service at once if it is still due.
+    `update_targets` only queues the services that changed.
+    `rebuild_slice` rebuilds their candidate tables for a few
+    milliseconds at a time. `get_chooser` and `choose` rebuild the table
+    of their service immediately if it is still queued.
     """
 
     def __init__(self, shared: ChooserServices) -> None:
         self._shared = shared
         self._choosers_by_service: dict[int, TargetChooser] = {}
         self._targets_by_service: dict[int, tuple[TargetInfo, ...]] = {}
-        self._changed: deque[int] = deque()
-        self._changed_services: set[int] = set()
+        self._rebuild_queue: deque[int] = deque()
+        self._services_to_rebuild: set[int] = set()
 
     def count_ejections(self) -> dict[int, int]:
-        """Return the soft ejections so far by service id."""
+        """Return the number of ejections so far by service id."""
         return {
             service: chooser.ejections_total
             for service, chooser in self._choosers_by_service.items()
@@ -47,7 +48,7 @@
     def update_targets(
         self, targets_by_service: Mapping[int, tuple[TargetInfo, ...]]
     ) -> int:
-        """Take the present targets; return how many services changed."""
+        """Replace all targets; return the number of changed services."""
         known = self._targets_by_service
         changed = [
             service
@@ -57,45 +58,54 @@
         changed.extend(known.keys() - targets_by_service.keys())
         self._targets_by_service = dict(targets_by_service)
         for service in changed:
-            if service not in self._changed_services:
-                self._changed_services.add(service)
-                self._changed.append(service)
+            if service not in self._services_to_rebuild:
+                self._services_to_rebuild.add(service)
+                self._rebuild_queue.append(service)
         return len(changed)
 
     def rebuild_slice(self, slice_s: float = SLICE_S) -> int:
-        """Make due tables for about `slice_s`; return how many are left."""
+        """Rebuild queued tables for about `slice_s` seconds.
+
+        Returns the number of tables still queued.
+        """
         timers = self._shared.timers
         end_s = timers.now() + slice_s
-        while self._changed and timers.now() <= end_s:
-            for _ in range(min(_SERVICES_PER_CHECK, len(self._changed))):
-                self._rebuild(self._changed.popleft())
-        return len(self._changed)
+        while self._rebuild_queue and timers.now() <= end_s:
+            for _ in range(
+                min(_SERVICES_PER_CLOCK_READ, len(self._rebuild_queue))
+            ):
+                self._rebuild(self._rebuild_queue.popleft())
+        return len(self._rebuild_queue)
 
     def get_chooser(self, service: int) -> TargetChooser | None:
-        """Return the chooser with its table up to date, if any."""
-        if service in self._changed_services:
+        """Return the up-to-date chooser, None if there are no targets."""
+        if service in self._services_to_rebuild:
             self._rebuild(service)
         return self._choosers_by_service.get(service)
 
     def choose(
         self, service: int, flow_id: int, size_class: SizeClass
     ) -> Result[Choice, NoTarget]:
-        """Return the target for a new flow of the service."""
+        """Return the target for a new flow of the service.
+
+        The error is `NoTarget` if the service is unknown or none of its
+        targets is alive and accepting.
+        """
         chooser = self.get_chooser(service)
         if chooser is None:
             return Err(NoTarget(service, NoTargetReason.UNKNOWN_SERVICE))
         return chooser.choose(flow_id, size_class)
 
     def record_probe(self, service: int, reply: ProbeReply) -> None:
-        """Take the load that a target of the service reports."""
+        """Pass a probe reply to the chooser of the service, if any."""
         chooser = self._choosers_by_service.get(service)
         if chooser is not None:
             chooser.record_probe(reply)
 
     def _rebuild(self, service: int) -> None:
-        if service not in self._changed_services:
+        if service not in self._services_to_rebuild:
             return
-        self._changed_services.discard(service)
+        self._services_to_rebuild.discard(service)
         targets = self._targets_by_service.get(service)
         if targets is None:
             self._choosers_by_service.pop(service, None)
--- a/greengagepath/routing/ramp.py
+++ b/greengagepath/routing/ramp.py
@@ -1,12 +1,12 @@
-"""Slow start of targets that have just begun to serve."""
+"""Slow start: reduced traffic for targets that have just started."""
 
 from collections.abc import Callable
 
 from ..foundation.timers import TimerService
 from .targets import TargetInfo
 
-# A cold back end fills caches and compiles code; the figure is the
-# ramp that the targets of the design page ask for.
+# A cold back end fills caches and compiles code. The targets on the
+# design page ask for a ramp of this length.
 RAMP_S = 10.0
 MIN_SHARE = 0.1
 _MS_PER_S = 1000.0
@@ -15,8 +15,9 @@
 class ColdStartRamp:
     """Share of its normal traffic that each target may receive.
 
-    `wall_clock` returns seconds since the epoch and is read only when
-    a target appears, to find how long ago it started.
+    The share grows linearly over `RAMP_S`. `wall_clock` returns seconds
+    since the epoch and is read only when a target appears, to compute
+    how long ago it started.
     """
 
     def __init__(
@@ -27,28 +28,31 @@
         self._warm_at_s_by_target_id: dict[str, float] = {}
 
     def start(self, target: TargetInfo) -> None:
-        """Begin the ramp of a target that appeared or restarted."""
+        """Start the ramp of a target that appeared or restarted.
+
+        A target that started some time ago is that far along its ramp.
+        """
         age_s = 0.0
         if target.started_ms:
             age_s = self._wall_clock() - target.started_ms / _MS_PER_S
         self._start(target.target_id, min(max(age_s, 0.0), RAMP_S))
 
     def restart(self, target_id: str) -> None:
-        """Begin the ramp again, after an ejection."""
+        """Start the ramp from the beginning, after an ejection."""
         self._start(target_id, 0.0)
 
-    def forget(self, target_id: str) -> None:
-        """Drop what is known of a target that is gone."""
+    def remove(self, target_id: str) -> None:
+        """Remove the ramp of a target, if there is one."""
         self._warm_at_s_by_target_id.pop(target_id, None)
 
-    def share(self, target_id: str) -> float:
-        """Return the share, from `MIN_SHARE` up to 1 when warm."""
+    def traffic_share(self, target_id: str) -> float:
+        """Return the share, from `MIN_SHARE` to 1 at the end of the ramp."""
         warm_at_s = self._warm_at_s_by_target_id.get(target_id)
         if warm_at_s is None:
             return 1.0
         left_s = warm_at_s - self._timers.now()
         if left_s <= 0:
-            self.forget(target_id)
+            self.remove(target_id)
             return 1.0
         return max(MIN_SHARE, 1.0 - left_s / RAMP_S)
 
--- a/greengagepath/routing/targets.py
+++ b/greengagepath/routing/targets.py
@@ -1,4 +1,4 @@
-"""What balancers know of a target when they choose one."""
+"""Target records that balancers choose from."""
 
 from dataclasses import dataclass
 from enum import StrEnum, unique
@@ -11,9 +11,9 @@
     """Whether a target may receive new flows."""
 
     ALIVE = 'alive'
-    # Still serves its flows, but nobody has heard from it lately.
+    # No recent contact; it still serves its flows but gets no new ones.
     SUSPECT = 'suspect'
-    # Finishes its flows and takes no new ones.
+    # Finishes its flows and accepts no new ones.
     DRAINING = 'draining'
 
 
@@ -21,9 +21,10 @@
 class TargetInfo:
     """A target of one service.
 
-    `address` is where its agent receives datagrams. `weight` is its
-    capacity relative to other targets of the service. `started_ms` is
-    the wall-clock start of the target in ms, 0 if unknown.
+    `address` is the address at which its agent receives datagrams.
+    `weight` is its capacity relative to other targets of the service.
+    `incarnation` differs after a restart. `started_ms` is the start of
+    the target in milliseconds since the epoch, 0 if unknown.
     """
 
     target_id: str
--- a/tests/routing/test_candidates.py
+++ b/tests/routing/test_candidates.py
@@ -6,7 +6,7 @@
 from testtools import TestCase
 
 from greengagepath.routing.candidates import (
-    LARGE_SET,
+    MIN_TARGETS_TO_CACHE,
     RANKED_PER_BUCKET,
     CandidateTable,
 )
@@ -22,8 +22,9 @@
         flow_id=st.integers(0, 2**64 - 1),
         seed=st.integers(0, 1000),
     )
-    def test_order_of_input_does_not_matter(self, count, flow_id, seed):
-        # Guards against balancers that rank the same set differently.
+    def test_ranking_does_not_depend_on_input_order(self, count, flow_id, seed):
+        # Guards against balancers that rank the same targets differently
+        # because they learned of them in another order.
         targets = list(build_targets(count))
         table = CandidateTable.build(targets)
         random.Random(seed).shuffle(targets)
@@ -37,10 +38,11 @@
         wanted=st.integers(1, 15),
         flow_id=st.integers(0, 2**64 - 1),
     )
-    def test_candidates_differ_and_extend_each_other(
+    def test_candidates_are_distinct_and_owner_is_first(
         self, count, wanted, flow_id
     ):
-        # Guards against an alternate that is the failed target itself.
+        # Guards against a target that is its own alternate, and against
+        # an owner that depends on the number of candidates.
         table = CandidateTable.build(build_targets(count))
         found = table.candidates(flow_id, wanted)
         self.assertEqual(min(count, wanted), len(set(found)))
@@ -48,7 +50,8 @@
 
     @given(count=st.integers(2, 10), gone=st.integers(0, 9))
     def test_only_flows_of_a_removed_target_move(self, count, gone):
-        # Guards against reshuffling flows between remaining targets.
+        # Guards against moving flows between the remaining targets when
+        # one is removed.
         targets = build_targets(count)
         gone %= count
         before = CandidateTable.build(targets)
@@ -60,10 +63,11 @@
             if owner != targets[gone]:
                 self.assertEqual((owner,), after.candidates(flow_id, 1))
 
-    def test_large_sets_keep_order_and_movement(self):
-        # Guards against remembered rankings that differ from fresh ones
-        # or reshuffle flows when a target leaves.
-        targets = build_targets(LARGE_SET + 1)
+    def test_cached_rankings_are_consistent(self):
+        # Guards against cached rankings in large sets that depend on
+        # the cache's content or move flows of remaining targets when
+        # one is removed.
+        targets = build_targets(MIN_TARGETS_TO_CACHE + 1)
         table = CandidateTable.build(targets)
         smaller = CandidateTable.build(targets[1:])
         for flow_id in range(300):
@@ -76,7 +80,8 @@
                 self.assertEqual(few[:1], smaller.candidates(flow_id, 1))
 
     def test_weights_are_respected(self):
-        # Guards against a large target that gets a small one's share.
+        # Guards against a share of flows that is not proportional to the
+        # weight of the target.
         table = CandidateTable.build(
             build_target(number, weight=2.0**number) for number in range(4)
         )
@@ -86,8 +91,9 @@
         for weight, flows in owned.items():
             self.assertAlmostEqual(weight / 15, flows / FLOWS, delta=0.025)
 
-    def test_bad_sets_are_refused(self):
-        # Guards against a table with a division by zero or two owners.
+    def test_invalid_target_sets_are_rejected(self):
+        # Guards against a division by a weight of zero and against two
+        # targets of the same id.
         self.assertRaises(
             ValueError, CandidateTable.build, [build_target(1, weight=0.0)]
         )
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -25,8 +25,9 @@
 
 
 class TargetChooserTest(TestCase):
-    def test_leaving_and_silent_targets_get_no_new_flow(self):
-        # Guards against new work at a target that drains or is silent.
+    def test_draining_and_suspect_targets_get_no_new_flow(self):
+        # Guards against new flows at a target that is draining, by its
+        # record or its probe reply, or is suspected to be down.
         chooser = build_chooser(
             (
                 build_target(1, state=TargetState.DRAINING),
@@ -41,8 +42,8 @@
         counts = count_choices(chooser, SHORT, 200)
         self.assertEqual({'target-3': 200}, counts)
 
-    def test_none_left_is_an_error(self):
-        # Guards against an exception when the last target leaves.
+    def test_no_accepting_target_is_an_error(self):
+        # Guards against an exception when the last target drains.
         chooser = build_chooser((build_target(1),))
         chooser.record_probe(
             ProbeReply('target-1', 0, 0, 0, ProbeState.DRAINING)
@@ -50,8 +51,9 @@
         problem = chooser.choose(1, SHORT).unwrap_err()
         self.assertEqual(NoTargetReason.NONE_ALIVE, problem.reason)
 
-    def test_other_region_only_when_own_has_none(self):
-        # Guards against traffic that leaves the region needlessly.
+    def test_other_region_is_used_only_without_local_targets(self):
+        # Guards against flows that leave the region while it has targets
+        # of its own.
         far = build_target(1, region='sydney')
         near = build_target(2)
         chooser = build_chooser((far, near))
@@ -60,7 +62,7 @@
         self.assertEqual({'target-1': 50}, count_choices(chooser, SHORT, 50))
 
     def test_loaded_target_is_avoided(self):
-        # Guards against a choice that ignores the probes.
+        # Guards against a choice that ignores the load in probe replies.
         chooser = build_chooser(build_targets(3))
         for number in range(3):
             queued = 50 if number == 1 else 0
@@ -70,15 +72,17 @@
         counts = count_choices(chooser, SHORT, 40)
         self.assertNotIn('target-1', counts)
 
-    def test_own_flows_count_until_the_next_probe(self):
-        # Guards against herding on the target with the best old probe.
+    def test_flows_sent_count_until_the_next_probe(self):
+        # Guards against sending all flows to the target that reported
+        # the lowest load until it is probed again.
         chooser = build_chooser(build_targets(4))
         chooser.record_probe(ProbeReply('target-0', 0, 0, 10000))
         counts = count_choices(chooser, SHORT, 200)
         self.assertLess(max(counts.values()), 80)
 
     def test_new_target_ramps_up(self):
-        # Guards against a cold target that gets a full share at once.
+        # Guards against a new target that gets its full share of flows
+        # before it has warmed up.
         timers = VirtualTimerService()
         targets = build_targets(3)
         chooser = build_chooser(targets, timers)
@@ -92,7 +96,8 @@
         self.assertGreater(warm, 80)
 
     def test_probe_rate_follows_new_flows(self):
-        # Guards against probes that exceed half the new flows.
+        # Guards against more than one probe for two new flows, apart
+        # from the initial burst, and against too few probes.
         timers = VirtualTimerService()
         chooser = build_chooser(build_targets(7), timers)
         sent = 0
@@ -104,8 +109,8 @@
         self.assertGreater(sent, 450)
 
     def test_own_zone_is_preferred_until_it_is_loaded(self):
-        # Guards against needless zone crossings, and against staying in
-        # a zone whose targets are busy.
+        # Guards against traffic between zones while the own zone has
+        # free targets, and against overloading the own zone.
         near = build_target(1)
         far = build_target(2, availability_zone='perth-b')
         chooser = build_chooser((near, far))
@@ -123,7 +128,8 @@
         ),
     )
     def test_ejection_limit_holds_for_any_outcomes(self, count, bursts):
-        # Guards against ejecting beyond the limit in any order.
+        # Guards against a sequence of outcomes that ejects more than a
+        # third of the targets.
         chooser = build_chooser(build_targets(count))
         for number, succeeded in bursts:
             for _ in range(5):
@@ -132,7 +138,8 @@
         self.assertTrue(chooser.choose(1, SHORT).is_ok())
 
     def test_at_most_a_third_is_ejected(self):
-        # Guards against ejecting so many that the rest is overloaded.
+        # Guards against ejecting so many failing targets that the
+        # remaining ones are overloaded.
         chooser = build_chooser(build_targets(7))
         for number in range(7):
             for _ in range(20):
@@ -141,8 +148,8 @@
         counts = count_choices(chooser, SHORT, 300)
         self.assertEqual(frozenset(), chooser.ejected & counts.keys())
 
-    def test_ejected_target_returns_through_probes(self):
-        # Guards against a target that stays out after it recovered.
+    def test_ejected_target_is_readmitted_by_probes(self):
+        # Guards against a target that stays ejected after it recovered.
         timers = VirtualTimerService()
         chooser = build_chooser(build_targets(3), timers)
         for _ in range(5):
@@ -157,7 +164,8 @@
 
 class ServiceChoosersTest(TestCase):
     def test_only_changed_services_are_rebuilt(self):
-        # Guards against rebuilding all tables for one change.
+        # Guards against rebuilding the tables of all services when the
+        # targets of one change.
         choosers = ServiceChoosers(build_shared())
         by_service = {number: build_targets(3) for number in range(20)}
         self.assertEqual(20, choosers.update_targets(by_service))
@@ -166,7 +174,8 @@
         self.assertEqual(1, choosers.update_targets(by_service))
 
     def test_choice_does_not_wait_for_the_rebuild(self):
-        # Guards against choosing from the old set after a change.
+        # Guards against choosing from the old target set between a
+        # change and its rebuild.
         choosers = ServiceChoosers(build_shared())
         choosers.update_targets({SERVICE: (build_target(1),)})
         self.assertTrue(choosers.choose(SERVICE, 1, SHORT).is_ok())
