Reword the admission package and its tests

Comments, docstrings, internal names and test names use the usual terms: customer queue, eviction, conservative cost, moving average, overload. Docstrings name units and what is returned. The reasons and the trial figures behind the constants stay.

--- a/greengagepath/admission/__init__.py
+++ b/greengagepath/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Admission beside a target: limits, fair queueing and shedding."""
+"""Admission in front of a target: limits, fair queueing, load shedding."""
--- a/greengagepath/admission/fair_queue.py
+++ b/greengagepath/admission/fair_queue.py
@@ -1,7 +1,8 @@
-"""Weighted fair queue between customers, by cost in seconds of a slot.
+"""Weighted fair queueing between customers.
 
-Start-time fair queueing (Goyal, Vin and Cheng, 1996) over one line for
-each customer; a line keeps short and long work apart.
+Start-time fair queueing (Goyal, Vin and Cheng, 1996) over one queue for
+each customer, which keeps short and long work apart. Costs are in
+seconds of a slot.
 """
 
 from collections import deque
@@ -10,10 +11,12 @@
 
 from ..generated.messages import SizeClass
 
-# Lines of customers without queued work that are kept for their debt.
-MAX_IDLE_LINES = 1024
+# Number of customer queues at which the empty ones are removed. Until
+# then an empty queue is kept for its start tag, which stands for the
+# cost that its customer has already been charged.
+MAX_IDLE_QUEUES = 1024
 DEFAULT_SHARE = 1.0
-# One line for all customers that the configuration does not list.
+# Id of the queue shared by customers that the configuration omits.
 UNLISTED_CUSTOMER = -1
 
 
@@ -22,10 +25,10 @@
     """A request offered to the gate.
 
     `deadline_s` is the time of the timer service at which the caller
-    gives up. The gate sets `queued_s`, `expected_s` (cost in seconds of
-    a slot), `likely_s` (a cost that most requests stay below) and, where
-    it is unknown, `size_class`. `payload` belongs to the caller of the
-    gate.
+    stops waiting. The gate sets `queued_s` (time of the offer),
+    `expected_s` (mean cost in seconds of a slot), `conservative_s` (a
+    cost that most requests stay below) and, if unknown, `size_class`.
+    `payload` is not used by the gate.
     """
 
     request_id: bytes
@@ -36,12 +39,15 @@
     payload: object = None
     queued_s: float = 0.0
     expected_s: float = 0.0
-    likely_s: float = 0.0
+    conservative_s: float = 0.0
 
 
 @dataclass(slots=True)
-class Line:
-    """Queued requests of one customer; `virtual_s` is its start tag."""
+class CustomerQueue:
+    """Queued requests of one customer.
+
+    `virtual_s` is the start tag of its next request, in virtual time.
+    """
 
     customer_id: int
     share: float = DEFAULT_SHARE
@@ -53,25 +59,31 @@
         """Return the number of queued requests."""
         return len(self.short) + len(self.long)
 
-    def of_class(self, size_class: SizeClass) -> deque[QueuedRequest]:
-        """Return the queued requests of a class, oldest first."""
+    def requests_of(self, size_class: SizeClass) -> deque[QueuedRequest]:
+        """Return the queue of a size class, oldest request first.
+
+        Requests of unknown size are queued as short.
+        """
         return self.long if size_class == SizeClass.long else self.short
 
     def newest(self) -> QueuedRequest:
-        """Return the request queued last; the line must not be empty."""
+        """Return the request queued last.
+
+        Raises ValueError if the queue is empty.
+        """
         tails = [queue[-1] for queue in (self.long, self.short) if queue]
         return max(tails, key=lambda request: request.queued_s)
 
 
 class FairQueue:
-    """Picks the customer that has had the least cost for its share.
+    """Serves the customer with the least served cost for its share.
 
-    With `shares_by_customer` given, customers outside it share one line,
-    so that made-up ids gain nothing.
+    After `replace_shares` with at least one customer, all others share
+    one queue, so that invented customer ids bring no advantage.
     """
 
     def __init__(self) -> None:
-        self._lines_by_customer: dict[int, Line] = {}
+        self._queues_by_customer: dict[int, CustomerQueue] = {}
         self._requests_by_id: dict[bytes, QueuedRequest] = {}
         self._shares_by_customer: Mapping[int, float] = {}
         self._virtual_s = 0.0
@@ -81,84 +93,92 @@
         return len(self._requests_by_id)
 
     def replace_shares(self, shares_by_customer: Mapping[int, float]) -> None:
-        """Take new shares from the configuration."""
+        """Replace the shares, as given in the configuration."""
         self._shares_by_customer = dict(shares_by_customer)
-        for line in self._lines_by_customer.values():
-            line.share = self._share_of(line.customer_id)
+        for queue in self._queues_by_customer.values():
+            queue.share = self._share_of(queue.customer_id)
 
     def push(self, request: QueuedRequest) -> None:
-        """Append to the line of the request's customer."""
-        line = self._line(request.customer_id)
-        if not line:
-            line.virtual_s = max(line.virtual_s, self._virtual_s)
-        line.of_class(request.size_class).append(request)
+        """Append a request to the queue of its customer."""
+        queue = self._get_queue(request.customer_id)
+        if not queue:
+            queue.virtual_s = max(queue.virtual_s, self._virtual_s)
+        queue.requests_of(request.size_class).append(request)
         self._requests_by_id[request.request_id] = request
 
     def pop(self, size_class: SizeClass) -> QueuedRequest | None:
-        """Take the next request of a class and charge its customer."""
-        line = self._next_line(size_class)
-        if line is None:
+        """Remove and return the next request of a size class, if any.
+
+        Its expected cost is charged to the customer.
+        """
+        queue = self._select_queue(size_class)
+        if queue is None:
             return None
-        request = line.of_class(size_class).popleft()
+        request = queue.requests_of(size_class).popleft()
         self._requests_by_id.pop(request.request_id)
-        self._virtual_s = max(self._virtual_s, line.virtual_s)
-        line.virtual_s += request.expected_s / line.share
+        self._virtual_s = max(self._virtual_s, queue.virtual_s)
+        queue.virtual_s += request.expected_s / queue.share
         return request
 
-    def correct(self, customer_id: int, difference_s: float) -> None:
-        """Charge what a request cost beyond its expected cost."""
-        line = self._line(customer_id)
-        line.virtual_s += difference_s / line.share
+    def adjust_charge(self, customer_id: int, difference_s: float) -> None:
+        """Charge the difference between actual and expected cost.
+
+        `difference_s` is in seconds of a slot, negative for a refund.
+        """
+        queue = self._get_queue(customer_id)
+        queue.virtual_s += difference_s / queue.share
 
     def remove(self, request_id: bytes) -> QueuedRequest | None:
-        """Take a request out of the queue, if it is queued."""
+        """Remove and return a request, or None if it is not queued."""
         request = self._requests_by_id.pop(request_id, None)
         if request is not None:
-            line = self._line(request.customer_id)
-            line.of_class(request.size_class).remove(request)
+            queue = self._get_queue(request.customer_id)
+            queue.requests_of(request.size_class).remove(request)
         return request
 
     def oldest(self, size_class: SizeClass) -> QueuedRequest | None:
-        """Return the head that has waited longest in a class."""
+        """Return the request of a size class that has waited longest."""
         if not self._requests_by_id:
             return None
         heads = [
-            line.of_class(size_class)[0]
-            for line in self._lines_by_customer.values()
-            if line.of_class(size_class)
+            queue.requests_of(size_class)[0]
+            for queue in self._queues_by_customer.values()
+            if queue.requests_of(size_class)
         ]
         return min(heads, key=lambda head: head.queued_s, default=None)
 
     def work_ahead_s(self, customer_id: int, size_class: SizeClass) -> float:
-        """Return the cost served before a new request of a customer.
+        """Return the cost expected to be served before a new request.
 
-        At most all queued cost of the class, and at most what passes
-        while the customer's own queued cost is served at its share.
+        It is in seconds of a slot: the queued cost of the size class,
+        or, if less, the cost that is served to all customers while this
+        one is served its own queued cost at its share.
         """
         total_s = 0.0
         active_share = 0.0
-        for line in self._lines_by_customer.values():
-            if line.of_class(size_class):
-                active_share += line.share
-                total_s += _cost_s(line, size_class)
-        own = self._line(customer_id)
-        if not own.of_class(size_class):
+        for queue in self._queues_by_customer.values():
+            if queue.requests_of(size_class):
+                active_share += queue.share
+                total_s += _cost_s(queue, size_class)
+        own = self._get_queue(customer_id)
+        if not own.requests_of(size_class):
             active_share += own.share
-        # The request's own turn: one round of the other customers.
+        # The new request itself waits for one round of the customers.
         turn_s = total_s / max(len(self), 1) * active_share / own.share
         own_s = _cost_s(own, size_class) * active_share / own.share
         return min(total_s, own_s + turn_s)
 
-    def eviction_for(self, customer_id: int) -> QueuedRequest | None:
-        """Return the request to give up for a new one in a full queue.
+    def find_eviction(self, customer_id: int) -> QueuedRequest | None:
+        """Return the request to evict for a new one when the queue is full.
 
-        It is the newest of the line that holds most for its share, or
-        None if that is the customer's own line.
+        It is the newest request of the customer with the most requests
+        for its share, or None if no customer has more than the customer
+        of the new request would have.
         """
-        own = self._line(customer_id)
+        own = self._get_queue(customer_id)
         fullest = max(
-            self._lines_by_customer.values(),
-            key=lambda line: len(line) / line.share,
+            self._queues_by_customer.values(),
+            key=lambda queue: len(queue) / queue.share,
         )
         if len(fullest) / fullest.share <= (len(own) + 1) / own.share:
             return None
@@ -168,41 +188,43 @@
         """Return the queued requests in order of arrival."""
         return iter(tuple(self._requests_by_id.values()))
 
-    def _line(self, customer_id: int) -> Line:
+    def _get_queue(self, customer_id: int) -> CustomerQueue:
         if self._shares_by_customer and (
             customer_id not in self._shares_by_customer
         ):
             customer_id = UNLISTED_CUSTOMER
-        line = self._lines_by_customer.get(customer_id)
-        if line is None:
-            self._forget_idle_lines()
-            line = Line(customer_id, share=self._share_of(customer_id))
-            line.virtual_s = self._virtual_s
-            self._lines_by_customer[customer_id] = line
-        return line
+        queue = self._queues_by_customer.get(customer_id)
+        if queue is None:
+            self._remove_idle_queues()
+            queue = CustomerQueue(
+                customer_id, share=self._share_of(customer_id)
+            )
+            queue.virtual_s = self._virtual_s
+            self._queues_by_customer[customer_id] = queue
+        return queue
 
     def _share_of(self, customer_id: int) -> float:
         return self._shares_by_customer.get(customer_id, DEFAULT_SHARE)
 
-    def _next_line(self, size_class: SizeClass) -> Line | None:
+    def _select_queue(self, size_class: SizeClass) -> CustomerQueue | None:
         if not self._requests_by_id:
             return None
         waiting = [
-            line
-            for line in self._lines_by_customer.values()
-            if line.of_class(size_class)
+            queue
+            for queue in self._queues_by_customer.values()
+            if queue.requests_of(size_class)
         ]
-        return min(waiting, key=lambda line: line.virtual_s, default=None)
+        return min(waiting, key=lambda queue: queue.virtual_s, default=None)
 
-    def _forget_idle_lines(self) -> None:
-        if len(self._lines_by_customer) < MAX_IDLE_LINES:
+    def _remove_idle_queues(self) -> None:
+        if len(self._queues_by_customer) < MAX_IDLE_QUEUES:
             return
-        self._lines_by_customer = {
-            customer_id: line
-            for customer_id, line in self._lines_by_customer.items()
-            if line
+        self._queues_by_customer = {
+            customer_id: queue
+            for customer_id, queue in self._queues_by_customer.items()
+            if queue
         }
 
 
-def _cost_s(line: Line, size_class: SizeClass) -> float:
-    return sum(request.expected_s for request in line.of_class(size_class))
+def _cost_s(queue: CustomerQueue, size_class: SizeClass) -> float:
+    return sum(request.expected_s for request in queue.requests_of(size_class))
--- a/greengagepath/admission/gate.py
+++ b/greengagepath/admission/gate.py
@@ -1,6 +1,6 @@
-"""Gate in front of a back end: admits, queues, orders and refuses.
+"""Admission gate of a back end: admits, queues, orders and refuses.
 
-The gate never hands out a request that it has refused.
+A request that the gate has refused is never handed out to run.
 """
 
 from collections.abc import Mapping
@@ -14,25 +14,26 @@
 from .fair_queue import FairQueue, QueuedRequest
 from .limiter import ConcurrencyLimiter
 from .running import RunningSet
-from .shedding import WorkAhead, expected_wait_s, is_hopeless
+from .shedding import WorkAhead, expected_wait_s, will_miss_deadline
 from .size_classes import OperationCosts
 
-# Long work that has waited this long goes before short work, within the
-# slots that long work may use.
+# Long work that has waited this long is started before short work,
+# within the slots that long work may use.
 LONG_AGING_S = 1.0
-# Share of its time limit after which long work ages, if that is sooner.
+# Long work is also started first after this share of the time between
+# its offer and its deadline, if that is sooner.
 LONG_AGING_SHARE = 0.25
-# Weight of a new sample in the latency that probes report.
+# Weight of a new duration in the mean latency that probes report.
 LATENCY_WEIGHT = 0.05
-# Time for a refusal to reach the caller before its deadline ends the
-# call, which would leave the caller unsure whether the request ran.
+# Time for a refusal to reach the caller before the deadline. A call that
+# ends at its deadline leaves the caller unsure whether the request ran.
 REFUSAL_MARGIN_S = 0.05
 MS_PER_S = 1000
 
 
 @dataclass(slots=True, frozen=True)
 class Admitted:
-    """The request is queued; `expected_wait_s` in seconds."""
+    """The request is queued and expected to start in `expected_wait_s`."""
 
     request_id: bytes
     expected_wait_s: float
@@ -40,7 +41,11 @@
 
 @dataclass(slots=True, frozen=True)
 class GateLoad:
-    """What a probe reports; `latency_s` is the mean time of a run."""
+    """Load that a probe reports.
+
+    `limit` is the current concurrency limit, `latency_s` the mean run
+    time of a request in seconds, 0 before the first one has ended.
+    """
 
     in_flight: int
     queued: int
@@ -50,13 +55,13 @@
 
     @property
     def is_full(self) -> bool:
-        """Whether the queue has no place left."""
+        """Whether the queue is full."""
         return self.queued >= max(self.queue_length, 1)
 
 
 @unique
 class CancelOutcome(Enum):
-    """What became of a request that its caller cancelled."""
+    """Result of cancelling a request."""
 
     REMOVED = 'removed'
     RUNNING = 'running'
@@ -66,11 +71,11 @@
 class AdmissionGate:
     """Decides which requests run, and when; one for each agent.
 
-    `offer` queues or refuses, `next_request` hands out work when a slot
-    is free, `finish` or `release` frees the slot. Requests that leave
-    the queue without being handed out are returned by `take_refused`.
-    `running` holds the requests that have a slot; while `is_draining`
-    all new requests are refused.
+    `offer` queues or refuses a request. `next_request` hands one out
+    when a slot is free; `finish`, `abandon` or `release` frees the slot.
+    Requests that leave the queue without being handed out are returned
+    by `take_refused`. `running` holds the requests that have a slot.
+    While `is_draining` is set, all new requests are refused.
     """
 
     def __init__(self, timers: TimerService, limits: Limits) -> None:
@@ -87,25 +92,25 @@
     def replace_limits(
         self, limits: Limits, shares_by_customer: Mapping[int, float]
     ) -> None:
-        """Take new limits and shares from the configuration."""
+        """Replace limits and shares, as given in the configuration."""
         self._limits = limits
         self._limiter.replace_slots(limits.slots)
         self._queue.replace_shares(shares_by_customer)
 
     def offer(self, request: QueuedRequest) -> Result[Admitted, Refusal]:
-        """Queue a request or say why it is not run."""
+        """Queue a request, or return the refusal with its reason."""
         now_s = self._timers.now()
         request.queued_s = now_s
         request.size_class = self.costs.classify(
             request.operation, request.size_class
         )
         request.expected_s = self.costs.expected_s(request.operation)
-        request.likely_s = self.costs.likely_s(request.operation)
+        request.conservative_s = self.costs.conservative_s(request.operation)
         if self.is_draining:
             return Err(_refuse(request, RefusalReason.draining))
         wait_s = self._expected_wait_s(request)
         remaining_s = request.deadline_s - now_s
-        if is_hopeless(wait_s, request.likely_s, remaining_s):
+        if will_miss_deadline(wait_s, request.conservative_s, remaining_s):
             return Err(_refuse(request, RefusalReason.deadline, wait_s))
         if not self._make_room(request):
             return Err(_refuse(request, RefusalReason.queue_full, wait_s))
@@ -113,29 +118,32 @@
         return Ok(Admitted(request.request_id, wait_s))
 
     def next_request(self) -> QueuedRequest | None:
-        """Hand out the next request to run, or None.
+        """Return the next request to run, or None.
 
         Requests whose deadline has passed, or cannot be met while other
-        work waits, are refused on the way.
+        work waits, are refused and skipped.
         """
         while not self.is_draining:
             request = self._pop()
             if request is None:
                 return None
-            # While nothing else waits, a slot has no better use, and the
-            # expected cost is measured again.
-            needed_s = request.likely_s if len(self._queue) else 0.0
+            # If no other request waits, the slot would be idle, and
+            # running the request measures its cost again.
+            needed_s = request.conservative_s if len(self._queue) else 0.0
             if request.deadline_s - self._timers.now() > needed_s:
                 self.running.start(request)
                 return request
-            self._queue.correct(request.customer_id, -request.expected_s)
+            self._queue.adjust_charge(request.customer_id, -request.expected_s)
             self._refused.append(_refuse(request, RefusalReason.deadline))
         return None
 
     def finish(
         self, request_id: bytes, duration_s: float, succeeded: bool
     ) -> None:
-        """Free the slot of a request that ran for `duration_s`."""
+        """Free the slot of a request that ran for `duration_s` seconds.
+
+        A request that has no slot is ignored.
+        """
         in_flight = len(self.running)
         request = self.running.end(request_id)
         if request is None:
@@ -144,7 +152,7 @@
         if succeeded:
             ratio = self.costs.record(request.operation, duration_s)
         self._limiter.record(ratio, in_flight, succeeded)
-        self._queue.correct(
+        self._queue.adjust_charge(
             request.customer_id, duration_s - request.expected_s
         )
         if not self._latency_s:
@@ -152,17 +160,18 @@
         self._latency_s += LATENCY_WEIGHT * (duration_s - self._latency_s)
 
     def abandon(self, request_id: bytes, duration_s: float) -> None:
-        """Free the slot of a request that was stopped after a time.
+        """Free the slot of a request that was stopped after `duration_s`.
 
-        A deadline or a caller that gives up is no sign of overload. The
-        duration says only that the cost is not lower.
+        A missed deadline or a cancelled call is no sign of overload, so
+        the concurrency limit stays. The duration is a lower bound of the
+        cost, so it is recorded only if it exceeds the expected cost.
         """
         request = self.running.end(request_id)
         if request is None:
             return
         if duration_s > request.expected_s:
             self.costs.record(request.operation, duration_s)
-        self._queue.correct(
+        self._queue.adjust_charge(
             request.customer_id, duration_s - request.expected_s
         )
 
@@ -171,7 +180,7 @@
         in_flight = len(self.running)
         request = self.running.end(request_id)
         if request is not None:
-            self._queue.correct(request.customer_id, -request.expected_s)
+            self._queue.adjust_charge(request.customer_id, -request.expected_s)
             self._limiter.record(1.0, in_flight, succeeded=False)
 
     def cancel(self, request_id: bytes) -> CancelOutcome:
@@ -192,30 +201,30 @@
             self._refused.append(_refuse(request, RefusalReason.draining))
 
     def stop_draining(self) -> None:
-        """Admit again, after an operator has undone the draining."""
+        """Admit requests again, after an operator has undone the drain."""
         self.is_draining = False
 
     def refuse_expiring(self) -> None:
         """Refuse queued requests that can no longer be answered in time.
 
-        Without it they would wait for a slot to become free, which
-        takes long when stragglers hold all slots.
+        They would otherwise be refused only when a slot becomes free,
+        which takes long while stragglers hold all slots.
         """
         now_s = self._timers.now()
         for request in self._queue.queued():
-            cost_s = request.likely_s if len(self._queue) > 1 else 0.0
+            cost_s = request.conservative_s if len(self._queue) > 1 else 0.0
             if request.deadline_s - now_s <= cost_s + REFUSAL_MARGIN_S:
                 self._queue.remove(request.request_id)
                 self._refused.append(_refuse(request, RefusalReason.deadline))
 
     def take_refused(self) -> list[Refusal]:
-        """Return the refusals since the last call."""
+        """Return and clear the refusals since the last call."""
         refused = self._refused
         self._refused = []
         return refused
 
     def load(self) -> GateLoad:
-        """Return what a probe reports."""
+        """Return the load that a probe reports."""
         return GateLoad(
             in_flight=len(self.running),
             queued=len(self._queue),
@@ -227,14 +236,15 @@
     def _make_room(self, request: QueuedRequest) -> bool:
         """Return whether the request can be queued.
 
-        A full queue gives up a request of the customer that holds most
-        for its share, so that one customer cannot keep others out.
+        From a full queue a request of the customer with the most
+        requests for its share is evicted, so that one customer cannot
+        exclude the others.
         """
         if self._limits.queue_length == 0:
             return self._has_free_slot(request.size_class)
         if not self.load().is_full:
             return True
-        evicted = self._queue.eviction_for(request.customer_id)
+        evicted = self._queue.find_eviction(request.customer_id)
         if evicted is None:
             return False
         self._queue.remove(evicted.request_id)
@@ -266,8 +276,8 @@
             WorkAhead(
                 size_class=size_class,
                 slots=self.running.slots_for(size_class, self._limiter.limit),
-                free=self._has_free_slot(size_class),
-                soonest_s=self.running.soonest_s(),
+                has_free_slot=self._has_free_slot(size_class),
+                next_free_slot_s=self.running.next_free_slot_s(),
                 short_s=self._queue.work_ahead_s(customer_id, SizeClass.short),
                 long_s=self._queue.work_ahead_s(customer_id, SizeClass.long),
             )
--- a/greengagepath/admission/limiter.py
+++ b/greengagepath/admission/limiter.py
@@ -1,7 +1,8 @@
-"""Adaptive concurrency limit, driven by measured latency."""
+"""Adaptive concurrency limit, controlled by measured latency."""
 
-# The limit falls when durations are this many times their baseline. At
-# weight 0.1, exponential durations stay four deviations below it.
+# The limit is lowered when the moving average of duration / baseline
+# exceeds this. At a weight of 0.1, the average of exponentially
+# distributed durations stays four standard deviations below it.
 SLOW_RATIO = 2.0
 RATIO_WEIGHT = 0.1
 DECREASE_SLOW = 0.9
@@ -10,11 +11,12 @@
 
 
 class ConcurrencyLimiter:
-    """Additive increase, multiplicative decrease, within the slots.
+    """Additive increase, multiplicative decrease of the limit.
 
-    `slots` is what the back end runs at once; the limit is between 1
-    and `slots`. The limit falls at most once in as many outcomes as the
-    limit is, because those requests were started under the old one.
+    `slots` is the number of requests that the back end runs at once;
+    the limit is between 1 and `slots`. It is decreased at most once in
+    as many outcomes as its value, because those requests were started
+    under the old limit.
     """
 
     __slots__ = ('_limit', '_ratio', '_slots', '_until_decrease')
@@ -27,20 +29,21 @@
 
     @property
     def limit(self) -> int:
-        """Requests that may run at once."""
+        """Number of requests that may run at once."""
         return int(self._limit)
 
     def replace_slots(self, slots: int) -> None:
-        """Take a new number of slots from the configuration."""
+        """Set the number of slots; a change resets the limit to it."""
         if slots != self._slots:
             self._slots = slots
             self._limit = float(slots)
 
     def record(self, ratio: float, in_flight: int, succeeded: bool) -> None:
-        """Take the outcome of a request.
+        """Adjust the limit after the outcome of a request.
 
-        `ratio` is its duration over the baseline of its operation,
-        `in_flight` the requests running when it ended, itself included.
+        `ratio` is its duration divided by the baseline of its operation,
+        `in_flight` the number of requests running when it ended, itself
+        included.
         """
         self._ratio += RATIO_WEIGHT * (ratio - self._ratio)
         self._until_decrease = max(self._until_decrease - 1, 0)
--- a/greengagepath/admission/retry_budget.py
+++ b/greengagepath/admission/retry_budget.py
@@ -1,14 +1,14 @@
-"""Retry budget: retries are limited to a share of the requests."""
+"""Retry budget: limits retries to a share of the requests."""
 
-# Lets a quiet process retry a few times before it has seen traffic.
+# Allows a process a few retries before it has sent many requests.
 DEFAULT_BURST = 10.0
 
 
 class RetryBudget:
-    """Token bucket that each request fills by `share` of a token.
+    """Token bucket to which each request adds `share` of a token.
 
-    `share` is between 0 and 1; `burst` is the most tokens kept, and
-    what the bucket starts with unless `share` is 0.
+    `share` is between 0 and 1. `burst` is the capacity of the bucket,
+    which is full at the start, or empty if `share` is 0.
     """
 
     __slots__ = ('_burst', '_share', '_tokens')
@@ -20,20 +20,20 @@
 
     @property
     def tokens(self) -> float:
-        """Retries that are allowed now."""
+        """Tokens in the bucket; each whole one allows a retry."""
         return self._tokens
 
     def replace_share(self, share: float) -> None:
-        """Take a new share from the configuration."""
+        """Replace the share; with a share of 0 the bucket is emptied."""
         self._share = share
         self._tokens = min(self._tokens, self._burst if share else 0.0)
 
     def record_request(self) -> None:
-        """Count a first attempt."""
+        """Add the share of a token for a first attempt."""
         self._tokens = min(self._tokens + self._share, self._burst)
 
     def try_retry(self) -> bool:
-        """Take one token; return False if the budget is spent."""
+        """Consume a token; return False if less than one is left."""
         if self._tokens < 1:
             return False
         self._tokens -= 1
--- a/greengagepath/admission/shedding.py
+++ b/greengagepath/admission/shedding.py
@@ -4,25 +4,28 @@
 
 from ..generated.messages import SizeClass
 
-# Waits vary around their mean. At three times the capacity, work that
-# ended after its deadline fell from 15% of the slots' time to 3% with
-# this factor and the likely cost in place of the mean (trial).
+# Actual waits vary around the expected one. In a trial at three times
+# the capacity, this factor and the conservative cost in place of the
+# mean cost reduced the slot time spent on work that ended after its
+# deadline from 15% to 3%.
 WAIT_HEADROOM = 1.5
 
 
 @dataclass(slots=True, frozen=True)
 class WorkAhead:
-    """What a new request waits for; costs are in seconds of a slot.
+    """Work that is served before a new request.
 
-    `slots` are those that its class may use and that no straggler
-    holds, `free` whether one of them is unused, `soonest_s` the time
-    until the first of them is expected to be free.
+    `slots` is the number of slots that its size class may use and that
+    no straggler holds; `has_free_slot` tells whether one of them is
+    free. `next_free_slot_s` is the time in seconds until the first is
+    expected to be free. `short_s` and `long_s` are the costs of queued
+    work, in seconds of a slot.
     """
 
     size_class: SizeClass
     slots: int
-    free: bool
-    soonest_s: float
+    has_free_slot: bool
+    next_free_slot_s: float
     short_s: float
     long_s: float
 
@@ -32,17 +35,21 @@
     queued_s = ahead.short_s
     if ahead.size_class == SizeClass.long:
         queued_s += ahead.long_s
-    if ahead.free and not queued_s:
+    if ahead.has_free_slot and not queued_s:
         return 0.0
     wait_s = queued_s / max(ahead.slots, 1)
-    return wait_s if ahead.free else wait_s + ahead.soonest_s
+    return wait_s if ahead.has_free_slot else wait_s + ahead.next_free_slot_s
 
 
-def is_hopeless(wait_s: float, cost_s: float, remaining_s: float) -> bool:
-    """Return whether the answer is expected after the deadline.
+def will_miss_deadline(
+    wait_s: float, cost_s: float, remaining_s: float
+) -> bool:
+    """Return whether the request is expected to end after its deadline.
 
-    A request that does not wait is let through while time remains, so
-    that a cost which is no longer true is measured again.
+    `wait_s` is the expected wait, `cost_s` the cost of the request and
+    `remaining_s` the time to its deadline. A request that need not wait
+    is admitted if any time remains, so that an outdated cost is measured
+    again.
     """
     if remaining_s <= 0:
         return True
--- a/greengagepath/admission/size_classes.py
+++ b/greengagepath/admission/size_classes.py
@@ -1,37 +1,41 @@
-"""Measured cost of operations, and the size class that follows from it."""
+"""Measured cost of operations, and size classes derived from it."""
 
 import itertools
 from collections.abc import Iterator
 
 from ..generated.messages import SizeClass
 
-# Cost assumed before anything was measured, in seconds of a slot.
+# Cost of an operation before the first measurement, in seconds of a slot.
 DEFAULT_COST_S = 0.02
-# Operations with a cost of their own; further names share one entry, so
-# that callers cannot grow the table.
+# Operations that are measured separately; further names share one entry,
+# so that callers cannot grow the table without limit.
 MAX_OPERATIONS = 256
 OTHER_OPERATIONS = ''
 # Long operations cost at least this many times as much as short ones.
 LONG_RATIO = 4.0
-# Share of requests that must lie below a gap in cost for it to separate
-# short from long; a rare cheap operation does not make the rest long.
-SHORT_SHARE = 0.05
-# Weight of a new duration in the expected cost.
+# Share of requests that must lie below a gap in cost for the gap to
+# separate short from long work. Without it, a rare cheap operation would
+# make all others long.
+MIN_SHORT_SHARE = 0.05
+# Weight of a new duration in the expected cost and its deviation.
 COST_WEIGHT = 0.1
-# The baseline follows slowly, so that it shows a slower back end.
+# Weight of a new duration in the baseline. It is small, so that the ratio
+# to the baseline shows when the back end becomes slower.
 BASELINE_WEIGHT = 0.02
-# A single straggler counts as at most this many times the expected cost.
+# A duration counts as at most this many times the expected cost, so that
+# a single straggler has a limited effect.
 STRAGGLER_RATIO = 4.0
 WARM_UP_COUNT = 20
-# With exponential durations, nine of ten requests stay below the mean
-# plus this many mean deviations.
-LIKELY_DEVIATIONS = 2.0
+# With exponentially distributed durations, nine of ten requests stay
+# below the mean plus this many mean absolute deviations.
+CONSERVATIVE_DEVIATIONS = 2.0
 
 
 class OperationCost:
     """Expected and baseline duration of one operation, in seconds.
 
-    `deviation_s` is the mean absolute deviation from the expected one.
+    `deviation_s` is the mean absolute deviation from the expected
+    duration, `count` the number of durations recorded.
     """
 
     __slots__ = ('baseline_s', 'count', 'deviation_s', 'expected_s')
@@ -43,7 +47,10 @@
         self.deviation_s = 0.0
 
     def record(self, duration_s: float) -> float:
-        """Take a duration; return its ratio to the baseline."""
+        """Record a duration; return its ratio to the baseline.
+
+        The ratio is 1 while the operation warms up.
+        """
         self.count += 1
         if self.count > WARM_UP_COUNT:
             duration_s = min(duration_s, self.expected_s * STRAGGLER_RATIO)
@@ -62,16 +69,19 @@
 
 
 class OperationCosts:
-    """Cost by operation name, bounded, and classes by largest gap."""
+    """Costs of a bounded number of operations, and their size classes.
+
+    The widest gap between the expected costs separates short from long.
+    """
 
     def __init__(self) -> None:
         self._costs_by_operation: dict[str, OperationCost] = {}
-        self._long_from_s = float('inf')
+        self._long_threshold_s = float('inf')
 
     def record(self, operation: str, duration_s: float) -> float:
-        """Take a measured duration; return its ratio to the baseline."""
+        """Record a duration in seconds; return its ratio to the baseline."""
         ratio = self._entry(operation).record(duration_s)
-        self._long_from_s = self._find_long_from_s()
+        self._long_threshold_s = self._find_long_threshold_s()
         return ratio
 
     def expected_s(self, operation: str) -> float:
@@ -79,18 +89,18 @@
         cost = self._find(operation)
         return cost.expected_s if cost else DEFAULT_COST_S
 
-    def likely_s(self, operation: str) -> float:
+    def conservative_s(self, operation: str) -> float:
         """Return a duration that most requests stay below, in seconds."""
         cost = self._find(operation)
         if cost is None:
             return DEFAULT_COST_S
-        return cost.expected_s + LIKELY_DEVIATIONS * cost.deviation_s
+        return cost.expected_s + CONSERVATIVE_DEVIATIONS * cost.deviation_s
 
     def classify(self, operation: str, declared: SizeClass) -> SizeClass:
-        """Return short or long; a declared class is taken as it is."""
+        """Return the size class; one that the caller declared is kept."""
         if declared != SizeClass.unknown:
             return declared
-        if self.expected_s(operation) >= self._long_from_s:
+        if self.expected_s(operation) >= self._long_threshold_s:
             return SizeClass.long
         return SizeClass.short
 
@@ -108,15 +118,18 @@
             )
         return cost
 
-    def _find_long_from_s(self) -> float:
-        """Return the upper end of the widest gap between costs."""
+    def _find_long_threshold_s(self) -> float:
+        """Return the upper end of the widest gap between costs.
+
+        It is infinite if no gap reaches `LONG_RATIO`.
+        """
         widest = LONG_RATIO
-        long_from_s = float('inf')
+        long_threshold_s = float('inf')
         for ratio, upper_s in self._gaps():
             if ratio >= widest:
                 widest = ratio
-                long_from_s = upper_s
-        return long_from_s
+                long_threshold_s = upper_s
+        return long_threshold_s
 
     def _gaps(self) -> Iterator[tuple[float, float]]:
         costs = sorted(
@@ -127,5 +140,5 @@
         below = 0
         for lower, upper in itertools.pairwise(costs):
             below += lower.count
-            if below >= total * SHORT_SHARE and lower.expected_s > 0:
+            if below >= total * MIN_SHORT_SHARE and lower.expected_s > 0:
                 yield upper.expected_s / lower.expected_s, upper.expected_s
--- a/tests/admission/builders.py
+++ b/tests/admission/builders.py
@@ -1,4 +1,4 @@
-"""Builders and a back end in virtual time for the admission tests."""
+"""Request builder and simulated back end for the admission tests."""
 
 import itertools
 import random
@@ -29,7 +29,10 @@
 
 
 class FakeBackEnd:
-    """Runs what the gate hands out; payload is the duration in seconds."""
+    """Runs the requests that the gate hands out, in virtual time.
+
+    The payload of a request is its duration in seconds.
+    """
 
     def __init__(self, slots=2, queue_length=64, seed=1):
         self.random = random.Random(seed)
@@ -60,7 +63,10 @@
         self.most_running = max(self.most_running, self.gate.load().in_flight)
 
     def offer_at(self, time_s, **fields):
-        """Offer at a time; `time_limit_s` replaces the deadline."""
+        """Offer a request at a time.
+
+        `time_limit_s` is the time between offer and deadline.
+        """
         time_limit_s = fields.pop('time_limit_s', 1000.0)
 
         def offer():
@@ -69,8 +75,8 @@
 
         self.timers.call_after(time_s, offer)
 
-    def poisson(self, rate_per_s, end_s, mean_s, start_s=0.0, **fields):
-        """Offer at random times with exponential durations."""
+    def offer_poisson(self, rate_per_s, end_s, mean_s, start_s=0.0, **fields):
+        """Offer a Poisson process of exponentially distributed durations."""
         time_s = start_s
         while time_s < end_s:
             duration_s = self.random.expovariate(1 / mean_s)
--- a/tests/admission/test_parts.py
+++ b/tests/admission/test_parts.py
@@ -8,7 +8,8 @@
 
 class LimiterTest(TestCase):
     def test_limit_falls_with_latency_and_recovers(self):
-        # Guards against pushing more work into a back end that slows down.
+        # Guards against sending the same number of requests to a back
+        # end that has slowed down, and against a limit that stays low.
         limiter = ConcurrencyLimiter(slots=8)
         for _ in range(60):
             limiter.record(4.0, 8, succeeded=True)
@@ -19,7 +20,8 @@
         self.assertEqual(8, limiter.limit)
 
     def test_limit_is_at_least_one(self):
-        # Guards against an agent that never tries its back end again.
+        # Guards against a limit of 0, with which no request would run
+        # and the limit could never grow again.
         limiter = ConcurrencyLimiter(slots=2)
         for _ in range(100):
             limiter.record(1.0, 2, succeeded=False)
@@ -28,7 +30,8 @@
 
 class RetryBudgetTest(TestCase):
     def test_retries_are_a_share_of_requests(self):
-        # Guards against retry storms.
+        # Guards against retry storms: retries that multiply the load
+        # when many requests fail.
         budget = RetryBudget(share=0.1)
         allowed = 0
         for _ in range(1000):
@@ -36,21 +39,24 @@
             allowed += budget.try_retry()
         self.assertAlmostEqual(110, allowed, delta=2)
 
-    def test_no_share_allows_no_retry(self):
-        # Guards against a burst that a share of 0 should rule out.
+    def test_share_of_zero_allows_no_retry(self):
+        # Guards against an initial burst of retries although a share of
+        # 0 turns retries off.
         self.assertFalse(RetryBudget(share=0).try_retry())
 
 
 class OperationCostsTest(TestCase):
-    def test_made_up_operations_are_bounded(self):
-        # Guards against memory that callers control.
+    def test_number_of_measured_operations_is_bounded(self):
+        # Guards against memory that grows with the operation names that
+        # callers invent.
         costs = OperationCosts()
         for number in range(2 * MAX_OPERATIONS):
             costs.record(f'operation-{number}', 1.0)
         self.assertLessEqual(len(costs._costs_by_operation), MAX_OPERATIONS + 1)
 
     def test_rare_cheap_operation_does_not_make_the_rest_long(self):
-        # Guards against a health check that moves the boundary.
+        # Guards against a boundary between short and long that a rare
+        # health check moves below all other operations.
         costs = OperationCosts()
         costs.record('health', 0.0001)
         for _ in range(100):
