--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,4 @@
-"""Settings shared by all tests."""
+"""Hypothesis profiles shared by all tests."""
 
 import os
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -1,4 +1,4 @@
-"""The package has layers, and imports go downwards only."""
+"""Layers of the package: modules import from lower layers only."""
 
 import ast
 from collections.abc import Iterator
@@ -7,8 +7,8 @@
 from testtools import TestCase
 
 PACKAGE = Path(__file__).parents[1] / 'greengagepath'
-# Lowest first. `daemon` has a module of the tool's connections, which
-# the demo and the commands share.
+# Lowest layer first. `daemon` is below `emulator` and `cli`, because the
+# demo and the commands share its module of the tool's connections.
 LAYERS = (
     'generated',
     'foundation',
@@ -34,13 +34,15 @@
 
 class LayersTest(TestCase):
     def test_every_package_has_a_layer(self):
-        # Guards against a new package that the next test leaves out.
+        # Guards against a new package that the next test does not check
+        # because it is missing in `LAYERS`.
         packages = {path.parent.name for path in PACKAGE.glob('*/__init__.py')}
         self.assertEqual(packages, set(LAYERS))
 
-    def test_no_package_imports_from_a_higher_one(self):
-        # Guards against decisions that depend on sockets or commands,
-        # and against roles that load what only others need.
+    def test_no_package_imports_from_a_higher_layer(self):
+        # Guards against decision modules that depend on sockets or
+        # commands, and against roles that load modules which only other
+        # roles need.
         found = [
             f'{path.parent.name} imports {imported} in {path.name}'
             for path, imported in _list_imports()
@@ -48,8 +50,9 @@
         ]
         self.assertEqual([], found)
 
-    def test_the_root_holds_entry_points_only(self):
-        # Guards against a root that fills up again; it held 52 modules.
+    def test_root_contains_entry_points_only(self):
+        # Guards against modules that are added to the root of the
+        # package, which once held 52.
         self.assertEqual(
             {'__init__.py', '__main__.py', 'client.py'},
             {path.name for path in PACKAGE.glob('*.py')},
