--- a/greengagepath/agent/scheduler.py
+++ b/greengagepath/agent/scheduler.py
@@ -116,7 +116,7 @@
 
     def refuse_late(self) -> None:
         """Refuse queued requests whose deadline is too near."""
-        self._context.gate.refuse_late()
+        self._context.gate.refuse_expiring()
         self._report_refused()
 
     def complete(self, work: Work, outcome: RunOutcome) -> None:
