--- a/greengagepath/configuration/delta.py
+++ b/greengagepath/configuration/delta.py
@@ -7,7 +7,7 @@
 from ..generated.messages import Configuration, ConfigurationDelta, Service
 
 # A delta with this base carries all services.
-FULL = 0
+NO_BASE_VERSION = 0
 
 
 def compute_delta(
@@ -17,7 +17,7 @@
     held_by_id = _services_by_id(base)
     newer_by_id = _services_by_id(newer)
     return ConfigurationDelta(
-        base_version=FULL if base is None else base.version,
+        base_version=NO_BASE_VERSION if base is None else base.version,
         version=newer.version,
         operation_id=newer.operation_id,
         changed=[
@@ -34,7 +34,7 @@
 ) -> Result[Configuration, str]:
     """Return the configuration after the delta, sorted by service id."""
     services_by_id: dict[int, Service] = {}
-    if delta.base_version != FULL:
+    if delta.base_version != NO_BASE_VERSION:
         if held is None or held.version != delta.base_version:
             return Err(f'base version {delta.base_version} is not held')
         services_by_id = _services_by_id(held)
--- a/greengagepath/membership/configuration_spread.py
+++ b/greengagepath/membership/configuration_spread.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from ..configuration.delta import FULL
+from ..configuration.delta import NO_BASE_VERSION
 from ..configuration.holder import Applied, ConfigurationHolder, MissingBase
 from ..generated.messages import (
     Configuration,
@@ -82,7 +82,7 @@
             self._links.send(
                 peer.link_id,
                 ConfigurationDelta(
-                    base_version=FULL,
+                    base_version=NO_BASE_VERSION,
                     version=self.holder.version,
                     changed=[service],
                     removed=[],
