Name the rollout functions by what they do

hand_over becomes send_to_balancers, find_behind summarize_rollout, SpreadOutcome RolloutStatus, keep_drained keep_drained_targets, the parameter look of wait_in_force query.

--- a/greengagepath/cli/changes.py
+++ b/greengagepath/cli/changes.py
@@ -9,9 +9,9 @@
 from ..configuration.rollout import (
     ChangeConflict,
     ChangePlan,
-    SpreadOutcome,
+    RolloutStatus,
     compute_delta,
-    hand_over,
+    send_to_balancers,
     wait_in_force,
     write_plan,
 )
@@ -93,7 +93,7 @@
             code = _report_failure(failure, as_json=options.as_json)
             return ChangeResult(code, is_stored=False)
         version = plan.wanted.version
-        failures = hand_over(
+        failures = send_to_balancers(
             connections.balancers,
             connections.list_addresses(),
             compute_delta(plan),
@@ -119,7 +119,7 @@
 
 
 def _report_spread(
-    outcome: SpreadOutcome,
+    outcome: RolloutStatus,
     failures: list[str],
     progress: tuple[int, int],
     options: ChangeOptions,
@@ -145,7 +145,7 @@
 
 
 def _report_behind(
-    outcome: SpreadOutcome, failures: list[str], version: int
+    outcome: RolloutStatus, failures: list[str], version: int
 ) -> None:
     for failure in failures:
         print_error(failure)
@@ -169,7 +169,7 @@
     )
 
 
-def _choose_code(outcome: SpreadOutcome) -> ExitCode:
+def _choose_code(outcome: RolloutStatus) -> ExitCode:
     if outcome.is_complete:
         return ExitCode.OK
     if outcome.unreachable is not None:
--- a/greengagepath/configuration/rollout.py
+++ b/greengagepath/configuration/rollout.py
@@ -114,12 +114,12 @@
     operator says which version the file was compared with.
     """
     held = stored.configuration
-    services = keep_drained(held.services, content.services)
+    services = keep_drained_targets(held.services, content.services)
     changes = diff_services(held.services, services)
-    is_based = content.base == compute_digest(held.services)
+    is_current = content.base == compute_digest(held.services)
     if base_version is not None:
-        is_based = base_version == held.version
-    if held.version == 0 or is_based or not changes:
+        is_current = base_version == held.version
+    if held.version == 0 or is_current or not changes:
         return Ok(ChangePlan(stored, _next_version(stored, services), changes))
     return Err(ChangeConflict(held.version, changes))
 
@@ -150,7 +150,7 @@
     return Ok(ChangePlan(stored, _next_version(stored, services), changes))
 
 
-def keep_drained(
+def keep_drained_targets(
     held: Iterable[Service], wanted: Iterable[Service]
 ) -> list[Service]:
     """Return the wanted services with the drained targets held now."""
@@ -172,10 +172,10 @@
         return written
     failure = written.err_value
     if isinstance(failure, StoredConfiguration):
-        return _compare(plan, failure)
+        return _check_write_result(plan, failure)
     match store.read():
         case Ok(found):
-            return _compare(plan, found, failure)
+            return _check_write_result(plan, found, failure)
         case Err(reason):
             advice = 'the write may have taken effect, apply again to find out'
             return Err(StoreUnreachable(f'{reason}; {advice}'))
@@ -199,7 +199,7 @@
     )
 
 
-def hand_over(
+def send_to_balancers(
     balancers: BalancerPort,
     addresses: Iterable[Address],
     delta: ConfigurationDelta,
@@ -222,7 +222,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class SpreadOutcome:
+class RolloutStatus:
     """Where a version is in force; `behind` are living balancers."""
 
     in_force: int
@@ -235,7 +235,7 @@
         return self.in_force > 0 and not self.behind
 
 
-def find_behind(reply: StatusReply, version: int) -> SpreadOutcome:
+def summarize_rollout(reply: StatusReply, version: int) -> RolloutStatus:
     """Sort the balancers of a reply by the version they have."""
     living = [
         entry
@@ -246,7 +246,7 @@
     behind = [
         entry for entry in living if entry.configuration_version < version
     ]
-    return SpreadOutcome(len(living) - len(behind), behind)
+    return RolloutStatus(len(living) - len(behind), behind)
 
 
 def query_any(
@@ -264,20 +264,20 @@
 
 
 def wait_in_force(
-    look: Callable[[], Result[StatusReply, str]],
+    query: Callable[[], Result[StatusReply, str]],
     version: int,
     timers: TimerService,
     sleep: Callable[[float], None],
     timeout_s: float,
-) -> SpreadOutcome:
+) -> RolloutStatus:
     """Poll until all living balancers have the version, or time out."""
     end_s = timers.now() + timeout_s
     while True:
-        match look():
+        match query():
             case Ok(reply):
-                outcome = find_behind(reply, version)
+                outcome = summarize_rollout(reply, version)
             case Err(reason):
-                outcome = SpreadOutcome(0, [], reason)
+                outcome = RolloutStatus(0, [], reason)
         if outcome.is_complete or timers.now() >= end_s:
             return outcome
         sleep(POLL_S)
@@ -293,7 +293,7 @@
     )
 
 
-def _compare(
+def _check_write_result(
     plan: ChangePlan, found: StoredConfiguration, reason: str = ''
 ) -> Result[None, ChangeConflict | StoreUnreachable]:
     held = found.configuration
--- a/tests/operator/test_rollout.py
+++ b/tests/operator/test_rollout.py
@@ -11,11 +11,11 @@
     StoredConfiguration,
     StoreUnreachable,
     compute_delta,
-    find_behind,
-    hand_over,
     plan_drain,
     plan_file,
     query_any,
+    send_to_balancers,
+    summarize_rollout,
     wait_in_force,
     write_plan,
 )
@@ -150,7 +150,9 @@
         # Guards against one dead balancer that holds up a change.
         balancers = FakeBalancers(*ADDRESSES)
         balancers.down = {ADDRESSES[0]}
-        failures = hand_over(balancers, ADDRESSES, compute_delta(self.plan()))
+        failures = send_to_balancers(
+            balancers, ADDRESSES, compute_delta(self.plan())
+        )
         self.assertEqual(['127.0.0.1:1: connection refused'], failures)
         self.assertEqual(3, len(balancers.deltas))
 
@@ -158,7 +160,7 @@
         # Guards against an `apply` that claims a version is in force.
         balancers = FakeBalancers(*ADDRESSES)
         balancers.stuck = {ADDRESSES[4]}
-        hand_over(balancers, ADDRESSES, compute_delta(self.plan()))
+        send_to_balancers(balancers, ADDRESSES, compute_delta(self.plan()))
         timers = VirtualTimerService()
         outcome = wait_in_force(
             lambda: query_any(balancers, ADDRESSES),
@@ -183,7 +185,7 @@
             configuration_version=5,
             records=[dead, alive, agent],
         )
-        self.assertTrue(find_behind(reply, 5).is_complete)
+        self.assertTrue(summarize_rollout(reply, 5).is_complete)
 
     def test_no_balancer_is_not_complete(self):
         # Guards against success when nobody could be asked.
