Rename the checks of a configuration

find_repeated becomes find_duplicates, check_route check_path_prefix, _find_longest_s _find_longest_deadline_s.

--- a/greengagepath/configuration/checks.py
+++ b/greengagepath/configuration/checks.py
@@ -17,13 +17,13 @@
 
 def find_contradictions(services: list[Service]) -> Iterator[Finding]:
     """Yield every contradiction as key path, value and allowed values."""
-    yield from find_repeated(
+    yield from find_duplicates(
         'services', 'name', [entry.name for entry in services]
     )
-    yield from find_repeated(
+    yield from find_duplicates(
         'services', 'service_id', [entry.service_id for entry in services]
     )
-    yield from _find_repeated_addresses(services)
+    yield from _find_duplicate_addresses(services)
     for position, service in enumerate(services):
         yield from _check_service(service, f'services[{position}]')
     size_bytes = len(msgspec.json.encode(services))
@@ -31,7 +31,7 @@
         yield 'services', f'{size_bytes} B', f'at most {MAX_OBJECT_BYTES} B'
 
 
-def find_repeated(
+def find_duplicates(
     table: str, field: str, found: Iterable[str | int]
 ) -> Iterator[Finding]:
     """Yield each value that an earlier entry of the table has."""
@@ -43,9 +43,9 @@
             yield key, entry, f'a {field} that no other entry has'
 
 
-def _find_repeated_addresses(services: list[Service]) -> Iterator[Finding]:
+def _find_duplicate_addresses(services: list[Service]) -> Iterator[Finding]:
     addresses = [f'{entry.host}:{entry.port}' for entry in services]
-    for key, found, _ in find_repeated('services', 'port', addresses):
+    for key, found, _ in find_duplicates('services', 'port', addresses):
         yield key, found, 'a host and port that no other service has'
 
 
@@ -53,7 +53,7 @@
     if not is_ipv4(service.host):
         yield f'{key}.host', service.host, 'an IPv4 address'
     names = [entry.name for entry in service.operations]
-    yield from find_repeated(f'{key}.operations', 'name', names)
+    yield from find_duplicates(f'{key}.operations', 'name', names)
     yield from _check_customers(service, f'{key}.customers')
     yield from _check_operations(service, f'{key}.operations')
     yield from _check_objectives(service, f'{key}.objectives')
@@ -65,20 +65,20 @@
 def _check_customers(service: Service, key: str) -> Iterator[Finding]:
     names = [entry.name for entry in service.customers]
     numbers = [entry.customer_id for entry in service.customers]
-    yield from find_repeated(key, 'name', names)
-    yield from find_repeated(key, 'customer_id', numbers)
+    yield from find_duplicates(key, 'name', names)
+    yield from find_duplicates(key, 'customer_id', numbers)
 
 
 def _check_operations(service: Service, key: str) -> Iterator[Finding]:
     for position, operation in enumerate(service.operations):
         entry_key = f'{key}[{position}]'
-        yield from check_route(operation.path_prefix, entry_key)
+        yield from check_path_prefix(operation.path_prefix, entry_key)
         if _lacks_slots(operation, service):
             allowed = f'not long with limits.slots = {service.limits.slots}'
             yield f'{entry_key}.size_class', 'long', allowed
 
 
-def check_route(path_prefix: str, key: str) -> Iterator[Finding]:
+def check_path_prefix(path_prefix: str, key: str) -> Iterator[Finding]:
     """Yield a path prefix that no request can have."""
     if not path_prefix.startswith('/'):
         yield f'{key}.path_prefix', path_prefix, 'a path that starts with /'
--- a/greengagepath/configuration/derivation.py
+++ b/greengagepath/configuration/derivation.py
@@ -109,7 +109,7 @@
             (entry.answer_kb for entry in operations), MAX_ANSWER_BYTES
         ),
         request_records=_derive_records(answered),
-        drain_s=max(_find_longest_s(operations), MIN_DRAIN_S),
+        drain_s=max(_find_longest_deadline_s(operations), MIN_DRAIN_S),
     )
 
 
@@ -136,10 +136,10 @@
 
 def _derive_records(answered: ServiceAnswers) -> int:
     per_s = sum(entry.usual_per_s for entry in answered.operations)
-    kept_s = _find_longest_s(answered.operations) * 2
+    kept_s = _find_longest_deadline_s(answered.operations) * 2
     records = math.ceil(per_s / answered.targets * kept_s * RECORD_MARGIN)
     return min(max(records, MIN_REQUEST_RECORDS), MAX_REQUEST_RECORDS)
 
 
-def _find_longest_s(operations: Iterable[OperationAnswers]) -> float:
+def _find_longest_deadline_s(operations: Iterable[OperationAnswers]) -> float:
     return max(entry.deadline_ms for entry in operations) / MS_PER_S
--- a/greengagepath/configuration/questionnaire.py
+++ b/greengagepath/configuration/questionnaire.py
@@ -14,7 +14,7 @@
     OperationAnswers,
     ServiceAnswers,
 )
-from .checks import MIN_SLOTS_FOR_LONG_WORK, check_route, find_repeated
+from .checks import MIN_SLOTS_FOR_LONG_WORK, check_path_prefix, find_duplicates
 from .derivation import MS_PER_S, is_long
 
 SAFE_METHODS = ('GET', 'HEAD')
@@ -31,14 +31,14 @@
 
 def find_contradictory_answers(answers: Answers) -> Iterator[Finding]:
     """Yield answers that cannot all be true, by question."""
-    yield from find_repeated(
+    yield from find_duplicates(
         'customers', 'name', [entry.name for entry in answers.customers]
     )
-    yield from find_repeated(
+    yield from find_duplicates(
         'services', 'name', [entry.name for entry in answers.services]
     )
     addresses = [f'{entry.host}:{entry.port}' for entry in answers.services]
-    yield from find_repeated('services', 'port', addresses)
+    yield from find_duplicates('services', 'port', addresses)
     for position, service in enumerate(answers.services):
         yield from _check_service(service, f'services[{position}]')
 
@@ -47,11 +47,11 @@
     if not is_ipv4(service.host):
         yield f'{key}.host', service.host, 'an IPv4 address'
     names = [entry.name for entry in service.operations]
-    yield from find_repeated(f'{key}.operations', 'name', names)
+    yield from find_duplicates(f'{key}.operations', 'name', names)
     routes = [
         f'{entry.method} {entry.path_prefix}' for entry in service.operations
     ]
-    yield from find_repeated(f'{key}.operations', 'path_prefix', routes)
+    yield from find_duplicates(f'{key}.operations', 'path_prefix', routes)
     for position, operation in enumerate(service.operations):
         yield from _check_operation(operation, f'{key}.operations[{position}]')
     yield from _check_capacity(service, key)
@@ -60,7 +60,7 @@
 def _check_operation(
     operation: OperationAnswers, key: str
 ) -> Iterator[Finding]:
-    yield from check_route(operation.path_prefix, key)
+    yield from check_path_prefix(operation.path_prefix, key)
     if operation.method in SAFE_METHODS and not operation.idempotent:
         allowed = f'true, because {operation.method} must not change anything'
         yield f'{key}.idempotent', operation.idempotent, allowed
