Reword the configuration package and its tests

Docstrings, comments and notes in generated files use the usual terms; tests say which failure they guard against and how it comes about.

--- a/greengagepath/configuration/checks.py
+++ b/greengagepath/configuration/checks.py
@@ -1,4 +1,4 @@
-"""Checks of a configuration that go beyond the types of its fields."""
+"""Checks of a configuration beyond the types of its fields."""
 
 from collections import Counter
 from collections.abc import Iterable, Iterator
@@ -9,7 +9,7 @@
 from ..foundation.type_checks import Finding
 from ..generated.messages import Objective, Operation, Service, SizeClass
 
-# What the platform's object API takes as one object.
+# Largest object that the platform's object API accepts.
 MAX_OBJECT_BYTES = 1_000_000
 # One slot is kept free of long work, so long work needs a second one.
 MIN_SLOTS_FOR_LONG_WORK = 2
@@ -34,7 +34,7 @@
 def find_duplicates(
     table: str, field: str, found: Iterable[str | int]
 ) -> Iterator[Finding]:
-    """Yield each value that an earlier entry of the table has."""
+    """Yield each value that repeats one of an earlier entry."""
     counts: Counter[str | int] = Counter()
     for position, entry in enumerate(found):
         counts[entry] += 1
@@ -79,7 +79,7 @@
 
 
 def check_path_prefix(path_prefix: str, key: str) -> Iterator[Finding]:
-    """Yield a path prefix that no request can have."""
+    """Yield a finding if no request path can start with the prefix."""
     if not path_prefix.startswith('/'):
         yield f'{key}.path_prefix', path_prefix, 'a path that starts with /'
 
--- a/greengagepath/configuration/delta.py
+++ b/greengagepath/configuration/delta.py
@@ -1,4 +1,4 @@
-"""Differences between two configurations."""
+"""Deltas that carry the changes between two configuration versions."""
 
 from operator import attrgetter
 
@@ -6,14 +6,17 @@
 
 from ..generated.messages import Configuration, ConfigurationDelta, Service
 
-# A delta with this base carries all services.
+# Base version of a delta that carries all services.
 NO_BASE_VERSION = 0
 
 
 def compute_delta(
     base: Configuration | None, newer: Configuration
 ) -> ConfigurationDelta:
-    """Return what turns `base` into `newer`; all of it without a base."""
+    """Return the changes from `base` to `newer`.
+
+    Without a base the delta carries all services.
+    """
     held_by_id = _services_by_id(base)
     newer_by_id = _services_by_id(newer)
     return ConfigurationDelta(
@@ -32,7 +35,10 @@
 def apply_delta(
     held: Configuration | None, delta: ConfigurationDelta
 ) -> Result[Configuration, str]:
-    """Return the configuration after the delta, sorted by service id."""
+    """Return the configuration after the delta, sorted by service id.
+
+    The error says that `held` is not the base version of the delta.
+    """
     services_by_id: dict[int, Service] = {}
     if delta.base_version != NO_BASE_VERSION:
         if held is None or held.version != delta.base_version:
--- a/greengagepath/configuration/derivation.py
+++ b/greengagepath/configuration/derivation.py
@@ -1,4 +1,4 @@
-"""From the answers of a team to a whole configuration."""
+"""Derives a configuration from the answers to the questionnaire."""
 
 import math
 import zlib
@@ -19,22 +19,22 @@
     ServiceAnswers,
 )
 
-# Work of a second or more, or of a MB or more, would be felt by short
-# work that waits behind it.
+# Work of a second or more, or with an answer of 1 MB or more, would
+# noticeably delay short work that waits behind it.
 LONG_WORK_MS = 1000
 LONG_ANSWER_KB = 1024
 BYTES_PER_KB = 1024
 MS_PER_S = 1000
 PERCENT = 100
-# Hides the rounding of binary fractions in the generated file.
+# Hides rounding errors of binary fractions in the generated file.
 SHARE_DIGITS = 9
-# Answers about sizes are estimates; limits leave twice the room.
+# Sizes in the answers are estimates, so limits are twice as large.
 SIZE_MARGIN = 2
 MIN_MESSAGE_BYTES = 65536
 MAX_REQUEST_BYTES = 16777216
 MAX_ANSWER_BYTES = 268435456
 MAX_QUEUE_LENGTH = 1024
-# A target may get a few times its even share while others restart.
+# A target may receive a few times its even share while others restart.
 RECORD_MARGIN = 4
 MIN_REQUEST_RECORDS = 1000
 MAX_REQUEST_RECORDS = 10000000
@@ -42,7 +42,7 @@
 
 
 def derive_services(answers: Answers) -> list[Service]:
-    """Return the services that follow from checked answers."""
+    """Return the services derived from answers that passed the checks."""
     customers = [_derive_customer(entry) for entry in answers.customers]
     return [_derive_service(entry, customers) for entry in answers.services]
 
@@ -71,8 +71,8 @@
 
 
 def _derive_id(name: str) -> int:
-    # From the name, because a position would change when another entry
-    # is added before it, and flows would reach another service.
+    # Derived from the name, because a position would change when another
+    # entry is added before it, and flows would reach another service.
     return zlib.crc32(name.encode()) or 1
 
 
@@ -114,7 +114,7 @@
 
 
 def is_long(operation: OperationAnswers) -> bool:
-    """Return whether short work would be felt to wait behind it."""
+    """Return whether the operation would noticeably delay short work."""
     return (
         operation.typical_ms >= LONG_WORK_MS
         or operation.answer_kb >= LONG_ANSWER_KB
--- a/greengagepath/configuration/diff.py
+++ b/greengagepath/configuration/diff.py
@@ -15,7 +15,7 @@
 
 @dataclass(slots=True, frozen=True)
 class FieldChange:
-    """One field that differs; a side without it shows `ABSENT`."""
+    """One field that differs; `ABSENT` stands for a missing value."""
 
     path: str
     before: str
@@ -31,8 +31,8 @@
 ) -> list[FieldChange]:
     """Return the changed fields, ordered by path.
 
-    Entries of lists are matched by name, so that a changed order alone
-    is no difference.
+    Entries of lists are matched by name, so a change of order alone is
+    not a difference.
     """
     old = _flatten_services(before)
     new = _flatten_services(after)
--- a/greengagepath/configuration/explanations.py
+++ b/greengagepath/configuration/explanations.py
@@ -1,4 +1,4 @@
-"""Notes that say where each derived value comes from."""
+"""Notes that explain how each derived value was computed."""
 
 from collections.abc import Iterator
 
@@ -20,7 +20,10 @@
 _LIMIT_NOTES = (
     (
         'queue_length',
-        'what the slots can still finish within the longest wait',
+        (
+            'requests that the slots can finish by their deadline:'
+            ' slots_per_target times the largest deadline_ms / typical_ms'
+        ),
     ),
     ('max_flows', 'answer connections_per_target'),
     (
@@ -35,7 +38,7 @@
         'request_records',
         (
             'usual_per_s of one target over twice the longest deadline,'
-            f' {RECORD_MARGIN} times, at least {MIN_REQUEST_RECORDS}'
+            f' times {RECORD_MARGIN}, at least {MIN_REQUEST_RECORDS}'
         ),
     ),
     ('retry_share', 'default: a tenth of the requests may be retried'),
@@ -74,5 +77,5 @@
     if not answered.objective_ms:
         yield (
             f'{key}.objectives[{position}].threshold_ms',
-            'the deadline, as objective_ms was left out',
+            'the deadline, because objective_ms is not set',
         )
--- a/greengagepath/configuration/files.py
+++ b/greengagepath/configuration/files.py
@@ -1,9 +1,10 @@
 """Configuration files of operators, in TOML.
 
 `base` is the digest of the configuration that the file was made from.
-It is compared at `apply`, so that a change made by somebody else in
-the meantime is noticed. Drained targets are not part of it: they are
-changed by `drain` and `undrain`, and `apply` keeps them.
+`apply` compares it with the stored configuration to detect a change
+that another operator has made in the meantime. The digest leaves out
+drained targets: `drain` and `undrain` change them, and `apply` keeps
+them.
 """
 
 import re
@@ -33,7 +34,10 @@
 
 
 class ConfigurationFile(msgspec.Struct, frozen=True, kw_only=True):
-    """Content of a file; an empty base means that it starts anew."""
+    """Content of a file.
+
+    `base` is empty if the file was not made from a stored version.
+    """
 
     base: str = NO_BASE
     services: Annotated[
@@ -44,7 +48,7 @@
 def load_configuration(
     path: Path,
 ) -> Result[ConfigurationFile, list[SettingProblem]]:
-    """Return the checked file, or all problems at once."""
+    """Return the checked content of a file, or all its problems."""
     return read_toml(path).and_then(
         lambda document: check_document(
             document, ConfigurationFile, _find_contradictions
@@ -53,7 +57,7 @@
 
 
 def compute_digest(services: Iterable[Service]) -> str:
-    """Return 16 hexadecimal digits over all but drained targets."""
+    """Return 16 hexadecimal digits; drained targets are left out."""
     ordered = sorted(
         (
             msgspec.structs.replace(entry, drained_targets=[])
@@ -72,7 +76,7 @@
 ) -> str:
     """Return TOML; a note becomes a comment above its key.
 
-    Drained targets are left out, see the module.
+    Drained targets are left out, see the module docstring.
     """
     tables = [_to_table(service) for service in services]
     text = tomli_w.dumps({'base': base, 'services': tables})
@@ -80,7 +84,10 @@
 
 
 def update_base(path: Path, base: str) -> None:
-    """Change the base in a file; comments and order stay as they are."""
+    """Replace the base in a file; its comments and order stay.
+
+    Raises OSError if the file cannot be read or written.
+    """
     text = path.read_text(encoding='utf-8')
     line = f'base = "{base}"'
     if _BASE_LINE.search(text):
--- a/greengagepath/configuration/holder.py
+++ b/greengagepath/configuration/holder.py
@@ -1,4 +1,4 @@
-"""The configuration in force at a process."""
+"""The configuration that is in force in a process."""
 
 from collections import OrderedDict
 from dataclasses import dataclass
@@ -8,14 +8,15 @@
 from ..generated.messages import Configuration, ConfigurationDelta
 from .delta import apply_delta, compute_delta
 
-# Earlier versions from which a delta can be given. At 2,700 changes a
-# day the last 16 span about eight minutes; older holders get all of it.
+# Versions that are kept as bases of deltas. At 2,700 changes a day, 16
+# versions span about eight minutes; a process that is further behind
+# gets all services.
 KEPT_VERSIONS = 16
 
 
 @dataclass(slots=True, frozen=True)
 class Applied:
-    """A configuration came into force."""
+    """The offered configuration is now in force."""
 
     configuration: Configuration
     previous_version: int
@@ -25,7 +26,7 @@
 class Stale:
     """The offered version is not higher than the one in force.
 
-    `conflicts` tells that the same version came with another content,
+    `conflicts` is set if the same version arrived with other content,
     which conditional updates of the object API rule out.
     """
 
@@ -36,14 +37,20 @@
 
 @dataclass(slots=True, frozen=True)
 class MissingBase:
-    """The delta cannot be applied; pull from `held_version`."""
+    """The base version of the delta is not in force.
+
+    The missing changes are those since `held_version`.
+    """
 
     base_version: int
     held_version: int
 
 
 class ConfigurationHolder:
-    """Applies only higher versions, whatever their source."""
+    """Holds the version in force; accepts only higher ones.
+
+    The source of a version (object API, peer) makes no difference.
+    """
 
     def __init__(self) -> None:
         self._kept_by_version: OrderedDict[int, Configuration] = OrderedDict()
@@ -82,7 +89,7 @@
         return self.offer(changed.unwrap())
 
     def delta_since(self, held_version: int) -> ConfigurationDelta | None:
-        """Return what a holder of `held_version` lacks, None if nothing."""
+        """Return the changes since `held_version`, None without any."""
         if self._current is None or held_version >= self.version:
             return None
         base = self._kept_by_version.get(held_version)
--- a/greengagepath/configuration/questionnaire.py
+++ b/greengagepath/configuration/questionnaire.py
@@ -1,4 +1,4 @@
-"""Answers of a team about its services, and whether they agree."""
+"""Reads the answers to the questionnaire and checks them."""
 
 import math
 from collections.abc import Iterator
@@ -21,7 +21,7 @@
 
 
 def load_answers(path: Path) -> Result[Answers, list[SettingProblem]]:
-    """Return the answers, or all problems; each names its question."""
+    """Return the answers, or all problems with the keys of the questions."""
     return read_toml(path).and_then(
         lambda document: check_document(
             document, Answers, find_contradictory_answers
@@ -30,7 +30,7 @@
 
 
 def find_contradictory_answers(answers: Answers) -> Iterator[Finding]:
-    """Yield answers that cannot all be true, by question."""
+    """Yield answers that contradict each other, by key path."""
     yield from find_duplicates(
         'customers', 'name', [entry.name for entry in answers.customers]
     )
--- a/greengagepath/configuration/rollout.py
+++ b/greengagepath/configuration/rollout.py
@@ -1,8 +1,8 @@
-"""Changes of the configuration by an operator, from plan to proof.
+"""Rollout of a configuration change by an operator.
 
 The steps are: read, compare with the file's base, write conditionally,
-hand the version to a few balancers, wait until every balancer says
-that it is in force.
+send the version to a few balancers, wait until every live balancer
+reports that it is in force.
 """
 
 import uuid
@@ -27,7 +27,7 @@
 from .diff import FieldChange, diff_services
 from .files import ConfigurationFile, compute_digest
 
-# Balancers that get the version directly; they spread it further.
+# Balancers that the version is sent to; they pass it on to the others.
 DIRECT_BALANCERS = 3
 POLL_S = 0.2
 MAX_REPORTED = 20
@@ -35,7 +35,7 @@
 
 @dataclass(slots=True, frozen=True)
 class StoredConfiguration:
-    """What the object API holds; version 0 if there is none yet."""
+    """The stored configuration; both versions are 0 before the first."""
 
     object_version: int
     configuration: Configuration
@@ -43,7 +43,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ChangeConflict:
-    """Somebody else changed the configuration first."""
+    """Another operator changed the configuration first."""
 
     held_version: int
     changes: list[FieldChange]
@@ -51,7 +51,7 @@
 
 @dataclass(slots=True, frozen=True)
 class StoreUnreachable:
-    """The object API gave no answer; `reason` says what was tried."""
+    """The object API did not answer; `reason` is the error text."""
 
     reason: str
 
@@ -67,7 +67,7 @@
 
 
 class ConfigurationStore(Protocol):
-    """The object API, as far as the configuration goes."""
+    """The part of the object API that stores the configuration."""
 
     def read(self) -> Result[StoredConfiguration, str]:
         """Return the configuration, or why it cannot be read."""
@@ -75,10 +75,10 @@
     def write(
         self, configuration: Configuration, object_version: int
     ) -> Result[None, StoredConfiguration | str]:
-        """Write if the object still has the version.
+        """Write if the object still has `object_version`.
 
-        The error is the object that is there instead, or why there
-        was no answer; then the write may have taken effect.
+        The error is the object that is stored instead, or the reason
+        why no answer came; then the write may have taken effect.
         """
 
 
@@ -86,17 +86,17 @@
     """Control links to balancers."""
 
     def query_status(self, address: Address) -> Result[StatusReply, str]:
-        """Return the view of one balancer."""
+        """Return the reply of one balancer, or why there is none."""
 
     def send_delta(
         self, address: Address, delta: ConfigurationDelta
     ) -> Result[None, str]:
-        """Hand a version to one balancer."""
+        """Send a version to one balancer."""
 
 
 @dataclass(slots=True, frozen=True)
 class ChangePlan:
-    """What a change would write and what differs from now."""
+    """The configuration to write and how it differs from the stored one."""
 
     stored: StoredConfiguration
     wanted: Configuration
@@ -108,10 +108,12 @@
     content: ConfigurationFile,
     base_version: int | None = None,
 ) -> Result[ChangePlan, ChangeConflict]:
-    """Return the plan to apply a file made from the stored version.
+    """Return the plan to apply a file, or a conflict.
 
-    `base_version` takes the place of the file's own base; with it the
-    operator says which version the file was compared with.
+    It is a conflict if the file differs from the stored version and was
+    not made from it; the first configuration never conflicts.
+    `base_version` replaces the file's own base: it is the version that
+    the operator has compared the file with.
     """
     held = stored.configuration
     services = keep_drained_targets(held.services, content.services)
@@ -131,7 +133,7 @@
     *,
     drained: bool,
 ) -> Result[ChangePlan, UnknownName]:
-    """Return the plan that drains targets, or takes them back."""
+    """Return the plan that drains or undrains targets of a service."""
     held = stored.configuration
     changed_ids = set(target_ids)
     services = []
@@ -153,7 +155,7 @@
 def keep_drained_targets(
     held: Iterable[Service], wanted: Iterable[Service]
 ) -> list[Service]:
-    """Return the wanted services with the drained targets held now."""
+    """Return the wanted services with the drained targets of `held`."""
     drained_by_id = {entry.service_id: entry.drained_targets for entry in held}
     return [
         structs.replace(
@@ -166,7 +168,7 @@
 def write_plan(
     store: ConfigurationStore, plan: ChangePlan
 ) -> Result[None, ChangeConflict | StoreUnreachable]:
-    """Write conditionally; read back when the answer was lost."""
+    """Write conditionally; without an answer, read back to check."""
     written = store.write(plan.wanted, plan.stored.object_version)
     if isinstance(written, Ok):
         return written
@@ -182,7 +184,7 @@
 
 
 def compute_delta(plan: ChangePlan) -> ConfigurationDelta:
-    """Return the change from the version that was read."""
+    """Return the delta from the version that was read."""
     held = plan.stored.configuration.services
     wanted = plan.wanted.services
     wanted_ids = {entry.service_id for entry in wanted}
@@ -204,9 +206,10 @@
     addresses: Iterable[Address],
     delta: ConfigurationDelta,
 ) -> list[str]:
-    """Give the delta to a few balancers; return the failed attempts.
+    """Send the delta to the first `DIRECT_BALANCERS` that accept it.
 
-    An empty list of attempts without success means no address at all.
+    Returns a text for each failed attempt. Without addresses the list
+    is empty as well.
     """
     failures: list[str] = []
     accepted = 0
@@ -223,7 +226,11 @@
 
 @dataclass(slots=True, frozen=True)
 class RolloutStatus:
-    """Where a version is in force; `behind` are living balancers."""
+    """How many balancers have a version in force.
+
+    `behind` are the live balancers that have a lower version;
+    `unreachable` says why no balancer could be queried.
+    """
 
     in_force: int
     behind: list[MemberRecord]
@@ -231,28 +238,26 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether every living balancer has the version."""
+        """Whether every live balancer has the version."""
         return self.in_force > 0 and not self.behind
 
 
 def summarize_rollout(reply: StatusReply, version: int) -> RolloutStatus:
-    """Sort the balancers of a reply by the version they have."""
-    living = [
+    """Return which live balancers of a reply have the version."""
+    live = [
         entry
         for entry in reply.records
         if entry.kind == MemberKind.balancer
         and entry.state in {MemberState.alive, MemberState.suspect}
     ]
-    behind = [
-        entry for entry in living if entry.configuration_version < version
-    ]
-    return RolloutStatus(len(living) - len(behind), behind)
+    behind = [entry for entry in live if entry.configuration_version < version]
+    return RolloutStatus(len(live) - len(behind), behind)
 
 
 def query_any(
     balancers: BalancerPort, addresses: Iterable[Address]
 ) -> Result[StatusReply, str]:
-    """Return the view of the first balancer that answers."""
+    """Return the reply of the first balancer that answers."""
     reasons = []
     for address in addresses:
         match balancers.query_status(address):
@@ -270,7 +275,10 @@
     sleep: Callable[[float], None],
     timeout_s: float,
 ) -> RolloutStatus:
-    """Poll until all living balancers have the version, or time out."""
+    """Poll until all live balancers have the version, or time out.
+
+    `timeout_s` is in seconds; the last status is returned in both cases.
+    """
     end_s = timers.now() + timeout_s
     while True:
         match query():
@@ -286,7 +294,7 @@
 def _next_version(
     stored: StoredConfiguration, services: list[Service]
 ) -> Configuration:
-    # Higher than both counters, also if the object was ever recreated.
+    # Higher than both, also if the object was deleted and created again.
     highest = max(stored.object_version, stored.configuration.version)
     return Configuration(
         version=highest + 1, services=services, operation_id=uuid.uuid4().hex
--- a/tests/operator/test_configuration_files.py
+++ b/tests/operator/test_configuration_files.py
@@ -30,7 +30,8 @@
         return {problem.key for problem in found}
 
     def test_all_contradictions_are_found_at_once(self):
-        # Guards against a configuration that is checked in the balancers.
+        # Guards against an invalid configuration that is stored and fails
+        # only in the balancers.
         core = structs.replace(
             replace_limits(self.core, slots=1),
             host='10.0.0.256',
@@ -58,8 +59,9 @@
             self.problems([core, desk]),
         )
 
-    def test_drained_targets_belong_to_drain(self):
-        # Guards against an `apply` that silently undoes a drain.
+    def test_drained_targets_in_a_file_are_refused(self):
+        # Guards against an `apply` that silently undoes a drain, because
+        # the file was made before it.
         text = format_configuration([self.core]).replace(
             'port = 7100', 'port = 7100\ndrained_targets = ["a"]'
         )
@@ -71,7 +73,8 @@
         )
 
     def test_base_is_changed_in_place(self):
-        # Guards against notes and order lost by a rewritten file.
+        # Guards against a file that loses its comments and order when the
+        # base is replaced.
         notes = {'services[0].limits.queue_length': 'a note'}
         text = format_configuration([self.core], notes_by_key=notes)
         self.assertIn('# a note\nqueue_length = 200\n', text)
@@ -82,7 +85,8 @@
         )
 
     def test_digest_ignores_order_and_drained_targets(self):
-        # Guards against a drain that makes every operator's file stale.
+        # Guards against a drain that makes every operator's file
+        # conflict with the stored version.
         drained = structs.replace(self.core, drained_targets=['core-1'])
         self.assertEqual(
             compute_digest([self.core, self.desk]),
@@ -94,7 +98,8 @@
         )
 
     def test_diff_names_entries_and_values(self):
-        # Guards against a diff by position, which a new entry shifts.
+        # Guards against entries that are matched by position: one added
+        # or removed entry would then change all that follow it.
         core = structs.replace(
             replace_limits(self.core, slots=3),
             operations=self.core.operations[1:],
--- a/tests/operator/test_keys.py
+++ b/tests/operator/test_keys.py
@@ -34,7 +34,8 @@
         return [json.loads(line) for line in self.log.getvalue().splitlines()]
 
     def test_rotation_keeps_accepting_the_old_key(self):
-        # Guards against datagrams lost while processes rotate in turn.
+        # Guards against datagrams dropped while processes rotate their
+        # keys one after another.
         ring = load_keys(self.settings).unwrap()
         reloader = KeyReloader(self.path, self.settings, ring)
         old_tag = ring.sign(b'datagram')
@@ -60,8 +61,9 @@
         self.assertEqual('keys.refused', event['event'])
         self.assertNotIn('abab', event['problem'])
 
-    def test_changed_key_file_is_noticed(self):
-        # Guards against a new secret that needs a restart.
+    def test_changed_key_file_is_detected(self):
+        # Guards against a new secret that takes effect only after a
+        # restart.
         age_file(self.folder / 'tag.key')
         ring = load_keys(self.settings).unwrap()
         reloader = KeyReloader(self.path, self.settings, ring)
@@ -71,7 +73,8 @@
         self.assertFalse(ring.verify(1, old_tag, b'datagram'))
 
     def test_expired_signing_key_is_refused(self):
-        # Guards against a process whose datagrams no peer accepts.
+        # Guards against a process whose datagrams no peer accepts,
+        # because the key that signs them has expired.
         text = f'{SETTINGS}not_after = "2020-01-01T00:00:00Z"\n'
         settings = load_settings(write_settings(self.folder, text)).unwrap()
         problems = load_keys(settings).unwrap_err()
@@ -80,7 +83,8 @@
         )
 
     def test_all_unreadable_keys_are_reported(self):
-        # Guards against finding bad key files one restart at a time.
+        # Guards against a check that stops at the first bad key file, so
+        # that each restart reports only one.
         (self.folder / 'tag.key').unlink()
         self.path.write_text(f'{SETTINGS}{SECOND_KEY}')
         settings = load_settings(self.path).unwrap()
--- a/tests/operator/test_prompts.py
+++ b/tests/operator/test_prompts.py
@@ -12,7 +12,7 @@
 
 ENTER = '\r'
 CTRL_C = '\x03'
-# Ctrl-U, because the default is there to be edited.
+# Ctrl-U; removes the default that the prompt is filled in with.
 ERASE_LINE = '\x15'
 DEFAULT = ''
 CUSTOMER = ('firm', DEFAULT)
@@ -25,7 +25,7 @@
 
 
 def type_operation(name, *, idempotent='y', sizes=SIZES):
-    # The method is selected with Enter, which takes GET.
+    # Enter selects GET, the first of the methods.
     path = type_lines(name, DEFAULT, f'/{name}')
     return f'{path}{idempotent}{type_lines(*sizes)}'
 
@@ -38,7 +38,7 @@
                 return ask_answers()
 
     def test_typed_answers_equal_those_of_a_file(self):
-        # Guards against a terminal that asks less than a file needs.
+        # Guards against prompts that omit a question that a file answers.
         answers = self.ask(
             ''.join(
                 (
@@ -80,7 +80,8 @@
         self.assertIn('services[0].operations[0].idempotent', problems[0])
 
     def test_value_out_of_range_is_asked_again(self):
-        # Guards against an answer that fails only after all others.
+        # Guards against an invalid answer that is reported only after all
+        # questions.
         too_large = f'70000{ENTER}'
         answers = self.ask(
             ''.join(
@@ -98,7 +99,7 @@
         self.assertEqual(7000, answers.services[0].port)
 
     def test_interrupt_ends_the_questionnaire(self):
-        # Guards against a half-answered file after Ctrl-C.
+        # Guards against an incomplete file written after Ctrl-C.
         with redirect_stdout(io.StringIO()):
             self.assertRaises(Cancelled, self.ask, CTRL_C)
         self.assertIs(sys.__stdout__.closed, False)
--- a/tests/operator/test_questionnaire.py
+++ b/tests/operator/test_questionnaire.py
@@ -43,7 +43,7 @@
             self.assertEqual(services, loaded.services)
 
     def test_derived_values_of_the_cooperative(self):
-        # Guards against formulas that change without notice; the values
+        # Guards against unintended changes of the formulas; the values
         # are computed by hand from the example's answers.
         core, desk = derive_services(load_answers(COOPERATIVE).unwrap())
         self.assertEqual(
@@ -64,8 +64,8 @@
         self.assertEqual(0.999, core.objectives[0].target_share)
 
     def test_ids_do_not_depend_on_the_order(self):
-        # Guards against flows of one service that reach another after a
-        # service was added in front.
+        # Guards against ids that depend on positions: flows of one
+        # service would reach another after a service is added in front.
         text = COOPERATIVE.read_text()
         head, core, desk = text.split('[[services]]')
         path = self.folder / 'answers.toml'
@@ -78,7 +78,8 @@
         )
 
     def test_contradictions_name_the_question(self):
-        # Guards against answers that would be half used.
+        # Guards against a configuration that is derived from
+        # contradictory answers.
         problems = self.problems(
             ('idempotent = true', 'idempotent = false'),
             ('deadline_ms = 10000', 'deadline_ms = 100'),
@@ -102,7 +103,8 @@
         self.assertIn('at least 122', problems['services[0].targets'])
 
     def test_long_work_needs_a_second_slot(self):
-        # Guards against short work that always waits behind long work.
+        # Guards against short work that waits behind long work on the
+        # only slot.
         text = COOPERATIVE.read_text()
         before, after = text.rsplit('slots_per_target = 2', 1)
         path = self.folder / 'answers.toml'
--- a/tests/operator/test_rollout.py
+++ b/tests/operator/test_rollout.py
@@ -50,14 +50,16 @@
         return plan_file(stored or self.stored, content).unwrap()
 
     def test_first_configuration_needs_no_base(self):
-        # Guards against a first `apply` that cannot succeed.
+        # Guards against a first `apply` that fails because no stored
+        # version matches its base.
         content = self.make_file(self.services, base='')
         plan = plan_file(EMPTY, content).unwrap()
         self.assertEqual(1, plan.wanted.version)
         self.assertEqual(0, compute_delta(plan).base_version)
 
     def test_stale_file_is_a_conflict_with_the_differences(self):
-        # Guards against an operator who overwrites another's change.
+        # Guards against a file made from an older version that overwrites
+        # the change of another operator.
         other = [replace_limits(self.core, queue_length=9), self.services[1]]
         stored = StoredConfiguration(
             5, Configuration(version=5, services=other)
@@ -74,7 +76,8 @@
         self.assertIsInstance(late.unwrap_err(), ChangeConflict)
 
     def test_apply_keeps_drained_targets(self):
-        # Guards against an `apply` that sends work to a leaving target.
+        # Guards against an `apply` that undrains a target, so that it
+        # gets work again before it is removed.
         drained = plan_drain(
             self.stored, self.core.service_id, ['core-2'], drained=True
         ).unwrap()
@@ -87,7 +90,7 @@
         self.assertEqual(1, len(plan.changes))
 
     def test_drain_and_undrain(self):
-        # Guards against a drain that is lost or cannot be taken back.
+        # Guards against a drain that is lost or cannot be undone.
         service_id = self.core.service_id
         drained = plan_drain(
             self.stored, service_id, ['b', 'a'], drained=True
@@ -102,20 +105,23 @@
         self.assertTrue(unknown.is_err())
 
     def test_lost_answer_is_recognised_by_operation_id(self):
-        # Guards against a conflict reported for the operator's own write.
+        # Guards against a conflict reported for the operator's own
+        # write, of which only the answer was lost.
         self.store.lost_answers = 1
         plan = self.plan()
         self.assertEqual(Ok(None), write_plan(self.store, plan))
         self.assertEqual(5, self.store.stored.configuration.version)
 
     def test_write_that_did_not_happen_is_not_reported_as_done(self):
-        # Guards against success without a write.
+        # Guards against success reported for a write that never reached
+        # the store.
         self.store.write = lambda *_: Err('no answer')
         failure = write_plan(self.store, self.plan()).unwrap_err()
         self.assertIn('nothing was written', failure.reason)
 
-    def test_concurrent_write_shows_what_the_other_changed(self):
-        # Guards against the loser of a race writing over the winner.
+    def test_concurrent_write_reports_the_other_change(self):
+        # Guards against a write that overwrites a change made since the
+        # configuration was read.
         other = [replace_limits(self.core, max_flows=7), self.services[1]]
         plan = self.plan()
         self.store.stored = StoredConfiguration(
@@ -127,8 +133,8 @@
             [str(change) for change in conflict.changes],
         )
 
-    def test_store_down_is_named(self):
-        # Guards against an outage that looks like a conflict.
+    def test_unreachable_store_is_reported(self):
+        # Guards against an outage that is reported as a conflict.
         plan = self.plan()
         self.store.is_down = True
         failure = write_plan(self.store, plan).unwrap_err()
@@ -136,7 +142,8 @@
         self.assertIn('may have taken effect', failure.reason)
 
     def test_delta_carries_only_what_changed(self):
-        # Guards against a whole configuration sent for one field.
+        # Guards against the whole configuration being sent for a change
+        # of one field.
         plan = self.plan()
         delta = compute_delta(plan)
         self.assertEqual((4, 5), (delta.base_version, delta.version))
@@ -146,8 +153,8 @@
             [self.services[1].service_id], compute_delta(removal).removed
         )
 
-    def test_version_goes_to_a_few_living_balancers(self):
-        # Guards against one dead balancer that holds up a change.
+    def test_version_is_sent_to_a_few_reachable_balancers(self):
+        # Guards against one unreachable balancer that blocks a change.
         balancers = FakeBalancers(*ADDRESSES)
         balancers.down = {ADDRESSES[0]}
         failures = send_to_balancers(
@@ -156,8 +163,9 @@
         self.assertEqual(['127.0.0.1:1: connection refused'], failures)
         self.assertEqual(3, len(balancers.deltas))
 
-    def test_waiting_names_the_balancers_behind(self):
-        # Guards against an `apply` that claims a version is in force.
+    def test_balancers_with_a_lower_version_are_reported(self):
+        # Guards against an `apply` that reports a version as in force
+        # while a balancer has not applied it.
         balancers = FakeBalancers(*ADDRESSES)
         balancers.stuck = {ADDRESSES[4]}
         send_to_balancers(balancers, ADDRESSES, compute_delta(self.plan()))
@@ -176,7 +184,8 @@
         self.assertGreaterEqual(timers.now(), 3)
 
     def test_dead_balancers_are_not_waited_for(self):
-        # Guards against a change that never completes after a death.
+        # Guards against a change that never completes after a balancer
+        # has failed.
         dead = build_balancer(ADDRESSES[0], 1, state='dead')
         alive = build_balancer(ADDRESSES[1], 5)
         agent = structs.replace(dead, kind='agent', state='alive')
@@ -188,7 +197,8 @@
         self.assertTrue(summarize_rollout(reply, 5).is_complete)
 
     def test_no_balancer_is_not_complete(self):
-        # Guards against success when nobody could be asked.
+        # Guards against success reported when no balancer could be
+        # queried.
         timers = VirtualTimerService()
         outcome = wait_in_force(
             lambda: query_any(FakeBalancers(), ()),
