--- a/greengagepath/platform/__main__.py
+++ b/greengagepath/platform/__main__.py
@@ -37,19 +37,22 @@
         case 'balancer':
             from ..daemon.steering_balancer import BalancerDaemon
 
-            _collect_from_now()
+            _freeze_startup_objects()
             return BalancerDaemon(settings, PlatformWire(), store).run()
         case 'agent':
             from ..daemon.steering_agent import AgentDaemon
 
-            _collect_from_now()
+            _freeze_startup_objects()
             return AgentDaemon(settings, PlatformWire(), store).run()
     sys.stderr.write('usage: python -m greengagepath.platform balancer|agent\n')
     return ExitCode.BAD_USAGE
 
 
-def _collect_from_now() -> None:
-    """Leave out of collections what was loaded, since it stays."""
+def _freeze_startup_objects() -> None:
+    """Turn garbage collection on, but leave out what is loaded by now.
+
+    Those objects live as long as the process.
+    """
     gc.freeze()
     gc.enable()
 
--- a/greengagepath/platform/configuration.py
+++ b/greengagepath/platform/configuration.py
@@ -1,4 +1,4 @@
-"""The operator's configuration as routes of the product."""
+"""Decodes the operator's configuration into routes."""
 
 from typing import Any
 
@@ -9,18 +9,18 @@
 from ..steering.settings import pack_address
 
 _MS_PER_S = 1000
-_UNREADABLE = (KeyError, TypeError, ValueError, AttributeError)
+_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 
 
 def decode_configuration(spec: Any) -> Result[RouteTable, str]:
-    """Return the routes, or what is wrong with the object.
+    """Return the routes, or why the object cannot be decoded.
 
-    A route that cannot be read is an error of the whole object: a part
-    of a configuration must not come into force.
+    One invalid route is an error of the whole object, because a
+    configuration must not come into force in part.
     """
     try:
         return Ok(_decode(spec))
-    except _UNREADABLE as error:
+    except _DECODE_ERRORS as error:
         return Err(f'configuration cannot be read: {error!r}')
 
 
--- a/greengagepath/platform/heartbeats.py
+++ b/greengagepath/platform/heartbeats.py
@@ -14,7 +14,7 @@
 
 
 def decode_target_id(path: str) -> str | None:
-    """Return the target's id of a call's path, None for other paths."""
+    """Return the target id in the path of a call, None without one."""
     if not path.startswith(PATH_PREFIX):
         return None
     target_id = path[len(PATH_PREFIX) :].partition('?')[0]
@@ -26,7 +26,7 @@
 def decode_heartbeat(
     target_id: str, body: bytes, service: str
 ) -> Result[Heartbeat, str]:
-    """Return the heartbeat, or why it names no target of `service`."""
+    """Return the heartbeat, or why it is not a valid one of `service`."""
     try:
         found = json.loads(body)
     except (ValueError, RecursionError):
@@ -40,9 +40,9 @@
         return Err('state is unknown')
     if not isinstance(found.get('address'), str):
         return Err('address is not text')
-    numbers = [_whole(found, name) for name in ('sequence', 'slots')]
-    # An old target does not tell its start.
-    started_ms = _whole(found, 'born') if 'born' in found else 0
+    numbers = [_read_unsigned(found, name) for name in ('sequence', 'slots')]
+    # Older targets do not send their start time.
+    started_ms = _read_unsigned(found, 'born') if 'born' in found else 0
     if None in numbers or started_ms is None:
         return Err('a number is missing or not whole')
     heartbeat = Heartbeat(
@@ -55,7 +55,7 @@
     return Ok(heartbeat)
 
 
-def _whole(found: dict[str, Any], name: str) -> int | None:
+def _read_unsigned(found: dict[str, Any], name: str) -> int | None:
     number = found.get(name)
     if isinstance(number, bool) or not isinstance(number, int) or number < 0:
         return None
--- a/greengagepath/platform/packets.py
+++ b/greengagepath/platform/packets.py
@@ -1,4 +1,4 @@
-"""Packets of callers and targets on the platform's wire."""
+"""Codec of the packets that callers and targets send."""
 
 import struct
 
@@ -6,10 +6,10 @@
 
 MAX_DATA_BYTES = 1200
 
-# Length, echo, sum, sequence, acknowledgement, source port, destination
+# Length, echo, checksum, sequence, acknowledgement, source port, destination
 # port, destination, source, flags.
-_HEAD = struct.Struct('>HIIIIHH4s4sB')
-# The fields that name a flow, as they stand in a head.
+_HEADER = struct.Struct('>HIIIIHH4s4sB')
+# The fields that identify a flow, in the order of the header.
 _FLOW = struct.Struct('>2s2s4s4s')
 _FLOW_OFFSET = 18
 _FLOW_END = _FLOW_OFFSET + _FLOW.size
@@ -19,42 +19,43 @@
 _FIN = 4
 _RST = 2
 _BOUNCED = 8
-# Status lines of answers that say that the request has not run.
+# Status lines of answers to requests that have not run.
 _REFUSALS = (b'HTTP/1.1 503', b'HTTP/1.1 421')
 
 
 def decode_from_caller(raw: bytes) -> Segment | None:
-    """Return a packet of a caller, also one that a target gave back.
+    """Return a packet of a caller, also one that a target returned.
 
-    None if the bytes are no packet.
+    None if the bytes are not a valid packet.
     """
     segment = _decode(raw, raw[_FLOW_OFFSET:_FLOW_END])
     if segment is not None and segment.is_returned:
-        # The packet is valid again for another target.
+        # Without the flag the packet can be sent to another target.
         cleared = bytes((raw[_FLAGS_OFFSET] & ~_BOUNCED,))
         segment.raw = raw[:_FLAGS_OFFSET] + cleared + raw[_FLOW_END + 1 :]
     return segment
 
 
 def decode_from_target(raw: bytes) -> Segment | None:
-    """Return what a target sent or gave back, None if it is no packet."""
-    if len(raw) < _HEAD.size or raw[_FLAGS_OFFSET] & _BOUNCED:
+    """Return a packet that a target sent or returned, None if invalid."""
+    if len(raw) < _HEADER.size or raw[_FLAGS_OFFSET] & _BOUNCED:
         return decode_from_caller(raw)
-    # Destination and source change places in the caller's direction.
+    # A flow is identified by the addresses in the caller's direction,
+    # so source and destination are swapped.
     source_port, port, destination, source = _FLOW.unpack_from(
         raw, _FLOW_OFFSET
     )
     segment = _decode(raw, port + source_port + source + destination)
     if segment is not None:
-        segment.is_refusal = raw.startswith(_REFUSALS, _HEAD.size)
+        segment.is_refusal = raw.startswith(_REFUSALS, _HEADER.size)
     return segment
 
 
 def encode_reset(flow: bytes) -> bytes:
-    """Return a reset of a flow that has not opened, for its caller."""
+    """Return a reset to the caller of a flow that has not opened."""
     source_port, port, destination, source = _FLOW.unpack(flow)
-    towards_caller = port + source_port + source + destination
-    return bytes(_FLOW_OFFSET) + towards_caller + bytes((_RST,))
+    reversed_flow = port + source_port + source + destination
+    return bytes(_FLOW_OFFSET) + reversed_flow + bytes((_RST,))
 
 
 def caller_address(flow: bytes) -> bytes:
@@ -63,12 +64,12 @@
 
 
 def _decode(raw: bytes, flow: bytes) -> Segment | None:
-    if len(raw) < _HEAD.size:
+    if len(raw) < _HEADER.size:
         return None
-    fields = _HEAD.unpack_from(raw)
+    fields = _HEADER.unpack_from(raw)
     length = fields[0]
     flags = fields[-1]
-    if length != len(raw) - _HEAD.size or length > MAX_DATA_BYTES:
+    if length != len(raw) - _HEADER.size or length > MAX_DATA_BYTES:
         return None
     has_ack = bool(flags & _ACK)
     has_syn = bool(flags & _SYN)
--- a/greengagepath/platform/wire.py
+++ b/greengagepath/platform/wire.py
@@ -1,10 +1,10 @@
-"""The platform's wire as the daemons use it."""
+"""The platform's wire format behind the interface of the daemons."""
 
 from ..platform import heartbeats, packets
 
 
 class PlatformWire:
-    """Packets and heartbeats of the platform."""
+    """Codec of the platform's packets and heartbeats."""
 
     acknowledgement = heartbeats.ACKNOWLEDGEMENT
     readiness_path = '/ready'
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -1,4 +1,4 @@
-"""Builders of what the platform sends."""
+"""Builders of the platform's objects, heartbeats and packets."""
 
 import json
 import struct
@@ -87,8 +87,8 @@
     acknowledged: int = 0,
     payload: bytes = b'',
 ) -> bytes:
-    """Return a packet on the platform's wire; its sum is not checked."""
-    head = struct.pack(
+    """Return a packet of the platform; its checksum is left at 0."""
+    header = struct.pack(
         '>HIIIIHH4s4sB',
         len(payload),
         0,
@@ -101,4 +101,4 @@
         source[0],
         flags,
     )
-    return b''.join((head, payload))
+    return b''.join((header, payload))
--- a/tests/platform/installation.py
+++ b/tests/platform/deployment.py
@@ -1,4 +1,7 @@
-"""Roles as real processes on 127.0.0.0/8, with stand-ins around them."""
+"""Balancers and agents as real processes on 127.0.0.0/8.
+
+Targets, a caller and the store are stand-ins in the test process.
+"""
 
 import os
 import random
@@ -28,7 +31,7 @@
 TARGET_SEQUENCE = 90000
 START_S = 15.0
 POLL_S = 0.05
-_HEAD = 31
+_HEADER_BYTES = 31
 
 
 class TargetStandIn:
@@ -54,8 +57,8 @@
             if raw[30] & SYN:
                 self.opened += 1
                 self._send(route, source, SYN | ACK, TARGET_SEQUENCE, b'')
-            elif len(raw) > _HEAD:
-                self.requests.append(raw[_HEAD:])
+            elif len(raw) > _HEADER_BYTES:
+                self.requests.append(raw[_HEADER_BYTES:])
                 self._send(route, source, ACK, TARGET_SEQUENCE + 1, b'done')
 
     def _send(self, route, source, flags, sequence, payload) -> None:
@@ -66,7 +69,7 @@
 
 
 class Caller:
-    """A caller behind the fabric, which the test plays itself."""
+    """A caller that sends to balancers directly, without a fabric."""
 
     def __init__(self, host: str, data_port: int) -> None:
         self._address = native.inet_aton(host)
@@ -79,8 +82,8 @@
 
     def open(self, port: int, balancer: str) -> int | None:
         """Open a flow; return the target's sequence, None if it is reset."""
-        for copy in range(10):
-            self._send(port, balancer, SYN, acknowledged=copy)
+        for attempt in range(10):
+            self._send(port, balancer, SYN, acknowledged=attempt)
             answer = self._receive(1.0)
             if answer is not None:
                 opened = answer[30] == SYN | ACK
@@ -93,7 +96,7 @@
             port, balancer, ACK, acknowledged=sequence + 1, payload=b'order'
         )
         answer = self._receive(3.0)
-        return None if answer is None else answer[_HEAD:]
+        return None if answer is None else answer[_HEADER_BYTES:]
 
     def _send(self, port: int, balancer: str, flags: int, **fields) -> None:
         packet = make_packet((self._address, port), ROUTE, flags, **fields)
@@ -104,7 +107,7 @@
             return self._socket.recv(2048)
 
 
-class Installation:
+class Deployment:
     """Balancers and agents with their targets, and a store."""
 
     def __init__(self) -> None:
@@ -115,7 +118,7 @@
         self.processes: dict[str, subprocess.Popen[bytes]] = {}
         self.targets: dict[str, TargetStandIn] = {}
         self.caller = Caller('127.0.0.31', self.base)
-        self._beats: dict[str, gevent.Greenlet] = {}
+        self._heartbeat_loops: dict[str, gevent.Greenlet] = {}
         self.draining: set[str] = set()
 
     def start_balancer(self, host: str) -> None:
@@ -124,7 +127,7 @@
     def start_agent(self, host: str) -> None:
         self.targets[host] = TargetStandIn(host, self.base + 4, self.base + 3)
         self._start('agent', host)
-        self._beats[host] = gevent.spawn(self._beat, host)
+        self._heartbeat_loops[host] = gevent.spawn(self._send_heartbeats, host)
 
     def wait_ready(self, host: str) -> None:
         """Wait until the process answers that it is ready."""
@@ -144,8 +147,8 @@
         self.processes[host].wait()
 
     def stop(self) -> None:
-        for beat in self._beats.values():
-            beat.kill()
+        for loop in self._heartbeat_loops.values():
+            loop.kill()
         for process in self.processes.values():
             process.kill()
             process.wait()
@@ -175,7 +178,7 @@
             'target_address': f'{host}:{self.base + 4}',
             'store_address': f'{store_host}:{store_port}',
         }
-        words = addresses | {
+        texts = addresses | {
             'member_id': f'{role}-{host}',
             'availability_zone': 'zone-a',
             'address': host,
@@ -183,7 +186,7 @@
             'peer_ports': f'{self.base + 6},{self.base + 9}',
             'seeds': '',
         }
-        lines = [f'{name} = "{word}"' for name, word in words.items()]
+        lines = [f'{name} = "{text}"' for name, text in texts.items()]
         lines += [
             f'metrics_port = {self.base + 5}',
             'first_start = true',
@@ -193,7 +196,7 @@
         ]
         return '\n'.join(lines)
 
-    def _beat(self, host: str) -> None:
+    def _send_heartbeats(self, host: str) -> None:
         sequence = 0
         while True:
             sequence += 1
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -1,7 +1,7 @@
-"""Stand-in of the platform's store, written from its published page.
+"""Stand-in for the platform's store, written from its published page.
 
-Objects with revisions, lists, watches, lost history and calls that are
-refused, over HTTP/1.1 on 127.0.0.1.
+Serves objects with revisions, lists and watches over HTTP/1.1 on
+127.0.0.1; can discard its history and refuse calls.
 """
 
 import json
@@ -21,12 +21,15 @@
 
 
 class StoreStandIn:
-    """Serves objects by kind and name; `refusal` answers every call."""
+    """Serves objects by kind and name.
+
+    A `forced_status` other than 0 is the answer to every call.
+    """
 
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, Any]] = {}
         self.calls: list[tuple[str, str]] = []
-        self.refusal = 0
+        self.forced_status = 0
         self.revision = 1
         self.oldest_revision = 0
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -42,22 +45,22 @@
         self._listener.stop()
 
     def put(self, kind: str, name: str, spec: Any) -> None:
-        """Write as another writer does."""
+        """Write an object, as another client of the store would."""
         self.revision += 1
         stored = make_object(name, spec, self.revision)
         self.objects.setdefault(kind, {})[name] = stored
         self._events.append((self.revision, kind, stored, False))
         self._changed.set()
 
-    def forget_history(self) -> None:
+    def discard_history(self) -> None:
         self.oldest_revision = self.revision
         self._events.clear()
         self._changed.set()
 
     def _answer(self, request: HttpRequest) -> HttpReply:
         self.calls.append((request.method, request.path))
-        if self.refusal:
-            return HttpReply(self.refusal)
+        if self.forced_status:
+            return HttpReply(self.forced_status)
         parts = urlsplit(request.path)
         _, _, kind, *rest = parts.path.split('/')
         query = {key: found[0] for key, found in parse_qs(parts.query).items()}
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -1,4 +1,4 @@
-"""Nothing outside the adapter knows the platform's names."""
+"""The platform's names occur only in its adapter."""
 
 import re
 from pathlib import Path
@@ -7,8 +7,8 @@
 
 PACKAGE = Path(__file__).parents[2] / 'greengagepath'
 ADAPTER = PACKAGE / 'platform'
-# Fields, paths and headers of the platform's wire that no other system
-# of the product uses.
+# Fields, paths and headers of the platform's wire format that nothing
+# else in the product uses.
 NAMES = (
     'heartbeat-address',
     'cold-remaining-ms',
@@ -33,7 +33,7 @@
 
 class BoundaryTest(TestCase):
     def test_names_of_the_wire_stay_in_the_adapter(self):
-        # Guards against decisions that depend on the platform's wire.
+        # Guards against decisions that depend on the wire format.
         pattern = re.compile('|'.join(map(re.escape, NAMES)))
         found = [
             f'{path.relative_to(PACKAGE)}: {match.group()}'
--- a/tests/platform/test_metrics.py
+++ b/tests/platform/test_metrics.py
@@ -10,7 +10,7 @@
 
 class SteeringMetricsTest(TestCase):
     def test_counts_and_durations_are_rendered(self):
-        # Guards against a metric that is documented and never set.
+        # Guards against a metric that is documented but never set.
         metrics = SteeringMetrics(
             Counter({'flows_opened': 3}),
             lambda: Counter({('read_routes', '200'): 2}),
--- a/tests/platform/test_module_bundle.py
+++ b/tests/platform/test_module_bundle.py
@@ -1,4 +1,4 @@
-"""Modules from one file, as a role starts with them."""
+"""Import of modules from a bundle file, as at the start of a daemon."""
 
 import subprocess
 import sys
@@ -14,8 +14,8 @@
 
 class ModuleBundleTest(TestCase):
     def test_modules_come_from_the_bundle(self):
-        # Guards against a bundle that lacks what a role loads, so that
-        # the slow import takes over in silence.
+        # Guards against a bundle that lacks modules, which the slower
+        # import then loads unnoticed.
         folder = self._make_folder()
         path = str(folder / 'modules.bundle')
         write_bundle(
@@ -38,8 +38,8 @@
         self.assertEqual('BundleFinder 1\n', done.stdout)
 
     def test_missing_or_foreign_bundle_leaves_the_usual_import(self):
-        # Guards against a role that does not start after an upgrade of
-        # Python.
+        # Guards against a daemon that does not start after an upgrade of
+        # Python, because its bundle is of the earlier version.
         folder = self._make_folder()
         self.assertFalse(install_bundle(str(folder / 'absent')))
         foreign = folder / 'foreign'
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -1,4 +1,4 @@
-"""The whole path of a plain flow through real processes."""
+"""Flows from a caller to a target through real processes."""
 
 import signal
 
@@ -6,7 +6,7 @@
 import pytest
 from testtools import TestCase
 
-from .installation import Installation
+from .deployment import Deployment
 
 BALANCERS = ('127.0.0.11', '127.0.0.12')
 AGENTS = ('127.0.0.21', '127.0.0.22')
@@ -16,65 +16,67 @@
 class PlainFlowProcessesTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.installation = Installation()
-        self.addCleanup(self.installation.stop)
+        self.deployment = Deployment()
+        self.addCleanup(self.deployment.stop)
         for host in AGENTS:
-            self.installation.start_agent(host)
+            self.deployment.start_agent(host)
         for host in BALANCERS:
-            self.installation.start_balancer(host)
+            self.deployment.start_balancer(host)
         for host in (*AGENTS, *BALANCERS):
-            self.installation.wait_ready(host)
+            self.deployment.wait_ready(host)
 
     def _count_requests(self) -> int:
-        targets = self.installation.targets.values()
+        targets = self.deployment.targets.values()
         return sum(len(target.requests) for target in targets)
 
-    def test_flow_goes_on_through_another_balancer(self):
-        # Guards against flows that end with the balancer that opened
-        # them, and against a request that reaches two targets.
-        caller = self.installation.caller
+    def test_flow_continues_through_another_balancer(self):
+        # Guards against flows that break when the balancer that opened
+        # them fails, and against a request that reaches two targets.
+        caller = self.deployment.caller
         sequence = caller.open(41001, BALANCERS[0])
-        self.installation.kill(BALANCERS[0])
+        self.deployment.kill(BALANCERS[0])
         answer = caller.request(41001, BALANCERS[1], sequence)
         self.assertEqual(b'done', answer)
         self.assertEqual(1, self._count_requests())
 
     def test_route_that_does_not_exist_is_reset(self):
-        # Guards against a caller that waits for nobody.
-        self.installation.store.put('config', 'main', _without_routes(9))
+        # Guards against a caller that waits for its timeout because its
+        # route was removed.
+        self.deployment.store.put('config', 'main', _without_routes(9))
         gevent.sleep(1.0)
-        opened = self.installation.caller.open(41002, BALANCERS[0])
+        opened = self.deployment.caller.open(41002, BALANCERS[0])
         self.assertIsNone(opened)
 
     def test_draining_target_gets_no_new_flow(self):
-        # Guards against new work at a target that leaves.
-        leaving = self.installation.targets[AGENTS[0]]
-        self.installation.draining.add(AGENTS[0])
+        # Guards against flows opened at a target that is shutting down.
+        leaving = self.deployment.targets[AGENTS[0]]
+        self.deployment.draining.add(AGENTS[0])
         gevent.sleep(1.0)
         before = leaving.opened
         for port in range(42000, 42020):
-            self.installation.caller.open(port, BALANCERS[0])
+            self.deployment.caller.open(port, BALANCERS[0])
         self.assertEqual(before, leaving.opened)
 
-    def test_balancer_forwards_after_it_was_told_to_stop(self):
-        # Guards against packets lost before the fabric has moved on.
-        caller = self.installation.caller
+    def test_balancer_forwards_after_sigterm(self):
+        # Guards against packets lost while the fabric still sends to a
+        # balancer that is stopping.
+        caller = self.deployment.caller
         sequence = caller.open(41003, BALANCERS[0])
-        process = self.installation.processes[BALANCERS[0]]
+        process = self.deployment.processes[BALANCERS[0]]
         process.send_signal(signal.SIGTERM)
         gevent.sleep(0.3)
-        base = self.installation.base
-        ready = self.installation.get(BALANCERS[0], base + 1, '/ready')
+        base = self.deployment.base
+        ready = self.deployment.get(BALANCERS[0], base + 1, '/ready')
         self.assertEqual(503, ready)
         answer = caller.request(41003, BALANCERS[0], sequence)
         self.assertEqual(b'done', answer)
         self.assertEqual(0, process.wait(timeout=10))
 
     def test_metrics_are_served(self):
-        # Guards against a metrics address that answers nothing.
-        base = self.installation.base
+        # Guards against a metrics address on which nothing listens.
+        base = self.deployment.base
         for host in (BALANCERS[0], AGENTS[0]):
-            status = self.installation.get(host, base + 5, '/metrics')
+            status = self.deployment.get(host, base + 5, '/metrics')
             self.assertEqual(200, status)
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,4 +1,4 @@
-"""The adapter's store against a stand-in over HTTP."""
+"""The store client against a stand-in over HTTP."""
 
 import gevent
 from testtools import TestCase
@@ -20,14 +20,16 @@
         self.store = PlatformStore(self.stand_in.address)
 
     def test_reads_the_configuration(self):
-        # Guards against a balancer without routes.
+        # Guards against a balancer without routes, because it misses the
+        # stored configuration.
         self.stand_in.put('config', 'main', make_configuration(7))
         stored = self.store.read_routes().unwrap()
         self.assertEqual(7, stored.table.version)
         self.assertEqual(self.stand_in.revision, stored.revision)
 
     def test_watch_brings_the_next_version(self):
-        # Guards against a change that is not in force in time.
+        # Guards against a change that comes into force late, because the
+        # watch does not return it.
         self.stand_in.put('config', 'main', make_configuration(7))
         revision = self.store.read_routes().unwrap().revision
         waiting = gevent.spawn(self.store.watch_routes, revision)
@@ -36,35 +38,40 @@
         stored = waiting.get(timeout=2).unwrap()
         self.assertEqual(9, stored.table.version)
 
-    def test_lost_history_is_told(self):
-        # Guards against a watch that is repeated for ever after 410.
+    def test_lost_history_is_reported(self):
+        # Guards against a watch that is repeated forever after a status
+        # 410, instead of a new read.
         self.stand_in.put('config', 'main', make_configuration(7))
-        self.stand_in.forget_history()
+        self.stand_in.discard_history()
         problem = self.store.watch_routes(0).unwrap_err()
         self.assertTrue(problem.is_history_lost)
 
-    def test_refused_call_is_an_outcome(self):
-        # Guards against a process that ends when the store turns it away.
-        self.stand_in.refusal = 503
+    def test_refused_call_returns_an_error(self):
+        # Guards against an exception that ends the process when the
+        # store refuses a call.
+        self.stand_in.forced_status = 503
         problem = self.store.read_routes().unwrap_err()
         self.assertEqual('status 503', problem.reason)
         self.assertEqual(1, self.store.calls['read_routes', '503'])
 
-    def test_store_that_is_down_is_an_outcome(self):
-        # Guards against a process that ends with the store.
+    def test_unreachable_store_returns_an_error(self):
+        # Guards against an exception that ends the process when the
+        # store does not answer.
         self.stand_in.stop()
         self.assertTrue(self.store.list_members().is_err())
 
-    def test_registers_over_an_earlier_vm_of_the_same_address(self):
-        # Guards against a reused address that keeps its earlier role.
+    def test_registration_replaces_an_earlier_vm_of_the_same_address(self):
+        # Guards against a reused address that keeps the role of the
+        # earlier VM.
         kind = 'greengagepath-members'
         self.stand_in.put(kind, '10.1.0.13', {'role': 'balancer'})
         self.assertTrue(self.store.add_member(OWN).is_ok())
         listed = self.store.list_members().unwrap()
         self.assertEqual([MemberRole.AGENT], [entry.role for entry in listed])
 
-    def test_unreadable_members_are_left_out(self):
-        # Guards against entries of other writers.
+    def test_malformed_members_are_left_out(self):
+        # Guards against malformed entries of other writers that fail the
+        # whole list.
         kind = 'greengagepath-members'
         for name, spec in (
             ('x', {'role': 'agent'}),
@@ -77,8 +84,9 @@
         listed = self.store.list_members().unwrap()
         self.assertEqual([bytes((10, 1, 0, 4))], [m.address for m in listed])
 
-    def test_unreadable_configuration_is_no_empty_one(self):
-        # Guards against routes that vanish because one cannot be read.
+    def test_malformed_configuration_returns_an_error(self):
+        # Guards against a malformed route that makes the configuration
+        # look empty, so that all routes are removed.
         broken = make_configuration()
         broken['routes'][0]['host'] = 'x'
         self.stand_in.put('config', 'main', broken)
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -1,4 +1,4 @@
-"""Packets, heartbeats and configurations of the platform."""
+"""Decoding of the platform's packets, heartbeats and configurations."""
 
 from hypothesis import given
 from hypothesis import strategies as st
@@ -19,7 +19,7 @@
 
 from .builders import make_configuration, make_heartbeat_body
 
-# The two examples of the platform's page.
+# The two example packets of the platform's published page.
 OPENING = bytes.fromhex(
     '000000000000a1b2c3d511223344000000009c4101bbc61200016440000710'
 )
@@ -30,7 +30,7 @@
 
 class PacketTest(TestCase):
     def test_opening_packet_of_the_page(self):
-        # Guards against another order, width or bit.
+        # Guards against a wrong order or width of fields, or a wrong flag.
         segment = decode_from_caller(OPENING)
         self.assertTrue(segment.is_opening)
         self.assertEqual(0x11223344, segment.sequence)
@@ -42,12 +42,14 @@
         self.assertEqual(RESET, encode_reset(segment.flow))
 
     def test_both_directions_name_the_same_flow(self):
-        # Guards against an agent that does not know its target's flows.
+        # Guards against an agent that cannot match what its target sends
+        # to a flow.
         opening = decode_from_caller(OPENING)
         self.assertEqual(opening.flow, decode_from_target(RESET).flow)
 
     def test_returned_packet_is_valid_again(self):
-        # Guards against a hand-over of a packet that is marked returned.
+        # Guards against a packet that is sent to another target with the
+        # flag of a returned packet still set.
         returned = bytearray(OPENING)
         returned[30] |= 8
         segment = decode_from_target(bytes(returned))
@@ -56,13 +58,14 @@
         self.assertEqual(OPENING, segment.raw)
 
     def test_wrong_length_is_no_packet(self):
-        # Guards against a cut packet that reaches a target.
+        # Guards against a truncated packet that reaches a target.
         self.assertIsNone(decode_from_caller(b'%bx' % OPENING))
         self.assertIsNone(decode_from_caller(OPENING[:-1]))
 
     @given(st.binary(max_size=1400))
     def test_any_bytes_give_a_packet_or_none(self, raw):
-        # Guards against a stray datagram that ends the process.
+        # Guards against an exception that ends the process on a stray
+        # datagram.
         for decode in (decode_from_caller, decode_from_target):
             segment = decode(raw)
             if segment is not None:
@@ -71,13 +74,15 @@
 
 class HeartbeatTest(TestCase):
     def test_heartbeat_of_the_page(self):
+        # Guards against fields that are read under a wrong name.
         heartbeat = decode_heartbeat('i-1', make_heartbeat_body(), 'huvo11a')
         self.assertEqual(4, heartbeat.unwrap().sequence)
         self.assertEqual(2, heartbeat.unwrap().slots)
         self.assertEqual(1700000000000, heartbeat.unwrap().started_ms)
 
-    def test_entries_of_another_writer_name_no_target(self):
-        # Guards against a state or service that the agent would believe.
+    def test_malformed_heartbeats_are_refused(self):
+        # Guards against an agent that takes over an unknown state,
+        # another service or a malformed field.
         for changed in (
             {'service': 'other'},
             {'service': None},
@@ -97,10 +102,12 @@
 
     @given(st.binary(max_size=100))
     def test_any_body_is_an_outcome(self, body):
-        # Guards against bytes that end the agent.
+        # Guards against an exception that ends the agent on an arbitrary
+        # body.
         self.assertTrue(decode_heartbeat('i-1', body, 'huvo11a').is_err())
 
     def test_path_names_the_target(self):
+        # Guards against calls of other paths taken for heartbeats.
         self.assertEqual('i-1', decode_target_id('/endpoints/i-1'))
         self.assertIsNone(decode_target_id('/endpoints/'))
         self.assertIsNone(decode_target_id('/ready'))
@@ -108,7 +115,7 @@
 
 class ConfigurationTest(TestCase):
     def test_routes_by_address_and_port(self):
-        # Guards against a flow that goes to the service of another route.
+        # Guards against a flow that reaches the service of another route.
         table = decode_configuration(make_configuration()).unwrap()
         destination = (8443).to_bytes(2, 'big') + bytes((198, 18, 0, 2))
         route = table.by_destination[destination]
@@ -116,7 +123,8 @@
         self.assertEqual(505, round(route.goal_s * 1000))
 
     def test_split_gives_all_copies_of_a_flow_the_same_service(self):
-        # Guards against two services that open the same flow.
+        # Guards against copies of an opening packet that open the same
+        # flow at two services.
         table = decode_configuration(make_configuration()).unwrap()
         destination = (8443).to_bytes(2, 'big') + bytes((198, 18, 0, 1))
         route = table.by_destination[destination]
@@ -127,8 +135,9 @@
         count = chosen.count(digest_service('huvo11a'))
         self.assertTrue(160 < count < 196, count)
 
-    def test_versions_that_are_no_numbers_are_refused(self):
-        # Guards against a version that compares as newest for ever.
+    def test_invalid_versions_are_refused(self):
+        # Guards against a version that counts as newer than all later
+        # ones.
         for version in ('7', None, -1, 2**64):
             decoded = decode_configuration(make_configuration(version))
             self.assertTrue(decoded.is_err(), version)
