--- a/greengagepath/agent/requests.py
+++ b/greengagepath/agent/requests.py
@@ -73,7 +73,7 @@
     def send_due_acks(self) -> None:
         """Acknowledge parts of requests in arrival."""
         for partial in self.reassembly.due_acks():
-            body = encode_ack(partial.receiver.take_ack())
+            body = encode_ack(partial.receiver.build_ack())
             self._parts.replies.send(partial.route, Kind.REQUEST_ACK, body)
 
     def _take_part(self, arrival: Arrival, *, is_open: bool) -> None:
@@ -120,7 +120,7 @@
             self._drops[DropReason.MALFORMED_BODY] += 1
             return
         if receiver.is_ack_due(now_s):
-            body = encode_ack(receiver.take_ack())
+            body = encode_ack(receiver.build_ack())
             self._parts.replies.send(arrival.route, Kind.REQUEST_ACK, body)
         if receiver.is_complete:
             payload = receiver.payload()
--- a/greengagepath/caller/exchange.py
+++ b/greengagepath/caller/exchange.py
@@ -169,7 +169,7 @@
         if self._silence.takes_ping(now_s):
             outgoing.append(self._flow.datagram(Kind.PING, self._number))
         if self._receiver is not None and self._receiver.is_ack_due(now_s):
-            ack = encode_ack(self._receiver.take_ack())
+            ack = encode_ack(self._receiver.build_ack())
             outgoing.append(
                 self._flow.datagram(Kind.ANSWER_ACK, self._number, ack)
             )
--- a/greengagepath/protocol/transfer.py
+++ b/greengagepath/protocol/transfer.py
@@ -261,7 +261,7 @@
         """Return when an ACK has to be sent, or None."""
         return self._ack_due_s
 
-    def take_ack(self) -> Ack:
+    def build_ack(self) -> Ack:
         """Return the ACK to send now."""
         self._unacknowledged = 0
         self._ack_due_s = None
--- a/tests/caller/builders.py
+++ b/tests/caller/builders.py
@@ -105,7 +105,7 @@
         receiver.accept(
             datagram.part, datagram.part_count, datagram.body, now_s
         )
-        body = encode_ack(receiver.take_ack())
+        body = encode_ack(receiver.build_ack())
         reply(self.reply_to(datagram, Kind.REQUEST_ACK, body))
         if receiver.is_complete and not was_complete:
             if self.refusals:
--- a/tests/protocol/test_transfer.py
+++ b/tests/protocol/test_transfer.py
@@ -65,7 +65,7 @@
         while self.events and self.events[0][0] <= self.now_s:
             self.deliver(*heapq.heappop(self.events)[2:])
         if self.receiver.is_ack_due(self.now_s):
-            self.push('ack', encode_ack(self.receiver.take_ack()))
+            self.push('ack', encode_ack(self.receiver.build_ack()))
         self.sender.check_timeout(self.now_s)
 
     def deliver(self, kind, value):
@@ -148,7 +148,7 @@
         receiver = PartReceiver(2000)
         for part in range(1, 1999, 2):
             receiver.accept(part, 2000, bytes(PART_BYTES), 0.0)
-        ack = receiver.take_ack()
+        ack = receiver.build_ack()
         self.assertLessEqual(len(encode_ack(ack)), MAX_BODY_BYTES)
         self.assertEqual(ack.missing[-1][1] + 1, ack.end)
 
