Reword the protocol package and its tests

The transfer uses the usual terms (reordering window, spurious loss, stall timeout); docstrings give units and errors.

--- a/greengagepath/protocol/acks.py
+++ b/greengagepath/protocol/acks.py
@@ -2,8 +2,8 @@
 
 Layout: cumulative u32, end u32, then missing ranges of two u32 each.
 All parts below `cumulative` have arrived; of the parts from there to
-`end`, all but those in a missing range have arrived; nothing is said
-of later parts.
+`end`, all but those in a missing range have arrived. Later parts are
+not covered.
 """
 
 import struct
@@ -22,7 +22,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Ack:
-    """What a receiver has; ranges are half-open, sorted and disjoint."""
+    """Parts that have arrived; ranges are half-open, sorted, disjoint."""
 
     cumulative: int
     end: int
@@ -30,7 +30,7 @@
 
 
 def encode_ack(ack: Ack) -> bytes:
-    """Return at most 1,200 B.
+    """Return the body, at most 1,200 B.
 
     Raises ValueError with more than `MAX_MISSING_RANGES` ranges.
     """
@@ -42,12 +42,12 @@
 
 
 def encode_final_ack(part_count: int) -> bytes:
-    """Return the ACK that says that all parts have arrived."""
+    """Return the body of an ACK of all parts."""
     return _BOUNDS.pack(part_count, part_count)
 
 
 def decode_ack(body: bytes) -> Result[Ack, DropReason]:
-    """Read and check an ACK body; never raises on bad input."""
+    """Decode and check an ACK body; never raises on malformed input."""
     size = len(body)
     if size < BOUNDS_BYTES or size > MAX_BODY_BYTES or size % BOUNDS_BYTES:
         return Err(DropReason.MALFORMED_BODY)
--- a/greengagepath/protocol/codec.py
+++ b/greengagepath/protocol/codec.py
@@ -25,7 +25,7 @@
     messages.LinkError,
 )
 _LINK_MESSAGES_BY_NAME = {kind.__name__: kind for kind in LINK_MESSAGES}
-# What cbor2 and msgspec raise on input that is not a message.
+# Errors that cbor2 and msgspec raise on malformed input.
 _DECODE_ERRORS = (
     cbor2.CBORDecodeError,
     msgspec.ValidationError,
@@ -37,12 +37,12 @@
 
 
 def encode_body(message: msgspec.Struct) -> bytes:
-    """Return the fields of a message whose type the receiver knows."""
+    """Return the encoded fields; the receiver must know the type."""
     return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
 def decode_body(encoded: bytes, kind: type[Body]) -> Result[Body, str]:
-    """Return a message of the given type, or what is wrong with it."""
+    """Return a message of the given type, or why it is malformed."""
     try:
         return Ok(msgspec.convert(cbor2.loads(encoded), kind))
     except _DECODE_ERRORS as error:
@@ -50,7 +50,7 @@
 
 
 def encode_link_message(message: msgspec.Struct) -> bytes:
-    """Return a message with its type, for a control link."""
+    """Return the encoded fields and type, for a control link."""
     return cbor2.dumps(
         {
             'type': type(message).__name__,
@@ -60,7 +60,7 @@
 
 
 def decode_link_message(encoded: bytes) -> Result[msgspec.Struct, str]:
-    """Return the message of a control link, or what is wrong with it."""
+    """Return a message of a control link, or why it is malformed."""
     try:
         frame = cbor2.loads(encoded)
         kind = _LINK_MESSAGES_BY_NAME[frame['type']]
--- a/greengagepath/protocol/envelopes.py
+++ b/greengagepath/protocol/envelopes.py
@@ -4,9 +4,9 @@
 sequence 8, caller address 6, service address 6, two alternate target
 addresses 6 each, tag 16, then the service datagram. The tag covers the
 envelope and the first `TAGGED_BYTES` of the datagram: its header, and
-the whole body of everything that processes of the system say to each
-other. The rest of a longer body comes from a caller, whose own way to
-the balancer carries no tag either.
+the whole body of each message between processes of the system. Longer
+bodies come from callers, and the path from a caller to the balancer
+carries no tag either.
 """
 
 import struct
@@ -28,17 +28,17 @@
 NO_ADDRESS = bytes(6)
 PREFIX_BYTES = _PREFIX.size
 ENVELOPE_BYTES = PREFIX_BYTES + TAG_BYTES
-# Tagging all of 1,260 B made a full datagram cost 2.3 times the bare
-# loop; the bound is 2.
+# With a tag over all 1,260 B, forwarding a full datagram takes 2.3
+# times as long as a loop that only receives and sends; the limit is 2.
 TAGGED_BYTES = 256
 
 
 @dataclass(slots=True, frozen=True)
 class Envelope:
-    """Addresses and hop count around a service datagram.
+    """Header fields around a service datagram.
 
-    `sender` and `sequence` feed the receiver's replay window;
-    `alternates` are the candidates for handing off an OPEN.
+    The receiver checks `sender` and `sequence` against its replay
+    window; `alternates` are candidates for handing off an OPEN.
     """
 
     sender: int
--- a/greengagepath/protocol/keys.py
+++ b/greengagepath/protocol/keys.py
@@ -1,4 +1,4 @@
-"""Tag keys read from the files that the settings name.
+"""Loads tag keys from the files that the settings name.
 
 Rotation without a restart: add the new key as the last entry on every
 process, reload; move it to the front, reload; remove the old entry,
@@ -21,7 +21,7 @@
 
 _SECRET = re.compile('[0-9a-fA-F]{64}')
 _SECRET_FORMAT = 'a file with 64 hexadecimal digits'
-# Time of change in nanoseconds and size in bytes.
+# Modification time in nanoseconds and size in bytes.
 _Stamp = tuple[int, int]
 _logger = logging.getLogger(__name__)
 
@@ -67,7 +67,7 @@
         self._stamps = self._read_stamps(settings)
 
     def reload(self) -> bool:
-        """Read the keys again; return whether they are now in force."""
+        """Read the keys again; return whether the new ones are in force."""
         loaded = load_settings(self._settings_path).and_then(_with_keys)
         match loaded:
             case Err(problems):
@@ -91,11 +91,11 @@
                 return True
 
     def has_changed(self) -> bool:
-        """Return whether a file has a new time of change or size.
+        """Return whether a file has a new modification time or size.
 
         Call it about once a second; it costs one `stat` for each file.
-        Each change is told once, so that a file that cannot be used is
-        tried again only when it changes.
+        Each change is reported once, so that an invalid file is read
+        again only after its next change.
         """
         stamps = {path: _read_stamp(path) for path in self._stamps}
         if stamps == self._stamps:
@@ -128,10 +128,12 @@
     try:
         text = Path(entry.secret_file).read_text(encoding='ascii').strip()
     except (OSError, UnicodeDecodeError) as read_error:
-        return Err(_problem(entry, key, str(read_error)))
+        return Err(_make_problem(entry, key, str(read_error)))
     if not _SECRET.fullmatch(text):
         # The content is a secret even if it is malformed.
-        return Err(_problem(entry, key, f'(hidden, {len(text)} characters)'))
+        return Err(
+            _make_problem(entry, key, f'(hidden, {len(text)} characters)')
+        )
     end_s = parse_end(entry.not_after)
     no_end = end_s is None or end_s == float('inf')
     return Ok(Key(entry.key_id, bytes.fromhex(text), None if no_end else end_s))
@@ -150,5 +152,5 @@
         )
 
 
-def _problem(entry: KeySettings, key: str, found: str) -> SettingProblem:
+def _make_problem(entry: KeySettings, key: str, found: str) -> SettingProblem:
     return SettingProblem(entry.secret_file, 0, key, found, _SECRET_FORMAT)
--- a/greengagepath/protocol/packets.py
+++ b/greengagepath/protocol/packets.py
@@ -1,8 +1,9 @@
 """Fixed binary headers of the datagrams; all numbers are big-endian.
 
-Three headers exist: the service datagram between a caller and the
-system, the fabric header that carries the addresses a real fabric
-leaves unchanged, and the envelope between processes of the system.
+Three headers exist: that of the service datagram between a caller and
+the system, the fabric header, which carries the addresses that a real
+fabric leaves unchanged, and the envelope between processes of the
+system.
 """
 
 import socket
@@ -31,7 +32,7 @@
 SERVICE_HEADER_BYTES = _SERVICE_HEADER.size
 FABRIC_HEADER_BYTES = _FABRIC_HEADER.size
 MAX_DATAGRAM_BYTES = SERVICE_HEADER_BYTES + MAX_BODY_BYTES
-# A service datagram behind a fabric header.
+# A service datagram after a fabric header.
 MIN_PACKET_BYTES = FABRIC_HEADER_BYTES + SERVICE_HEADER_BYTES
 MAX_PACKET_BYTES = FABRIC_HEADER_BYTES + MAX_DATAGRAM_BYTES
 # Service id, flow id and token: what identifies an established flow.
@@ -142,7 +143,7 @@
 def decode_service_datagram(
     datagram: bytes,
 ) -> Result[ServiceDatagram, DropReason]:
-    """Check and split a service datagram; never raises on bad input."""
+    """Check and decode a service datagram; never raises on bad input."""
     problem = check_service_header(datagram)
     if problem is not None:
         return Err(problem)
@@ -180,7 +181,7 @@
 def decode_fabric_header(
     datagram: bytes,
 ) -> Result[FabricHeader, DropReason]:
-    """Read the fabric header at the start of a datagram."""
+    """Decode the fabric header at the start of a datagram."""
     if len(datagram) < FABRIC_HEADER_BYTES:
         return Err(DropReason.TRUNCATED)
     fields = _FABRIC_HEADER.unpack_from(datagram)
@@ -200,7 +201,7 @@
 
 
 def decode_address(packed: bytes) -> Address:
-    """Return the address in 6 B written by `encode_address`."""
+    """Return the address that `encode_address` encoded in 6 B."""
     host, port = _ADDRESS.unpack(packed)
     return socket.inet_ntoa(host), port
 
--- a/greengagepath/protocol/send_window.py
+++ b/greengagepath/protocol/send_window.py
@@ -1,19 +1,19 @@
 """Window and retransmission timeout of a transfer, without I/O.
 
 Round-trip estimation follows RFC 6298. The window backs off only when
-a round loses more than `TOLERATED_LOSS`: with a back-off on each lost
-datagram, the random loss of a fabric alone would hold a transfer at
-its smallest window.
+a round loses more than `TOLERATED_LOSS`: with a back-off for each lost
+datagram, the random loss of a fabric would be enough to keep a transfer
+at its smallest window.
 """
 
 from dataclasses import dataclass
 
 _SMOOTHING = 0.125
 _DEVIATION_SMOOTHING = 0.25
-_DEVIATIONS = 4
+_DEVIATION_FACTOR = 4
 TOLERATED_LOSS = 0.1
-BACK_OFF = 0.7
-# Parts added in each round once slow start is over.
+BACKOFF_FACTOR = 0.7
+# Parts added to the window in each round after slow start.
 GROWTH_PARTS = 4
 _MAX_DOUBLINGS = 6
 
@@ -33,8 +33,8 @@
     initial_timeout_s: float = 0.2
     min_timeout_s: float = 0.03
     max_timeout_s: float = 1.0
-    # Without any progress for this long the peer counts as gone.
-    give_up_s: float = 15.0
+    # The transfer fails after this time without progress.
+    stall_timeout_s: float = 15.0
 
 
 class SendWindow:
@@ -71,16 +71,16 @@
         return int(self._window)
 
     def timeout_s(self) -> float:
-        """Return the time after which unanswered parts count as lost."""
+        """Return the seconds after which unacknowledged parts are lost."""
         limits = self._limits
         timeout_s = limits.initial_timeout_s
         if self.rtt_s is not None:
-            timeout_s = self.rtt_s + _DEVIATIONS * self._deviation_s
+            timeout_s = self.rtt_s + _DEVIATION_FACTOR * self._deviation_s
         timeout_s = max(timeout_s, limits.min_timeout_s)
         return min(timeout_s * 2**self._doublings, limits.max_timeout_s)
 
     def record_rtt(self, sample_s: float) -> None:
-        """Take the round trip of a part that was sent once."""
+        """Update the estimate with the round trip of a part sent once."""
         self.min_rtt_s = min(self.min_rtt_s, sample_s)
         if self.rtt_s is None:
             self.rtt_s = sample_s
@@ -94,7 +94,7 @@
     def record_progress(
         self, acknowledged: int, lost: int, now_s: float
     ) -> None:
-        """Take what one ACK newly acknowledged and showed to be lost."""
+        """Count the parts that one ACK acknowledged or showed to be lost."""
         if acknowledged:
             self._doublings = 0
         self._acknowledged += acknowledged
@@ -108,7 +108,7 @@
             self._end_round(now_s)
 
     def record_timeout(self) -> None:
-        """Back off after a time without any ACK."""
+        """Back off after a timeout without any ACK."""
         self._doublings = min(self._doublings + 1, _MAX_DOUBLINGS)
         self._back_off()
 
@@ -127,4 +127,6 @@
 
     def _back_off(self) -> None:
         self._slow_start = False
-        self._window = max(self._window * BACK_OFF, self._limits.min_window)
+        self._window = max(
+            self._window * BACKOFF_FACTOR, self._limits.min_window
+        )
--- a/greengagepath/protocol/tags.py
+++ b/greengagepath/protocol/tags.py
@@ -1,4 +1,4 @@
-"""Keyed tags of datagrams and frames between the system's processes.
+"""Authentication tags of datagrams and frames between processes.
 
 The tag is BLAKE2b with a key, cut to 16 B (RFC 7693). The first key of
 a ring signs, all keys that have not expired verify, so that a key is
@@ -44,7 +44,10 @@
         self.replace_keys(keys)
 
     def replace_keys(self, keys: Iterable[Key]) -> None:
-        """Take new keys, the signing key first."""
+        """Replace all keys; the first one signs.
+
+        Raises ValueError like the constructor.
+        """
         ordered = tuple(keys)
         if not ordered:
             raise ValueError('a key ring needs at least one key')
@@ -52,7 +55,7 @@
             if len(key.secret) != KEY_BYTES:
                 raise ValueError(f'key {key.key_id} must have {KEY_BYTES} B')
         self._keys_by_id = {entry.key_id: entry for entry in ordered}
-        # Copying a keyed hash saves a third of the time of a short tag.
+        # Copying a keyed hash takes a third less time for a short tag.
         self._hashes_by_id = {
             entry.key_id: blake2b(digest_size=TAG_BYTES, key=entry.secret)
             for entry in ordered
@@ -63,7 +66,7 @@
     def tag_starter(self) -> Callable[[], 'blake2b']:
         """Return a function that starts a tag with the signing key.
 
-        It stays with this key when the keys are replaced.
+        The function keeps this key when the keys are replaced.
         """
         return self._hashes_by_id[self.signing_key_id].copy
 
@@ -72,20 +75,20 @@
         return _finish_tag(self.tag_starter()(), chunks)
 
     def verify(self, key_id: int, tag: bytes, *chunks: bytes) -> bool:
-        """Return whether the tag was made with the named, valid key."""
+        """Return whether the tag is right and its key known and not expired."""
         known = self._hashes_by_id.get(key_id)
         if known is None or self.is_expired(key_id):
             return False
         return hmac.compare_digest(_finish_tag(known.copy(), chunks), tag)
 
     def expired_key_ids(self) -> frozenset[int]:
-        """Return the keys of the ring that are past their end."""
+        """Return the ids of the keys in the ring that have expired."""
         return frozenset(
             key_id for key_id in self._keys_by_id if self.is_expired(key_id)
         )
 
     def is_expired(self, key_id: int) -> bool:
-        """Return whether the key is known and past its end."""
+        """Return whether the key is in the ring and has expired."""
         key = self._keys_by_id.get(key_id)
         if key is None or key.not_after_s is None:
             return False
@@ -106,7 +109,7 @@
         self._bits = 0
 
     def accept(self, sequence: int) -> bool:
-        """Return whether the number is new, and remember it."""
+        """Return whether the number is new, and record it."""
         if sequence > self._highest:
             shift = min(sequence - self._highest, REPLAY_WINDOW_BITS)
             self._bits = (self._bits << shift) & _WINDOW_MASK | 1
--- a/greengagepath/protocol/tokens.py
+++ b/greengagepath/protocol/tokens.py
@@ -1,8 +1,8 @@
-"""Flow tokens: the owner of a flow, carried by each of its datagrams.
+"""Flow tokens, which name the owner of a flow in each of its datagrams.
 
-Any balancer routes an established flow from its token alone. Listing
-the owner in a field that the caller returns follows the idea of
-routable connection ids in QUIC load balancing.
+Any balancer routes an established flow from its token alone. As with
+the routable connection ids of QUIC load balancing, the caller sends
+back a field that contains the owner.
 """
 
 import socket
@@ -22,10 +22,10 @@
 
 @dataclass(slots=True, frozen=True)
 class TokenClaims:
-    """What a token says.
+    """Content of a token: the agent that owns the flow.
 
-    `incarnation` is the agent's, `issued_s` is in seconds of the
-    agent's own clock and means nothing to other processes.
+    `issued_s` is in seconds of the agent's own clock, which other
+    processes cannot compare with theirs.
     """
 
     address: Address
@@ -51,7 +51,7 @@
 def verify_token(
     keys: KeyRing, service_id: int, flow_id: int, token: bytes
 ) -> TokenClaims | None:
-    """Return the claims, or None for a token that is not valid."""
+    """Return the claims of a token, None if it is not valid."""
     if len(token) != TOKEN_BYTES or token == NO_TOKEN:
         return None
     packed = token[:CLAIMS_BYTES]
@@ -67,13 +67,13 @@
 
 
 class VerifiedTokenCache:
-    """Targets of tokens that have been verified, at most `capacity`.
+    """Cache of at most `capacity` verified tokens and their targets.
 
     The key is the slice `FLOW_KEY_START` to `FLOW_KEY_END` of a service
     datagram: service id, flow id and the whole token, so that a hit
     proves as much as a verification. Its value is the function that
-    sends to the target. The oldest entry gives way to a new one; a flow
-    that loses its entry is verified again.
+    sends to the target. A new entry evicts the oldest one; the token of
+    an evicted flow is verified again.
     """
 
     __slots__ = ('_oldest', '_order', '_senders_by_key', 'capacity', 'find')
@@ -81,9 +81,9 @@
     def __init__(self, capacity: int) -> None:
         self.capacity = capacity
         self._senders_by_key: dict[bytes, Send] = {}
-        # Keys by age, a ring once the cache is full. The order of a
-        # dict would not do: finding its first entry slows down with
-        # the number of entries deleted before it.
+        # Keys by age, used as a ring buffer once the cache is full. The
+        # order of the dict is not used, because finding its first entry
+        # slows down with the number of entries deleted before it.
         self._order: list[bytes] = []
         self._oldest = 0
         self.find: Callable[[bytes], Send | None] = self._senders_by_key.get
@@ -93,7 +93,7 @@
         return len(self._senders_by_key)
 
     def add(self, key: bytes, send: Send) -> None:
-        """Remember the target of a verified token.
+        """Add the target of a verified token, unless it is cached.
 
         Callers pass the same function for the same target.
         """
@@ -108,7 +108,7 @@
         self._senders_by_key[key] = send
 
     def clear(self) -> None:
-        """Forget all entries, such as after a change of keys."""
+        """Remove all entries, for example after a change of keys."""
         self._senders_by_key.clear()
         self._order.clear()
         self._oldest = 0
--- a/greengagepath/protocol/transfer.py
+++ b/greengagepath/protocol/transfer.py
@@ -19,9 +19,10 @@
 # How far sending may run ahead of the first missing part, in windows.
 # It bounds the work for each ACK and the number of missing ranges.
 _SPAN_WINDOWS = 8
-# A part sent this much earlier than an acknowledged one is lost. The
-# share of the round trip doubles when a retransmission was needless.
-_MIN_REORDER_S = 0.001
+# A part that was sent this much earlier than an acknowledged one counts
+# as lost. The window is a share of the round trip, which doubles when a
+# part was wrongly counted as lost.
+_MIN_REORDER_WINDOW_S = 0.001
 _REORDER_SHARE = 0.25
 _MAX_REORDER_SHARE = 4.0
 
@@ -30,7 +31,7 @@
 _LOST = 2
 _ARRIVED = 3
 
-# An ACK is due after so many new parts, or after the delay.
+# An ACK is due after this many new parts, or after the delay.
 ACK_EVERY_PARTS = 8
 ACK_DELAY_S = 0.002
 
@@ -81,7 +82,7 @@
         """Return the part to send now, counted as sent, or None."""
         if self._in_flight >= self._window.parts:
             return None
-        part = self._take_part()
+        part = self._choose_part()
         if part is None:
             return None
         if not self._in_flight:
@@ -92,43 +93,48 @@
         return part
 
     def acknowledge(self, ack: Ack, now_s: float) -> bool:
-        """Take an ACK; return False if it names parts never sent."""
+        """Process an ACK; return False if it covers parts never sent."""
         if ack.end > self._next_unsent:
             return False
-        arrived, latest_sent_s = self._mark_arrived(ack, now_s)
+        arrived, latest_sent_s = self._mark_arrived_parts(ack, now_s)
         lost = 0
         if arrived:
-            lost = self._mark_lost(ack, latest_sent_s - self._reorder_s())
+            lost = self._mark_lost_parts(
+                ack, latest_sent_s - self._reorder_window_s()
+            )
             self._progress_s = now_s
             self._timer_start_s = now_s
         self._window.record_progress(arrived, lost, now_s)
         return True
 
     def due_s(self) -> float | None:
-        """Return when `check_timeout` has to be called, or None."""
+        """Return when to call `check_timeout`; None if nothing is in flight."""
         if not self._in_flight:
             return None
         return self._timer_start_s + self._window.timeout_s()
 
     def check_timeout(self, now_s: float) -> bool:
-        """Mark unanswered parts as lost if the timeout has passed."""
+        """Mark unacknowledged parts as lost after a timeout.
+
+        Returns whether the timeout has passed.
+        """
         due_s = self.due_s()
         if due_s is None or now_s < due_s:
             return False
         sent_before_s = now_s - self._window.timeout_s() / 2
         for part in range(self._cumulative, self._next_unsent):
             if self._was_sent_before(part, sent_before_s):
-                self._lose(part)
+                self._mark_part_lost(part)
         self._window.record_timeout()
         self._timer_start_s = now_s
         return True
 
     def has_failed(self, now_s: float) -> bool:
-        """Return whether the peer has been silent for too long."""
+        """Return whether `stall_timeout_s` has passed without progress."""
         silence_s = now_s - self._progress_s
-        return not self.is_complete and silence_s > self._limits.give_up_s
+        return not self.is_complete and silence_s > self._limits.stall_timeout_s
 
-    def _take_part(self) -> int | None:
+    def _choose_part(self) -> int | None:
         while self._lost:
             part = self._lost.popleft()
             if self._states[part] == _LOST:
@@ -142,7 +148,7 @@
         self._next_unsent += 1
         return self._next_unsent - 1
 
-    def _mark_arrived(self, ack: Ack, now_s: float) -> tuple[int, float]:
+    def _mark_arrived_parts(self, ack: Ack, now_s: float) -> tuple[int, float]:
         # Returns how many parts are new and the latest of their send times.
         arrived = 0
         latest_sent_s = 0.0
@@ -152,7 +158,7 @@
             for part in range(start, stop):
                 if self._states[part] == _ARRIVED:
                     continue
-                self._arrive(part, now_s)
+                self._mark_part_arrived(part, now_s)
                 arrived += 1
                 if self._sent_s[part] >= latest_sent_s:
                     latest_sent_s = self._sent_s[part]
@@ -163,15 +169,15 @@
             self._window.record_rtt(now_s - latest_sent_s)
         return arrived, latest_sent_s
 
-    def _arrive(self, part: int, now_s: float) -> None:
+    def _mark_part_arrived(self, part: int, now_s: float) -> None:
         if self._states[part] == _IN_FLIGHT:
             self._in_flight -= 1
-        if self._was_late(part, now_s):
+        if self._was_loss_spurious(part, now_s):
             share = self._reorder_share * 2
             self._reorder_share = min(share, _MAX_REORDER_SHARE)
         self._states[part] = _ARRIVED
 
-    def _was_late(self, part: int, now_s: float) -> bool:
+    def _was_loss_spurious(self, part: int, now_s: float) -> bool:
         # Less than half a round trip after the part was sent again, the
         # ACK is for the first copy: it was late, not lost.
         if self._states[part] == _LOST:
@@ -180,16 +186,16 @@
         late = elapsed_s < self._window.min_rtt_s / 2
         return bool(self._resent[part]) and late
 
-    def _reorder_s(self) -> float:
+    def _reorder_window_s(self) -> float:
         rtt_s = self._window.rtt_s or self._limits.min_timeout_s
-        return max(rtt_s * self._reorder_share, _MIN_REORDER_S)
+        return max(rtt_s * self._reorder_share, _MIN_REORDER_WINDOW_S)
 
-    def _mark_lost(self, ack: Ack, sent_before_s: float) -> int:
+    def _mark_lost_parts(self, ack: Ack, sent_before_s: float) -> int:
         lost = 0
         for start, stop in ack.missing:
             for part in range(start, stop):
                 if self._was_sent_before(part, sent_before_s):
-                    self._lose(part)
+                    self._mark_part_lost(part)
                     lost += 1
         return lost
 
@@ -197,7 +203,7 @@
         in_flight = self._states[part] == _IN_FLIGHT
         return in_flight and self._sent_s[part] < moment_s
 
-    def _lose(self, part: int) -> None:
+    def _mark_part_lost(self, part: int) -> None:
         self._states[part] = _LOST
         self._in_flight -= 1
         self._lost.append(part)
@@ -239,7 +245,7 @@
     def accept(
         self, part: int, part_count: int, body: bytes, now_s: float
     ) -> PartOutcome:
-        """Keep a part; any valid part makes an ACK due."""
+        """Store a part; every valid part schedules an ACK."""
         if not self._is_valid(part, part_count, body):
             return PartOutcome.INVALID
         if part in self._bodies:
@@ -262,7 +268,7 @@
         return self._ack_due_s
 
     def build_ack(self) -> Ack:
-        """Return the ACK to send now."""
+        """Return the ACK to send now; none is due afterwards."""
         self._unacknowledged = 0
         self._ack_due_s = None
         missing = self._missing_ranges()
--- a/tests/protocol/test_envelopes.py
+++ b/tests/protocol/test_envelopes.py
@@ -35,12 +35,12 @@
 
     @given(st.binary(max_size=1400))
     def test_any_input_is_refused_without_an_exception(self, sealed):
-        # Guards against a datagram that ends the process.
+        # Guards against an exception that ends the process.
         self.assertTrue(open_envelope(KEYS, sealed).is_err())
 
     @given(st.binary(min_size=60, max_size=1260))
     def test_sealed_datagram_comes_out_unchanged(self, datagram):
-        # Guards against a tagged part that cuts the datagram.
+        # Guards against a datagram that is cut to its tagged part.
         sealed = seal_envelope(KEYS, ENVELOPE, datagram)
         self.assertEqual(
             (ENVELOPE, datagram), open_envelope(KEYS, sealed).unwrap()
--- a/tests/protocol/test_transfer.py
+++ b/tests/protocol/test_transfer.py
@@ -103,14 +103,14 @@
         spread_s=st.sampled_from([0.0, 0.002, 0.02]),
     )
     def test_payload_arrives_whole(self, size, seed, loss, spread_s):
-        # Guards against lost, repeated or swapped parts of an answer.
+        # Guards against lost, duplicated or reordered parts of an answer.
         payload = Random(seed).randbytes(size)
         path = transfer(payload, seed, loss, spread_s)
         self.assertTrue(path.sender.is_complete)
         self.assertEqual(payload, path.receiver.payload())
 
-    def test_silent_peer_ends_the_transfer(self):
-        # Guards against a sender that retransmits for ever.
+    def test_silent_peer_fails_the_transfer(self):
+        # Guards against a sender that retransmits forever.
         sender = PartSender(b'x' * 5000, 0.0)
         now_s = 0.0
         sent = 0
@@ -156,7 +156,7 @@
 class AckDecoderTest(TestCase):
     @given(st.binary(max_size=1300))
     def test_any_bytes_are_decoded_or_refused(self, body):
-        # Guards against a datagram that ends the process.
+        # Guards against an exception that ends the process.
         decoded = decode_ack(body)
         if decoded.is_ok():
             self.assertEqual(body, encode_ack(decoded.unwrap()))
