--- a/greengagepath/platform/store.py
+++ b/greengagepath/platform/store.py
@@ -58,7 +58,8 @@
     def watch_routes(self, revision: int) -> Result[StoredRoutes, StoreProblem]:
         """Wait for a configuration that is newer than the revision.
 
-        Waits up to `WATCH_TIMEOUT_MS`; the table is None without one.
+        Waits up to `WATCH_TIMEOUT_MS`; without a newer configuration the
+        table is None.
         """
         target = f'{_CONFIGURATION}?watch={revision}&wait-ms={WATCH_TIMEOUT_MS}'
         timeout_s = WATCH_TIMEOUT_MS / _MS_PER_S + _WATCH_MARGIN_S
--- a/greengagepath/protocol/tags.py
+++ b/greengagepath/protocol/tags.py
@@ -53,7 +53,9 @@
             raise ValueError('a key ring needs at least one key')
         for key in ordered:
             if len(key.secret) != KEY_BYTES:
-                raise ValueError(f'key {key.key_id} must have {KEY_BYTES} B')
+                raise ValueError(
+                    f'the secret of key {key.key_id} must have {KEY_BYTES} B'
+                )
         self._keys_by_id = {entry.key_id: entry for entry in ordered}
         # Copying a keyed hash takes a third less time for a short tag.
         self._hashes_by_id = {
--- a/greengagepath/protocol/transfer.py
+++ b/greengagepath/protocol/transfer.py
@@ -19,9 +19,9 @@
 # How far sending may run ahead of the first missing part, in windows.
 # It bounds the work for each ACK and the number of missing ranges.
 _SPAN_WINDOWS = 8
-# A part that was sent this much earlier than an acknowledged one counts
-# as lost. The window is a share of the round trip, which doubles when a
-# part was wrongly counted as lost.
+# A part counts as lost when an acknowledged part was sent later than it
+# by more than the reordering window, a share of the round trip. The
+# share doubles when a part was wrongly counted as lost.
 _MIN_REORDER_WINDOW_S = 0.001
 _REORDER_SHARE = 0.25
 _MAX_REORDER_SHARE = 4.0
