Follow the renamed test deployment in tools/mixed_builds.py

The class is PlatformDeployment, so that it doesn't collide with the emulator's Deployment. The tool was imported, not run.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -107,7 +107,7 @@
             return self._socket.recv(2048)
 
 
-class Deployment:
+class PlatformDeployment:
     """Balancers and agents with their targets, and a store."""
 
     def __init__(self) -> None:
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -6,7 +6,7 @@
 import pytest
 from testtools import TestCase
 
-from .deployment import Deployment
+from .deployment import PlatformDeployment
 
 BALANCERS = ('127.0.0.11', '127.0.0.12')
 AGENTS = ('127.0.0.21', '127.0.0.22')
@@ -16,7 +16,7 @@
 class PlainFlowProcessesTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.deployment = Deployment()
+        self.deployment = PlatformDeployment()
         self.addCleanup(self.deployment.stop)
         for host in AGENTS:
             self.deployment.start_agent(host)
--- a/tools/mixed_builds.py
+++ b/tools/mixed_builds.py
@@ -25,7 +25,7 @@
 from greengagepath.emulator import demo  # noqa: E402
 from greengagepath.emulator.deployment import Deployment  # noqa: E402
 from greengagepath.emulator.processes import ProcessGroup  # noqa: E402
-from tests.platform.installation import Installation  # noqa: E402
+from tests.platform.deployment import PlatformDeployment  # noqa: E402
 
 BALANCERS = ('127.0.0.11', '127.0.0.12')
 AGENTS = ('127.0.0.21', '127.0.0.22')
@@ -96,7 +96,7 @@
             self.wait_until_ready(name)
 
 
-class MixedInstallation(Installation):
+class MixedInstallation(PlatformDeployment):
     """Platform's path: processes of two builds, with their logs."""
 
     def __init__(self, root_by_host: dict[str, Path]) -> None:
