--- a/greengagepath/protocol/transfer.py
+++ b/greengagepath/protocol/transfer.py
@@ -3,7 +3,7 @@
 The owner of a sender sends the parts that `next_part` names, passes
 ACK bodies to `acknowledge` and calls `check_timeout` when `due_s` is
 reached. The owner of a receiver passes parts to `accept` and sends an
-ACK whenever `is_ack_due` says so. Time is passed in, in seconds.
+ACK whenever `is_ack_due` is true. Time is passed in, in seconds.
 """
 
 from array import array
