--- a/greengagepath/agent/requests.py
+++ b/greengagepath/agent/requests.py
@@ -78,7 +78,7 @@
     def send_due_acks(self) -> None:
         """Acknowledge received parts of incomplete requests."""
         for partial in self.reassembly.due_acks():
-            body = encode_ack(partial.receiver.take_ack())
+            body = encode_ack(partial.receiver.build_ack())
             self._context.replies.send(partial.route, Kind.REQUEST_ACK, body)
 
     def _receive_part(self, arrival: Arrival, *, may_begin: bool) -> None:
@@ -125,7 +125,7 @@
             self._drops[DropReason.MALFORMED_BODY] += 1
             return
         if receiver.is_ack_due(now_s):
-            body = encode_ack(receiver.take_ack())
+            body = encode_ack(receiver.build_ack())
             self._context.replies.send(arrival.route, Kind.REQUEST_ACK, body)
         if receiver.is_complete:
             payload = receiver.payload()
