Name the caller's internals in usual terms

Cause: several internal names of the caller package were figurative or vague: take_*, owns, heard_s, record_sign_of_life, _leave_attempt, _renew, and allowance for the retry budget. No name leaves the package.

--- a/greengagepath/caller/attempts.py
+++ b/greengagepath/caller/attempts.py
@@ -11,7 +11,7 @@
 _CANCELLED = Err(CallError(CallErrorKind.CANCELLED, not_run=True))
 
 
-def take_first_answer(attempts: Sequence[gevent.Greenlet]) -> CallOutcome:
+def wait_for_first_answer(attempts: Sequence[gevent.Greenlet]) -> CallOutcome:
     """Return the first answer and cancel the rest.
 
     Without any answer the error is "may have run" if one attempt says
@@ -22,30 +22,30 @@
     while pending:
         for done in gevent.wait(pending, count=1):
             pending.remove(done)
-            outcome = read_outcome(done)
+            outcome = wait_for_outcome(done)
             if isinstance(outcome, Ok):
                 gevent.killall(pending, block=False)
                 return outcome
             failures.append(outcome)
-    return join_failures(failures)
+    return select_failure(failures)
 
 
 def cancel_attempts(attempts: Sequence[gevent.Greenlet]) -> CallOutcome:
     """Cancel all attempts; return an answer that came in meanwhile."""
     gevent.killall(attempts)
-    outcomes = [read_outcome(attempt) for attempt in attempts]
+    outcomes = [wait_for_outcome(attempt) for attempt in attempts]
     answers = [outcome for outcome in outcomes if isinstance(outcome, Ok)]
-    return answers[0] if answers else join_failures(outcomes)
+    return answers[0] if answers else select_failure(outcomes)
 
 
-def read_outcome(attempt: gevent.Greenlet) -> CallOutcome:
+def wait_for_outcome(attempt: gevent.Greenlet) -> CallOutcome:
     """Return how a greenlet that ran one attempt has ended."""
     outcome = attempt.get()
     # Cancelled before the greenlet ran for the first time.
     return _CANCELLED if isinstance(outcome, gevent.GreenletExit) else outcome
 
 
-def join_failures(failures: Sequence[CallOutcome]) -> CallOutcome:
+def select_failure(failures: Sequence[CallOutcome]) -> CallOutcome:
     """Return the failure that rules least out."""
     for failure in failures:
         if not failure.unwrap_err().not_run:
--- a/greengagepath/caller/call_types.py
+++ b/greengagepath/caller/call_types.py
@@ -104,7 +104,7 @@
     transfer: TransferLimits = DEFAULT_LIMITS
 
 
-class RetryAllowance(Protocol):
+class RetryLimiter(Protocol):
     """Limits retries to a share of the requests."""
 
     def record_request(self) -> None:
@@ -119,7 +119,7 @@
     """What all calls of a client share."""
 
     random: Random
-    allowance: RetryAllowance
+    retry_budget: RetryLimiter
     limits: CallLimits = field(default_factory=CallLimits)
     drops: Counter[CallDrop] = field(default_factory=Counter)
     events: Counter[str] = field(default_factory=Counter)
--- a/greengagepath/caller/calls.py
+++ b/greengagepath/caller/calls.py
@@ -35,15 +35,15 @@
     """One call; `outcome` is set when it has ended.
 
     When `due_s` is reached or a datagram has come in, the owner calls
-    `check_due`, changes its local port if `take_move` says so, and
+    `check_due`, changes its local port if `pop_port_move` says so, and
     sends what `datagrams` returns. Times are in seconds.
     """
 
     __slots__ = (
         '_deadline_s',
-        '_move_is_due',
         '_phase',
         '_plan',
+        '_port_move_is_due',
         '_request',
         '_service',
         '_setup',
@@ -64,12 +64,12 @@
         self._request = request
         self._setup = setup
         self._deadline_s = deadline_s
-        self._move_is_due = False
+        self._port_move_is_due = False
         self._plan = RetryPlan(setup, deadline_s)
         self._phase: Phase = BackingOff(now_s)
         self.flow = flow
         self.outcome: CallOutcome | None = None
-        setup.allowance.record_request()
+        setup.retry_budget.record_request()
         if len(request.body) > setup.limits.max_request_bytes:
             self._fail(CallErrorKind.REQUEST_TOO_LARGE, not_run=True)
         else:
@@ -97,8 +97,8 @@
                     self._start_attempt(now_s)
             case Exchange() as exchange:
                 exchange.check_due(now_s)
-                self._move_is_due = exchange.take_move()
-                self._take_exchange(exchange, now_s)
+                self._port_move_is_due = exchange.pop_port_move()
+                self._apply_exchange(exchange, now_s)
         return []
 
     def receive(self, encoded: bytes, now_s: float) -> None:
@@ -111,17 +111,17 @@
         match self._phase:
             case Opening() as opening:
                 opening.receive(datagram, now_s)
-                self._take_opening(opening, now_s)
+                self._apply_opening(opening, now_s)
             case Exchange() as exchange:
                 exchange.receive(datagram, now_s)
-                self._take_exchange(exchange, now_s)
+                self._apply_exchange(exchange, now_s)
             case BackingOff():
                 self._setup.drops[CallDrop.WRONG_FLOW] += 1
 
-    def take_move(self) -> bool:
+    def pop_port_move(self) -> bool:
         """Return whether the owner has to change its local port now."""
-        due = self._move_is_due
-        self._move_is_due = False
+        due = self._port_move_is_due
+        self._port_move_is_due = False
         if due:
             self._setup.events['port_moves'] += 1
         return due
@@ -130,7 +130,7 @@
         """End the call; return the datagrams to send."""
         if self.outcome is not None:
             return []
-        final_datagrams, not_run = self._leave_attempt()
+        final_datagrams, not_run = self._cancel_attempt()
         self._fail(CallErrorKind.CANCELLED, not_run=not_run)
         return final_datagrams
 
@@ -146,30 +146,30 @@
             self.flow, self._request, payload, self._setup, now_s
         )
 
-    def _take_opening(self, opening: Opening, now_s: float) -> None:
+    def _apply_opening(self, opening: Opening, now_s: float) -> None:
         match opening.outcome:
             case Flow() as flow:
                 self._setup.events['flows_opened'] += 1
                 self.flow = flow
                 self._start_attempt(now_s)
             case Refusal() as refusal:
-                self._continue(self._plan.after_refusal(refusal, now_s))
+                self._back_off_or_end(self._plan.after_refusal(refusal, now_s))
 
-    def _take_exchange(self, exchange: Exchange, now_s: float) -> None:
+    def _apply_exchange(self, exchange: Exchange, now_s: float) -> None:
         if self.outcome is not None:
             return
         match exchange.outcome:
             case Answer() as answer:
                 self.outcome = Ok(answer)
             case Refusal() as refusal:
-                self._drop_flow()
-                self._continue(self._plan.after_refusal(refusal, now_s))
+                self._mark_flow_unusable()
+                self._back_off_or_end(self._plan.after_refusal(refusal, now_s))
             case FlowLost():
-                self._drop_flow()
-                self._continue(self._plan.redirect(now_s))
+                self._mark_flow_unusable()
+                self._back_off_or_end(self._plan.redirect(now_s))
             case OutcomeUnknown():
-                self._drop_flow()
-                self._continue(
+                self._mark_flow_unusable()
+                self._back_off_or_end(
                     self._plan.after_unknown_outcome(
                         now_s, idempotent=self._request.idempotent
                     )
@@ -177,27 +177,27 @@
             case CallErrorKind() as kind:
                 self._fail(kind, not_run=False)
 
-    def _continue(self, wait: BackingOff | None) -> None:
+    def _back_off_or_end(self, wait: BackingOff | None) -> None:
         if wait is None:
             self.outcome = Err(self._plan.error)
         else:
             self._phase = wait
 
-    def _drop_flow(self) -> None:
+    def _mark_flow_unusable(self) -> None:
         if self.flow is not None:
             self.flow.is_usable = False
 
-    def _leave_attempt(self) -> tuple[list[bytes], bool]:
+    def _cancel_attempt(self) -> tuple[list[bytes], bool]:
         # An earlier attempt of unknown outcome may have run as well.
         not_run = self._plan.error.not_run
         if isinstance(self._phase, Exchange):
-            self._drop_flow()
+            self._mark_flow_unusable()
             not_run = not_run and not self._phase.was_sent
             return self._phase.cancel(), not_run
         return [], not_run
 
     def _end_at_deadline(self) -> list[bytes]:
-        final_datagrams, not_run = self._leave_attempt()
+        final_datagrams, not_run = self._cancel_attempt()
         if isinstance(self._phase, Exchange):
             self._fail(CallErrorKind.DEADLINE, not_run=not_run)
         else:
@@ -208,16 +208,16 @@
         self.outcome = Err(CallError(kind, not_run=not_run))
 
 
-def encode_request(request: CallRequest, left_s: float) -> bytes:
-    """Return the request with `left_s` to its deadline."""
-    left_ms = int(left_s * _MS_PER_S)
+def encode_request(request: CallRequest, remaining_s: float) -> bytes:
+    """Return the request with `remaining_s` to its deadline."""
+    remaining_ms = int(remaining_s * _MS_PER_S)
     return encode_body(
         Request(
             request_id=request.request_id,
             customer_id=request.customer_id,
             operation=request.operation,
             idempotent=request.idempotent,
-            deadline_ms=min(max(left_ms, 0), _MAX_DEADLINE_MS),
+            deadline_ms=min(max(remaining_ms, 0), _MAX_DEADLINE_MS),
             method=request.method,
             path=request.path,
             headers=request.headers,
--- a/greengagepath/caller/client.py
+++ b/greengagepath/caller/client.py
@@ -17,7 +17,7 @@
 
 from ..admission.retry_budget import RetryBudget
 from ..protocol.packets import SizeCode
-from .attempts import cancel_attempts, read_outcome, take_first_answer
+from .attempts import cancel_attempts, wait_for_first_answer, wait_for_outcome
 from .call_types import (
     CallError,
     CallErrorKind,
@@ -37,7 +37,7 @@
 # A call without held flow keeps its socket for a moment, to repeat the
 # last ACK of the answer if it was lost.
 LINGER_S = 0.3
-MAX_LINGERING = 2000
+MAX_LINGERING_SOCKETS = 2000
 
 
 def boot_clock() -> float:
@@ -86,7 +86,7 @@
 
     def wait(self) -> CallOutcome:
         """Return the outcome once the call has ended."""
-        return read_outcome(self._greenlet)
+        return wait_for_outcome(self._greenlet)
 
 
 class Client:
@@ -151,7 +151,7 @@
             stack.callback(self._slots.release)
             if request.idempotent and request.size_code is not SizeCode.LONG:
                 return self._call_hedged(held, service, request, end_s)
-            return self._call_on(held, service, request, end_s)
+            return self._call_unhedged(held, service, request, end_s)
 
     def start(
         self,
@@ -183,17 +183,21 @@
     ) -> CallOutcome:
         """Send a request that takes unusually long to a second target."""
         started_s = self._clock()
-        first = gevent.spawn(self._call_on, held, service, request, end_s)
+        first = gevent.spawn(self._call_unhedged, held, service, request, end_s)
         attempts = [first]
-        left_s = end_s - started_s
+        remaining_s = end_s - started_s
         try:
-            first.join(self._hedge_delays.delay_s(request.operation, left_s))
-            if not first.dead and self.setup.allowance.try_retry():
+            first.join(
+                self._hedge_delays.delay_s(request.operation, remaining_s)
+            )
+            if not first.dead and self.setup.retry_budget.try_retry():
                 self.setup.events['hedges'] += 1
                 attempts.append(
-                    gevent.spawn(self._call_once, service, request, end_s)
+                    gevent.spawn(
+                        self._call_on_new_flow, service, request, end_s
+                    )
                 )
-            outcome = take_first_answer(attempts)
+            outcome = wait_for_first_answer(attempts)
         except gevent.GreenletExit:
             return cancel_attempts(attempts)
         if isinstance(outcome, Ok):
@@ -201,7 +205,7 @@
             self._hedge_delays.record(request.operation, latency_s)
         return outcome
 
-    def _call_on(
+    def _call_unhedged(
         self,
         held: HeldFlow | None,
         service: ServiceAddress,
@@ -209,14 +213,14 @@
         end_s: float,
     ) -> CallOutcome:
         if held is None:
-            return self._call_once(service, request, end_s)
+            return self._call_on_new_flow(service, request, end_s)
         if not held.lock.acquire(timeout=max(end_s - self._clock(), 0.0)):
             return _not_started()
         with ExitStack() as stack:
             stack.callback(held.lock.release)
-            return self._call_held(held, request, end_s)
+            return self._call_on_held_flow(held, request, end_s)
 
-    def _call_once(
+    def _call_on_new_flow(
         self, service: ServiceAddress, request: CallRequest, end_s: float
     ) -> CallOutcome:
         now_s = self._clock()
@@ -229,7 +233,7 @@
             flow_socket.close()
         return outcome
 
-    def _call_held(
+    def _call_on_held_flow(
         self, held: HeldFlow, request: CallRequest, end_s: float
     ) -> CallOutcome:
         now_s = self._clock()
@@ -257,14 +261,14 @@
         while call.outcome is None:
             now_s = self._clock()
             flow_socket.send_all(call.check_due(now_s))
-            if call.take_move():
-                flow_socket.move()
+            if call.pop_port_move():
+                flow_socket.move_to_new_port()
             flow_socket.send_all(call.datagrams(now_s))
             if call.outcome is not None:
                 return
             flow_socket.wait(call.due_s() - self._clock())
             now_s = self._clock()
-            for datagram in flow_socket.receive_some():
+            for datagram in flow_socket.receive_available():
                 call.receive(datagram, now_s)
         # The last ACK of the answer.
         flow_socket.send_all(call.datagrams(self._clock()))
@@ -273,7 +277,8 @@
         self._lingering.append(flow_socket)
         flow_socket.linger(flow, LINGER_S)
         while self._lingering and (
-            self._lingering[0].is_closed or len(self._lingering) > MAX_LINGERING
+            self._lingering[0].is_closed
+            or len(self._lingering) > MAX_LINGERING_SOCKETS
         ):
             self._lingering.popleft().close()
 
@@ -291,7 +296,7 @@
     source = random.SystemRandom() if seed is None else random.Random(seed)
     return CallSetup(
         random=source,
-        allowance=RetryBudget(retry_share),
+        retry_budget=RetryBudget(retry_share),
         limits=limits or CallLimits(),
     )
 
--- a/greengagepath/caller/exchange.py
+++ b/greengagepath/caller/exchange.py
@@ -35,10 +35,10 @@
     __slots__ = (
         '_flow',
         '_limits',
-        '_move_is_due',
-        '_moves',
         '_next_ping_s',
         '_pings',
+        '_port_move_is_due',
+        '_port_moves',
     )
 
     def __init__(self, setup: CallSetup, flow: Flow, next_ping_s: float):
@@ -46,33 +46,33 @@
         self._flow = flow
         self._next_ping_s = next_ping_s
         self._pings = 0
-        self._moves = 0
-        self._move_is_due = False
+        self._port_moves = 0
+        self._port_move_is_due = False
 
     @property
     def has_moved_twice(self) -> bool:
         """Return whether the first new port was silent as well."""
-        return self._moves > 1
+        return self._port_moves > 1
 
     def due_s(self) -> float:
         """Return when the next PING or move is due."""
         return self._next_ping_s
 
-    def record_sign_of_life(self, now_s: float) -> None:
+    def record_received(self, now_s: float) -> None:
         """Start the wait for silence again."""
-        self._flow.heard_s = now_s
+        self._flow.last_received_s = now_s
         self._next_ping_s = now_s + self._limits.ping_after_s
         self._pings = 0
 
-    def check_move(self, now_s: float) -> None:
+    def check_port_move(self, now_s: float) -> None:
         """Make a move due when the PINGs of this port went unanswered."""
         exhausted = self._pings >= self._limits.pings_before_move
         if exhausted and now_s >= self._next_ping_s:
-            self._moves += 1
-            self._move_is_due = True
+            self._port_moves += 1
+            self._port_move_is_due = True
             self._pings = 0
 
-    def takes_ping(self, now_s: float) -> bool:
+    def count_ping_if_due(self, now_s: float) -> bool:
         """Return whether to send a PING now, and count it."""
         if now_s < self._next_ping_s:
             return False
@@ -80,10 +80,10 @@
         self._next_ping_s = now_s + self._limits.ping_every_s
         return True
 
-    def take_move(self) -> bool:
+    def pop_port_move(self) -> bool:
         """Return whether a change of the local port is due, once."""
-        due = self._move_is_due
-        self._move_is_due = False
+        due = self._port_move_is_due
+        self._port_move_is_due = False
         return due
 
 
@@ -103,7 +103,7 @@
         '_request',
         '_sender',
         '_setup',
-        '_silence',
+        '_silence_watch',
         'outcome',
         'was_sent',
     )
@@ -117,11 +117,11 @@
         now_s: float,
     ) -> None:
         limits = setup.limits
-        idle_s = now_s - flow.heard_s
+        idle_s = now_s - flow.last_received_s
         self._flow = flow
         self._request = request
         self._setup = setup
-        self._number = flow.take_number()
+        self._number = flow.next_request_number()
         self._is_confirmed = idle_s <= limits.confirm_after_s
         self._sender = PartSender(payload, now_s, limits.transfer)
         self._receiver: PartReceiver | None = None
@@ -129,7 +129,7 @@
         next_ping_s = now_s
         if self._is_confirmed:
             next_ping_s += limits.ping_after_s
-        self._silence = SilenceWatch(setup, flow, next_ping_s)
+        self._silence_watch = SilenceWatch(setup, flow, next_ping_s)
         self.was_sent = False
         self.outcome: ExchangeOutcome | None = None
 
@@ -138,13 +138,13 @@
         """Return the flow of the exchange."""
         return self._flow
 
-    def take_move(self) -> bool:
+    def pop_port_move(self) -> bool:
         """Return whether a change of the local port is due."""
-        return self._silence.take_move()
+        return self._silence_watch.pop_port_move()
 
     def due_s(self) -> float:
         """Return when `check_due` and `datagrams` have to be called."""
-        due_s = self._silence.due_s()
+        due_s = self._silence_watch.due_s()
         if self._is_confirmed:
             due_s = min(due_s, self._sender.due_s() or due_s)
         if self._receiver is not None:
@@ -154,19 +154,19 @@
     def check_due(self, now_s: float) -> None:
         """Notice lost parts and a flow or a target that is gone."""
         self._sender.check_timeout(now_s)
-        self._silence.check_move(now_s)
-        if not self._is_confirmed and self._silence.has_moved_twice:
+        self._silence_watch.check_port_move(now_s)
+        if not self._is_confirmed and self._silence_watch.has_moved_twice:
             self.outcome = FlowLost()
-        silence_s = now_s - self._flow.heard_s
-        gone = silence_s > self._setup.limits.abandon_after_s
-        if gone and self.was_sent and self._request.idempotent:
+        silence_s = now_s - self._flow.last_received_s
+        silent_too_long = silence_s > self._setup.limits.abandon_after_s
+        if silent_too_long and self.was_sent and self._request.idempotent:
             self.outcome = OutcomeUnknown()
 
     def datagrams(self, now_s: float) -> list[bytes]:
         """Return the datagrams to send now."""
         outgoing = self._replies
         self._replies = []
-        if self._silence.takes_ping(now_s):
+        if self._silence_watch.count_ping_if_due(now_s):
             outgoing.append(self._flow.datagram(Kind.PING, self._number))
         if self._receiver is not None and self._receiver.is_ack_due(now_s):
             ack = encode_ack(self._receiver.take_ack())
@@ -187,22 +187,22 @@
 
     def receive(self, datagram: ServiceDatagram, now_s: float) -> None:
         """Take a datagram from the system."""
-        if not self._flow.owns(datagram):
+        if not self._flow.matches(datagram):
             self._drop_foreign(datagram)
             return
         if datagram.request_number != self._number:
-            self._take_late(datagram)
+            self._receive_late(datagram)
             return
-        self._silence.record_sign_of_life(now_s)
+        self._silence_watch.record_received(now_s)
         match datagram.kind:
             case Kind.REQUEST_ACK:
-                self._take_ack(datagram.body, now_s)
+                self._receive_ack(datagram.body, now_s)
             case Kind.ANSWER:
-                self._take_part(datagram, now_s)
+                self._receive_part(datagram, now_s)
             case Kind.PONG:
                 self._is_confirmed = True
             case Kind.REFUSE:
-                self._take_refusal(datagram.body)
+                self._receive_refusal(datagram.body)
             case Kind.UNKNOWN_OUTCOME:
                 # A new target says so to a PING on an old flow as well.
                 sent = self.was_sent
@@ -236,7 +236,7 @@
             drop = CallDrop.LATE_ACCEPT
         self._setup.drops[drop] += 1
 
-    def _take_late(self, datagram: ServiceDatagram) -> None:
+    def _receive_late(self, datagram: ServiceDatagram) -> None:
         reply = self._flow.reply_to_late_part(datagram)
         if reply is not None:
             self._replies.append(reply)
@@ -246,12 +246,12 @@
             drop = CallDrop.LATE_ACCEPT
         self._setup.drops[drop] += 1
 
-    def _take_ack(self, body: bytes, now_s: float) -> None:
+    def _receive_ack(self, body: bytes, now_s: float) -> None:
         ack = decode_ack(body)
         if ack.is_err() or not self._sender.acknowledge(ack.unwrap(), now_s):
             self._setup.drops[CallDrop.MALFORMED] += 1
 
-    def _take_part(self, datagram: ServiceDatagram, now_s: float) -> None:
+    def _receive_part(self, datagram: ServiceDatagram, now_s: float) -> None:
         if not self.was_sent or datagram.part_count < 1:
             self._setup.drops[CallDrop.MALFORMED] += 1
             return
@@ -271,7 +271,7 @@
             self._finish(self._receiver)
 
     def _finish(self, receiver: PartReceiver) -> None:
-        self._flow.finish(self._number, receiver.part_count)
+        self._flow.record_answer(self._number, receiver.part_count)
         answer = decode_body(receiver.payload(), Answer)
         self.outcome = answer.unwrap_or(CallErrorKind.MALFORMED_ANSWER)
         if not isinstance(self.outcome, Answer):
@@ -280,7 +280,7 @@
             self._setup.drops[CallDrop.WRONG_REQUEST] += 1
             self.outcome = CallErrorKind.MALFORMED_ANSWER
 
-    def _take_refusal(self, body: bytes) -> None:
+    def _receive_refusal(self, body: bytes) -> None:
         refusal = decode_body(body, Refusal)
         if refusal.is_err():
             self._setup.drops[CallDrop.MALFORMED] += 1
--- a/greengagepath/caller/flow_sockets.py
+++ b/greengagepath/caller/flow_sockets.py
@@ -16,22 +16,28 @@
 
 # The kernel limits it to net.core.rmem_max.
 RECEIVE_BUFFER_BYTES = 1048576
-MAX_DRAINED = 64
+MAX_DATAGRAMS_PER_READ = 64
 
 
 class FlowSocket:
     """A connected socket; `events` counts datagrams it cannot send."""
 
-    __slots__ = ('_address', '_events', '_lingerer', '_socket', 'is_closed')
+    __slots__ = (
+        '_address',
+        '_events',
+        '_linger_greenlet',
+        '_socket',
+        'is_closed',
+    )
 
     def __init__(self, address: Address, events: Counter[str]) -> None:
         self._address = address
         self._events = events
         self._socket = _connect(address)
-        self._lingerer: gevent.Greenlet | None = None
+        self._linger_greenlet: gevent.Greenlet | None = None
         self.is_closed = False
 
-    def move(self) -> None:
+    def move_to_new_port(self) -> None:
         """Change to a new local port."""
         self._socket.close()
         self._socket = _connect(self._address)
@@ -63,10 +69,10 @@
             return False
         return True
 
-    def receive_some(self) -> list[bytes]:
+    def receive_available(self) -> list[bytes]:
         """Return the datagrams that are there, 64 at most."""
         received: list[bytes] = []
-        while len(received) < MAX_DRAINED:
+        while len(received) < MAX_DATAGRAMS_PER_READ:
             try:
                 received.append(self._socket.recv(MAX_DATAGRAM_BYTES + 1))
             except BlockingIOError:
@@ -78,16 +84,16 @@
 
     def linger(self, flow: Flow, limit_s: float | None = None) -> None:
         """Acknowledge late parts; close after `limit_s` if given."""
-        self._lingerer = gevent.spawn(self._linger, flow, limit_s)
+        self._linger_greenlet = gevent.spawn(self._linger, flow, limit_s)
 
     def stop_lingering(self) -> None:
         """Leave datagrams that come in to the next call."""
-        lingerer = self._lingerer
-        self._lingerer = None
-        if lingerer is not None:
+        greenlet = self._linger_greenlet
+        self._linger_greenlet = None
+        if greenlet is not None:
             # Blocks until the greenlet has stopped its watcher: libev
             # aborts the process if a watched descriptor is closed.
-            lingerer.kill()
+            greenlet.kill()
 
     def _linger(self, flow: Flow, limit_s: float | None) -> None:
         if limit_s is None:
@@ -98,11 +104,11 @@
             while True:
                 wait_read(self._socket.fileno())
                 self._reply_to_late_parts(flow)
-        self._lingerer = None
+        self._linger_greenlet = None
         self.close()
 
     def _reply_to_late_parts(self, flow: Flow) -> None:
-        for encoded in self.receive_some():
+        for encoded in self.receive_available():
             datagram = decode_service_datagram(encoded).ok()
             reply = datagram and flow.reply_to_late_part(datagram)
             if reply:
--- a/greengagepath/caller/flows.py
+++ b/greengagepath/caller/flows.py
@@ -7,21 +7,21 @@
 from .call_types import ServiceAddress
 
 # Requests of a flow whose late parts are still acknowledged.
-MAX_FINISHED = 32
+MAX_FINISHED_REQUESTS = 32
 
 
 class Flow:
     """An accepted flow: its token and its request numbers.
 
-    `heard_s` is when the last datagram of the flow came in.
+    `last_received_s` is when the last datagram of the flow came in.
     """
 
     __slots__ = (
-        '_finished',
         '_next_number',
+        '_part_counts_by_number',
         'flow_id',
-        'heard_s',
         'is_usable',
+        'last_received_s',
         'service',
         'token',
     )
@@ -36,18 +36,18 @@
         self.service = service
         self.flow_id = flow_id
         self.token = token
-        self.heard_s = now_s
+        self.last_received_s = now_s
         self.is_usable = True
         self._next_number = 1
-        self._finished: OrderedDict[int, int] = OrderedDict()
+        self._part_counts_by_number: OrderedDict[int, int] = OrderedDict()
 
-    def take_number(self) -> int:
+    def next_request_number(self) -> int:
         """Return the number of the next request."""
         number = self._next_number
         self._next_number += 1
         return number
 
-    def owns(self, datagram: ServiceDatagram) -> bool:
+    def matches(self, datagram: ServiceDatagram) -> bool:
         """Return whether the datagram belongs to this flow."""
         return (
             datagram.flow_id == self.flow_id
@@ -73,11 +73,11 @@
             body=body,
         ).encode()
 
-    def finish(self, number: int, part_count: int) -> None:
+    def record_answer(self, number: int, part_count: int) -> None:
         """Remember an answer that has arrived whole."""
-        self._finished[number] = part_count
-        while len(self._finished) > MAX_FINISHED:
-            self._finished.popitem(last=False)
+        self._part_counts_by_number[number] = part_count
+        while len(self._part_counts_by_number) > MAX_FINISHED_REQUESTS:
+            self._part_counts_by_number.popitem(last=False)
 
     def reply_to_late_part(self, datagram: ServiceDatagram) -> bytes | None:
         """Return the ACK of a part of a finished answer, or None.
@@ -85,10 +85,10 @@
         Without it a target whose last ACK was lost would send the
         answer again until it gives up.
         """
-        part_count = self._finished.get(datagram.request_number)
+        part_count = self._part_counts_by_number.get(datagram.request_number)
         if part_count is None or datagram.kind is not Kind.ANSWER:
             return None
-        if not self.owns(datagram):
+        if not self.matches(datagram):
             return None
         return self.datagram(
             Kind.ANSWER_ACK,
--- a/greengagepath/caller/hedging.py
+++ b/greengagepath/caller/hedging.py
@@ -15,11 +15,11 @@
 MIN_SAMPLES = 50
 # Forget the past after so many latencies, because load changes.
 MAX_SAMPLES = 2000
-USUAL_PERCENTILE = 95
+LATENCY_PERCENTILE = 95
 DELAY_FACTOR = 2.0
 MIN_DELAY_S = 0.05
 MAX_DEADLINE_SHARE = 0.5
-UNKNOWN_DEADLINE_SHARE = 0.3
+DEFAULT_DEADLINE_SHARE = 0.3
 MAX_OPERATIONS = 1000
 
 
@@ -38,7 +38,7 @@
         if histogram is None or histogram.get_total_count() >= MAX_SAMPLES:
             if len(self._histograms_by_operation) >= MAX_OPERATIONS:
                 return
-            histogram = self._renew(operation, histogram)
+            histogram = self._replace_histogram(operation, histogram)
         latency_ms = min(int(latency_s * MS_PER_S) + 1, MAX_LATENCY_MS)
         histogram.record_value(latency_ms)
 
@@ -49,18 +49,18 @@
         """
         histogram = self._histograms_by_operation.get(operation)
         if histogram is None or histogram.get_total_count() < MIN_SAMPLES:
-            return deadline_s * UNKNOWN_DEADLINE_SHARE
-        usual_ms = histogram.get_value_at_percentile(USUAL_PERCENTILE)
-        delay_s = max(usual_ms * DELAY_FACTOR / MS_PER_S, MIN_DELAY_S)
+            return deadline_s * DEFAULT_DEADLINE_SHARE
+        percentile_ms = histogram.get_value_at_percentile(LATENCY_PERCENTILE)
+        delay_s = max(percentile_ms * DELAY_FACTOR / MS_PER_S, MIN_DELAY_S)
         return min(delay_s, deadline_s * MAX_DEADLINE_SHARE)
 
-    def _renew(
-        self, operation: str, former: HdrHistogram | None
+    def _replace_histogram(
+        self, operation: str, previous: HdrHistogram | None
     ) -> HdrHistogram:
-        """Start a histogram that keeps the former 95th percentile."""
-        fresh = HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
-        if former is not None:
-            usual_ms = former.get_value_at_percentile(USUAL_PERCENTILE)
-            fresh.record_value(max(usual_ms, 1), MIN_SAMPLES)
-        self._histograms_by_operation[operation] = fresh
-        return fresh
+        """Start a histogram that keeps the previous 95th percentile."""
+        replacement = HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
+        if previous is not None:
+            percentile_ms = previous.get_value_at_percentile(LATENCY_PERCENTILE)
+            replacement.record_value(max(percentile_ms, 1), MIN_SAMPLES)
+        self._histograms_by_operation[operation] = replacement
+        return replacement
--- a/greengagepath/caller/opening.py
+++ b/greengagepath/caller/opening.py
@@ -72,8 +72,8 @@
         if self._sends >= _SENDS_OF_FIRST_ID:
             self._flow_ids.append(self._setup.random.getrandbits(FLOW_ID_BITS))
         self._sends += 1
-        spread = self._setup.random.uniform(1 - _JITTER, 1 + _JITTER)
-        self._due_s = now_s + self._timeout_s * spread
+        jitter = self._setup.random.uniform(1 - _JITTER, 1 + _JITTER)
+        self._due_s = now_s + self._timeout_s * jitter
         self._timeout_s = min(
             self._timeout_s * 2, self._setup.limits.open_timeout_max_s
         )
--- a/greengagepath/caller/retry_plan.py
+++ b/greengagepath/caller/retry_plan.py
@@ -7,9 +7,9 @@
 
 _MS_PER_S = 1000
 # The flow or its target is leaving: another target is asked at once.
-_REDIRECTS = (RefusalReason.draining, RefusalReason.flow_expired)
+_REDIRECT_REASONS = (RefusalReason.draining, RefusalReason.flow_expired)
 # Another target would refuse for the same reason.
-_FINAL = (
+_FINAL_REASONS = (
     RefusalReason.cancelled,
     RefusalReason.bad_request,
     RefusalReason.unknown_service,
@@ -52,9 +52,9 @@
             not_run=self.error.not_run,
             reason=refusal.reason,
         )
-        if refusal.reason in _FINAL:
+        if refusal.reason in _FINAL_REASONS:
             return None
-        if refusal.reason in _REDIRECTS and self._may_redirect():
+        if refusal.reason in _REDIRECT_REASONS and self._may_redirect():
             return self.redirect(now_s)
         return self._retry(refusal.retry_after_ms / _MS_PER_S, now_s)
 
@@ -74,16 +74,16 @@
     def _may_redirect(self) -> bool:
         return self._redirects < self._setup.limits.max_redirects
 
-    def _retry(self, least_s: float, now_s: float) -> BackingOff | None:
+    def _retry(self, min_delay_s: float, now_s: float) -> BackingOff | None:
         limits = self._setup.limits
-        longest_s = min(
+        max_backoff_s = min(
             limits.backoff_s * 2**self._retries, limits.backoff_max_s
         )
-        delay_s = least_s + self._setup.random.uniform(0.0, longest_s)
+        delay_s = min_delay_s + self._setup.random.uniform(0.0, max_backoff_s)
         in_time = now_s + delay_s < self._deadline_s
         if not in_time or self._retries >= limits.max_retries:
             return None
-        if not self._setup.allowance.try_retry():
+        if not self._setup.retry_budget.try_retry():
             self._setup.events['retries_suppressed'] += 1
             return None
         self._retries += 1
--- a/tests/caller/builders.py
+++ b/tests/caller/builders.py
@@ -55,7 +55,7 @@
         self.duration_s = duration_s
         self.runs = Counter()
         self.refusals = []
-        self.forgets = False
+        self.has_restarted = False
         self.answers_open = True
         self.receivers = {}
         self.senders = {}
@@ -68,7 +68,7 @@
     def answer_body(self, request_id):
         return Random(request_id).randbytes(self.answer_bytes)
 
-    def receive(self, datagram, now_s, reply, later):
+    def receive(self, datagram, now_s, reply, schedule):
         key = (datagram.flow_id, datagram.request_number)
         match datagram.kind:
             case Kind.OPEN if self.answers_open:
@@ -78,7 +78,7 @@
             case Kind.PING:
                 reply(self.reply_to(datagram, Kind.PONG))
             case Kind.REQUEST:
-                self.take_part(key, datagram, now_s, reply, later)
+                self.receive_part(key, datagram, now_s, reply, schedule)
             case Kind.ANSWER_ACK if key in self.senders:
                 ack = decode_ack(datagram.body).unwrap()
                 self.senders[key].acknowledge(ack, now_s)
@@ -92,8 +92,8 @@
         body = encode_body(refusal)
         reply(self.reply_to(datagram, Kind.REFUSE, body))
 
-    def take_part(self, key, datagram, now_s, reply, later):
-        if self.forgets:
+    def receive_part(self, key, datagram, now_s, reply, schedule):
+        if self.has_restarted:
             return reply(self.reply_to(datagram, Kind.UNKNOWN_OUTCOME))
         if key in self.senders:
             body = encode_final_ack(datagram.part_count)
@@ -112,7 +112,7 @@
                 return self.refuse(datagram, reply)
             request = decode_body(receiver.payload(), Request).unwrap()
             self.runs[request.request_id] += 1
-            later(
+            schedule(
                 self.duration_s,
                 lambda when_s: self.answer(
                     key, request, datagram, when_s, reply
@@ -169,7 +169,7 @@
         ).encode()
 
 
-def list_one(encoded):
+def pass_unchanged(encoded):
     return [encoded]
 
 
@@ -187,14 +187,14 @@
         self.ended_s = 0.0
         self.events = []
         self.order = 0
-        self.opens = 0
+        self.open_count = 0
         self.port = 0
         self.silent_ports = set()
-        self.sent = Counter()
+        self.sent_by_kind = Counter()
         # Called with each datagram on its way to the caller.
-        self.intercept = list_one
+        self.intercept = pass_unchanged
 
-    def push(self, delay_s, action):
+    def schedule(self, delay_s, action):
         self.order += 1
         heapq.heappush(self.events, (self.now_s + delay_s, self.order, action))
 
@@ -202,42 +202,46 @@
         for _ in range(2 if self.random.randrange(50) == 0 else 1):
             if self.random.random() >= self.loss:
                 spread_s = self.random.random() * self.spread_s
-                self.push(ONE_WAY_S + spread_s, action)
+                self.schedule(ONE_WAY_S + spread_s, action)
 
     def send_to_target(self, encoded):
         port = self.port
-        self.sent[decode_service_datagram(encoded).unwrap().kind] += 1
-        self.transmit(lambda when_s: self.at_target(encoded, port, when_s))
+        self.sent_by_kind[decode_service_datagram(encoded).unwrap().kind] += 1
+        self.transmit(
+            lambda when_s: self.deliver_to_target(encoded, port, when_s)
+        )
 
-    def at_target(self, encoded, port, now_s):
+    def deliver_to_target(self, encoded, port, now_s):
         if port in self.silent_ports:
             return
         datagram = decode_service_datagram(encoded).unwrap()
         if datagram.kind is Kind.OPEN:
-            target = self.targets[self.opens % len(self.targets)]
-            self.opens += 1
+            target = self.targets[self.open_count % len(self.targets)]
+            self.open_count += 1
         else:
             target = self.targets_by_token[datagram.token]
         target.receive(
             datagram,
             now_s,
             lambda reply: self.send_to_caller(reply, port),
-            self.push,
+            self.schedule,
         )
 
     def send_to_caller(self, encoded, port):
         for datagram in self.intercept(encoded):
             self.transmit(
-                lambda when_s, sent=datagram: self.at_caller(sent, port, when_s)
+                lambda when_s, sent=datagram: self.deliver_to_caller(
+                    sent, port, when_s
+                )
             )
 
-    def at_caller(self, encoded, port, now_s):
+    def deliver_to_caller(self, encoded, port, now_s):
         if port == self.port and port not in self.silent_ports:
             self.call.receive(encoded, now_s)
 
     def step(self):
         final_datagrams = self.call.check_due(self.now_s)
-        if self.call.take_move():
+        if self.call.pop_port_move():
             self.port += 1
         for datagram in final_datagrams + self.call.datagrams(self.now_s):
             self.send_to_target(datagram)
--- a/tests/caller/test_calls.py
+++ b/tests/caller/test_calls.py
@@ -58,7 +58,7 @@
         world.send_to_target(opening)
         world.send_to_target(opening)
         self.assertTrue(world.run().is_ok())
-        self.assertEqual(2, world.opens)
+        self.assertEqual(2, world.open_count)
         self.assertEqual(1, sum(each.runs.total() for each in targets))
         self.assertEqual(1, setup.drops[CallDrop.LATE_ACCEPT])
 
@@ -81,7 +81,7 @@
         error = world.run().unwrap_err()
         self.assertEqual(CallErrorKind.REFUSED, error.kind)
         self.assertTrue(error.not_run)
-        self.assertEqual(1, world.opens)
+        self.assertEqual(1, world.open_count)
 
     def test_no_retry_after_the_deadline(self):
         # Guards against work for a caller who has left.
@@ -104,7 +104,7 @@
 class UnknownOutcomeTest(TestCase):
     def run_with_restart(self, idempotent):
         targets = [FakeTarget('a'), FakeTarget('b')]
-        targets[0].forgets = True
+        targets[0].has_restarted = True
         request = build_request(idempotent=idempotent)
         world = build_world(targets, request)
         return world.run(), targets[1].runs
@@ -144,10 +144,10 @@
         target = FakeTarget('a', duration_s=3.0)
         setup = build_setup()
         world = build_world([target], setup=setup)
-        world.push(0.1, lambda when_s: world.silent_ports.add(0))
+        world.schedule(0.1, lambda when_s: world.silent_ports.add(0))
         # The answer goes to the port of the latest PING.
         world.send_to_caller = lambda encoded, port: world.transmit(
-            lambda when_s: world.at_caller(
+            lambda when_s: world.deliver_to_caller(
                 encoded, max(port, world.port), when_s
             )
         )
@@ -173,7 +173,7 @@
         flow = Flow(SERVICE, 5, b'old'.ljust(32, b'.'), -10.0)
         world = build_world(targets, flow=flow)
         restarted = FakeTarget('old')
-        restarted.receive = lambda datagram, now_s, reply, later: reply(
+        restarted.receive = lambda datagram, now_s, reply, schedule: reply(
             restarted.reply_to(datagram, Kind.UNKNOWN_OUTCOME)
         )
         world.targets_by_token[flow.token] = restarted
@@ -207,7 +207,7 @@
         error = world.run().unwrap_err()
         self.assertEqual(CallErrorKind.UNREACHABLE, error.kind)
         self.assertTrue(error.not_run)
-        self.assertLess(world.sent[Kind.OPEN], 25)
+        self.assertLess(world.sent_by_kind[Kind.OPEN], 25)
 
     def test_large_answer_is_refused(self):
         # Guards against memory use beyond the limit.
--- a/tests/caller/test_client.py
+++ b/tests/caller/test_client.py
@@ -26,7 +26,7 @@
         self.service = ServiceAddress(7, self.socket.getsockname())
         self.silent_ports = set()
         # Latest caller address by flow id.
-        self.callers = {}
+        self.callers_by_flow_id = {}
         self.greenlets = [gevent.spawn(self.serve), gevent.spawn(self.tick)]
 
     def serve(self):
@@ -37,20 +37,20 @@
             if caller[1] in self.silent_ports:
                 continue
             flow_id = datagram.flow_id
-            self.callers[flow_id] = caller
+            self.callers_by_flow_id[flow_id] = caller
             self.target.receive(
                 datagram,
                 time.monotonic(),
                 lambda reply, flow_id=flow_id: self.send(reply, flow_id),
-                self.later,
+                self.schedule,
             )
 
     def send(self, reply, flow_id):
-        caller = self.callers[flow_id]
+        caller = self.callers_by_flow_id[flow_id]
         if caller[1] not in self.silent_ports:
             self.socket.sendto(reply, caller)
 
-    def later(self, delay_s, action):
+    def schedule(self, delay_s, action):
         gevent.spawn_later(delay_s, lambda: action(time.monotonic()))
 
     def tick(self):
@@ -119,7 +119,7 @@
         )
         gevent.sleep(0.1)
         self.server.silent_ports.add(
-            next(iter(self.server.callers.values()))[1]
+            next(iter(self.server.callers_by_flow_id.values()))[1]
         )
         self.assertTrue(call.wait().is_ok())
         self.assertEqual(1, self.client.setup.events['port_moves'])
--- a/tests/caller/test_hedging.py
+++ b/tests/caller/test_hedging.py
@@ -75,9 +75,9 @@
 
     def test_spent_budget_allows_no_second_attempt(self):
         # Guards against hedges that double the load of an overload.
-        allowance = self.client.setup.allowance
-        while allowance.tokens >= 1:
-            allowance.try_retry()
+        retry_budget = self.client.setup.retry_budget
+        while retry_budget.tokens >= 1:
+            retry_budget.try_retry()
         outcome = self.start(idempotent=True).wait()
         self.assertTrue(outcome.is_err())
         self.assertEqual(0, self.client.setup.events['hedges'])
