Reword the docstrings and comments of the caller package

Cause: docstrings and comments personified processes or said too little on units, results and errors. Change: they say in plain terms what the code does; reasons and figures stay. No code changes.

--- a/greengagepath/__main__.py
+++ b/greengagepath/__main__.py
@@ -1,10 +1,10 @@
-"""Entry point of the tool `greengagepath`."""
+"""Entry point of the command-line tool `greengagepath`."""
 
 from .cli.tool import run_tool
 
 
 def main() -> None:
-    """Run the command line and end with its exit code."""
+    """Run the command line and exit with its exit code."""
     raise SystemExit(int(run_tool()))
 
 
--- a/greengagepath/caller/__init__.py
+++ b/greengagepath/caller/__init__.py
@@ -1,1 +1,1 @@
-"""Caller's library: one call, its flows and its retries."""
+"""Client library for callers: calls, their flows and their retries."""
--- a/greengagepath/caller/attempts.py
+++ b/greengagepath/caller/attempts.py
@@ -1,4 +1,4 @@
-"""Attempts of one request that run side by side."""
+"""Concurrent attempts of one request, each in its own greenlet."""
 
 from collections.abc import Sequence
 
@@ -12,10 +12,11 @@
 
 
 def wait_for_first_answer(attempts: Sequence[gevent.Greenlet]) -> CallOutcome:
-    """Return the first answer and cancel the rest.
+    """Wait for the first answer and cancel the other attempts.
 
-    Without any answer the error is "may have run" if one attempt says
-    so, since all attempts carry the same request.
+    If no attempt is answered, return a failure after which the request
+    may have run, if there is one, since all attempts carry the same
+    request.
     """
     pending = list(attempts)
     failures: list[CallOutcome] = []
@@ -31,7 +32,10 @@
 
 
 def cancel_attempts(attempts: Sequence[gevent.Greenlet]) -> CallOutcome:
-    """Cancel all attempts; return an answer that came in meanwhile."""
+    """Cancel all attempts and wait until they have ended.
+
+    Return an answer that arrived before the end, or a failure.
+    """
     gevent.killall(attempts)
     outcomes = [wait_for_outcome(attempt) for attempt in attempts]
     answers = [outcome for outcome in outcomes if isinstance(outcome, Ok)]
@@ -39,14 +43,17 @@
 
 
 def wait_for_outcome(attempt: gevent.Greenlet) -> CallOutcome:
-    """Return how a greenlet that ran one attempt has ended."""
+    """Wait for a greenlet that runs one attempt; return its outcome."""
     outcome = attempt.get()
-    # Cancelled before the greenlet ran for the first time.
+    # The greenlet was killed before it ran for the first time.
     return _CANCELLED if isinstance(outcome, gevent.GreenletExit) else outcome
 
 
 def select_failure(failures: Sequence[CallOutcome]) -> CallOutcome:
-    """Return the failure that rules least out."""
+    """Return the first failure after which the request may have run.
+
+    If the request has certainly not run, return the first failure.
+    """
     for failure in failures:
         if not failure.unwrap_err().not_run:
             return failure
--- a/greengagepath/caller/call_types.py
+++ b/greengagepath/caller/call_types.py
@@ -1,4 +1,4 @@
-"""What a caller passes to a call and gets back from it."""
+"""Arguments, results and settings of calls."""
 
 from collections import Counter
 from dataclasses import dataclass, field
@@ -13,7 +13,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ServiceAddress:
-    """Where callers reach a service."""
+    """Id of a service, and host and UDP port where callers reach it."""
 
     service_id: int
     address: Address
@@ -23,8 +23,9 @@
 class CallRequest:
     """A request to a service.
 
-    `request_id` is 16 B; it identifies the request at its target, and
-    all attempts of a call use the same one.
+    `request_id` has 16 bytes. It identifies the request at its target,
+    and all attempts of a call use the same id. An `idempotent` request
+    may run more than once.
     """
 
     request_id: bytes
@@ -44,10 +45,11 @@
 
     REFUSED = 'refused'
     DEADLINE = 'deadline'
-    # The target restarted or fell silent while it had the request.
+    # The target restarted or stopped responding after the request had
+    # been sent to it.
     UNKNOWN_OUTCOME = 'unknown_outcome'
     CANCELLED = 'cancelled'
-    # Neither a balancer nor a target has replied before the deadline.
+    # Neither a balancer nor a target replied before the deadline.
     UNREACHABLE = 'unreachable'
     REQUEST_TOO_LARGE = 'request_too_large'
     ANSWER_TOO_LARGE = 'answer_too_large'
@@ -56,10 +58,10 @@
 
 @dataclass(slots=True, frozen=True)
 class CallError:
-    """A call without an answer.
+    """Why a call ended without an answer.
 
-    With `not_run` the request has certainly not run; otherwise it may
-    have run.
+    If `not_run` is true, the request has certainly not run; otherwise
+    it may have run. `reason` is set if `kind` is REFUSED.
     """
 
     kind: CallErrorKind
@@ -69,7 +71,7 @@
 
 @unique
 class CallDrop(StrEnum):
-    """Why a caller dropped a datagram; a label of its counter."""
+    """Why a caller dropped a datagram; key of `CallSetup.drops`."""
 
     MALFORMED = 'malformed'
     WRONG_FLOW = 'wrong_flow'
@@ -80,24 +82,25 @@
 
 @dataclass(slots=True, frozen=True)
 class CallLimits:
-    """Limits and times of calls; times are in seconds."""
+    """Limits of calls; times are in seconds, sizes in bytes."""
 
     open_timeout_s: float = 0.06
     open_timeout_max_s: float = 1.0
-    # After so much silence the flow is probed with PING.
+    # Silence after which the flow is probed with PING.
     ping_after_s: float = 0.5
     ping_every_s: float = 0.2
-    # So many unanswered PINGs move the flow to a new local port.
+    # Unanswered PINGs after which the flow moves to a new local port.
     pings_before_move: int = 3
-    # After so much silence the target of an idempotent request counts
-    # as gone; longer than its balancers need to notice (5 s at most).
+    # Silence after which the target of an idempotent request counts as
+    # lost; meant to be longer than the balancers need to detect the loss
+    # (5 s at most).
     abandon_after_s: float = 4.0
-    # A flow that was idle for longer is probed before it gets a request.
+    # A flow that was idle for longer is probed before it carries a request.
     confirm_after_s: float = 0.5
     backoff_s: float = 0.02
     backoff_max_s: float = 1.0
     max_retries: int = 4
-    # Redirections from leaving targets, which do not use up the budget.
+    # Redirects from leaving targets, which do not use the retry budget.
     max_redirects: int = 3
     max_request_bytes: int = 1048576
     max_answer_bytes: int = 67108864
@@ -105,18 +108,22 @@
 
 
 class RetryLimiter(Protocol):
-    """Limits retries to a share of the requests."""
+    """Limits retries to a share of the requests, as a `RetryBudget`."""
 
     def record_request(self) -> None:
         """Count a first attempt."""
 
     def try_retry(self) -> bool:
-        """Return whether one retry is allowed now, and count it."""
+        """Return whether a retry is allowed now; if so, count it."""
 
 
 @dataclass(slots=True)
 class CallSetup:
-    """What all calls of a client share."""
+    """Random source, limits and counters shared by the calls of a client.
+
+    `drops` counts dropped datagrams; `events` counts retries, hedges,
+    opened flows, socket errors and the like.
+    """
 
     random: Random
     retry_budget: RetryLimiter
--- a/greengagepath/caller/calls.py
+++ b/greengagepath/caller/calls.py
@@ -1,9 +1,9 @@
-"""Decisions of one call, without I/O.
+"""State machine of one call, without I/O.
 
-A call opens a flow, exchanges the request and the answer on it, and
-retries on a new flow where that cannot run the request twice: after a
-refusal ("not run"), and after an unknown outcome if the request is
-idempotent.
+A call opens a flow, sends the request and receives the answer on it.
+It retries on a new flow where this is safe: after a refusal, since a
+refused request has not run, and after an unknown outcome if the
+request is idempotent.
 """
 
 from result import Err, Ok, Result
@@ -34,9 +34,10 @@
 class Call:
     """One call; `outcome` is set when it has ended.
 
-    When `due_s` is reached or a datagram has come in, the owner calls
-    `check_due`, changes its local port if `pop_port_move` says so, and
-    sends what `datagrams` returns. Times are in seconds.
+    When `due_s` is reached or a datagram has arrived, the owner calls
+    `check_due`, moves to a new local port if `pop_port_move` returns
+    true, and sends the datagrams that `check_due` and `datagrams`
+    return. Times are in seconds of one monotonic clock.
     """
 
     __slots__ = (
@@ -76,7 +77,7 @@
             self._start_attempt(now_s)
 
     def due_s(self) -> float:
-        """Return when `check_due` and `datagrams` have to be called."""
+        """Return when `check_due` and `datagrams` are to be called next."""
         return min(self._phase.due_s(), self._deadline_s)
 
     def datagrams(self, now_s: float) -> list[bytes]:
@@ -86,7 +87,10 @@
         return self._phase.datagrams(now_s)
 
     def check_due(self, now_s: float) -> list[bytes]:
-        """Do what is due; return the datagrams that end the call."""
+        """Process timeouts and the deadline.
+
+        Return the datagrams to send if the call ends at its deadline.
+        """
         if self.outcome is not None:
             return []
         if now_s >= self._deadline_s:
@@ -102,7 +106,7 @@
         return []
 
     def receive(self, encoded: bytes, now_s: float) -> None:
-        """Take a datagram from the network; never raises on bad input."""
+        """Process a datagram from the network; never raises on bad input."""
         decoded = decode_service_datagram(encoded)
         if decoded.is_err():
             self._setup.drops[CallDrop.MALFORMED] += 1
@@ -119,7 +123,7 @@
                 self._setup.drops[CallDrop.WRONG_FLOW] += 1
 
     def pop_port_move(self) -> bool:
-        """Return whether the owner has to change its local port now."""
+        """Return whether to move to a new local port now, and reset it."""
         due = self._port_move_is_due
         self._port_move_is_due = False
         if due:
@@ -127,7 +131,7 @@
         return due
 
     def cancel(self) -> list[bytes]:
-        """End the call; return the datagrams to send."""
+        """End the call as cancelled; return the datagrams to send."""
         if self.outcome is not None:
             return []
         final_datagrams, not_run = self._cancel_attempt()
@@ -209,7 +213,7 @@
 
 
 def encode_request(request: CallRequest, remaining_s: float) -> bytes:
-    """Return the request with `remaining_s` to its deadline."""
+    """Return the encoded request, due in `remaining_s` seconds."""
     remaining_ms = int(remaining_s * _MS_PER_S)
     return encode_body(
         Request(
--- a/greengagepath/caller/client.py
+++ b/greengagepath/caller/client.py
@@ -1,7 +1,7 @@
-"""Caller's library: sockets around the decisions of a call.
+"""Client that runs calls on UDP sockets.
 
-A client runs in one gevent hub; calls may run at the same time in any
-number of its greenlets.
+A client belongs to one gevent hub; any number of greenlets of the hub
+may make calls at the same time.
 """
 
 import os
@@ -34,21 +34,21 @@
 REQUEST_ID_BYTES = 16
 DEFAULT_RETRY_SHARE = 0.1
 MAX_CALLS = 10000
-# A call without held flow keeps its socket for a moment, to repeat the
-# last ACK of the answer if it was lost.
+# A call without a held flow keeps its socket open for this time, to
+# repeat the last ACK of the answer if it was lost.
 LINGER_S = 0.3
 MAX_LINGERING_SOCKETS = 2000
 
 
 def boot_clock() -> float:
-    """Return seconds of CLOCK_BOOTTIME, which counts suspension."""
+    """Return CLOCK_BOOTTIME in seconds, which includes suspended time."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class HeldFlow:
-    """A long flow that carries many requests of one caller.
+    """A long-lived flow that carries many requests of one caller.
 
-    One call at a time uses it; others wait. When its target leaves,
+    One call at a time uses it; others wait. After its target has left,
     the next call opens a new flow in its place.
     """
 
@@ -61,9 +61,9 @@
         self.lock = BoundedSemaphore(1)
 
     def close(self) -> None:
-        """Close the socket, after the call that uses it.
+        """Wait for the call that uses the flow, and close the socket.
 
-        The target forgets the flow by itself.
+        The target is not notified; the flow expires there.
         """
         with self.lock:
             if self.socket is not None:
@@ -73,7 +73,7 @@
 
 
 class PendingCall:
-    """A call that runs in a greenlet of its own."""
+    """A call that runs in its own greenlet."""
 
     __slots__ = ('_greenlet',)
 
@@ -81,18 +81,23 @@
         self._greenlet = greenlet
 
     def cancel(self) -> None:
-        """Tell the target to stop; `wait` then returns CANCELLED."""
+        """Cancel the call, also at its target, without waiting for it.
+
+        `wait` then returns CANCELLED, unless the call ended before.
+        """
         self._greenlet.kill(block=False)
 
     def wait(self) -> CallOutcome:
-        """Return the outcome once the call has ended."""
+        """Wait until the call has ended and return its outcome."""
         return wait_for_outcome(self._greenlet)
 
 
 class Client:
-    """Calls services through the system.
+    """Calls services through the load balancer.
 
-    `setup.drops` and `setup.events` count what was dropped and done.
+    `clock` returns seconds. At most `max_calls` calls run at a time;
+    others wait. `setup.drops` counts dropped datagrams, `setup.events`
+    what calls did, such as retries.
     """
 
     def __init__(
@@ -139,10 +144,11 @@
         deadline_s: float,
         held: HeldFlow | None = None,
     ) -> CallOutcome:
-        """Return the whole answer, or why there is none.
+        """Send a request; return the complete answer or the error.
 
-        `deadline_s` is in seconds from now. Killing the greenlet that
-        waits here cancels the call, which then returns CANCELLED.
+        `deadline_s` is in seconds from now. The request uses the flow
+        `held` if given. Killing the greenlet that waits here cancels
+        the call, which then returns CANCELLED.
         """
         end_s = self._clock() + deadline_s
         if not self._slots.acquire(timeout=deadline_s):
@@ -160,17 +166,17 @@
         deadline_s: float,
         held: HeldFlow | None = None,
     ) -> PendingCall:
-        """Start a call that can be cancelled; arguments as of `call`."""
+        """Start a call that can be cancelled; arguments as for `call`."""
         return PendingCall(
             gevent.spawn(self.call, service, request, deadline_s, held)
         )
 
     def hold_flow(self, service: ServiceAddress) -> HeldFlow:
-        """Return a long flow; its first call opens it."""
+        """Return a long-lived flow; the first call on it opens it."""
         return HeldFlow(service)
 
     def close(self) -> None:
-        """Close the sockets of calls that have ended."""
+        """Close the sockets that are kept open after their calls."""
         while self._lingering:
             self._lingering.popleft().close()
 
@@ -288,10 +294,11 @@
     retry_share: float = DEFAULT_RETRY_SHARE,
     seed: int | None = None,
 ) -> CallSetup:
-    """Return a setup with a retry budget of its own.
+    """Return a setup with its own retry budget.
 
-    Without `seed` flow ids come from the system's random source, so
-    that nobody can guess them.
+    `retry_share` is the share of requests that may be retried. Without
+    `seed`, flow ids come from the random source of the operating system,
+    so that they cannot be guessed.
     """
     source = random.SystemRandom() if seed is None else random.Random(seed)
     return CallSetup(
--- a/greengagepath/caller/exchange.py
+++ b/greengagepath/caller/exchange.py
@@ -18,19 +18,19 @@
 
 @dataclass(slots=True, frozen=True)
 class FlowLost:
-    """The flow gave no sign of life before any part was sent."""
+    """The flow was lost before any part of the request was sent."""
 
 
 @dataclass(slots=True, frozen=True)
 class OutcomeUnknown:
-    """The target is gone, or has forgotten the request."""
+    """The target stopped responding or no longer knows the request."""
 
 
 ExchangeOutcome = Answer | Refusal | FlowLost | OutcomeUnknown | CallErrorKind
 
 
 class SilenceWatch:
-    """Decides when to send PING and when to move to a new port."""
+    """Decides when a silent flow sends PING or moves to a new local port."""
 
     __slots__ = (
         '_flow',
@@ -59,13 +59,13 @@
         return self._next_ping_s
 
     def record_received(self, now_s: float) -> None:
-        """Start the wait for silence again."""
+        """Record a datagram of the flow and restart the silence timeout."""
         self._flow.last_received_s = now_s
         self._next_ping_s = now_s + self._limits.ping_after_s
         self._pings = 0
 
     def check_port_move(self, now_s: float) -> None:
-        """Make a move due when the PINGs of this port went unanswered."""
+        """Make a move due if the PINGs from this port went unanswered."""
         exhausted = self._pings >= self._limits.pings_before_move
         if exhausted and now_s >= self._next_ping_s:
             self._port_moves += 1
@@ -73,7 +73,7 @@
             self._pings = 0
 
     def count_ping_if_due(self, now_s: float) -> bool:
-        """Return whether to send a PING now, and count it."""
+        """Return whether to send a PING now; if so, count it."""
         if now_s < self._next_ping_s:
             return False
         self._pings += 1
@@ -81,17 +81,17 @@
         return True
 
     def pop_port_move(self) -> bool:
-        """Return whether a change of the local port is due, once."""
+        """Return whether a move to a new local port is due, and reset it."""
         due = self._port_move_is_due
         self._port_move_is_due = False
         return due
 
 
 class Exchange:
-    """Sends one request and collects its answer; sets `outcome`.
+    """Sends one request and receives its answer; sets `outcome`.
 
-    The request has one owner, the target in the flow's token, also
-    after the caller has moved to a new local port.
+    The target named in the flow's token owns the request, even after
+    the caller has moved to a new local port.
     """
 
     __slots__ = (
@@ -139,11 +139,11 @@
         return self._flow
 
     def pop_port_move(self) -> bool:
-        """Return whether a change of the local port is due."""
+        """Return whether to move to a new local port now, and reset it."""
         return self._silence_watch.pop_port_move()
 
     def due_s(self) -> float:
-        """Return when `check_due` and `datagrams` have to be called."""
+        """Return when `check_due` and `datagrams` are to be called next."""
         due_s = self._silence_watch.due_s()
         if self._is_confirmed:
             due_s = min(due_s, self._sender.due_s() or due_s)
@@ -152,7 +152,7 @@
         return due_s
 
     def check_due(self, now_s: float) -> None:
-        """Notice lost parts and a flow or a target that is gone."""
+        """Detect lost parts, a lost flow and a target without response."""
         self._sender.check_timeout(now_s)
         self._silence_watch.check_port_move(now_s)
         if not self._is_confirmed and self._silence_watch.has_moved_twice:
@@ -181,12 +181,12 @@
         """Return the datagrams that cancel the request."""
         if not self.was_sent:
             return []
-        # Sent twice, since no reply is awaited.
+        # Sent twice in case one is lost, since no reply is awaited.
         cancel = self._flow.datagram(Kind.CANCEL, self._number)
         return [cancel, cancel]
 
     def receive(self, datagram: ServiceDatagram, now_s: float) -> None:
-        """Take a datagram from the system."""
+        """Process a datagram from the network."""
         if not self._flow.matches(datagram):
             self._drop_foreign(datagram)
             return
@@ -204,7 +204,8 @@
             case Kind.REFUSE:
                 self._receive_refusal(datagram.body)
             case Kind.UNKNOWN_OUTCOME:
-                # A new target says so to a PING on an old flow as well.
+                # A restarted target also sends this in reply to a PING on a
+                # flow from before its restart.
                 sent = self.was_sent
                 self.outcome = OutcomeUnknown() if sent else FlowLost()
             case _:
@@ -285,7 +286,8 @@
         if refusal.is_err():
             self._setup.drops[CallDrop.MALFORMED] += 1
             return
-        # A target that has begun to answer cannot claim "not run".
+        # A refusal means "not run", which cannot be true any more once
+        # parts of the answer have arrived.
         if self._receiver is None:
             self.outcome = refusal.unwrap()
         else:
--- a/greengagepath/caller/flow_sockets.py
+++ b/greengagepath/caller/flow_sockets.py
@@ -20,7 +20,7 @@
 
 
 class FlowSocket:
-    """A connected socket; `events` counts datagrams it cannot send."""
+    """A connected UDP socket; `events` counts its errors."""
 
     __slots__ = (
         '_address',
@@ -38,18 +38,18 @@
         self.is_closed = False
 
     def move_to_new_port(self) -> None:
-        """Change to a new local port."""
+        """Replace the socket by one with a new local port."""
         self._socket.close()
         self._socket = _connect(self._address)
 
     def close(self) -> None:
-        """Close the socket, also while it lingers."""
+        """Close the socket; stop acknowledging late parts first."""
         self.stop_lingering()
         self.is_closed = True
         self._socket.close()
 
     def send_all(self, datagrams: list[bytes]) -> None:
-        """Send datagrams; one that cannot be sent counts as lost."""
+        """Send datagrams; count an error if one cannot be sent."""
         for datagram in datagrams:
             try:
                 self._socket.send(datagram)
@@ -58,7 +58,7 @@
                 self._events['send_errors'] += 1
 
     def wait(self, timeout_s: float) -> bool:
-        """Wait for a datagram; return False after the timeout."""
+        """Wait for a datagram; return False after `timeout_s` seconds."""
         try:
             wait_read(
                 self._socket.fileno(),
@@ -70,7 +70,7 @@
         return True
 
     def receive_available(self) -> list[bytes]:
-        """Return the datagrams that are there, 64 at most."""
+        """Return datagrams that have arrived, 64 at most."""
         received: list[bytes] = []
         while len(received) < MAX_DATAGRAMS_PER_READ:
             try:
@@ -83,11 +83,14 @@
         return received
 
     def linger(self, flow: Flow, limit_s: float | None = None) -> None:
-        """Acknowledge late parts; close after `limit_s` if given."""
+        """Acknowledge late parts in a greenlet.
+
+        Close the socket after `limit_s` seconds, if given.
+        """
         self._linger_greenlet = gevent.spawn(self._linger, flow, limit_s)
 
     def stop_lingering(self) -> None:
-        """Leave datagrams that come in to the next call."""
+        """Stop the greenlet, so that the next call receives datagrams."""
         greenlet = self._linger_greenlet
         self._linger_greenlet = None
         if greenlet is not None:
--- a/greengagepath/caller/flows.py
+++ b/greengagepath/caller/flows.py
@@ -6,14 +6,16 @@
 from ..protocol.packets import Kind, ServiceDatagram, SizeCode
 from .call_types import ServiceAddress
 
-# Requests of a flow whose late parts are still acknowledged.
+# Latest requests of a flow whose late answer parts are acknowledged.
 MAX_FINISHED_REQUESTS = 32
 
 
 class Flow:
     """An accepted flow: its token and its request numbers.
 
-    `last_received_s` is when the last datagram of the flow came in.
+    `last_received_s` is when the last datagram of the flow arrived, in
+    seconds of the caller's clock. No request may be started on the flow
+    unless `is_usable` is true.
     """
 
     __slots__ = (
@@ -62,7 +64,7 @@
         body: bytes = b'',
         size_code: SizeCode = SizeCode.UNKNOWN,
     ) -> bytes:
-        """Return an encoded datagram of a kind without parts."""
+        """Return an encoded datagram of a kind that has no parts."""
         return ServiceDatagram(
             kind=kind,
             service_id=self.service.service_id,
@@ -74,16 +76,16 @@
         ).encode()
 
     def record_answer(self, number: int, part_count: int) -> None:
-        """Remember an answer that has arrived whole."""
+        """Record a complete answer, so that late parts are acknowledged."""
         self._part_counts_by_number[number] = part_count
         while len(self._part_counts_by_number) > MAX_FINISHED_REQUESTS:
             self._part_counts_by_number.popitem(last=False)
 
     def reply_to_late_part(self, datagram: ServiceDatagram) -> bytes | None:
-        """Return the ACK of a part of a finished answer, or None.
+        """Return the ACK for a part of a complete answer, or None.
 
-        Without it a target whose last ACK was lost would send the
-        answer again until it gives up.
+        Without it, a target that missed the last ACK would resend the
+        answer until the transfer times out.
         """
         part_count = self._part_counts_by_number.get(datagram.request_number)
         if part_count is None or datagram.kind is not Kind.ANSWER:
--- a/greengagepath/caller/hedging.py
+++ b/greengagepath/caller/hedging.py
@@ -1,9 +1,9 @@
-"""When a caller sends an idempotent request a second time.
+"""Delays after which idempotent requests are hedged.
 
-A request that runs many times longer than others of its operation is
-sent to another target as well, and the first answer is taken; see Dean
-and Barroso, "The Tail at Scale" (2013). The retry budget limits how
-many there are, so that an overload is not made worse.
+A request that takes much longer than others of its operation is also
+sent to a second target, and the first answer is used; see Dean and
+Barroso, "The Tail at Scale" (2013). The retry budget limits the number
+of hedges, so that they do not make an overload worse.
 """
 
 from hdrh.histogram import HdrHistogram
@@ -11,26 +11,28 @@
 MS_PER_S = 1000
 MAX_LATENCY_MS = 3_600_000
 SIGNIFICANT_DIGITS = 2
-# Fewer latencies than this say nothing about a 95th percentile.
+# Fewer latencies are too few for a 95th percentile.
 MIN_SAMPLES = 50
-# Forget the past after so many latencies, because load changes.
+# The histogram is replaced after so many latencies, since load changes.
 MAX_SAMPLES = 2000
 LATENCY_PERCENTILE = 95
 DELAY_FACTOR = 2.0
 MIN_DELAY_S = 0.05
+# Shares of the deadline: the longest delay, and the delay as long as
+# there are too few latencies.
 MAX_DEADLINE_SHARE = 0.5
 DEFAULT_DEADLINE_SHARE = 0.3
 MAX_OPERATIONS = 1000
 
 
 class HedgeDelays:
-    """Learns latencies by operation and derives the delay of a hedge."""
+    """Records latencies by operation and derives the delay of a hedge."""
 
     def __init__(self) -> None:
         self._histograms_by_operation: dict[str, HdrHistogram] = {}
 
     def record(self, operation: str, latency_s: float) -> None:
-        """Add the latency of an answered request.
+        """Record the latency of an answered request, in seconds.
 
         Operations beyond `MAX_OPERATIONS` are not recorded.
         """
@@ -43,9 +45,10 @@
         histogram.record_value(latency_ms)
 
     def delay_s(self, operation: str, deadline_s: float) -> float:
-        """Return how long to wait before the second attempt.
+        """Return the seconds to wait before the second attempt.
 
-        It leaves the second attempt at least half of the deadline.
+        `deadline_s` is the time left to the deadline, in seconds; at
+        least half of it remains for the second attempt.
         """
         histogram = self._histograms_by_operation.get(operation)
         if histogram is None or histogram.get_total_count() < MIN_SAMPLES:
@@ -57,7 +60,7 @@
     def _replace_histogram(
         self, operation: str, previous: HdrHistogram | None
     ) -> HdrHistogram:
-        """Start a histogram that keeps the previous 95th percentile."""
+        """Start a new histogram from the previous 95th percentile."""
         replacement = HdrHistogram(1, MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
         if previous is not None:
             percentile_ms = previous.get_value_at_percentile(LATENCY_PERCENTILE)
--- a/greengagepath/caller/opening.py
+++ b/greengagepath/caller/opening.py
@@ -18,8 +18,8 @@
 # its body, REFUSE a `Refusal` of at most 80 B.
 OPEN_BODY_BYTES = 80
 _OPEN_BODY = bytes(OPEN_BODY_BYTES)
-# The first id is sent twice, in case a datagram was lost. Then each
-# OPEN gets a new id, so that it hashes to other candidates.
+# The first id is sent twice, in case a datagram was lost. Each later
+# OPEN has a new id, so that it hashes to other candidates.
 _SENDS_OF_FIRST_ID = 2
 MAX_FLOW_IDS = 8
 FLOW_ID_BITS = 64
@@ -27,10 +27,10 @@
 
 
 class Opening:
-    """Sends OPEN until a target accepts; `outcome` is then set.
+    """Sends OPEN until a target accepts or refuses; sets `outcome`.
 
-    OPEN carries no work, so that targets that accept late or twice do
-    nothing. The first ACCEPT decides who owns the flow.
+    OPEN carries no request, so that a second or late ACCEPT causes no
+    work. The target whose ACCEPT arrives first owns the flow.
     """
 
     __slots__ = (
@@ -62,7 +62,7 @@
         self.outcome: Flow | Refusal | None = None
 
     def due_s(self) -> float:
-        """Return when the next OPEN has to be sent."""
+        """Return when the next OPEN is to be sent."""
         return self._due_s
 
     def datagrams(self, now_s: float) -> list[bytes]:
@@ -80,7 +80,7 @@
         return [self._open_datagram()]
 
     def receive(self, datagram: ServiceDatagram, now_s: float) -> None:
-        """Take a datagram from the system."""
+        """Process a datagram from the network."""
         known = datagram.flow_id in self._flow_ids
         if not known or datagram.service_id != self._service.service_id:
             self._setup.drops[CallDrop.WRONG_FLOW] += 1
--- a/greengagepath/caller/retry_plan.py
+++ b/greengagepath/caller/retry_plan.py
@@ -1,4 +1,4 @@
-"""Whether and when a call makes another attempt, without I/O."""
+"""Decides whether and when a call is retried, without I/O."""
 
 from dataclasses import dataclass
 
@@ -6,9 +6,10 @@
 from .call_types import CallError, CallErrorKind, CallSetup
 
 _MS_PER_S = 1000
-# The flow or its target is leaving: another target is asked at once.
+# The target is leaving or the flow has expired: the call opens a new
+# flow at once, to reach another target.
 _REDIRECT_REASONS = (RefusalReason.draining, RefusalReason.flow_expired)
-# Another target would refuse for the same reason.
+# Other targets would refuse for the same reason.
 _FINAL_REASONS = (
     RefusalReason.cancelled,
     RefusalReason.bad_request,
@@ -18,7 +19,7 @@
 
 @dataclass(slots=True, frozen=True)
 class BackingOff:
-    """Waits before the next attempt, which opens a new flow."""
+    """The wait before the next attempt, which opens a new flow."""
 
     until_s: float
 
@@ -28,9 +29,10 @@
 
 
 class RetryPlan:
-    """Counts the attempts of one call.
+    """Counts the retries of one call and decides on the next one.
 
-    `error` is what the call ends with if no further attempt is made.
+    `error` is the outcome of the call if no further attempt is made.
+    Times are in seconds.
     """
 
     __slots__ = ('_deadline_s', '_redirects', '_retries', '_setup', 'error')
@@ -45,7 +47,7 @@
     def after_refusal(
         self, refusal: Refusal, now_s: float
     ) -> BackingOff | None:
-        """Return the wait before the next attempt, or None."""
+        """Return the wait before the next attempt; None ends the call."""
         # An earlier attempt of unknown outcome may have run.
         self.error = CallError(
             CallErrorKind.REFUSED,
@@ -61,12 +63,12 @@
     def after_unknown_outcome(
         self, now_s: float, *, idempotent: bool
     ) -> BackingOff | None:
-        """Return the wait before the next attempt, or None."""
+        """Return the wait before the next attempt; None ends the call."""
         self.error = CallError(CallErrorKind.UNKNOWN_OUTCOME, not_run=False)
         return self._retry(0.0, now_s) if idempotent else None
 
     def redirect(self, now_s: float) -> BackingOff:
-        """Count an attempt that follows at once, outside the budget."""
+        """Count an attempt that starts at once, outside the retry budget."""
         self._redirects += 1
         self._setup.events['redirects'] += 1
         return BackingOff(now_s)
--- a/greengagepath/client.py
+++ b/greengagepath/client.py
@@ -1,4 +1,4 @@
-"""Caller's library, under the name that programs import it by."""
+"""Public import path of the client library for callers."""
 
 from .caller.client import Client, HeldFlow
 
