Reword the descriptions of the caller tests

Cause: some test names and comments were figurative or did not say how the failure comes about. Change: names, docstrings and comments state the failure that each test guards against; assertions, inputs and the sources of the two hypothesis tests are unchanged.

--- a/tests/caller/builders.py
+++ b/tests/caller/builders.py
@@ -1,4 +1,4 @@
-"""A target and a network in virtual time for tests of calls."""
+"""Fake targets and a simulated network in virtual time."""
 
 import heapq
 from collections import Counter
@@ -47,7 +47,13 @@
 
 
 class FakeTarget:
-    """Runs requests at most once; `answer_bytes` sets the answer."""
+    """A target that runs each request at most once.
+
+    Its answers have a body of `answer_bytes` bytes, `duration_s` seconds
+    after the request is complete. `refusals` are the reasons with which
+    it refuses the next flows or requests. With `has_restarted` it
+    replies UNKNOWN_OUTCOME to each request.
+    """
 
     def __init__(self, name, answer_bytes=10, duration_s=0.01):
         self.name = name
@@ -174,7 +180,12 @@
 
 
 class CallWorld:
-    """Runs one call against targets; OPEN goes to the next of them."""
+    """Runs one call against targets; each OPEN reaches the next one.
+
+    The network loses the share `loss` of the datagrams, repeats 1 in 50,
+    and delays each by up to `spread_s` seconds more. Datagrams from and
+    to `silent_ports` are lost.
+    """
 
     def __init__(self, call, targets, seed=1, loss=0.0, spread_s=0.0):
         self.call = call
--- a/tests/caller/test_calls.py
+++ b/tests/caller/test_calls.py
@@ -1,4 +1,4 @@
-"""Calls in virtual time against fake targets."""
+"""Tests calls in virtual time against fake targets."""
 
 from itertools import repeat
 from random import Random
@@ -37,8 +37,8 @@
     def test_whole_answer_and_one_run(
         self, seed, loss, spread_s, answer_bytes, request_bytes
     ):
-        # Guards against incomplete answers and repeated runs when the
-        # network loses, reorders and duplicates datagrams.
+        # Guards against incomplete answers and requests that run twice
+        # when the network loses, reorders and duplicates datagrams.
         target = FakeTarget('a', answer_bytes)
         request = build_request(body=bytes(request_bytes))
         world = build_world(
@@ -48,8 +48,9 @@
         self.assertEqual(target.answer_body(request.request_id), answer.body)
         self.assertEqual({request.request_id: 1}, target.runs)
 
-    def test_first_accept_owns_the_flow(self):
-        # Guards against a request that is sent to two targets.
+    def test_second_accept_is_dropped(self):
+        # Guards against a request that is sent to two targets after
+        # both have accepted the same OPEN.
         targets = [FakeTarget('a'), FakeTarget('b')]
         setup = build_setup()
         world = build_world(targets, setup=setup)
@@ -64,8 +65,9 @@
 
 
 class RefusalTest(TestCase):
-    def test_refusal_is_retried_elsewhere(self):
-        # Guards against a caller that gives up while others have room.
+    def test_refused_request_is_retried_at_another_target(self):
+        # Guards against a call that fails because one target is full
+        # while another has room.
         targets = [FakeTarget('a'), FakeTarget('b')]
         targets[0].refusals = [RefusalReason.queue_full]
         setup = build_setup()
@@ -73,8 +75,8 @@
         self.assertTrue(world.run().is_ok())
         self.assertEqual(1, setup.events['retries'])
 
-    def test_budget_limits_retries(self):
-        # Guards against retries that add load to an overload.
+    def test_retry_budget_limits_retries(self):
+        # Guards against retries that make an overload worse.
         target = FakeTarget('a')
         target.refusals = list(repeat(RefusalReason.queue_full, 10))
         world = build_world([target], setup=build_setup(retry_share=0.0))
@@ -84,7 +86,8 @@
         self.assertEqual(1, world.open_count)
 
     def test_no_retry_after_the_deadline(self):
-        # Guards against work for a caller who has left.
+        # Guards against retries that run after the caller has stopped
+        # waiting.
         target = FakeTarget('a')
         target.refusals = list(repeat(RefusalReason.queue_full, 100))
         setup = build_setup(max_retries=1000, backoff_s=0.2)
@@ -92,8 +95,9 @@
         world.run()
         self.assertLessEqual(world.ended_s, 1.0 + 0.1)
 
-    def test_draining_target_is_left_without_budget(self):
-        # Guards against a planned drain that fails callers.
+    def test_redirect_from_draining_target_needs_no_budget(self):
+        # Guards against calls that fail during a planned drain because
+        # the retry budget is spent.
         targets = [FakeTarget('a'), FakeTarget('b')]
         targets[0].refusals = [RefusalReason.draining]
         world = build_world(targets, setup=build_setup(retry_share=0.0))
@@ -110,7 +114,8 @@
         return world.run(), targets[1].runs
 
     def test_non_idempotent_request_is_not_repeated(self):
-        # Guards against an order that is placed twice.
+        # Guards against an order that is placed twice because it is
+        # repeated after the target has restarted.
         outcome, runs = self.run_with_restart(idempotent=False)
         error = outcome.unwrap_err()
         self.assertEqual(CallErrorKind.UNKNOWN_OUTCOME, error.kind)
@@ -118,13 +123,14 @@
         self.assertFalse(runs)
 
     def test_idempotent_request_is_repeated(self):
-        # Guards against a look-up that fails when its target restarts.
+        # Guards against a lookup that fails when its target restarts.
         outcome, runs = self.run_with_restart(idempotent=True)
         self.assertTrue(outcome.is_ok())
         self.assertEqual(1, runs.total())
 
-    def test_idempotent_request_leaves_a_dead_target(self):
-        # Guards against a look-up that waits for a target that is gone.
+    def test_idempotent_request_is_repeated_after_silence(self):
+        # Guards against a lookup that waits until its deadline for a
+        # target that stopped responding.
         targets = [FakeTarget('a', duration_s=100), FakeTarget('b')]
         world = build_world(targets, build_request(idempotent=True))
         silence = {targets[0].token()}
@@ -140,7 +146,7 @@
 class SilentFlowTest(TestCase):
     def test_silent_flow_moves_to_a_new_port(self):
         # Guards against a request that is lost or repeated when its
-        # flow goes silent for ever while new ones work.
+        # flow goes silent permanently while new flows work.
         target = FakeTarget('a', duration_s=3.0)
         setup = build_setup()
         world = build_world([target], setup=setup)
@@ -157,7 +163,8 @@
         self.assertLess(world.ended_s, 3.5)
 
     def test_silent_idle_flow_is_replaced(self):
-        # Guards against a request sent to a target that left long ago.
+        # Guards against a request that is sent on a flow whose target
+        # has left while the flow was idle.
         targets = [FakeTarget('a'), FakeTarget('b')]
         flow = Flow(SERVICE, 5, b'gone'.ljust(32, b'.'), -10.0)
         targets[0].answers_open = True
@@ -167,8 +174,9 @@
         self.assertTrue(world.run().is_ok())
         self.assertLess(world.ended_s, 2.0)
 
-    def test_restarted_target_of_an_idle_flow(self):
-        # Guards against "may have run" for a request that was not sent.
+    def test_idle_flow_of_a_restarted_target_is_replaced(self):
+        # Guards against the error "may have run" for a request that was
+        # not sent: the restarted target replies UNKNOWN_OUTCOME to PING.
         targets = [FakeTarget('a')]
         flow = Flow(SERVICE, 5, b'old'.ljust(32, b'.'), -10.0)
         world = build_world(targets, flow=flow)
@@ -182,8 +190,9 @@
 
 
 class EndTest(TestCase):
-    def test_deadline_cancels(self):
-        # Guards against work that goes on for a caller who has left.
+    def test_deadline_cancels_the_request(self):
+        # Guards against a target that still runs a request after its
+        # deadline.
         target = FakeTarget('a', duration_s=5.0)
         world = build_world([target], deadline_s=1.0)
         error = world.run().unwrap_err()
@@ -191,8 +200,9 @@
         self.assertFalse(error.not_run)
         self.assertTrue(target.cancelled)
 
-    def test_cancellation_before_the_request(self):
-        # Guards against a "may have run" that is certainly not true.
+    def test_cancellation_before_the_request_is_sent(self):
+        # Guards against the error "may have run" for a request that has
+        # certainly not run.
         world = build_world([FakeTarget('a')])
         world.call.cancel()
         error = world.call.outcome.unwrap_err()
@@ -200,7 +210,8 @@
         self.assertTrue(error.not_run)
 
     def test_unreachable_service(self):
-        # Guards against OPEN sent without limit to nobody.
+        # Guards against OPEN that is resent without limit if no target
+        # replies.
         target = FakeTarget('a')
         target.answers_open = False
         world = build_world([target])
@@ -210,7 +221,8 @@
         self.assertLess(world.sent_by_kind[Kind.OPEN], 25)
 
     def test_large_answer_is_refused(self):
-        # Guards against memory use beyond the limit.
+        # Guards against memory use beyond the limit for an answer that
+        # is larger than allowed.
         target = FakeTarget('a', answer_bytes=50_000)
         setup = build_setup(max_answer_bytes=10_000)
         error = build_world([target], setup=setup).run().unwrap_err()
@@ -236,7 +248,8 @@
         return setup.drops
 
     def test_answer_of_another_flow(self):
-        # Guards against an answer that reaches the wrong caller.
+        # Guards against an answer that reaches the wrong caller: the
+        # datagram has the id of another flow.
         def change(datagram):
             datagram = datagram.encode()
             return b''.join((datagram[:8], b'otherflo', datagram[16:]))
@@ -244,7 +257,8 @@
         self.assertGreater(self.run_with(change)[CallDrop.WRONG_FLOW], 0)
 
     def test_answer_of_another_request(self):
-        # Guards against an answer to an earlier request of the flow.
+        # Guards against an answer to another request of the same flow
+        # that is taken for the answer to this one.
         def change(datagram):
             encoded = datagram.encode()
             return b''.join((encoded[:48], b'\0\0\0\x63', encoded[52:]))
@@ -252,13 +266,15 @@
         self.assertGreater(self.run_with(change)[CallDrop.WRONG_REQUEST], 0)
 
     def test_truncated_datagrams(self):
-        # Guards against a datagram that ends the caller's process.
+        # Guards against an exception in the caller on a datagram that
+        # is too short.
         drops = self.run_with(lambda datagram: datagram.encode()[:59])
         self.assertGreater(drops[CallDrop.MALFORMED], 0)
 
     @given(st.integers(0, 2**32), st.sampled_from(Kind), st.binary())
     def test_any_datagram_of_the_flow(self, seed, kind, body):
-        # Fuzz target of the caller: any body of any kind.
+        # Guards against an exception in the caller on datagrams of any
+        # kind and with any body.
         source = Random(seed)
         flow = Flow(SERVICE, 5, b't' * 32, 0.0)
         call = Call(SERVICE, build_request(), build_setup(), 10.0, 0.0, flow)
--- a/tests/caller/test_client.py
+++ b/tests/caller/test_client.py
@@ -1,4 +1,4 @@
-"""The client's sockets against a target on 127.0.0.1."""
+"""Tests the client against a fake target on 127.0.0.1."""
 
 import importlib
 import socket
@@ -76,7 +76,7 @@
         return self.client.create_request(1, 'POST', '/orders')
 
     def test_calls_at_the_same_time(self):
-        # Guards against answers that reach another caller.
+        # Guards against answers that reach another call of the client.
         requests = [self.create_request() for _ in range(50)]
         pending = [
             self.client.start(self.server.service, request, 5.0)
@@ -91,7 +91,8 @@
         self.assertEqual(50, self.target.runs.total())
 
     def test_cancellation_reaches_the_target(self):
-        # Guards against work that goes on after the caller has left.
+        # Guards against a target that still runs a request after the
+        # caller has cancelled it.
         self.target.duration_s = 5.0
         call = self.client.start(
             self.server.service, self.create_request(), 10.0
@@ -104,15 +105,17 @@
         self.assertTrue(self.target.cancelled)
 
     def test_cancellation_before_the_start(self):
-        # Guards against a call that starts although it was cancelled.
+        # Guards against a call that is sent although it was cancelled
+        # before its greenlet first ran.
         call = self.client.start(
             self.server.service, self.create_request(), 10.0
         )
         call.cancel()
         self.assertTrue(call.wait().unwrap_err().not_run)
 
-    def test_silent_port_is_left(self):
-        # Guards against a request that hangs on a dead connection.
+    def test_silent_port_is_replaced(self):
+        # Guards against a request that waits until its deadline because
+        # the network drops all datagrams of its local port.
         self.target.duration_s = 0.3
         call = self.client.start(
             self.server.service, self.create_request(), 10.0
@@ -126,7 +129,8 @@
         self.assertEqual(1, self.target.runs.total())
 
     def test_held_flow_carries_many_requests(self):
-        # Guards against a long flow that opens again for each request.
+        # Guards against a held flow that is opened again for each
+        # request.
         held = self.client.hold_flow(self.server.service)
         self.addCleanup(held.close)
         pending = [
@@ -140,17 +144,18 @@
         self.assertEqual(1, self.client.setup.events['flows_opened'])
 
     def test_lost_last_ack_is_repeated(self):
-        # Guards against a target that resends an answer until it gives up.
+        # Guards against a target that resends an answer until the
+        # transfer times out, because the last ACK was lost.
         lost = []
         receive = self.target.receive
 
-        def lose_first_ack(datagram, *arguments):
+        def drop_first_ack(datagram, *arguments):
             if datagram.kind is Kind.ANSWER_ACK and not lost:
                 lost.append(datagram)
                 return None
             return receive(datagram, *arguments)
 
-        self.target.receive = lose_first_ack
+        self.target.receive = drop_first_ack
         outcome = self.client.call(
             self.server.service, self.create_request(), 5.0
         )
@@ -163,6 +168,7 @@
 
 class PublicNameTest(TestCase):
     def test_programs_import_the_client_by_its_documented_name(self):
-        # Guards against programs that break when modules move.
+        # Guards against programs that fail to import the client after
+        # modules of the package have moved.
         module = importlib.import_module('greengagepath.client')
         self.assertIs(Client, module.Client)
--- a/tests/caller/test_hedging.py
+++ b/tests/caller/test_hedging.py
@@ -1,4 +1,4 @@
-"""Second attempts of idempotent requests, against slow targets."""
+"""Tests hedged calls against slow targets."""
 
 import time
 
@@ -18,7 +18,7 @@
 
 
 class AlternatingTargets:
-    """Gives each new flow to the next of several targets."""
+    """Sends each new flow to the next of several targets."""
 
     def __init__(self, *targets):
         self.targets = targets
@@ -51,7 +51,8 @@
         return self.client.start(self.server.service, request, DEADLINE_S)
 
     def test_straggler_is_answered_by_a_second_target(self):
-        # Guards against a short look-up that is lost to one slow run.
+        # Guards against a short lookup that misses its deadline because
+        # one target is slow.
         started_s = time.monotonic()
         outcome = self.start(idempotent=True).wait()
         self.assertTrue(outcome.is_ok())
@@ -69,12 +70,13 @@
         self.assertEqual(0, self.fast.runs.total())
 
     def test_long_work_is_not_hedged(self):
-        # Guards against doubling the work that loads targets most.
+        # Guards against a second run of long requests, which load the
+        # targets most.
         self.start(idempotent=True, size_code=SizeCode.LONG).wait()
         self.assertEqual(0, self.fast.runs.total())
 
     def test_spent_budget_allows_no_second_attempt(self):
-        # Guards against hedges that double the load of an overload.
+        # Guards against hedges that double the load during an overload.
         retry_budget = self.client.setup.retry_budget
         while retry_budget.tokens >= 1:
             retry_budget.try_retry()
@@ -83,7 +85,8 @@
         self.assertEqual(0, self.client.setup.events['hedges'])
 
     def test_cancellation_ends_both_attempts(self):
-        # Guards against a second attempt that outlives its caller.
+        # Guards against a second attempt that still runs after the
+        # caller has cancelled the call.
         self.fast.duration_s = SLOW_S
         call = self.start(idempotent=True)
         gevent.sleep(DEADLINE_S / 2)
@@ -97,7 +100,7 @@
 
 class HedgeDelaysTest(TestCase):
     def test_delay_follows_the_usual_latency(self):
-        # Guards against hedges of requests that take their usual time.
+        # Guards against hedges of requests that take as long as usual.
         delays = HedgeDelays()
         for _ in range(MIN_SAMPLES):
             delays.record('status', 0.2)
@@ -105,7 +108,8 @@
         self.assertLess(delays.delay_s('status', 10.0), 0.5)
 
     def test_half_of_the_deadline_is_left(self):
-        # Guards against a second attempt that comes too late to help.
+        # Guards against a second attempt that starts too late to be
+        # answered before the deadline.
         delays = HedgeDelays()
         for _ in range(MIN_SAMPLES):
             delays.record('status', 0.9)
--- a/tests/operator/test_call.py
+++ b/tests/operator/test_call.py
@@ -18,13 +18,13 @@
 
 
 class RecordingClient(Client):
-    """Answers from the test; keeps what was asked."""
+    """Returns the outcome set by the test; records the call."""
 
     outcome = None
-    asked = None
+    last_call = None
 
     def call(self, service, request, deadline_s, held=None):
-        RecordingClient.asked = (service, request, deadline_s)
+        RecordingClient.last_call = (service, request, deadline_s)
         if RecordingClient.outcome is None:
             return Ok(
                 Answer(request_id=request.request_id, status=200, body=b'valid')
@@ -51,13 +51,14 @@
             )
 
     def test_request_follows_the_operation(self):
-        # Guards against a non-idempotent request that may be repeated.
+        # Guards against a request that is sent as idempotent although
+        # its operation is not, so that it may be repeated.
         code = self.call(
             'licence-core', 'renewal', '--customer', 'joondalup-cars'
         )
         self.assertEqual(ExitCode.OK, code)
         self.assertEqual(b'valid', self.out.buffer.getvalue())
-        service, request, deadline_s = RecordingClient.asked
+        service, request, deadline_s = RecordingClient.last_call
         core = self.services[0]
         self.assertEqual(core.service_id, service.service_id)
         self.assertEqual((core.host, core.port), service.address)
@@ -67,8 +68,9 @@
         self.assertEqual(core.customers[2].customer_id, request.customer_id)
         self.assertEqual(10, deadline_s)
 
-    def test_failures_say_whether_the_request_ran(self):
-        # Guards against an operator who repeats what may have run.
+    def test_failures_state_whether_the_request_may_have_run(self):
+        # Guards against an operator who repeats a request that may have
+        # run because the message does not say so.
         for kind, reason, not_run, expected in (
             (CallErrorKind.DEADLINE, None, False, ExitCode.TIMEOUT),
             (CallErrorKind.UNREACHABLE, None, True, ExitCode.UNREACHABLE),
@@ -88,14 +90,17 @@
             self.assertIn(str(reason or kind), self.err.getvalue())
 
     def test_error_status_of_the_service_is_a_failure(self):
-        # Guards against scripts that take an error page for an answer.
+        # Guards against scripts that use the body of an error status as
+        # the answer.
         answer = Answer(request_id=b'', status=503, body=b'down')
         self.patch(RecordingClient, 'outcome', Ok(answer))
         code = self.call('licence-core', 'status-check')
         self.assertEqual(ExitCode.FAILURE, code)
 
     def test_unknown_names_list_the_known_ones(self):
-        # Guards against a request sent under a wrong name.
+        # Guards against a request that is sent although the service,
+        # operation or customer is unknown, and against a message that
+        # does not list the known names.
         for arguments in (
             ('core', 'renewal'),
             ('licence-core', 'renew'),
