Rename ControlPaths of the emulator to ControlClient

The class is an HTTP client for the control endpoints of the stand-ins; its name and the attribute control_paths of Deployment read like a list of paths. Both are renamed wherever they are used.

--- a/greengagepath/emulator/control_paths.py
+++ b/greengagepath/emulator/control_paths.py
@@ -16,7 +16,7 @@
 MS_PER_S = 1000
 
 
-class ControlPaths:
+class ControlClient:
     """Faults and figures of the platform and the fabric."""
 
     def __init__(self, platform_port: int, fabric_port: int) -> None:
--- a/greengagepath/emulator/demo.py
+++ b/greengagepath/emulator/demo.py
@@ -166,7 +166,7 @@
         )
         path.write_text(changed)
         accepted_ms = self._change('apply', 'configuration.toml')
-        version = self._deployment.control_paths.read_stored_version()
+        version = self._deployment.control_client.read_stored_version()
         wait_until(
             lambda: self._is_in_force(version),
             f'version {version} in force',
@@ -176,13 +176,13 @@
 
     def _change(self, command: str, argument: str) -> float:
         """Start a command of the tool; return when its write was seen."""
-        before = self._deployment.control_paths.read_stored_version()
+        before = self._deployment.control_client.read_stored_version()
         self._deployment.processes.start(
             f'tool-{command}', 'greengagepath', command, argument
         )
         wait_until(
             lambda: (
-                self._deployment.control_paths.read_stored_version() > before
+                self._deployment.control_client.read_stored_version() > before
             ),
             f'{command} accepted',
             IN_FORCE_TIMEOUT_S,
--- a/greengagepath/emulator/deployment.py
+++ b/greengagepath/emulator/deployment.py
@@ -22,7 +22,7 @@
     OperationAnswers,
     ServiceAnswers,
 )
-from .control_paths import ControlPaths, fetch
+from .control_paths import ControlClient, fetch
 from .fabric import BalancerEntry, FabricConfig
 from .processes import (
     LOCAL_HOST,
@@ -81,7 +81,7 @@
         self.targets_by_name: dict[str, TargetProcess] = {}
         self._port_pool = PortPool()
         self._ports = DeploymentPorts(*self._port_pool.find(3))
-        self.control_paths = ControlPaths(
+        self.control_client = ControlClient(
             self._ports.platform, self._ports.fabric_control
         )
         self._settings_files = SettingsFiles(
@@ -118,7 +118,7 @@
         )
         self.balancers_by_name[balancer.name] = balancer
         self.restart(balancer.name)
-        self.control_paths.announce_balancers(
+        self.control_client.announce_balancers(
             [
                 BalancerEntry(LOCAL_HOST, entry.data_port, entry.status_port)
                 for entry in self.balancers_by_name.values()
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -148,7 +148,7 @@
 
     def test_lossy_fabric(self):
         # Guards against work that a repeated datagram runs twice.
-        faults = self.deployment.control_paths.set_fabric_faults
+        faults = self.deployment.control_client.set_fabric_faults
         self.addCleanup(faults)
         faults(loss=0.02, duplication=0.02, reordering=0.05)
         counts = self.run_load()
@@ -157,7 +157,7 @@
     def test_object_api_outage(self):
         # Guards against traffic that needs the object API, and against
         # a command that hangs or claims success without it.
-        faults = self.deployment.control_paths.set_platform_faults
+        faults = self.deployment.control_client.set_platform_faults
         self.addCleanup(faults)
         faults(down=True)
         counts = self.run_load(
@@ -171,13 +171,13 @@
     def test_lost_answer_of_a_write(self):
         # Guards against a change that is repeated, or taken for
         # somebody else's, because the answer of its write was lost.
-        faults = self.deployment.control_paths.set_platform_faults
+        faults = self.deployment.control_client.set_platform_faults
         self.addCleanup(faults)
         faults(lose_answers=1.0)
-        before = self.deployment.control_paths.read_stored_version()
+        before = self.deployment.control_client.read_stored_version()
         done = run_tool(self.deployment.folder, 'drain', 'order-desk-1')
         self.assertEqual(ExitCode.OK, done.returncode, done.stderr)
-        after = self.deployment.control_paths.read_stored_version()
+        after = self.deployment.control_client.read_stored_version()
         self.assertGreater(after, before)
         faults()
         done = run_tool(self.deployment.folder, 'undrain', 'order-desk-1')
