Rename Deployment.restart of the emulator to start_daemon

The method also starts a daemon for the first time, which the old name hid. It is renamed wherever it is used.

--- a/greengagepath/emulator/deployment.py
+++ b/greengagepath/emulator/deployment.py
@@ -117,7 +117,7 @@
             f'balancer-{number}', *self._port_pool.find(3), _pick_zone(number)
         )
         self.balancers_by_name[balancer.name] = balancer
-        self.restart(balancer.name)
+        self.start_daemon(balancer.name)
         self.control_client.announce_balancers(
             [
                 BalancerEntry(LOCAL_HOST, entry.data_port, entry.status_port)
@@ -142,10 +142,10 @@
         )
         self.targets_by_name[target.name] = target
         self._start_back_end(target, cold=cold)
-        self.restart(target.name)
+        self.start_daemon(target.name)
         return target.name
 
-    def restart(self, name: str) -> None:
+    def start_daemon(self, name: str) -> None:
         """Start the daemon of a balancer or of a target's agent."""
         path = self._write_settings(name)
         self.processes.start(name, DAEMON, '--config', str(path))
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -68,7 +68,7 @@
 
     def restart(self, name):
         self.deployment.processes.wait(name, STOP_TIMEOUT_S)
-        self.deployment.restart(name)
+        self.deployment.start_daemon(name)
         self.deployment.wait_until_ready(name)
 
     def assert_nothing_lost(self, counts):
--- a/tools/mixed_builds.py
+++ b/tools/mixed_builds.py
@@ -92,7 +92,7 @@
         for name in self._daemon_names():
             self.processes.send_signal(name, signal.SIGTERM)
             self.processes.wait(name, STOP_S)
-            self.restart(name)
+            self.start_daemon(name)
             self.wait_until_ready(name)
 
 
