Rename vague names inside the emulator to the terms of the field

HTTP requests and responses of the stand-ins were called Call and Reply, the error of a failed deployment StartError, ports were "found" instead of allocated, and the ephemeral port range was named after outgoing connections. These and some private names get the usual terms. No name that is used outside the emulator and its tests changes.

--- a/greengagepath/emulator/backend.py
+++ b/greengagepath/emulator/backend.py
@@ -23,12 +23,12 @@
 
 from .http_server import (
     GATEWAY_TIMEOUT,
+    SERVICE_UNAVAILABLE,
     STATUS_OK,
-    UNAVAILABLE,
-    Call,
-    Reply,
+    HttpRequest,
+    HttpResponse,
+    json_response,
     make_server,
-    reply_json,
 )
 
 MS_PER_S = 1000
@@ -71,10 +71,10 @@
 
 
 @dataclass(slots=True)
-class Load:
+class LoadSample:
     """Load as the back end reports it, which lags behind the truth."""
 
-    taken_s: float = 0.0
+    sampled_s: float = 0.0
     running: int = 0
     waiting: int = 0
 
@@ -87,74 +87,83 @@
         self._rng = random.Random(options.seed)
         self._slots = BoundedSemaphore(options.slots)
         self._started_s = time.monotonic()
-        self._load = Load()
+        self._load_sample = LoadSample()
         self._running = 0
         self._waiting = 0
         self.runs: list[Run] = []
 
-    def answer(self, call: Call) -> Reply:
-        """Answer one call."""
-        match call.path:
+    def handle_request(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        match request.path:
             case '/health':
                 # Misleads on purpose: says healthy whatever happens.
-                return reply_json({'healthy': True})
+                return json_response({'healthy': True})
             case '/load':
-                return reply_json(self._report_load())
+                return json_response(self._report_load())
             case '/control/runs':
-                return reply_json(msgspec.to_builtins(self.runs))
-        return self._admit(call)
+                return json_response(msgspec.to_builtins(self.runs))
+        return self._admit(request)
 
     def _report_load(self) -> dict[str, int]:
         now_s = time.monotonic()
-        if now_s - self._load.taken_s > LOAD_LAG_S:
-            self._load = Load(now_s, self._running, self._waiting)
-        return {'running': self._load.running, 'waiting': self._load.waiting}
-
-    def _admit(self, call: Call) -> Reply:
+        if now_s - self._load_sample.sampled_s > LOAD_LAG_S:
+            self._load_sample = LoadSample(now_s, self._running, self._waiting)
+        return {
+            'running': self._load_sample.running,
+            'waiting': self._load_sample.waiting,
+        }
+
+    def _admit(self, request: HttpRequest) -> HttpResponse:
         if self._waiting >= self._options.backlog:
-            return Reply(UNAVAILABLE, headers=(('X-Not-Run', '1'),))
+            return HttpResponse(
+                SERVICE_UNAVAILABLE, headers=(('X-Not-Run', '1'),)
+            )
         self._waiting += 1
         self._slots.acquire()
         self._waiting -= 1
         self._running += 1
-        reply = self._run(call)
+        response = self._run(request)
         self._running -= 1
         self._slots.release()
-        return reply
+        return response
 
-    def _run(self, call: Call) -> Reply:
+    def _run(self, request: HttpRequest) -> HttpResponse:
         run = Run(
-            request_id=call.headers.get('x-request-id', ''),
-            service_id=call.headers.get('x-service', ''),
-            customer=call.headers.get('x-customer', ''),
+            request_id=request.headers.get('x-request-id', ''),
+            service_id=request.headers.get('x-service', ''),
+            customer=request.headers.get('x-customer', ''),
             started_ms=time.time() * MS_PER_S,
-            path=call.path,
+            path=request.path,
         )
         self.runs.append(run)
-        run.ended = self._work(call)
+        run.ended = self._simulate_work(request)
         if run.ended != 'answered':
-            return Reply(GATEWAY_TIMEOUT)
-        body = make_body(run.request_id, int(call.query.get('bytes', '64')))
-        return Reply(STATUS_OK, body, self._describe(run, body))
+            return HttpResponse(GATEWAY_TIMEOUT)
+        body = make_body(run.request_id, int(request.query.get('bytes', '64')))
+        return HttpResponse(STATUS_OK, body, self._answer_headers(run, body))
 
-    def _describe(self, run: Run, body: bytes) -> tuple[tuple[str, str], ...]:
+    def _answer_headers(
+        self, run: Run, body: bytes
+    ) -> tuple[tuple[str, str], ...]:
         return (
             ('X-Checksum', checksum(body)),
             ('X-Run-Of', run.request_id),
             ('X-Service', str(self._options.service)),
         )
 
-    def _work(self, call: Call) -> str:
+    def _simulate_work(self, request: HttpRequest) -> str:
         """Spend the work; return how the run ended."""
-        left_s = int(call.query.get('work_ms', '5')) / MS_PER_S
+        left_s = int(request.query.get('work_ms', '5')) / MS_PER_S
         left_s *= self._slowdown()
-        deadline_s = int(call.headers.get('x-deadline-ms', '60000')) / MS_PER_S
+        deadline_s = (
+            int(request.headers.get('x-deadline-ms', '60000')) / MS_PER_S
+        )
         while left_s > 0:
             step_s = min(left_s, CANCEL_CHECK_S)
             gevent.sleep(step_s)
             left_s -= step_s
             deadline_s -= step_s
-            if _is_closed(call.connection):
+            if _is_closed(request.connection):
                 return 'cancelled'
             if deadline_s <= 0:
                 return 'deadline'
@@ -202,7 +211,9 @@
     monkey.patch_all()
     options = cappa.parse(BackendOptions)
     backend = Backend(options)
-    make_server(options.host, options.port, backend.answer).serve_forever()
+    make_server(
+        options.host, options.port, backend.handle_request
+    ).serve_forever()
 
 
 if __name__ == '__main__':
--- a/greengagepath/emulator/control_paths.py
+++ b/greengagepath/emulator/control_paths.py
@@ -9,7 +9,7 @@
 from .backend import Run
 from .fabric import BalancerEntry
 from .http_server import STATUS_OK
-from .processes import LOCAL_HOST, StartError
+from .processes import LOCAL_HOST, DeploymentError
 
 HTTP_TIMEOUT_S = 3.0
 HTTP_OK = int(STATUS_OK.split()[0])
@@ -31,7 +31,7 @@
         """Replace the faults of the fabric; see `fabric.FabricFaults`."""
         _post(self._fabric_port, 'faults', faults)
 
-    def announce_balancers(self, entries: list[BalancerEntry]) -> None:
+    def set_balancers(self, entries: list[BalancerEntry]) -> None:
         """Tell the fabric which balancers there are."""
         listed = msgspec.to_builtins(entries)
         _post(self._fabric_port, 'balancers', listed)
@@ -44,10 +44,10 @@
 
 
 def read_runs(back_end_port: int) -> list[Run]:
-    """Return the runs that a back end counted; raises StartError."""
+    """Return the runs that a back end counted; raises DeploymentError."""
     body = fetch(back_end_port, '/control/runs')
     if body is None:
-        raise StartError(f'the back end at port {back_end_port} is gone')
+        raise DeploymentError(f'the back end at port {back_end_port} is gone')
     return msgspec.json.decode(body, type=list[Run])
 
 
@@ -73,4 +73,4 @@
 def _post(port: int, path: str, payload: object) -> None:
     body = json.dumps(payload).encode()
     if fetch(port, f'/control/{path}', body) is None:
-        raise StartError(f'no answer from /control/{path}')
+        raise DeploymentError(f'no answer from /control/{path}')
--- a/greengagepath/emulator/demo.py
+++ b/greengagepath/emulator/demo.py
@@ -28,8 +28,8 @@
 from .control_paths import now_ms, read_runs
 from .deployment import Deployment
 from .load import CallOutcome, LoadOperation, LoadPlan
-from .processes import LOCAL_HOST, StartError, wait_until
-from .verdict import Verdict, count_outcomes, is_lost, judge
+from .processes import LOCAL_HOST, DeploymentError, wait_until
+from .verdict import Verdict, count_outcomes, evaluate, is_lost
 
 LOAD_TIMEOUT_S = 60.0
 IN_FORCE_TIMEOUT_S = 10.0
@@ -63,10 +63,10 @@
 
 
 @dataclass(slots=True)
-class Events:
+class Measurements:
     """What the timeline of a run measured, in ms."""
 
-    drained: str = ''
+    drained_target: str = ''
     drained_ms: float = 0.0
     in_force_ms: float = float('nan')
 
@@ -81,7 +81,7 @@
         deployment = Deployment(Path(name), options.scenario, options.seed)
         try:
             verdict = _run(deployment, options, console)
-        except StartError as error:
+        except DeploymentError as error:
             console.print(f'demo failed: {error}', markup=False)
             _show_logs(Path(name), console)
             return ExitCode.FAILURE
@@ -104,12 +104,12 @@
             open_connections(deployment.folder / 'greengagepath.toml')
         )
         timeline = Timeline(deployment, opened.unwrap(), console)
-        events = timeline.run(options.seconds)
+        measurements = timeline.run(options.seconds)
     console.print('waiting for the last answers')
     outcomes = collect_outcomes(deployment, names)
     for outcome in filter(is_lost, outcomes):
         console.print('lost:', msgspec.to_builtins(outcome))
-    return _judge_run(deployment, outcomes, events)
+    return _evaluate_run(deployment, outcomes, measurements)
 
 
 class Timeline:
@@ -124,9 +124,9 @@
         self._deployment = deployment
         self._connections = connections
         self._console = console
-        self._events = Events()
+        self._measurements = Measurements()
 
-    def run(self, seconds: float) -> Events:
+    def run(self, seconds: float) -> Measurements:
         """Work through the timeline; return what was measured."""
         started_s = time.monotonic()
         steps: tuple[tuple[float, str, Callable[[], None]], ...] = (
@@ -134,14 +134,14 @@
             (0.3, 'starting a balancer', self._start_balancer),
             (0.4, 'draining a target', self._drain_target),
             (0.55, 'adding a target', self._add_target),
-            (0.7, 'applying a new configuration', self._apply),
+            (0.7, 'applying a new configuration', self._apply_configuration),
         )
         for share, what, action in steps:
             left_s = started_s + share * seconds - time.monotonic()
             time.sleep(max(left_s, 0.0))
             self._console.print(f'{share:4.0%}  {what}', markup=False)
             action()
-        return self._events
+        return self._measurements
 
     def _kill_balancer(self) -> None:
         self._deployment.processes.send_signal('balancer-1', signal.SIGKILL)
@@ -151,30 +151,30 @@
 
     def _drain_target(self) -> None:
         target = next(iter(self._deployment.targets_by_name))
-        self._events.drained = target
-        accepted_ms = self._change('drain', target)
-        self._events.drained_ms = accepted_ms
+        self._measurements.drained_target = target
+        accepted_ms = self._start_change('drain', target)
+        self._measurements.drained_ms = accepted_ms
 
     def _add_target(self) -> None:
         service_id = self._deployment.services[0].service_id
         self._deployment.start_target(service_id, cold=True)
 
-    def _apply(self) -> None:
+    def _apply_configuration(self) -> None:
         path = self._deployment.folder / 'configuration.toml'
         changed = path.read_text().replace(
             'retry_share = 0.1', 'retry_share = 0.12'
         )
         path.write_text(changed)
-        accepted_ms = self._change('apply', 'configuration.toml')
+        accepted_ms = self._start_change('apply', 'configuration.toml')
         version = self._deployment.control_client.read_stored_version()
         wait_until(
             lambda: self._is_in_force(version),
             f'version {version} in force',
             IN_FORCE_TIMEOUT_S,
         )
-        self._events.in_force_ms = round(now_ms() - accepted_ms, 1)
+        self._measurements.in_force_ms = round(now_ms() - accepted_ms, 1)
 
-    def _change(self, command: str, argument: str) -> float:
+    def _start_change(self, command: str, argument: str) -> float:
         """Start a command of the tool; return when its write was seen."""
         before = self._deployment.control_client.read_stored_version()
         self._deployment.processes.start(
@@ -255,7 +255,7 @@
 ) -> list[CallOutcome]:
     """Wait for the load processes and return all their outcomes.
 
-    Raises StartError if one of them failed.
+    Raises DeploymentError if one of them failed.
     """
     outcomes: list[CallOutcome] = []
     decoder = msgspec.json.Decoder(CallOutcome)
@@ -263,7 +263,7 @@
     for name in names:
         code = deployment.processes.wait(name, end_s - time.monotonic())
         if code != 0:
-            raise StartError(f'{name} ended with {code}')
+            raise DeploymentError(f'{name} ended with {code}')
         path = deployment.folder / f'{name}.jsonl'
         outcomes.extend(
             decoder.decode(line) for line in path.read_bytes().splitlines()
@@ -281,21 +281,23 @@
     return runs_by_service
 
 
-def _judge_run(
-    deployment: Deployment, outcomes: list[CallOutcome], events: Events
+def _evaluate_run(
+    deployment: Deployment,
+    outcomes: list[CallOutcome],
+    measurements: Measurements,
 ) -> Verdict:
-    drained = deployment.targets_by_name[events.drained]
+    drained = deployment.targets_by_name[measurements.drained_target]
     last_start_ms = max(
         (run.started_ms for run in read_runs(drained.back_end_port)),
-        default=events.drained_ms,
+        default=measurements.drained_ms,
     )
-    return judge(
+    return evaluate(
         Verdict(
             scenario=deployment.scenario,
             seed=deployment.seed,
-            config_in_force_ms=events.in_force_ms,
+            config_in_force_ms=measurements.in_force_ms,
             drain_new_work_after_ms=round(
-                max(last_start_ms - events.drained_ms, 0.0), 1
+                max(last_start_ms - measurements.drained_ms, 0.0), 1
             ),
             **count_outcomes(outcomes, collect_runs(deployment)),
         )
@@ -305,12 +307,12 @@
 def _plan_operation(
     service: Service,
     operation: Operation,
-    answered: OperationAnswers,
+    answers: OperationAnswers,
     *,
     share: float,
 ) -> LoadOperation:
-    work_ms = min(answered.typical_ms, MAX_WORK_MS)
-    size = round(answered.answer_kb * BYTES_PER_KB * USUAL_ANSWER_SHARE)
+    work_ms = min(answers.typical_ms, MAX_WORK_MS)
+    size = round(answers.answer_kb * BYTES_PER_KB * USUAL_ANSWER_SHARE)
     query = f'work_ms={work_ms}&bytes={min(size, MAX_USUAL_ANSWER_BYTES)}'
     is_long = operation.size_class == SizeClass.long
     return LoadOperation(
@@ -324,7 +326,7 @@
         idempotent=operation.idempotent,
         size_code=_SIZE_CODES[operation.size_class],
         deadline_ms=operation.deadline_ms,
-        rate_per_s=answered.usual_per_s * share,
+        rate_per_s=answers.usual_per_s * share,
         held_flows=0 if is_long else HELD_FLOWS,
     )
 
--- a/greengagepath/emulator/deployment.py
+++ b/greengagepath/emulator/deployment.py
@@ -26,9 +26,9 @@
 from .fabric import BalancerEntry, FabricConfig
 from .processes import (
     LOCAL_HOST,
+    DeploymentError,
     PortPool,
     ProcessGroup,
-    StartError,
     run_tool,
     wait_until,
 )
@@ -43,7 +43,7 @@
 # More than any service of the examples has.
 ALL_TARGETS = 1000
 # The demo fetches an answer of 20 MB from the service with long work.
-LARGE_FROM_KB = 16_384
+MIN_LARGE_ANSWER_KB = 16_384
 LARGEST_ANSWER_KB = 24_000
 DAEMON = 'greengagepath.daemon'
 EXAMPLES_DIR = Path(__file__).resolve().parents[2] / 'examples'
@@ -80,7 +80,7 @@
         self.balancers_by_name: dict[str, BalancerProcess] = {}
         self.targets_by_name: dict[str, TargetProcess] = {}
         self._port_pool = PortPool()
-        self._ports = DeploymentPorts(*self._port_pool.find(3))
+        self._ports = DeploymentPorts(*self._port_pool.allocate(3))
         self.control_client = ControlClient(
             self._ports.platform, self._ports.fabric_control
         )
@@ -91,7 +91,7 @@
     def start(self, balancer_count: int = 3) -> None:
         """Start everything and bring the first configuration into force.
 
-        Raises StartError if a process does not become ready.
+        Raises DeploymentError if a process does not become ready.
         """
         self._generate_configuration()
         self._start_stand_ins()
@@ -114,11 +114,13 @@
         """Start one more balancer behind the fabric; return its name."""
         number = len(self.balancers_by_name) + 1
         balancer = BalancerProcess(
-            f'balancer-{number}', *self._port_pool.find(3), _pick_zone(number)
+            f'balancer-{number}',
+            *self._port_pool.allocate(3),
+            _pick_zone(number),
         )
         self.balancers_by_name[balancer.name] = balancer
         self.start_daemon(balancer.name)
-        self.control_client.announce_balancers(
+        self.control_client.set_balancers(
             [
                 BalancerEntry(LOCAL_HOST, entry.data_port, entry.status_port)
                 for entry in self.balancers_by_name.values()
@@ -136,7 +138,7 @@
         target = TargetProcess(
             f'{service.name}-{number + 1}',
             service_id,
-            *self._port_pool.find(4),
+            *self._port_pool.allocate(4),
             _pick_zone(number),
             SPEEDS[number % len(SPEEDS)],
         )
@@ -189,10 +191,10 @@
         return fetch(daemons[name].status_port, '/readyz') is not None
 
     def run_tool(self, command: str, *arguments: str) -> str:
-        """Run a command of the tool; raises StartError if it fails."""
+        """Run a command of the tool; raises DeploymentError if it fails."""
         done = run_tool(self.folder, command, *arguments)
         if done.returncode:
-            raise StartError(
+            raise DeploymentError(
                 f'greengagepath {command} ended with {done.returncode}:'
                 f' {done.stdout}{done.stderr}'
             )
@@ -204,7 +206,7 @@
             case Ok(answers):
                 local = _make_local(answers, self._port_pool)
             case Err(problems):
-                raise StartError('; '.join(map(str, problems)))
+                raise DeploymentError('; '.join(map(str, problems)))
         answers_path = self.folder / 'answers.toml'
         answers_path.write_text(tomli_w.dumps(msgspec.to_builtins(local)))
         self.run_tool('init', '--answers', 'answers.toml')
@@ -272,7 +274,7 @@
 
 
 def _make_local(answers: Answers, port_pool: PortPool) -> Answers:
-    ports = port_pool.find(len(answers.services))
+    ports = port_pool.allocate(len(answers.services))
     services = [
         _make_service_local(service, port)
         for service, port in zip(answers.services, ports, strict=True)
@@ -281,14 +283,14 @@
 
 
 def _make_service_local(service: ServiceAnswers, port: int) -> ServiceAnswers:
-    operations = [_allow_large(entry) for entry in service.operations]
+    operations = [_allow_large_answer(entry) for entry in service.operations]
     return msgspec.structs.replace(
         service, host=LOCAL_HOST, port=port, operations=operations
     )
 
 
-def _allow_large(operation: OperationAnswers) -> OperationAnswers:
-    if operation.answer_kb < LARGE_FROM_KB:
+def _allow_large_answer(operation: OperationAnswers) -> OperationAnswers:
+    if operation.answer_kb < MIN_LARGE_ANSWER_KB:
         return operation
     answer_kb = max(operation.answer_kb, LARGEST_ANSWER_KB)
     return msgspec.structs.replace(operation, answer_kb=answer_kb)
@@ -299,10 +301,12 @@
 
 
 def _wait_for_port(port: int, name: str) -> None:
-    wait_until(lambda: _is_open(port), f'{name} listening', START_TIMEOUT_S)
+    wait_until(
+        lambda: _is_listening(port), f'{name} listening', START_TIMEOUT_S
+    )
 
 
-def _is_open(port: int) -> bool:
+def _is_listening(port: int) -> bool:
     try:
         with socket.create_connection((LOCAL_HOST, port), 1):
             return True
--- a/greengagepath/emulator/fabric.py
+++ b/greengagepath/emulator/fabric.py
@@ -25,11 +25,17 @@
     FabricHeader,
     decode_fabric_header,
 )
-from .http_server import NOT_FOUND, Call, Reply, make_server, reply_json
+from .http_server import (
+    NOT_FOUND,
+    HttpRequest,
+    HttpResponse,
+    json_response,
+    make_server,
+)
 
 RECEIVE_BUFFER_BYTES = 8_388_608
 MAX_DATAGRAM_BYTES = 65535
-DATAGRAMS_PER_WAKE = 64
+DATAGRAMS_BEFORE_YIELD = 64
 CHECK_PERIOD_S = 0.25
 CHECK_TIMEOUT_S = 0.25
 REORDER_DELAY_S = 0.005
@@ -104,31 +110,33 @@
         gevent.spawn(self._receive_answers, answers)
         gevent.spawn(self._check_balancers)
 
-    def answer(self, call: Call) -> Reply:
-        """Answer a call to the control port."""
-        match call.path:
+    def handle_request(self, request: HttpRequest) -> HttpResponse:
+        """Answer a request to the control port."""
+        match request.path:
             case '/control/faults':
-                self.faults = msgspec.json.decode(call.body, type=FabricFaults)
+                self.faults = msgspec.json.decode(
+                    request.body, type=FabricFaults
+                )
             case '/control/balancers':
                 self._balancers = msgspec.json.decode(
-                    call.body, type=tuple[BalancerEntry, ...]
+                    request.body, type=tuple[BalancerEntry, ...]
                 )
             case '/control/counters':
-                return reply_json(msgspec.to_builtins(self.counters))
+                return json_response(msgspec.to_builtins(self.counters))
             case _:
-                return Reply(NOT_FOUND)
-        return reply_json({'balancers': len(self._ready_addresses)})
+                return HttpResponse(NOT_FOUND)
+        return json_response({'balancers': len(self._ready_addresses)})
 
     def _receive_from_callers(
         self, service: Address, receiver: socket.socket
     ) -> None:
         while True:
-            for _ in range(DATAGRAMS_PER_WAKE):
+            for _ in range(DATAGRAMS_BEFORE_YIELD):
                 datagram, caller = receiver.recvfrom(MAX_DATAGRAM_BYTES)
-                self._pass_to_balancer(caller, service, datagram)
+                self._forward_to_balancer(caller, service, datagram)
             gevent.sleep(0)
 
-    def _pass_to_balancer(
+    def _forward_to_balancer(
         self, caller: Address, service: Address, datagram: bytes
     ) -> None:
         if not self._ready_addresses:
@@ -146,11 +154,11 @@
 
     def _receive_answers(self, receiver: socket.socket) -> None:
         while True:
-            for _ in range(DATAGRAMS_PER_WAKE):
-                self._pass_to_caller(receiver.recv(MAX_DATAGRAM_BYTES))
+            for _ in range(DATAGRAMS_BEFORE_YIELD):
+                self._forward_to_caller(receiver.recv(MAX_DATAGRAM_BYTES))
             gevent.sleep(0)
 
-    def _pass_to_caller(self, datagram: bytes) -> None:
+    def _forward_to_caller(self, datagram: bytes) -> None:
         header = decode_fabric_header(datagram).ok()
         if header is None:
             self.counters.malformed += 1
@@ -212,19 +220,21 @@
 def _is_ready(balancer: BalancerEntry) -> bool:
     address = (balancer.host, balancer.status_port)
     try:
-        with socket.create_connection(address, CHECK_TIMEOUT_S) as link:
-            link.sendall(b'GET /readyz HTTP/1.0\r\n\r\n')
-            link.settimeout(CHECK_TIMEOUT_S)
-            return b' 200 ' in link.recv(STATUS_LINE_BYTES)
+        with socket.create_connection(address, CHECK_TIMEOUT_S) as connection:
+            connection.sendall(b'GET /readyz HTTP/1.0\r\n\r\n')
+            connection.settimeout(CHECK_TIMEOUT_S)
+            return b' 200 ' in connection.recv(STATUS_LINE_BYTES)
     except OSError:
         return False
 
 
 def _bind_udp(host: str, port: int) -> socket.socket:
-    bound = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    bound.bind((host, port))
-    return bound
+    udp_socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    udp_socket.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+    )
+    udp_socket.bind((host, port))
+    return udp_socket
 
 
 def _send_datagram(
@@ -244,7 +254,9 @@
     config = msgspec.json.decode(options.config.read_bytes(), type=FabricConfig)
     fabric = Fabric(config)
     fabric.start()
-    make_server(config.host, config.control_port, fabric.answer).serve_forever()
+    make_server(
+        config.host, config.control_port, fabric.handle_request
+    ).serve_forever()
 
 
 if __name__ == '__main__':
--- a/greengagepath/emulator/http_server.py
+++ b/greengagepath/emulator/http_server.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Reply:
+class HttpResponse:
     """Status line, body and headers of an HTTP answer."""
 
     status: str
@@ -25,13 +25,13 @@
 NO_CONTENT = '204 No Content'
 BAD_REQUEST = '400 Bad Request'
 NOT_FOUND = '404 Not Found'
-CONFLICT = '412 Precondition Failed'
-UNAVAILABLE = '503 Service Unavailable'
+PRECONDITION_FAILED = '412 Precondition Failed'
+SERVICE_UNAVAILABLE = '503 Service Unavailable'
 GATEWAY_TIMEOUT = '504 Gateway Timeout'
 
 
 @dataclass(slots=True, frozen=True)
-class Call:
+class HttpRequest:
     """An HTTP request as the stand-ins see it."""
 
     method: str
@@ -60,10 +60,10 @@
 
 
 class Application:
-    """WSGI application that answers each call with `answer`."""
+    """WSGI application that answers each request with `answer`."""
 
-    def __init__(self, answer: Callable[[Call], Reply]) -> None:
-        self._answer = answer
+    def __init__(self, handler: Callable[[HttpRequest], HttpResponse]) -> None:
+        self._handler = handler
 
     def __call__(
         self,
@@ -71,19 +71,19 @@
         start_response: Callable[..., object],
     ) -> Iterable[bytes]:
         """Answer one request of the WSGI server."""
-        reply = self._answer(_read_call(environ))
-        headers = [('Content-Length', str(len(reply.body)))]
-        start_response(reply.status, [*headers, *reply.headers])
-        return [reply.body]
+        response = self._handler(_read_request(environ))
+        headers = [('Content-Length', str(len(response.body)))]
+        start_response(response.status, [*headers, *response.headers])
+        return [response.body]
 
 
 def make_server(
-    host: str, port: int, answer: Callable[[Call], Reply]
+    host: str, port: int, handler: Callable[[HttpRequest], HttpResponse]
 ) -> WSGIServer:
-    """Return a server that answers each call with `answer`."""
+    """Return a server that answers each request with `answer`."""
     return WSGIServer(
         (host, port),
-        Application(answer),
+        Application(handler),
         backlog=LISTEN_BACKLOG,
         log=None,
         error_log=None,
@@ -91,23 +91,23 @@
     )
 
 
-def reply_json(payload: object, status: str = STATUS_OK) -> Reply:
+def json_response(payload: object, status: str = STATUS_OK) -> HttpResponse:
     """Return an answer with a JSON body."""
-    return Reply(
+    return HttpResponse(
         status,
         json.dumps(payload).encode(),
         (('Content-Type', JSON_TYPE),),
     )
 
 
-def _read_call(environ: dict[str, object]) -> Call:
+def _read_request(environ: dict[str, object]) -> HttpRequest:
     query = parse_qs(str(environ.get('QUERY_STRING', '')))
     headers = {
         name.removeprefix('HTTP_').replace('_', '-').lower(): str(text)
         for name, text in environ.items()
         if name.startswith('HTTP_')
     }
-    return Call(
+    return HttpRequest(
         method=str(environ['REQUEST_METHOD']),
         path=str(environ['PATH_INFO']),
         query={name: texts[0] for name, texts in query.items()},
--- a/greengagepath/emulator/load.py
+++ b/greengagepath/emulator/load.py
@@ -162,18 +162,20 @@
         )
         started_s = time.monotonic()
         deadline_s = operation.deadline_ms / MS_PER_S
-        called = self._client.call(address, request, deadline_s, held)
+        call_result = self._client.call(address, request, deadline_s, held)
         latency_ms = (time.monotonic() - started_s) * MS_PER_S
-        match called:
+        match call_result:
             case Ok(answer):
-                outcome = self._describe_answer(operation, request, answer)
+                outcome = self._make_answer_outcome(operation, request, answer)
             case Err(failure):
-                outcome = self._describe_failure(operation, request, failure)
+                outcome = self._make_failure_outcome(
+                    operation, request, failure
+                )
         self.outcomes.append(
             msgspec.structs.replace(outcome, latency_ms=latency_ms)
         )
 
-    def _describe_answer(
+    def _make_answer_outcome(
         self, operation: LoadOperation, request: CallRequest, answer: Answer
     ) -> CallOutcome:
         headers = {name.lower(): text for name, text in answer.headers.items()}
@@ -185,7 +187,7 @@
             service=operation.service,
             customer=self._plan.customer,
             operation=operation.name,
-            outcome=_name_answer(is_ok=is_ok, whole=whole),
+            outcome=_classify_answer(is_ok=is_ok, whole=whole),
             latency_ms=0,
             target=answer.target_id,
             request_id=request_id,
@@ -198,7 +200,7 @@
             detail='' if is_ok else f'status {answer.status}',
         )
 
-    def _describe_failure(
+    def _make_failure_outcome(
         self,
         operation: LoadOperation,
         request: CallRequest,
@@ -218,7 +220,7 @@
         )
 
 
-def _name_answer(*, is_ok: bool, whole: bool) -> str:
+def _classify_answer(*, is_ok: bool, whole: bool) -> str:
     if whole:
         return 'answered'
     return 'broken' if is_ok else 'failed'
--- a/greengagepath/emulator/platform.py
+++ b/greengagepath/emulator/platform.py
@@ -18,15 +18,15 @@
 
 from .http_server import (
     BAD_REQUEST,
-    CONFLICT,
     JSON_TYPE,
     NO_CONTENT,
     NOT_FOUND,
+    PRECONDITION_FAILED,
     STATUS_OK,
-    Call,
-    Reply,
+    HttpRequest,
+    HttpResponse,
+    json_response,
     make_server,
-    reply_json,
 )
 from .object_store import MAX_BODY_BYTES, ObjectKey, ObjectStore, StoredObject
 
@@ -53,77 +53,79 @@
         self.faults = Faults()
         self._rng = rng
 
-    def answer(self, call: Call) -> Reply:
-        """Answer one call."""
-        match call.path.strip('/').split('/'):
+    def handle_request(self, request: HttpRequest) -> HttpResponse:
+        """Answer one request."""
+        match request.path.strip('/').split('/'):
             case ['control', 'faults']:
-                self.faults = msgspec.json.decode(call.body, type=Faults)
-                return reply_json(msgspec.to_builtins(self.faults))
+                self.faults = msgspec.json.decode(request.body, type=Faults)
+                return json_response(msgspec.to_builtins(self.faults))
             case ['control', 'counters']:
-                return reply_json(msgspec.to_builtins(self.store.counters))
+                return json_response(msgspec.to_builtins(self.store.counters))
             case ['objects', kind, *rest] if len(rest) <= 1:
-                return self._answer_with_faults(call, kind, rest)
-        return Reply(NOT_FOUND)
+                return self._handle_with_faults(request, kind, rest)
+        return HttpResponse(NOT_FOUND)
 
-    def _answer_with_faults(
-        self, call: Call, kind: str, rest: list[str]
-    ) -> Reply:
+    def _handle_with_faults(
+        self, request: HttpRequest, kind: str, rest: list[str]
+    ) -> HttpResponse:
         if self.faults.delay_ms:
             gevent.sleep(self.faults.delay_ms / MS_PER_S)
         if self.faults.down:
-            call.abort()
-            return Reply(NOT_FOUND)
-        reply = self._answer_object(call, kind, rest)
-        is_write = call.method == 'PUT'
+            request.abort()
+            return HttpResponse(NOT_FOUND)
+        response = self._handle_object(request, kind, rest)
+        is_write = request.method == 'PUT'
         if is_write and self._rng.random() < self.faults.lose_answers:
-            call.abort()
-        return reply
+            request.abort()
+        return response
 
-    def _answer_object(self, call: Call, kind: str, rest: list[str]) -> Reply:
-        match call.method, rest:
+    def _handle_object(
+        self, request: HttpRequest, kind: str, rest: list[str]
+    ) -> HttpResponse:
+        match request.method, rest:
             case 'GET', []:
-                return self._list(kind, call.query.get('prefix', ''))
-            case 'GET', [name] if 'after' in call.query:
-                return self._watch((kind, name), call)
+                return self._list(kind, request.query.get('prefix', ''))
+            case 'GET', [name] if 'after' in request.query:
+                return self._watch((kind, name), request)
             case 'GET', [name]:
-                return _reply_object(self.store.read((kind, name)))
+                return _object_response(self.store.read((kind, name)))
             case 'PUT', [name]:
-                return self._write((kind, name), call)
-        return Reply(BAD_REQUEST)
+                return self._write((kind, name), request)
+        return HttpResponse(BAD_REQUEST)
 
-    def _list(self, kind: str, prefix: str) -> Reply:
+    def _list(self, kind: str, prefix: str) -> HttpResponse:
         found = self.store.list_kind(kind, prefix)
-        return reply_json(
+        return json_response(
             {
                 name: {'version': stored.version, 'body': stored.body}
                 for name, stored in found.items()
             }
         )
 
-    def _watch(self, key: ObjectKey, call: Call) -> Reply:
-        wait_s = int(call.query.get('wait_ms', '0')) / MS_PER_S
+    def _watch(self, key: ObjectKey, request: HttpRequest) -> HttpResponse:
+        wait_s = int(request.query.get('wait_ms', '0')) / MS_PER_S
         stored = self.store.watch(
-            key, int(call.query['after']), min(wait_s, MAX_WATCH_S)
+            key, int(request.query['after']), min(wait_s, MAX_WATCH_S)
         )
         if self.faults.down:
-            call.abort()
+            request.abort()
         if stored is None:
-            return Reply(NO_CONTENT)
-        return _reply_object(stored)
+            return HttpResponse(NO_CONTENT)
+        return _object_response(stored)
 
-    def _write(self, key: ObjectKey, call: Call) -> Reply:
-        if len(call.body) > MAX_BODY_BYTES:
-            return Reply(BAD_REQUEST, b'body is over 1 MB')
+    def _write(self, key: ObjectKey, request: HttpRequest) -> HttpResponse:
+        if len(request.body) > MAX_BODY_BYTES:
+            return HttpResponse(BAD_REQUEST, b'body is over 1 MB')
         try:
-            expected = int(call.headers.get('if-match', '0'))
-            body = json.loads(call.body)
+            expected = int(request.headers.get('if-match', '0'))
+            body = json.loads(request.body)
         except ValueError as error:
-            return Reply(BAD_REQUEST, str(error).encode())
+            return HttpResponse(BAD_REQUEST, str(error).encode())
         match self.store.write(key, expected, body):
             case Ok(stored):
-                return _reply_object(stored)
+                return _object_response(stored)
             case Err(current):
-                return Reply(CONFLICT, current.encode())
+                return HttpResponse(PRECONDITION_FAILED, current.encode())
 
 
 @dataclass(slots=True)
@@ -135,10 +137,12 @@
     seed: Annotated[int, cappa.Arg(long=True)] = 0
 
 
-def _reply_object(stored: StoredObject | None) -> Reply:
+def _object_response(stored: StoredObject | None) -> HttpResponse:
     if stored is None:
-        return Reply(NOT_FOUND)
-    return Reply(STATUS_OK, stored.encode(), (('Content-Type', JSON_TYPE),))
+        return HttpResponse(NOT_FOUND)
+    return HttpResponse(
+        STATUS_OK, stored.encode(), (('Content-Type', JSON_TYPE),)
+    )
 
 
 def main() -> None:
@@ -146,7 +150,9 @@
     monkey.patch_all()
     options = cappa.parse(PlatformOptions)
     platform = Platform(random.Random(options.seed))
-    make_server(options.host, options.port, platform.answer).serve_forever()
+    make_server(
+        options.host, options.port, platform.handle_request
+    ).serve_forever()
 
 
 if __name__ == '__main__':
--- a/greengagepath/emulator/processes.py
+++ b/greengagepath/emulator/processes.py
@@ -16,11 +16,11 @@
 FIRST_PORT = 10_000
 MAX_PORT = 65_536
 # A deployment of the demo takes about 60 ports.
-LEAST_PORTS = 1000
-OUTGOING_PORTS_FILE = Path('/proc/sys/net/ipv4/ip_local_port_range')
+MIN_PORTS = 1000
+EPHEMERAL_RANGE_FILE = Path('/proc/sys/net/ipv4/ip_local_port_range')
 
 
-class StartError(RuntimeError):
+class DeploymentError(RuntimeError):
     """A process of the demo did not become ready."""
 
 
@@ -59,10 +59,10 @@
         return self.processes_by_name[name].poll() is None
 
     def check_running(self) -> None:
-        """Raise StartError if a process that was started has failed."""
+        """Raise DeploymentError if a process that was started has failed."""
         for name, process in self.processes_by_name.items():
             if process.poll():
-                raise StartError(f'{name} ended with {process.returncode}')
+                raise DeploymentError(f'{name} ended with {process.returncode}')
 
     def stop_all(self) -> None:
         """Kill what still runs; there is no work left to finish."""
@@ -88,30 +88,32 @@
 
     def __init__(self, rng: random.Random | None = None) -> None:
         self._rng = rng or random.Random()
-        self._given: set[int] = set()
+        self._allocated: set[int] = set()
 
-    def find(self, count: int) -> list[int]:
+    def allocate(self, count: int) -> list[int]:
         """Return ports that are free for TCP and UDP on 127.0.0.1."""
-        end = _read_first_outgoing_port()
-        if end < FIRST_PORT + LEAST_PORTS:
+        end = _read_first_ephemeral_port()
+        if end < FIRST_PORT + MIN_PORTS:
             end = MAX_PORT
         found: list[int] = []
         while len(found) < count:
             port = self._rng.randrange(FIRST_PORT, end)
-            if port not in self._given and _is_free(port):
-                self._given.add(port)
+            if port not in self._allocated and _is_free(port):
+                self._allocated.add(port)
                 found.append(port)
         return found
 
 
 def wait_until(
-    condition: Callable[[], bool], what: str, timeout_s: float
+    condition: Callable[[], bool], description: str, timeout_s: float
 ) -> None:
-    """Poll until the condition holds; raises StartError if it does not."""
+    """Poll until the condition holds; raises DeploymentError if it does not."""
     end_s = time.monotonic() + timeout_s
     while not condition():
         if time.monotonic() > end_s:
-            raise StartError(f'{what} not reached within {timeout_s} s')
+            raise DeploymentError(
+                f'{description} not reached within {timeout_s} s'
+            )
         time.sleep(POLL_S)
 
 
@@ -128,9 +130,9 @@
     )
 
 
-def _read_first_outgoing_port() -> int:
+def _read_first_ephemeral_port() -> int:
     try:
-        return int(OUTGOING_PORTS_FILE.read_text().split()[0])
+        return int(EPHEMERAL_RANGE_FILE.read_text().split()[0])
     except OSError:
         return MAX_PORT
 
--- a/greengagepath/emulator/settings_files.py
+++ b/greengagepath/emulator/settings_files.py
@@ -64,8 +64,8 @@
         """Write the settings of a balancer; return the path."""
         settings = {
             'role': 'balancer',
-            'node': _describe_node(balancer),
-            **self._describe_shared(),
+            'node': _node_settings(balancer),
+            **self._shared_settings(),
         }
         return self._write(balancer.name, settings)
 
@@ -73,7 +73,7 @@
         """Write the settings of an agent; return the path."""
         settings = {
             'role': 'agent',
-            'node': _describe_node(target),
+            'node': _node_settings(target),
             'target': {
                 'service_id': target.service_id,
                 'host': LOCAL_HOST,
@@ -81,14 +81,14 @@
                 'weight': target.speed,
                 'slots': slots,
             },
-            **self._describe_shared(),
+            **self._shared_settings(),
         }
         return self._write(target.name, settings)
 
     def write_tool(self, control_ports: list[int]) -> Path:
         """Write the settings of the tool; return the path."""
         addresses = [f'{LOCAL_HOST}:{port}' for port in control_ports]
-        settings = {**self._describe_shared(), 'balancers': addresses}
+        settings = {**self._shared_settings(), 'balancers': addresses}
         settings.pop('fabric')
         return self._write('greengagepath', settings)
 
@@ -97,7 +97,7 @@
         path.write_text(tomli_w.dumps(settings))
         return path
 
-    def _describe_shared(self) -> dict[str, object]:
+    def _shared_settings(self) -> dict[str, object]:
         keys = [
             {'key_id': key_id, 'secret_file': str(self._key_path(key_id))}
             for key_id in self._key_ids
@@ -113,7 +113,7 @@
         return self._folder / f'tag-{key_id}.key'
 
 
-def _describe_node(
+def _node_settings(
     process: BalancerProcess | TargetProcess,
 ) -> dict[str, object]:
     return {
--- a/greengagepath/emulator/verdict.py
+++ b/greengagepath/emulator/verdict.py
@@ -12,8 +12,8 @@
 MAX_DRAIN_MS = 3000
 MAX_IN_FORCE_MS = 3000
 MIN_ANSWERED_SHARE = 0.95
-MEDIAN = 0.5
-TAIL = 0.99
+P50 = 0.5
+P99 = 0.99
 
 
 class Verdict(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,7 +43,7 @@
     problems: tuple[str, ...] = ()
 
 
-def judge(verdict: Verdict) -> Verdict:
+def evaluate(verdict: Verdict) -> Verdict:
     """Return the verdict with what did not hold."""
     problems = [
         f'{name} is {found}, must be 0'
@@ -107,8 +107,8 @@
         ),
         'wrong_service': _count_wrong_service(outcomes, runs_by_service),
         'wrong_caller': sum(entry.wrong_caller for entry in outcomes),
-        'p50_ms': percentile(latencies, MEDIAN),
-        'p99_ms': percentile(latencies, TAIL),
+        'p50_ms': percentile(latencies, P50),
+        'p99_ms': percentile(latencies, P99),
         'largest_answer_bytes': max(
             (entry.answer_bytes for entry in outcomes if entry.whole),
             default=0,
--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -9,16 +9,16 @@
 from testtools import TestCase
 
 from greengagepath.emulator.backend import Run, checksum, make_body
-from greengagepath.emulator.http_server import Call
+from greengagepath.emulator.http_server import HttpRequest
 from greengagepath.emulator.load import CallOutcome
 from greengagepath.emulator.object_store import ObjectStore
 from greengagepath.emulator.platform import Platform
 from greengagepath.emulator.processes import (
+    DeploymentError,
     PortPool,
     ProcessGroup,
-    StartError,
 )
-from greengagepath.emulator.verdict import Verdict, count_outcomes, judge
+from greengagepath.emulator.verdict import Verdict, count_outcomes, evaluate
 
 KEY = ('configuration', 'current')
 
@@ -31,8 +31,8 @@
         self.is_closed = True
 
 
-def make_call(method='GET', body=b'', version=0, query=None, path=None):
-    return Call(
+def make_request(method='GET', body=b'', version=0, query=None, path=None):
+    return HttpRequest(
         method=method,
         path=path or '/objects/configuration/current',
         query=query or {},
@@ -68,7 +68,7 @@
 
 
 def make_verdict(outcomes, runs):
-    return judge(
+    return evaluate(
         Verdict(
             scenario='cooperative',
             seed=1,
@@ -105,31 +105,35 @@
         self.platform = Platform(random.Random(1))
 
     def set_faults(self, body):
-        self.platform.answer(make_call('POST', body, path='/control/faults'))
+        self.platform.handle_request(
+            make_request('POST', body, path='/control/faults')
+        )
 
     def test_lost_answer_leaves_the_write_in_place(self):
         # Guards against a fault that loses the write with its answer.
         self.set_faults(b'{"lose_answers": 1.0}')
-        call = make_call('PUT', b'{"services": []}')
-        self.platform.answer(call)
-        self.assertTrue(call.connection.is_closed)
+        request = make_request('PUT', b'{"services": []}')
+        self.platform.handle_request(request)
+        self.assertTrue(request.connection.is_closed)
         self.assertEqual(1, self.platform.store.read(KEY).version)
 
     def test_store_that_is_down_closes_the_connection(self):
         # Guards against an outage that still takes writes.
         self.set_faults(b'{"down": true}')
-        call = make_call('PUT', b'1')
-        self.platform.answer(call)
-        self.assertTrue(call.connection.is_closed)
+        request = make_request('PUT', b'1')
+        self.platform.handle_request(request)
+        self.assertTrue(request.connection.is_closed)
         self.assertIsNone(self.platform.store.read(KEY))
 
     def test_conflict_carries_the_current_object(self):
         # Guards against operators who cannot see what they raced with.
-        self.platform.answer(make_call('PUT', b'"mine"'))
-        reply = self.platform.answer(make_call('PUT', b'"theirs"'))
+        self.platform.handle_request(make_request('PUT', b'"mine"'))
+        response = self.platform.handle_request(
+            make_request('PUT', b'"theirs"')
+        )
         status = HTTPStatus.PRECONDITION_FAILED
-        self.assertTrue(reply.status.startswith(str(status.value)))
-        self.assertIn(b'"mine"', reply.body)
+        self.assertTrue(response.status.startswith(str(status.value)))
+        self.assertIn(b'"mine"', response.body)
 
 
 class VerdictTest(TestCase):
@@ -170,7 +174,7 @@
         # Guards against a limit that is never compared.
         verdict = make_verdict([make_outcome('a')], [make_run('a')])
         late = msgspec.structs.replace(verdict, config_in_force_ms=3001.0)
-        self.assertFalse(judge(late).held)
+        self.assertFalse(evaluate(late).held)
 
 
 class AnswerBodyTest(TestCase):
@@ -190,7 +194,7 @@
     def test_no_port_is_given_twice(self):
         pool = PortPool()
 
-        ports = [port for _ in range(300) for port in pool.find(4)]
+        ports = [port for _ in range(300) for port in pool.allocate(4)]
 
         self.assertEqual(1200, len(set(ports)))
 
@@ -199,7 +203,7 @@
         text = Path('/proc/sys/net/ipv4/ip_local_port_range').read_text()
         first = int(text.split()[0])
 
-        self.assertLess(max(PortPool().find(50)), first)
+        self.assertLess(max(PortPool().allocate(50)), first)
 
     def test_a_process_that_failed_at_start_is_reported(self):
         """A back end that found its port taken must not go unnoticed."""
@@ -208,6 +212,6 @@
             processes.start('back-end', 'greengagepath.no_such_module')
             processes.wait('back-end', 30)
 
-        error = self.assertRaises(StartError, processes.check_running)
+        error = self.assertRaises(DeploymentError, processes.check_running)
 
         self.assertIn('back-end ended', str(error))
