Reword comments and docstrings of the emulator in plain terms

Docstrings of the stand-ins, the demo and their tests used figurative phrases (a fabric that sprays, a health path that misleads) or left out units, errors and the meaning of None. They now state them. The error for a back end without an answer no longer claims that it is gone. A test class and two tests are named after PortPool and the ephemeral range.

--- a/greengagepath/emulator/backend.py
+++ b/greengagepath/emulator/backend.py
@@ -2,10 +2,11 @@
 
 `python -m greengagepath.emulator.backend --port N` serves HTTP/1.1. The
 work and the size of an answer come from the query of each request
-(`work_ms`, `bytes`). It has slots, a bounded backlog, a speed, a cold
-start, stragglers, and load and health paths that lag or mislead. It
-counts the runs of each request id on its own; `GET /control/runs` lists
-them, so that a test need not trust the system's own figures.
+(`work_ms`, `bytes`). Slots, a bounded backlog, a relative speed, a cold
+start and stragglers are simulated. `/load` lags behind the real load and
+`/health` always reports healthy. The stand-in records each run of a
+request; `GET /control/runs` lists them, so that a test need not rely on
+the figures of the system under test.
 """
 
 import random
@@ -40,12 +41,16 @@
 CHECKSUM_BYTES = 16
 MAX_ANSWER_BYTES = 67_108_864
 PATTERN_BYTES = 65_536
-# Answers of any size are cut from repetitions of it.
+# Bodies of any size are cut from repetitions of it.
 _PATTERN = random.Random(1).randbytes(PATTERN_BYTES)
 
 
 class Run(msgspec.Struct):
-    """One run of a request; `ended` is empty while it runs."""
+    """One run of a request.
+
+    `started_ms` is wall-clock time. `ended` is empty while the request
+    runs, then `answered`, `cancelled` or `deadline`.
+    """
 
     request_id: str
     service_id: str
@@ -72,7 +77,7 @@
 
 @dataclass(slots=True)
 class LoadSample:
-    """Load as the back end reports it, which lags behind the truth."""
+    """Load that `/load` reports; renewed when older than LOAD_LAG_S."""
 
     sampled_s: float = 0.0
     running: int = 0
@@ -93,10 +98,10 @@
         self.runs: list[Run] = []
 
     def handle_request(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request."""
+        """Return the response to one request."""
         match request.path:
             case '/health':
-                # Misleads on purpose: says healthy whatever happens.
+                # Healthy in every state, so that nothing can rely on it.
                 return json_response({'healthy': True})
             case '/load':
                 return json_response(self._report_load())
@@ -152,7 +157,7 @@
         )
 
     def _simulate_work(self, request: HttpRequest) -> str:
-        """Spend the work; return how the run ended."""
+        """Sleep for the work of a request; return how the run ended."""
         left_s = int(request.query.get('work_ms', '5')) / MS_PER_S
         left_s *= self._slowdown()
         deadline_s = (
@@ -180,7 +185,11 @@
 
 
 def make_body(request_id: str, size: int) -> bytes:
-    """Return `size` B that differ from those of other request ids."""
+    """Return a body of `size` bytes, at most MAX_ANSWER_BYTES.
+
+    It starts with the request id, so that the bodies of two requests
+    differ.
+    """
     prefix = request_id.encode()
     bounded = min(size, MAX_ANSWER_BYTES)
     repeats = bounded // PATTERN_BYTES + 1
--- a/greengagepath/emulator/control_paths.py
+++ b/greengagepath/emulator/control_paths.py
@@ -1,4 +1,4 @@
-"""Control paths of the stand-ins, over HTTP on 127.0.0.1."""
+"""HTTP client for the control paths of the stand-ins on 127.0.0.1."""
 
 import json
 import time
@@ -17,7 +17,10 @@
 
 
 class ControlClient:
-    """Faults and figures of the platform and the fabric."""
+    """Configures the platform and fabric stand-ins.
+
+    Setters raise DeploymentError if the stand-in does not answer 200.
+    """
 
     def __init__(self, platform_port: int, fabric_port: int) -> None:
         self._platform_port = platform_port
@@ -32,27 +35,39 @@
         _post(self._fabric_port, 'faults', faults)
 
     def set_balancers(self, entries: list[BalancerEntry]) -> None:
-        """Tell the fabric which balancers there are."""
+        """Replace the list of balancers behind the fabric."""
         listed = msgspec.to_builtins(entries)
         _post(self._fabric_port, 'balancers', listed)
 
     def read_stored_version(self) -> int:
-        """Return the version in the stored configuration, 0 if none."""
+        """Return the version of the stored configuration.
+
+        It is 0 if there is none or the platform does not answer 200.
+        """
         path = '/objects/configuration/current'
         body = fetch(self._platform_port, path)
         return json.loads(body)['body']['version'] if body else 0
 
 
 def read_runs(back_end_port: int) -> list[Run]:
-    """Return the runs that a back end counted; raises DeploymentError."""
+    """Return the runs that a back end recorded.
+
+    Raises DeploymentError if it does not answer 200.
+    """
     body = fetch(back_end_port, '/control/runs')
     if body is None:
-        raise DeploymentError(f'the back end at port {back_end_port} is gone')
+        raise DeploymentError(
+            f'no answer from the back end at port {back_end_port}'
+        )
     return msgspec.json.decode(body, type=list[Run])
 
 
 def fetch(port: int, path: str, body: bytes | None = None) -> bytes | None:
-    """Return the body of a 200 answer, or None; `body` makes it a POST."""
+    """Return the body of a 200 response, or None.
+
+    Sends a POST if there is a `body`, else a GET. A failed connection or
+    a timeout of HTTP_TIMEOUT_S gives None too.
+    """
     connection = HTTPConnection(LOCAL_HOST, port, timeout=HTTP_TIMEOUT_S)
     try:
         connection.request('POST' if body else 'GET', path, body)
@@ -66,7 +81,7 @@
 
 
 def now_ms() -> float:
-    """Return wall-clock milliseconds, as back ends record them."""
+    """Return the wall-clock time in ms, the clock of `Run.started_ms`."""
     return time.time() * MS_PER_S
 
 
--- a/greengagepath/emulator/demo.py
+++ b/greengagepath/emulator/demo.py
@@ -1,7 +1,8 @@
-"""The demo: a whole deployment under load, changed and broken meanwhile.
+"""The demo: changes and failures in a whole deployment under load.
 
-The figures come from callers and back ends, not from the system's own
-word, except the version that each balancer has in force.
+The figures are measured at callers and back ends, not reported by the
+system under test. The exception is the configuration version that each
+balancer has in force.
 """
 
 import signal
@@ -34,16 +35,17 @@
 LOAD_TIMEOUT_S = 60.0
 IN_FORCE_TIMEOUT_S = 10.0
 POLL_S = 0.02
-# Work of the demo is shortened so that a run fits into a minute.
+# Caps the work of a request so that a run fits into a minute.
 MAX_WORK_MS = 1500
 LARGE_ANSWER_BYTES = 20_000_000
 USUAL_ANSWER_SHARE = 0.125
 MAX_USUAL_ANSWER_BYTES = 1_000_000
 BYTES_PER_KB = 1024
 HELD_FLOWS = 12
-# Share of the usual rates, so that the targets that are left after the
-# drain of the fastest one still have capacity to spare.
+# Share of the usual request rates. It leaves spare capacity after the
+# fastest target of a service is drained.
 LOAD_SHARE = 0.6
+# Part of the run after which a balancer is killed.
 KILL_SHARE = 0.2
 LARGE_ANSWER_LEAD_S = 0.3
 _SIZE_CODES = {
@@ -54,7 +56,7 @@
 
 
 class DemoOptions(Protocol):
-    """Options of the command."""
+    """Options of `greengagepath demo`."""
 
     seed: int
     seconds: int
@@ -64,7 +66,12 @@
 
 @dataclass(slots=True)
 class Measurements:
-    """What the timeline of a run measured, in ms."""
+    """Measurements of the steps of a run.
+
+    `drained_ms` is the wall-clock time at which the drain of
+    `drained_target` was stored. `in_force_ms` is the time from the
+    stored configuration until every running balancer used it.
+    """
 
     drained_target: str = ''
     drained_ms: float = 0.0
@@ -74,7 +81,7 @@
 def run_demo(options: DemoOptions) -> ExitCode:
     """Run the demo and print its verdict.
 
-    Returns FAILURE if something that must always hold did not.
+    Returns FAILURE if a process failed or the verdict has problems.
     """
     console = Console(stderr=True, quiet=options.as_json)
     with tempfile.TemporaryDirectory(prefix='greengagepath-') as name:
@@ -113,7 +120,7 @@
 
 
 class Timeline:
-    """Changes and failures during the load, at fixed shares of it."""
+    """Runs changes and failures at fixed points of the load."""
 
     def __init__(
         self,
@@ -127,7 +134,11 @@
         self._measurements = Measurements()
 
     def run(self, seconds: float) -> Measurements:
-        """Work through the timeline; return what was measured."""
+        """Run all steps and return their measurements.
+
+        `seconds` is the duration of the load. Raises DeploymentError if
+        a step does not complete in time.
+        """
         started_s = time.monotonic()
         steps: tuple[tuple[float, str, Callable[[], None]], ...] = (
             (KILL_SHARE, 'killing a balancer', self._kill_balancer),
@@ -175,7 +186,10 @@
         self._measurements.in_force_ms = round(now_ms() - accepted_ms, 1)
 
     def _start_change(self, command: str, argument: str) -> float:
-        """Start a command of the tool; return when its write was seen."""
+        """Start a command of the tool and wait for its write.
+
+        Returns the wall-clock time in ms at which the write was seen.
+        """
         before = self._deployment.control_client.read_stored_version()
         self._deployment.processes.start(
             f'tool-{command}', 'greengagepath', command, argument
@@ -213,7 +227,8 @@
 ) -> list[str]:
     """Start one load process for each customer; return their names.
 
-    `load_share` is the share of the usual rates.
+    `seconds` is the duration of the load; `load_share` scales the usual
+    request rates.
     """
     answers = load_answers(deployment.folder / 'answers.toml').unwrap()
     answers_by_operation = {
@@ -236,7 +251,7 @@
             for operation in service.operations
         ]
         if position == 0:
-            # The large answer is on its way when the balancer is killed.
+            # The large answer is in transfer when the balancer is killed.
             large_at_s = KILL_SHARE * seconds - LARGE_ANSWER_LEAD_S
             operations.append(_plan_large_answer(operations, large_at_s))
         plan = LoadPlan(
@@ -255,7 +270,7 @@
 ) -> list[CallOutcome]:
     """Wait for the load processes and return all their outcomes.
 
-    Raises DeploymentError if one of them failed.
+    Raises DeploymentError if one of them failed or did not end in time.
     """
     outcomes: list[CallOutcome] = []
     decoder = msgspec.json.Decoder(CallOutcome)
--- a/greengagepath/emulator/deployment.py
+++ b/greengagepath/emulator/deployment.py
@@ -1,4 +1,4 @@
-"""A whole deployment as processes on 127.0.0.1.
+"""Runs a whole deployment as processes on 127.0.0.1.
 
 Writes the settings of each process into a folder and starts stand-ins,
 balancers and targets with their agents.
@@ -35,14 +35,15 @@
 from .settings_files import BalancerProcess, SettingsFiles, TargetProcess
 
 AVAILABILITY_ZONES = ('zone-a', 'zone-b', 'zone-c')
-# Targets bought over years differ in speed by up to 4 times.
+# Targets bought over several years differ in speed by a factor of 4.
 SPEEDS = (1.0, 0.75, 0.5, 1.0, 0.25, 0.75, 0.5)
 STRAGGLER_SHARE = 0.002
 START_TIMEOUT_S = 20.0
 SEED_BITS = 32
-# More than any service of the examples has.
+# No service of the examples has as many targets.
 ALL_TARGETS = 1000
-# The demo fetches an answer of 20 MB from the service with long work.
+# The demo requests an answer of 20 MB from the service with long work.
+# Operations with large answers get a limit that allows it.
 MIN_LARGE_ANSWER_KB = 16_384
 LARGEST_ANSWER_KB = 24_000
 DAEMON = 'greengagepath.daemon'
@@ -61,7 +62,7 @@
 class Deployment:
     """The processes of one deployment.
 
-    `max_targets` limits the targets of each service.
+    `max_targets` limits the number of targets of each service.
     """
 
     def __init__(
@@ -89,9 +90,10 @@
         )
 
     def start(self, balancer_count: int = 3) -> None:
-        """Start everything and bring the first configuration into force.
+        """Start all processes and apply the first configuration.
 
-        Raises DeploymentError if a process does not become ready.
+        Raises DeploymentError if a process fails or is not ready within
+        START_TIMEOUT_S.
         """
         self._generate_configuration()
         self._start_stand_ins()
@@ -107,7 +109,7 @@
         self.processes.check_running()
 
     def stop(self) -> None:
-        """End all processes."""
+        """Kill all processes that still run."""
         self.processes.stop_all()
 
     def start_balancer(self) -> str:
@@ -153,7 +155,10 @@
         self.processes.start(name, DAEMON, '--config', str(path))
 
     def use_keys(self, *key_ids: int) -> None:
-        """Change the keys of the tool, and of daemons while they run."""
+        """Switch the tool and the running daemons to these keys.
+
+        The first key signs. SIGHUP makes the daemons read the new keys.
+        """
         self._settings_files.use_keys(*key_ids)
         self._write_tool_settings()
         for name in self._daemon_names():
@@ -180,7 +185,10 @@
         return self._settings_files.write_balancer(balancer)
 
     def wait_until_ready(self, name: str) -> None:
-        """Wait for `/readyz` of a daemon."""
+        """Wait until `/readyz` of a daemon answers 200.
+
+        Raises DeploymentError after START_TIMEOUT_S.
+        """
         wait_until(
             lambda: self.is_ready(name), f'{name} ready', START_TIMEOUT_S
         )
@@ -191,7 +199,10 @@
         return fetch(daemons[name].status_port, '/readyz') is not None
 
     def run_tool(self, command: str, *arguments: str) -> str:
-        """Run a command of the tool; raises DeploymentError if it fails."""
+        """Run a command of the tool and return its output.
+
+        Raises DeploymentError if it fails.
+        """
         done = run_tool(self.folder, command, *arguments)
         if done.returncode:
             raise DeploymentError(
--- a/greengagepath/emulator/fabric.py
+++ b/greengagepath/emulator/fabric.py
@@ -1,11 +1,11 @@
-"""Stand-in for the fabric that sprays datagrams over the balancers.
-
-`python -m greengagepath.emulator.fabric --config FILE` takes datagrams
-of callers at each service address and hands each to a balancer drawn at
-random; answers of agents arrive at one port and leave from the service
-address. It checks `/readyz` of each balancer and leaves out those that
-do not answer. `POST /control/faults` sets loss, duplication, reordering
-and silent callers; `POST /control/balancers` replaces the list.
+"""Stand-in for the fabric that distributes datagrams over the balancers.
+
+`python -m greengagepath.emulator.fabric --config FILE` receives
+datagrams of callers at each service address and forwards each to a
+random balancer. Answers of agents arrive at one port and are sent from
+the service address. Balancers whose `/readyz` fails get no datagrams.
+`POST /control/faults` sets loss, duplication, reordering and silent
+callers; `POST /control/balancers` replaces the list of balancers.
 """
 
 import random
@@ -51,7 +51,7 @@
 
 
 class FabricConfig(msgspec.Struct, frozen=True):
-    """Addresses of the fabric and of what it connects."""
+    """Addresses of the fabric, the services and the balancers."""
 
     host: str
     answer_port: int
@@ -64,8 +64,8 @@
 class FabricFaults(msgspec.Struct):
     """Faults of the fabric, as shares of all datagrams.
 
-    Datagrams of callers whose port is in `silent_ports` vanish in both
-    directions.
+    Datagrams of callers whose port is in `silent_ports` are dropped in
+    both directions.
     """
 
     loss: float = 0.0
@@ -76,7 +76,7 @@
 
 @dataclass(slots=True)
 class FabricCounters:
-    """Datagrams by direction and fate."""
+    """Forwarded datagrams by direction and dropped ones by reason."""
 
     to_balancers: int = 0
     to_callers: int = 0
@@ -87,7 +87,7 @@
 
 
 class Fabric:
-    """Moves datagrams between callers, balancers and agents."""
+    """Forwards datagrams between callers, balancers and agents."""
 
     def __init__(self, config: FabricConfig) -> None:
         self.faults = FabricFaults()
@@ -103,7 +103,7 @@
         }
 
     def start(self) -> None:
-        """Start the greenlets that move datagrams."""
+        """Start the greenlets that forward datagrams and check balancers."""
         for address, receiver in self._sockets_by_service.items():
             gevent.spawn(self._receive_from_callers, address, receiver)
         answers = _bind_udp(self._config.host, self._config.answer_port)
@@ -111,7 +111,7 @@
         gevent.spawn(self._check_balancers)
 
     def handle_request(self, request: HttpRequest) -> HttpResponse:
-        """Answer a request to the control port."""
+        """Return the response to a request at the control port."""
         match request.path:
             case '/control/faults':
                 self.faults = msgspec.json.decode(
@@ -243,7 +243,7 @@
     try:
         sender.sendto(datagram, address)
     except OSError:
-        # A real fabric does not report a dead receiver to the sender.
+        # A real fabric does not report a closed port to the sender.
         return
 
 
--- a/greengagepath/emulator/http_server.py
+++ b/greengagepath/emulator/http_server.py
@@ -1,4 +1,4 @@
-"""Small pieces that the HTTP stand-ins share."""
+"""HTTP server that the stand-ins share."""
 
 import json
 import socket
@@ -14,7 +14,7 @@
 
 @dataclass(slots=True, frozen=True)
 class HttpResponse:
-    """Status line, body and headers of an HTTP answer."""
+    """Status line, body and headers of an HTTP response."""
 
     status: str
     body: bytes = b''
@@ -32,7 +32,11 @@
 
 @dataclass(slots=True, frozen=True)
 class HttpRequest:
-    """An HTTP request as the stand-ins see it."""
+    """An HTTP request and its connection.
+
+    Header names are in lower case; `query` has the first value of each
+    parameter.
+    """
 
     method: str
     path: str
@@ -46,12 +50,12 @@
         return json.loads(self.body or b'null')
 
     def abort(self) -> None:
-        """Close the connection so that the answer is lost."""
+        """Shut down the connection so that the client gets no response."""
         self.connection.shutdown(socket.SHUT_RDWR)
 
 
 class _ConnectionHandler(WSGIHandler):
-    """Passes the connection to the application."""
+    """Adds the socket of the connection to the WSGI environment."""
 
     def get_environ(self) -> dict[str, object]:
         environ = super().get_environ()
@@ -60,7 +64,7 @@
 
 
 class Application:
-    """WSGI application that answers each request with `answer`."""
+    """WSGI application that passes each request to `handler`."""
 
     def __init__(self, handler: Callable[[HttpRequest], HttpResponse]) -> None:
         self._handler = handler
@@ -70,7 +74,7 @@
         environ: dict[str, object],
         start_response: Callable[..., object],
     ) -> Iterable[bytes]:
-        """Answer one request of the WSGI server."""
+        """Handle one request of the WSGI server."""
         response = self._handler(_read_request(environ))
         headers = [('Content-Length', str(len(response.body)))]
         start_response(response.status, [*headers, *response.headers])
@@ -80,7 +84,7 @@
 def make_server(
     host: str, port: int, handler: Callable[[HttpRequest], HttpResponse]
 ) -> WSGIServer:
-    """Return a server that answers each request with `answer`."""
+    """Return a server that passes each request to `handler`."""
     return WSGIServer(
         (host, port),
         Application(handler),
@@ -92,7 +96,7 @@
 
 
 def json_response(payload: object, status: str = STATUS_OK) -> HttpResponse:
-    """Return an answer with a JSON body."""
+    """Return a response with a JSON body."""
     return HttpResponse(
         status,
         json.dumps(payload).encode(),
--- a/greengagepath/emulator/load.py
+++ b/greengagepath/emulator/load.py
@@ -1,9 +1,9 @@
-"""Load tool: callers of one customer.
+"""Load generator for the callers of one customer.
 
 `python -m greengagepath.emulator.load --plan FILE --output FILE` sends
-requests at random times (open loop, so that a slow system does not
-slow the load down) and writes one JSON line for each outcome. The lines
-are input for `greengagepath report --outcomes`.
+requests at random times and writes one JSON line for each outcome. The
+loop is open: a slow system does not slow the load down. The lines are
+input for `greengagepath report --outcomes`.
 """
 
 import random
@@ -59,7 +59,7 @@
 
 
 class LoadPlan(msgspec.Struct, frozen=True, kw_only=True):
-    """What the callers of one customer send."""
+    """Requests that the callers of one customer send in `seconds`."""
 
     customer: str
     customer_id: int
@@ -69,9 +69,12 @@
 
 
 class CallOutcome(msgspec.Struct, frozen=True, kw_only=True):
-    """How one call ended; extends the lines that `report` reads.
+    """Outcome of one call; extends the lines that `report` reads.
 
-    `request_id` is hexadecimal. `not_run` is what the system said.
+    `time` is in seconds since the epoch, `request_id` is hexadecimal.
+    `not_run` is set if the system reported that the request did not run;
+    `verdict.count_outcomes` compares it with the runs of the back ends.
+    `whole` means that the checksum of the answer matches.
     """
 
     time: float
@@ -111,7 +114,7 @@
         self.outcomes: list[CallOutcome] = []
 
     def run(self) -> None:
-        """Send everything and wait for the last outcome."""
+        """Send all requests and wait for the last outcome."""
         senders = [
             gevent.spawn(self._send_operation, operation)
             for operation in self._plan.operations
@@ -245,7 +248,7 @@
     client.close()
     lines = (msgspec.json.encode(outcome) for outcome in generator.outcomes)
     options.output.write_bytes(b'\n'.join(lines))
-    # The caller's own counters help to find out why a request was lost.
+    # Counters of the client help to find out why a request was lost.
     sys.stderr.write(f'events {dict(client.setup.events)}\n')
     sys.stderr.write(f'drops {dict(client.setup.drops)}\n')
 
--- a/greengagepath/emulator/object_store.py
+++ b/greengagepath/emulator/object_store.py
@@ -65,9 +65,10 @@
     def write(
         self, key: ObjectKey, expected_version: int, body: object
     ) -> Result[StoredObject, StoredObject]:
-        """Store the body if the version matches; 0 means no object yet.
+        """Store the body if the stored version is `expected_version`.
 
-        The error is the object that is there instead.
+        Version 0 stands for an object that does not exist yet. The error
+        holds the object that is stored instead.
         """
         self.counters.writes += 1
         current = self.objects_by_key.get(key, StoredObject(0, None))
@@ -84,7 +85,10 @@
     def watch(
         self, key: ObjectKey, after_version: int, wait_s: float
     ) -> StoredObject | None:
-        """Wait for a version above `after_version`; None on timeout."""
+        """Return the object once its version is above `after_version`.
+
+        Waits up to `wait_s` seconds; returns None on timeout.
+        """
         self.counters.watches += 1
         stored = self.objects_by_key.get(key)
         if stored is None or stored.version <= after_version:
--- a/greengagepath/emulator/platform.py
+++ b/greengagepath/emulator/platform.py
@@ -1,8 +1,8 @@
 """Stand-in for the platform's object API.
 
 `python -m greengagepath.emulator.platform --port N` serves the protocol
-of docs/design.md, section 4. `POST /control/faults` switches faults on:
-no answers, slow answers, answers lost after the write took effect.
+of docs/design.md, section 4. `POST /control/faults` sets faults: no
+answers, slow answers, answers lost after the write took effect.
 """
 
 import json
@@ -37,7 +37,8 @@
 class Faults(msgspec.Struct):
     """Faults of the object API.
 
-    `lose_answers` is the share of writes whose answer is lost.
+    `down` closes connections without an answer, `delay_ms` delays each
+    answer, `lose_answers` is the share of writes whose answer is lost.
     """
 
     down: bool = False
@@ -46,7 +47,7 @@
 
 
 class Platform:
-    """Answers the calls of the object API and of its control paths."""
+    """Serves the object API and the control paths."""
 
     def __init__(self, rng: random.Random) -> None:
         self.store = ObjectStore()
@@ -54,7 +55,7 @@
         self._rng = rng
 
     def handle_request(self, request: HttpRequest) -> HttpResponse:
-        """Answer one request."""
+        """Return the response to one request."""
         match request.path.strip('/').split('/'):
             case ['control', 'faults']:
                 self.faults = msgspec.json.decode(request.body, type=Faults)
--- a/greengagepath/emulator/processes.py
+++ b/greengagepath/emulator/processes.py
@@ -1,4 +1,4 @@
-"""Processes that the demo starts, and ports for them."""
+"""Starts the processes of a deployment and allocates their ports."""
 
 import os
 import random
@@ -12,20 +12,20 @@
 
 POLL_S = 0.05
 LOCAL_HOST = '127.0.0.1'
-# Services that come with a system listen below it.
+# Services of the operating system usually listen below it.
 FIRST_PORT = 10_000
 MAX_PORT = 65_536
-# A deployment of the demo takes about 60 ports.
+# Least size of the port range; a deployment of the demo takes about 60.
 MIN_PORTS = 1000
 EPHEMERAL_RANGE_FILE = Path('/proc/sys/net/ipv4/ip_local_port_range')
 
 
 class DeploymentError(RuntimeError):
-    """A process of the demo did not become ready."""
+    """A process or command of a deployment failed or took too long."""
 
 
 class ProcessGroup:
-    """Starts processes by name and ends those it started."""
+    """Starts processes by name and kills only those."""
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
@@ -48,7 +48,7 @@
         self.processes_by_name[name].send_signal(number)
 
     def wait(self, name: str, timeout_s: float) -> int | None:
-        """Return the exit code, or None if it still runs."""
+        """Wait for the exit code; return None after `timeout_s` seconds."""
         try:
             return self.processes_by_name[name].wait(timeout_s)
         except subprocess.TimeoutExpired:
@@ -59,13 +59,13 @@
         return self.processes_by_name[name].poll() is None
 
     def check_running(self) -> None:
-        """Raise DeploymentError if a process that was started has failed."""
+        """Raise DeploymentError if a process ended with an error."""
         for name, process in self.processes_by_name.items():
             if process.poll():
                 raise DeploymentError(f'{name} ended with {process.returncode}')
 
     def stop_all(self) -> None:
-        """Kill what still runs; there is no work left to finish."""
+        """Kill the processes that still run; no work is left to finish."""
         running = [
             process
             for process in self.processes_by_name.values()
@@ -78,12 +78,12 @@
 
 
 class PortPool:
-    """Ports for processes that start later, each given out once.
+    """Allocates ports for processes that start later, each port once.
 
-    They lie below the range that the kernel uses for outgoing
-    connections, unless that range leaves too few: such a connection
-    could take a port between its choice and the start of the process
-    that shall listen there.
+    The ports lie below the ephemeral range of the kernel, unless that
+    range leaves fewer than MIN_PORTS. Otherwise an outgoing connection
+    could take a port between its allocation and the start of the process
+    that listens on it.
     """
 
     def __init__(self, rng: random.Random | None = None) -> None:
@@ -91,7 +91,7 @@
         self._allocated: set[int] = set()
 
     def allocate(self, count: int) -> list[int]:
-        """Return ports that are free for TCP and UDP on 127.0.0.1."""
+        """Return `count` ports, free for TCP and UDP on 127.0.0.1."""
         end = _read_first_ephemeral_port()
         if end < FIRST_PORT + MIN_PORTS:
             end = MAX_PORT
@@ -107,7 +107,10 @@
 def wait_until(
     condition: Callable[[], bool], description: str, timeout_s: float
 ) -> None:
-    """Poll until the condition holds; raises DeploymentError if it does not."""
+    """Poll until the condition holds.
+
+    Raises DeploymentError with `description` after `timeout_s` seconds.
+    """
     end_s = time.monotonic() + timeout_s
     while not condition():
         if time.monotonic() > end_s:
@@ -118,7 +121,7 @@
 
 
 def run_tool(folder: Path, *arguments: str) -> subprocess.CompletedProcess:
-    """Run the command-line tool and return what it printed."""
+    """Run the command-line tool; return its exit code and output."""
     return subprocess.run(
         [sys.executable, '-m', 'greengagepath', *arguments],
         cwd=folder,
--- a/greengagepath/emulator/settings_files.py
+++ b/greengagepath/emulator/settings_files.py
@@ -1,4 +1,4 @@
-"""Settings files of the processes of a deployment."""
+"""Writes the settings files of the processes of a deployment."""
 
 import secrets
 from dataclasses import dataclass
@@ -14,7 +14,7 @@
 
 @dataclass(slots=True, frozen=True)
 class BalancerProcess:
-    """Ports of a balancer and its place."""
+    """Ports and availability zone of a balancer."""
 
     name: str
     data_port: int
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TargetProcess:
-    """Ports of an agent and of the back end beside it."""
+    """Ports, zone and relative speed of a target and its agent."""
 
     name: str
     service_id: int
@@ -38,7 +38,7 @@
 
 
 class SettingsFiles:
-    """Writes settings files that share one key and one platform."""
+    """Writes settings files that share their keys and the platform."""
 
     def __init__(
         self, folder: Path, platform_port: int, answer_port: int
@@ -52,7 +52,7 @@
     def use_keys(self, *key_ids: int) -> None:
         """Use these keys in files written from now on; the first signs.
 
-        A key that is not there yet is made.
+        Generates the secret of a key that has none yet.
         """
         self._key_ids = key_ids
         for key_id in key_ids:
--- a/greengagepath/emulator/verdict.py
+++ b/greengagepath/emulator/verdict.py
@@ -1,4 +1,4 @@
-"""Figures of a demo run, from callers and back ends."""
+"""Computes the verdict of a demo run from callers and back ends."""
 
 import math
 from collections import Counter
@@ -17,10 +17,10 @@
 
 
 class Verdict(msgspec.Struct, frozen=True, kw_only=True):
-    """The last line of `greengagepath demo`.
+    """The last line that `greengagepath demo` prints.
 
-    Times are in ms. `drain_new_work_after_ms` is when the drained
-    target started its last request, counted from the drain command.
+    Times are in ms. `drain_new_work_after_ms` is the time from the
+    stored drain until the drained target started its last request.
     """
 
     scenario: str
@@ -44,7 +44,7 @@
 
 
 def evaluate(verdict: Verdict) -> Verdict:
-    """Return the verdict with what did not hold."""
+    """Return the verdict with `held` and `problems` filled in."""
     problems = [
         f'{name} is {found}, must be 0'
         for name, found in (
@@ -67,7 +67,7 @@
     ):
         if not found <= limit:
             problems.append(f'{name} is {found}, limit {limit}')
-    # Keeps a run from passing because nearly everything was refused.
+    # Without this limit a run that refuses nearly everything passes.
     if verdict.answered_whole < MIN_ANSWERED_SHARE * verdict.requests:
         problems.append('fewer than 95% of the requests were answered')
     if not verdict.requests:
@@ -81,7 +81,7 @@
     outcomes: Sequence[CallOutcome],
     runs_by_service: Mapping[str, Sequence[Run]],
 ) -> dict[str, float]:
-    """Return the counts of a verdict.
+    """Return the counts and latencies of a verdict.
 
     `runs_by_service` maps the service id of a back end to its runs.
     """
@@ -122,9 +122,9 @@
 
 
 def percentile(ordered: Sequence[float], share: float) -> float:
-    """Return the value that `share` of the ordered ones do not exceed.
+    """Return the value that `share` of the ordered values do not exceed.
 
-    Without any value the result is NaN.
+    `ordered` is ascending. The result is NaN if it is empty.
     """
     if not ordered:
         return math.nan
--- a/tests/emulator/test_emulator.py
+++ b/tests/emulator/test_emulator.py
@@ -82,7 +82,7 @@
 class ObjectStoreTest(TestCase):
     @given(st.lists(st.integers(0, 4), max_size=20))
     def test_only_a_matching_version_replaces_an_object(self, expected):
-        # Guards against a stand-in that lets racing writers both win.
+        # Guards against a stand-in that accepts both of two racing writes.
         store = ObjectStore()
         current = 0
         for version in expected:
@@ -92,7 +92,7 @@
                 current = outcome.unwrap().version
 
     def test_watch_returns_a_version_that_is_already_there(self):
-        # Guards against a watch that waits for a change it has missed.
+        # Guards against a watch that waits although the change is stored.
         store = ObjectStore()
         store.write(KEY, 0, 'first')
         self.assertEqual('first', store.watch(KEY, 0, wait_s=0).body)
@@ -118,7 +118,7 @@
         self.assertEqual(1, self.platform.store.read(KEY).version)
 
     def test_store_that_is_down_closes_the_connection(self):
-        # Guards against an outage that still takes writes.
+        # Guards against an outage during which writes are still stored.
         self.set_faults(b'{"down": true}')
         request = make_request('PUT', b'1')
         self.platform.handle_request(request)
@@ -126,7 +126,7 @@
         self.assertIsNone(self.platform.store.read(KEY))
 
     def test_conflict_carries_the_current_object(self):
-        # Guards against operators who cannot see what they raced with.
+        # Guards against a conflict that does not show the stored object.
         self.platform.handle_request(make_request('PUT', b'"mine"'))
         response = self.platform.handle_request(
             make_request('PUT', b'"theirs"')
@@ -138,13 +138,13 @@
 
 class VerdictTest(TestCase):
     def test_clean_run_holds(self):
-        # Guards against a verdict that fails on a faultless run.
+        # Guards against a verdict that fails a run without violations.
         outcomes = [make_outcome('a'), make_outcome('b')]
         runs = [make_run('a'), make_run('b')]
         self.assertTrue(make_verdict(outcomes, runs).held)
 
     def test_each_violation_is_found(self):
-        # Guards against figures that a broken system would pass.
+        # Guards against a violation that is not counted or passes the run.
         refused = make_outcome(
             'a', whole=False, not_run=True, outcome='refused'
         )
@@ -171,7 +171,7 @@
         self.assertEqual(0, verdict.run_more_than_once)
 
     def test_late_configuration_fails_the_run(self):
-        # Guards against a limit that is never compared.
+        # Guards against a limit that is not checked.
         verdict = make_verdict([make_outcome('a')], [make_run('a')])
         late = msgspec.structs.replace(verdict, config_in_force_ms=3001.0)
         self.assertFalse(evaluate(late).held)
@@ -179,34 +179,35 @@
 
 class AnswerBodyTest(TestCase):
     def test_answers_of_two_requests_differ(self):
-        # Guards against a checksum that cannot tell answers apart.
+        # Guards against equal bodies, whose checksum would also match the
+        # answer to another request.
         bodies = {checksum(make_body(name, 1000)) for name in ('aa', 'bb')}
         self.assertEqual(2, len(bodies))
 
 
-class FreePortsTest(TestCase):
-    """Guards against two processes of a demo that are given one port.
+class PortPoolTest(TestCase):
+    """Guards against two processes of a deployment with the same port.
 
-    A back end that finds its port taken ends, and the agent beside it
-    then sends its requests to the back end of another service.
+    A back end whose port is taken ends at once; its agent then sends
+    requests to the process at that port, the back end of another service.
     """
 
-    def test_no_port_is_given_twice(self):
+    def test_no_port_is_allocated_twice(self):
         pool = PortPool()
 
         ports = [port for _ in range(300) for port in pool.allocate(4)]
 
         self.assertEqual(1200, len(set(ports)))
 
-    def test_ports_are_not_those_of_outgoing_connections(self):
-        """A port stays free between its choice and its use."""
+    def test_ports_are_below_the_ephemeral_range(self):
+        """Guards against outgoing connections that take allocated ports."""
         text = Path('/proc/sys/net/ipv4/ip_local_port_range').read_text()
         first = int(text.split()[0])
 
         self.assertLess(max(PortPool().allocate(50)), first)
 
     def test_a_process_that_failed_at_start_is_reported(self):
-        """A back end that found its port taken must not go unnoticed."""
+        """Guards against a back end that ends unnoticed at a taken port."""
         with TemporaryDirectory() as name:
             processes = ProcessGroup(Path(name))
             processes.start('back-end', 'greengagepath.no_such_module')
