Reword comments of the tools, the launcher and the embedding example

Several docstrings retold the code in figurative words or left out what a function returns. They now say it plainly; the parameter `lost` of the plain-flow checks, a balancer that is killed, becomes `killed`.

The embedding example prints the same counts as before. tools/mixed_builds.py was imported, its checks were not run.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -3,7 +3,8 @@
 import gc
 import sys
 
-# What is loaded stays; collections meanwhile take a third of the start.
+# Loaded modules are never freed; collecting garbage while they load takes
+# a third of the start.
 gc.disable()
 sys.path[0] = ''
 from greengagepath.startup.module_bundle import install_bundle  # noqa: E402
--- a/examples/embedding.py
+++ b/examples/embedding.py
@@ -1,8 +1,9 @@
-"""The decisions of a balancer and an agent inside another program.
+"""Embeds the decisions of a balancer and an agent in another program.
 
-No sockets and no daemons: targets are functions, time is virtual, and
-the program asks who runs a piece of work, in which order, and whether
-it is refused. Run it with `python examples/embedding.py`.
+There are no sockets and no daemons: targets are functions and time is
+virtual. The program asks which target gets a request, in which order
+queued requests run and which are refused. Run it with
+`python examples/embedding.py`.
 """
 
 import random
@@ -31,7 +32,7 @@
 
 @dataclass(slots=True)
 class Worker:
-    """A target: its record and the gate in front of its slots."""
+    """A target and the admission gate in front of its slots."""
 
     info: TargetInfo
     gate: AdmissionGate
@@ -53,9 +54,9 @@
 
 
 def run_work(count: int, seed: int = 1) -> dict[str, int]:
-    """Run short pieces of work; return how many ended at each worker.
+    """Run `count` short requests; return how many each worker finished.
 
-    Work that a gate refuses is counted under `refused`.
+    Requests that a gate refuses are counted under `refused`.
     """
     timers = VirtualTimerService()
     workers = [make_worker(number, timers) for number in range(TARGET_COUNT)]
@@ -87,7 +88,7 @@
 def start_next(
     worker: Worker, timers: VirtualTimerService, ended: dict[str, int]
 ) -> None:
-    """Run queued work while the gate hands it out."""
+    """Run queued requests until the gate returns none."""
     request = worker.gate.next_request()
     while request is not None:
         timers.call_after(
@@ -103,7 +104,7 @@
     timers: VirtualTimerService,
     ended: dict[str, int],
 ) -> None:
-    """Free the slot and start what waits for it."""
+    """Free the slot and run the requests that wait for it."""
     worker.gate.finish(request.request_id, SHORT_WORK_S, succeeded=True)
     ended[worker.info.target_id] += 1
     start_next(worker, timers, ended)
@@ -112,7 +113,7 @@
 def answer_probes(
     chooser: TargetChooser, workers_by_id: dict[str, Worker]
 ) -> None:
-    """Tell the chooser the load of the targets it asks about."""
+    """Report the load of the targets that the chooser probes."""
     for target in chooser.targets_to_probe():
         load = workers_by_id[target.target_id].gate.load()
         chooser.record_probe(
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -1,7 +1,7 @@
-"""Generates `greengagepath/generated` from the schemas.
+"""Generates the modules of `greengagepath/generated` from the schemas.
 
-`tools/generate.py` writes the modules; with `--check` it fails if a
-committed module differs from what the schema gives.
+`tools/generate.py` writes the modules. With `--check` it writes nothing
+and fails if a committed module differs from the generated one.
 """
 
 import re
@@ -13,14 +13,14 @@
 ROOT = Path(__file__).resolve().parent.parent
 SCHEMA_DIR = ROOT / 'schema'
 GENERATED_DIR = ROOT / 'greengagepath' / 'generated'
-# The schema's own root object of the messages carries no fields.
+# Struct of the root object of a schema, which has no fields.
 ROOT_STRUCT = re.compile(
     r'^class (?:Messages|\w+File)\(Struct\):\n    """\n.*\n    """\n\n\n',
     re.MULTILINE,
 )
 TYPING_IMPORT = re.compile('^from typing import .*\n', re.MULTILINE)
 BIN_DIR = Path(sys.executable).parent
-# Structs whose fields all have defaults; an absent one takes them.
+# Structs whose fields all have defaults; used if the object is absent.
 DEFAULTED_STRUCTS = ('Limits', 'LogSettings', 'LimitSettings')
 
 
@@ -62,7 +62,7 @@
 
 
 def adapt_structs(source: str, schema_name: str) -> str:
-    """Make structs frozen and keyword-only, and absent fields plain."""
+    """Make structs frozen and keyword-only; replace `UNSET` defaults."""
     header = f'"""Generated from schema/{schema_name}; do not edit."""\n\n'
     body = re.sub(r'^#.*\n', '', source, flags=re.MULTILINE).lstrip()
     body = ROOT_STRUCT.sub('', body, count=1)
@@ -100,7 +100,7 @@
 
 
 def main() -> int:
-    """Generate or check, as the arguments say."""
+    """Write the modules, or check them with `--check`."""
     if '--check' in sys.argv[1:]:
         return check_generated()
     for schema in sorted(SCHEMA_DIR.glob('*.json')):
--- a/tools/mixed_builds.py
+++ b/tools/mixed_builds.py
@@ -97,7 +97,7 @@
 
 
 class MixedInstallation(Installation):
-    """Platform's path: processes of two builds, with their logs."""
+    """Plain flows: processes of two builds, with their logs."""
 
     def __init__(self, root_by_host: dict[str, Path]) -> None:
         super().__init__()
@@ -179,10 +179,10 @@
     roots = (other, ROOT)
     root_by_host = dict(zip(BALANCERS, roots, strict=True))
     root_by_host |= dict(zip(AGENTS, roots, strict=True))
-    for lost in BALANCERS:
+    for killed in BALANCERS:
         checks = PlainFlowChecks(MixedInstallation(root_by_host))
         try:
-            yield from checks.run(lost)
+            yield from checks.run(killed)
         finally:
             checks.stop()
 
@@ -200,8 +200,8 @@
         """End all processes and sockets."""
         self._installation.stop()
 
-    def run(self, lost: str) -> Iterator[tuple[str, bool]]:
-        """Yield the results; `lost` is the balancer that is killed."""
+    def run(self, killed: str) -> Iterator[tuple[str, bool]]:
+        """Yield the results; the balancer `killed` is killed half-way."""
         installation = self._installation
         for agent in AGENTS:
             installation.start_agent(agent)
@@ -214,9 +214,9 @@
         yield 'answers through both balancers', self._send_requests(BALANCERS)
         for draining in AGENTS:
             yield f'hand-over while {draining} drains', self._drain(draining)
-        installation.kill(lost)
-        left = [host for host in BALANCERS if host != lost]
-        yield f'flows after {lost} is killed', self._send_requests(left)
+        installation.kill(killed)
+        left = [host for host in BALANCERS if host != killed]
+        yield f'flows after {killed} is killed', self._send_requests(left)
         yield f'new flows through {left[0]}', self._open_flows(left)
         self._upgrade(AGENTS[0])
         yield 'new flows after an upgrade', self._open_flows(left)
@@ -246,7 +246,11 @@
         return all(answer == b'done' for answer in answers)
 
     def _drain(self, host: str) -> bool:
-        """Open flows while a target drains; True if the other takes all."""
+        """Open flows while a target drains.
+
+        Returns whether all of them open, none at that target, and some
+        were handed over.
+        """
         installation = self._installation
         installation.draining.add(host)
         gevent.sleep(SPREAD_S)
