--- a/greengagepath/emulator/backend.py
+++ b/greengagepath/emulator/backend.py
@@ -101,7 +101,7 @@
         """Return the response to one request."""
         match request.path:
             case '/health':
-                # Healthy in every state, so that nothing can rely on it.
+                # Wrong on purpose: the system must not rely on it.
                 return json_response({'healthy': True})
             case '/load':
                 return json_response(self._report_load())
--- a/greengagepath/emulator/processes.py
+++ b/greengagepath/emulator/processes.py
@@ -15,7 +15,7 @@
 # Services of the operating system usually listen below it.
 FIRST_PORT = 10_000
 MAX_PORT = 65_536
-# Least size of the port range; a deployment of the demo takes about 60.
+# Minimum size of the range; a deployment of the demo needs about 60.
 MIN_PORTS = 1000
 EPHEMERAL_RANGE_FILE = Path('/proc/sys/net/ipv4/ip_local_port_range')
 
--- a/tools/mixed_builds.py
+++ b/tools/mixed_builds.py
@@ -1,4 +1,4 @@
-"""Runs this build beside another one.
+"""Checks that this build works together with another one.
 
 Usage: `python tools/mixed_builds.py OTHER [plain-flows] [own-protocol]`.
 
@@ -83,7 +83,7 @@
 
 
 class UpgradedDeployment(MixedDeployment):
-    """Own protocol: this build on files and store of the other one."""
+    """Own protocol: this build on files and store of the other."""
 
     def start(self, balancer_count: int = 3) -> None:
         """Start the other build, then replace daemon by daemon."""
@@ -267,7 +267,7 @@
         return sum(1 for offer in offers if offer['hops'] > 0)
 
     def _upgrade(self, host: str) -> None:
-        """Start this build on settings and store of the other one."""
+        """Start this build on settings and store of the other."""
         installation = self._installation
         installation.kill(host)
         installation.root_by_host = installation.root_by_host | {host: ROOT}
