--- a/greengagepath/emulator/deployment.py
+++ b/greengagepath/emulator/deployment.py
@@ -1,4 +1,4 @@
-"""A whole deployment as processes on 127.0.0.1.
+"""Runs a whole deployment as processes on 127.0.0.1.
 
 Writes the settings of each process into a folder and starts stand-ins,
 balancers and targets with their agents.
@@ -22,28 +22,29 @@
     OperationAnswers,
     ServiceAnswers,
 )
-from .control_paths import ControlPaths, fetch
+from .control_paths import ControlClient, fetch
 from .fabric import BalancerEntry, FabricConfig
 from .processes import (
     LOCAL_HOST,
+    DeploymentError,
     PortPool,
     ProcessGroup,
-    StartError,
     run_tool,
     wait_until,
 )
 from .settings_files import BalancerProcess, SettingsFiles, TargetProcess
 
 AVAILABILITY_ZONES = ('zone-a', 'zone-b', 'zone-c')
-# Targets bought over years differ in speed by up to 4 times.
+# Targets bought over several years differ in speed by a factor of 4.
 SPEEDS = (1.0, 0.75, 0.5, 1.0, 0.25, 0.75, 0.5)
 STRAGGLER_SHARE = 0.002
 START_TIMEOUT_S = 20.0
 SEED_BITS = 32
-# More than any service of the examples has.
+# No service of the examples has as many targets.
 ALL_TARGETS = 1000
-# The demo fetches an answer of 20 MB from the service with long work.
-LARGE_FROM_KB = 16_384
+# The demo requests an answer of 20 MB from the service with long work.
+# Operations with large answers get a limit that allows it.
+MIN_LARGE_ANSWER_KB = 16_384
 LARGEST_ANSWER_KB = 24_000
 DAEMON = 'greengagepath.daemon'
 EXAMPLES_DIR = Path(__file__).resolve().parents[2] / 'examples'
@@ -61,7 +62,7 @@
 class Deployment:
     """The processes of one deployment.
 
-    `max_targets` limits the targets of each service.
+    `max_targets` limits the number of targets of each service.
     """
 
     def __init__(
@@ -80,8 +81,8 @@
         self.balancers_by_name: dict[str, BalancerProcess] = {}
         self.targets_by_name: dict[str, TargetProcess] = {}
         self._port_pool = PortPool()
-        self._ports = DeploymentPorts(*self._port_pool.find(3))
-        self.control_paths = ControlPaths(
+        self._ports = DeploymentPorts(*self._port_pool.allocate(3))
+        self.control_client = ControlClient(
             self._ports.platform, self._ports.fabric_control
         )
         self._settings_files = SettingsFiles(
@@ -89,9 +90,10 @@
         )
 
     def start(self, balancer_count: int = 3) -> None:
-        """Start everything and bring the first configuration into force.
+        """Start all processes and apply the first configuration.
 
-        Raises StartError if a process does not become ready.
+        Raises DeploymentError if a process fails or is not ready within
+        START_TIMEOUT_S.
         """
         self._generate_configuration()
         self._start_stand_ins()
@@ -107,18 +109,20 @@
         self.processes.check_running()
 
     def stop(self) -> None:
-        """End all processes."""
+        """Kill all processes that still run."""
         self.processes.stop_all()
 
     def start_balancer(self) -> str:
         """Start one more balancer behind the fabric; return its name."""
         number = len(self.balancers_by_name) + 1
         balancer = BalancerProcess(
-            f'balancer-{number}', *self._port_pool.find(3), _pick_zone(number)
+            f'balancer-{number}',
+            *self._port_pool.allocate(3),
+            _pick_zone(number),
         )
         self.balancers_by_name[balancer.name] = balancer
-        self.restart(balancer.name)
-        self.control_paths.announce_balancers(
+        self.start_daemon(balancer.name)
+        self.control_client.set_balancers(
             [
                 BalancerEntry(LOCAL_HOST, entry.data_port, entry.status_port)
                 for entry in self.balancers_by_name.values()
@@ -136,22 +140,25 @@
         target = TargetProcess(
             f'{service.name}-{number + 1}',
             service_id,
-            *self._port_pool.find(4),
+            *self._port_pool.allocate(4),
             _pick_zone(number),
             SPEEDS[number % len(SPEEDS)],
         )
         self.targets_by_name[target.name] = target
         self._start_back_end(target, cold=cold)
-        self.restart(target.name)
+        self.start_daemon(target.name)
         return target.name
 
-    def restart(self, name: str) -> None:
+    def start_daemon(self, name: str) -> None:
         """Start the daemon of a balancer or of a target's agent."""
         path = self._write_settings(name)
         self.processes.start(name, DAEMON, '--config', str(path))
 
     def use_keys(self, *key_ids: int) -> None:
-        """Change the keys of the tool, and of daemons while they run."""
+        """Switch the tool and the running daemons to these keys.
+
+        The first key signs. SIGHUP makes the daemons read the new keys.
+        """
         self._settings_files.use_keys(*key_ids)
         self._write_tool_settings()
         for name in self._daemon_names():
@@ -178,7 +185,10 @@
         return self._settings_files.write_balancer(balancer)
 
     def wait_until_ready(self, name: str) -> None:
-        """Wait for `/readyz` of a daemon."""
+        """Wait until `/readyz` of a daemon answers 200.
+
+        Raises DeploymentError after START_TIMEOUT_S.
+        """
         wait_until(
             lambda: self.is_ready(name), f'{name} ready', START_TIMEOUT_S
         )
@@ -189,10 +199,13 @@
         return fetch(daemons[name].status_port, '/readyz') is not None
 
     def run_tool(self, command: str, *arguments: str) -> str:
-        """Run a command of the tool; raises StartError if it fails."""
+        """Run a command of the tool and return its output.
+
+        Raises DeploymentError if it fails.
+        """
         done = run_tool(self.folder, command, *arguments)
         if done.returncode:
-            raise StartError(
+            raise DeploymentError(
                 f'greengagepath {command} ended with {done.returncode}:'
                 f' {done.stdout}{done.stderr}'
             )
@@ -204,7 +217,7 @@
             case Ok(answers):
                 local = _make_local(answers, self._port_pool)
             case Err(problems):
-                raise StartError('; '.join(map(str, problems)))
+                raise DeploymentError('; '.join(map(str, problems)))
         answers_path = self.folder / 'answers.toml'
         answers_path.write_text(tomli_w.dumps(msgspec.to_builtins(local)))
         self.run_tool('init', '--answers', 'answers.toml')
@@ -272,7 +285,7 @@
 
 
 def _make_local(answers: Answers, port_pool: PortPool) -> Answers:
-    ports = port_pool.find(len(answers.services))
+    ports = port_pool.allocate(len(answers.services))
     services = [
         _make_service_local(service, port)
         for service, port in zip(answers.services, ports, strict=True)
@@ -281,14 +294,14 @@
 
 
 def _make_service_local(service: ServiceAnswers, port: int) -> ServiceAnswers:
-    operations = [_allow_large(entry) for entry in service.operations]
+    operations = [_allow_large_answer(entry) for entry in service.operations]
     return msgspec.structs.replace(
         service, host=LOCAL_HOST, port=port, operations=operations
     )
 
 
-def _allow_large(operation: OperationAnswers) -> OperationAnswers:
-    if operation.answer_kb < LARGE_FROM_KB:
+def _allow_large_answer(operation: OperationAnswers) -> OperationAnswers:
+    if operation.answer_kb < MIN_LARGE_ANSWER_KB:
         return operation
     answer_kb = max(operation.answer_kb, LARGEST_ANSWER_KB)
     return msgspec.structs.replace(operation, answer_kb=answer_kb)
@@ -299,10 +312,12 @@
 
 
 def _wait_for_port(port: int, name: str) -> None:
-    wait_until(lambda: _is_open(port), f'{name} listening', START_TIMEOUT_S)
+    wait_until(
+        lambda: _is_listening(port), f'{name} listening', START_TIMEOUT_S
+    )
 
 
-def _is_open(port: int) -> bool:
+def _is_listening(port: int) -> bool:
     try:
         with socket.create_connection((LOCAL_HOST, port), 1):
             return True
