Rename Metrics.set_fill to set_table_usage

Cause: 'fill' did not say that the method sets the entries and the capacity of a bounded table. Change: the method is renamed at every use.

--- a/greengagepath/daemon/agent_metrics.py
+++ b/greengagepath/daemon/agent_metrics.py
@@ -123,7 +123,7 @@
     def _copy_fills(self) -> None:
         flows = self._flows
         load = flows.gate.load()
-        fill = self.metrics.set_fill
+        fill = self.metrics.set_table_usage
         records = flows.table.records
         reassembly = flows.reassembly
         fill('queue', load.queued, load.queue_length)
--- a/greengagepath/daemon/balancer_metrics.py
+++ b/greengagepath/daemon/balancer_metrics.py
@@ -101,7 +101,7 @@
     def _copy_fills(self) -> None:
         router = self._path.router
         cache = router.forwarder.cache
-        fill = self.metrics.set_fill
+        fill = self.metrics.set_table_usage
         fill('verified_tokens', len(cache), cache.capacity)
         fill('pending_probes', len(router.probes), MAX_PENDING)
         fill(
--- a/greengagepath/foundation/metrics.py
+++ b/greengagepath/foundation/metrics.py
@@ -160,7 +160,7 @@
         collector = self._find(name)
         collector.set(self._bound(name, labels), level)
 
-    def set_fill(self, table: str, entries: int, capacity: int) -> None:
+    def set_table_usage(self, table: str, entries: int, capacity: int) -> None:
         """Show how full a queue, table or buffer is."""
         self.set_gauge('table_entries', entries, table=table)
         self.set_gauge('table_capacity', capacity, table=table)
--- a/tests/foundation/test_metrics.py
+++ b/tests/foundation/test_metrics.py
@@ -7,7 +7,7 @@
     def test_fill_levels_are_copied_when_rendered(self):
         # Guards against gauges that show the last change, not the scrape.
         metrics = Metrics()
-        metrics.before_render(lambda: metrics.set_fill('links', 3, 500))
+        metrics.before_render(lambda: metrics.set_table_usage('links', 3, 500))
         text = metrics.render().decode()
         self.assertIn('greengagepath_table_entries{table="links"} 3', text)
         self.assertIn('greengagepath_table_capacity{table="links"} 500', text)
--- a/tests/operator/test_http_status.py
+++ b/tests/operator/test_http_status.py
@@ -33,7 +33,7 @@
 
     def test_metrics_are_served(self):
         # Guards against a scrape that needs the library's own event loop.
-        self.metrics.set_fill('links', 1, 500)
+        self.metrics.set_table_usage('links', 1, 500)
         status, body = self.fetch('/metrics')
         self.assertEqual(200, status)
         self.assertIn('greengagepath_table_entries{table="links"} 1', body)
