Rename parse_end to parse_expiry

Cause: 'end' did not say that the text is the expiry time of a key. Change: the function is renamed at every use.

--- a/greengagepath/foundation/settings.py
+++ b/greengagepath/foundation/settings.py
@@ -119,7 +119,7 @@
             key = f'keys[{position}].key_id'
             yield key, entry.key_id, 'a key_id that no other key has'
         seen.add(entry.key_id)
-        if parse_end(entry.not_after) is None:
+        if parse_expiry(entry.not_after) is None:
             key = f'keys[{position}].not_after'
             allowed = 'date and time with offset: 2027-01-31T00:00:00+00:00'
             yield key, entry.not_after, allowed
@@ -144,7 +144,7 @@
     return True
 
 
-def parse_end(not_after: str) -> float | None:
+def parse_expiry(not_after: str) -> float | None:
     """Return seconds since the epoch, or None if malformed.
 
     Empty text means no end and gives infinity. A time without offset
--- a/greengagepath/protocol/keys.py
+++ b/greengagepath/protocol/keys.py
@@ -14,7 +14,7 @@
 from result import Err, Ok, Result
 
 from ..foundation.logs import log_event
-from ..foundation.settings import load_settings, parse_end
+from ..foundation.settings import load_settings, parse_expiry
 from ..foundation.validation import SettingProblem
 from ..generated.settings import KeySettings, Settings
 from .tags import Key, KeyRing
@@ -132,7 +132,7 @@
     if not _SECRET.fullmatch(text):
         # The content is a secret even if it is malformed.
         return Err(_problem(entry, key, f'(hidden, {len(text)} characters)'))
-    end_s = parse_end(entry.not_after)
+    end_s = parse_expiry(entry.not_after)
     no_end = end_s is None or end_s == float('inf')
     return Ok(Key(entry.key_id, bytes.fromhex(text), None if no_end else end_s))
 
