Rename TomlDocument.problem to create_problem

Cause: the method creates a problem and its name read like an attribute. Change: renamed at every use.

--- a/greengagepath/cli/check.py
+++ b/greengagepath/cli/check.py
@@ -69,7 +69,7 @@
     if 'object_api' in document.raw:
         return load_tool_settings(path).and_then(_check_files)
     allowed = 'services, deployment, role or object_api'
-    return Err([document.problem('file', list(document.raw), allowed)])
+    return Err([document.create_problem('file', list(document.raw), allowed)])
 
 
 def _check_files(settings) -> _Checked:
--- a/greengagepath/foundation/validation.py
+++ b/greengagepath/foundation/validation.py
@@ -55,7 +55,9 @@
     raw: dict[str, Any]
     lines_by_key: dict[str, int]
 
-    def problem(self, key: str, found: object, allowed: str) -> SettingProblem:
+    def create_problem(
+        self, key: str, found: object, allowed: str
+    ) -> SettingProblem:
         """Return a problem with the line of the key or its table."""
         return SettingProblem(
             path=self.path,
@@ -87,7 +89,7 @@
 ) -> Result[Kind, list[SettingProblem]]:
     """Return the typed content, or every problem of the file."""
     problems = [
-        document.problem(key, found, allowed)
+        document.create_problem(key, found, allowed)
         for key, found, allowed in check_value(
             document.raw, msgspec.inspect.type_info(kind), ''
         )
@@ -97,7 +99,9 @@
     try:
         return Ok(msgspec.convert(document.raw, kind))
     except msgspec.ValidationError as error:
-        return Err([document.problem('file', error, 'the documented types')])
+        return Err(
+            [document.create_problem('file', error, 'the documented types')]
+        )
 
 
 def check_document(
@@ -111,7 +115,7 @@
         return converted
     findings = list(find_contradictions(converted.ok_value))
     if findings:
-        return Err([document.problem(*entry) for entry in findings])
+        return Err([document.create_problem(*entry) for entry in findings])
     return converted
 
 
