Reword foundation and its tests

Cause: comments and docstrings used private or figurative words, and some gave no units or errors. Change: plain descriptions in foundation, tests/foundation and tests/operator/test_settings.py; private names such as _tell_pause, chance, _stamps and _show are renamed, and PAUSE_S is now MIN_PAUSE_S. The text of the ValueError for wrong metric labels changes.

--- a/greengagepath/foundation/__init__.py
+++ b/greengagepath/foundation/__init__.py
@@ -1,1 +1,1 @@
-"""Parts that every role builds on: timers, logs, settings, the store."""
+"""Modules shared by all roles, such as timers, logs and settings."""
--- a/greengagepath/foundation/addresses.py
+++ b/greengagepath/foundation/addresses.py
@@ -1,4 +1,4 @@
-"""Addresses of sockets."""
+"""Type of socket addresses."""
 
 # Host and port.
 Address = tuple[str, int]
--- a/greengagepath/foundation/exit_codes.py
+++ b/greengagepath/foundation/exit_codes.py
@@ -1,17 +1,17 @@
-"""Exit codes of the daemon and the tool."""
+"""Exit codes of the daemon and the command-line tool."""
 
 from enum import IntEnum, unique
 
 
 @unique
 class ExitCode(IntEnum):
-    """What a process tells the shell that started it."""
+    """Exit code of a process."""
 
     OK = 0
     FAILURE = 1
-    # Wrong usage of the command line, or a bad setting.
+    # Invalid command line, or an invalid setting.
     BAD_USAGE = 2
-    # Somebody else changed the same object first.
+    # Another writer changed the same object first.
     CONFLICT = 3
     UNREACHABLE = 4
     TIMEOUT = 5
--- a/greengagepath/foundation/logs.py
+++ b/greengagepath/foundation/logs.py
@@ -1,8 +1,8 @@
 """Structured logs: stable event names with fields.
 
-Every record has the event, role and member; `flow_id` and `request_id`
-are always 16 and 32 hexadecimal digits, so that one search follows a
-flow or request through balancers, agents and callers.
+Every record has the event, role and member. `flow_id` is always written
+as 16 and `request_id` as 32 hexadecimal digits, so that one search finds
+a flow or request in the logs of balancers, agents and callers.
 """
 
 import json
@@ -26,7 +26,11 @@
 
 
 class LogOptions:
-    """Style, lowest level and repeats of one event in a second."""
+    """Default log options for roles that do not load `LogSettings`.
+
+    `level` is the lowest level that is written, `style` is `json` or
+    `text`, and `repeats_per_s` limits repeating records per event name.
+    """
 
     __slots__ = ('level', 'repeats_per_s', 'style')
 
@@ -37,19 +41,23 @@
 
 
 class JsonFormatter(logging.Formatter):
-    """One JSON object for each line."""
+    """Formats each record as one JSON object on one line."""
 
     def __init__(self, role: str, member_id: str) -> None:
         super().__init__()
         self._origin = {'role': role, 'member_id': member_id}
 
     def format(self, record: logging.LogRecord) -> str:
-        """Return the record as JSON, the time in UTC."""
+        """Return the record as JSON with the time in UTC."""
         return _encode_json(_describe(record) | self._origin)
 
 
 class TextFormatter(logging.Formatter):
-    """Time, level, member and event, then `name=value` pairs."""
+    """Formats each record as one line of text.
+
+    The line has the time, level, member and event, followed by
+    `name=value` pairs.
+    """
 
     def __init__(self, role: str, member_id: str) -> None:
         super().__init__()
@@ -60,15 +68,15 @@
         fields = _describe(record)
         head = [fields.pop('time'), fields.pop('level'), self._origin]
         head.append(str(fields.pop('event')))
-        pairs = [f'{name}={_quote(found)}' for name, found in fields.items()]
+        pairs = [f'{name}={_quote(entry)}' for name, entry in fields.items()]
         return ' '.join(head + pairs)
 
 
 class DroppingStream:
     """Writes lines to a descriptor and drops those that would block.
 
-    A reader that stalls must not stall the process; `dropped` counts
-    the lines that it missed.
+    A reader that stops reading must not block the process; `dropped`
+    counts the lines that were not written.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -77,7 +85,7 @@
         self._descriptor = descriptor
 
     def write(self, text: str) -> int:
-        """Write the text, or drop it."""
+        """Write the text, or drop it if the descriptor would block."""
         try:
             os.write(self._descriptor, text.encode())
         except BlockingIOError:
@@ -85,14 +93,15 @@
         return len(text)
 
     def flush(self) -> None:
-        """Do nothing, since nothing is buffered."""
+        """Do nothing, because nothing is buffered."""
 
 
 class EventRateLimit(logging.Filter):
-    """Limits records marked as repeating, for each event name.
+    """Limits the rate of records marked as repeating, per event name.
 
-    A token bucket of one second; the first record after a suppression
-    carries the number of suppressed ones in the field `suppressed`.
+    Each event name has a token bucket that holds the records of one
+    second. The first record after a suppression has the number of
+    suppressed records in the field `suppressed`.
     """
 
     def __init__(
@@ -103,14 +112,14 @@
         super().__init__()
         self._rate = repeats_per_s
         self._clock = clock
-        self._buckets_by_event: dict[str, _Bucket] = {}
+        self._buckets_by_event: dict[str, _TokenBucket] = {}
 
     def filter(self, record: logging.LogRecord) -> bool:
-        """Return whether the record is to be written."""
+        """Return whether to write the record."""
         if not getattr(record, 'repeats', False):
             return True
         bucket = self._find_bucket(record.getMessage())
-        if not bucket.take(self._clock(), self._rate):
+        if not bucket.try_consume(self._clock(), self._rate):
             return False
         if bucket.suppressed:
             fields = getattr(record, 'fields', {})
@@ -119,23 +128,24 @@
         return True
 
     def suppressed(self, event: str) -> int:
-        """Return how many records of the event wait to be reported."""
+        """Return the number of suppressed records not yet reported."""
         bucket = self._buckets_by_event.get(event)
         return bucket.suppressed if bucket else 0
 
-    def _find_bucket(self, event: str) -> '_Bucket':
+    def _find_bucket(self, event: str) -> '_TokenBucket':
         if event not in self._buckets_by_event:
             if len(self._buckets_by_event) >= MAX_LIMITED_EVENTS:
-                # Event names are constants; more of them is a fault.
+                # Event names are constants; reaching the limit is a fault
+                # of the program, and the surplus shares one bucket.
                 event = 'other'
             capacity = max(self._rate, 1.0)
             self._buckets_by_event.setdefault(
-                event, _Bucket(capacity, self._clock())
+                event, _TokenBucket(capacity, self._clock())
             )
         return self._buckets_by_event[event]
 
 
-class _Bucket:
+class _TokenBucket:
     __slots__ = ('_capacity', '_filled_s', '_level', 'suppressed')
 
     def __init__(self, capacity: float, now_s: float) -> None:
@@ -144,9 +154,9 @@
         self._level = capacity
         self._filled_s = now_s
 
-    def take(self, now_s: float, rate: float) -> bool:
-        gained = (now_s - self._filled_s) * rate
-        self._level = min(self._capacity, self._level + gained)
+    def try_consume(self, now_s: float, rate: float) -> bool:
+        refill = (now_s - self._filled_s) * rate
+        self._level = min(self._capacity, self._level + refill)
         self._filled_s = now_s
         if self._level < 1:
             self.suppressed += 1
@@ -161,10 +171,13 @@
     member_id: str,
     stream: 'TextIO | DroppingStream | None' = None,
 ) -> None:
-    """Send the package's logs to `stream`, standard error by default."""
+    """Write the package's logs to `stream`, by default standard error.
+
+    Handlers of an earlier call are removed.
+    """
     handler = logging.StreamHandler(stream or sys.stderr)
-    kind = JsonFormatter if settings.style == 'json' else TextFormatter
-    handler.setFormatter(kind(role, member_id))
+    formatter = JsonFormatter if settings.style == 'json' else TextFormatter
+    handler.setFormatter(formatter(role, member_id))
     handler.addFilter(EventRateLimit(settings.repeats_per_s))
     logger = logging.getLogger(ROOT_LOGGER)
     for previous in tuple(logger.handlers):
@@ -184,9 +197,9 @@
 ) -> None:
     """Write an event, such as `flow.opened`, with its fields.
 
-    Pass `repeats=True` where a peer can cause the event by packet, so
-    that the limit of the settings holds. `flow_id` is an integer or
-    bytes, `request_id` is bytes; both are written as hexadecimal.
+    Pass `repeats=True` if a packet from a peer can cause the event, so
+    that `repeats_per_s` limits it. `flow_id` is an integer or bytes and
+    `request_id` is bytes; both are written as hexadecimal digits.
     """
     if logger.isEnabledFor(level):
         logger.log(level, event, extra={'fields': fields, 'repeats': repeats})
@@ -199,8 +212,8 @@
         'level': record.levelname.lower(),
         'event': record.getMessage(),
     }
-    for name, found in getattr(record, 'fields', {}).items():
-        described[name] = _plain(name, found)
+    for name, entry in getattr(record, 'fields', {}).items():
+        described[name] = _convert_field(name, entry)
     if record.exc_info:
         described['exception'] = logging.Formatter().formatException(
             record.exc_info
@@ -208,14 +221,14 @@
     return described
 
 
-def _plain(name: str, found: Any) -> Any:
-    if isinstance(found, bytes):
-        return found.hex()
-    if name == 'flow_id' and isinstance(found, int):
-        return f'{found:0{FLOW_ID_DIGITS}x}'
-    return found
+def _convert_field(name: str, entry: Any) -> Any:
+    if isinstance(entry, bytes):
+        return entry.hex()
+    if name == 'flow_id' and isinstance(entry, int):
+        return f'{entry:0{FLOW_ID_DIGITS}x}'
+    return entry
 
 
-def _quote(found: Any) -> str:
-    text = str(found)
+def _quote(entry: Any) -> str:
+    text = str(entry)
     return _encode_json(text) if ' ' in text else text
--- a/greengagepath/foundation/metrics.py
+++ b/greengagepath/foundation/metrics.py
@@ -1,8 +1,8 @@
-"""Metrics of a daemon around a registry of aioprometheus.
+"""Metrics of a daemon, kept in a registry of aioprometheus.
 
-All metrics are defined here, so that names, units and labels stay
-uniform. Label values that come from peers are bounded: past the limit
-of a metric they are counted under `other`.
+All metrics are defined here, so that names, units and labels are
+consistent. Label values may come from peers, so the label sets of a
+metric are limited; those above the limit are counted as `other`.
 """
 
 from collections.abc import Callable
@@ -16,7 +16,7 @@
 PREFIX = 'greengagepath_'
 MAX_LABEL_SETS = 1000
 OTHER = 'other'
-# Seconds; dense around the thresholds of interactive requests.
+# In seconds; finer around the thresholds of interactive requests.
 DURATION_BUCKETS_S = (
     0.001,
     0.0025,
@@ -38,7 +38,7 @@
 
 @unique
 class MetricKind(Enum):
-    """How a metric moves."""
+    """Type of a metric in Prometheus."""
 
     COUNTER = 'counter'
     GAUGE = 'gauge'
@@ -47,7 +47,7 @@
 
 @dataclass(slots=True, frozen=True)
 class MetricDefinition:
-    """Name without prefix, labels and meaning of a metric."""
+    """Name without prefix, type, help text and labels of a metric."""
 
     name: str
     kind: MetricKind
@@ -132,10 +132,10 @@
 class Metrics:
     """The metrics of one process.
 
-    Names are those of `DEFINITIONS`; an unknown name raises KeyError,
-    a wrong set of labels ValueError. Counters of single packets are
-    kept as plain numbers by their owner and copied by a callback
-    registered with `before_render`, which keeps the data path short.
+    Names are those of `DEFINITIONS`. An unknown name raises KeyError,
+    a wrong set of labels ValueError. Packet counters are kept as plain
+    numbers by the objects that count them, which keeps the data path
+    short; a callback registered with `before_render` copies them.
     """
 
     def __init__(self, max_label_sets: int = MAX_LABEL_SETS) -> None:
@@ -146,32 +146,32 @@
         self._callbacks: list[Callable[[], None]] = []
 
     def add(self, name: str, amount: float = 1, **labels: str) -> None:
-        """Add to a counter."""
+        """Add `amount` to a counter."""
         collector = self._find(name)
-        collector.add(self._bound(name, labels), amount)
+        collector.add(self._limit_labels(name, labels), amount)
 
     def set_counter(self, name: str, total: float, **labels: str) -> None:
-        """Copy the running total that a part keeps itself."""
+        """Set a counter to a total that is counted elsewhere."""
         collector = self._find(name)
-        collector.set(self._bound(name, labels), total)
+        collector.set(self._limit_labels(name, labels), total)
 
     def set_gauge(self, name: str, level: float, **labels: str) -> None:
-        """Set a gauge."""
+        """Set a gauge to `level`."""
         collector = self._find(name)
-        collector.set(self._bound(name, labels), level)
+        collector.set(self._limit_labels(name, labels), level)
 
     def set_table_usage(self, table: str, entries: int, capacity: int) -> None:
-        """Show how full a queue, table or buffer is."""
+        """Set the gauges for the entries and capacity of a bounded table."""
         self.set_gauge('table_entries', entries, table=table)
         self.set_gauge('table_capacity', capacity, table=table)
 
     def observe(self, name: str, duration_s: float, **labels: str) -> None:
         """Add a duration in seconds to a histogram."""
         collector = self._find(name)
-        collector.add(self._bound(name, labels), duration_s)
+        collector.add(self._limit_labels(name, labels), duration_s)
 
     def before_render(self, callback: Callable[[], None]) -> None:
-        """Call back before each rendering, to copy totals and fills."""
+        """Call `callback` before each rendering, to update the metrics."""
         self._callbacks.append(callback)
 
     def render(self) -> bytes:
@@ -187,16 +187,18 @@
             self._collectors_by_name[name] = collector
         return collector
 
-    def _bound(self, name: str, labels: dict[str, str]) -> dict[str, str]:
+    def _limit_labels(
+        self, name: str, labels: dict[str, str]
+    ) -> dict[str, str]:
         expected = DEFINITIONS_BY_NAME[name].labels
         if labels.keys() != set(expected):
-            raise ValueError(f'{name} has the labels {expected}')
-        known = self._label_sets_by_name.setdefault(name, set())
+            raise ValueError(f'metric {name} requires the labels {expected}')
+        label_sets = self._label_sets_by_name.setdefault(name, set())
         label_set = tuple(labels[label] for label in expected)
-        if label_set not in known:
-            if len(known) >= self._max_label_sets:
+        if label_set not in label_sets:
+            if len(label_sets) >= self._max_label_sets:
                 return dict.fromkeys(expected, OTHER)
-            known.add(label_set)
+            label_sets.add(label_set)
         return labels
 
 
--- a/greengagepath/foundation/native_sockets.py
+++ b/greengagepath/foundation/native_sockets.py
@@ -1,7 +1,8 @@
-"""Non-blocking UDP sockets for loops that wait by themselves.
+"""Unpatched, non-blocking UDP sockets for packet loops.
 
-The sockets of a process patched by gevent run Python code around each
-call; a loop that waits for its socket with `wait_read` does not need it.
+In a process patched by gevent, sockets run Python code around each
+call. A loop that waits for its socket with gevent's `wait_read` does
+not need that code and avoids its cost here.
 """
 
 import socket
@@ -12,10 +13,10 @@
 
 
 def open_udp_socket(receive_buffer_bytes: int = 0) -> socket.socket:
-    """Return an unbound, non-blocking socket.
+    """Return an unbound, non-blocking UDP socket.
 
-    The kernel limits the buffer to net.core.rmem_max; 0 leaves it as
-    it is.
+    The kernel limits the receive buffer to net.core.rmem_max; 0 keeps
+    the default size.
     """
     opened = _NativeSocket(socket.AF_INET, socket.SOCK_DGRAM)
     opened.setblocking(False)
--- a/greengagepath/foundation/object_api.py
+++ b/greengagepath/foundation/object_api.py
@@ -1,8 +1,8 @@
 """Client of the platform's object API.
 
 Objects are versioned JSON values with conditional updates. Every write
-carries an operation id, so that a writer whose answer was lost finds
-out by reading whether its write took effect.
+has an operation id: a writer whose answer was lost reads the object and
+finds its own id there if the write took effect.
 """
 
 import json
@@ -23,14 +23,14 @@
 
 OPERATION_ID = 'operation_id'
 OPERATION_BITS = 128
-# First wait before a retry; it doubles with every attempt and is
-# jittered between half and all of itself.
+# The wait after attempt n is this many seconds times 2**n, times a random
+# factor between 0.5 and 1.
 FIRST_RETRY_S = 0.1
 MAX_ATTEMPTS = 4
 WATCH_WAIT_S = 20.0
-# Simultaneous calls of one process, a pending watch included.
+# Simultaneous calls of one process, including pending watches.
 MAX_CALLS = 8
-# Values are at most 1 MB.
+# Twice the largest value of an object, 1 MB.
 MAX_ANSWER_BYTES = 2097152
 
 _OK = 200
@@ -41,7 +41,7 @@
 
 @unique
 class ObjectKind(StrEnum):
-    """Kinds of objects that the system keeps."""
+    """Kinds of objects that the load balancer stores."""
 
     CONFIGURATION = 'configuration'
     SEED = 'seed'
@@ -51,7 +51,10 @@
 
 @dataclass(slots=True, frozen=True)
 class StoredObject:
-    """An object; version 0 and an empty body if it does not exist."""
+    """An object and its version.
+
+    An object that does not exist has version 0 and an empty body.
+    """
 
     version: int
     body: dict[str, object]
@@ -59,14 +62,14 @@
 
 @dataclass(slots=True, frozen=True)
 class Conflict:
-    """Somebody else wrote first; `current` is what is there now."""
+    """Another writer changed the object first, to `current`."""
 
     current: StoredObject
 
 
 @dataclass(slots=True, frozen=True)
 class Unreachable:
-    """No answer after all attempts; a write may have taken effect."""
+    """All attempts failed; a write may still have taken effect."""
 
     reason: str
 
@@ -78,7 +81,11 @@
 
 @dataclass(slots=True, frozen=True)
 class ObjectCall:
-    """One HTTP call; `body` and `expected_version` belong to a write."""
+    """One HTTP call.
+
+    `body` and `expected_version` are used by writes only. `wait_s` is
+    how long the server may hold the answer, in seconds.
+    """
 
     path: str
     body: dict[str, object] | None = None
@@ -88,7 +95,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ObjectAnswer:
-    """Status and decoded JSON of an answer."""
+    """HTTP status and decoded JSON of an answer."""
 
     status: int
     content: dict[str, object]
@@ -98,10 +105,10 @@
 
 
 class ObjectTransport(Protocol):
-    """Carries a call to the object API and back."""
+    """Sends calls to the object API."""
 
     def send(self, call: ObjectCall, on_answer: OnAnswer) -> None:
-        """Call `on_answer` once with the answer or the problem."""
+        """Call `on_answer` once, with the answer or an error text."""
 
 
 def _always() -> bool:
@@ -109,17 +116,21 @@
 
 
 class ObjectClient:
-    """Reads, conditional writes and watches with limited retries."""
+    """Reads, writes and watches objects with a limited number of retries.
+
+    Each operation calls `on_outcome` once, with the object or with
+    `Conflict` or `Unreachable`.
+    """
 
     def __init__(
         self,
         transport: ObjectTransport,
         timers: TimerService,
-        chance: random.Random,
+        random: random.Random,
     ) -> None:
         self._transport = transport
         self._timers = timers
-        self._chance = chance
+        self._random = random
 
     def read(self, kind: ObjectKind, name: str, on_outcome: OnOutcome) -> None:
         """Read one object."""
@@ -133,9 +144,9 @@
         after_version: int,
         on_outcome: OnOutcome,
     ) -> None:
-        """Wait for a version above `after_version`, once.
+        """Wait once for a version above `after_version`.
 
-        The outcome has version 0 if none came within `WATCH_WAIT_S`.
+        The outcome has version 0 if there is none within `WATCH_WAIT_S`.
         """
         wait_ms = int(WATCH_WAIT_S * 1000)
         call = ObjectCall(
@@ -145,11 +156,12 @@
             ),
             wait_s=WATCH_WAIT_S,
         )
+        # A watch is not retried.
         last = MAX_ATTEMPTS
         self._attempt(_Attempt(call, _read_outcome, on_outcome, last))
 
     def list_names(self, kind: ObjectKind, on_outcome: OnOutcome) -> None:
-        """List the objects of a kind; the body holds the answer as sent."""
+        """List the objects of a kind; the body is the decoded answer."""
         call = ObjectCall(path=f'/objects/{kind}?prefix=')
         self._attempt(_Attempt(call, _list_outcome, on_outcome))
 
@@ -161,14 +173,15 @@
         on_outcome: OnOutcome,
         may_send: Callable[[], bool] = _always,
     ) -> None:
-        """Write the body if the object still has the version given.
+        """Write the body if the object still has version `changed.version`.
 
         A body without an operation id gets a random one. `may_send` is
-        asked before each attempt; a lease holder passes its lease.
+        called before each attempt, and the write ends as `Unreachable`
+        when it returns False; a lease holder passes a check of its lease.
         """
         operation_id = str(
             changed.body.get(OPERATION_ID)
-            or uuid.UUID(int=self._chance.getrandbits(OPERATION_BITS)).hex
+            or uuid.UUID(int=self._random.getrandbits(OPERATION_BITS)).hex
         )
         body = {**changed.body, OPERATION_ID: operation_id}
         call = ObjectCall(
@@ -191,24 +204,25 @@
     def _finish(
         self, attempt: '_Attempt', answer: Result[ObjectAnswer, str]
     ) -> None:
-        problem = _problem_of(answer)
+        problem = _find_problem(answer)
         if problem is None:
             attempt.on_outcome(attempt.interpret(answer.unwrap()))
         elif attempt.number >= MAX_ATTEMPTS:
             attempt.on_outcome(Err(Unreachable(problem)))
         else:
-            following = replace(attempt, number=attempt.number + 1)
+            next_attempt = replace(attempt, number=attempt.number + 1)
             wait_s = FIRST_RETRY_S * 2**attempt.number
-            wait_s *= self._chance.uniform(0.5, 1)
-            self._timers.call_after(wait_s, lambda: self._attempt(following))
+            wait_s *= self._random.uniform(0.5, 1)
+            self._timers.call_after(wait_s, lambda: self._attempt(next_attempt))
 
 
 @dataclass(slots=True, frozen=True)
 class _Attempt:
-    """One attempt of an operation and how to read its answer.
+    """One attempt of an operation.
 
-    A write is repeated as it is: if an earlier attempt took effect, the
-    repeated one meets the writer's own operation id in the conflict.
+    `interpret` turns an answer into the outcome. A write is repeated
+    unchanged: if an earlier attempt took effect, the repeated one is
+    answered with a conflict that has the writer's own operation id.
     """
 
     call: ObjectCall
@@ -220,7 +234,10 @@
 
 @dataclass(slots=True, frozen=True)
 class _WriteCheck:
-    """Recognises the writer's own write in an answer."""
+    """Interprets the answer to a write of `body`.
+
+    A conflict with the writer's own operation id is a success.
+    """
 
     body: dict[str, object]
 
@@ -228,21 +245,21 @@
         if answer.status == _OK:
             version = int(str(answer.content['version']))
             return Ok(StoredObject(version, self.body))
-        current = _stored_of(answer)
+        current = _parse_stored_object(answer)
         if current.body.get(OPERATION_ID) == self.body[OPERATION_ID]:
             return Ok(current)
         return Err(Conflict(current))
 
 
 def _read_outcome(answer: ObjectAnswer) -> ObjectOutcome:
-    return Ok(_stored_of(answer))
+    return Ok(_parse_stored_object(answer))
 
 
 def _list_outcome(answer: ObjectAnswer) -> ObjectOutcome:
     return Ok(StoredObject(0, answer.content))
 
 
-def _stored_of(answer: ObjectAnswer) -> StoredObject:
+def _parse_stored_object(answer: ObjectAnswer) -> StoredObject:
     if answer.status in {_NO_CONTENT, _NOT_FOUND}:
         return StoredObject(0, {})
     body = answer.content.get('body')
@@ -252,7 +269,7 @@
     )
 
 
-def _problem_of(answer: Result[ObjectAnswer, str]) -> str | None:
+def _find_problem(answer: Result[ObjectAnswer, str]) -> str | None:
     if answer.is_err():
         return answer.unwrap_err()
     status = answer.unwrap().status
@@ -262,7 +279,7 @@
 
 
 class HttpTransport:
-    """Calls the object API over HTTP/1.1, one greenlet for each call."""
+    """Calls the object API over HTTP/1.1, with one greenlet per call."""
 
     def __init__(self, url: str, timeout_s: float) -> None:
         parts = urlsplit(url)
@@ -270,18 +287,18 @@
         self._port = parts.port or client.HTTP_PORT
         self._timeout_s = timeout_s
         self._pool = Pool(MAX_CALLS)
-        # Calls by method and outcome, for metrics.
+        # Number of calls by method and outcome, for metrics.
         self.calls: Counter[tuple[str, str]] = Counter()
 
     def send(self, call: ObjectCall, on_answer: OnAnswer) -> None:
-        """Run the call in a greenlet; refuse it above `MAX_CALLS`."""
+        """Run the call in a greenlet, or fail above `MAX_CALLS`."""
         if self._pool.full():
             on_answer(Err('too many calls are pending'))
             return
         self._pool.spawn(self._run, call, on_answer)
 
     def call(self, call: ObjectCall) -> Result[ObjectAnswer, str]:
-        """Run the call and wait for its answer."""
+        """Run the call and return its answer or an error text."""
         connection = client.HTTPConnection(
             self._host, self._port, timeout=self._timeout_s + call.wait_s
         )
@@ -297,7 +314,7 @@
         return Ok(answer)
 
     def stop(self) -> None:
-        """Abandon the calls that are pending."""
+        """Abort the pending calls without waiting for them."""
         self._pool.kill(block=False)
 
     def _run(self, call: ObjectCall, on_answer: OnAnswer) -> None:
--- a/greengagepath/foundation/settings.py
+++ b/greengagepath/foundation/settings.py
@@ -36,8 +36,8 @@
 ) -> Result[Settings, list[SettingProblem]]:
     """Return the checked settings of a daemon, or all problems at once.
 
-    Paths of key and certificate files are relative to the folder of
-    the settings file and absolute in the result.
+    Paths of key and certificate files in the file are relative to its
+    folder; in the result they are absolute.
     """
     return _load(Path(path), Settings, _find_contradictions)
 
@@ -45,7 +45,10 @@
 def load_tool_settings(
     path: str | Path,
 ) -> Result[ToolSettings, list[SettingProblem]]:
-    """Return the settings of the command-line tool, as above."""
+    """Return the checked settings of the command-line tool, or all problems.
+
+    Paths are resolved as in `load_settings`.
+    """
     return _load(Path(path), ToolSettings, _find_tool_contradictions)
 
 
@@ -61,12 +64,14 @@
 def _load(
     source: Path,
     kind: type[_Kind],
-    find: Callable[[_Kind], Iterator[Finding]],
+    find_contradictions: Callable[[_Kind], Iterator[Finding]],
 ) -> Result[_Kind, list[SettingProblem]]:
     return (
         read_toml(source)
-        .and_then(lambda document: check_document(document, kind, find))
-        .map(lambda found: _resolve_paths(found, source.absolute().parent))
+        .and_then(
+            lambda document: check_document(document, kind, find_contradictions)
+        )
+        .map(lambda loaded: _resolve_paths(loaded, source.absolute().parent))
     )
 
 
@@ -108,7 +113,7 @@
     if settings.role is Role.agent and settings.target is None:
         yield 'target', None, 'a table [target] for the role agent'
     if settings.role is Role.balancer and settings.target is not None:
-        shown = _name_target(settings.target)
+        shown = _format_target(settings.target)
         yield 'target', shown, 'no table [target] for the role balancer'
 
 
@@ -136,7 +141,7 @@
 
 
 def is_ipv4(host: str) -> bool:
-    """Return whether the text is an IPv4 address in dotted form."""
+    """Return whether the text is a dotted IPv4 address."""
     try:
         ipaddress.IPv4Address(host)
     except ValueError:
@@ -145,21 +150,22 @@
 
 
 def parse_expiry(not_after: str) -> float | None:
-    """Return seconds since the epoch, or None if malformed.
+    """Return the expiry in seconds since the epoch, or None if malformed.
 
-    Empty text means no end and gives infinity. A time without offset
-    is malformed, because hosts may run in different time zones.
+    Empty text means that the key does not expire and returns infinity.
+    A time without UTC offset is malformed, because hosts may be in
+    different time zones.
     """
     if not not_after:
         return float('inf')
     try:
-        end = datetime.fromisoformat(not_after)
+        expiry = datetime.fromisoformat(not_after)
     except ValueError:
         return None
-    return end.timestamp() if end.tzinfo else None
+    return expiry.timestamp() if expiry.tzinfo else None
 
 
-def _name_target(target: TargetSettings) -> str:
+def _format_target(target: TargetSettings) -> str:
     return f'{target.host}:{target.port}'
 
 
--- a/greengagepath/foundation/timers.py
+++ b/greengagepath/foundation/timers.py
@@ -1,7 +1,7 @@
-"""Timer service that the other parts subscribe to.
+"""Timer service with a real and a virtual clock.
 
-Decision modules take a `TimerService` and never read a clock
-themselves, so that tests and benchmarks drive them in virtual time.
+Modules that make decisions are given a `TimerService` and never read a
+clock themselves, so that tests and benchmarks run them in virtual time.
 """
 
 import heapq
@@ -15,13 +15,16 @@
 Callback = Callable[[], None]
 PauseCallback = Callable[[float], None]
 
-# Timers later than this mean that the process itself did not run: its
-# VM was suspended, or had no processor time.
-PAUSE_S = 0.15
+# A timer that is late by more than this many seconds shows that the
+# process did not run: its VM was suspended or got no processor time.
+MIN_PAUSE_S = 0.15
 
 
 class Timer:
-    """A pending call, once or periodic."""
+    """A scheduled callback, which runs once or periodically.
+
+    Times are monotonic seconds of the `TimerService`.
+    """
 
     __slots__ = ('callback', 'cancelled', 'due_s', 'period_s')
 
@@ -37,33 +40,33 @@
         self.cancelled = False
 
     def cancel(self) -> None:
-        """Prevent all further calls."""
+        """Prevent all further calls of the callback."""
         self.cancelled = True
 
 
 class TimerService:
     """Schedules callbacks; subclasses provide the clock.
 
-    Callbacks run one after the other, in order of their due time, and
-    in order of subscription when due at the same time.
+    Callbacks run one after the other, in the order of their due time.
+    Those due at the same time run in the order of subscription.
     """
 
     def __init__(self) -> None:
         self._queue: list[tuple[float, int, Timer]] = []
         self._order = itertools.count()
-        self._on_pause: list[PauseCallback] = []
-        self._pauses_told_s = 0.0
+        self._pause_callbacks: list[PauseCallback] = []
+        self._last_pause_end_s = 0.0
 
     def now(self) -> float:
-        """Return monotonic seconds; time spent suspended counts."""
+        """Return monotonic seconds, including time spent suspended."""
         raise NotImplementedError
 
     def call_after(self, delay_s: float, callback: Callback) -> Timer:
-        """Call once after `delay_s` seconds."""
+        """Call once after `delay_s` seconds; negative delays are zero."""
         return self._push(Timer(callback, self.now() + max(delay_s, 0.0)))
 
     def subscribe(self, period_s: float, callback: Callback) -> Timer:
-        """Call every `period_s` seconds, first after one period.
+        """Call every `period_s` seconds, for the first time after one.
 
         Raises ValueError if the period is not positive.
         """
@@ -74,25 +77,25 @@
     def subscribe_pauses(self, callback: PauseCallback) -> None:
         """Call with the length in seconds of each pause of the process.
 
-        A pause is told once, before the first late timer runs. What
-        others sent meanwhile still waits in the sockets.
+        A pause is reported once, before the first late timer runs.
+        Packets that arrived during the pause may still be unread.
         """
-        self._on_pause.append(callback)
+        self._pause_callbacks.append(callback)
 
     def check_pause(self) -> None:
-        """Tell a pause that has just ended, before any timer has run."""
+        """Report a pause that has just ended, before any timer has run."""
         due_s = self.next_due()
         if due_s is not None:
-            self._tell_pause(due_s)
+            self._report_pause(due_s)
 
     def next_due(self) -> float | None:
-        """Return when the next callback is due, or None."""
+        """Return the time in seconds of the next callback, or None."""
         while self._queue and self._queue[0][2].cancelled:
             heapq.heappop(self._queue)
         return self._queue[0][0] if self._queue else None
 
     def run_due(self) -> int:
-        """Run all callbacks that are due; return how many ran."""
+        """Run all callbacks that are due and return their number."""
         count = 0
         due_s = self.next_due()
         while due_s is not None and due_s <= self.now():
@@ -105,20 +108,20 @@
         heapq.heappush(self._queue, (timer.due_s, next(self._order), timer))
         return timer
 
-    def _tell_pause(self, due_s: float) -> None:
+    def _report_pause(self, due_s: float) -> None:
         now_s = self.now()
-        pause_s = now_s - max(due_s, self._pauses_told_s)
-        if pause_s <= PAUSE_S:
+        pause_s = now_s - max(due_s, self._last_pause_end_s)
+        if pause_s <= MIN_PAUSE_S:
             return
-        self._pauses_told_s = now_s
-        for callback in self._on_pause:
+        self._last_pause_end_s = now_s
+        for callback in self._pause_callbacks:
             callback(pause_s)
 
     def _run_next(self) -> None:
         timer = heapq.heappop(self._queue)[2]
-        self._tell_pause(timer.due_s)
+        self._report_pause(timer.due_s)
         if timer.period_s is not None:
-            # A late loop skips missed periods instead of running them all.
+            # After a delay, missed periods are skipped, not made up for.
             timer.due_s = max(timer.due_s, self.now() - timer.period_s)
             timer.due_s += timer.period_s
             self._push(timer)
@@ -126,7 +129,7 @@
 
 
 class VirtualTimerService(TimerService):
-    """Clock that moves only when `advance` is called."""
+    """Timer service whose clock is moved by its caller."""
 
     def __init__(self, start_s: float = 0.0) -> None:
         super().__init__()
@@ -137,7 +140,7 @@
         return self._now_s
 
     def advance(self, duration_s: float) -> None:
-        """Move the clock, running due callbacks at their own time."""
+        """Move the clock and run each callback at its due time."""
         end_s = self._now_s + duration_s
         due_s = self.next_due()
         while due_s is not None and due_s <= end_s:
@@ -147,12 +150,12 @@
         self._now_s = end_s
 
     def pause(self, duration_s: float) -> None:
-        """Move the clock without callbacks, as a suspended VM does."""
+        """Move the clock without running callbacks, as in a suspended VM."""
         self._now_s += duration_s
 
 
 class LoopTimerService(TimerService):
-    """Runs callbacks from one greenlet of the gevent loop."""
+    """Timer service that runs callbacks in one greenlet."""
 
     def __init__(self) -> None:
         super().__init__()
@@ -160,7 +163,7 @@
         self._stopped = False
 
     def now(self) -> float:
-        """Return seconds of CLOCK_BOOTTIME, which counts suspension."""
+        """Return seconds of CLOCK_BOOTTIME, which includes suspension."""
         return time.clock_gettime(time.CLOCK_BOOTTIME)
 
     def start(self) -> gevent.Greenlet:
@@ -168,7 +171,7 @@
         return gevent.spawn(self._run)
 
     def stop(self) -> None:
-        """End the greenlet after the callback that is running."""
+        """End the greenlet after the running callback."""
         self._stopped = True
         self._changed.set()
 
--- a/greengagepath/foundation/tls.py
+++ b/greengagepath/foundation/tls.py
@@ -1,8 +1,8 @@
-"""TLS contexts of the control links; both sides show a certificate.
+"""TLS contexts of the control links, with mutual authentication.
 
-Members are reached by IP addresses that change with each VM, so the
-authority, which signs for this system only, is what authenticates a
-peer, and host names are not compared.
+Members are reached at IP addresses that change with each VM, so host
+names are not checked. A peer is authenticated by the authority of its
+certificate, which must sign for this deployment only.
 """
 
 import logging
@@ -19,24 +19,30 @@
 
 
 class TlsContexts:
-    """Contexts of one process, replaced when its files change.
+    """Contexts of one process, replaced when its files are reloaded.
 
-    `server` may be kept for the life of a listening socket: it hands
-    each new connection to the latest files. `client` is to be read for
-    each new connection. Connections that are open stay as they are.
+    `server` may be kept for the life of a listening socket: each new
+    connection uses the files loaded last. `client` must be read for
+    each new connection. Open connections are not changed.
     """
 
     def __init__(self, settings: TlsSettings) -> None:
-        """Read the files; use `load_tls` to get problems as values."""
+        """Read the files; raise OSError, ssl.SSLError included, on failure.
+
+        `load_tls` returns the problems instead.
+        """
         self._settings = settings
         self._latest_server = _create_server_context(settings)
         self.client = _create_client_context(settings)
         self.server = _create_server_context(settings)
         self.server.sni_callback = self._use_latest
-        self._stamps = _read_stamps(settings)
+        self._file_states = _read_file_states(settings)
 
     def reload(self) -> bool:
-        """Read the files again; return whether they are in force."""
+        """Load the files again and return whether this succeeded.
+
+        After a failure, which is logged, the earlier files stay in use.
+        """
         try:
             latest_server = _create_server_context(self._settings)
             client = _create_client_context(self._settings)
@@ -50,10 +56,10 @@
 
     def has_changed(self) -> bool:
         """Return whether a file has changed since the last call."""
-        stamps = _read_stamps(self._settings)
-        if stamps == self._stamps:
+        file_states = _read_file_states(self._settings)
+        if file_states == self._file_states:
             return False
-        self._stamps = stamps
+        self._file_states = file_states
         return True
 
     def _use_latest(
@@ -73,7 +79,7 @@
 def load_tls(
     settings: TlsSettings,
 ) -> Result[TlsContexts, list[SettingProblem]]:
-    """Return the contexts, or what is wrong with the files."""
+    """Return the contexts, or the problem with the files."""
     try:
         return Ok(TlsContexts(settings))
     except OSError as load_error:
@@ -81,9 +87,9 @@
 
 
 def describe_tls_error(failure: ssl.SSLError) -> str:
-    """Return the reason of a failed handshake for the log.
+    """Return the reason of a failed handshake, for the log.
 
-    The usual reasons are an unknown authority, an expired certificate
+    Usual reasons are an unknown authority, an expired certificate
     and a peer without a certificate.
     """
     if isinstance(failure, ssl.SSLCertVerificationError):
@@ -134,8 +140,9 @@
     return f'{settings.certificate_file} or {settings.key_file}'
 
 
-def _read_stamps(settings: TlsSettings) -> list[tuple[int, int]]:
-    stamps = []
+def _read_file_states(settings: TlsSettings) -> list[tuple[int, int]]:
+    """Return modification time in ns and size of each file that exists."""
+    file_states = []
     for name in (
         settings.certificate_file,
         settings.key_file,
@@ -144,5 +151,5 @@
         path = Path(name)
         if path.exists():
             status = path.stat()
-            stamps.append((status.st_mtime_ns, status.st_size))
-    return stamps
+            file_states.append((status.st_mtime_ns, status.st_size))
+    return file_states
--- a/greengagepath/foundation/type_checks.py
+++ b/greengagepath/foundation/type_checks.py
@@ -1,4 +1,4 @@
-"""Walk of decoded TOML along the types of a generated class."""
+"""Checks decoded TOML against the types of a generated class."""
 
 from collections.abc import Iterator
 from typing import Any
@@ -8,13 +8,13 @@
 from .type_words import describe_type, without_none
 
 MISSING = object()
-# Key path, value found and allowed values.
+# Key path, value in the file and description of the allowed values.
 Finding = tuple[str, object, str]
 Findings = Iterator[Finding]
 
 
 def join_key(prefix: str, name: str) -> str:
-    """Return the path of a key inside a table."""
+    """Return the path of the key `name` in the table `prefix`."""
     return f'{prefix}.{name}' if prefix else name
 
 
--- a/greengagepath/foundation/type_words.py
+++ b/greengagepath/foundation/type_words.py
@@ -1,4 +1,4 @@
-"""The allowed values of a type, in words for error messages."""
+"""Descriptions of the allowed values of a type, for error messages."""
 
 from typing import Any
 
@@ -6,14 +6,14 @@
 
 
 def without_none(schema: inspect.UnionType) -> inspect.Type:
-    """Return the type of a field that may be absent."""
+    """Return the type of an optional field, without None."""
     return next(
         kind for kind in schema.types if not isinstance(kind, inspect.NoneType)
     )
 
 
 def describe_type(schema: inspect.Type) -> str:
-    """Return the allowed values of a type, in words."""
+    """Return a description such as `integer at least 1`."""
     if isinstance(schema, inspect.Metadata):
         return describe_type(schema.type)
     if isinstance(schema, inspect.UnionType):
--- a/greengagepath/foundation/validation.py
+++ b/greengagepath/foundation/validation.py
@@ -1,7 +1,7 @@
 """Checks of TOML input against generated classes.
 
-All problems of a file are found in one pass, each with file, line, key,
-value and allowed range; msgspec alone stops at the first.
+All problems of a file are reported at once, each with file, line, key,
+value and allowed values; msgspec alone stops at the first problem.
 """
 
 import re
@@ -26,11 +26,10 @@
 
 @dataclass(slots=True, frozen=True)
 class SettingProblem:
-    """One value that cannot be used.
+    """An invalid or missing value in a file.
 
-    `path` is the file, `shown` the value as written. `line` counts from
-    1 and is 0 where the file has no such line. `allowed` says which
-    values can be used instead.
+    `path` is the file and `shown` the value as text. `line` counts from
+    1 and is 0 if no line is known. `allowed` describes the valid values.
     """
 
     path: str
@@ -40,7 +39,7 @@
     allowed: str
 
     def __str__(self) -> str:
-        """Return one line for the operator."""
+        """Return the problem as one line of text."""
         return (
             f'{self.path}:{self.line}: {self.key} = {self.shown}:'
             f' allowed: {self.allowed}'
@@ -49,7 +48,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TomlDocument:
-    """A parsed file and the line of each of its keys."""
+    """A parsed file and the line number of each of its keys."""
 
     path: str
     raw: dict[str, Any]
@@ -58,18 +57,18 @@
     def create_problem(
         self, key: str, found: object, allowed: str
     ) -> SettingProblem:
-        """Return a problem with the line of the key or its table."""
+        """Return a problem at the line of the key or of its table."""
         return SettingProblem(
             path=self.path,
             line=find_line(self.lines_by_key, key),
             key=key,
-            shown=_show(found),
+            shown=_format_value(found),
             allowed=allowed,
         )
 
 
 def read_toml(path: Path) -> Result[TomlDocument, list[SettingProblem]]:
-    """Parse a file; the error is its unreadable path or syntax."""
+    """Parse a file; an error names the unreadable file or the syntax."""
     try:
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as read_error:
@@ -87,7 +86,7 @@
 def convert_document(
     document: TomlDocument, kind: type[Kind]
 ) -> Result[Kind, list[SettingProblem]]:
-    """Return the typed content, or every problem of the file."""
+    """Return the content as `kind`, or all problems of the file."""
     problems = [
         document.create_problem(key, found, allowed)
         for key, found, allowed in check_value(
@@ -109,7 +108,7 @@
     kind: type[Kind],
     find_contradictions: Callable[[Kind], Iterable[Finding]],
 ) -> Result[Kind, list[SettingProblem]]:
-    """Convert, then look for values that do not fit together."""
+    """Convert the content, then check it for contradictory values."""
     converted = convert_document(document, kind)
     if isinstance(converted, Err):
         return converted
@@ -122,7 +121,8 @@
 def locate_keys(text: str) -> dict[str, int]:
     """Return the line of each table and assignment, by key path.
 
-    Keys inside inline tables are reported at the line of the table.
+    Keys inside inline tables have no entry; `find_line` returns the line
+    of their table.
     """
     lines_by_key: dict[str, int] = {}
     counts_by_key: dict[str, int] = {}
@@ -142,7 +142,10 @@
 
 
 def find_line(lines_by_key: dict[str, int], key: str) -> int:
-    """Return the line of the key or of the closest table around it."""
+    """Return the line of the key or of the innermost table around it.
+
+    The result is 0 if there is no such table.
+    """
     while key:
         line = lines_by_key.get(key)
         if line is not None:
@@ -172,7 +175,7 @@
     return key
 
 
-def _show(found: object) -> str:
+def _format_value(found: object) -> str:
     if found is MISSING:
         return '(missing)'
     shown = repr(found)
--- a/tests/foundation/test_logs.py
+++ b/tests/foundation/test_logs.py
@@ -21,7 +21,8 @@
         return stream
 
     def test_ids_are_hexadecimal_in_every_role(self):
-        # Guards against a flow that cannot be searched across processes.
+        # Guards against roles that write the same id in different forms, so
+        # that one search does not find it in all logs.
         stream = self.configure()
         log_event(LOGGER, 'flow.opened', flow_id=10, request_id=b'\x01' * 16)
         event = json.loads(stream.getvalue())
@@ -35,7 +36,7 @@
         )
 
     def test_text_quotes_values_with_spaces(self):
-        # Guards against fields that cannot be told apart.
+        # Guards against a value with spaces that runs into the next field.
         stream = self.configure(style='text')
         log_event(LOGGER, 'link.closed', reason='wrong tag', peer='b2')
         self.assertIn(
@@ -44,7 +45,7 @@
         )
 
     def test_repeating_events_are_limited_and_counted(self):
-        # Guards against a flood of packets that fills the log.
+        # Guards against a flood of packets that fills the log with one event.
         now_s = 0.0
         limit = EventRateLimit(2, lambda: now_s)
         records = [
@@ -59,8 +60,8 @@
         self.assertTrue(limit.filter(records[5]))
         self.assertEqual({'suppressed': 3}, records[5].fields)
 
-    def test_other_events_are_not_limited(self):
-        # Guards against losing rare events behind a noisy one.
+    def test_events_not_marked_as_repeating_are_not_limited(self):
+        # Guards against a rate limit that also drops rare events.
         stream = self.configure(repeats_per_s=1)
         for _ in range(20):
             log_event(LOGGER, 'configuration.applied', version=1)
--- a/tests/foundation/test_metrics.py
+++ b/tests/foundation/test_metrics.py
@@ -4,16 +4,16 @@
 
 
 class MetricsTest(TestCase):
-    def test_fill_levels_are_copied_when_rendered(self):
-        # Guards against gauges that show the last change, not the scrape.
+    def test_callbacks_update_gauges_before_rendering(self):
+        # Guards against gauges that are out of date at a scrape.
         metrics = Metrics()
         metrics.before_render(lambda: metrics.set_table_usage('links', 3, 500))
         text = metrics.render().decode()
         self.assertIn('greengagepath_table_entries{table="links"} 3', text)
         self.assertIn('greengagepath_table_capacity{table="links"} 500', text)
 
-    def test_labels_from_peers_are_bounded(self):
-        # Guards against memory that grows with invented operations.
+    def test_number_of_label_sets_is_limited(self):
+        # Guards against unlimited memory if peers send ever new values.
         metrics = Metrics(max_label_sets=2)
         for reason in ('a', 'b', 'c', 'd'):
             metrics.add('datagrams_dropped_total', reason=reason)
@@ -22,14 +22,14 @@
         self.assertNotIn('reason="c"', text)
 
     def test_wrong_labels_raise(self):
-        # Guards against series that no dashboard selects.
+        # Guards against time series whose labels no dashboard queries.
         metrics = Metrics()
         self.assertRaises(
             ValueError, metrics.add, 'datagrams_dropped_total', kind='x'
         )
 
-    def test_names_carry_their_unit(self):
-        # Guards against names outside the conventions of Prometheus.
+    def test_names_end_with_their_kind_or_unit(self):
+        # Guards against names that break the conventions of Prometheus.
         for definition in DEFINITIONS:
             is_counter = definition.kind is MetricKind.COUNTER
             self.assertEqual(is_counter, definition.name.endswith('_total'))
--- a/tests/foundation/test_timers.py
+++ b/tests/foundation/test_timers.py
@@ -10,7 +10,8 @@
         self.calls = []
 
     def test_callbacks_run_in_order_of_due_time(self):
-        # Guards against callbacks that see a clock past their due time.
+        # Guards against callbacks that run in the order of subscription or
+        # read a clock later than their due time.
         for delay_s in (3, 1, 2):
             self.timers.call_after(
                 delay_s, lambda: self.calls.append(self.timers.now())
@@ -19,7 +20,7 @@
         self.assertEqual([1, 2], self.calls)
 
     def test_cancelled_periodic_timer_stops(self):
-        # Guards against a subscription that outlives its subscriber.
+        # Guards against calls to a subscriber that has stopped.
         timer = self.timers.subscribe(1, lambda: self.calls.append(1))
         self.timers.advance(2)
         timer.cancel()
@@ -27,12 +28,14 @@
         self.assertEqual([1, 1], self.calls)
 
     def test_period_must_be_positive(self):
-        # Guards against a timer that spins without letting time pass.
+        # Guards against a timer that is always due, which never lets
+        # `run_due` return.
         self.assertRaises(ValueError, self.timers.subscribe, 0, list)
 
-    def test_pause_is_told_once_with_its_length(self):
-        # Guards against a pause that each late timer counts again, and
-        # that others' silence is taken for.
+    def test_pause_is_reported_once_with_its_length(self):
+        # Guards against one pause that is reported for each late timer.
+        # Without a correct report, subscribers take their own pause for
+        # silence of their peers.
         pauses = []
         self.timers.subscribe_pauses(pauses.append)
         for _ in range(3):
@@ -43,9 +46,9 @@
         self.assertEqual(1, len(pauses))
         self.assertAlmostEqual(5.0, pauses[0], delta=0.1)
 
-    def test_pause_is_known_before_the_first_timer_runs(self):
-        # Guards against packets from before a pause that a socket reads
-        # first.
+    def test_check_pause_reports_before_the_first_timer_runs(self):
+        # Guards against packets queued during a pause that are read from
+        # the socket before subscribers know of the pause.
         pauses = []
         self.timers.subscribe_pauses(pauses.append)
         self.timers.subscribe(0.02, lambda: None)
--- a/tests/operator/test_settings.py
+++ b/tests/operator/test_settings.py
@@ -29,8 +29,8 @@
     def problems(self, text):
         return {entry.key: entry for entry in self.load(text).unwrap_err()}
 
-    def test_good_settings_have_defaults_and_absolute_key_paths(self):
-        # Guards against key files looked up in the working directory.
+    def test_valid_settings_have_defaults_and_absolute_key_paths(self):
+        # Guards against key paths that depend on the working directory.
         settings = self.load().unwrap()
         self.assertEqual(5, settings.limits.overlay_degree)
         self.assertEqual(f'{self.folder}/tag.key', settings.keys[0].secret_file)
@@ -66,13 +66,14 @@
         )
 
     def test_missing_key_is_reported_at_its_table(self):
-        # Guards against line 0 for a key that the file does not have.
+        # Guards against line 0 in the problem of a key that is missing.
         problems = self.problems(SETTINGS.replace('data_port = 4000\n', ''))
         self.assertEqual(4, problems['node.data_port'].line)
         self.assertEqual('(missing)', problems['node.data_port'].shown)
 
     def test_contradictions_are_refused(self):
-        # Guards against values that are valid alone but not together.
+        # Guards against accepting values that are valid alone but not
+        # together.
         text = SETTINGS.replace('"127.0.0.1"', '"127.0.0.300"')
         text = text.replace('"balancer"\n', '"agent"\n')
         text = text.replace('http://', 'ftp://')
