Reword startup

Cause: the docstrings of the module bundle were terse or figurative. Change: plain descriptions with units; private names such as stamped and module_by_name are renamed. The layout of the bundle is the same.

--- a/greengagepath/startup/__init__.py
+++ b/greengagepath/startup/__init__.py
@@ -1,1 +1,1 @@
-"""Fast start of a role: modules from one file instead of many."""
+"""Faster start of a role: imports modules from one bundle file."""
--- a/greengagepath/startup/__main__.py
+++ b/greengagepath/startup/__main__.py
@@ -1,4 +1,7 @@
-"""Builds the bundles of both roles: `python -m greengagepath.startup DIR`."""
+"""Builds the module bundle: `python -m greengagepath.startup DIR`.
+
+The bundle serves both roles, balancer and agent.
+"""
 
 import importlib
 import sys
@@ -14,7 +17,7 @@
 
 
 def main() -> int:
-    """Load what the roles load and write it to one file."""
+    """Import the modules of both roles and write them to one file."""
     for module in MODULES:
         importlib.import_module(module)
     written = write_bundle(
@@ -25,7 +28,7 @@
 
 
 def _is_loaded(name: str) -> bool:
-    """Return whether a role loads the module, which this tool may not."""
+    """Return whether the module belongs to a role, not to this tool."""
     return name != '__main__' and not name.startswith('greengagepath.startup')
 
 
--- a/greengagepath/startup/module_bundle.py
+++ b/greengagepath/startup/module_bundle.py
@@ -1,9 +1,9 @@
 """Imports modules from one file of compiled code.
 
-A role loads about 200 modules. Found one by one they cost some 2,500
-calls to the kernel, which on a small VM take longer than the code
-itself. The bundle holds the code of all modules that a role has loaded
-at build time and the paths of its extension modules.
+A role loads about 200 modules. The usual import makes some 2,500 system
+calls to find them, which on a small VM takes longer than running their
+code. The bundle has the code of all modules that the roles load at
+build time, and the paths of their extension modules.
 """
 
 import marshal
@@ -11,19 +11,20 @@
 import sys
 from _frozen_importlib_external import ExtensionFileLoader, PathFinder
 
-# Changes whenever the layout of the index does.
+# Version of the layout of the index; raise it with each change.
 FORMAT = 1
 
-# Bytes of the size of the index at the start of the file.
+# The file starts with the size of the index in this many bytes.
 _SIZE_BYTES = 8
 _ModuleSpec = type(sys.__spec__)
 
 
 class BundledModule:
-    """Where the code of a module lies in the bundle.
+    """Location of one module.
 
-    `folder` is that of a package and empty for plain modules; `path` is
-    the file of an extension module and empty for code.
+    `offset` and `length` are bytes in the bundle, `origin` is the source
+    file. `folder` is the folder of a package and empty for other modules.
+    `path` is the file of an extension module and empty for Python code.
     """
 
     __slots__ = ('folder', 'length', 'offset', 'origin', 'path')
@@ -39,17 +40,17 @@
 
 
 class BundleFinder:
-    """Meta path finder and loader of one bundle."""
+    """Meta path finder and loader for the modules of one bundle."""
 
     def __init__(
-        self, descriptor: int, module_by_name: dict[str, BundledModule]
+        self, descriptor: int, modules_by_name: dict[str, BundledModule]
     ) -> None:
         self._descriptor = descriptor
-        self._module_by_name = module_by_name
+        self._modules_by_name = modules_by_name
 
     def find_spec(self, name: str, path: object, target: object = None):
-        """Return the spec of a module in the bundle, else None."""
-        found = self._module_by_name.get(name)
+        """Return the spec of a module, or None if the bundle lacks it."""
+        found = self._modules_by_name.get(name)
         if found is None:
             return None
         if found.path:
@@ -66,44 +67,45 @@
         return spec
 
     def create_module(self, spec: object) -> None:
-        """Take the default module."""
+        """Return None, so that the import system creates the module."""
 
     def exec_module(self, module) -> None:
-        """Run the code of the module."""
-        found = self._module_by_name[module.__name__]
+        """Run the code of the module in its namespace."""
+        found = self._modules_by_name[module.__name__]
         code = os.pread(self._descriptor, found.length, found.offset)
         exec(marshal.loads(code), module.__dict__)
 
 
 def install_bundle(path: str) -> bool:
-    """Import from the bundle first; False if it does not fit.
+    """Import from the bundle first; return whether it can be used.
 
-    A missing bundle, or one of another Python or layout, leaves the
-    usual import in place.
+    A missing bundle, or one of another Python version or layout, leaves
+    the usual import unchanged.
     """
     try:
         descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
     except OSError:
         return False
-    size_head = os.pread(descriptor, _SIZE_BYTES, 0)
-    size = int.from_bytes(size_head, 'big')
+    size_field = os.pread(descriptor, _SIZE_BYTES, 0)
+    size = int.from_bytes(size_field, 'big')
     index = marshal.loads(os.pread(descriptor, size, _SIZE_BYTES))
     if index['format'] != FORMAT or index['version'] != sys.version:
         os.close(descriptor)
         return False
     start = _SIZE_BYTES + size
     modules = {
-        name: BundledModule(offset + start, *located)
-        for name, offset, *located in index['modules']
+        name: BundledModule(offset + start, *location)
+        for name, offset, *location in index['modules']
     }
     sys.meta_path.insert(0, BundleFinder(descriptor, modules))
     return True
 
 
 def write_bundle(path: str, names: list[str]) -> int:
-    """Write the given loaded modules; return how many were written.
+    """Write a bundle of loaded modules and return their number.
 
-    Builtin and frozen modules are left out, since they need no file.
+    Built-in and frozen modules are left out, because importing them
+    reads no file.
     """
     entries: list[tuple[str, int, int, str, str, str]] = []
     code = b''
@@ -124,17 +126,18 @@
 
 
 def _write(path: str, index: dict[str, object], code: bytes) -> None:
-    stamped = {'format': FORMAT, 'version': sys.version} | index
-    head = marshal.dumps(stamped)
-    size = len(head).to_bytes(_SIZE_BYTES, 'big')
+    versioned = {'format': FORMAT, 'version': sys.version} | index
+    encoded_index = marshal.dumps(versioned)
+    size = len(encoded_index).to_bytes(_SIZE_BYTES, 'big')
     with open(path, 'wb') as bundle:  # noqa: PTH123
-        bundle.write(b''.join((size, head, code)))
+        bundle.write(b''.join((size, encoded_index, code)))
 
 
 def _find_spec(name: str):
-    """Return the spec of a loaded module's own file.
+    """Return the spec of the file that a module name stands for.
 
-    Some packages put another module under the name of one of theirs.
+    Some packages replace a module of theirs in `sys.modules` by another
+    one, whose spec has a different name.
     """
     spec = getattr(sys.modules.get(name), '__spec__', None)
     if spec is None or spec.name == name:
