Reword reports and its tests

Cause: names such as crest, beside and held and terse docstrings needed knowledge of the project. Change: plain descriptions with units in reports and tests/operator/test_slo.py; private names are renamed, and CREST_S of reports is now PEAK_WINDOW_S. Fields of rows and of the history file keep their names.

--- a/greengagepath/reports/__init__.py
+++ b/greengagepath/reports/__init__.py
@@ -1,1 +1,1 @@
-"""Service levels and their burn."""
+"""Service-level burn rates and measures of request outcomes."""
--- a/greengagepath/reports/outcomes.py
+++ b/greengagepath/reports/outcomes.py
@@ -1,4 +1,4 @@
-"""Outcomes of requests from JSON lines, and the four measures."""
+"""Request outcomes read from JSON lines, and measures of them."""
 
 from bisect import bisect_right
 from collections import defaultdict
@@ -14,21 +14,22 @@
 from .slo import ALL_CUSTOMERS, ObjectiveKey, Tally
 
 ANSWERED = 'answered'
-# The caller gave up by itself; says nothing about the service.
+# Cancelled by the caller, so it says nothing about the service and is
+# left out of all counts.
 CANCELLED = 'cancelled'
 BROKEN = 'broken'
 MS_PER_S = 1000
-CREST_S = 10
+PEAK_WINDOW_S = 10
 PERCENTILES = 100
 MAX_SHOWN_ERRORS = 20
 
 
 class RequestOutcome(msgspec.Struct, frozen=True, kw_only=True):
-    """One line: how a request ended.
+    """Outcome of one request, one line of the input.
 
-    `time` is when it ended, in seconds since the epoch. `outcome` is
-    `answered`, `refused`, `failed`, `timeout`, `unknown`, `broken` (its
-    flow broke) or `cancelled`. `target` may be empty.
+    `time` is the end of the request in seconds since the epoch.
+    `outcome` is `answered`, `refused`, `failed`, `timeout`, `unknown`,
+    `broken` (its flow broke) or `cancelled`. `target` may be empty.
     """
 
     time: float
@@ -42,15 +43,16 @@
 
 @dataclass(slots=True, frozen=True)
 class MeasureRow:
-    """The four measures; None where the input does not show one.
-
-    `broken_flows` is a share of the requests. `imbalance` is the
-    coefficient of variation of busy time across targets, on the row of
-    all customers only. `customer_gap` is the largest difference in the
-    share of good requests between customers; for one customer, its
-    difference to the best one. `crest_quality` is the share of good
-    requests in the busiest 10 s. `head_of_line` is the 99th percentile
-    of short work beside long work over the one without.
+    """Measures of a service; None if the input is not enough for one.
+
+    `broken_flows` is the share of requests whose flow broke. `imbalance`
+    is the coefficient of variation of busy time across targets, and is
+    set only in the row of all customers. `customer_gap` is the largest
+    difference in the share of good requests between customers; for one
+    customer, its difference from the best one. `crest_quality` is the
+    share of good requests in the busiest 10 s. `head_of_line` is the
+    99th percentile latency of short requests that overlap long ones,
+    divided by that of short requests that do not.
     """
 
     service: str
@@ -66,7 +68,10 @@
 def read_outcomes(
     path: Path,
 ) -> Result[list[RequestOutcome], list[str]]:
-    """Return the outcomes of a file, or its malformed lines."""
+    """Return the outcomes of a file, or errors with line numbers.
+
+    At most `MAX_SHOWN_ERRORS` errors are returned.
+    """
     try:
         text = path.read_text(encoding='utf-8')
     except (OSError, UnicodeDecodeError) as read_error:
@@ -105,7 +110,10 @@
 def is_good(
     outcome: RequestOutcome, objectives: Mapping[ObjectiveKey, Objective]
 ) -> bool:
-    """Return whether the answer came within the objective, if any."""
+    """Return whether the request was answered within its objective.
+
+    Without an objective, any answer is good.
+    """
     objective = objectives.get((outcome.service, outcome.operation))
     return outcome.outcome == ANSWERED and (
         objective is None or outcome.latency_ms <= objective.threshold_ms
@@ -115,7 +123,7 @@
 def measure_outcomes(
     outcomes: Iterable[RequestOutcome], services: Iterable[Service]
 ) -> list[MeasureRow]:
-    """Return the measures of each service, for all and each customer."""
+    """Return rows for each service: all customers, then each one."""
     grouped: defaultdict[str, list[RequestOutcome]] = defaultdict(list)
     for entry in outcomes:
         if entry.outcome != CANCELLED:
@@ -129,7 +137,7 @@
 
 
 class _ServiceMeasure:
-    """Measures of one service."""
+    """Computes the measures of one service."""
 
     def __init__(
         self, outcomes: list[RequestOutcome], service: Service | None
@@ -147,13 +155,13 @@
                 for entry in service.operations
                 if entry.size_class == SizeClass.long
             }
-        self._crest_s = _find_crest(outcomes)
+        self._peak_window = _find_busiest_window(outcomes)
         self._long_intervals = _merge_intervals(
             entry for entry in outcomes if entry.operation in self._long_names
         )
 
     def make_rows(self) -> list[MeasureRow]:
-        """Return the row of all customers, then one for each."""
+        """Return the row of all customers, then a row for each customer."""
         by_customer: defaultdict[str, list[RequestOutcome]] = defaultdict(list)
         for entry in self._outcomes:
             by_customer[entry.customer].append(entry)
@@ -193,49 +201,53 @@
             broken_flows=broken / len(outcomes),
             imbalance=imbalance,
             customer_gap=gap,
-            crest_quality=self._measure_crest(outcomes),
+            crest_quality=self._measure_peak_quality(outcomes),
             head_of_line=self._measure_head_of_line(outcomes),
         )
 
     def _share_good(self, outcomes: Sequence[RequestOutcome]) -> float:
         return fmean(is_good(entry, self._objectives) for entry in outcomes)
 
-    def _measure_crest(
+    def _measure_peak_quality(
         self, outcomes: Iterable[RequestOutcome]
     ) -> float | None:
-        crest = [
-            entry for entry in outcomes if _crest_of(entry) == self._crest_s
+        in_peak = [
+            entry
+            for entry in outcomes
+            if _find_window(entry) == self._peak_window
         ]
-        return self._share_good(crest) if crest else None
+        return self._share_good(in_peak) if in_peak else None
 
     def _measure_head_of_line(
         self, outcomes: Iterable[RequestOutcome]
     ) -> float | None:
-        beside: list[float] = []
-        alone: list[float] = []
+        overlapping: list[float] = []
+        separate: list[float] = []
         for entry in outcomes:
             if entry.operation in self._long_names:
                 continue
             if entry.outcome == ANSWERED:
-                is_beside = _overlaps(self._long_intervals, entry)
-                (beside if is_beside else alone).append(entry.latency_ms)
-        if len(beside) < 2 or len(alone) < 2:
+                is_overlapping = _overlaps(self._long_intervals, entry)
+                (overlapping if is_overlapping else separate).append(
+                    entry.latency_ms
+                )
+        if len(overlapping) < 2 or len(separate) < 2:
             return None
-        return _find_p99(beside) / _find_p99(alone)
+        return _compute_p99(overlapping) / _compute_p99(separate)
 
 
-def _start_of(outcome: RequestOutcome) -> float:
+def _compute_start(outcome: RequestOutcome) -> float:
     return outcome.time - outcome.latency_ms / MS_PER_S
 
 
-def _crest_of(outcome: RequestOutcome) -> int:
-    return int(_start_of(outcome) // CREST_S)
+def _find_window(outcome: RequestOutcome) -> int:
+    return int(_compute_start(outcome) // PEAK_WINDOW_S)
 
 
-def _find_crest(outcomes: Iterable[RequestOutcome]) -> int:
+def _find_busiest_window(outcomes: Iterable[RequestOutcome]) -> int:
     counts: defaultdict[int, int] = defaultdict(int)
     for entry in outcomes:
-        counts[_crest_of(entry)] += 1
+        counts[_find_window(entry)] += 1
     return max(counts, key=lambda number: (counts[number], -number))
 
 
@@ -250,7 +262,7 @@
     return pstdev(busy_ms.values()) / mean if mean else None
 
 
-def _find_p99(latencies_ms: Sequence[float]) -> float:
+def _compute_p99(latencies_ms: Sequence[float]) -> float:
     return quantiles(latencies_ms, n=PERCENTILES, method='inclusive')[-1]
 
 
@@ -259,7 +271,7 @@
 ) -> list[tuple[float, float]]:
     merged: list[tuple[float, float]] = []
     for start_s, end_s in sorted(
-        (_start_of(entry), entry.time) for entry in outcomes
+        (_compute_start(entry), entry.time) for entry in outcomes
     ):
         if merged and start_s <= merged[-1][1]:
             merged[-1] = (merged[-1][0], max(merged[-1][1], end_s))
@@ -271,7 +283,9 @@
 def _overlaps(
     intervals: Sequence[tuple[float, float]], outcome: RequestOutcome
 ) -> bool:
-    # The last interval that starts before the request ends; the ones
-    # before it end earlier, because intervals are disjoint.
+    # Only the last interval that starts before the request ends matters:
+    # intervals are disjoint, so the earlier ones also end earlier.
     position = bisect_right(intervals, (outcome.time, float('inf')))
-    return position > 0 and intervals[position - 1][1] >= _start_of(outcome)
+    return position > 0 and intervals[position - 1][1] >= _compute_start(
+        outcome
+    )
--- a/greengagepath/reports/scrapes.py
+++ b/greengagepath/reports/scrapes.py
@@ -1,8 +1,8 @@
 """Request counts read from `/metrics`, kept as a history of snapshots.
 
-A scrape shows totals since a process started; burn in a window is the
-difference between snapshots, so `report` adds each scrape to a file
-of JSON lines.
+A scrape returns totals since the start of a process. The counts of a
+time window are differences between snapshots, so `report` appends each
+scrape to a file of JSON lines.
 """
 
 import re
@@ -28,15 +28,15 @@
 MS_PER_S = 1000
 _SAMPLE = re.compile(r'^(\w+)\{(.*)\}\s+(\S+)$')
 _LABEL = re.compile(r'(\w+)="((?:[^"\\]|\\.)*)"')
-_Name = tuple[str, str, str]
+_RequestKey = tuple[str, str, str]
 _LABELS = ('service', 'customer', 'operation')
 
 
 class RequestCounts(msgspec.Struct, frozen=True, kw_only=True):
     """Totals of one kind of request since the process started.
 
-    `answered_by_le_s` counts whole answers up to each bound, which is
-    in seconds and written as text.
+    `answered_by_le_s` is the cumulative histogram of complete answers:
+    their number by upper bound, which is in seconds and written as text.
     """
 
     service: str
@@ -55,7 +55,7 @@
 
 
 def scrape(url: str) -> Result[Snapshot, str]:
-    """Read `/metrics` of a daemon; the error says what to check."""
+    """Read `/metrics` of a daemon; an error names what to check."""
     if urlsplit(url).scheme != 'http':
         return Err(f'{url}: give a URL such as http://10.0.0.7:9100/metrics')
     try:
@@ -68,7 +68,7 @@
 
 
 def parse_counts(text: str) -> list[RequestCounts]:
-    """Return the request counts in the text format of Prometheus."""
+    """Return the request counts of a text in the Prometheus format."""
     totals: defaultdict[tuple[str, ...], float] = defaultdict(float)
     buckets: defaultdict[tuple[str, ...], dict[str, float]] = defaultdict(dict)
     for name, labels, number in _parse_samples(text):
@@ -90,7 +90,10 @@
 
 
 def append_snapshots(path: Path, snapshots: Iterable[Snapshot]) -> None:
-    """Add snapshots to a history file."""
+    """Append snapshots to a history file.
+
+    Raises OSError if the file cannot be written.
+    """
     with path.open('ab') as history:
         for snapshot in snapshots:
             history.write(msgspec.json.encode(snapshot))
@@ -98,7 +101,7 @@
 
 
 def read_snapshots(path: Path) -> Result[list[Snapshot], str]:
-    """Return the snapshots of a history file; none if it is absent."""
+    """Return the snapshots of a history file; none if it is missing."""
     if not path.exists():
         return Ok([])
     decoder = msgspec.json.Decoder(Snapshot)
@@ -115,27 +118,29 @@
 ) -> list[Tally]:
     """Return the requests between successive snapshots of a process.
 
-    The totals of a first snapshot have no time, so they count for the
-    budget only. A total that went down shows a restart.
+    It is not known when the requests of the first snapshot ended, so
+    they count for the budget only. A total that decreased means that
+    the process restarted; its counts then start from zero.
     """
     tallies: list[Tally] = []
-    held_by_source: dict[str, dict[_Name, RequestCounts]] = {}
+    previous_by_source: dict[str, dict[_RequestKey, RequestCounts]] = {}
     for snapshot in sorted(snapshots, key=lambda entry: entry.time):
-        held = held_by_source.get(snapshot.source)
+        previous = previous_by_source.get(snapshot.source)
         for counts in snapshot.counts:
             objective = objectives.get((counts.service, counts.operation))
             if objective is not None:
-                before = _find_before(held, counts)
-                tallies.append(_tally(snapshot, counts, before, objective))
-        held_by_source[snapshot.source] = _index(snapshot)
+                before = _find_previous(previous, counts)
+                tallies.append(_make_tally(snapshot, counts, before, objective))
+        previous_by_source[snapshot.source] = _index_by_key(snapshot)
     return tallies
 
 
 def count_good(counts: RequestCounts, threshold_ms: int) -> float:
-    """Return answers within the largest bound up to the threshold.
+    """Return the number of answers within the threshold.
 
-    Answers between that bound and the threshold count as late, so the
-    burn is never shown too low.
+    The largest bucket bound up to the threshold is used. Answers between
+    that bound and the threshold count as late, so that the burn rate is
+    never reported too low.
     """
     bounds = [
         (float(bound), number)
@@ -145,21 +150,26 @@
     return max(bounds)[1] if bounds else 0
 
 
-def _index(snapshot: Snapshot) -> dict[_Name, RequestCounts]:
-    return {_name(counts): counts for counts in snapshot.counts}
+def _index_by_key(snapshot: Snapshot) -> dict[_RequestKey, RequestCounts]:
+    return {_make_key(counts): counts for counts in snapshot.counts}
 
 
-def _find_before(
-    held: Mapping[_Name, RequestCounts] | None, counts: RequestCounts
+def _find_previous(
+    previous: Mapping[_RequestKey, RequestCounts] | None,
+    counts: RequestCounts,
 ) -> RequestCounts | None:
-    """Return the earlier totals; zeros if the process had none yet."""
-    if held is None:
+    """Return the totals of the previous snapshot.
+
+    They are zero for a kind of request that it does not have, and None
+    without a previous snapshot.
+    """
+    if previous is None:
         return None
-    nothing = msgspec.structs.replace(counts, total=0, answered_by_le_s={})
-    return held.get(_name(counts), nothing)
+    zero = msgspec.structs.replace(counts, total=0, answered_by_le_s={})
+    return previous.get(_make_key(counts), zero)
 
 
-def _tally(
+def _make_tally(
     snapshot: Snapshot,
     counts: RequestCounts,
     before: RequestCounts | None,
@@ -174,11 +184,14 @@
             total -= before.total
             good -= count_good(before, objective.threshold_ms)
     return Tally(
-        moment_s, *_name(counts), good=round(max(good, 0)), total=round(total)
+        moment_s,
+        *_make_key(counts),
+        good=round(max(good, 0)),
+        total=round(total),
     )
 
 
-def _name(counts: RequestCounts) -> _Name:
+def _make_key(counts: RequestCounts) -> _RequestKey:
     return (counts.service, counts.customer, counts.operation)
 
 
--- a/greengagepath/reports/slo.py
+++ b/greengagepath/reports/slo.py
@@ -1,9 +1,9 @@
-"""Service-level burn: how fast the budget for failures is used up.
+"""Service-level burn: how fast the error budget is used up.
 
-A burn rate of 1 uses the budget up exactly by the end of its period.
-An alert needs a high rate in a short and a long window at once, so
-that it starts soon and ends soon after the cause is gone (multi-window
-burn rates, as in the SRE literature).
+A burn rate of 1 uses up the budget exactly by the end of its period.
+An alert requires a high burn rate in both a short and a long window, so
+that it fires early and ends soon after the cause is gone (multi-window
+burn rate alerts, as in the SRE literature).
 """
 
 from collections import defaultdict
@@ -13,7 +13,7 @@
 from ..generated.messages import Objective, Service
 
 ALL_CUSTOMERS = '(all)'
-# A tally of unknown time counts for the budget but in no window.
+# A tally of unknown time counts for the budget, but not in a window.
 UNKNOWN_TIME_S = 0.0
 MAX_SERIES_POINTS = 60
 MIN_BIN_S = 1.0
@@ -21,7 +21,7 @@
 
 @dataclass(slots=True, frozen=True)
 class BurnWindow:
-    """An alert fires if both windows burn at `factor` or more."""
+    """An alert that fires if both windows burn at `factor` or more."""
 
     name: str
     short_s: int
@@ -31,7 +31,8 @@
 
 MINUTE_S = 60
 HOUR_S = 3600
-# 2% of a 30-day budget in an hour, and 5% of it in six hours.
+# Burn rates that use 2% of a 30-day budget in one hour, and 5% of it in
+# six hours.
 FAST_FACTOR = 14.4
 SLOW_FACTOR = 6.0
 BURN_WINDOWS = (
@@ -42,10 +43,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Tally:
-    """Requests of one kind that ended at about one time.
+    """Number of requests of one kind that ended at about the same time.
 
-    `time_s` is in seconds since the epoch; `good` requests were
-    answered within the threshold of their objective.
+    `time_s` is in seconds since the epoch. `good` counts the requests
+    that were answered within the threshold of their objective.
     """
 
     time_s: float
@@ -58,10 +59,11 @@
 
 @dataclass(slots=True, frozen=True)
 class BurnRow:
-    """Burn of one objective for one customer or for all.
+    """Burn of one objective, for one customer or for all.
 
-    Rates are None where a window has no requests. `budget_left` is the
-    unused share of the allowed failures; below 0 it is overspent.
+    The rate of a window is None if it has no requests. `budget_left` is
+    the unused share of the allowed failures, negative if there were more
+    failures than allowed.
     """
 
     service: str
@@ -82,7 +84,7 @@
 def collect_objectives(
     services: Iterable[Service],
 ) -> dict[ObjectiveKey, Objective]:
-    """Return the objectives by names of service and operation."""
+    """Return the objectives by service name and operation name."""
     return {
         (service.name, objective.operation): objective
         for service in services
@@ -95,10 +97,10 @@
     objectives: Mapping[ObjectiveKey, Objective],
     now_s: float,
 ) -> list[BurnRow]:
-    """Return a row for each objective and customer, and for all.
+    """Return a row for each objective and customer, and for all customers.
 
-    Tallies without an objective are left out; the windows end at
-    `now_s`.
+    Tallies without an objective are left out. The windows end at
+    `now_s`, in seconds since the epoch.
     """
     groups: defaultdict[tuple[str, str, str], _Group] = defaultdict(_Group)
     for tally in tallies:
@@ -113,7 +115,7 @@
 
 
 def compute_rate(good: int, total: int, target_share: float) -> float | None:
-    """Return the burn rate, or None without requests."""
+    """Return the burn rate, or None if there are no requests."""
     if not total:
         return None
     return (total - good) / total / (1 - target_share)
@@ -139,7 +141,7 @@
 
 @dataclass(slots=True)
 class _Group:
-    whole: _Counts = field(default_factory=_Counts)
+    overall: _Counts = field(default_factory=_Counts)
     counts_by_window_s: dict[int, _Counts] = field(
         default_factory=lambda: {
             seconds: _Counts() for seconds in WINDOW_SECONDS
@@ -147,7 +149,7 @@
     )
 
     def add(self, tally: Tally, now_s: float) -> None:
-        self.whole.add(tally)
+        self.overall.add(tally)
         age_s = now_s - tally.time_s
         for window_s, counts in self.counts_by_window_s.items():
             if 0 <= age_s < window_s:
@@ -168,7 +170,7 @@
         for window_s, counts in group.counts_by_window_s.items()
     }
     spent = compute_rate(
-        group.whole.good, group.whole.total, objective.target_share
+        group.overall.good, group.overall.total, objective.target_share
     )
     return BurnRow(
         service=service,
@@ -176,8 +178,8 @@
         operation=operation,
         target_share=objective.target_share,
         threshold_ms=objective.threshold_ms,
-        good=group.whole.good,
-        total=group.whole.total,
+        good=group.overall.good,
+        total=group.overall.total,
         rates_by_window_s=rates,
         budget_left=1 - (spent or 0),
         alerts=_find_alerts(rates),
@@ -195,7 +197,11 @@
 
 @dataclass(slots=True, frozen=True)
 class BurnSeries:
-    """Burn of one objective over time; rates are None without requests."""
+    """Burn rate of one objective over time.
+
+    `times_s` are in seconds since the epoch. The rate of a bin without
+    requests is None.
+    """
 
     service: str
     operation: str
@@ -206,7 +212,7 @@
 def compute_series(
     tallies: Sequence[Tally], objectives: Mapping[ObjectiveKey, Objective]
 ) -> list[BurnSeries]:
-    """Return the burn of each objective in bins of equal length."""
+    """Return the burn rate of each objective in bins of equal length."""
     timed = [
         tally
         for tally in tallies
--- a/tests/operator/test_slo.py
+++ b/tests/operator/test_slo.py
@@ -50,7 +50,7 @@
         return {row.customer: row for row in rows}
 
     def test_rates_and_budget_match_values_computed_by_hand(self):
-        # Guards against windows or shares that are computed wrongly.
+        # Guards against errors in the limits of windows or in the shares.
         row = self.burn(
             build_tally(60, 80, 100),
             build_tally(1200, 95, 100),
@@ -69,7 +69,8 @@
         self.assertEqual((), row.alerts)
 
     def test_alert_needs_both_windows(self):
-        # Guards against alerts that stay after the cause is gone.
+        # Guards against alerts that last long after the cause is gone,
+        # because the long window still has the failures.
         burning = self.burn(build_tally(60, 80, 100))['a']
         self.assertEqual(('fast', 'slow'), burning.alerts)
         ended = self.burn(build_tally(400, 80, 100), build_tally(60, 10, 10))[
@@ -77,8 +78,8 @@
         ]
         self.assertEqual(('slow',), ended.alerts)
 
-    def test_customers_are_reported_apart_and_together(self):
-        # Guards against one firm's failures hidden in the total.
+    def test_customers_are_reported_separately_and_in_total(self):
+        # Guards against failures of one customer that the total hides.
         rows = self.burn(
             build_tally(60, 90, 100), build_tally(60, 300, 300, 'b')
         )
@@ -91,12 +92,12 @@
         return row.good, row.total
 
     def test_windows_without_requests_have_no_rate(self):
-        # Guards against silence that is reported as perfect service.
+        # Guards against a window without requests shown as without failures.
         row = self.burn(build_tally(7200, 1, 1))['a']
         self.assertIsNone(row.rates_by_window_s[3600])
 
-    def test_series_shows_gaps(self):
-        # Guards against plots that draw a line through an outage.
+    def test_series_has_no_rate_for_bins_without_requests(self):
+        # Guards against a plot that joins the points around an outage.
         found = compute_series(
             [build_tally(2, 0, 1), build_tally(0, 1, 1)], {KEY: OBJECTIVE}
         )
@@ -117,8 +118,8 @@
         rows = measure_outcomes(outcomes, self.services)
         return {(row.service, row.customer): row for row in rows}
 
-    def test_late_answers_are_bad_and_cancelled_ones_do_not_count(self):
-        # Guards against late answers that look like good service.
+    def test_late_answers_are_bad_and_cancelled_requests_are_not_counted(self):
+        # Guards against late answers that are counted as good.
         tallies = tally_outcomes(
             [
                 build_outcome(NOW_S, 500),
@@ -134,7 +135,8 @@
         )
 
     def test_measures_match_values_computed_by_hand(self):
-        # Guards against measures that hide the worst customer or moment.
+        # Guards against measures that average out the worst customer or
+        # the busiest 10 s.
         outcomes = [
             build_outcome(100, 30, target='t1'),
             build_outcome(111, 30, target='t1'),
@@ -153,8 +155,10 @@
         self.assertEqual(0, rows[KEY[0], 'b'].crest_quality)
         self.assertEqual(0, rows[KEY[0], 'a'].customer_gap)
 
-    def test_head_of_line_compares_short_work_beside_long_work(self):
-        # Guards against a ratio that mixes both groups.
+    def test_head_of_line_compares_short_requests_with_and_without_long_ones(
+        self,
+    ):
+        # Guards against a short request that is put into the wrong group.
         service = self.services[1].name
         fields = {'service': service, 'operation': 'look-up'}
         long_work = build_outcome(
@@ -198,15 +202,16 @@
         tallies = tally_snapshots(snapshots, {KEY: OBJECTIVE})
         return [(entry.time_s, entry.good, entry.total) for entry in tallies]
 
-    def test_difference_of_snapshots_is_what_happened_between(self):
-        # Guards against totals since start counted in a window.
+    def test_tally_is_the_difference_between_snapshots(self):
+        # Guards against a window that contains all requests since the start
+        # of the process.
         self.assertEqual(
             [(0.0, 10, 12), (101.0, 5, 9)],
             self.tally((10, 1, 1), (15, 3, 3)),
         )
 
-    def test_restart_starts_from_zero(self):
-        # Guards against negative counts after a process was replaced.
+    def test_counts_start_from_zero_after_a_restart(self):
+        # Guards against negative counts after the restart of a process.
         self.assertEqual(
             [(0.0, 10, 12), (101.0, 4, 4)], self.tally((10, 1, 1), (4, 0, 0))
         )
