Reword output and the tests of explain

Cause: docstrings and names such as wanted, notable and draw_crest needed knowledge of the project, and a comment on the order of trace lines said that the time of day decides within a step, which the code does not do. Change: plain descriptions in output and tests/operator/test_explain.py, private names renamed. Printed texts and JSON fields stay.

--- a/greengagepath/output/__init__.py
+++ b/greengagepath/output/__init__.py
@@ -1,1 +1,1 @@
-"""What the tool shows: tables, JSON, plots and HTML."""
+"""Output of the command-line tool: tables, JSON, plots and HTML."""
--- a/greengagepath/output/burn.py
+++ b/greengagepath/output/burn.py
@@ -19,8 +19,9 @@
     'crest_quality',
     'head_of_line',
 )
-# The terminal's table starts after service and objective.
-TERMINAL_FROM = 2
+# First column of the terminal table; those before it are the service and
+# the objective.
+FIRST_TERMINAL_COLUMN = 2
 _WRAPPED_COLUMNS = ('customer', 'operation', *MEASURE_NAMES)
 _RATE_COLUMNS = tuple(
     f'{seconds // SECONDS_PER_MINUTE}m' for seconds in WINDOW_SECONDS
@@ -40,7 +41,10 @@
 
 @dataclass(slots=True, frozen=True)
 class BurnReport:
-    """All that `report` shows; `now_s` is where the windows end."""
+    """Content of `report`.
+
+    The windows end at `now_s`, in seconds since the epoch.
+    """
 
     now_s: float
     burn: list[BurnRow]
@@ -51,7 +55,8 @@
 def list_burn_cells(row: BurnRow) -> list[str]:
     """Return the cells of a row, in the order of `BURN_COLUMNS`."""
     rates = [
-        _show(row.rates_by_window_s[seconds]) for seconds in WINDOW_SECONDS
+        _format_measure(row.rates_by_window_s[seconds])
+        for seconds in WINDOW_SECONDS
     ]
     return [
         row.service,
@@ -67,12 +72,12 @@
 
 def list_measure_cells(row: MeasureRow) -> list[str]:
     """Return the cells of a row, in the order of `MEASURE_COLUMNS`."""
-    measures = [_show(getattr(row, name)) for name in MEASURE_NAMES]
+    measures = [_format_measure(getattr(row, name)) for name in MEASURE_NAMES]
     return [row.service, row.customer, str(row.requests), *measures]
 
 
 def render_report(report: BurnReport) -> RenderableType:
-    """Return the tables for the terminal, two for each service."""
+    """Return up to two tables for each service, for the terminal."""
     parts: list[RenderableType] = []
     for name in sorted({row.service for row in report.burn}):
         rows = [row for row in report.burn if row.service == name]
@@ -84,12 +89,12 @@
 
 
 def _render_burn(service: str, rows: Iterable[BurnRow]) -> Table:
-    # The service is the title and the objective is left to the page and
-    # to JSON, because the rest has to fit a terminal.
-    columns = BURN_COLUMNS[TERMINAL_FROM:]
+    # To fit a terminal, the service is in the title, and the objective is
+    # only in the HTML page and in JSON.
+    columns = BURN_COLUMNS[FIRST_TERMINAL_COLUMN:]
     table = _make_table(f'{service}: burn rate by window', columns)
     for row in rows:
-        cells = list_burn_cells(row)[TERMINAL_FROM:]
+        cells = list_burn_cells(row)[FIRST_TERMINAL_COLUMN:]
         table.add_row(*cells, style='red' if row.alerts else None)
     return table
 
@@ -118,5 +123,5 @@
     return table
 
 
-def _show(number: float | None) -> str:
+def _format_measure(number: float | None) -> str:
     return NOT_MEASURED if number is None else f'{number:.3g}'
--- a/greengagepath/output/console.py
+++ b/greengagepath/output/console.py
@@ -1,4 +1,7 @@
-"""Consoles of the tool; colours only on a terminal, see NO_COLOR."""
+"""Terminal output of the tool.
+
+Colours are used only on a terminal and not if NO_COLOR is set.
+"""
 
 import sys
 from collections.abc import Iterable
@@ -9,18 +12,18 @@
 
 from ..configuration.diff import ABSENT, FieldChange
 
-# Width of tables in files and pipes, which have none of their own.
+# Width of tables written to files and pipes, which have no width.
 FILE_COLUMNS = 140
 
 
 def make_console() -> Console:
-    """Return a console on the standard output of this moment."""
+    """Return a console for the current standard output."""
     width = None if sys.stdout.isatty() else FILE_COLUMNS
     return Console(highlight=False, soft_wrap=True, width=width)
 
 
 def print_error(message: object, advice: str = '') -> None:
-    """Print what went wrong, and what to do, on standard error."""
+    """Print an error, and advice if there is any, on standard error."""
     console = Console(stderr=True, highlight=False, soft_wrap=True)
     console.print(f'[red]error:[/red] {escape(str(message))}')
     if advice:
@@ -34,13 +37,13 @@
 
 
 def print_json(content: object) -> None:
-    """Print one JSON object on one line."""
+    """Print `content` as JSON on one line."""
     text = msgspec.json.encode(content, enc_hook=str).decode()
     make_console().out(text, highlight=False)
 
 
 def print_changes(changes: Iterable[FieldChange]) -> None:
-    """Print changed fields, as removed, added or changed."""
+    """Print a line for each added, removed or changed field."""
     console = make_console()
     for change in changes:
         path = escape(change.path)
--- a/greengagepath/output/flow_trace.py
+++ b/greengagepath/output/flow_trace.py
@@ -1,4 +1,4 @@
-"""The way of one flow, joined from the logs of many processes."""
+"""Trace of one flow, collected from the logs of many processes."""
 
 import json
 import re
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 from typing import Any
 
-# A line may start with the seconds and the name of its VM, as a bench
-# or a log collector prints them.
+# A bench or a log collector may put a time in seconds and the name of the
+# VM before the JSON object.
 _LINE = re.compile(r'^\s*(?:(-?\d+\.\d+)\s+(\S+)\s+)?(\{.*\})\s*$')
-# Order of the events of one copy of a packet. The time of day may jump,
-# so it decides only between lines of the same step.
+# Order of the events of one copy of a packet. Clocks of VMs may jump, so
+# lines are sorted by these steps unless all have a collector's time.
 _STEPS = (
     'flow.routed',
     'flow.refused',
@@ -23,9 +23,10 @@
 
 @dataclass(slots=True, frozen=True)
 class TraceLine:
-    """One decision that touched the flow.
+    """One logged event of a flow.
 
-    `clock_s` is the collector's time in seconds, None without one.
+    `clock_s` is the collector's time in seconds, or None if the line has
+    none. `fields` are the other fields of the event.
     """
 
     clock_s: float | None
@@ -36,29 +37,31 @@
 
     def describe(self) -> str:
         """Return the line for a terminal."""
-        pairs = ' '.join(f'{name}={got}' for name, got in self.fields.items())
+        pairs = ' '.join(
+            f'{name}={entry}' for name, entry in self.fields.items()
+        )
         clock = '' if self.clock_s is None else f'{self.clock_s:10.4f} s  '
         return f'{clock}{self.member_id}  {self.event}  {pairs}'
 
 
-def collect_trace(wanted: str, lines: Iterable[str]) -> list[TraceLine]:
-    """Return what the lines say of flows that contain `wanted`, in order.
+def collect_trace(flow_part: str, lines: Iterable[str]) -> list[TraceLine]:
+    """Return the events of the flows that contain `flow_part`, in order.
 
-    `wanted` is a flow as logs write it, or a part such as the caller's
-    address and port. Lines that are no log lines are passed over.
+    `flow_part` is a flow as logs write it, or a part of it such as the
+    caller's address and port. Lines that are not log lines are skipped.
     """
     found = [
         line
         for line in map(_parse, lines)
-        if line is not None and wanted in line.flow
+        if line is not None and flow_part in line.flow
     ]
     if all(line.clock_s is not None for line in found):
-        return sorted(found, key=_clock)
-    return sorted(found, key=_step)
+        return sorted(found, key=_by_clock)
+    return sorted(found, key=_by_step)
 
 
 def find_verdict(trace: list[TraceLine]) -> str:
-    """Return in one sentence what became of the flow."""
+    """Return the outcome of the flow in one sentence."""
     by_event = {line.event: line for line in trace}
     answered = by_event.get('flow.answered')
     refused = by_event.get('flow.refused')
@@ -99,15 +102,15 @@
         flow,
         str(record.get('event', '')),
         str(record.get('member_id', '')),
-        {name: got for name, got in record.items() if name not in _ORIGIN},
+        {name: entry for name, entry in record.items() if name not in _ORIGIN},
     )
 
 
-def _clock(line: TraceLine) -> float:
+def _by_clock(line: TraceLine) -> float:
     return line.clock_s or 0.0
 
 
-def _step(line: TraceLine) -> tuple[int, int, int]:
+def _by_step(line: TraceLine) -> tuple[int, int, int]:
     step = _STEPS.index(line.event) if line.event in _STEPS else len(_STEPS)
     copy = line.fields.get('copy', 0)
     hops = line.fields.get('hops', 0)
--- a/greengagepath/output/html_report.py
+++ b/greengagepath/output/html_report.py
@@ -1,4 +1,4 @@
-"""The report as one HTML page that needs no other file."""
+"""The report as one HTML page without external files."""
 
 from collections.abc import Iterable
 from datetime import UTC, datetime
@@ -13,7 +13,7 @@
     list_burn_cells,
     list_measure_cells,
 )
-from .plots import draw_burn, draw_crest
+from .plots import draw_burn, draw_peak_quality
 
 _PAGE = Template(
     resources.files(__package__).joinpath('report.html').read_text()
@@ -21,7 +21,7 @@
 
 
 def render_html(report: BurnReport) -> str:
-    """Return the page; all names from the input are escaped."""
+    """Return the HTML page; all texts from the input are escaped."""
     moment = datetime.fromtimestamp(report.now_s, UTC)
     parts = [
         _render_table(
@@ -40,7 +40,9 @@
             )
         )
         parts.append(
-            _render_image(draw_crest(report.measures), 'quality at the peak')
+            _render_image(
+                draw_peak_quality(report.measures), 'quality at the peak'
+            )
         )
     return _PAGE.substitute(
         moment=escape(moment.isoformat(timespec='seconds')),
--- a/greengagepath/output/plots.py
+++ b/greengagepath/output/plots.py
@@ -1,4 +1,4 @@
-"""Plots of the report as SVG, drawn without a display."""
+"""Plots of the report as SVG images; no display is needed."""
 
 import base64
 import io
@@ -17,7 +17,7 @@
 
 
 def draw_burn(series: list[BurnSeries]) -> str:
-    """Return an image of the burn over time, as a data URL."""
+    """Return a plot of the burn rate over time, as a data URL."""
     figure, axes = _make_figure()
     for entry in series:
         times = [
@@ -35,8 +35,11 @@
     return _encode(figure)
 
 
-def draw_crest(measures: list[MeasureRow]) -> str:
-    """Return bars of the quality at the peak by customer."""
+def draw_peak_quality(measures: list[MeasureRow]) -> str:
+    """Return a bar chart of the quality at the peak by customer.
+
+    The image is returned as a data URL.
+    """
     figure, axes = _make_figure()
     shown = [row for row in measures if row.crest_quality is not None]
     names = [f'{row.service}\n{row.customer}' for row in shown]
@@ -50,8 +53,8 @@
 
 
 def _make_figure() -> tuple['Figure', 'Axes']:
-    # Imported here, because it takes most of a second that the other
-    # commands do not need.
+    # Imported here, because the import takes most of a second and the
+    # other commands do not need it.
     from matplotlib.figure import Figure
 
     figure = Figure(figsize=(WIDTH_INCHES, HEIGHT_INCHES), layout='constrained')
--- a/greengagepath/output/status_table.py
+++ b/greengagepath/output/status_table.py
@@ -1,4 +1,4 @@
-"""Terminal tables of the members of the system."""
+"""Terminal tables of the balancers, services and targets."""
 
 from collections import Counter
 from collections.abc import Iterable
@@ -8,28 +8,29 @@
 
 from ..generated.messages import MemberKind, MemberRecord, StatusReply
 
-# Tables of a large fleet stay readable; `--json` has every record.
+# Rows of one table, so that it stays readable for a large fleet; `--json`
+# has all records.
 MAX_ROWS = 40
 _ALIVE = 'alive'
 
 
 def render_status(reply: StatusReply) -> RenderableType:
-    """Return tables of balancers, services and notable targets."""
+    """Return tables of balancers, services and targets not alive."""
     balancers = [
         entry for entry in reply.records if entry.kind == MemberKind.balancer
     ]
     targets = [
         entry for entry in reply.records if entry.kind == MemberKind.agent
     ]
-    notable = [entry for entry in targets if entry.state != _ALIVE]
+    not_alive = [entry for entry in targets if entry.state != _ALIVE]
     version = reply.configuration_version
     parts: list[RenderableType] = [
         f'the balancer that answered has version {version} in force',
         _render_balancers(balancers, version),
         _render_services(targets),
     ]
-    if notable:
-        parts.append(_render_targets(notable))
+    if not_alive:
+        parts.append(_render_targets(not_alive))
     return Group(*parts)
 
 
@@ -55,7 +56,7 @@
             str(entry.configuration_version),
             style='yellow' if is_behind or entry.state != _ALIVE else None,
         )
-    _add_rest(table, len(ordered))
+    _add_overflow_row(table, len(ordered))
     return table
 
 
@@ -83,7 +84,7 @@
             str(entry.service_id),
             str(entry.state),
         )
-    _add_rest(table, len(targets))
+    _add_overflow_row(table, len(targets))
     return table
 
 
@@ -91,6 +92,6 @@
     return record.member_id
 
 
-def _add_rest(table: Table, count: int) -> None:
+def _add_overflow_row(table: Table, count: int) -> None:
     if count > MAX_ROWS:
         table.add_row(f'and {count - MAX_ROWS} more, see --json')
--- a/tests/operator/test_explain.py
+++ b/tests/operator/test_explain.py
@@ -1,4 +1,4 @@
-"""`explain` joins the lines of one flow."""
+"""Tests how `explain` selects and sorts the log lines of one flow."""
 
 import json
 
@@ -20,8 +20,9 @@
 
 
 class FlowTraceTest(TestCase):
-    def test_lines_of_other_flows_and_noise_are_left_out(self):
-        # Guards against a trace that mixes two callers.
+    def test_other_flows_and_lines_that_are_not_logs_are_skipped(self):
+        # Guards against a trace with the flows of two callers, and against
+        # an exception at a line that is not JSON.
         lines = [
             make_line('flow.routed', 'b1'),
             make_line('flow.routed', 'b1').replace('1042', '1043'),
@@ -30,8 +31,8 @@
         ]
         self.assertEqual(1, len(collect_trace('100.64.0.4:1042', lines)))
 
-    def test_order_does_not_depend_on_the_time_of_day(self):
-        # Guards against a VM whose clock jumped.
+    def test_order_does_not_depend_on_the_time_in_the_records(self):
+        # Guards against a wrong order if the clock of a VM has jumped.
         lines = [
             make_line('flow.answered', 'a1', time='2020-01-01T00:00:00'),
             make_line('flow.offered', 'a1', hops=1),
@@ -42,8 +43,9 @@
             ['flow.routed', 'flow.offered', 'flow.answered'], events
         )
 
-    def test_clock_of_the_collector_goes_first(self):
-        # Guards against a bench log whose order is known but not used.
+    def test_time_of_the_collector_decides_the_order(self):
+        # Guards against ignoring the time that a bench puts before each
+        # line, which is the real order.
         lines = [
             make_line('flow.refused', 'a1', prefix='   2.5000 side-1 '),
             make_line('flow.routed', 'b1', prefix='   2.4000 front-1 '),
@@ -51,8 +53,9 @@
         events = [line.event for line in collect_trace(FLOW, lines)]
         self.assertEqual(['flow.routed', 'flow.refused'], events)
 
-    def test_verdict_names_refusal_and_target(self):
-        # Guards against an on-call engineer who has to know the events.
+    def test_verdict_has_the_reason_of_refusal_or_the_duration(self):
+        # Guards against an outcome that an operator can read only with
+        # knowledge of the event names.
         refused = collect_trace(
             FLOW, [make_line('flow.refused', 'a1', reason='too late')]
         )
