Correct a few docstrings of foundation

Cause: a second reading found unclear sentences. Change: docstrings and comments of settings, timers and the object API client only. Measured: ruff and flake8 pass; tests/foundation, test_settings and test_leases, 30 passed.

--- a/greengagepath/foundation/object_api.py
+++ b/greengagepath/foundation/object_api.py
@@ -30,7 +30,7 @@
 WATCH_WAIT_S = 20.0
 # Simultaneous calls of one process, including pending watches.
 MAX_CALLS = 8
-# Twice the largest value of an object, 1 MB.
+# Enough for any object, whose value is at most 1 MB.
 MAX_ANSWER_BYTES = 2097152
 
 _OK = 200
@@ -62,7 +62,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Conflict:
-    """Another writer changed the object first, to `current`."""
+    """Another writer changed the object first; `current` is its state."""
 
     current: StoredObject
 
--- a/greengagepath/foundation/settings.py
+++ b/greengagepath/foundation/settings.py
@@ -36,7 +36,7 @@
 ) -> Result[Settings, list[SettingProblem]]:
     """Return the checked settings of a daemon, or all problems at once.
 
-    Paths of key and certificate files in the file are relative to its
+    The file gives paths of key and certificate files relative to its own
     folder; in the result they are absolute.
     """
     return _load(Path(path), Settings, _find_contradictions)
--- a/greengagepath/foundation/timers.py
+++ b/greengagepath/foundation/timers.py
@@ -66,7 +66,7 @@
         return self._push(Timer(callback, self.now() + max(delay_s, 0.0)))
 
     def subscribe(self, period_s: float, callback: Callback) -> Timer:
-        """Call every `period_s` seconds, for the first time after one.
+        """Call every `period_s` seconds, starting after one period.
 
         Raises ValueError if the period is not positive.
         """
@@ -121,7 +121,8 @@
         timer = heapq.heappop(self._queue)[2]
         self._report_pause(timer.due_s)
         if timer.period_s is not None:
-            # After a delay, missed periods are skipped, not made up for.
+            # If the loop is late, it skips missed periods instead of running
+            # all of them.
             timer.due_s = max(timer.due_s, self.now() - timer.period_s)
             timer.due_s += timer.period_s
             self._push(timer)
