--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -62,7 +62,7 @@
             data_address,
             self._take_from_caller,
             counts,
-            self.steering.backlog.note_empty,
+            self.steering.backlog.mark_socket_empty,
         )
         self._bind(settings.balancer_port, counts, ignore_empty)
         self._follower = RouteFollower(store, self.steering, random.Random())
@@ -95,7 +95,7 @@
         """Go out of rotation when others are in, and forward till then."""
         asked_s = self._timers.now()
         log_event(_logger, 'balancer.leaving', **self.steering.counts)
-        self.steering.contacts.rotation.ask_to_leave()
+        self.steering.contacts.rotation.request_leave()
         self.steering.contacts.enter_stage(BalancerStage.LEAVING)
         limit_s = self._settings.termination_s - LEAVE_S - LEAVE_RESERVE_S
         while not self.steering.contacts.rotation.may_leave():
@@ -125,10 +125,10 @@
         if segment is None:
             self.steering.counts['dropped_unreadable'] += 1
             return
-        self.steering.take_from_caller(segment)
+        self.steering.handle_caller_packet(segment)
 
     def _take_message(self, sender: bytes, message: PeerMessage) -> None:
-        self.steering.take_peer_message(sender, message)
+        self.steering.handle_peer_message(sender, message)
 
     def _answer(self, request: HttpRequest) -> HttpReply:
         if request.path.partition('?')[0] != self._codec.readiness_path:
--- a/greengagepath/datapath/packet_router.py
+++ b/greengagepath/datapath/packet_router.py
@@ -1,7 +1,8 @@
-"""Routing of one datagram at a balancer, without sockets.
+"""Routing of single datagrams at a balancer, without sockets.
 
-OPEN goes to the target that the chooser names; datagrams of established
-flows are left to the forwarder. Probes tell the choosers the load.
+An OPEN is sent to the target that the chooser selects; datagrams of
+established flows are routed by the forwarder. Probes report the load of
+targets to the choosers.
 """
 
 from collections.abc import Callable, Mapping
@@ -34,7 +35,7 @@
 from .probing import ProbeLoad, ProbeTracker, decode_load
 
 MAX_ALTERNATES = 2
-_ENVELOPE_START = bytes((ENVELOPE_MAGIC,))
+_ENVELOPE_PREFIX = bytes((ENVELOPE_MAGIC,))
 _SIZE_CLASSES_BY_CODE = {
     SizeCode.UNKNOWN: SizeClass.unknown,
     SizeCode.SHORT: SizeClass.short,
@@ -43,7 +44,7 @@
 
 
 class Choosers(Protocol):
-    """The choosers of all services; `ServiceChoosers` is one."""
+    """Interface to the choosers of all services, as `ServiceChoosers`."""
 
     def choose(
         self, service: int, flow_id: int, size_class: SizeClass
@@ -55,12 +56,14 @@
 
 
 @dataclass(slots=True)
-class RouterParts:
-    """What a router works with.
+class RouterDependencies:
+    """Dependencies and limits of a `PacketRouter`.
 
     `connect` returns a function that sends datagrams to one address;
     `send_probe` sends one from the socket that receives the reply.
-    Both raise OSError if a datagram cannot be sent.
+    Both raise OSError if a datagram cannot be sent. `own_address` is
+    the address of that socket. `verified_tokens` is the capacity of the
+    token cache.
     """
 
     keys: KeyRing
@@ -75,34 +78,34 @@
 
 
 class PacketRouter:
-    """Routes datagrams from the fabric, and probes targets."""
+    """Routes datagrams from the fabric and probes targets."""
 
-    def __init__(self, parts: RouterParts) -> None:
+    def __init__(self, dependencies: RouterDependencies) -> None:
         self.probes = ProbeTracker(
-            parts.timers, parts.random, parts.probes_per_s
+            dependencies.timers, dependencies.random, dependencies.probes_per_s
         )
         self.forwarder = Forwarder(
-            parts.keys,
-            parts.random,
-            parts.connect,
-            parts.verified_tokens,
-            self._route_slowly,
+            dependencies.keys,
+            dependencies.random,
+            dependencies.connect,
+            dependencies.verified_tokens,
+            self._route_slow_path,
         )
         self.counters = self.forwarder.counters
-        self._parts = parts
+        self._dependencies = dependencies
         self._services_by_address: Mapping[Address, int] = {}
 
     @property
     def route(self) -> Callable[[bytes], None]:
-        """Return what forwards, takes or drops one datagram.
+        """The function that forwards, handles or drops one datagram.
 
-        It never raises on bad input, and holds for one batch: the
-        forwarder replaces it when the keys change.
+        It never raises on invalid input. It is valid for one batch,
+        because the forwarder replaces it when the keys change.
         """
         return self.forwarder.route
 
     def use_configuration(self, configuration: Configuration) -> None:
-        """Take the addresses of the services."""
+        """Replace the addresses of the services."""
         self._services_by_address = {
             (service.host, service.port): service.service_id
             for service in configuration.services
@@ -110,7 +113,7 @@
 
     def probe(self, service_id: int) -> None:
         """Send the probes that are due for the targets of a service."""
-        chooser = self._parts.choosers.get_chooser(service_id)
+        chooser = self._dependencies.choosers.get_chooser(service_id)
         if chooser is None:
             return
         for target in chooser.targets_to_probe():
@@ -119,22 +122,22 @@
                 self._send_probe(target, probe_id)
 
     def check_probes(self) -> None:
-        """Tell the choosers which probes had no reply in time."""
-        for lost in self.probes.take_lost():
+        """Record a failure for each probe without a reply in time."""
+        for lost in self.probes.pop_lost():
             self.counters.probes_lost += 1
-            chooser = self._parts.choosers.get_chooser(lost.service_id)
+            chooser = self._dependencies.choosers.get_chooser(lost.service_id)
             if chooser is not None:
                 chooser.record_outcome(lost.target_id, succeeded=False)
 
-    def _route_slowly(self, packet: bytes) -> None:
-        if packet[:1] == _ENVELOPE_START:
-            problem = self._take_envelope(packet)
+    def _route_slow_path(self, packet: bytes) -> None:
+        if packet[:1] == _ENVELOPE_PREFIX:
+            problem = self._handle_envelope(packet)
         else:
-            problem = self._take_packet(packet)
+            problem = self._handle_packet(packet)
         if problem is not None:
             self.counters.dropped[problem] += 1
 
-    def _take_packet(self, packet: bytes) -> DropReason | None:
+    def _handle_packet(self, packet: bytes) -> DropReason | None:
         header = decode_fabric_header(packet)
         if header.is_err():
             return header.unwrap_err()
@@ -144,26 +147,27 @@
         datagram = decoded.unwrap()
         if datagram.kind is not Kind.OPEN:
             return DropReason.UNKNOWN_KIND
-        return self._open(packet, datagram, header.unwrap().destination)
+        return self._handle_open(packet, datagram, header.unwrap().destination)
 
-    def _open(
+    def _handle_open(
         self, packet: bytes, datagram: ServiceDatagram, destination: Address
     ) -> DropReason | None:
         service_id = datagram.service_id
         if self._services_by_address.get(destination) != service_id:
             return DropReason.UNKNOWN_SERVICE
-        chosen = self._parts.choosers.choose(
+        chosen = self._dependencies.choosers.choose(
             service_id,
             datagram.flow_id,
             _SIZE_CLASSES_BY_CODE[datagram.size_code],
         )
         if chosen.is_err():
-            # The caller's next OPEN may reach a balancer that knows one.
+            # The caller repeats the OPEN, which may then reach a
+            # balancer that knows a target.
             return DropReason.NO_TARGET
         choice = chosen.unwrap()
         alternates = b''.join(
-            encode_address(other.address)
-            for other in choice.alternates[:MAX_ALTERNATES]
+            encode_address(alternate.address)
+            for alternate in choice.alternates[:MAX_ALTERNATES]
         )
         self.forwarder.forward(
             packet,
@@ -177,15 +181,15 @@
         datagram = ServiceDatagram(
             kind=Kind.PROBE, service_id=target.service, flow_id=probe_id
         )
-        sealed = self.forwarder.seal(self._parts.own_address, datagram)
+        sealed = self.forwarder.seal(self._dependencies.own_address, datagram)
         try:
-            self._parts.send_probe(sealed, target.address)
+            self._dependencies.send_probe(sealed, target.address)
         except OSError:
             self.counters.send_failures += 1
         self.counters.probes_sent += 1
 
-    def _take_envelope(self, packet: bytes) -> DropReason | None:
-        opened = open_envelope(self._parts.keys, packet)
+    def _handle_envelope(self, packet: bytes) -> DropReason | None:
+        opened = open_envelope(self._dependencies.keys, packet)
         if opened.is_err():
             return opened.unwrap_err()
         decoded = decode_service_datagram(opened.unwrap()[1])
@@ -206,7 +210,7 @@
         if reply is None:
             return DropReason.REPLAYED
         self.counters.probes_answered += 1
-        chooser = self._parts.choosers.get_chooser(datagram.service_id)
+        chooser = self._dependencies.choosers.get_chooser(datagram.service_id)
         if chooser is not None:
             chooser.record_probe(reply)
         return None
--- a/greengagepath/membership/agent_node.py
+++ b/greengagepath/membership/agent_node.py
@@ -1,4 +1,4 @@
-"""Control plane of one agent, without sockets."""
+"""Control plane of one agent, independent of sockets."""
 
 from collections.abc import Callable
 
@@ -18,7 +18,7 @@
 from .handshake import PROTOCOL_VERSION
 from .link_monitor import LinkMonitor
 from .overlay import rank_by_hash
-from .overlay_links import LinkKeeper
+from .overlay_links import LinkManager
 from .own_record import OwnRecord
 from .peers import Peer, PeerRole, PeerTable
 from .ports import NodePorts
@@ -26,17 +26,19 @@
 from .views import SeedReader
 
 STEP_S = 0.1
-# A balancer to which this many attempts failed is passed over.
+# A balancer is skipped after more than this many attempts without success.
 MAX_FAILURES = 2
-# After this time a balancer that was passed over is tried again.
-PASS_OVER_S = 30.0
+# A skipped balancer is tried again after this time.
+SKIP_UNRESPONSIVE_S = 30.0
 
 
 class AgentNode:
     """Announces a target to its home balancers.
 
-    Implements `LinkEvents`. All calls come from one loop. A version of
-    the service lower than one seen before is ignored.
+    Implements `LinkEvents`. Not thread-safe: all calls come from one
+    event loop. `on_service` is called with the service of the target
+    when a newer configuration version brings it; lower versions are
+    ignored.
     """
 
     def __init__(
@@ -50,17 +52,20 @@
         self.configuration_version = 0
         self._ports = ports
         self._on_service = on_service
-        self._keeper = LinkKeeper(self.peers, ports)
-        self._care = LinkMonitor(self.peers, ports)
-        self._choice = HomeChoice(record, ports, self._keeper)
+        self._link_manager = LinkManager(self.peers, ports)
+        self._link_monitor = LinkMonitor(self.peers, ports)
+        self._home_selector = HomeSelector(record, ports, self._link_manager)
         self._timers: list[Timer] = []
 
     def start(self) -> None:
-        """Read the seed and start the timers."""
+        """Start the timers and the search for home balancers."""
         timers = self._ports.timers
         self._timers = [
             timers.subscribe(STEP_S, self._step),
-            timers.subscribe(self._ports.limits.heartbeat_s, self._care.beat),
+            timers.subscribe(
+                self._ports.limits.heartbeat_s,
+                self._link_monitor.send_heartbeats,
+            ),
         ]
         self._step()
 
@@ -73,11 +78,11 @@
             self._ports.links.close(peer.link_id)
 
     def set_state(self, state: MemberState) -> None:
-        """Publish a state of the target."""
+        """Publish the state of the target to its homes."""
         self.own.update(state=state, draining=state is MemberState.draining)
 
     def link_opened(self, link_id: int, *, outgoing: bool) -> None:
-        """Announce the target."""
+        """Register the link and announce the target on it."""
         now_s = self._ports.timers.now()
         self.peers.open(Peer(link_id, outgoing, now_s))
         self._ports.links.send(
@@ -86,14 +91,14 @@
         )
 
     def link_closed(self, link_id: int) -> None:
-        """Forget the link and what was learnt on it."""
-        self._keeper.failed(link_id)
-        self._choice.forget(link_id)
+        """Remove the link and the candidates received on it."""
+        self._link_manager.mark_closed(link_id)
+        self._home_selector.remove_link(link_id)
         self.peers.remove(link_id)
         self._publish_homes()
 
     def link_received(self, link_id: int, message: msgspec.Struct) -> None:
-        """Act on a message of a balancer."""
+        """Handle a message from a balancer; ignore unknown links."""
         peer = self.peers.by_link(link_id)
         if peer is None:
             return
@@ -112,20 +117,20 @@
         earlier = self.peers.identify(peer, record, PeerRole.ZONE)
         if earlier is not None:
             self._ports.links.close(earlier.link_id)
-        self._keeper.succeeded(peer.link_id)
-        self._choice.learn(peer.link_id, [record])
+        self._link_manager.mark_established(peer.link_id)
+        self._home_selector.set_candidates(peer.link_id, [record])
         self._publish_homes()
 
     def _receive_records(self, link_id: int, message: Records) -> None:
-        """Take the candidates of a home, or a claim about this agent."""
+        """Store candidate homes; handle records about this agent itself."""
         candidates = []
         for record in message.records:
             if record.member_id == self.own.member_id:
-                self.own.note_claim(record)
+                self.own.receive_claim(record)
             elif is_balancer(record):
                 candidates.append(record)
         if candidates:
-            self._choice.learn(link_id, candidates)
+            self._home_selector.set_candidates(link_id, candidates)
 
     def _receive_delta(self, delta: ConfigurationDelta) -> None:
         if delta.version <= self.configuration_version:
@@ -136,16 +141,16 @@
                 self._on_service(service)
 
     def _step(self) -> None:
-        self._care.close_silent()
+        self._link_monitor.close_silent()
         self.own.refute_pending()
-        self._keeper.adjust(self._choice.wanted_links())
+        self._link_manager.adjust(self._home_selector.wanted_links())
         self._publish_homes()
 
     def _publish_homes(self) -> None:
-        """Name the balancers that watch this agent.
+        """Publish which balancers watch this agent.
 
-        A link that is about to be closed does not count, so that its
-        end is not taken for the death of the target.
+        A balancer whose link is about to be closed is left out, because
+        it would take the closed link for a failure of the target.
         """
         homes = sorted(
             peer.member_id
@@ -160,70 +165,79 @@
                 self._ports.links.send(peer.link_id, Records(records=[record]))
 
 
-class HomeChoice:
-    """Which balancers an agent wants as homes.
+class HomeSelector:
+    """Chooses the home balancers of an agent.
 
-    What the homes said last is kept when all links are lost, so that an
-    agent finds other balancers also while the object API is down.
+    The last known candidates are kept when all links are lost, so that
+    an agent finds other balancers even while the object API is down.
     """
 
     def __init__(
-        self, own: MemberRecord, ports: NodePorts, keeper: LinkKeeper
+        self, own: MemberRecord, ports: NodePorts, link_manager: LinkManager
     ) -> None:
         self._own = own
         self._ports = ports
-        self._keeper = keeper
-        self._balancers_by_link: dict[int, list[MemberRecord]] = {}
+        self._link_manager = link_manager
+        self._candidates_by_link: dict[int, list[MemberRecord]] = {}
         self._last_known: dict[str, MemberRecord] = {}
-        self._passed_over_s_by_id: dict[str, float] = {}
+        self._skipped_since_by_id: dict[str, float] = {}
         self._seeds = SeedReader(own.availability_zone, ports)
         self._sample: list[Address] = []
 
-    def learn(self, link_id: int, balancers: list[MemberRecord]) -> None:
-        """Take the candidates that a home has sent."""
-        self._balancers_by_link[link_id] = balancers
+    def set_candidates(
+        self, link_id: int, balancers: list[MemberRecord]
+    ) -> None:
+        """Replace the candidates received on a link."""
+        self._candidates_by_link[link_id] = balancers
         self._last_known = {
             record.member_id: record
-            for records in self._balancers_by_link.values()
+            for records in self._candidates_by_link.values()
             for record in records
         }
 
-    def forget(self, link_id: int) -> None:
-        """Drop what a home has sent whose link has closed."""
-        self._balancers_by_link.pop(link_id, None)
+    def remove_link(self, link_id: int) -> None:
+        """Drop the candidates received on a closed link."""
+        self._candidates_by_link.pop(link_id, None)
 
     def wanted_links(self) -> dict[str, Address]:
-        """Return the homes, and seeds while no balancer answers."""
+        """Return the addresses to connect to, by member id.
+
+        While no balancer answers, a few seeds are included under keys
+        that start with `seed`.
+        """
         known = self._last_known
-        self._pass_over(known)
-        usable = known.keys() - self._passed_over_s_by_id.keys()
+        self._skip_unresponsive(known)
+        usable = known.keys() - self._skipped_since_by_id.keys()
         ranked = rank_by_hash(self._own.member_id, usable)
         wanted = {
             home: (known[home].host, known[home].control_port)
             for home in ranked[: self._ports.limits.homes]
         }
-        if self._balancers_by_link:
-            self._seeds.rest()
+        if self._candidates_by_link:
+            self._seeds.reset_pause()
             return wanted
         return wanted | {
             f'seed {entry}': entry for entry in self._sample_seeds()
         }
 
-    def _pass_over(self, known: dict[str, MemberRecord]) -> None:
-        """Leave out balancers that do not answer, for a while."""
+    def _skip_unresponsive(self, known: dict[str, MemberRecord]) -> None:
+        """Skip unresponsive balancers for `SKIP_UNRESPONSIVE_S`."""
         now_s = self._ports.timers.now()
         for record in known.values():
             address = (record.host, record.control_port)
-            if self._keeper.failures(address) > MAX_FAILURES:
-                self._passed_over_s_by_id.setdefault(record.member_id, now_s)
-        self._passed_over_s_by_id = {
+            if (
+                self._link_manager.attempts_since_success(address)
+                > MAX_FAILURES
+            ):
+                self._skipped_since_by_id.setdefault(record.member_id, now_s)
+        self._skipped_since_by_id = {
             member_id: since_s
-            for member_id, since_s in self._passed_over_s_by_id.items()
-            if now_s - since_s < PASS_OVER_S
+            for member_id, since_s in self._skipped_since_by_id.items()
+            if now_s - since_s < SKIP_UNRESPONSIVE_S
         }
 
     def _sample_seeds(self) -> list[Address]:
-        """Choose a few seeds, so that none gets all new agents."""
+        """Return a random sample, so that no seed gets all new agents."""
         found = self._seeds.addresses()
         if not set(self._sample) <= set(found) or not self._sample:
             count = min(self._ports.limits.homes, len(found))
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -1,4 +1,4 @@
-"""Which target takes an opening packet, or that none does."""
+"""Placement of opening packets: accept, hand over or refuse."""
 
 import logging
 
@@ -10,23 +10,25 @@
 from .placement import (
     Estimate,
     PeerLoad,
+    average_service_s,
     choose_peer,
-    find_usual_s,
-    is_in_time,
+    should_accept,
 )
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
 
-# Agents that an opening packet passes after its home.
+# An opening packet is forwarded by its home and at most this many more
+# agents.
 MAX_HOPS = 3
-# A target that would finish this much sooner is worth another hop.
+# Another target has to finish sooner by this time per hop so far.
 HAND_OVER_GAIN_S = 0.004
-# An opening packet is answered within a millisecond; a target that
-# leaves one unanswered at this many checks does not run.
+# A running target answers an opening packet within a millisecond; if one
+# is unanswered after this many checks, the target is not running.
 UNANSWERED_CHECKS = 5
 MS_PER_S = 1000
-# The other agents have been heard by a process that runs this long.
-SETTLED_S = 0.5
+# Until this time after its start an agent may not have received the reports
+# of all other agents.
+WARM_UP_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -34,7 +36,7 @@
 class AgentOpenings:
     """Accepts, hands over or refuses opening packets.
 
-    `owner_by_flow` remembers where this agent sent a flow.
+    `owner_by_flow` stores the agent to which this agent sent a flow.
     """
 
     def __init__(
@@ -48,31 +50,33 @@
         self._owner_by_flow = owner_by_flow
         self._started_s = context.timers.now()
 
-    def take(self, message: PeerMessage, segment: Segment) -> None:
-        """Handle an opening packet or one of its copies."""
-        held = self._context.held.by_flow.get(segment.flow)
+    def handle_opening(self, message: PeerMessage, segment: Segment) -> None:
+        """Handle an opening packet from a balancer or another agent."""
+        held = self._context.held_flows.by_flow.get(segment.flow)
         if held is not None and not held.is_closed:
-            held.used_s = self._context.timers.now()
+            held.last_used_s = self._context.timers.now()
             self._context.outbox.to_target(segment.raw)
             return
         if message.kind is PeerKind.OPEN:
             owner = self._owner_by_flow.get(segment.flow)
             if owner in self._context.peers.load_by_address:
-                self._pass_on(owner, message, segment)
+                self._send_place(owner, message, segment)
                 return
         self._place(message, segment, self._estimate_own())
 
-    def take_returned(self, segment: Segment, held: HeldFlow | None) -> None:
-        """Hand over an opening packet that the target did not take."""
+    def handle_returned(self, segment: Segment, held: HeldFlow | None) -> None:
+        """Hand over an opening packet that the target sent back."""
         self._context.counts['openings_returned'] += 1
         if held is not None:
-            self._note_not_taken(held)
+            self._record_failed_opening(held)
         self._hand_over(segment, held)
 
     def check_unanswered(self) -> None:
-        """Hand over opening packets that the target leaves unanswered."""
+        """Hand over opening packets that the target has not answered."""
         context = self._context
-        for flow, held in tuple(context.held.unanswered(UNANSWERED_CHECKS)):
+        for flow, held in tuple(
+            context.held_flows.iter_unanswered(UNANSWERED_CHECKS)
+        ):
             if held.opening is None:
                 continue
             context.counts['openings_unanswered'] += 1
@@ -83,24 +87,24 @@
                 flow=describe_flow(flow),
                 target_id=context.gate.target_id,
             )
-            self._note_not_taken(held)
-            context.held.remove(flow)
+            self._record_failed_opening(held)
+            context.held_flows.remove(flow)
             self._hand_over(held.opening, held)
 
-    def _note_not_taken(self, held: HeldFlow) -> None:
-        """Close the target if it has given no sign of life meanwhile."""
+    def _record_failed_opening(self, held: HeldFlow) -> None:
+        """Mark the target absent if it has sent nothing since the offer."""
         gate = self._context.gate
-        state = gate.report_state()
-        gate.note_not_taken(held.offered_s)
-        if gate.report_state() is not state:
-            self._reports.report()
+        state = gate.reported_state()
+        gate.record_failed_opening(held.offered_s)
+        if gate.reported_state() is not state:
+            self._reports.send_all()
 
     def _place(
         self, message: PeerMessage, segment: Segment, own: Estimate | None
     ) -> None:
-        """Choose between this target and the others.
+        """Choose between this target and those of other agents.
 
-        `own` is None if this target does not take the flow.
+        `own` is None if this target does not accept the flow.
         """
         chosen = self._choose_peer(message)
         if own is not None and _is_own_better(own, chosen, message.hops):
@@ -109,27 +113,28 @@
         else:
             estimate = chosen[0] if chosen else None
         goal_s = message.goal_ms / MS_PER_S
-        if estimate is None or not is_in_time(
+        if estimate is None or not should_accept(
             estimate, goal_s, message.priority
         ):
             self._refuse(segment.flow, message, estimate)
         elif chosen is None:
             self._accept(message, segment, estimate)
         else:
-            self._send_to(chosen[1], message, segment)
+            self._place_at_peer(chosen[1], message, segment)
 
     def _hand_over(self, segment: Segment, held: HeldFlow | None) -> None:
-        self._place(self._make_handed_over(held), segment, None)
+        self._place(self._make_hand_over(held), segment, None)
 
-    def _make_handed_over(self, held: HeldFlow | None) -> PeerMessage:
-        """Return the message of an offered opening for its next agent.
+    def _make_hand_over(self, held: HeldFlow | None) -> PeerMessage:
+        """Return the message that hands an opening to another agent.
 
-        The time that the packet spent here is taken off its goal.
+        The time that the packet spent here is subtracted from its goal.
         """
         service = self._context.identity.service
         offer = held.offer if held else None
         if held is None or offer is None:
-            # An earlier process of this VM offered the packet.
+            # The agent has restarted since the packet was offered, so
+            # its goal and priority are not known.
             return PeerMessage(PeerKind.PLACE, service, hops=1)
         goal_ms = offer.goal_ms
         if goal_ms:
@@ -158,16 +163,16 @@
         if context.is_leaving or not gate.is_open or not gate.is_responsive:
             return None
         now_s = context.timers.now()
-        if context.held.is_full(now_s):
+        if context.held_flows.is_full(now_s):
             return None
-        usual_s = find_usual_s(context.peers.loads)
+        peer_average_s = average_service_s(context.peers.loads)
         estimate = Estimate(
-            context.held.load,
+            context.held_flows.load,
             gate.slots,
-            context.held.service_time.estimate_s(now_s, usual_s),
-            usual_s,
+            context.held_flows.service_time.estimate_s(now_s, peer_average_s),
+            peer_average_s,
         )
-        estimate.put_behind(gate.report_state())
+        estimate.add_state_penalty(gate.reported_state())
         return estimate
 
     def _accept(
@@ -181,24 +186,24 @@
             flow=describe_flow(segment.flow),
             target_id=context.gate.target_id,
             hops=message.hops,
-            copy=segment.copy,
-            load=context.held.load,
+            copy=segment.copy_number,
+            load=context.held_flows.load,
             finish_s=round(estimate.finish_s, 4),
             version=context.latest_version,
         )
-        context.held.accept(segment, message, context.timers.now())
+        context.held_flows.accept(segment, message, context.timers.now())
         context.counts['flows_offered'] += 1
         context.outbox.to_target(segment.raw)
-        self._reports.report_change()
+        self._reports.send_change()
 
-    def _send_to(
+    def _place_at_peer(
         self, chosen: PeerLoad, message: PeerMessage, segment: Segment
     ) -> None:
-        chosen.note_placement(self._context.timers.now())
+        chosen.record_placement(self._context.timers.now())
         self._owner_by_flow.put(segment.flow, chosen.address)
-        self._pass_on(chosen.address, message, segment)
+        self._send_place(chosen.address, message, segment)
 
-    def _pass_on(
+    def _send_place(
         self, owner: bytes, message: PeerMessage, segment: Segment
     ) -> None:
         self._context.counts['flows_placed_elsewhere'] += 1
@@ -218,9 +223,9 @@
         self, flow: bytes, message: PeerMessage, estimate: Estimate | None
     ) -> None:
         context = self._context
-        if context.timers.now() - self._started_s < SETTLED_S:
-            # Other agents may have room; copies of the packet follow
-            # after 200 and 600 ms.
+        if context.timers.now() - self._started_s < WARM_UP_S:
+            # Agents that have not reported yet may accept the flow; the
+            # caller sends copies of the packet after 200 and 600 ms.
             context.counts['dropped_unsettled'] += 1
             return
         context.counts['flows_refused'] += 1
@@ -233,7 +238,7 @@
             finish_s=round(estimate.finish_s, 3) if estimate else None,
             goal_ms=message.goal_ms,
             hops=message.hops,
-            load=context.held.load,
+            load=context.held_flows.load,
             phase=context.gate.phase.value,
             agents=len(context.peers.load_by_address),
             version=context.latest_version,
@@ -244,7 +249,7 @@
 def _is_own_better(
     own: Estimate, chosen: tuple[Estimate, PeerLoad] | None, hops: int
 ) -> bool:
-    """Return whether another hop is not worth what it gains."""
+    """Return whether the gain at the other target is below a hop's cost."""
     if chosen is None:
         return True
     return own.rank_s <= chosen[0].rank_s + HAND_OVER_GAIN_S * hops
--- a/greengagepath/steering/owner_search.py
+++ b/greengagepath/steering/owner_search.py
@@ -1,4 +1,4 @@
-"""Finds the agent whose target holds a flow."""
+"""Search for the agent whose target holds a flow."""
 
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
@@ -13,10 +13,11 @@
 
 
 class OwnerSearch:
-    """Passes on packets of flows that the agent's target does not hold.
+    """Forwards packets of flows that the agent's target does not hold.
 
-    A process that has just started does not know which flows its target
-    holds; until `idle_s` after its start it tries the target once.
+    A restarted agent does not know which flows its target holds. Until
+    `idle_s` after its start it therefore first sends one packet of each
+    unknown flow to the target, which returns it if it has no such flow.
     """
 
     def __init__(
@@ -28,14 +29,17 @@
         self._context = context
         self._reports = reports
         self._owner_by_flow = owner_by_flow
-        # The balancer to answer, empty if others are asked already.
-        self._tried: RecentMap[bytes, bytes] = RecentMap(MAX_OWNERS)
+        # Balancer to notify, by flow that was tried at the target; empty if
+        # another agent has started the search.
+        self._balancer_by_tried_flow: RecentMap[bytes, bytes] = RecentMap(
+            MAX_OWNERS
+        )
         self._searches_left = MAX_SEARCHES_PER_S
-        self._young_until_s = context.timers.now()
+        self._try_target_until_s = context.timers.now()
         if not context.identity.is_first_start:
-            self._young_until_s += context.identity.idle_s
+            self._try_target_until_s += context.identity.idle_s
 
-    def take_unknown(
+    def handle_unknown(
         self, message: PeerMessage, segment: Segment, held: HeldFlow | None
     ) -> None:
         """Handle a packet of a flow that the target may not hold."""
@@ -51,36 +55,42 @@
                 owner, PeerKind.RELAY, message.balancer, segment.raw
             )
             return
-        self._ask_all(segment, message.balancer)
+        self._search_all_agents(segment, message.balancer)
 
-    def take_returned(self, segment: Segment, held: HeldFlow | None) -> None:
-        """Handle a packet that the target gave back."""
+    def handle_returned(self, segment: Segment, held: HeldFlow | None) -> None:
+        """Handle a packet of an open flow that the target sent back."""
         self._context.counts['packets_returned'] += 1
-        balancer = held.balancer if held else self._tried.get(segment.flow)
+        balancer = (
+            held.balancer
+            if held
+            else self._balancer_by_tried_flow.get(segment.flow)
+        )
         if balancer:
-            self._ask_all(segment, balancer)
+            self._search_all_agents(segment, balancer)
 
-    def renew_allowance(self) -> None:
-        """Allow the searches of another second."""
+    def reset_search_limit(self) -> None:
+        """Start a new second of the limit on searches."""
         self._searches_left = MAX_SEARCHES_PER_S
 
     def rotate(self) -> None:
-        """Forget flows that have been idle."""
+        """Drop entries of idle flows."""
         self._owner_by_flow.rotate()
-        self._tried.rotate()
+        self._balancer_by_tried_flow.rotate()
 
     def _try_target(self, message: PeerMessage, segment: Segment) -> bool:
-        if self._context.timers.now() >= self._young_until_s:
+        if self._context.timers.now() >= self._try_target_until_s:
             return False
-        if self._tried.get(segment.flow) is not None:
+        if self._balancer_by_tried_flow.get(segment.flow) is not None:
             return False
         is_search = message.kind is PeerKind.SEARCH
-        self._tried.put(segment.flow, b'' if is_search else message.balancer)
+        self._balancer_by_tried_flow.put(
+            segment.flow, b'' if is_search else message.balancer
+        )
         self._context.counts['packets_tried'] += 1
         self._context.outbox.to_target(segment.raw)
         return True
 
-    def _ask_all(self, segment: Segment, balancer: bytes) -> None:
+    def _search_all_agents(self, segment: Segment, balancer: bytes) -> None:
         if self._searches_left <= 0:
             self._context.drop('searches', describe_flow(segment.flow))
             return
--- a/tests/agent/surroundings.py
+++ b/tests/agent/harness.py
@@ -1,4 +1,4 @@
-"""Back end, fabric and balancer around one agent process."""
+"""Runs one agent process with a fake back end, fabric and balancer."""
 
 import os
 import socket as plain_socket
@@ -34,7 +34,11 @@
 
 
 class BackEndServer:
-    """Counts runs by request id; the path says what to do."""
+    """Back end that counts runs by request id.
+
+    The first path segment selects the behaviour: `health`, `shed`,
+    `sleep/<seconds>`, `bytes/<count>`, or anything else for an echo.
+    """
 
     def __init__(self):
         self.runs = Counter()
@@ -72,8 +76,12 @@
         return [body]
 
 
-class Front:
-    """Balancer and fabric in one: wraps datagrams for the agent."""
+class FakeBalancer:
+    """Plays the balancer and the fabric between callers and the agent.
+
+    Forwards datagrams of callers to the agent in envelopes, and replies
+    of the agent to the callers.
+    """
 
     def __init__(self, agent_port):
         self.agent = (HOST, agent_port)
@@ -119,7 +127,7 @@
 
 
 class AgentProcess:
-    """An agent with its settings file in a folder of the test."""
+    """An agent process; its settings and log are files in `folder`."""
 
     def __init__(self, folder, port, fabric_port, back_end_port):
         secret = Path(folder, 'tag.key')
@@ -131,7 +139,7 @@
                 control_port=free_port(),
                 fabric_port=fabric_port,
                 back_end_port=back_end_port,
-                # Nothing listens there: the object API is down.
+                # Nothing listens on this port: the object API is down.
                 object_port=free_port(),
             ),
             encoding='utf-8',
@@ -157,14 +165,14 @@
         self.process.wait()
 
 
-class Surroundings:
-    """All of it; `client` calls through the front."""
+class AgentHarness:
+    """An agent process, its back end and balancer, and a client."""
 
     def __init__(self, folder):
         self.folder = folder
         self.back_end = BackEndServer()
         self.agent_port = free_port()
-        self.front = Front(self.agent_port)
+        self.balancer = FakeBalancer(self.agent_port)
         self.client = Client()
         self.agent = self.start_agent()
 
@@ -172,18 +180,18 @@
         return AgentProcess(
             self.folder,
             self.agent_port,
-            self.front.fabric.getsockname()[1],
+            self.balancer.fabric.getsockname()[1],
             self.back_end.server.server_port,
         )
 
     def call(self, path, deadline_s=10.0, **fields):
         request = self.client.create_request(3, 'POST', path, **fields)
-        return self.client.call(self.front.address, request, deadline_s)
+        return self.client.call(self.balancer.address, request, deadline_s)
 
     def close(self):
         self.agent.end()
         self.client.close()
-        self.front.close()
+        self.balancer.close()
         self.back_end.server.stop(timeout=0)
 
 
