Rename ask to exchange_message in the control links

Cause: the name does not say that one message is sent and one is received. Change: daemon.links.ask is exchange_message, its parameter question is message; callers in connections.py and tests/control follow.

--- a/greengagepath/daemon/connections.py
+++ b/greengagepath/daemon/connections.py
@@ -38,7 +38,7 @@
     ToolSettings,
 )
 from ..protocol.keys import load_keys
-from .links import LinkOptions, ask
+from .links import LinkOptions, exchange_message
 
 CONFIGURATION_NAME = 'current'
 _EMPTY = Configuration(version=0, services=[])
@@ -90,7 +90,7 @@
 
 
 class LinkBalancers:
-    """Short control links to balancers, one for each question."""
+    """Short control links to balancers, one for each message."""
 
     def __init__(self, options: LinkOptions) -> None:
         self._options = options
@@ -98,19 +98,21 @@
 
     def query_status(self, address: Address) -> Result[StatusReply, str]:
         """Return the view of one balancer."""
-        question = StatusQuery(query_id=next(self._query_ids))
-        return self._ask(address, question).and_then(_expect_status)
+        message = StatusQuery(query_id=next(self._query_ids))
+        return self._exchange(address, message).and_then(_expect_status)
 
     def send_delta(
         self, address: Address, delta: ConfigurationDelta
     ) -> Result[None, str]:
         """Hand a version to one balancer, which answers with its own."""
-        return self._ask(address, delta).map(lambda _: None)
+        return self._exchange(address, delta).map(lambda _: None)
 
-    def _ask(
-        self, address: Address, question: msgspec.Struct
+    def _exchange(
+        self, address: Address, message: msgspec.Struct
     ) -> Result[msgspec.Struct, str]:
-        answer = ask(address, self._options, question, CALL_TIMEOUT_S)
+        answer = exchange_message(
+            address, self._options, message, CALL_TIMEOUT_S
+        )
         return answer.and_then(_refuse_errors)
 
 
--- a/greengagepath/daemon/links.py
+++ b/greengagepath/daemon/links.py
@@ -1,7 +1,7 @@
 """Control links: websockets that carry sealed frames.
 
-`WebsocketLinks` serves a daemon and needs gevent's patches; `ask` is
-for operator tools and works with and without them.
+`WebsocketLinks` serves a daemon and needs gevent's patches;
+`exchange_message` is for operator tools and works with and without them.
 """
 
 import itertools
@@ -155,10 +155,10 @@
         session.finish()
 
 
-def ask(
+def exchange_message(
     address: Address,
     options: LinkOptions,
-    question: msgspec.Struct,
+    message: msgspec.Struct,
     timeout_s: float,
 ) -> Result[msgspec.Struct, str]:
     """Send one message to a balancer and return its answer.
@@ -169,7 +169,7 @@
     try:
         with open_connection(address, options.tls) as connection:
             opener, sealer = exchange_nonces(connection, options.keys)
-            connection.send(sealer.seal(question))
+            connection.send(sealer.seal(message))
             return opener.open(connection.recv(timeout_s, decode=False))
     except LINK_ERRORS as failure:
         return Err(str(failure) or type(failure).__name__)
--- a/tests/control/processes.py
+++ b/tests/control/processes.py
@@ -14,7 +14,7 @@
 
 from greengagepath.configuration.delta import compute_delta
 from greengagepath.daemon.control import AgentControl, BalancerControl
-from greengagepath.daemon.links import LinkOptions, ask
+from greengagepath.daemon.links import LinkOptions, exchange_message
 from greengagepath.foundation.timers import LoopTimerService
 from greengagepath.generated import messages, settings
 from greengagepath.protocol.tags import Key, KeyRing
@@ -126,7 +126,7 @@
 
     def ask(self, index, question, keys=None):
         options = LinkOptions(keys or self.keys, LIMITS)
-        return ask((HOST, self.ports[index]), options, question, 2)
+        return exchange_message((HOST, self.ports[index]), options, question, 2)
 
     def is_configured(self):
         return all(balancer.is_ready for balancer in self.balancers)
