Reword the control links, frames and connections of daemon/

Cause: docstrings that personify or name a thing by itself, and vague private names. Change: wording of links.py, link_session.py, frames.py, control.py and connections.py; WebsocketLinks.deliver_to is set_events, _is_over is _is_finished, _refuse (which only logs) is _log_refused_frame, _named is _balancer_addresses, _refuse_errors is _convert_link_error, chance is rng. The error of a peer that sends no nonce says peer instead of other side; no test or tool matches it.

--- a/greengagepath/daemon/connections.py
+++ b/greengagepath/daemon/connections.py
@@ -43,7 +43,7 @@
 CONFIGURATION_NAME = 'current'
 _EMPTY = Configuration(version=0, services=[])
 
-# How long the tool waits for a balancer's answer.
+# How long the tool waits for the answer of a balancer.
 CALL_TIMEOUT_S = 3.0
 
 
@@ -60,8 +60,8 @@
         )
 
     def read(self) -> Result[StoredConfiguration, str]:
-        """Return what is stored, or why it cannot be read."""
-        outcome = _wait(
+        """Return the stored configuration, or why it cannot be read."""
+        outcome = _wait_for_outcome(
             lambda done: self._client.read(
                 ObjectKind.CONFIGURATION, CONFIGURATION_NAME, done
             )
@@ -71,9 +71,13 @@
     def write(
         self, configuration: Configuration, object_version: int
     ) -> Result[None, StoredConfiguration | str]:
-        """Write conditionally, see `ConfigurationStore`."""
+        """Write if the object still has `object_version`.
+
+        The error is the configuration stored instead, or a reason; see
+        `ConfigurationStore`.
+        """
         body = msgspec.to_builtins(configuration)
-        outcome = _wait(
+        outcome = _wait_for_outcome(
             lambda done: self._client.write(
                 ObjectKind.CONFIGURATION,
                 CONFIGURATION_NAME,
@@ -97,14 +101,14 @@
         self._query_ids = itertools.count(1)
 
     def query_status(self, address: Address) -> Result[StatusReply, str]:
-        """Return the view of one balancer."""
+        """Return the status that one balancer reports."""
         message = StatusQuery(query_id=next(self._query_ids))
         return self._exchange(address, message).and_then(_expect_status)
 
     def send_delta(
         self, address: Address, delta: ConfigurationDelta
     ) -> Result[None, str]:
-        """Hand a version to one balancer, which answers with its own."""
+        """Send a version to one balancer; it answers with its own."""
         return self._exchange(address, delta).map(lambda _: None)
 
     def _exchange(
@@ -113,11 +117,11 @@
         answer = exchange_message(
             address, self._options, message, CALL_TIMEOUT_S
         )
-        return answer.and_then(_refuse_errors)
+        return answer.and_then(_convert_link_error)
 
 
 class Connections:
-    """What a command needs to reach the system."""
+    """The object store and the balancers, as commands use them."""
 
     def __init__(
         self,
@@ -128,22 +132,22 @@
         self.timers = timers
         self.store = ObjectStore(settings.object_api, timers)
         self.balancers = balancers
-        self._named = _parse_addresses(settings.balancers)
+        self._balancer_addresses = _parse_addresses(settings.balancers)
 
     def list_addresses(self) -> list[Address]:
-        """Return control addresses of balancers from the settings."""
-        return list(self._named)
+        """Return the control addresses of balancers in the settings."""
+        return list(self._balancer_addresses)
 
     def query_any(self) -> Result[StatusReply, str]:
-        """Return the view of the first balancer that answers."""
-        return query_any(self.balancers, self._named)
+        """Return the status of the first balancer that answers."""
+        return query_any(self.balancers, self._balancer_addresses)
 
 
 @contextmanager
 def open_connections(
     path: Path,
 ) -> Iterator[Result[Connections, list[SettingProblem]]]:
-    """Yield the connections of a settings file, or its problems."""
+    """Yield connections for a settings file, or its problems."""
     timers = LoopTimerService()
     timers.start()
     try:
@@ -180,7 +184,7 @@
     return [address for address in parsed if address is not None]
 
 
-def _wait(start: Callable[[OnOutcome], None]) -> ObjectOutcome:
+def _wait_for_outcome(start: Callable[[OnOutcome], None]) -> ObjectOutcome:
     answer: AsyncResult = AsyncResult()
     start(answer.set)
     return answer.get()
@@ -206,7 +210,7 @@
     return Err(f'unexpected answer {type(message).__name__}')
 
 
-def _refuse_errors(message: msgspec.Struct) -> Result[msgspec.Struct, str]:
+def _convert_link_error(message: msgspec.Struct) -> Result[msgspec.Struct, str]:
     if isinstance(message, LinkError):
         return Err(message.reason)
     return Ok(message)
--- a/greengagepath/daemon/control.py
+++ b/greengagepath/daemon/control.py
@@ -1,4 +1,4 @@
-"""Control plane of a daemon: the nodes with real links and time."""
+"""Control plane of a daemon: its node with real links and timers."""
 
 import random
 import time
@@ -29,11 +29,12 @@
 
 
 class BalancerControl:
-    """Members, targets and configuration as one balancer sees them.
+    """Members, targets and configuration known to one balancer.
 
-    `on_targets` gets the targets of each service id, `on_configuration`
-    each configuration that comes into force. Both are called from the
-    greenlets of timers and links and must not block.
+    `on_targets` is called with the targets of each service id,
+    `on_configuration` with each configuration that comes into force.
+    Both are called from the greenlets of timers and links and must not
+    block.
     """
 
     def __init__(
@@ -49,7 +50,7 @@
         self.links = WebsocketLinks(LinkOptions(keys, settings.limits, tls))
         self._transport = _make_transport(settings)
         self.node = BalancerNode(
-            _record_of_balancer(settings),
+            _make_balancer_record(settings),
             _make_ports(settings, timers, self.links, self._transport),
             BalancerListeners(on_targets, on_configuration),
         )
@@ -57,7 +58,7 @@
     def start(self) -> None:
         """Listen for links; raises OSError if the port is taken."""
         node = self._settings.node
-        self.links.deliver_to(self.node)
+        self.links.set_events(self.node)
         self.links.listen((node.host, node.control_port))
         self.node.start()
 
@@ -88,7 +89,11 @@
 
 
 class AgentControl:
-    """Announces the target beside this agent and learns its service."""
+    """Announces the target of this agent and receives its service.
+
+    `on_service` is called from the greenlets of links with each version
+    of the service.
+    """
 
     def __init__(
         self,
@@ -106,25 +111,25 @@
             _make_ports(settings, timers, self.links, self._transport),
             on_service,
         )
-        self.links.deliver_to(self.node)
+        self.links.set_events(self.node)
 
     def start(self) -> None:
-        """Look for the homes and announce the target."""
+        """Find the home balancers and announce the target."""
         self.node.start()
 
     def stop(self) -> None:
-        """Announce that the target has left and close all links."""
+        """Announce that the target is leaving and close all links."""
         self.node.stop()
         self.links.stop()
         self._transport.stop()
 
     def set_state(self, state: MemberState) -> None:
-        """Publish a state of the target."""
+        """Publish the state of the target."""
         self.node.set_state(state)
 
     @property
     def is_connected(self) -> bool:
-        """Whether at least one home knows the target."""
+        """Whether at least one home balancer has registered the target."""
         return bool(self.node.own.record.homes)
 
 
@@ -138,12 +143,12 @@
     links: WebsocketLinks,
     transport: HttpTransport,
 ) -> NodePorts:
-    chance = random.Random()
+    rng = random.Random()
     return NodePorts(
         timers=timers,
         links=links,
-        store=ObjectClient(transport, timers, chance),
-        random=chance,
+        store=ObjectClient(transport, timers, rng),
+        random=rng,
         limits=settings.limits,
         fallback_seeds=tuple(
             _parse_seed(entry) for entry in settings.node.seeds
@@ -156,7 +161,7 @@
     return host, int(port)
 
 
-def _record_of_balancer(settings: Settings) -> MemberRecord:
+def _make_balancer_record(settings: Settings) -> MemberRecord:
     node = settings.node
     now_s = time.time()
     return MemberRecord(
@@ -167,7 +172,8 @@
         control_port=node.control_port,
         region=node.region,
         availability_zone=node.availability_zone,
-        # A restarted balancer must come after its own earlier records.
+        # The start time, so that the records of a restarted balancer
+        # supersede those of its earlier processes.
         incarnation=int(now_s),
         record_version=0,
         state=MemberState.alive,
--- a/greengagepath/daemon/frames.py
+++ b/greengagepath/daemon/frames.py
@@ -1,8 +1,8 @@
 """Frames of a control link.
 
-Each side first sends a random nonce. Every later frame is key id,
-sequence, message and a keyed tag over the receiver's nonce and all of
-these, so that a frame is valid once and on one link only.
+Each side first sends a random nonce. Every later frame consists of key
+id, sequence, message and a keyed tag over the receiver's nonce and the
+other three parts, so that a frame is valid only once and on one link.
 """
 
 import struct
@@ -18,7 +18,7 @@
 
 
 class FrameSealer:
-    """Seals the messages of one direction of a link."""
+    """Signs and encodes the messages of one direction of a link."""
 
     def __init__(self, keys: KeyRing, receiver_nonce: bytes) -> None:
         self._keys = keys
@@ -26,7 +26,7 @@
         self._sequence = 0
 
     def seal(self, message: msgspec.Struct) -> bytes:
-        """Return the next frame."""
+        """Return the next frame, which carries the message."""
         prefix = _PREFIX.pack(self._keys.signing_key_id, self._sequence)
         self._sequence += 1
         encoded = encode_link_message(message)
@@ -35,7 +35,7 @@
 
 
 class FrameOpener:
-    """Opens the frames that arrive on one direction of a link."""
+    """Verifies and decodes the frames of one direction of a link."""
 
     def __init__(self, keys: KeyRing, own_nonce: bytes) -> None:
         self._keys = keys
--- a/greengagepath/daemon/link_session.py
+++ b/greengagepath/daemon/link_session.py
@@ -1,4 +1,4 @@
-"""One control link: a queue, a writer and a reader."""
+"""One control link: a send queue, a writer and a reader."""
 
 import logging
 import os
@@ -14,9 +14,9 @@
 from ..protocol.tags import KeyRing
 from .frames import NONCE_BYTES, FrameOpener, FrameSealer
 
-# Time for the nonce of the other side.
+# How long to wait for the nonce of the peer.
 NONCE_TIMEOUT_S = 2.0
-# Time for queued messages to leave when a link is closed.
+# How long queued messages may still be sent when a link is closed.
 DRAIN_S = 0.5
 DRAIN_STEP_S = 0.01
 LINK_ERRORS = (WebSocketException, OSError, EOFError, TimeoutError)
@@ -24,16 +24,16 @@
 
 
 class SessionOwner(Protocol):
-    """Told of what happens on a link."""
+    """Receives the events of a link."""
 
     def opened(self, session: 'LinkSession') -> None:
-        """Both sides may send."""
+        """Handle the end of the handshake: both sides may send."""
 
     def received(self, session: 'LinkSession', message: msgspec.Struct) -> None:
-        """A message with a valid tag has arrived."""
+        """Handle a message whose tag is valid."""
 
     def closed(self, session: 'LinkSession') -> None:
-        """Nothing more will arrive; called once."""
+        """Handle the end of the link; called once, after all messages."""
 
 
 class LinkSession:
@@ -56,7 +56,7 @@
         self._connection: Connection | None = None
         self._writer: gevent.Greenlet | None = None
         self._is_closing = False
-        self._is_over = False
+        self._is_finished = False
 
     def send(self, message: msgspec.Struct) -> bool:
         """Queue a message; return False if it was not queued."""
@@ -69,13 +69,16 @@
         return True
 
     def close(self) -> None:
-        """Close in the background after what is queued."""
+        """Send what is queued, then close; returns at once.
+
+        Messages that are not sent within `DRAIN_S` are dropped.
+        """
         if not self._is_closing:
             self._is_closing = True
             gevent.spawn(self._drain)
 
     def run(self, connection: Connection) -> None:
-        """Exchange nonces, then pass on what arrives until the end."""
+        """Exchange nonces, then pass on messages until the link ends."""
         self._connection = connection
         try:
             opener, sealer = exchange_nonces(connection, self._keys)
@@ -91,9 +94,9 @@
     def finish(self) -> None:
         """End the link at once."""
         self._is_closing = True
-        if self._is_over:
+        if self._is_finished:
             return
-        self._is_over = True
+        self._is_finished = True
         if self._writer is not None:
             self._writer.kill(block=False)
         if self._connection is not None:
@@ -108,7 +111,7 @@
                 return
             opened = opener.open(frame)
             if opened.is_err():
-                self._refuse(opened.unwrap_err())
+                self._log_refused_frame(opened.unwrap_err())
                 return
             if self._is_closing:
                 return
@@ -131,7 +134,7 @@
             left_s -= DRAIN_STEP_S
         self.finish()
 
-    def _refuse(self, reason: str) -> None:
+    def _log_refused_frame(self, reason: str) -> None:
         log_event(
             _logger,
             'link.frame_refused',
@@ -145,13 +148,13 @@
 def exchange_nonces(
     connection: Connection, keys: KeyRing
 ) -> tuple[FrameOpener, FrameSealer]:
-    """Send a nonce and wait for the other side's.
+    """Send a nonce and wait for that of the peer.
 
     Raises one of `LINK_ERRORS` if none arrives in time.
     """
     own_nonce = os.urandom(NONCE_BYTES)
     connection.send(own_nonce)
-    their_nonce = connection.recv(NONCE_TIMEOUT_S, decode=False)
-    if len(their_nonce) != NONCE_BYTES:
-        raise OSError('the other side sent no nonce')
-    return FrameOpener(keys, own_nonce), FrameSealer(keys, their_nonce)
+    peer_nonce = connection.recv(NONCE_TIMEOUT_S, decode=False)
+    if len(peer_nonce) != NONCE_BYTES:
+        raise OSError('the peer sent no nonce')
+    return FrameOpener(keys, own_nonce), FrameSealer(keys, peer_nonce)
--- a/greengagepath/daemon/links.py
+++ b/greengagepath/daemon/links.py
@@ -1,7 +1,7 @@
-"""Control links: websockets that carry sealed frames.
+"""Control links: websockets that carry authenticated frames.
 
-`WebsocketLinks` serves a daemon and needs gevent's patches;
-`exchange_message` is for operator tools and works with and without them.
+`WebsocketLinks` is for daemons and needs the monkey patches of gevent.
+`exchange_message` is for operator tools and works with or without them.
 """
 
 import itertools
@@ -36,7 +36,7 @@
 
 @dataclass(slots=True, frozen=True)
 class LinkOptions:
-    """What the links of a process have in common."""
+    """Options that all links of a process share."""
 
     keys: KeyRing
     limits: LimitSettings
@@ -68,8 +68,8 @@
         )
         gevent.spawn(self._server.serve_forever)
 
-    def deliver_to(self, events: LinkEvents) -> None:
-        """Name who is told of links and messages."""
+    def set_events(self, events: LinkEvents) -> None:
+        """Set the receiver of link events and messages."""
         self._events = events
 
     def connect(self, address: Address) -> int:
@@ -84,13 +84,16 @@
         return session is not None and session.send(message)
 
     def close(self, link_id: int) -> None:
-        """Close the link after what is queued, within a short time."""
+        """Send what is queued, for at most `DRAIN_S`, then close the link."""
         session = self._sessions_by_link.get(link_id)
         if session is not None:
             session.close()
 
     def stop(self) -> None:
-        """Stop listening, close all links and wait for their ends."""
+        """Stop listening, close all links and wait until they have ended.
+
+        Waits for at most twice `DRAIN_S`.
+        """
         if self._server is not None:
             self._server.shutdown()
         for session in tuple(self._sessions_by_link.values()):
@@ -101,17 +104,17 @@
             left_s -= DRAIN_STEP_S
 
     def opened(self, session: LinkSession) -> None:
-        """Pass on that a link is open."""
+        """Report that a link is open."""
         if self._events is not None:
             self._events.link_opened(session.link_id, outgoing=session.outgoing)
 
     def received(self, session: LinkSession, message: msgspec.Struct) -> None:
-        """Pass on a message."""
+        """Report a message."""
         if self._events is not None:
             self._events.link_received(session.link_id, message)
 
     def closed(self, session: LinkSession) -> None:
-        """Forget a link and pass on that it has closed."""
+        """Remove a link and report that it has closed."""
         self._sessions_by_link.pop(session.link_id, None)
         if self._events is not None:
             self._events.link_closed(session.link_id)
@@ -163,8 +166,8 @@
 ) -> Result[msgspec.Struct, str]:
     """Send one message to a balancer and return its answer.
 
-    The error says what went wrong: no connection, a refused frame or
-    no answer in time.
+    The error is the reason: no connection, a refused frame or no answer
+    within `timeout_s` seconds.
     """
     try:
         with open_connection(address, options.tls) as connection:
