Reword the agent and balancer processes of daemon/

Cause: personification, vague names (take, obstacles, pump) and docstrings that do not say which errors are raised or what is returned. Change: wording of the agent, back end, balancer, metrics, reload and status modules and of their tests. Renames inside the part: find_obstacles is list_unready_reasons, _take_* is _apply_* or _handle_*, _pump is _dispatch, _end is _shut_down, LINGER_S of the agent is MIN_DRAIN_S, own_limits is cap_slots, ConnectionPool.take and put_back are acquire and release, is_quiet is is_idle, use_services is set_probed_services, count_targets is set_target_counts. /readyz of an agent without a home says that no balancer has registered the target.

--- a/greengagepath/daemon/__init__.py
+++ b/greengagepath/daemon/__init__.py
@@ -1,1 +1,1 @@
-"""The daemon: thin shells of sockets around the decision modules."""
+"""The daemon: sockets, signals and processes around the decision modules."""
--- a/greengagepath/daemon/__main__.py
+++ b/greengagepath/daemon/__main__.py
@@ -3,7 +3,8 @@
 from gevent import monkey
 
 # The links use blocking sockets and threads, which have to yield to the
-# loop; modules that are imported earlier would keep the originals.
+# event loop. This comes before all other imports, since modules imported
+# earlier would keep the unpatched functions.
 monkey.patch_all()
 
 from .command import run_daemon  # noqa: E402
--- a/greengagepath/daemon/agent.py
+++ b/greengagepath/daemon/agent.py
@@ -1,4 +1,4 @@
-"""The agent: sockets and signals around the decisions of its flows."""
+"""Agent process: sockets and signals around the decisions on flows."""
 
 import logging
 import random
@@ -24,10 +24,10 @@
 from ..protocol.tags import KeyRing
 from .agent_metrics import AgentMetrics
 from .agent_records import (
+    cap_slots,
     initial_service,
     make_identity,
     make_record,
-    own_limits,
     wait_for_next_second,
 )
 from .agent_socket import AgentSocket
@@ -36,20 +36,24 @@
 from .reloads import Reloader, Reloads
 from .start_checks import refuse_settings
 
-# Parts of answers sent before other greenlets run.
+# How many parts of answers are sent before other greenlets run.
 SEND_BATCH = 32
-# A leaving agent stays this long even if idle, so that balancers learn
-# of it and callers get a refusal instead of silence.
-LINGER_S = 3.0
-# With nothing in progress only expiry is due. At 10 ms an idle agent
-# used 4% of a core.
+# After a signal an agent runs at least this long even if idle, so that
+# balancers learn that it drains and callers get a refusal instead of no
+# answer.
+MIN_DRAIN_S = 3.0
+# Period of the timer while nothing is in progress and only expired
+# entries have to be removed. At 10 ms an idle agent used 4% of a core.
 IDLE_TICK_S = 0.1
 SENDER_BITS = 32
 _logger = logging.getLogger(__name__)
 
 
 class Agent:
-    """One agent process; `run` returns when it has ended."""
+    """One agent process; `run` returns when the agent has stopped.
+
+    The constructor raises OSError if the data port is taken.
+    """
 
     def __init__(
         self,
@@ -87,7 +91,7 @@
             keys,
             self._timers,
             make_record(settings, target, started_s),
-            self._take_service,
+            self._apply_service,
             tls,
         )
         self._socket = AgentSocket((node.host, node.data_port))
@@ -99,7 +103,10 @@
         self._greenlets: list[gevent.Greenlet] = []
 
     def run(self) -> ExitCode:
-        """Serve until the process is told to end."""
+        """Serve until a signal has stopped the agent; return the exit code.
+
+        Raises OSError if the metrics port is taken.
+        """
         wait_for_next_second()
         timers = self._timers.start()
         timers.link_exception(self._fail)
@@ -109,28 +116,30 @@
             self._spawn(self._send_answers),
         ]
         self._tick()
-        status = self._metrics.serve(self._settings.node, self._find_obstacles)
+        status = self._metrics.serve(
+            self._settings.node, self._list_unready_reasons
+        )
         self._control.start()
         for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self._take_signal)
+            gevent.signal_handler(number, self._handle_signal)
         log_event(_logger, 'agent.started', service=self._target.service_id)
         self._stopped.wait()
-        code = self._end()
+        code = self._shut_down()
         if status is not None:
             status.stop()
         return code
 
     def reload_with(self, *reloaders: Reloader) -> None:
-        """Read keys and certificates again while the agent runs."""
+        """Reload changed keys and certificates while the agent runs."""
         Reloads(self._metrics.metrics, *reloaders).start(self._timers)
 
-    def _find_obstacles(self) -> list[str]:
-        obstacles = []
+    def _list_unready_reasons(self) -> list[str]:
+        reasons = []
         if not self._control.is_connected:
-            obstacles.append('no balancer knows this target')
+            reasons.append('no balancer has registered this target')
         if self._flows.is_draining:
-            obstacles.append('draining')
-        return obstacles
+            reasons.append('draining')
+        return reasons
 
     def _spawn(
         self, function: Callable[..., None], *args: object
@@ -141,7 +150,7 @@
         return greenlet
 
     def _fail(self, greenlet: gevent.Greenlet) -> None:
-        """End the process: an exception here is a broken invariant."""
+        """Stop the process: an exception here is a broken invariant."""
         log_event(
             _logger,
             'agent.failed',
@@ -155,16 +164,16 @@
         while not self._stopped.is_set():
             for datagram, source in self._socket.receive():
                 self._flows.receive(datagram, source)
-            self._pump()
+            self._dispatch()
 
     def _tick(self) -> None:
         self._flows.tick()
-        self._pump()
+        self._dispatch()
         period_s = IDLE_TICK_S if self._flows.is_idle else TICK_S
         self._timers.call_after(period_s, self._tick)
 
-    def _pump(self) -> None:
-        """Start work, stop cancelled work, send what is to be sent."""
+    def _dispatch(self) -> None:
+        """Start due work, cancel work and send pending datagrams."""
         work = self._flows.scheduler.next_work()
         while work is not None:
             self._spawn(self._run_work, work)
@@ -181,7 +190,7 @@
         outcome = self._back_end.run(work, customer)
         self._metrics.observe(work, outcome, self._timers.now())
         self._flows.scheduler.complete(work, outcome)
-        self._pump()
+        self._dispatch()
 
     def _send_answers(self) -> None:
         while not self._stopped.is_set():
@@ -195,8 +204,8 @@
                 sent = len(parts)
                 gevent.sleep(0)
 
-    def _take_service(self, service: Service) -> None:
-        limits = own_limits(service.limits, self._target)
+    def _apply_service(self, service: Service) -> None:
+        limits = cap_slots(service.limits, self._target)
         self._service = structs.replace(service, limits=limits)
         self._flows.replace_service(self._service)
         self._back_end.max_answer_bytes = limits.max_answer_bytes
@@ -208,20 +217,20 @@
             self._flows.stop_draining()
             self._control.set_state(MemberState.alive)
             log_event(_logger, 'agent.undrained')
-        self._pump()
+        self._dispatch()
 
     def _start_draining(self, cause: str) -> None:
         log_event(_logger, 'agent.draining', cause=cause)
         self._control.set_state(MemberState.draining)
         self._flows.start_draining()
 
-    def _take_signal(self) -> None:
+    def _handle_signal(self) -> None:
         self._signals += 1
         if self._signals > 1:
             self._stopped.set()
             return
         self._start_draining('signal')
-        self._pump()
+        self._dispatch()
         self._spawn(self._wait_until_idle)
 
     def _wait_until_idle(self) -> None:
@@ -229,18 +238,18 @@
         limit_s = min(
             self._service.limits.drain_s, self._settings.limits.shutdown_s
         )
-        earliest_s = now_s + min(LINGER_S, limit_s)
+        earliest_s = now_s + min(MIN_DRAIN_S, limit_s)
         while self._timers.now() < now_s + limit_s:
             if self._flows.is_idle and self._timers.now() >= earliest_s:
                 break
             gevent.sleep(TICK_S)
         self._stopped.set()
 
-    def _end(self) -> ExitCode:
+    def _shut_down(self) -> ExitCode:
         left = len(self._flows.scheduler)
         answers = len(self._flows.transfers)
         self._control.stop()
-        # Lets the last messages leave through the links.
+        # Lets the links send the last messages.
         gevent.sleep(TICK_S)
         for greenlet in self._greenlets:
             greenlet.kill(block=False)
@@ -260,10 +269,10 @@
 
 
 def run_agent(settings: Settings, path: str | Path | None = None) -> ExitCode:
-    """Run an agent until it is told to end.
+    """Run an agent until a signal stops it; return its exit code.
 
-    `path` is the settings file; if it is given, changed keys are read
-    again without a restart.
+    `path` is the settings file. If it is given, changed keys and
+    certificates are reloaded without a restart.
     """
     configure_logs(settings.log, str(settings.role), settings.node.member_id)
     if settings.target is None:
--- a/greengagepath/daemon/agent_metrics.py
+++ b/greengagepath/daemon/agent_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of an agent, copied from its parts when they are read."""
+"""Metrics of an agent, copied from its components when rendered."""
 
 from collections.abc import Callable
 
@@ -12,7 +12,7 @@
 
 
 class AgentMetrics:
-    """The parts that are read for metrics."""
+    """Reads the flows, the connection pool and the socket of one agent."""
 
     def __init__(
         self,
@@ -27,7 +27,7 @@
         self.metrics.before_render(self._copy)
 
     def observe(self, work: Work, outcome: RunOutcome, now_s: float) -> None:
-        """Take the times of a request that has run."""
+        """Record the queue wait and the duration of a finished request."""
         view = self._flows.view
         service = view.service.name
         self.metrics.observe(
@@ -46,16 +46,16 @@
             )
 
     def serve(
-        self, node: NodeSettings, find_obstacles: Callable[[], list[str]]
+        self, node: NodeSettings, list_unready_reasons: Callable[[], list[str]]
     ) -> StatusServer | None:
-        """Serve status if the settings name a port for it.
+        """Serve metrics and health if the settings have a metrics port.
 
         Raises OSError if the port is taken.
         """
         if not node.metrics_port:
             return None
         status = StatusServer(
-            (node.host, node.metrics_port), self.metrics, find_obstacles
+            (node.host, node.metrics_port), self.metrics, list_unready_reasons
         )
         status.start()
         return status
--- a/greengagepath/daemon/agent_records.py
+++ b/greengagepath/daemon/agent_records.py
@@ -1,4 +1,4 @@
-"""What an agent says of itself when it starts."""
+"""Identity, first record and initial service of an agent."""
 
 import time
 
@@ -20,8 +20,9 @@
 def wait_for_next_second() -> None:
     """Wait until no earlier process can have had the same incarnation.
 
-    The incarnation is the second of the start. An agent that issues no
-    token within it cannot share it with one that it has replaced.
+    The incarnation is the second of the start. An agent issues no token
+    within that second, so that an agent which it has replaced cannot
+    have issued tokens of the same incarnation.
     """
     now_s = time.time()
     gevent.sleep(int(now_s) + 1 - now_s)
@@ -30,7 +31,7 @@
 def make_identity(
     settings: Settings, target: TargetSettings, started_s: int, sender: int
 ) -> AgentIdentity:
-    """Return what the agent puts into its datagrams."""
+    """Return the identity that the agent writes into its datagrams."""
     node = settings.node
     return AgentIdentity(
         service_id=target.service_id,
@@ -43,7 +44,7 @@
 
 
 def initial_service(settings: Settings, target: TargetSettings) -> Service:
-    """Return what holds until the control plane has sent the service."""
+    """Return a service for use until the control plane sends one."""
     return Service(
         name=str(target.service_id),
         service_id=target.service_id,
@@ -53,15 +54,15 @@
     )
 
 
-def own_limits(limits: Limits, target: TargetSettings) -> Limits:
-    """Return the limits with at most the slots of the target."""
+def cap_slots(limits: Limits, target: TargetSettings) -> Limits:
+    """Return the limits with no more slots than the target has."""
     return structs.replace(limits, slots=min(limits.slots, target.slots))
 
 
 def make_record(
     settings: Settings, target: TargetSettings, started_s: int
 ) -> MemberRecord:
-    """Return the first record that the agent publishes."""
+    """Return the first member record that the agent publishes."""
     node = settings.node
     return MemberRecord(
         member_id=node.member_id,
--- a/greengagepath/daemon/agent_socket.py
+++ b/greengagepath/daemon/agent_socket.py
@@ -8,7 +8,7 @@
 from ..agent.replies import Outgoing
 from ..foundation.addresses import Address
 
-# Asked of the kernel, which limits it to net.core.rmem_max.
+# Requested from the kernel, which limits it to net.core.rmem_max.
 SOCKET_BUFFER_BYTES = 4194304
 RECEIVE_BYTES = 65535
 # Datagrams taken from the socket before other greenlets run.
@@ -16,7 +16,7 @@
 
 
 class AgentSocket:
-    """A bound socket that never blocks the loop.
+    """A bound socket that never blocks the event loop.
 
     Raises OSError if the address cannot be bound. `received` and
     `send_errors` count datagrams.
@@ -34,19 +34,20 @@
         self._socket.bind(address)
 
     def receive(self) -> Iterator[tuple[bytes, Address]]:
-        """Wait for datagrams; return a batch with their sources."""
+        """Wait for datagrams; yield a batch of them with their sources."""
         wait_read(self._socket.fileno())
         for _ in range(RECEIVE_BATCH):
             try:
                 datagram = self._socket.recvfrom(RECEIVE_BYTES)
             except OSError:
-                # Nothing more, or an ICMP error of an earlier datagram.
+                # The socket is empty, or an ICMP error has arrived for an
+                # earlier datagram.
                 return
             self.received += 1
             yield datagram
 
     def send(self, outgoing: Outgoing) -> None:
-        """Send; a datagram that cannot be sent counts as lost."""
+        """Send a datagram; one that cannot be sent is counted and dropped."""
         try:
             self._socket.sendto(outgoing.payload, outgoing.address)
         except OSError:
--- a/greengagepath/daemon/backend.py
+++ b/greengagepath/daemon/backend.py
@@ -1,8 +1,8 @@
-"""HTTP/1.1 to the back end beside an agent.
+"""HTTP/1.1 client for the back end of an agent.
 
-Whether a request was run follows from what was sent: nothing sent means
-not run, an answer 503 with `X-Not-Run: 1` means not run, and anything
-else without a whole answer is an unknown outcome.
+A request has not been run if no byte of it was sent, or if the answer
+is a 503 with `X-Not-Run: 1`. In all other cases without a complete
+answer the outcome is unknown.
 """
 
 import logging
@@ -25,19 +25,19 @@
 from ..generated.messages import RefusalReason
 
 CONNECT_TIMEOUT_S = 1.0
-# A connection that was idle for longer may have gone silent without a
-# sign; it is probed with a request for the health of the back end.
+# A connection that was idle for longer may have broken unnoticed. It is
+# probed with a health request before use.
 PROBE_AFTER_S = 0.5
 PROBE_TIMEOUT_S = 0.25
 HEALTH_PATH = '/health'
-# Time after the deadline for an answer that is already on its way.
+# How long after its deadline an answer in transit is still accepted.
 GRACE_S = 0.25
 CHUNK_BYTES = 262144
 UNAVAILABLE = 503
 BAD_GATEWAY = 502
 NOT_RUN_HEADER = 'X-Not-Run'
-# Fields that belong to one connection (RFC 9110, section 7.6.1), and
-# those that this client sets itself.
+# Header fields that apply to one connection only (RFC 9110, section
+# 7.6.1), and those that this client sets itself.
 HOP_BY_HOP = frozenset(
     (
         'connection',
@@ -60,7 +60,7 @@
 
 
 class BackEndConnection(HTTPConnection):
-    """A connection on gevent sockets that counts what it has sent."""
+    """A connection on gevent sockets that counts the bytes sent."""
 
     def __init__(self, address: Address) -> None:
         super().__init__(*address, timeout=CONNECT_TIMEOUT_S)
@@ -95,18 +95,18 @@
             self.sock.setsockopt(socket.IPPROTO_TCP, TCP_QUICKACK, 1)
 
     def set_timeout(self, timeout_s: float) -> None:
-        """Bound each wait on the socket."""
+        """Limit each wait on the socket to `timeout_s` seconds."""
         if self.sock is not None:
             self.sock.settimeout(timeout_s)
 
     def abort(self) -> None:
-        """Make all waits on the socket end."""
+        """Shut the socket down, which ends all waits on it."""
         self.is_aborted = True
         if self.sock is not None:
             with suppress(OSError):
                 self.sock.shutdown(socket.SHUT_RDWR)
 
-    def is_quiet(self) -> bool:
+    def is_idle(self) -> bool:
         """Return whether the peer has neither closed nor sent bytes."""
         if self.sock is None:
             return False
@@ -123,8 +123,8 @@
 class ConnectionPool:
     """Connections to one back end; at most `max_connections` in use.
 
-    The most recently used idle connection is taken first, so that the
-    others age and are closed.
+    The most recently used idle connection is reused first, so that the
+    others stay unused until they are closed.
     """
 
     def __init__(
@@ -137,11 +137,11 @@
         self.in_use = 0
 
     def __len__(self) -> int:
-        """Return the number of connections."""
+        """Return the number of connections, idle ones included."""
         return self.in_use + len(self._idle)
 
-    def take(self) -> BackEndConnection | None:
-        """Return a connection that works, or None at the limit.
+    def acquire(self) -> BackEndConnection | None:
+        """Return a usable connection, or None at the limit.
 
         Raises OSError if a new one cannot be opened.
         """
@@ -154,8 +154,8 @@
             self.in_use -= 1
             raise
 
-    def put_back(self, connection: BackEndConnection) -> None:
-        """Keep a connection after use, unless it is closed."""
+    def release(self, connection: BackEndConnection) -> None:
+        """Return a connection to the pool unless it is closed."""
         self.in_use -= 1
         if connection.sock is not None:
             connection.idle_since_s = self._timers.now()
@@ -174,20 +174,23 @@
     def _find_idle(self) -> BackEndConnection | None:
         while self._idle:
             connection = self._idle.pop()
-            if self._works(connection):
+            if self._is_usable(connection):
                 return connection
             connection.close()
         return None
 
-    def _works(self, connection: BackEndConnection) -> bool:
-        if not connection.is_quiet():
+    def _is_usable(self, connection: BackEndConnection) -> bool:
+        if not connection.is_idle():
             return False
         idle_s = self._timers.now() - connection.idle_since_s
-        return idle_s < PROBE_AFTER_S or _answers_probe(connection)
+        return idle_s < PROBE_AFTER_S or _probe(connection)
 
 
 class BackEnd:
-    """Runs admitted requests, each in the greenlet of its caller."""
+    """Runs admitted requests; `run` blocks the greenlet that calls it.
+
+    Answers with a body above `max_answer_bytes` are replaced by a 502.
+    """
 
     def __init__(
         self, pool: ConnectionPool, timers: TimerService, max_answer_bytes: int
@@ -198,9 +201,9 @@
         self._connections_by_key: dict[bytes, BackEndConnection] = {}
 
     def run(self, work: Work, customer: str) -> RunOutcome:
-        """Run one request; blocks the greenlet, never raises OSError."""
+        """Run one request and return its outcome; never raises OSError."""
         try:
-            connection = self._pool.take()
+            connection = self._pool.acquire()
         except OSError as error:
             return NotRun(f'no connection: {error}')
         if connection is None:
@@ -209,13 +212,13 @@
         outcome = self._run_on(connection, work, customer)
         self._connections_by_key.pop(work.key)
         if connection.is_aborted and isinstance(outcome, Answered):
-            # A body that ends with the connection may have been cut.
+            # A body that ends with the connection may be incomplete.
             outcome = OutcomeUnknown('cancelled')
-        self._pool.put_back(connection)
+        self._pool.release(connection)
         return outcome
 
     def cancel(self, work: Work) -> None:
-        """Close the connection of a running request, which ends `run`."""
+        """Shut down the connection of a running request, which ends `run`."""
         connection = self._connections_by_key.get(work.key)
         if connection is not None:
             connection.abort()
@@ -233,7 +236,7 @@
                 return self._exchange(connection, work, customer, left_s)
         except (OSError, HTTPException, ValueError) as error:
             connection.close()
-            return _outcome_of(error, connection, work)
+            return _failure_outcome(error, connection, work)
 
     def _exchange(
         self,
@@ -280,10 +283,12 @@
             and response.getheader(NOT_RUN_HEADER) == '1'
         ):
             return NotRun('shed by the back end', RefusalReason.queue_full)
-        return Answered(response.status, _kept_headers(response), bytes(body))
+        return Answered(
+            response.status, _end_to_end_headers(response), bytes(body)
+        )
 
 
-def _kept_headers(response: HTTPResponse) -> dict[str, str]:
+def _end_to_end_headers(response: HTTPResponse) -> dict[str, str]:
     return {
         name: text
         for name, text in response.getheaders()
@@ -291,7 +296,7 @@
     }
 
 
-def _outcome_of(
+def _failure_outcome(
     error: BaseException, connection: BackEndConnection, work: Work
 ) -> RunOutcome:
     cause = f'{type(error).__name__}: {error}'
@@ -311,7 +316,7 @@
     return NotRun(cause)
 
 
-def _answers_probe(connection: BackEndConnection) -> bool:
+def _probe(connection: BackEndConnection) -> bool:
     connection.set_timeout(PROBE_TIMEOUT_S)
     try:
         with Timeout(PROBE_TIMEOUT_S, TimeoutError('probe')):
@@ -319,5 +324,6 @@
             connection.getresponse().read()
     except (OSError, HTTPException):
         return False
-    # Any status will do; the health it states is only a hint.
+    # Any status shows that the connection works; the health of the back
+    # end does not matter here.
     return connection.sock is not None
--- a/greengagepath/daemon/balancer.py
+++ b/greengagepath/daemon/balancer.py
@@ -1,4 +1,4 @@
-"""The balancer: data path and control plane in one process."""
+"""Balancer process: data path and control plane."""
 
 import logging
 import random
@@ -27,10 +27,10 @@
 from .reloads import Reloader, Reloads
 from .target_sockets import TargetSockets, limit_target_sockets
 
-# Pause between slices of building the tables of targets.
+# Pause between the slices in which tables of targets are rebuilt.
 SLICE_PAUSE_S = 0.005
-# The fabric looks at /readyz a few times a second; until then it still
-# sends datagrams to a balancer that leaves.
+# The fabric polls /readyz a few times a second. Until it has seen that
+# the balancer is not ready, it still sends datagrams to it.
 MIN_DRAIN_S = 1.0
 _logger = logging.getLogger(__name__)
 
@@ -76,23 +76,23 @@
             settings,
             keys,
             self._timers,
-            self._take_targets,
-            self._take_configuration,
+            self._apply_targets,
+            self._apply_configuration,
             tls,
         )
         self._metrics = BalancerMetrics(
             self._path, self._control, self._choosers, self._timers
         )
         self._status: StatusServer | None = None
-        self._slice_is_due = False
+        self._is_rebuild_scheduled = False
         self._signals = 0
         self._failed = False
         self._stopped = Event()
 
     def start(self) -> None:
-        """Open all ports and start to serve."""
+        """Open the status and control ports and start to serve."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            gevent.signal_handler(number, self._take_signal)
+            gevent.signal_handler(number, self._handle_signal)
         self._serve_status()
         self._timers.start().link_exception(self._fail)
         self._control.start()
@@ -101,15 +101,15 @@
         log_event(_logger, 'balancer.started')
 
     def wait(self) -> ExitCode:
-        """Serve until the process is told to end."""
+        """Serve until a signal stops the balancer; return the exit code."""
         self._stopped.wait()
-        code = self._end()
+        code = self._shut_down()
         if self._status is not None:
             self._status.stop()
         return code
 
     def reload_with(self, *reloaders: Reloader) -> None:
-        """Read keys and certificates again while the balancer runs."""
+        """Reload changed keys and certificates while the balancer runs."""
         Reloads(self._metrics.metrics, *reloaders).start(self._timers)
 
     def _serve_status(self) -> None:
@@ -119,45 +119,45 @@
         self._status = StatusServer(
             (node.host, node.metrics_port),
             self._metrics.metrics,
-            self._find_obstacles,
+            self._list_unready_reasons,
         )
         self._status.start()
 
-    def _find_obstacles(self) -> list[str]:
-        obstacles = []
+    def _list_unready_reasons(self) -> list[str]:
+        reasons = []
         if not self._control.is_ready:
-            obstacles.append('no configuration')
+            reasons.append('no configuration')
         if self._signals:
-            obstacles.append('draining')
-        return obstacles
+            reasons.append('draining')
+        return reasons
 
-    def _take_targets(
+    def _apply_targets(
         self, targets_by_service: Mapping[int, tuple[TargetInfo, ...]]
     ) -> None:
         self._choosers.offer_targets(targets_by_service)
-        self._path.use_services(tuple(sorted(targets_by_service)))
-        self._metrics.count_targets(
+        self._path.set_probed_services(tuple(sorted(targets_by_service)))
+        self._metrics.set_target_counts(
             Counter(
                 (str(target.service), target.state)
                 for targets in targets_by_service.values()
                 for target in targets
             )
         )
-        if not self._slice_is_due:
-            self._slice_is_due = True
+        if not self._is_rebuild_scheduled:
+            self._is_rebuild_scheduled = True
             self._timers.call_after(0.0, self._rebuild_slice)
 
     def _rebuild_slice(self) -> None:
-        self._slice_is_due = self._choosers.rebuild_slice() > 0
-        if self._slice_is_due:
+        self._is_rebuild_scheduled = self._choosers.rebuild_slice() > 0
+        if self._is_rebuild_scheduled:
             self._timers.call_after(SLICE_PAUSE_S, self._rebuild_slice)
 
-    def _take_configuration(self, configuration: Configuration) -> None:
+    def _apply_configuration(self, configuration: Configuration) -> None:
         self._path.router.use_configuration(configuration)
         log_event(_logger, 'balancer.configured', version=configuration.version)
 
     def _fail(self, greenlet: gevent.Greenlet) -> None:
-        """End the process: an exception here is a broken invariant."""
+        """Stop the process: an exception here is a broken invariant."""
         log_event(
             _logger,
             'balancer.failed',
@@ -167,7 +167,7 @@
         self._failed = True
         self._stopped.set()
 
-    def _take_signal(self) -> None:
+    def _handle_signal(self) -> None:
         self._signals += 1
         if self._signals > 1:
             self._stopped.set()
@@ -183,7 +183,7 @@
         self._path.drain(max(limit_s - MIN_DRAIN_S, 0.0))
         self._stopped.set()
 
-    def _end(self) -> ExitCode:
+    def _shut_down(self) -> ExitCode:
         if not self._signals:
             self._control.stop()
         pending = len(self._path.router.probes)
--- a/greengagepath/daemon/balancer_metrics.py
+++ b/greengagepath/daemon/balancer_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of a balancer, copied from its parts when they are read."""
+"""Metrics of a balancer, copied from its components when rendered."""
 
 from collections import Counter
 
@@ -12,7 +12,7 @@
 from .control import BalancerControl
 from .datapath import DataPath
 
-# How often the lateness of the loop is sampled.
+# Period at which the delay of the event loop is sampled.
 DELAY_SAMPLE_S = 0.1
 
 
@@ -36,11 +36,16 @@
         self.metrics.before_render(self._copy)
 
     def start(self) -> None:
-        """Start to sample the lateness of the event loop."""
+        """Start to sample the delay of the event loop."""
         self._schedule_sample()
 
-    def count_targets(self, counts: Counter[tuple[str, TargetState]]) -> None:
-        """Take the number of targets by service and state."""
+    def set_target_counts(
+        self, counts: Counter[tuple[str, TargetState]]
+    ) -> None:
+        """Set the numbers of targets by service and state.
+
+        Pairs that are no longer counted are reported as 0.
+        """
         gone = self._target_counts.keys() - counts.keys()
         self._target_counts = counts
         for service, state in gone:
--- a/greengagepath/daemon/balancer_start.py
+++ b/greengagepath/daemon/balancer_start.py
@@ -1,4 +1,4 @@
-"""Start of a balancer from its settings."""
+"""Starts a balancer from its settings."""
 
 from pathlib import Path
 
@@ -15,9 +15,10 @@
 
 
 def run_balancer(settings: Settings, path: str | Path) -> ExitCode:
-    """Run a balancer until it is told to end.
+    """Run a balancer until a signal stops it; return its exit code.
 
-    `path` is the settings file; keys are read again when they change.
+    `path` is the settings file; keys and certificates are reloaded when
+    they change.
     """
     configure_logs(settings.log, str(settings.role), settings.node.member_id)
     keys = load_keys(settings)
--- a/greengagepath/daemon/command.py
+++ b/greengagepath/daemon/command.py
@@ -17,12 +17,12 @@
 
 @cappa.command(
     name='greengagepathd',
-    help='Run a balancer, or the agent beside a target.',
-    description='The settings file says which role the process has.',
+    help='Run a balancer, or the agent of a target.',
+    description='The settings file determines the role of the process.',
 )
 @dataclass
 class Daemon:
-    """The options of the daemon."""
+    """The command line options of the daemon."""
 
     config: Annotated[
         Path,
@@ -34,7 +34,7 @@
     ]
 
     def __call__(self) -> ExitCode:
-        """Run the role that the settings name."""
+        """Run the role set in the settings file; return the exit code."""
         loaded = load_settings(self.config)
         if isinstance(loaded, Err):
             for problem in loaded.err_value:
@@ -49,7 +49,7 @@
 
 
 def run_daemon(arguments: list[str] | None = None) -> ExitCode:
-    """Run a command line, by default that of the process.
+    """Run the daemon with `arguments`, by default those of the process.
 
     Raises SystemExit for help and for wrong usage.
     """
--- a/greengagepath/daemon/datapath.py
+++ b/greengagepath/daemon/datapath.py
@@ -70,7 +70,7 @@
         )
         return self._loop
 
-    def use_services(self, service_ids: tuple[int, ...]) -> None:
+    def set_probed_services(self, service_ids: tuple[int, ...]) -> None:
         """Take the services whose targets are probed."""
         if service_ids != self._service_ids:
             self._service_ids = service_ids
--- a/greengagepath/daemon/http_status.py
+++ b/greengagepath/daemon/http_status.py
@@ -8,7 +8,7 @@
 
 from ..foundation.metrics import Metrics
 
-# Scrapers and probes of one process; further connections wait.
+# Limit for scrapers and probes together; further connections wait.
 MAX_CONNECTIONS = 32
 _TEXT = 'text/plain; charset=utf-8'
 _METRICS_TEXT = 'text/plain; version=0.0.4; charset=utf-8'
@@ -16,21 +16,21 @@
 
 
 class StatusServer:
-    """Serves status from the loop of the daemon.
+    """Serves status from the event loop of the daemon.
 
-    `find_obstacles` returns why the process is not ready, for example
-    `['no configuration']`; it is ready when there is no reason. A port
-    of 0 takes any free one, see `port`.
+    `list_unready_reasons` returns why the process is not ready, for
+    example `['no configuration']`. The process is ready if the list is
+    empty. With port 0 the kernel assigns a free port, see `port`.
     """
 
     def __init__(
         self,
         address: tuple[str, int],
         metrics: Metrics,
-        find_obstacles: Callable[[], list[str]],
+        list_unready_reasons: Callable[[], list[str]],
     ) -> None:
         self._metrics = metrics
-        self._find_obstacles = find_obstacles
+        self._list_unready_reasons = list_unready_reasons
         self._server = WSGIServer(
             address, self._answer, log=None, spawn=Pool(MAX_CONNECTIONS)
         )
@@ -41,11 +41,11 @@
         return self._server.server_port
 
     def start(self) -> None:
-        """Bind and serve in greenlets; raises OSError if bound already."""
+        """Bind and serve in greenlets; raises OSError if the port is taken."""
         self._server.start()
 
     def stop(self) -> None:
-        """Stop at once; scrapes in progress are cut."""
+        """Stop at once; requests in progress are aborted."""
         self._server.stop(timeout=0)
 
     def _answer(
@@ -66,11 +66,11 @@
     def _answer_readiness(
         self, start_response: _StartResponse
     ) -> Iterable[bytes]:
-        obstacles = self._find_obstacles()
-        self._metrics.set_gauge('ready', 0 if obstacles else 1)
-        if not obstacles:
+        reasons = self._list_unready_reasons()
+        self._metrics.set_gauge('ready', 0 if reasons else 1)
+        if not reasons:
             return _reply(start_response, '200 OK', b'ready\n')
-        lines = ''.join(f'{obstacle}\n' for obstacle in obstacles)
+        lines = ''.join(f'{reason}\n' for reason in reasons)
         status = '503 Service Unavailable'
         return _reply(start_response, status, lines.encode())
 
--- a/greengagepath/daemon/reloads.py
+++ b/greengagepath/daemon/reloads.py
@@ -1,4 +1,4 @@
-"""Reloads of keys and certificates while a daemon runs."""
+"""Reloads keys and certificates while a daemon runs."""
 
 import signal
 from collections.abc import Callable
@@ -13,10 +13,10 @@
 
 
 class Reloader(Protocol):
-    """Files that can be read again, such as `KeyReloader`."""
+    """Settings read from files that can be reloaded, see `KeyReloader`."""
 
     def reload(self) -> bool:
-        """Read the files; return whether they are now in force."""
+        """Read the files; return whether their contents are in force."""
 
     def has_changed(self) -> bool:
         """Return whether a file has changed since the last call."""
@@ -25,8 +25,8 @@
 class Reloads:
     """Reloads changed files once a second, and all of them on SIGHUP.
 
-    Without a handler SIGHUP would end the process, which is also what
-    a terminal sends when it closes.
+    Without a handler SIGHUP would end the process. A closing terminal
+    sends this signal too.
     """
 
     def __init__(self, metrics: Metrics, *reloaders: Reloader) -> None:
@@ -35,27 +35,27 @@
         self._cancels: list[Callable[[], None]] = []
 
     def start(self, timers: TimerService) -> None:
-        """Subscribe to the timer and handle SIGHUP."""
+        """Start the periodic check and handle SIGHUP."""
         timer = timers.subscribe(CHECK_S, self.reload_changed)
         handler = gevent.signal_handler(signal.SIGHUP, self.reload_all)
         self._cancels = [timer.cancel, handler.cancel]
 
     def stop(self) -> None:
-        """Leave files and SIGHUP alone again."""
+        """Stop the periodic check and the handling of SIGHUP."""
         for cancel in self._cancels:
             cancel()
 
     def reload_changed(self) -> None:
-        """Reload what has changed."""
+        """Reload the files that have changed."""
         for reloader in self._reloaders:
             if reloader.has_changed():
-                self._count(reloader.reload)
+                self._reload_and_count(reloader.reload)
 
     def reload_all(self) -> None:
-        """Reload everything."""
+        """Reload all files."""
         for reloader in self._reloaders:
-            self._count(reloader.reload)
+            self._reload_and_count(reloader.reload)
 
-    def _count(self, reload: Callable[[], bool]) -> None:
+    def _reload_and_count(self, reload: Callable[[], bool]) -> None:
         outcome = 'reloaded' if reload() else 'refused'
         self._metrics.add('key_reloads_total', outcome=outcome)
--- a/greengagepath/daemon/start_checks.py
+++ b/greengagepath/daemon/start_checks.py
@@ -1,4 +1,4 @@
-"""What both roles do with settings that cannot be used."""
+"""Refusal of settings that cannot be used, for both roles."""
 
 import logging
 from collections.abc import Iterable
@@ -10,7 +10,7 @@
 
 
 def refuse_settings(role: str, problems: Iterable[object]) -> ExitCode:
-    """Log each problem as `<role>.refused_settings`."""
+    """Log each problem as `<role>.refused_settings`; return the exit code."""
     for problem in problems:
         log_event(
             _logger,
--- a/tests/daemon/test_datapath.py
+++ b/tests/daemon/test_datapath.py
@@ -74,7 +74,7 @@
 
     def test_replies_to_probes_do_not_prolong_a_drain(self):
         # Guards against a leaving balancer that keeps itself busy.
-        self.path.use_services((7,))
+        self.path.set_probed_services((7,))
         gevent.sleep(0.6)
         probes = self.path.router.counters.probes_sent
         self.assertGreater(probes, 0)
--- a/tests/operator/test_reloads.py
+++ b/tests/operator/test_reloads.py
@@ -32,7 +32,8 @@
         self.addCleanup(reloads.stop)
 
     def test_changed_file_is_in_force_after_a_second(self):
-        # Guards against a rotation that needs a restart.
+        # Guards against a key rotation that needs a restart, and against a
+        # file that is reloaded again although it has not changed since.
         (self.folder / 'tag.key').write_text(OTHER_SECRET)
         self.timers.advance(CHECK_S)
         self.assertFalse(self.ring.verify(1, self.old_tag, b'datagram'))
@@ -43,7 +44,8 @@
         )
 
     def test_hangup_reloads_and_does_not_end_the_process(self):
-        # Guards against a daemon that SIGHUP ends.
+        # Guards against a daemon that is ended by SIGHUP, and against a
+        # broken key file that replaces the keys in force.
         (self.folder / 'tag.key').write_text('broken')
         os.kill(os.getpid(), signal.SIGHUP)
         gevent.sleep(0.1)
--- a/tests/operator/test_tls.py
+++ b/tests/operator/test_tls.py
@@ -37,12 +37,12 @@
         return authority.write(folder, days)
 
     def test_members_of_one_authority_connect(self):
-        # Guards against settings that refuse the system's own members.
+        # Guards against settings that refuse members of the same system.
         peer = load_tls(self.write('peer', self.authority)).unwrap()
         self.assertIsNotNone(shake_hands(self.contexts.server, peer.client))
 
     def test_client_without_certificate_is_refused(self):
-        # Guards against links that authenticate only the server.
+        # Guards against links on which only the server authenticates.
         context = ssl.SSLContext(ssl.PROTOCOL_TLS_CLIENT)
         context.check_hostname = False
         context.load_verify_locations(self.settings.authority_file)
@@ -51,7 +51,8 @@
         )
 
     def test_other_authority_is_refused(self):
-        # Guards against a peer of another system on the control link.
+        # Guards against control links to members of another system, whose
+        # certificates are signed by another authority.
         peer = load_tls(self.write('peer', Authority('other'))).unwrap()
         failure = self.assertRaises(
             ssl.SSLError, shake_hands, self.contexts.server, peer.client
@@ -59,7 +60,8 @@
         self.assertIn('certificate', describe_tls_error(failure))
 
     def test_expired_certificate_is_refused_with_its_reason(self):
-        # Guards against an expired key that the log does not explain.
+        # Guards against a refusal whose log line does not name the expired
+        # certificate as its reason.
         expired = self.write('peer', self.authority, days=-1)
         peer = load_tls(expired).unwrap()
         failure = self.assertRaises(
@@ -67,8 +69,9 @@
         )
         self.assertEqual('certificate has expired', describe_tls_error(failure))
 
-    def test_rotation_takes_new_files_without_a_new_server(self):
-        # Guards against certificates that need a restart to rotate.
+    def test_rotation_loads_new_files_without_a_new_server(self):
+        # Guards against a certificate rotation that needs a restart: the
+        # context that a running server holds must use the new files.
         kept_server = self.contexts.server
         other = Authority('next')
         peer = load_tls(self.write('peer', other)).unwrap()
@@ -79,7 +82,8 @@
         self.assertIsNotNone(shake_hands(peer.server, self.contexts.client))
 
     def test_bad_files_keep_the_contexts_in_force(self):
-        # Guards against a half-written certificate that closes all links.
+        # Guards against a half-written certificate file that replaces the
+        # valid one, after which all handshakes fail.
         peer = load_tls(self.write('peer', self.authority)).unwrap()
         Path(self.settings.certificate_file).write_text('broken')
         self.assertFalse(reload_changed(self.contexts))
