Reword the data path and the plain-flow processes of daemon/

Cause: personification, terse docstrings and vague names (take, note, behind, patience, chance). Change: wording of datapath.py, the sockets, the HTTP modules, membership_listing.py, route_follower.py and steering_*.py, and of tests/daemon and tests/processes. Renames inside the part: RouteFollower.note_behind is request_catch_up, BEHIND_PATIENCE_S is CATCH_UP_DELAY_S, WATCH_GAP_S is WATCH_PAUSE_S, _take_* is _handle_* or _add_members, *_at is *_address(es), MAX_KNOWN is MAX_CACHED, UNACKNOWLEDGED_MS is USER_TIMEOUT_MS, chance is rng, the parameter take of drain_socket is on_packet. In tests only comments change.

--- a/greengagepath/daemon/datagram_socket.py
+++ b/greengagepath/daemon/datagram_socket.py
@@ -1,4 +1,4 @@
-"""UDP socket of a steering daemon, drained by one greenlet."""
+"""UDP socket of a steering daemon, read by one greenlet."""
 
 import socket
 from collections import Counter
@@ -10,7 +10,7 @@
 from ..foundation.native_sockets import open_udp_socket
 
 MAX_DATAGRAM_BYTES = 2048
-# Datagrams taken for each wake; more would delay timers.
+# How many datagrams are read per wake-up. More would delay timers.
 MAX_DRAINED = 64
 RECEIVE_BUFFER_BYTES = 1048576
 
@@ -19,12 +19,15 @@
 
 
 class DatagramSocket:
-    """Receives datagrams for a callback and sends without waiting.
+    """Passes datagrams to a callback and sends without blocking.
 
-    `on_empty` is called each time that no more datagrams wait.
+    `on_datagram` is called with each datagram and the host of its
+    sender, `on_empty` each time that the socket has been read empty.
 
-    A datagram that the kernel does not take at once is dropped and
-    counted; the protocols above repeat what matters.
+    A datagram that the kernel does not accept at once is dropped and
+    counted as `datagrams_unsent`. The protocols above retransmit what
+    has to arrive. The constructor raises OSError if the address is
+    taken.
     """
 
     def __init__(
@@ -59,7 +62,7 @@
             self._counts['datagrams_unsent'] += 1
 
     def stop(self) -> None:
-        """End the greenlet and close the socket."""
+        """Stop the greenlet and close the socket."""
         if self._loop is not None:
             self._loop.kill()
         self._socket.close()
@@ -79,7 +82,8 @@
                 self._on_empty()
                 return
             except OSError:
-                # An earlier datagram met a closed port.
+                # An ICMP error: an earlier datagram was sent to a closed
+                # port.
                 self._counts['datagrams_undelivered'] += 1
                 continue
             self._on_datagram(datagram, sender[0])
--- a/greengagepath/daemon/datapath.py
+++ b/greengagepath/daemon/datapath.py
@@ -1,4 +1,4 @@
-"""Socket loop of a balancer's data path."""
+"""Receive loop of the data path of a balancer."""
 
 import logging
 import socket
@@ -15,16 +15,18 @@
 from ..protocol.packets import MAX_PACKET_BYTES, Address
 from .target_sockets import TargetSockets
 
-# Datagrams taken for each wake; more would delay the control plane.
+# How many datagrams are read per wake-up. More would delay the control
+# plane.
 MAX_DRAINED = 64
-# The kernel limits it to net.core.rmem_max.
+# The kernel limits this to net.core.rmem_max.
 RECEIVE_BUFFER_BYTES = 4194304
 KEY_CHECK_S = 1.0
 PROBE_CHECK_S = 0.25
 SOCKET_CHECK_S = 60.0
-# Services looked at for due probes at each check.
+# How many services are checked for due probes each time.
 PROBED_SERVICES = 32
-# Without a datagram for this long a draining socket counts as empty.
+# A draining socket is regarded as empty after this time without a
+# datagram.
 QUIET_S = 0.5
 DRAIN_POLL_S = 0.05
 MAX_COUNTED_LEFT = 10000
@@ -35,7 +37,7 @@
 class DataPath:
     """Receives datagrams and passes them to the router.
 
-    `sockets` are those through which the router sends.
+    The router sends through `sockets`.
     """
 
     def __init__(
@@ -54,16 +56,16 @@
         self._subscriptions: list[Timer] = []
         self._probing: Timer | None = None
         self._service_ids: tuple[int, ...] = ()
-        self._turn = cycle(self._service_ids)
+        self._probe_cycle = cycle(self._service_ids)
 
     def start(self) -> gevent.Greenlet:
-        """Start the loop and the periodic checks; return the loop."""
+        """Start the receive loop and the periodic checks; return the loop."""
         self._loop = gevent.spawn(self._run)
         self._subscriptions = [
             self._timers.subscribe(
                 KEY_CHECK_S, self.router.forwarder.refresh_keys
             ),
-            self._timers.subscribe(SOCKET_CHECK_S, self._renew_sockets),
+            self._timers.subscribe(SOCKET_CHECK_S, self._reset_full_sockets),
         ]
         self._probing = self._timers.subscribe(
             PROBE_CHECK_S, self._check_probes
@@ -71,15 +73,15 @@
         return self._loop
 
     def set_probed_services(self, service_ids: tuple[int, ...]) -> None:
-        """Take the services whose targets are probed."""
+        """Set the services whose targets are probed."""
         if service_ids != self._service_ids:
             self._service_ids = service_ids
-            self._turn = cycle(service_ids)
+            self._probe_cycle = cycle(service_ids)
 
     def drain(self, limit_s: float) -> bool:
-        """Forward until no datagram comes in; False after the limit.
+        """Forward until no datagram arrives; False after `limit_s`.
 
-        Probes end, since their replies would keep the socket busy.
+        Probing stops, since the replies would keep the socket busy.
         """
         if self._probing is not None:
             self._probing.cancel()
@@ -96,7 +98,10 @@
         return True
 
     def stop(self) -> int:
-        """End the loop; return how many datagrams were left unread."""
+        """Stop the loop; return how many datagrams were not read.
+
+        Counting stops at about `MAX_COUNTED_LEFT` datagrams.
+        """
         for subscription in (*self._subscriptions, self._probing):
             if subscription is not None:
                 subscription.cancel()
@@ -118,11 +123,12 @@
     def _check_probes(self) -> None:
         self.router.check_probes()
         count = min(PROBED_SERVICES, len(self._service_ids))
-        for service_id in islice(self._turn, count):
+        for service_id in islice(self._probe_cycle, count):
             self.router.probe(service_id)
 
-    def _renew_sockets(self) -> None:
-        # Sockets of targets that have left make room for those in use.
+    def _reset_full_sockets(self) -> None:
+        # Frees the sockets of targets that have left; those of current
+        # targets are opened again.
         if self.sockets.is_full:
             self.router.forwarder.forget_targets()
             self.sockets.close()
@@ -138,16 +144,19 @@
 
 
 def drain_socket(
-    receive: Callable[[int], bytes], take: Callable[[bytes], object]
+    receive: Callable[[int], bytes], on_packet: Callable[[bytes], object]
 ) -> int:
-    """Take what a non-blocking socket holds, at most `MAX_DRAINED`."""
+    """Pass the datagrams in a non-blocking socket to `on_packet`.
+
+    Returns how many were read, at most `MAX_DRAINED`.
+    """
     for count in range(MAX_DRAINED):
         try:
             packet = receive(MAX_PACKET_BYTES + 1)
         except BlockingIOError:
             return count
         except OSError as error:
-            # Such as an ICMP error of a datagram sent before.
+            # For example an ICMP error for a datagram sent earlier.
             log_event(
                 _logger,
                 'datapath.receive_failed',
@@ -156,7 +165,7 @@
                 error=str(error),
             )
             return count
-        take(packet)
+        on_packet(packet)
     return MAX_DRAINED
 
 
--- a/greengagepath/daemon/http_connection.py
+++ b/greengagepath/daemon/http_connection.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 calls over one gevent socket, read and written by h11."""
+"""HTTP/1.1 client over one gevent socket; h11 parses and encodes."""
 
 import socket as native
 
@@ -10,11 +10,11 @@
 CONNECT_S = 1.0
 MAX_ANSWER_BYTES = 2097152
 RECEIVE_BYTES = 65536
-# Keep-alive probes find a connection that has gone silent in 3 s.
+# Keep-alive probes detect an unresponsive server within 3 s.
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_GAP_S = 1
 KEEPALIVE_PROBES = 2
-UNACKNOWLEDGED_MS = 3000
+USER_TIMEOUT_MS = 3000
 
 
 class HttpAnswer:
@@ -28,10 +28,10 @@
 
 
 class HttpConnection:
-    """One connection to one server, opened when it is needed.
+    """A connection to one server, opened on demand.
 
-    Calls must not overlap. After a failed call the connection is closed
-    and the next call opens another.
+    Calls must not overlap. A failed call closes the connection, and the
+    next call opens a new one.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
@@ -42,9 +42,10 @@
     def call(
         self, method: str, target: str, body: bytes, timeout_s: float
     ) -> Result[HttpAnswer, str]:
-        """Send a request and return the answer, or what went wrong.
+        """Send a request and return the answer, or why there is none.
 
-        A request that got no answer may have taken effect.
+        The call ends within `timeout_s` plus `CONNECT_S` seconds. A
+        request without an answer may still have taken effect.
         """
         try:
             with gevent.Timeout(timeout_s + CONNECT_S):
@@ -57,7 +58,7 @@
             return Err(f'{type(error).__name__}: {error}')
 
     def close(self) -> None:
-        """Close the connection; a call that waits for it fails."""
+        """Close the connection; a call in progress fails."""
         if self._socket is not None:
             self._socket.close()
             self._socket = None
@@ -91,7 +92,7 @@
             (native.IPPROTO_TCP, native.TCP_KEEPIDLE, KEEPALIVE_IDLE_S),
             (native.IPPROTO_TCP, native.TCP_KEEPINTVL, KEEPALIVE_GAP_S),
             (native.IPPROTO_TCP, native.TCP_KEEPCNT, KEEPALIVE_PROBES),
-            (native.IPPROTO_TCP, native.TCP_USER_TIMEOUT, UNACKNOWLEDGED_MS),
+            (native.IPPROTO_TCP, native.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
             (native.IPPROTO_TCP, native.TCP_NODELAY, 1),
         ):
             opened.setsockopt(level, option, number)
--- a/greengagepath/daemon/http_listener.py
+++ b/greengagepath/daemon/http_listener.py
@@ -1,4 +1,4 @@
-"""HTTP/1.1 server over gevent sockets, read and written by h11."""
+"""HTTP/1.1 server over gevent sockets; h11 parses and encodes."""
 
 from collections.abc import Callable
 
@@ -51,7 +51,7 @@
 
 
 class HttpListener:
-    """Serves one address from the loop of the daemon."""
+    """Serves one address from the event loop of the daemon."""
 
     def __init__(self, address: tuple[str, int], handler: Handler) -> None:
         self._handler = handler
@@ -69,7 +69,7 @@
         self._server.start()
 
     def stop(self) -> None:
-        """Stop at once; requests in progress are cut."""
+        """Stop at once; requests in progress are aborted."""
         self._server.stop(timeout=0)
 
     def _serve(self, accepted: socket.socket, _: object) -> None:
@@ -80,7 +80,8 @@
         except h11.RemoteProtocolError as error:
             _send_error(accepted, protocol, error.error_status_hint)
         except (OSError, h11.ProtocolError, gevent.Timeout):
-            # The peer is gone; there is nobody to answer.
+            # The client has closed, broken off or timed out: no answer can
+            # be sent.
             return
         finally:
             accepted.close()
@@ -103,10 +104,10 @@
 def _receive(
     accepted: socket.socket, protocol: h11.Connection
 ) -> HttpRequest | None:
-    """Return a request, None at the end of the connection.
+    """Return a request, or None at the end of the connection.
 
-    A body above the limit is read no further and makes a request whose
-    body is one byte too long.
+    A body above `MAX_BODY_BYTES` is not read to its end; the request is
+    returned with the part read so far, which exceeds the limit.
     """
     request = HttpRequest('', '', b'')
     while len(request.body) <= MAX_BODY_BYTES:
@@ -154,5 +155,5 @@
     try:
         _send(accepted, protocol, HttpReply(status or BAD_REQUEST))
     except (OSError, h11.ProtocolError):
-        # The peer closed before the answer; the connection ends anyway.
+        # The client closed before the answer; the connection ends anyway.
         return
--- a/greengagepath/daemon/membership_listing.py
+++ b/greengagepath/daemon/membership_listing.py
@@ -1,4 +1,4 @@
-"""Registers a process in the store and reads the others once."""
+"""Registers a process in the store and reads the member list at start."""
 
 import logging
 import random
@@ -21,9 +21,10 @@
 class MembershipListing:
     """Lists the members, then registers this one if it is missing.
 
-    Newcomers announce themselves to everybody they read, so nobody has
-    to watch the list. Of two that start together the later reader sees
-    the other; both register before they read once more.
+    A new member announces itself to all members it has read, so that no
+    member has to watch the list. Each process reads the list again after
+    it has registered: of two that start at the same time at least the
+    one that reads later finds the other.
     """
 
     def __init__(
@@ -32,16 +33,16 @@
         self._store = store
         self._own = own
         self._on_members = on_members
-        self._chance = random.Random()
+        self._rng = random.Random()
 
     def start(self) -> None:
-        """Start the greenlet; it ends once the list has been read."""
+        """Start the greenlet; it ends when the member is registered."""
         gevent.spawn(self._run)
 
     def _run(self) -> None:
         retry_s = FIRST_RETRY_S
         while not self._register():
-            gevent.sleep(self._chance.uniform(retry_s / 2, retry_s))
+            gevent.sleep(self._rng.uniform(retry_s / 2, retry_s))
             retry_s = min(retry_s * 2, MAX_RETRY_S)
         log_event(_logger, 'membership.registered')
 
@@ -49,7 +50,7 @@
         listed = self._store.list_members()
         if isinstance(listed, Err):
             return False
-        self._pass_on(listed.ok_value)
+        self._report_members(listed.ok_value)
         if any(
             member.address == self._own.address
             and member.role is self._own.role
@@ -58,13 +59,13 @@
             return True
         if self._store.add_member(self._own).is_err():
             return False
-        again = self._store.list_members()
-        if isinstance(again, Err):
+        reread = self._store.list_members()
+        if isinstance(reread, Err):
             return False
-        self._pass_on(again.ok_value)
+        self._report_members(reread.ok_value)
         return True
 
-    def _pass_on(self, members: list[Member]) -> None:
+    def _report_members(self, members: list[Member]) -> None:
         self._on_members(
             _addresses(members, MemberRole.BALANCER),
             _addresses(members, MemberRole.AGENT),
--- a/greengagepath/daemon/peer_addresses.py
+++ b/greengagepath/daemon/peer_addresses.py
@@ -1,12 +1,16 @@
-"""Socket addresses of other processes by packed IPv4 address."""
+"""Socket addresses of other processes, by packed IPv4 address."""
 
 import socket
 
-MAX_KNOWN = 10000
+MAX_CACHED = 10000
 
 
 class PeerAddresses:
-    """All processes of one role listen on the same port."""
+    """Unpacks and caches addresses of processes with one common port.
+
+    All processes of a role listen on the same port. The cache is cleared
+    when it holds `MAX_CACHED` addresses.
+    """
 
     __slots__ = ('_by_packed', '_port')
 
@@ -15,10 +19,10 @@
         self._by_packed: dict[bytes, tuple[str, int]] = {}
 
     def find(self, packed: bytes) -> tuple[str, int]:
-        """Return host and port."""
+        """Return host and port of a packed IPv4 address."""
         found = self._by_packed.get(packed)
         if found is None:
-            if len(self._by_packed) >= MAX_KNOWN:
+            if len(self._by_packed) >= MAX_CACHED:
                 self._by_packed.clear()
             found = (socket.inet_ntoa(packed), self._port)
             self._by_packed[packed] = found
--- a/greengagepath/daemon/route_follower.py
+++ b/greengagepath/daemon/route_follower.py
@@ -13,37 +13,43 @@
 
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 1.0
-# Changes in quick succession share one watch; the bound is 3 s.
-WATCH_GAP_S = 0.25
-# The watch usually brings a version that a peer shows a little later.
-BEHIND_PATIENCE_S = 0.2
+# Changes in quick succession are read with one watch. A configuration
+# has to be in force within 3 s.
+WATCH_PAUSE_S = 0.25
+# After a peer has reported a higher version, the watch usually delivers
+# it within this time, and the store need not be read.
+CATCH_UP_DELAY_S = 0.2
 
 _logger = logging.getLogger(__name__)
 
 
 class RouteFollower:
-    """Reads the configuration, watches it, and reads again when behind."""
+    """Applies the routes in the store and watches them for changes.
+
+    Reads the store also when a peer has reported a higher version than
+    the one in force.
+    """
 
     def __init__(
         self,
         store: SteeringStore,
         steering: BalancerSteering,
-        chance: random.Random,
+        rng: random.Random,
     ) -> None:
         self._store = store
         self._steering = steering
-        self._chance = chance
-        self._behind = Event()
-        self._is_answering = True
+        self._rng = rng
+        self._catch_up_requested = Event()
+        self._is_store_reachable = True
 
     def start(self) -> None:
-        """Start the greenlets that watch and that catch up."""
+        """Start the greenlets: one watches, one reads missed versions."""
         gevent.spawn(self._follow)
         gevent.spawn(self._catch_up)
 
-    def note_behind(self) -> None:
-        """Read the store soon, since a peer has seen a higher version."""
-        self._behind.set()
+    def request_catch_up(self) -> None:
+        """Read the store soon: a peer has reported a higher version."""
+        self._catch_up_requested.set()
 
     def _follow(self) -> None:
         revision: int | None = None
@@ -55,39 +61,39 @@
                 else self._store.watch_routes(revision)
             )
             if isinstance(outcome, Err):
-                self._note_problem(outcome.err_value)
+                self._log_store_lost(outcome.err_value)
                 revision = None
-                gevent.sleep(self._chance.uniform(retry_s / 2, retry_s))
+                gevent.sleep(self._rng.uniform(retry_s / 2, retry_s))
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
                 continue
-            self._note_answer()
+            self._log_store_regained()
             retry_s = FIRST_RETRY_S
             revision = outcome.ok_value.revision
-            if self._use(outcome.ok_value):
-                gevent.sleep(WATCH_GAP_S)
+            if self._apply(outcome.ok_value):
+                gevent.sleep(WATCH_PAUSE_S)
 
     def _catch_up(self) -> None:
         while True:
-            self._behind.wait()
-            self._behind.clear()
-            gevent.sleep(BEHIND_PATIENCE_S)
+            self._catch_up_requested.wait()
+            self._catch_up_requested.clear()
+            gevent.sleep(CATCH_UP_DELAY_S)
             retry_s = FIRST_RETRY_S
             while self._steering.routes.is_behind:
                 outcome = self._store.read_routes()
                 if outcome.is_ok():
-                    self._use(outcome.ok_value)
+                    self._apply(outcome.ok_value)
                     continue
-                gevent.sleep(self._chance.uniform(retry_s / 2, retry_s))
+                gevent.sleep(self._rng.uniform(retry_s / 2, retry_s))
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
-    def _use(self, stored: StoredRoutes) -> bool:
+    def _apply(self, stored: StoredRoutes) -> bool:
         if stored.table is None:
             return False
         return self._steering.use_routes(stored.table).is_ok()
 
-    def _note_problem(self, problem: StoreProblem) -> None:
-        if self._is_answering:
-            self._is_answering = False
+    def _log_store_lost(self, problem: StoreProblem) -> None:
+        if self._is_store_reachable:
+            self._is_store_reachable = False
             log_event(
                 _logger,
                 'store.lost',
@@ -96,7 +102,7 @@
                 version=self._steering.routes.version,
             )
 
-    def _note_answer(self) -> None:
-        if not self._is_answering:
-            self._is_answering = True
+    def _log_store_regained(self) -> None:
+        if not self._is_store_reachable:
+            self._is_store_reachable = True
             log_event(_logger, 'store.regained')
--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -1,4 +1,4 @@
-"""Daemon of an agent for plain flows."""
+"""Agent process for plain flows."""
 
 import logging
 from typing import Protocol
@@ -35,26 +35,29 @@
 
 
 class AgentCodec(SteeringCodec, Protocol):
-    """Packets and heartbeats on the platform's wire."""
+    """Decodes packets and heartbeats on the platform's wire."""
 
     def decode_from_target(self, raw: bytes) -> Segment | None:
-        """Return a target's packet, None if the bytes are none."""
+        """Decode a target's packet; None if it is malformed."""
 
     def decode_target_id(self, path: str) -> str | None:
-        """Return the target named by a heartbeat's path."""
+        """Return the target id in a path; None if it has none."""
 
     def decode_heartbeat(
         self, target_id: str, body: bytes, service: str
     ) -> Result[Heartbeat, str]:
-        """Return a heartbeat, or why it is none."""
+        """Decode a heartbeat; the error is the reason of a refusal."""
 
     @property
     def acknowledgement(self) -> bytes:
-        """Return the body that acknowledges a heartbeat."""
+        """The body that acknowledges a heartbeat."""
 
 
 class AgentDaemon(SteeringProcess):
-    """Sockets around the decisions of an agent."""
+    """One agent process; `run` returns when it has stopped.
+
+    The constructor raises OSError if a UDP port is taken.
+    """
 
     def __init__(
         self,
@@ -73,12 +76,12 @@
         )
         self.steering = AgentSteering(identity, self._timers, self)
         context = self.steering.context
-        self._target_at = settings.target_address or (settings.host, 0)
+        self._target_address = settings.target_address or (settings.host, 0)
         data_port = (settings.listening.data or ('', 0))[1]
-        self._callers_at = PeerAddresses(data_port)
+        self._caller_addresses = PeerAddresses(data_port)
         self._target = DatagramSocket(
             settings.listening.target_outbound or (settings.host, 0),
-            self._take_from_target,
+            self._handle_target_packet,
             context.counts,
             ignore_empty,
         )
@@ -91,11 +94,11 @@
         self._metrics.durations_by_step['request'] = context.held.requests
 
     def run(self) -> ExitCode:
-        """Serve until SIGTERM, then until the target's flows end."""
+        """Serve until a signal, then until the target is gone."""
         listening = self._settings.listening
         self._open(listening.heartbeats, listening.readiness)
         self._target.start()
-        self._take_members(self._settings.seeds, [])
+        self._add_members(self._settings.seeds, [])
         self._listing.start()
         log_event(_logger, 'agent.started', service=self._settings.service)
         self._stopping.wait()
@@ -105,15 +108,15 @@
 
     def to_target(self, raw: bytes) -> None:
         """Send a caller's packet to the target."""
-        self._target.send(raw, self._target_at)
+        self._target.send(raw, self._target_address)
 
     def to_caller(self, flow: bytes, raw: bytes) -> None:
         """Send a target's packet to the caller of the flow."""
         caller = self._codec.caller_address(flow)
-        self._target.send(raw, self._callers_at.find(caller))
+        self._target.send(raw, self._caller_addresses.find(caller))
 
     def reset(self, flow: bytes) -> None:
-        """Send a reset to the caller of a flow that has not opened."""
+        """Send a reset to the caller of a flow that has not been opened."""
         self.to_caller(flow, self._codec.encode_reset(flow))
 
     def _read_gauges(self) -> dict[str, float]:
@@ -128,7 +131,7 @@
         }
 
     def _leave(self) -> None:
-        """Forward for the flows of a target that still runs."""
+        """Leave the service, and forward while the target still runs."""
         log_event(
             _logger,
             'agent.leaving',
@@ -146,15 +149,13 @@
                 return
             gevent.sleep(LEAVE_POLL_S)
 
-    def _take_members(
-        self, balancers: list[bytes], agents: list[bytes]
-    ) -> None:
+    def _add_members(self, balancers: list[bytes], agents: list[bytes]) -> None:
         peers = self.steering.context.peers
         added = [
             address for address in balancers if peers.note_balancer(address)
         ]
-        # Agents of other services answer with a report of their service
-        # and are not kept.
+        # Agents of other services answer with a report that contains
+        # their service, and are not stored.
         added += [
             address
             for address in agents
@@ -162,14 +163,14 @@
         ]
         self.steering.reports.introduce(added)
 
-    def _take_from_target(self, raw: bytes, _: str) -> None:
+    def _handle_target_packet(self, raw: bytes, _: str) -> None:
         segment = self._codec.decode_from_target(raw)
         if segment is None:
             self.steering.context.counts['dropped_unreadable'] += 1
             return
         self.steering.take_from_target(segment)
 
-    def _take_message(self, sender: bytes, message: PeerMessage) -> None:
+    def _handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
         segment = None
         if message.kind <= PeerKind.SEARCH:
             segment = self._codec.decode_from_caller(message.body)
@@ -183,13 +184,13 @@
             return HttpReply(NOT_FOUND)
         match request.method:
             case 'PUT':
-                return self._take_heartbeat(target_id, request.body)
+                return self._handle_heartbeat(target_id, request.body)
             case 'DELETE':
                 self.steering.take_departure(target_id)
                 return HttpReply(OK, self._codec.acknowledgement)
         return HttpReply(NOT_ALLOWED)
 
-    def _take_heartbeat(self, target_id: str, body: bytes) -> HttpReply:
+    def _handle_heartbeat(self, target_id: str, body: bytes) -> HttpReply:
         decoded = self._codec.decode_heartbeat(
             target_id, body, self._settings.service
         )
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -1,4 +1,4 @@
-"""Daemon of a balancer for plain flows."""
+"""Balancer process for plain flows."""
 
 import logging
 import random
@@ -25,20 +25,24 @@
 from .route_follower import RouteFollower
 from .steering_process import SteeringCodec, SteeringProcess, ignore_empty
 
-# The fabric stops sending after two probes, one each 500 ms; packets
-# that are under way follow.
+# The fabric stops sending after two failed readiness probes, which it
+# sends every 500 ms; packets in transit arrive after that.
 LEAVE_S = 1.9
-# The process ends this long before it would be killed.
+# The process stops this long before it would be killed.
 LEAVE_RESERVE_S = 0.6
 LEAVE_POLL_S = 0.1
-# A balancer without agents for this long serves to refuse truthfully.
+# A balancer that has found no agent for this long becomes ready: most
+# likely there is none, so that it refuses flows for a true reason.
 READY_WITHOUT_AGENTS_S = 4.0
 
 _logger = logging.getLogger(__name__)
 
 
 class BalancerDaemon(SteeringProcess):
-    """Sockets around the decisions of a balancer."""
+    """One balancer process; `run` returns when it has stopped.
+
+    The constructor raises OSError if a UDP port is taken.
+    """
 
     def __init__(
         self,
@@ -53,14 +57,14 @@
             BalancerIdentity(settings.address, settings.availability_zone),
             self._timers,
             self,
-            lambda: self._follower.note_behind(),
+            lambda: self._follower.request_catch_up(),
         )
         counts = self.steering.counts
         data_address = settings.listening.data or (settings.host, 0)
-        self._callers_at = PeerAddresses(data_address[1])
+        self._caller_addresses = PeerAddresses(data_address[1])
         self._callers = DatagramSocket(
             data_address,
-            self._take_from_caller,
+            self._handle_caller_packet,
             counts,
             self.steering.backlog.note_empty,
         )
@@ -69,7 +73,7 @@
         self._started_s = self._timers.now()
 
     def run(self) -> ExitCode:
-        """Serve until SIGTERM, then until the fabric has moved on."""
+        """Serve until a signal, then until the fabric sends nothing more."""
         self._open(self._settings.listening.readiness)
         self._callers.start()
         self.steering.contacts.add_balancers(self._settings.seeds)
@@ -92,7 +96,7 @@
         }
 
     def _leave(self) -> None:
-        """Go out of rotation when others are in, and forward till then."""
+        """Forward until the balancer may leave the rotation, then leave it."""
         asked_s = self._timers.now()
         log_event(_logger, 'balancer.leaving', **self.steering.counts)
         self.steering.contacts.rotation.ask_to_leave()
@@ -108,26 +112,24 @@
         gevent.sleep(LEAVE_S)
 
     def reset(self, flow: bytes) -> None:
-        """Send a reset to the caller of a flow that has not opened."""
+        """Send a reset to the caller of a flow that has not been opened."""
         caller = self._codec.caller_address(flow)
         self._callers.send(
-            self._codec.encode_reset(flow), self._callers_at.find(caller)
+            self._codec.encode_reset(flow), self._caller_addresses.find(caller)
         )
 
-    def _take_members(
-        self, balancers: list[bytes], agents: list[bytes]
-    ) -> None:
+    def _add_members(self, balancers: list[bytes], agents: list[bytes]) -> None:
         self.steering.contacts.add_balancers(balancers)
         self.steering.contacts.add_agents(agents)
 
-    def _take_from_caller(self, raw: bytes, _: str) -> None:
+    def _handle_caller_packet(self, raw: bytes, _: str) -> None:
         segment = self._codec.decode_from_caller(raw)
         if segment is None:
             self.steering.counts['dropped_unreadable'] += 1
             return
         self.steering.take_from_caller(segment)
 
-    def _take_message(self, sender: bytes, message: PeerMessage) -> None:
+    def _handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
         self.steering.take_peer_message(sender, message)
 
     def _answer(self, request: HttpRequest) -> HttpReply:
--- a/greengagepath/daemon/steering_metrics.py
+++ b/greengagepath/daemon/steering_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of the steering daemons, copied when they are read."""
+"""Metrics of the steering daemons, copied when they are rendered."""
 
 from __future__ import annotations
 
@@ -17,10 +17,10 @@
 
 
 class SteeringMetrics:
-    """Serves what the parts of a role count themselves.
+    """Serves the counters and gauges of a role as metrics.
 
     The registry is loaded at the first scrape: it takes 9 MB and 40 ms
-    of processor time, which a role that nobody scrapes does not need.
+    of processor time, which a role saves if it is never scraped.
     """
 
     def __init__(
@@ -36,7 +36,10 @@
         self._metrics: Metrics | None = None
 
     def serve(self, host: str, port: int) -> None:
-        """Serve on the address of the settings; a port of 0 is off."""
+        """Serve on host and port; port 0 turns metrics off.
+
+        Raises OSError if the port is taken.
+        """
         if port:
             HttpListener((host, port), self._answer).start()
 
--- a/greengagepath/daemon/steering_process.py
+++ b/greengagepath/daemon/steering_process.py
@@ -1,4 +1,4 @@
-"""What both roles for plain flows share."""
+"""Base of the balancer and agent processes for plain flows."""
 
 import logging
 import signal
@@ -25,26 +25,27 @@
 
 
 class SteeringCodec(Protocol):
-    """Packets of callers on the platform's wire."""
+    """Decodes and encodes packets of callers on the platform's wire."""
 
     readiness_path: str
 
     def decode_from_caller(self, raw: bytes) -> Segment | None:
-        """Return a caller's packet, None if the bytes are none."""
+        """Decode a caller's packet; None if it is malformed."""
 
     def encode_reset(self, flow: bytes) -> bytes:
-        """Return a reset of a flow that has not opened."""
+        """Return a reset for a flow that has not been opened."""
 
     def caller_address(self, flow: bytes) -> bytes:
-        """Return the caller's packed address."""
+        """Return the packed IPv4 address of the caller of a flow."""
 
 
 class SteeringProcess:
     """Signals, peers, membership and metrics of one process.
 
-    A role adds its decisions and the sockets towards callers or its
-    target: it calls `_bind` once its decisions exist, since they count
-    the events that the metrics show, and `_open` when it starts to run.
+    A subclass adds the decisions of its role and the sockets towards
+    callers or the target. It calls `_bind` after it has created the
+    decisions, since they count the events that the metrics show, and
+    `_open` when it starts to run.
     """
 
     def __init__(
@@ -55,36 +56,41 @@
         self._timers = LoopTimerService()
         self._stopping = Event()
         self._own = Member(settings.address, role)
-        self._listing = MembershipListing(store, self._own, self._take_members)
-        self._agents_at = PeerAddresses(settings.agent_port)
-        self._balancers_at = PeerAddresses(settings.balancer_port)
+        self._listing = MembershipListing(store, self._own, self._add_members)
+        self._agent_addresses = PeerAddresses(settings.agent_port)
+        self._balancer_addresses = PeerAddresses(settings.balancer_port)
 
     def to_agent(self, address: bytes, datagram: bytes) -> None:
-        """Send to an agent."""
-        self._peers.send(datagram, self._agents_at.find(address))
+        """Send a datagram to the agent at a packed IPv4 address."""
+        self._peers.send(datagram, self._agent_addresses.find(address))
 
     def to_balancer(self, address: bytes, datagram: bytes) -> None:
-        """Send to a balancer."""
-        self._peers.send(datagram, self._balancers_at.find(address))
+        """Send a datagram to the balancer at a packed IPv4 address."""
+        self._peers.send(datagram, self._balancer_addresses.find(address))
 
     def _bind(self, port: int, counts: Counter[str], on_empty: OnEmpty) -> None:
-        """Bind the socket towards other processes.
+        """Bind the socket towards other processes and set up metrics.
 
-        `on_empty` is called when no more of their datagrams wait.
+        `on_empty` is called each time that the socket has been read
+        empty. Raises OSError if the port is taken.
         """
         self._counts = counts
         self._peers = DatagramSocket(
-            (self._settings.host, port), self._take_datagram, counts, on_empty
+            (self._settings.host, port), self._handle_datagram, counts, on_empty
         )
         self._metrics = SteeringMetrics(
             counts, lambda: self._store.calls, self._read_gauges
         )
 
     def _open(self, *http_addresses: Address | None) -> None:
-        """Take signals and begin to listen; None stands for no listener."""
+        """Handle signals and start to listen.
+
+        An HTTP listener is started for each address that is not None.
+        Raises OSError if an address is taken.
+        """
         gevent.signal_handler(signal.SIGTERM, self._stopping.set)
         gevent.signal_handler(signal.SIGINT, self._stopping.set)
-        gevent.signal_handler(signal.SIGHUP, _note_reload)
+        gevent.signal_handler(signal.SIGHUP, _log_unchanged_settings)
         self._timers.start()
         self._peers.start()
         for address in filter(None, http_addresses):
@@ -92,20 +98,18 @@
         listening = self._settings.listening
         self._metrics.serve(self._settings.host, listening.metrics_port)
 
-    def _take_datagram(self, datagram: bytes, host: str) -> None:
+    def _handle_datagram(self, datagram: bytes, host: str) -> None:
         decoded = decode_message(datagram)
         sender = pack_address(host)
         if isinstance(decoded, Err) or sender is None:
             self._counts['dropped_unreadable'] += 1
             return
-        self._take_message(sender, decoded.ok_value)
+        self._handle_peer_message(sender, decoded.ok_value)
 
-    def _take_message(self, sender: bytes, message: PeerMessage) -> None:
+    def _handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
         raise NotImplementedError
 
-    def _take_members(
-        self, balancers: list[bytes], agents: list[bytes]
-    ) -> None:
+    def _add_members(self, balancers: list[bytes], agents: list[bytes]) -> None:
         raise NotImplementedError
 
     def _answer(self, request: HttpRequest) -> HttpReply:
@@ -116,9 +120,12 @@
 
 
 def ignore_empty() -> None:
-    """Take no notice: the datagrams are worth reading however late."""
+    """Do nothing: datagrams of this socket are useful even if late."""
 
 
-def _note_reload() -> None:
-    """SIGHUP changes nothing: the platform fills the settings at a start."""
+def _log_unchanged_settings() -> None:
+    """Log that SIGHUP reloads nothing.
+
+    The platform provides the settings only at the start of a process.
+    """
     log_event(_logger, 'settings.unchanged')
--- a/greengagepath/daemon/target_sockets.py
+++ b/greengagepath/daemon/target_sockets.py
@@ -29,21 +29,22 @@
 
     @property
     def is_full(self) -> bool:
-        """Return whether new targets share the fallback."""
+        """Return whether further targets share the fallback socket."""
         return len(self._sockets) >= self.limit
 
     def connect(self, address: Address) -> Send:
-        """Return a function that sends datagrams to the address."""
+        """Return a function that sends a datagram to the address."""
         if not self.is_full:
             try:
                 return self._open(address)
             except OSError:
-                # Out of file descriptors: others need the rest more.
+                # Out of file descriptors: the remaining ones are left to other
+                # parts of the process.
                 self.limit = len(self._sockets)
         return lambda packet: self._fallback.sendto(packet, address)
 
     def close(self) -> None:
-        """Close all sockets; the functions returned so far fail."""
+        """Close all sockets; functions returned before then fail."""
         for connected in self._sockets:
             connected.close()
         self._sockets.clear()
@@ -56,7 +57,10 @@
 
 
 def limit_target_sockets() -> int:
-    """Return how many sockets the limit of open files leaves."""
+    """Return the limit for target sockets.
+
+    It is half the limit of open files, at most `MAX_TARGET_SOCKETS`.
+    """
     soft_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
     if soft_limit < 0:
         return MAX_TARGET_SOCKETS
--- a/tests/daemon/test_daemon.py
+++ b/tests/daemon/test_daemon.py
@@ -1,4 +1,4 @@
-"""The daemon as a process on 127.0.0.1, without an object API."""
+"""A balancer process on 127.0.0.1 without an object API."""
 
 import json
 import random
@@ -53,8 +53,8 @@
 
 
 def find_ports():
-    # Below the range of ephemeral ports, so that no connection of
-    # another test takes a port before the balancer binds it.
+    # Ports below the ephemeral range, so that no connection of another
+    # test is assigned a port before the balancer binds it.
     ports = []
     while len(ports) < len(PORTS):
         port = random.randrange(20000, 32000)
@@ -138,7 +138,8 @@
         self.target.sendto(packet, ('127.0.0.1', self.ports['data_port']))
 
     def test_flow_is_routed_before_any_configuration(self):
-        # Guards against a starting balancer that breaks open flows.
+        # Guards against a restarted balancer that breaks open flows: it
+        # must route by their tokens before it has a configuration.
         process = self.start()
         self.wait_until_started()
         status, text = self.get('/readyz')
@@ -153,7 +154,7 @@
         )
         process.send_signal(signal.SIGTERM)
         time.sleep(0.5)
-        # Datagrams that come in while it drains are still forwarded.
+        # Datagrams that arrive while it drains are still forwarded.
         self.send(6)
         datagram = unseal(self.keys, self.target.recv(2000))[1]
         self.assertEqual(6, datagram.flow_id)
@@ -161,7 +162,8 @@
         self.assertEqual(ExitCode.OK, process.wait(10))
 
     def test_second_signal_ends_at_once(self):
-        # Guards against a balancer that cannot be ended under traffic.
+        # Guards against a balancer that cannot be stopped at once because
+        # it is still draining.
         process = self.start(shutdown_s=30.0)
         self.wait_until_started()
         process.send_signal(signal.SIGTERM)
@@ -175,7 +177,8 @@
         self.assertIn('datagrams_left', last)
 
     def test_invalid_settings(self):
-        # Guards against a start with settings that cannot work.
+        # Guards against a process that starts with invalid settings, and
+        # against a message that names only the first of them.
         process = self.start(
             role=('role = "balancer"', 'role = "switch"'),
             zone=('control_port = ', 'control_port = -'),
@@ -186,7 +189,8 @@
         self.assertIn('node.control_port', problems)
 
     def test_port_that_is_taken(self):
-        # Guards against a process that runs without one of its ports.
+        # Guards against a process that runs although it could not bind one
+        # of its ports.
         for name, kind in (
             ('data_port', DGRAM),
             ('control_port', socket.SOCK_STREAM),
--- a/tests/daemon/test_datapath.py
+++ b/tests/daemon/test_datapath.py
@@ -1,4 +1,4 @@
-"""The socket loop of the data path on 127.0.0.1."""
+"""The receive loop of the data path on 127.0.0.1."""
 
 import gevent
 from testtools import TestCase
@@ -54,7 +54,8 @@
         self.fabric.sendto(packet, self.address)
 
     def test_all_datagrams_reach_the_target(self):
-        # Guards against datagrams left in the socket after a batch.
+        # Guards against datagrams that stay in the socket after a batch of
+        # `MAX_DRAINED` has been read.
         for flow_id in range(150):
             self.send(flow_id)
         gevent.sleep(0.1)
@@ -66,14 +67,15 @@
         self.assertEqual(0, self.path.stop())
 
     def test_drain_ends_when_quiet(self):
-        # Guards against a shutdown that cuts datagrams in the socket.
+        # Guards against a shutdown that drops datagrams in the socket.
         self.send(1)
         self.assertTrue(self.path.drain(5.0))
         self.assertEqual(1, self.path.received)
         self.assertEqual(0, self.path.stop())
 
     def test_replies_to_probes_do_not_prolong_a_drain(self):
-        # Guards against a leaving balancer that keeps itself busy.
+        # Guards against a drain that never ends because replies to the
+        # probes of the balancer keep its socket busy.
         self.path.set_probed_services((7,))
         gevent.sleep(0.6)
         probes = self.path.router.counters.probes_sent
@@ -83,13 +85,15 @@
         self.path.stop()
 
     def test_stop_counts_what_is_left(self):
-        # Guards against a second SIGTERM that hides lost datagrams.
+        # Guards against lost datagrams that are not reported when a second
+        # SIGTERM ends the drain.
         self.send(1)
         self.send(2)
         self.assertEqual(2, self.path.stop())
 
     def test_dead_target_does_not_stop_the_loop(self):
-        # Guards against an ICMP error that ends the data path.
+        # Guards against a receive loop that ends at an ICMP error, which
+        # arrives when a target has closed its port.
         address = self.target.getsockname()
         self.target.close()
         for flow_id in range(5):
@@ -104,13 +108,15 @@
 
 class WallClockTest(TestCase):
     def test_memory_of_a_cached_flow(self):
-        # Guards against a table of flows that outgrows its limit.
+        # Guards against a cache entry that needs more memory than the limit
+        # for each flow.
         cost = measure_cache()
         self.assertEqual(300000, cost.entries)
         self.assertLessEqual(cost.bytes_per_entry, MAX_BYTES_PER_FLOW)
 
     def test_measurements_forward_all_datagrams(self):
-        # Guards against a ratio of a loop that drops what it measures.
+        # Guards against a ratio measured with a loop that drops datagrams
+        # instead of forwarding them.
         cost = measure_packets(300, rounds=20)
         self.assertGreater(cost.ratio, 1.0)
         self.assertGreater(cost.uncached_us, cost.ours_us)
--- a/tests/processes/test_failures.py
+++ b/tests/processes/test_failures.py
@@ -1,8 +1,8 @@
-"""Failures of real processes under load, one deployment for all.
+"""Failures of real processes under load; all tests share a deployment.
 
-Each test runs a mixed load of a few seconds against the deployment,
-brings one failure about, and judges the run by what callers received
-and back ends counted.
+Each test runs a mixed load of a few seconds against the deployment and
+causes one failure. It checks the answers that callers received and the
+runs that back ends counted.
 """
 
 import signal
@@ -50,7 +50,7 @@
         cls.deployment.start()
 
     def run_load(self, *actions):
-        """Return the counts of a load during which the actions run."""
+        """Run a load and the actions during it; return the counts."""
         names = start_load(self.deployment, LOAD_S, LOAD_SHARE)
         for action in actions:
             time.sleep(LOAD_S / (2 + len(actions)))
@@ -76,7 +76,8 @@
         self.assertEqual(0, counts['broken_flows'], self.failed)
 
     def test_killed_balancer(self):
-        # Guards against flows that depend on the state of one balancer.
+        # Guards against flows that break when a balancer is killed and its
+        # state is lost.
         counts = self.run_load(
             lambda: self.send('balancer-1', signal.SIGKILL),
             lambda: self.restart('balancer-1'),
@@ -84,7 +85,8 @@
         self.assert_nothing_lost(counts)
 
     def test_paused_balancer(self):
-        # Guards against late packets of a balancer that runs work again.
+        # Guards against work that runs twice because a balancer forwards
+        # late packets after a pause.
         counts = self.run_load(
             lambda: self.send('balancer-2', signal.SIGSTOP),
             lambda: self.send('balancer-2', signal.SIGCONT),
@@ -102,22 +104,23 @@
         self.restart('balancer-3')
 
     def test_killed_agent(self):
-        # Guards against a restarted agent that runs old requests again.
+        # Guards against requests that run twice because the agent has lost
+        # its record of them in a restart.
         self.run_load(
             lambda: self.send('order-desk-1', signal.SIGKILL),
             lambda: self.restart('order-desk-1'),
         )
 
     def test_paused_agent(self):
-        # Guards against requests that run after their caller was told
-        # that they had not.
+        # Guards against requests that run after a pause although the caller
+        # has received a refusal that rules this out.
         self.run_load(
             lambda: self.send('order-desk-2', signal.SIGSTOP),
             lambda: self.send('order-desk-2', signal.SIGCONT),
         )
 
     def test_stopped_agent(self):
-        # Guards against a graceful stop that cuts requests in progress.
+        # Guards against a graceful stop that aborts requests in progress.
         counts = self.run_load(
             lambda: self.send('order-desk-3', signal.SIGTERM),
         )
@@ -127,8 +130,8 @@
         self.restart('order-desk-3')
 
     def test_key_rotation(self):
-        # Guards against a rotation that needs a restart or that breaks
-        # flows whose tokens were signed with the former key.
+        # Guards against a key rotation that needs a restart or that breaks
+        # flows whose tokens were signed with the previous key.
         counts = self.run_load(
             lambda: self.deployment.use_keys(1, 2),
             lambda: self.deployment.use_keys(2, 1),
@@ -139,7 +142,7 @@
         self.assert_nothing_lost(counts)
 
     def test_balancer_metrics(self):
-        # Guards against documented metrics that no part ever sets.
+        # Guards against documented metrics that are never set.
         balancer = self.deployment.balancers_by_name['balancer-2']
         text = fetch(balancer.status_port, '/metrics').decode()
         for name in ('object_api_calls_total', 'lease_held', 'members'):
@@ -147,7 +150,8 @@
         self.assertIn('outcome="ok"', text)
 
     def test_lossy_fabric(self):
-        # Guards against work that a repeated datagram runs twice.
+        # Guards against work that runs twice because a datagram has been
+        # duplicated or retransmitted.
         faults = self.deployment.control_paths.set_fabric_faults
         self.addCleanup(faults)
         faults(loss=0.02, duplication=0.02, reordering=0.05)
@@ -155,8 +159,8 @@
         self.assert_nothing_lost(counts)
 
     def test_object_api_outage(self):
-        # Guards against traffic that needs the object API, and against
-        # a command that hangs or claims success without it.
+        # Guards against traffic that depends on the object API, and against
+        # a command that hangs or reports success while it is down.
         faults = self.deployment.control_paths.set_platform_faults
         self.addCleanup(faults)
         faults(down=True)
@@ -169,8 +173,8 @@
         self.assertEqual(ExitCode.UNREACHABLE, done.returncode, done.stderr)
 
     def test_lost_answer_of_a_write(self):
-        # Guards against a change that is repeated, or taken for
-        # somebody else's, because the answer of its write was lost.
+        # Guards against a change that is written twice, or regarded as one
+        # of another operator, because the answer to its write was lost.
         faults = self.deployment.control_paths.set_platform_faults
         self.addCleanup(faults)
         faults(lose_answers=1.0)
