--- a/greengagepath/daemon/agent_socket.py
+++ b/greengagepath/daemon/agent_socket.py
@@ -11,7 +11,7 @@
 # Requested from the kernel, which limits it to net.core.rmem_max.
 SOCKET_BUFFER_BYTES = 4194304
 RECEIVE_BYTES = 65535
-# Datagrams taken from the socket before other greenlets run.
+# How many datagrams are read before other greenlets run.
 RECEIVE_BATCH = 64
 
 
