State the bind errors of the steering sockets exactly

Cause: the reworded docstrings said that a taken port raises OSError, but the sockets set SO_REUSEADDR. Change: they say that the address cannot be bound.

--- a/greengagepath/daemon/datagram_socket.py
+++ b/greengagepath/daemon/datagram_socket.py
@@ -26,8 +26,8 @@
 
     A datagram that the kernel does not accept at once is dropped and
     counted as `datagrams_unsent`. The protocols above retransmit what
-    has to arrive. The constructor raises OSError if the address is
-    taken.
+    has to arrive. The constructor raises OSError if the address cannot
+    be bound.
     """
 
     def __init__(
--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -56,7 +56,7 @@
 class AgentDaemon(SteeringProcess):
     """One agent process; `run` returns when it has stopped.
 
-    The constructor raises OSError if a UDP port is taken.
+    The constructor raises OSError if a UDP port cannot be bound.
     """
 
     def __init__(
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -41,7 +41,7 @@
 class BalancerDaemon(SteeringProcess):
     """One balancer process; `run` returns when it has stopped.
 
-    The constructor raises OSError if a UDP port is taken.
+    The constructor raises OSError if a UDP port cannot be bound.
     """
 
     def __init__(
--- a/greengagepath/daemon/steering_process.py
+++ b/greengagepath/daemon/steering_process.py
@@ -72,7 +72,7 @@
         """Bind the socket towards other processes and set up metrics.
 
         `on_empty` is called each time that the socket has been read
-        empty. Raises OSError if the port is taken.
+        empty. Raises OSError if the port cannot be bound.
         """
         self._counts = counts
         self._peers = DatagramSocket(
