--- a/greengagepath/daemon/datapath.py
+++ b/greengagepath/daemon/datapath.py
@@ -130,7 +130,7 @@
         # Frees the sockets of targets that have left; those of current
         # targets are opened again.
         if self.sockets.is_full:
-            self.router.forwarder.forget_targets()
+            self.router.forwarder.clear_senders()
             self.sockets.close()
 
     def _count_left(self) -> int:
--- a/greengagepath/daemon/route_follower.py
+++ b/greengagepath/daemon/route_follower.py
@@ -89,7 +89,7 @@
     def _apply(self, stored: StoredRoutes) -> bool:
         if stored.table is None:
             return False
-        return self._steering.use_routes(stored.table).is_ok()
+        return self._steering.apply_routes(stored.table).is_ok()
 
     def _log_store_lost(self, problem: StoreProblem) -> None:
         if self._is_store_reachable:
--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -88,10 +88,12 @@
         self._bind(
             settings.agent_port,
             context.counts,
-            self.steering.backlog.note_empty,
+            self.steering.backlog.mark_socket_empty,
         )
-        self._metrics.durations_by_step['handshake'] = context.held.handshakes
-        self._metrics.durations_by_step['request'] = context.held.requests
+        self._metrics.durations_by_step['handshake'] = (
+            context.held_flows.handshakes
+        )
+        self._metrics.durations_by_step['request'] = context.held_flows.requests
 
     def run(self) -> ExitCode:
         """Serve until a signal, then until the target is gone."""
@@ -122,8 +124,8 @@
     def _read_gauges(self) -> dict[str, float]:
         context = self.steering.context
         return {
-            'flows_held': len(context.held.by_flow),
-            'load': context.held.load,
+            'flows_held': len(context.held_flows.by_flow),
+            'load': context.held_flows.load,
             'service_s': context.estimate_service_s(),
             'agents': len(context.peers.agents),
             'balancers': len(context.peers.balancers),
@@ -136,7 +138,7 @@
             _logger,
             'agent.leaving',
             phase=self.steering.context.gate.phase.value,
-            flows=len(self.steering.context.held.by_flow),
+            flows=len(self.steering.context.held_flows.by_flow),
         )
         self.steering.leave()
         if self.steering.context.gate.phase is TargetPhase.GONE:
@@ -152,7 +154,7 @@
     def _add_members(self, balancers: list[bytes], agents: list[bytes]) -> None:
         peers = self.steering.context.peers
         added = [
-            address for address in balancers if peers.note_balancer(address)
+            address for address in balancers if peers.record_balancer(address)
         ]
         # Agents of other services answer with a report that contains
         # their service, and are not stored.
@@ -161,20 +163,20 @@
             for address in agents
             if address not in peers.agents and address != self._settings.address
         ]
-        self.steering.reports.introduce(added)
+        self.steering.reports.report_to(added)
 
     def _handle_target_packet(self, raw: bytes, _: str) -> None:
         segment = self._codec.decode_from_target(raw)
         if segment is None:
             self.steering.context.counts['dropped_unreadable'] += 1
             return
-        self.steering.take_from_target(segment)
+        self.steering.handle_target_packet(segment)
 
     def _handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
         segment = None
         if message.kind <= PeerKind.SEARCH:
             segment = self._codec.decode_from_caller(message.body)
-        self.steering.take_peer_message(sender, message, segment)
+        self.steering.handle_peer_message(sender, message, segment)
 
     def _answer(self, request: HttpRequest) -> HttpReply:
         if request.path.partition('?')[0] == self._codec.readiness_path:
@@ -186,7 +188,7 @@
             case 'PUT':
                 return self._handle_heartbeat(target_id, request.body)
             case 'DELETE':
-                self.steering.take_departure(target_id)
+                self.steering.handle_departure(target_id)
                 return HttpReply(OK, self._codec.acknowledgement)
         return HttpReply(NOT_ALLOWED)
 
@@ -205,5 +207,5 @@
                 reason=decoded.err_value,
             )
             return HttpReply(BAD_REQUEST)
-        self.steering.take_heartbeat(decoded.ok_value)
+        self.steering.handle_heartbeat(decoded.ok_value)
         return HttpReply(OK, self._codec.acknowledgement)
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -66,7 +66,7 @@
             data_address,
             self._handle_caller_packet,
             counts,
-            self.steering.backlog.note_empty,
+            self.steering.backlog.mark_socket_empty,
         )
         self._bind(settings.balancer_port, counts, ignore_empty)
         self._follower = RouteFollower(store, self.steering, random.Random())
@@ -99,7 +99,7 @@
         """Forward until the balancer may leave the rotation, then leave it."""
         asked_s = self._timers.now()
         log_event(_logger, 'balancer.leaving', **self.steering.counts)
-        self.steering.contacts.rotation.ask_to_leave()
+        self.steering.contacts.rotation.request_leave()
         self.steering.contacts.enter_stage(BalancerStage.LEAVING)
         limit_s = self._settings.termination_s - LEAVE_S - LEAVE_RESERVE_S
         while not self.steering.contacts.rotation.may_leave():
@@ -127,10 +127,10 @@
         if segment is None:
             self.steering.counts['dropped_unreadable'] += 1
             return
-        self.steering.take_from_caller(segment)
+        self.steering.handle_caller_packet(segment)
 
     def _handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
-        self.steering.take_peer_message(sender, message)
+        self.steering.handle_peer_message(sender, message)
 
     def _answer(self, request: HttpRequest) -> HttpReply:
         if request.path.partition('?')[0] != self._codec.readiness_path:
--- a/greengagepath/steering/segments.py
+++ b/greengagepath/steering/segments.py
@@ -1,4 +1,4 @@
-"""Packet of a plain flow, as the decisions see it."""
+"""Packet of a plain flow, independent of the wire format."""
 
 import struct
 
@@ -12,9 +12,10 @@
 
     `flow` identifies the flow by the caller's addresses and ports, in
     both directions. `sequence` and `acknowledged` are unsigned 32-bit
-    numbers.
-    `is_returned` marks a caller's packet that the target gave back,
-    `is_refusal` the answer of a target that has not run a request.
+    numbers; `acknowledged` of an opening packet is its copy number.
+    `is_opening_answer` marks a target's answer to an opening packet,
+    `is_returned` a caller's packet that the target sent back, and
+    `is_refusal` a response that says that the request was not run.
     """
 
     __slots__ = (
@@ -24,10 +25,10 @@
         'has_acknowledgement',
         'is_final',
         'is_opening',
+        'is_opening_answer',
         'is_refusal',
         'is_reset',
         'is_returned',
-        'opens_answer',
         'raw',
         'sequence',
     )
@@ -47,7 +48,7 @@
         self.acknowledged = acknowledged
         self.data_bytes = data_bytes
         self.is_opening = False
-        self.opens_answer = False
+        self.is_opening_answer = False
         self.has_acknowledgement = False
         self.is_final = False
         self.is_reset = False
@@ -55,13 +56,13 @@
         self.is_refusal = False
 
     @property
-    def copy(self) -> int:
-        """Return how many copies of an opening packet came before."""
+    def copy_number(self) -> int:
+        """Return how often the opening packet was sent before this copy."""
         return self.acknowledged if self.is_opening else 0
 
 
 def describe_flow(flow: bytes) -> str:
-    """Return `source:port>destination:port` for logs."""
+    """Return the flow as `source:port>destination:port` for logs."""
     source_port, port, destination, source = _FLOW.unpack(flow)
     caller = '.'.join(map(str, source))
     route = '.'.join(map(str, destination))
--- a/tests/agent/test_agent_machine.py
+++ b/tests/agent/test_agent_machine.py
@@ -1,4 +1,4 @@
-"""Invariants of an agent under duplicated, late and replayed datagrams."""
+"""Invariants of an agent with duplicated, late and replayed datagrams."""
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -17,7 +17,10 @@
 
 
 class AgentMachine(RuleBasedStateMachine):
-    """Callers retry only what was refused, or is idempotent."""
+    """Random sequences of events at one agent.
+
+    Callers retry only requests that the agent has refused.
+    """
 
     def __init__(self):
         super().__init__()
@@ -89,13 +92,13 @@
     @rule(position=POSITION, kind=st.sampled_from((Kind.CANCEL, Kind.PING)))
     def cancel_or_ping(self, position, kind):
         attempt = self._pick(list(self.world.requests_by_attempt), position)
-        self.world.tell(self.world.flow_of(attempt), kind, attempt[1])
+        self.world.send_in_flow(self.world.flow_of(attempt), kind, attempt[1])
 
     @precondition(lambda machine: machine.world.flows)
     @rule(position=POSITION)
     def cancel_before_the_request(self, position):
         flow = self._pick(self.world.flows, position)
-        self.world.tell(flow, Kind.CANCEL, flow.next_number)
+        self.world.send_in_flow(flow, Kind.CANCEL, flow.next_number)
 
     @precondition(lambda machine: machine.world.answers_by_attempt)
     @rule(position=POSITION)
@@ -109,7 +112,7 @@
         flow = self._pick(self.world.flows, position)
         flow.caller = ('198.51.100.1', port)
         flow.callers.add(flow.caller)
-        self.world.tell(flow, Kind.PING, 0)
+        self.world.send_in_flow(flow, Kind.PING, 0)
 
     @precondition(lambda machine: machine.world.running)
     @rule(
@@ -147,13 +150,13 @@
         for attempt in self.world.refused_attempts():
             runs = (
                 self.world.started_by_attempt[attempt]
-                - self.world.turned_down_by_attempt[attempt]
+                - self.world.not_run_by_attempt[attempt]
             )
             assert not runs, f'{attempt} was refused and ran'
 
     @invariant()
     def caller_receives_the_answer_to_its_own_request(self):
-        # Flows and tokens are checked by the world for each datagram.
+        # World checks flow and token of each datagram to a caller.
         for attempt, answer in self.world.answers_by_attempt.items():
             request = self.world.requests_by_attempt[attempt]
             assert answer.request_id == request.request_id
@@ -164,14 +167,17 @@
         load = agent.gate.load()
         assert load.in_flight <= 2
         assert load.queued <= 3
-        assert len(agent.table.records) <= agent.table.records.max_records
-        assert agent.flows.active <= agent.flows.max_active
+        assert (
+            len(agent.request_table.records)
+            <= agent.request_table.records.max_records
+        )
+        assert agent.flow_table.active <= agent.flow_table.max_active
         assert agent.reassembly.reserved_bytes <= (
             agent.reassembly.max_total_bytes
         )
 
     def _retriable(self):
-        """Return attempts whose request certainly did not run."""
+        """Return refused attempts that were not retried yet."""
         refused = self.world.refused_attempts() - self.retried
         return sorted(refused & self.world.requests_by_attempt.keys())
 
--- a/tests/datapath/builders.py
+++ b/tests/datapath/builders.py
@@ -1,11 +1,14 @@
-"""Routers with recorded sends, for tests of the data path."""
+"""Routers that record what they send, for tests of the data path."""
 
 from random import Random
 from types import SimpleNamespace
 
 from result import Err, Ok
 
-from greengagepath.datapath.packet_router import PacketRouter, RouterParts
+from greengagepath.datapath.packet_router import (
+    PacketRouter,
+    RouterDependencies,
+)
 from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.generated.messages import Configuration, Service
 from greengagepath.protocol.envelopes import open_envelope
@@ -52,7 +55,7 @@
 
 
 class FakeChooser:
-    """Hashes modulo the targets; probes the first one."""
+    """Chooses by flow id modulo the targets; probes the first one."""
 
     def __init__(self, targets):
         self.targets = targets
@@ -80,13 +83,16 @@
 
 
 def build_router(targets=(), keys=None, verified_tokens=100, seed=1):
-    """Return a router with `sent` (packet, address), and its parts."""
+    """Return a router with its dependencies and drop counters.
+
+    `sent` lists pairs of packet and address.
+    """
     sent = []
 
     def send_probe(packet, address):
         sent.append((packet, address))
 
-    parts = RouterParts(
+    dependencies = RouterDependencies(
         keys=keys or build_keys(),
         choosers=FakeChooser(list(targets)),
         timers=VirtualTimerService(),
@@ -97,7 +103,7 @@
         verified_tokens=verified_tokens,
         probes_per_s=100,
     )
-    router = PacketRouter(parts)
+    router = PacketRouter(dependencies)
     router.use_configuration(
         Configuration(
             version=1,
@@ -112,7 +118,10 @@
         )
     )
     return SimpleNamespace(
-        router=router, sent=sent, parts=parts, dropped=router.counters.dropped
+        router=router,
+        sent=sent,
+        dependencies=dependencies,
+        dropped=router.counters.dropped,
     )
 
 
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -1,8 +1,8 @@
-"""Balancers, agents, targets and callers in virtual time.
+"""Simulation of balancers, agents, targets and callers in virtual time.
 
-A small stand-in of the users' platform: the fabric hashes flows over
-balancers, targets return packets of flows that they do not hold, every
-datagram takes a millisecond.
+A small stand-in for the users' platform: the test chooses the balancer
+of each packet in place of the fabric, targets send back packets of
+flows that they do not hold, and every datagram takes a millisecond.
 """
 
 from greengagepath.foundation.timers import VirtualTimerService
@@ -30,7 +30,7 @@
 
 
 class FakeTarget:
-    """A target that holds flows and returns packets of others."""
+    """A target that opens flows and sends back packets of unknown ones."""
 
     def __init__(self, world: 'World', number: int) -> None:
         self.world = world
@@ -70,7 +70,7 @@
 
 
 class FakeOutbox:
-    """Passes datagrams of one process on after a hop."""
+    """Delivers the datagrams of one process after `HOP_S`."""
 
     def __init__(self, world: 'World', address: bytes) -> None:
         self.world = world
@@ -82,10 +82,12 @@
             return
         segment = self.world.segment_by_raw[raw]
         target = self.world.target_by_address[self.address]
-        self.world.later(lambda: target.receive(segment))
+        self.world.deliver_later(lambda: target.receive(segment))
 
     def to_caller(self, flow: bytes, raw: bytes) -> None:
-        self.world.later(lambda: self.world.receive_at_caller(flow, raw))
+        self.world.deliver_later(
+            lambda: self.world.receive_at_caller(flow, raw)
+        )
 
     def reset(self, flow: bytes) -> None:
         self.world.resets.append(flow)
@@ -93,14 +95,14 @@
     def to_agent(self, address: bytes, datagram: bytes) -> None:
         if self.is_dead:
             return
-        self.world.later(
+        self.world.deliver_later(
             lambda: self.world.receive_at_agent(self.address, address, datagram)
         )
 
     def to_balancer(self, address: bytes, datagram: bytes) -> None:
         if self.is_dead:
             return
-        self.world.later(
+        self.world.deliver_later(
             lambda: self.world.receive_at_balancer(
                 self.address, address, datagram
             )
@@ -136,7 +138,7 @@
             FakeOutbox(self, address),
             lambda: None,
         )
-        steering.use_routes(make_table())
+        steering.apply_routes(make_table())
         self.balancer_by_address[address] = steering
         steering.contacts.add_agents(list(self.agent_by_address))
         return steering
@@ -150,25 +152,27 @@
             self.timers,
             FakeOutbox(self, address),
         )
-        steering.take_heartbeat(make_heartbeat(target_id=f'i-{number}'))
+        steering.handle_heartbeat(make_heartbeat(target_id=f'i-{number}'))
         known = list(self.agent_by_address)
         self.agent_by_address[address] = steering
         for balancer in self.balancer_by_address:
-            steering.context.peers.note_balancer(balancer)
-        steering.reports.introduce([*self.balancer_by_address, *known])
+            steering.context.peers.record_balancer(balancer)
+        steering.reports.report_to([*self.balancer_by_address, *known])
         return steering
 
     def stop_agent(self, number: int) -> None:
-        """Kill the process; its timers do nothing any more."""
+        """Kill the process; what its timers send is discarded."""
         steering = self.agent_by_address.pop(make_address(number))
         steering.context.outbox.is_dead = True
 
     def send(self, segment: Segment, balancer: int = 1) -> None:
-        """Hand a caller's packet to a balancer, as the fabric does."""
+        """Deliver a caller's packet to a balancer, as the fabric does."""
         self.segment_by_raw[segment.raw] = segment
         address = make_address(balancer, network=9)
-        self.later(
-            lambda: self.balancer_by_address[address].take_from_caller(segment)
+        self.deliver_later(
+            lambda: self.balancer_by_address[address].handle_caller_packet(
+                segment
+            )
         )
 
     def open(self, flow: bytes, balancer: int = 1) -> int:
@@ -194,7 +198,7 @@
                 return target.number
         raise LookupError(flow)
 
-    def later(self, callback) -> None:
+    def deliver_later(self, callback) -> None:
         self.timers.call_after(HOP_S, callback)
 
     def send_from_target(self, number: int, segment: Segment) -> None:
@@ -205,13 +209,13 @@
         def deliver() -> None:
             agent = self.agent_by_address.get(address)
             if agent is not None:
-                agent.take_from_target(segment)
+                agent.handle_target_packet(segment)
 
-        self.later(deliver)
+        self.deliver_later(deliver)
 
     def receive_at_caller(self, flow: bytes, raw: bytes) -> None:
         segment = self.segment_by_raw[raw]
-        if segment.opens_answer:
+        if segment.is_opening_answer:
             self.answers.setdefault(flow, []).append(segment.sequence)
         elif segment.data_bytes:
             self.responses[flow] = self.responses.get(flow, 0) + 1
@@ -226,13 +230,13 @@
         segment = None
         if message.kind <= PeerKind.SEARCH:
             segment = self.segment_by_raw[message.body]
-        agent.take_peer_message(sender, message, segment)
+        agent.handle_peer_message(sender, message, segment)
 
     def receive_at_balancer(
         self, sender: bytes, address: bytes, datagram: bytes
     ) -> None:
         balancer = self.balancer_by_address.get(address)
         if balancer is not None:
-            balancer.take_peer_message(
+            balancer.handle_peer_message(
                 sender, decode_message(datagram).unwrap()
             )
