Rename ask_answers to ask_questions

Cause: questions are asked, answers are returned. Change: the function has the name ask_questions in the prompts, init and the tests of the prompts; nothing else changes.

--- a/greengagepath/cli/init.py
+++ b/greengagepath/cli/init.py
@@ -91,10 +91,10 @@
         if not sys.stdin.isatty():
             return Err(['no terminal to ask on; use --answers FILE'])
         # Prompts take half a second to load, which other commands save.
-        from .prompts import Cancelled, ask_answers
+        from .prompts import Cancelled, ask_questions
 
         try:
-            return check_answers(ask_answers())
+            return check_answers(ask_questions())
         except Cancelled:
             return Err(['cancelled, nothing was written'])
 
--- a/greengagepath/cli/prompts.py
+++ b/greengagepath/cli/prompts.py
@@ -21,7 +21,7 @@
     """The operator has left the questionnaire."""
 
 
-def ask_answers() -> Answers:
+def ask_questions() -> Answers:
     """Ask all questions; raises `Cancelled` on Ctrl-C."""
     asked = _ask_struct(inspect.type_info(Answers), '')
     return convert(asked, Answers)
--- a/tests/operator/test_prompts.py
+++ b/tests/operator/test_prompts.py
@@ -8,7 +8,7 @@
 from testtools import TestCase
 
 from greengagepath.cli.init import check_answers
-from greengagepath.cli.prompts import Cancelled, ask_answers
+from greengagepath.cli.prompts import Cancelled, ask_questions
 
 ENTER = '\r'
 CTRL_C = '\x03'
@@ -35,7 +35,7 @@
         with create_pipe_input() as pipe:
             pipe.send_text(typed)
             with create_app_session(input=pipe, output=DummyOutput()):
-                return ask_answers()
+                return ask_questions()
 
     def test_typed_answers_equal_those_of_a_file(self):
         # Guards against prompts that omit a question that a file answers.
