Rename internal names of the cli package by what they hold

Cause: names such as _plain, _finish, _change, _report_spread, held and moments did not say what they hold or do. Change: they name the value or the step, in the cli package and in the tests of the commands; no name leaves its module.

--- a/greengagepath/cli/apply.py
+++ b/greengagepath/cli/apply.py
@@ -112,17 +112,19 @@
         if isinstance(planned, Err):
             report_conflict(planned.err_value, as_json=self.as_json)
             return ExitCode.CONFLICT
-        return self._finish(connections, planned.ok_value)
+        return self._execute_plan(connections, planned.ok_value)
 
-    def _finish(self, connections: Connections, plan: ChangePlan) -> ExitCode:
+    def _execute_plan(
+        self, connections: Connections, plan: ChangePlan
+    ) -> ExitCode:
         if self.dry_run:
             report_plan(plan, as_json=self.as_json)
             return ExitCode.OK
         options = ChangeOptions(self.wait_s, self.as_json)
-        finished = run_plan(connections, plan, options)
-        if finished.is_stored:
+        change_result = run_plan(connections, plan, options)
+        if change_result.is_stored:
             update_base(self.path, compute_digest(plan.wanted.services))
-        return finished.code
+        return change_result.code
 
 
 def fetch_configuration(connections: Connections, path: Path) -> ExitCode:
--- a/greengagepath/cli/call.py
+++ b/greengagepath/cli/call.py
@@ -84,19 +84,23 @@
         """Run the command."""
         match load_services(self.configuration, self.settings):
             case Ok(services):
-                return self._choose(services)
+                return self._resolve_and_call(services)
             case Err(code):
                 return code
         return ExitCode.FAILURE
 
-    def _choose(self, services: list[Service]) -> ExitCode:
-        service = _find(services, self.service, 'service')
+    def _resolve_and_call(self, services: list[Service]) -> ExitCode:
+        service = _find_by_name(services, self.service, 'service')
         if service is None:
             return ExitCode.BAD_USAGE
-        operation = _find(service.operations, self.operation, 'operation')
+        operation = _find_by_name(
+            service.operations, self.operation, 'operation'
+        )
         customer = service.customers[0]
         if self.customer is not None:
-            customer = _find(service.customers, self.customer, 'customer')
+            customer = _find_by_name(
+                service.customers, self.customer, 'customer'
+            )
         if operation is None or customer is None:
             return ExitCode.BAD_USAGE
         return self._call(service, operation, customer.customer_id)
@@ -170,7 +174,7 @@
     return ExitCode.UNREACHABLE
 
 
-def _find(entries, name: str, kind: str):
+def _find_by_name(entries, name: str, kind: str):
     for entry in entries:
         if entry.name == name:
             return entry
@@ -201,9 +205,9 @@
 
 def _report_failure(failure: CallError, request_id: bytes) -> ExitCode:
     reason = failure.reason or failure.kind
-    verdict = 'did not run' if failure.not_run else 'may have run'
+    run_status = 'did not run' if failure.not_run else 'may have run'
     print_error(
-        f'{reason}: the request {verdict}',
+        f'{reason}: the request {run_status}',
         f'its request_id in the logs is {request_id.hex()}',
     )
     return _EXIT_CODES.get(failure.kind, ExitCode.FAILURE)
--- a/greengagepath/cli/changes.py
+++ b/greengagepath/cli/changes.py
@@ -54,9 +54,11 @@
         )
         return
     print_changes(plan.changes)
-    held = plan.stored.configuration.version
+    stored_version = plan.stored.configuration.version
     count = len(plan.changes)
-    make_console().print(f'fields that differ from version {held}: {count}')
+    make_console().print(
+        f'fields that differ from version {stored_version}: {count}'
+    )
 
 
 def report_conflict(conflict: ChangeConflict, *, as_json: bool) -> None:
@@ -106,7 +108,7 @@
         options.wait_s,
     )
     took_ms = round((connections.timers.now() - start_s) * MS_PER_S)
-    _report_spread(outcome, failures, (version, took_ms), options)
+    _report_rollout(outcome, failures, (version, took_ms), options)
     return ChangeResult(_choose_code(outcome), is_stored=True)
 
 
@@ -118,13 +120,13 @@
     return ExitCode.UNREACHABLE
 
 
-def _report_spread(
+def _report_rollout(
     outcome: RolloutStatus,
     failures: list[str],
-    progress: tuple[int, int],
+    version_and_took_ms: tuple[int, int],
     options: ChangeOptions,
 ) -> None:
-    version, took_ms = progress
+    version, took_ms = version_and_took_ms
     if options.as_json:
         print_json(
             {
@@ -141,10 +143,10 @@
             f' balancers after {took_ms} ms'
         )
     if not outcome.is_complete:
-        _report_behind(outcome, failures, version)
+        _report_incomplete_rollout(outcome, failures, version)
 
 
-def _report_behind(
+def _report_incomplete_rollout(
     outcome: RolloutStatus, failures: list[str], version: int
 ) -> None:
     for failure in failures:
--- a/greengagepath/cli/check.py
+++ b/greengagepath/cli/check.py
@@ -16,7 +16,7 @@
 from ..output.console import make_console, print_problems
 from ..protocol.keys import load_keys
 
-_Checked = Result[object, list[SettingProblem]]
+_CheckResult = Result[object, list[SettingProblem]]
 
 
 @cappa.command(
@@ -54,25 +54,27 @@
         return code
 
 
-def check_file(path: Path) -> _Checked:
+def check_file(path: Path) -> _CheckResult:
     """Return the content of a file of any kind, or its problems."""
-    return read_toml(path).and_then(lambda document: _check(document, path))
+    return read_toml(path).and_then(
+        lambda document: _check_document(document, path)
+    )
 
 
-def _check(document: TomlDocument, path: Path) -> _Checked:
+def _check_document(document: TomlDocument, path: Path) -> _CheckResult:
     if 'deployment' in document.raw:
         return load_answers(path)
     if 'services' in document.raw:
         return load_configuration(path)
     if 'role' in document.raw:
-        return load_settings(path).and_then(_check_files)
+        return load_settings(path).and_then(_check_referenced_files)
     if 'object_api' in document.raw:
-        return load_tool_settings(path).and_then(_check_files)
+        return load_tool_settings(path).and_then(_check_referenced_files)
     allowed = 'services, deployment, role or object_api'
     return Err([document.problem('file', list(document.raw), allowed)])
 
 
-def _check_files(settings) -> _Checked:
+def _check_referenced_files(settings) -> _CheckResult:
     problems: list[SettingProblem] = []
     keys = load_keys(settings)
     if isinstance(keys, Err):
--- a/greengagepath/cli/draining.py
+++ b/greengagepath/cli/draining.py
@@ -65,13 +65,13 @@
     with open_connections(path) as opened:
         match opened:
             case Ok(connections):
-                return _change(connections, request, options)
+                return _change_targets(connections, request, options)
             case Err(problems):
                 print_problems(problems)
     return ExitCode.BAD_USAGE
 
 
-def _change(
+def _change_targets(
     connections: Connections, request: DrainRequest, options: ChangeOptions
 ) -> ExitCode:
     stored = connections.store.read()
@@ -106,10 +106,10 @@
     services = stored.configuration.services
     if request.service is not None:
         return _find_by_name(services, request.service)
-    held = _find_by_drained(services, request.targets)
-    if held is not None:
-        return Ok(held)
-    return _find_by_records(connections, services, request.targets)
+    drained_from = _find_by_drained_targets(services, request.targets)
+    if drained_from is not None:
+        return Ok(drained_from)
+    return _find_by_member_records(connections, services, request.targets)
 
 
 def _find_by_name(
@@ -122,7 +122,7 @@
     return Err(UnknownName(f'no service is named {name}, only {names}'))
 
 
-def _find_by_drained(
+def _find_by_drained_targets(
     services: list[Service], targets: tuple[str, ...]
 ) -> Service | None:
     for service in services:
@@ -131,7 +131,7 @@
     return None
 
 
-def _find_by_records(
+def _find_by_member_records(
     connections: Connections,
     services: list[Service],
     targets: tuple[str, ...],
--- a/greengagepath/cli/init.py
+++ b/greengagepath/cli/init.py
@@ -77,7 +77,7 @@
             if path is not None and path.exists() and not self.force:
                 print_error(f'{path} exists', 'use --force to overwrite it')
                 return ExitCode.BAD_USAGE
-        match self._find_answers():
+        match self._read_answers():
             case Ok(answers):
                 self._write(answers)
                 return ExitCode.OK
@@ -85,7 +85,7 @@
                 print_problems(problems)
         return ExitCode.BAD_USAGE
 
-    def _find_answers(self) -> Result[Answers, list[object]]:
+    def _read_answers(self) -> Result[Answers, list[object]]:
         if self.answers is not None:
             return load_answers(self.answers)
         if not sys.stdin.isatty():
@@ -127,11 +127,11 @@
 def _render_notes(text: str, notes: dict[str, str]) -> str:
     lines = text.splitlines()
     lines_by_key = locate_keys(text)
-    shown = ['derived values:']
+    rendered = ['derived values:']
     for key, note in notes.items():
         number = lines_by_key.get(key)
         if number is not None:
             entry = lines[number - 1].partition('=')[2].strip()
-            shown.append(f'  {key} = {entry}')
-            shown.append(f'      {note}')
-    return '\n'.join(shown)
+            rendered.append(f'  {key} = {entry}')
+            rendered.append(f'      {note}')
+    return '\n'.join(rendered)
--- a/greengagepath/cli/prompts.py
+++ b/greengagepath/cli/prompts.py
@@ -23,17 +23,17 @@
 
 def ask_questions() -> Answers:
     """Ask all questions; raises `Cancelled` on Ctrl-C."""
-    asked = _ask_struct(inspect.type_info(Answers), '')
-    return convert(asked, Answers)
+    answers = _ask_struct(inspect.type_info(Answers), '')
+    return convert(answers, Answers)
 
 
 def parse_answer(text: str, schema: inspect.Type) -> object:
     """Return the typed value of a text answer, or the text itself."""
-    plain = schema.type if isinstance(schema, inspect.Metadata) else schema
+    base_type = schema.type if isinstance(schema, inspect.Metadata) else schema
     try:
-        if isinstance(plain, inspect.IntType):
+        if isinstance(base_type, inspect.IntType):
             return int(text)
-        if isinstance(plain, inspect.FloatType):
+        if isinstance(base_type, inspect.FloatType):
             return float(text)
     except ValueError:
         return text
@@ -58,12 +58,12 @@
 
 
 def _is_list(field: inspect.Field) -> bool:
-    return isinstance(_plain(field.type), inspect.ListType)
+    return isinstance(_strip_metadata(field.type), inspect.ListType)
 
 
 def _ask_list(field: inspect.Field, key: str) -> list[dict[str, Any]]:
     entries: list[dict[str, Any]] = []
-    item_schema = _plain(_plain(field.type).item_type)
+    item_schema = _strip_metadata(_strip_metadata(field.type).item_type)
     subject = _QUESTIONS_BY_FIELD.get(field.encode_name, field.encode_name)
     while not entries or _ask(questionary.confirm(f'Another {subject}?')):
         questionary.print(f'{len(entries) + 1}. {subject}')
@@ -73,14 +73,14 @@
 
 def _ask_field(field: inspect.Field, key: str) -> object:
     schema = field.type
-    plain = _plain(schema)
+    base_type = _strip_metadata(schema)
     has_default = field.default is not NODEFAULT
     default = field.default if has_default else None
     message = f'{key}: {_describe(schema, field.encode_name)}'
-    if isinstance(plain, inspect.BoolType):
+    if isinstance(base_type, inspect.BoolType):
         return _ask(questionary.confirm(message, default=bool(default)))
-    if isinstance(plain, inspect.EnumType):
-        choices = [str(entry.value) for entry in plain.cls]
+    if isinstance(base_type, inspect.EnumType):
+        choices = [str(entry.value) for entry in base_type.cls]
         return _ask(questionary.select(message, choices=choices))
     text = _ask(
         questionary.text(
@@ -99,7 +99,7 @@
     return answer
 
 
-def _plain(schema: inspect.Type) -> Any:
+def _strip_metadata(schema: inspect.Type) -> Any:
     return schema.type if isinstance(schema, inspect.Metadata) else schema
 
 
--- a/greengagepath/cli/report.py
+++ b/greengagepath/cli/report.py
@@ -145,18 +145,18 @@
     A daemon that does not answer is named and left out; the error is
     that none has answered, or that the history cannot be read.
     """
-    held = read_snapshots(history)
-    if isinstance(held, Err):
-        return Err([held.err_value])
+    loaded = read_snapshots(history)
+    if isinstance(loaded, Err):
+        return Err([loaded.err_value])
     scraped = [scrape(url) for url in urls]
     reasons = [found.err_value for found in scraped if isinstance(found, Err)]
-    fresh = [found.ok_value for found in scraped if isinstance(found, Ok)]
-    if not fresh:
+    new = [found.ok_value for found in scraped if isinstance(found, Ok)]
+    if not new:
         return Err(reasons)
     print_problems(reasons)
-    append_snapshots(history, fresh)
-    earlier = [entry for entry in held.ok_value if entry.source in urls]
-    return Ok(earlier + fresh)
+    append_snapshots(history, new)
+    earlier = [entry for entry in loaded.ok_value if entry.source in urls]
+    return Ok(earlier + new)
 
 
 def make_report(
@@ -168,8 +168,8 @@
     objectives = collect_objectives(services)
     tallies: list[Tally] = tally_outcomes(outcomes, objectives)
     tallies.extend(tally_snapshots(snapshots, objectives))
-    moments = [entry.time for entry in (*outcomes, *snapshots)]
-    now_s = max(moments, default=time.time())
+    times = [entry.time for entry in (*outcomes, *snapshots)]
+    now_s = max(times, default=time.time())
     return BurnReport(
         now_s=now_s,
         burn=compute_burn(tallies, objectives, now_s),
--- a/greengagepath/cli/status.py
+++ b/greengagepath/cli/status.py
@@ -73,17 +73,17 @@
         return ExitCode.BAD_USAGE
 
     def _run(self, connections: Connections) -> ExitCode:
-        code = self._show(connections)
+        code = self._print_status(connections)
         try:
             while self.watch:
                 gevent.sleep(self.every_s)
                 make_console().clear()
-                code = self._show(connections)
+                code = self._print_status(connections)
         except KeyboardInterrupt:
             return ExitCode.OK
         return code
 
-    def _show(self, connections: Connections) -> ExitCode:
+    def _print_status(self, connections: Connections) -> ExitCode:
         addresses = [
             address
             for address in map(parse_address, self.balancers)
--- a/greengagepath/cli/tool.py
+++ b/greengagepath/cli/tool.py
@@ -23,7 +23,7 @@
 from .status import Status
 from .undrain import Undrain
 
-SCRIPT_COLUMNS = 1000
+COMPLETION_COLUMNS = 1000
 
 
 @cappa.command(
@@ -71,12 +71,14 @@
 
 
 def _make_output(arguments: list[str]) -> cappa.Output:
-    is_script = any(entry.startswith('--completion') for entry in arguments)
-    if not is_script:
+    prints_completion = any(
+        entry.startswith('--completion') for entry in arguments
+    )
+    if not prints_completion:
         return cappa.Output()
     # The shell must get the lines of its script unbroken.
     console = Console(
-        file=sys.stdout, theme=cappa.output.theme, width=SCRIPT_COLUMNS
+        file=sys.stdout, theme=cappa.output.theme, width=COMPLETION_COLUMNS
     )
     return cappa.Output(output_console=console)
 
--- a/tests/operator/fleet.py
+++ b/tests/operator/fleet.py
@@ -62,8 +62,8 @@
     )
     for member in members:
         member.start()
-    report = json.dumps({'object_api': object_port, 'balancers': ports})
-    sys.stdout.write(f'{report}\n')
+    ports_json = json.dumps({'object_api': object_port, 'balancers': ports})
+    sys.stdout.write(f'{ports_json}\n')
     sys.stdout.flush()
     FileObject(sys.stdin).read()
 
--- a/tests/operator/test_cli.py
+++ b/tests/operator/test_cli.py
@@ -132,13 +132,15 @@
         write_tool_settings(self.folder, self.api.url, self.balancer.name)
         self.init()
 
-    def run_with(self, command, *arguments):
+    def run_with_settings(self, command, *arguments):
         return self.run_command(
             command, *arguments, '--settings', self.settings
         )
 
     def apply(self, *arguments):
-        return self.run_with('apply', self.file, '--wait-s', 1, *arguments)
+        return self.run_with_settings(
+            'apply', self.file, '--wait-s', 1, *arguments
+        )
 
     def edit(self, before, after):
         text = self.file.read_text()
@@ -176,12 +178,12 @@
         self.edit('queue_length = 200', 'queue_length = 100')
         self.apply()
         other.write_text(other.read_text().replace('max_flows = 2000', ''))
-        code = self.run_with('apply', other)
+        code = self.run_with_settings('apply', other)
         self.assertEqual(ExitCode.CONFLICT, code)
         self.assertIn('queue_length: 100 -> 200', self.out.getvalue())
         self.assertIn('--base-version 2', self.err.getvalue())
         self.assertEqual(2, self.api.writes)
-        code = self.run_with('apply', other, '--base-version', 2)
+        code = self.run_with_settings('apply', other, '--base-version', 2)
         self.assertEqual(ExitCode.OK, code)
 
     def test_fetched_file_can_be_applied(self):
@@ -230,16 +232,18 @@
                 service_id=stored['service_id'],
             )
         ]
-        self.assertEqual(ExitCode.OK, self.run_with('drain', 'core-1'))
+        self.assertEqual(ExitCode.OK, self.run_with_settings('drain', 'core-1'))
         self.edit('queue_length = 200', 'queue_length = 100')
         self.assertEqual(ExitCode.OK, self.apply())
-        self.assertEqual(['core-1'], self.drained())
-        self.assertEqual(ExitCode.OK, self.run_with('undrain', 'core-1'))
-        self.assertEqual([], self.drained())
-        code = self.run_with('drain', 'nobody')
+        self.assertEqual(['core-1'], self.get_drained_targets())
+        self.assertEqual(
+            ExitCode.OK, self.run_with_settings('undrain', 'core-1')
+        )
+        self.assertEqual([], self.get_drained_targets())
+        code = self.run_with_settings('drain', 'nobody')
         self.assertEqual(ExitCode.BAD_USAGE, code)
 
-    def drained(self):
+    def get_drained_targets(self):
         services = self.api.objects[CURRENT]['body']['services']
         return services[0]['drained_targets']
 
@@ -247,18 +251,18 @@
         # Guards against a status that needs the object API.
         self.apply()
         self.api.close()
-        self.assertEqual(ExitCode.OK, self.run_with('status'))
+        self.assertEqual(ExitCode.OK, self.run_with_settings('status'))
         self.assertIn('has version 1 in force', self.out.getvalue())
-        self.run_with('status', '--json')
+        self.run_with_settings('status', '--json')
         reply = json.loads(self.out.getvalue())
         self.assertEqual(1, reply['configuration_version'])
 
     def test_wrong_key_is_refused(self):
         # Guards against a tool of another system that is obeyed.
         (self.folder / 'tag.key').write_text(OTHER_SECRET)
-        self.assertEqual(ExitCode.UNREACHABLE, self.run_with('status'))
+        self.assertEqual(ExitCode.UNREACHABLE, self.run_with_settings('status'))
         (self.folder / 'tag.key').write_text(SECRET)
-        self.assertEqual(ExitCode.OK, self.run_with('status'))
+        self.assertEqual(ExitCode.OK, self.run_with_settings('status'))
 
 
 class ReportTest(CommandTest):
--- a/tests/operator/test_fleet.py
+++ b/tests/operator/test_fleet.py
@@ -15,7 +15,7 @@
 from .test_cli import CommandTest
 
 SCRIPT = Path(__file__).with_name('fleet.py')
-LIMIT_S = 10
+TIMEOUT_S = 10
 
 
 @pytest.mark.processes
@@ -29,7 +29,7 @@
             stdin=subprocess.PIPE,
             stdout=subprocess.PIPE,
         )
-        self.addCleanup(self.fleet.communicate, timeout=LIMIT_S)
+        self.addCleanup(self.fleet.communicate, timeout=TIMEOUT_S)
         ports = json.loads(self.fleet.stdout.readline())
         self.settings = write_tool_settings(
             self.folder,
@@ -45,7 +45,7 @@
         return code, json.loads(self.out.getvalue() or 'null')
 
     def wait_for_records(self, count):
-        deadline_s = time.monotonic() + LIMIT_S
+        deadline_s = time.monotonic() + TIMEOUT_S
         while time.monotonic() < deadline_s:
             _, status = self.run_json('status')
             if status is not None and len(status['records']) == count:
