Reword docstrings, help and error texts of the cli package

Cause: help and errors were terse or figurative ('Else the operation says.', 'break it on purpose', 'the logs hold nothing of'). Change: they state what a command does, its defaults and exit codes, and what to do after an error; commands, flags, exit codes and JSON stay.

--- a/greengagepath/cli/__init__.py
+++ b/greengagepath/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Commands of the tool, one for each module."""
+"""Commands of the `greengagepath` tool, one per module."""
--- a/greengagepath/cli/apply.py
+++ b/greengagepath/cli/apply.py
@@ -1,4 +1,4 @@
-"""`apply`: bring a configuration file into force."""
+"""`apply`: stores a configuration file and waits until it is in force."""
 
 from dataclasses import dataclass
 from pathlib import Path
@@ -34,11 +34,12 @@
 
 
 @cappa.command(
-    help='Bring a configuration file into force on every balancer.',
+    help='Apply a configuration file on every balancer.',
     description="""
-Shows the difference, writes it only if nobody has changed the
-configuration since the file was made, and waits until every balancer
-has it or says which has not. Drained targets are kept, see `drain`.
+Shows the fields that change and stores the file, unless somebody else
+has changed the configuration since the file was made. Then waits until
+the new version is in force on every balancer, and lists the balancers
+where it is not. Drained targets stay drained, see `drain`.
 Exit codes: 2 bad file, 3 conflict, 4 unreachable, 5 not in force in
 time.
 
@@ -58,13 +59,13 @@
     ]
     settings: SettingsOption = DEFAULT_SETTINGS
     dry_run: Annotated[
-        bool, cappa.Arg(long=True, help='Only show the difference.')
+        bool, cappa.Arg(long=True, help='Show the changes, store nothing.')
     ] = False
     fetch: Annotated[
         bool,
         cappa.Arg(
             long=True,
-            help='Write the stored configuration to FILE and end.',
+            help='Write the stored configuration to FILE and exit.',
         ),
     ] = False
     base_version: Annotated[
@@ -72,7 +73,7 @@
         cappa.Arg(
             long=True,
             value_name='VERSION',
-            help='Apply over this version, whatever the file was made from.',
+            help='Replace this stored version, whatever `base` in FILE says.',
         ),
     ] = None
     wait_s: WaitOption = DEFAULT_WAIT_S
@@ -104,8 +105,8 @@
         stored = connections.store.read()
         if isinstance(stored, Err):
             print_error(
-                f'the object API cannot be read: {stored.err_value}',
-                'nothing was changed; balancers keep what is in force',
+                f'cannot read from the object API: {stored.err_value}',
+                'nothing was changed; balancers keep their configuration',
             )
             return ExitCode.UNREACHABLE
         planned = plan_file(stored.ok_value, content, self.base_version)
@@ -128,7 +129,7 @@
 
 
 def fetch_configuration(connections: Connections, path: Path) -> ExitCode:
-    """Write the stored configuration to a file."""
+    """Write the stored configuration to a file, replacing its content."""
     match connections.store.read():
         case Ok(stored):
             services = stored.configuration.services
@@ -138,5 +139,5 @@
             make_console().print(f'{path}: version {version}', markup=False)
             return ExitCode.OK
         case Err(reason):
-            print_error(f'the object API cannot be read: {reason}')
+            print_error(f'cannot read from the object API: {reason}')
     return ExitCode.UNREACHABLE
--- a/greengagepath/cli/bench.py
+++ b/greengagepath/cli/bench.py
@@ -1,4 +1,4 @@
-"""`bench`: the experiments of `make bench`."""
+"""`bench`: runs the experiments, as `make bench` does."""
 
 from dataclasses import dataclass
 from pathlib import Path
@@ -15,7 +15,7 @@
 @cappa.command(
     help='Run the experiments and write bench.json.',
     description="""
-Ends with 1 if a measure misses its bound.
+Exits with 1 if a measure misses its bound.
 
 Examples:
 
@@ -33,16 +33,17 @@
             short=True,
             long=True,
             value_name='FOLDER',
-            help='Where bench.json is written.',
+            help='Folder for bench.json.',
         ),
     ] = DEFAULT_OUTPUT
     seed: Annotated[
-        int, cappa.Arg(long=True, value_name='N', help='Seed of the rows.')
+        int,
+        cappa.Arg(long=True, value_name='N', help='Seed of the experiments.'),
     ] = DEFAULT_SEED
 
     def __call__(self) -> ExitCode:
         """Run the command."""
-        # The experiments are loaded only where they are used.
+        # Imported here, so that other commands do not load the experiments.
         from ..bench.runner import run_benchmark
 
         return run_benchmark(self.output, self.seed)
--- a/greengagepath/cli/call.py
+++ b/greengagepath/cli/call.py
@@ -1,4 +1,4 @@
-"""`call`: one request through the system, as a caller sends it."""
+"""`call`: sends one request through the system, as a caller does."""
 
 import sys
 from dataclasses import dataclass
@@ -39,10 +39,10 @@
 @cappa.command(
     help='Send one request to a service and print the answer.',
     description="""
-Method, deadline and whether the request may run twice come from the
-operation in the configuration. The body of the answer goes to the
-standard output. Exit codes: 1 refused or failed, 4 unreachable,
-5 deadline.
+The configuration of the operation gives the method, the deadline and
+whether the request is idempotent, that is, may run twice. The body of
+the answer is written to standard output. Exit codes: 1 refused or
+failed, 4 unreachable, 5 deadline exceeded.
 
 Examples:
 
@@ -56,17 +56,26 @@
 class Call:
     """Options of `call`."""
 
-    service: Annotated[str, cappa.Arg(value_name='SERVICE', help='Its name.')]
+    service: Annotated[
+        str, cappa.Arg(value_name='SERVICE', help='Name of the service.')
+    ]
     operation: Annotated[
-        str, cappa.Arg(value_name='OPERATION', help='Its name.')
+        str, cappa.Arg(value_name='OPERATION', help='Name of the operation.')
     ]
     path: Annotated[
         str | None,
-        cappa.Arg(value_name='PATH', help='Path; else the path prefix.'),
+        cappa.Arg(
+            value_name='PATH',
+            help='Path; by default the path prefix of the operation.',
+        ),
     ] = None
     customer: Annotated[
         str | None,
-        cappa.Arg(long=True, value_name='NAME', help='Else the first one.'),
+        cappa.Arg(
+            long=True,
+            value_name='NAME',
+            help='Customer; by default the first one of the service.',
+        ),
     ] = None
     body_path: Annotated[
         Path | None,
@@ -74,7 +83,11 @@
     ] = None
     deadline_ms: Annotated[
         int | None,
-        cappa.Arg(long=True, value_name='MS', help='Else the operation says.'),
+        cappa.Arg(
+            long=True,
+            value_name='MS',
+            help='Deadline; by default that of the operation.',
+        ),
     ] = None
     configuration: ConfigurationOption = None
     settings: SettingsOption = DEFAULT_SETTINGS
@@ -140,9 +153,11 @@
 def load_services(
     configuration: Path | None, settings: Path
 ) -> Result[list[Service], ExitCode]:
-    """Return services from a file or the object API.
+    """Return the services of a file, or those in the object API.
 
-    What is wrong has been printed when the exit code is returned.
+    Without a `configuration` file the object API named in `settings` is
+    read. The error is the exit code of the command; the problems have
+    been printed by then.
     """
     if configuration is not None:
         match load_configuration(configuration):
@@ -169,8 +184,8 @@
 
 
 def _report_unreadable(reason: str) -> ExitCode:
-    advice = 'name a configuration file with --configuration'
-    print_error(f'the object API cannot be read: {reason}', advice)
+    advice = 'use a configuration file with --configuration FILE'
+    print_error(f'cannot read from the object API: {reason}', advice)
     return ExitCode.UNREACHABLE
 
 
@@ -199,7 +214,7 @@
         sys.stdout.buffer.flush()
     if answer.status < _FIRST_ERROR_STATUS:
         return ExitCode.OK
-    print_error(f'the service answered with status {answer.status}')
+    print_error(f'the service returned status {answer.status}')
     return ExitCode.FAILURE
 
 
@@ -208,6 +223,6 @@
     run_status = 'did not run' if failure.not_run else 'may have run'
     print_error(
         f'{reason}: the request {run_status}',
-        f'its request_id in the logs is {request_id.hex()}',
+        f'search the logs for request_id {request_id.hex()}',
     )
     return _EXIT_CODES.get(failure.kind, ExitCode.FAILURE)
--- a/greengagepath/cli/changes.py
+++ b/greengagepath/cli/changes.py
@@ -1,4 +1,8 @@
-"""What `apply`, `drain` and `undrain` share: write, hand over, wait."""
+"""Execution of a change plan, shared by `apply`, `drain` and `undrain`.
+
+Stores the new configuration, sends it to balancers, waits until it is
+in force and reports the result.
+"""
 
 from dataclasses import dataclass
 
@@ -29,7 +33,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ChangeOptions:
-    """How long to wait, and how to report."""
+    """Longest wait for the change to be in force, and the output format."""
 
     wait_s: float
     as_json: bool
@@ -37,14 +41,17 @@
 
 @dataclass(slots=True, frozen=True)
 class ChangeResult:
-    """How a change ended; it may be stored and not yet in force."""
+    """Exit code of a change, and whether it is stored.
+
+    A stored change can still fail to be in force within the wait.
+    """
 
     code: ExitCode
     is_stored: bool
 
 
 def report_plan(plan: ChangePlan, *, as_json: bool) -> None:
-    """Show what a change would do."""
+    """Print the fields that a plan changes."""
     if as_json:
         print_json(
             {
@@ -62,7 +69,7 @@
 
 
 def report_conflict(conflict: ChangeConflict, *, as_json: bool) -> None:
-    """Show what somebody else has changed."""
+    """Print the fields that differ from the stored version, and advice."""
     if as_json:
         print_json({'conflict': conflict})
     else:
@@ -79,9 +86,10 @@
 def run_plan(
     connections: Connections, plan: ChangePlan, options: ChangeOptions
 ) -> ChangeResult:
-    """Write a plan and wait until it is in force.
+    """Store a plan, wait until it is in force and report the result.
 
-    A plan without changes only waits for the version that is stored.
+    Waits at most `options.wait_s` seconds. A plan without changes is not
+    written; the wait is then for the version that is already stored.
     """
     if not options.as_json:
         report_plan(plan, as_json=False)
@@ -116,7 +124,7 @@
     if isinstance(failure, ChangeConflict):
         report_conflict(failure, as_json=as_json)
         return ExitCode.CONFLICT
-    print_error(f'the object API cannot be written: {failure.reason}')
+    print_error(f'cannot write to the object API: {failure.reason}')
     return ExitCode.UNREACHABLE
 
 
@@ -153,9 +161,9 @@
         print_error(failure)
     if outcome.in_force == 0 and outcome.unreachable is not None:
         print_error(
-            f'version {version} is stored, but no balancer could be asked:'
+            f'version {version} is stored, but no balancer could be queried:'
             f' {outcome.unreachable}',
-            'name living balancers in the settings, then run `status`',
+            'list running balancers in the settings, then run `status`',
         )
         return
     for record in outcome.behind:
@@ -167,7 +175,7 @@
     print_error(
         f'version {version} is stored and in force on {outcome.in_force}'
         f' balancers, not on {len(outcome.behind)}',
-        'they take it when they are reachable again; see `status`',
+        'these receive it once they are reachable again; see `status`',
     )
 
 
--- a/greengagepath/cli/check.py
+++ b/greengagepath/cli/check.py
@@ -1,4 +1,4 @@
-"""`check`: all errors of files, offline."""
+"""`check`: reports all errors in files, offline."""
 
 from dataclasses import dataclass
 from pathlib import Path
@@ -22,9 +22,10 @@
 @cappa.command(
     help='Check files offline and report all errors at once.',
     description="""
-The kind of a file follows from its content: a configuration, answers
-to the questionnaire, or settings of a daemon or of the tool. Settings
-are checked together with the key and certificate files they name.
+The kind of a file is detected from its content: a configuration,
+answers to the questionnaire, or settings of a daemon or of the tool.
+Settings are checked together with the key and certificate files that
+they refer to.
 
 Examples:
 
@@ -38,7 +39,12 @@
 
     files: Annotated[
         list[Path],
-        cappa.Arg(value_name='FILE', num_args=-1, required=True, help='Files.'),
+        cappa.Arg(
+            value_name='FILE',
+            num_args=-1,
+            required=True,
+            help='Files to check.',
+        ),
     ]
 
     def __call__(self) -> ExitCode:
--- a/greengagepath/cli/demo.py
+++ b/greengagepath/cli/demo.py
@@ -1,4 +1,4 @@
-"""`demo`: the whole system as processes on 127.0.0.1."""
+"""`demo`: runs the whole system as processes on 127.0.0.1."""
 
 from dataclasses import dataclass
 from typing import Annotated, Literal
@@ -13,12 +13,12 @@
 
 
 @cappa.command(
-    help='Start the whole system on 127.0.0.1 and break it on purpose.',
+    help='Run the whole system on 127.0.0.1 and inject failures.',
     description="""
-Starts stand-ins of the platform, balancers and targets, sends a mixed
-load, and meanwhile kills a balancer, starts one, drains and adds
-targets and applies a configuration. Ends with 0 only if nothing was
-lost, duplicated or cut.
+Starts stand-ins for the platform, balancers and targets, and sends a
+mixed load. During the load it kills a balancer, starts another, drains
+and adds targets and applies a configuration. Exits with 0 only if no
+request was lost or run twice and no flow was broken.
 
 Examples:
 
@@ -38,12 +38,12 @@
         cappa.Arg(
             long=True,
             value_name='N',
-            help='Length of the load, at most 60.',
+            help='Duration of the load in seconds, at most 60.',
         ),
     ] = DEFAULT_SECONDS
     scenario: Annotated[
         Literal['cooperative', 'jinhua'],
-        cappa.Arg(long=True, help='Whose services are shown.'),
+        cappa.Arg(long=True, help='Example deployment to run.'),
     ] = 'cooperative'
     as_json: JsonOption = False
 
@@ -51,10 +51,10 @@
         """Run the command."""
         if not 0 < self.seconds <= MAX_SECONDS:
             raise cappa.Exit(
-                f'--seconds is from 1 to {MAX_SECONDS}',
+                f'--seconds must be from 1 to {MAX_SECONDS}',
                 code=int(ExitCode.BAD_USAGE),
             )
-        # The stand-ins are loaded only where they are used.
+        # Imported here, so that other commands do not load the stand-ins.
         from ..emulator.demo import run_demo
 
         return run_demo(self)
--- a/greengagepath/cli/drain.py
+++ b/greengagepath/cli/drain.py
@@ -1,4 +1,4 @@
-"""`drain`: let targets finish their work and give them no new work."""
+"""`drain`: stops new work for targets; work in progress finishes."""
 
 from dataclasses import dataclass
 
@@ -8,10 +8,11 @@
 
 
 @cappa.command(
-    help='Let targets finish their work and give them no new work.',
+    help='Stop new work for targets; work in progress finishes.',
     description="""
-The change is stored, so that it outlives restarts; new work stops
-within 3 s, work in progress finishes.
+The drain is stored in the configuration, so it persists across
+restarts and `apply`. New work stops within 3 s; work in progress
+finishes.
 
 Examples:
 
--- a/greengagepath/cli/draining.py
+++ b/greengagepath/cli/draining.py
@@ -1,4 +1,4 @@
-"""What `drain` and `undrain` share."""
+"""Options and implementation of `drain` and `undrain`."""
 
 from dataclasses import dataclass
 from pathlib import Path
@@ -30,7 +30,10 @@
 
 @dataclass(slots=True, frozen=True)
 class DrainRequest:
-    """Targets to drain or take back."""
+    """Targets to drain, or to undrain if `drained` is False.
+
+    `service` is the name of their service; None if it must be looked up.
+    """
 
     targets: tuple[str, ...]
     service: str | None
@@ -39,7 +42,7 @@
 
 @dataclass
 class DrainOptions:
-    """Options of both commands; `drained` is what they make of targets."""
+    """Options of both commands; `drained` is True for `drain`."""
 
     drained: ClassVar[bool]
 
@@ -61,7 +64,10 @@
 def run_drain(
     path: Path, request: DrainRequest, options: ChangeOptions
 ) -> ExitCode:
-    """Change the drained targets of a service and wait."""
+    """Change the drained targets of a service and wait for the change.
+
+    `path` is the settings file of the tool.
+    """
     with open_connections(path) as opened:
         match opened:
             case Ok(connections):
@@ -76,7 +82,7 @@
 ) -> ExitCode:
     stored = connections.store.read()
     if isinstance(stored, Err):
-        print_error(f'the object API cannot be read: {stored.err_value}')
+        print_error(f'cannot read from the object API: {stored.err_value}')
         return ExitCode.UNREACHABLE
     planned = find_service(connections, stored.ok_value, request).and_then(
         lambda service: plan_drain(
@@ -102,7 +108,14 @@
     stored: StoredConfiguration,
     request: DrainRequest,
 ) -> Result[Service, UnknownName | StoreUnreachable]:
-    """Return the one service that all targets belong to."""
+    """Return the one service that all targets belong to.
+
+    It is the service named in the request; otherwise the service that
+    lists all targets as drained, or the one in their member records,
+    which are queried from a balancer. The error is `UnknownName` if
+    there is no such service or several, `StoreUnreachable` if no
+    balancer answers.
+    """
     services = stored.configuration.services
     if request.service is not None:
         return _find_by_name(services, request.service)
@@ -119,7 +132,7 @@
         if service.name == name:
             return Ok(service)
     names = ', '.join(entry.name for entry in services)
-    return Err(UnknownName(f'no service is named {name}, only {names}'))
+    return Err(UnknownName(f'no service is named {name}; there are: {names}'))
 
 
 def _find_by_drained_targets(
--- a/greengagepath/cli/explain.py
+++ b/greengagepath/cli/explain.py
@@ -1,4 +1,4 @@
-"""`explain`: the way of one flow through the logs of all processes."""
+"""`explain`: traces one flow through the logs of all processes."""
 
 import sys
 from collections.abc import Iterator
@@ -15,10 +15,11 @@
 
 
 @cappa.command(
-    help='Show what happened to a flow, from logs.',
+    help='Trace a flow through log files.',
     description="""
-Reads log files, or standard input without any. FLOW is the flow as logs
-write it or a part of it, such as the caller's address and port.
+Reads the log files, or standard input if none is given. FLOW is the
+flow as written in the logs, or a part of it, such as the address and
+port of the caller.
 
 Examples:
 
@@ -30,21 +31,23 @@
 class Explain:
     """Options of `explain`."""
 
-    flow: Annotated[str, cappa.Arg(value_name='FLOW', help='The flow.')]
+    flow: Annotated[
+        str, cappa.Arg(value_name='FLOW', help='Flow or a part of it.')
+    ]
     logs: Annotated[
         list[Path], cappa.Arg(value_name='LOG', help='Log files.')
     ] = field(default_factory=list)
     as_json: JsonOption = False
 
     def __call__(self) -> ExitCode:
-        """Print the decisions in order, then the verdict."""
+        """Print the log events of the flow in order, then the outcome."""
         try:
             trace = collect_trace(self.flow, self._read_lines())
         except OSError as error:
             print_error(str(error))
             return ExitCode.BAD_USAGE
         if not trace:
-            print_error(f'the logs hold nothing of {self.flow}')
+            print_error(f'no log line matches flow {self.flow}')
             return ExitCode.FAILURE
         verdict = find_verdict(trace)
         if self.as_json:
--- a/greengagepath/cli/init.py
+++ b/greengagepath/cli/init.py
@@ -1,4 +1,4 @@
-"""`init`: from answers about a service to its configuration."""
+"""`init`: generates a configuration from answers about the services."""
 
 import sys
 from dataclasses import dataclass
@@ -27,8 +27,8 @@
 @cappa.command(
     help='Generate a configuration from answers about your services.',
     description="""
-Without `--answers` the questions are asked on the terminal. Every
-derived value is explained, on the terminal and in the file.
+Without `--answers`, asks the questions on the terminal. Explains every
+derived value on the terminal and in the file.
 
 Examples:
 
@@ -47,7 +47,7 @@
             short=True,
             long=True,
             value_name='FILE',
-            help='Answers in TOML; asked on the terminal if left out.',
+            help='Answers in TOML; by default asked on the terminal.',
         ),
     ] = None
     output: Annotated[
@@ -64,18 +64,20 @@
         cappa.Arg(
             long=True,
             value_name='FILE',
-            help='Also keep the answers, to change and use them again.',
+            help='Also write the answers to FILE, for use with --answers.',
         ),
     ] = None
     force: Annotated[
-        bool, cappa.Arg(long=True, help='Overwrite files that exist.')
+        bool, cappa.Arg(long=True, help='Overwrite existing files.')
     ] = False
 
     def __call__(self) -> ExitCode:
         """Run the command."""
         for path in (self.output, self.save_answers):
             if path is not None and path.exists() and not self.force:
-                print_error(f'{path} exists', 'use --force to overwrite it')
+                print_error(
+                    f'{path} already exists', 'use --force to overwrite it'
+                )
                 return ExitCode.BAD_USAGE
         match self._read_answers():
             case Ok(answers):
@@ -89,8 +91,9 @@
         if self.answers is not None:
             return load_answers(self.answers)
         if not sys.stdin.isatty():
-            return Err(['no terminal to ask on; use --answers FILE'])
-        # Prompts take half a second to load, which other commands save.
+            return Err(['standard input is not a terminal; use --answers FILE'])
+        # Importing the prompts takes half a second, so that only an
+        # interactive `init` does it.
         from .prompts import Cancelled, ask_questions
 
         try:
@@ -109,14 +112,14 @@
         console = make_console()
         console.print(_render_notes(text, notes), markup=False)
         console.print(
-            f'{self.output} is written; next: greengagepath apply'
+            f'wrote {self.output}; next: greengagepath apply'
             f' {self.output} --dry-run',
             markup=False,
         )
 
 
 def check_answers(answers: Answers) -> Result[Answers, list[object]]:
-    """Return answers given on the terminal, or each contradiction."""
+    """Return answers given on the terminal, or all contradictions."""
     problems: list[object] = [
         f'{key} = {found}: allowed: {allowed}'
         for key, found, allowed in find_contradictory_answers(answers)
--- a/greengagepath/cli/options.py
+++ b/greengagepath/cli/options.py
@@ -1,4 +1,4 @@
-"""Options that several commands share, declared once."""
+"""Options shared by several commands."""
 
 from pathlib import Path
 from typing import Annotated
@@ -15,19 +15,19 @@
         short='-s',
         long='--settings',
         value_name='FILE',
-        help='Settings of the tool: object API, balancers, keys.',
+        help='Settings of the tool: object API, balancers and keys.',
     ),
 ]
 JsonOption = Annotated[
     bool,
-    cappa.Arg(long='--json', help='Print JSON, for other programs.'),
+    cappa.Arg(long='--json', help='Print JSON for use by programs.'),
 ]
 WaitOption = Annotated[
     float,
     cappa.Arg(
         long='--wait-s',
         value_name='SECONDS',
-        help='How long to wait until the change is in force everywhere.',
+        help='Longest wait until the change is in force on all balancers.',
     ),
 ]
 ConfigurationOption = Annotated[
@@ -36,7 +36,7 @@
         short='-c',
         long='--configuration',
         value_name='FILE',
-        help='Use this file instead of the configuration in force.',
+        help='Use this file instead of the stored configuration.',
     ),
 ]
 ServiceOption = Annotated[
@@ -44,7 +44,7 @@
     cappa.Arg(
         long='--service',
         value_name='NAME',
-        help='Service of the targets; found by their records if left out.',
+        help='Service of the targets; by default looked up by their ids.',
     ),
 ]
 TargetsArgument = Annotated[
@@ -53,6 +53,6 @@
         value_name='TARGET',
         num_args=-1,
         required=True,
-        help='Member ids as `status` shows them.',
+        help='Member ids as shown by `status`.',
     ),
 ]
--- a/greengagepath/cli/prompts.py
+++ b/greengagepath/cli/prompts.py
@@ -1,4 +1,4 @@
-"""Questions on the terminal, made from the schema of the answers."""
+"""Terminal questionnaire, generated from the schema of the answers."""
 
 from typing import Any
 
@@ -18,17 +18,23 @@
 
 
 class Cancelled(Exception):  # noqa: N818
-    """The operator has left the questionnaire."""
+    """The operator pressed Ctrl-C during the questionnaire."""
 
 
 def ask_questions() -> Answers:
-    """Ask all questions; raises `Cancelled` on Ctrl-C."""
+    """Ask all questions and return the answers.
+
+    Raises `Cancelled` on Ctrl-C.
+    """
     answers = _ask_struct(inspect.type_info(Answers), '')
     return convert(answers, Answers)
 
 
 def parse_answer(text: str, schema: inspect.Type) -> object:
-    """Return the typed value of a text answer, or the text itself."""
+    """Return a text answer as the number that the schema asks for.
+
+    Other types and malformed numbers are returned as text.
+    """
     base_type = schema.type if isinstance(schema, inspect.Metadata) else schema
     try:
         if isinstance(base_type, inspect.IntType):
@@ -41,7 +47,7 @@
 
 
 def validate_answer(text: str, schema: inspect.Type) -> bool | str:
-    """Return whether the text can be used, or what can be."""
+    """Return True if the text is valid, else a message for the operator."""
     found = parse_answer(text, schema)
     if any(check_value(found, schema, 'answer')):
         return f'allowed: {describe_type(schema)}'
@@ -50,7 +56,8 @@
 
 def _ask_struct(schema: inspect.Type, prefix: str) -> dict[str, Any]:
     answers: dict[str, Any] = {}
-    # Lists last, so that a service is described before its operations.
+    # Lists come last, so that the fields of a service are asked before
+    # its operations.
     for field in sorted(schema.fields, key=_is_list):
         ask = _ask_list if _is_list(field) else _ask_field
         answers[field.encode_name] = ask(field, f'{prefix}{field.encode_name}')
--- a/greengagepath/cli/report.py
+++ b/greengagepath/cli/report.py
@@ -1,4 +1,4 @@
-"""`report`: service-level burn and the four measures."""
+"""`report`: service-level burn and measures of request outcomes."""
 
 import time
 from dataclasses import dataclass, field
@@ -52,10 +52,11 @@
 @cappa.command(
     help='Show service-level burn for each service and customer.',
     description="""
-Input are files of request outcomes in JSON lines, or `/metrics` of
-daemons; each scrape is added to a history, because windows need
-earlier totals. Run it every minute or so. Imbalance, head-of-line
-blocking and the peak need files of outcomes.
+The input is files of request outcomes in JSON lines, or `/metrics` of
+daemons. Each scrape is appended to a history file, because burn over a
+window is computed from earlier totals; run the command about once a
+minute. Imbalance, head-of-line blocking and quality in the busiest 10 s
+are computed from files of outcomes only.
 
 Examples:
 
@@ -72,8 +73,8 @@
         cappa.Arg(
             value_name='FILE',
             num_args=-1,
-            help='Outcomes: time, service, customer, operation, outcome,'
-            ' latency_ms and target.',
+            help='Request outcomes with time, service, customer, operation,'
+            ' outcome, latency_ms and target.',
         ),
     ] = field(default_factory=list)
     urls: Annotated[
@@ -81,16 +82,18 @@
         cappa.Arg(
             long='--metrics',
             value_name='URL',
-            help='Scrape this daemon; repeat for more.',
+            help='Scrape this daemon; can be repeated.',
         ),
     ] = field(default_factory=list)
     history: Annotated[
         Path,
-        cappa.Arg(long=True, value_name='FILE', help='Earlier scrapes.'),
+        cappa.Arg(long=True, value_name='FILE', help='History of scrapes.'),
     ] = DEFAULT_HISTORY
     html: Annotated[
         Path | None,
-        cappa.Arg(long=True, value_name='FILE', help='Also write a page.'),
+        cappa.Arg(
+            long=True, value_name='FILE', help='Also write an HTML page.'
+        ),
     ] = None
     configuration: ConfigurationOption = None
     settings: SettingsOption = DEFAULT_SETTINGS
@@ -99,7 +102,9 @@
     def __call__(self) -> ExitCode:
         """Run the command."""
         if not self.files and not self.urls:
-            print_error('no input', 'name files of outcomes or --metrics URL')
+            print_error(
+                'no input', 'give files of outcomes or use --metrics URL'
+            )
             return ExitCode.BAD_USAGE
         match load_services(self.configuration, self.settings):
             case Ok(services):
@@ -140,10 +145,11 @@
 def scrape_all(
     urls: list[str], history: Path
 ) -> Result[list[Snapshot], list[str]]:
-    """Scrape daemons and return their whole history.
+    """Scrape daemons and return their snapshots, old and new.
 
-    A daemon that does not answer is named and left out; the error is
-    that none has answered, or that the history cannot be read.
+    New snapshots are appended to the `history` file. The error of each
+    failed scrape is printed and its daemon left out. Returns an error if
+    every scrape failed or the history cannot be read.
     """
     loaded = read_snapshots(history)
     if isinstance(loaded, Err):
@@ -164,7 +170,7 @@
     outcomes: list[RequestOutcome],
     snapshots: list[Snapshot],
 ) -> BurnReport:
-    """Return the report; windows end at the last request or scrape."""
+    """Return the report; its windows end at the last outcome or scrape."""
     objectives = collect_objectives(services)
     tallies: list[Tally] = tally_outcomes(outcomes, objectives)
     tallies.extend(tally_snapshots(snapshots, objectives))
--- a/greengagepath/cli/status.py
+++ b/greengagepath/cli/status.py
@@ -1,4 +1,4 @@
-"""`status`: members and versions as a balancer sees them."""
+"""`status`: shows members and versions as known to one balancer."""
 
 from dataclasses import dataclass, field
 from typing import Annotated
@@ -27,7 +27,8 @@
 @cappa.command(
     help='Show members and the configuration in force.',
     description="""
-Asks the first balancer that answers; the object API is not needed.
+Queries balancers in order and shows the reply of the first that
+answers. Does not need the object API.
 
 Examples:
 
@@ -46,7 +47,8 @@
         cappa.Arg(
             long='--balancer',
             value_name='ADDRESS',
-            help='Ask this balancer instead of those in the settings.',
+            help='Query this balancer instead of those in the settings;'
+            ' can be repeated.',
         ),
     ] = field(default_factory=list)
     as_json: JsonOption = False
@@ -55,14 +57,17 @@
     ] = False
     every_s: Annotated[
         float,
-        cappa.Arg(long=True, value_name='SECONDS', help='Pause of --watch.'),
+        cappa.Arg(long=True, value_name='SECONDS', help='Interval of --watch.'),
     ] = DEFAULT_EVERY_S
 
     def __call__(self) -> ExitCode:
         """Run the command."""
         for text in self.balancers:
             if parse_address(text) is None:
-                print_error(f'{text} is no address such as 10.0.0.7:4001')
+                print_error(
+                    f'invalid address {text}',
+                    'use an IPv4 address and port such as 10.0.0.7:4001',
+                )
                 return ExitCode.BAD_USAGE
         with open_connections(self.settings) as opened:
             match opened:
@@ -99,7 +104,7 @@
             case Err(reason):
                 print_error(
                     f'no balancer answered: {reason}',
-                    'name living balancers in the settings or with --balancer',
+                    'list running balancers in the settings or with --balancer',
                 )
                 return ExitCode.UNREACHABLE
         return ExitCode.OK
--- a/greengagepath/cli/tool.py
+++ b/greengagepath/cli/tool.py
@@ -1,4 +1,4 @@
-"""The tool `greengagepath`: its commands and how they are run."""
+"""The command-line tool `greengagepath` and its subcommands."""
 
 import os
 import sys
@@ -36,7 +36,7 @@
 )
 @dataclass
 class Tool:
-    """The commands."""
+    """Subcommands of the tool."""
 
     command: cappa.Subcommands[
         Init
@@ -54,11 +54,12 @@
 
 
 def run_tool(arguments: list[str] | None = None) -> ExitCode:
-    """Run a command line, by default that of the process.
+    """Run a command line, by default that of the process; return its code.
 
     Raises SystemExit for help and for wrong usage.
     """
-    # Libraries warn on the same stream as the tool's own messages.
+    # Log lines go to the same stream as the messages of the tool, so only
+    # errors are logged.
     configure_logs(LogSettings(level='error', style='text'), 'tool', '-')
     outcome = cappa.invoke(
         Tool,
@@ -76,7 +77,8 @@
     )
     if not prints_completion:
         return cappa.Output()
-    # The shell must get the lines of its script unbroken.
+    # Lines wrapped at the width of a terminal would break the completion
+    # script.
     console = Console(
         file=sys.stdout, theme=cappa.output.theme, width=COMPLETION_COLUMNS
     )
--- a/greengagepath/cli/undrain.py
+++ b/greengagepath/cli/undrain.py
@@ -1,4 +1,4 @@
-"""`undrain`: give drained targets new work again."""
+"""`undrain`: lets drained targets receive new work again."""
 
 from dataclasses import dataclass
 
@@ -8,9 +8,9 @@
 
 
 @cappa.command(
-    help='Give drained targets new work again.',
+    help='Let drained targets receive new work again.',
     description="""
-Targets ramp up from cold, over 10 s.
+Traffic to the targets ramps up over 10 s, as after a cold start.
 
 Examples:
 
