--- a/tests/operator/builders.py
+++ b/tests/operator/builders.py
@@ -1,4 +1,4 @@
-"""Builders of files and values for the tests of the operator tools."""
+"""Settings files and services for the tests of the operator tools."""
 
 import os
 from pathlib import Path
@@ -35,7 +35,7 @@
 
 
 def write_settings(folder, text=SETTINGS, secret=SECRET):
-    """Write settings and a key file; return the path of the settings."""
+    """Write a settings file and its key file; return the settings path."""
     Path(folder, 'tag.key').write_text(f'{secret}\n')
     path = Path(folder, 'settings.toml')
     path.write_text(text)
@@ -43,7 +43,7 @@
 
 
 def age_file(path, seconds=10):
-    """Give a file an older time of change."""
+    """Set the modification time of a file back by some seconds."""
     status = Path(path).stat()
     changed_s = status.st_mtime - seconds
     os.utime(path, (changed_s, changed_s))
@@ -55,18 +55,21 @@
 
 
 def build_services(name=COOPERATIVE):
-    """Return the services generated from a file of answers."""
+    """Return the services derived from a file of answers."""
     return derive_services(load_answers(name).unwrap())
 
 
 def replace_limits(service, **limits):
-    """Return the service with some limits changed."""
+    """Return a copy of the service with some limits changed."""
     changed = structs.replace(service.limits, **limits)
     return structs.replace(service, limits=changed)
 
 
 def write_tool_settings(folder, url, *balancers):
-    """Write settings of the tool and its key; return their path."""
+    """Write settings of the tool and its key file; return their path.
+
+    `balancers` are addresses such as `127.0.0.1:4001`.
+    """
     named = ', '.join(f'"{address}"' for address in balancers)
     keys = SETTINGS.split('[[keys]]')[1]
     return write_settings(
@@ -76,5 +79,8 @@
 
 
 def reload_changed(files) -> bool:
-    """Reload as daemons do once a second; True if new files are in force."""
+    """Run the check that daemons run once a second.
+
+    Returns True if changed files were loaded and are now in use.
+    """
     return files.has_changed() and files.reload()
--- a/tests/operator/certificates.py
+++ b/tests/operator/certificates.py
@@ -1,4 +1,4 @@
-"""Certificates for the tests of TLS, made on the spot."""
+"""Certificates for the tests of TLS, generated at run time."""
 
 import datetime as dt
 from pathlib import Path
@@ -15,7 +15,11 @@
 
 
 class Authority:
-    """Signs certificates that are valid from ten days ago."""
+    """Certificate authority for tests.
+
+    Its certificates are valid from ten days ago, so that a test can get
+    one that has expired.
+    """
 
     def __init__(self, name):
         self._key = ec.generate_private_key(ec.SECP256R1())
@@ -24,7 +28,11 @@
         self.certificate = self._sign(self._name, public_key, 1, is_ca=True)
 
     def write(self, folder, days=1):
-        """Write a member's files, valid for `days`; return settings."""
+        """Write certificate, key and authority files of a member.
+
+        The certificate expires in `days` days. Returns the TLS settings
+        with the paths.
+        """
         key = ec.generate_private_key(ec.SECP256R1())
         name = make_name('member')
         certificate = self._sign(name, key.public_key(), days)
@@ -58,10 +66,10 @@
 
 
 def make_name(name):
-    """Return a distinguished name with the common name."""
+    """Return a distinguished name that has only a common name."""
     return x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
 
 
 def to_pem(certificate):
-    """Return a certificate as PEM."""
+    """Return the certificate as PEM bytes."""
     return certificate.public_bytes(serialization.Encoding.PEM)
--- a/tests/operator/fakes.py
+++ b/tests/operator/fakes.py
@@ -1,4 +1,4 @@
-"""Stand-ins for the object API and balancers, in memory."""
+"""In-memory fakes of the object API and of balancers."""
 
 from result import Err, Ok
 
@@ -13,7 +13,11 @@
 
 
 class FakeStore:
-    """Conditional writes; answers can be lost after the write."""
+    """Object API with conditional writes.
+
+    `is_down` makes every call fail; the answers of the next
+    `lost_answers` writes are lost after the write took effect.
+    """
 
     def __init__(self, stored=EMPTY):
         self.stored = stored
@@ -36,7 +40,11 @@
 
 
 class FakeBalancers:
-    """Balancers by address; some refuse, some never apply."""
+    """Balancers by address.
+
+    Those in `down` refuse connections, those in `stuck` never apply a
+    new version. `targets` are further member records in the replies.
+    """
 
     def __init__(self, *addresses):
         self.versions_by_address = dict.fromkeys(addresses, 0)
@@ -71,7 +79,7 @@
 
 
 def build_balancer(address, version, **fields):
-    """Return the record of a balancer at the address."""
+    """Return the member record of a balancer at the address."""
     defaults = {
         'member_id': f'balancer-{address[1]}',
         'kind': 'balancer',
--- a/tests/operator/fleet.py
+++ b/tests/operator/fleet.py
@@ -1,8 +1,8 @@
 """Control planes of three balancers and an agent, for `test_fleet`.
 
-Runs as `python -m gevent.monkey fleet.py [FOLDER]` until its input
-closes; the first line it prints is a JSON object with the ports. With a
-folder of certificates the links use TLS.
+Run as `python -m gevent.monkey fleet.py [FOLDER]`; ends when its
+standard input is closed. The first line of output is a JSON object with
+the ports. If FOLDER with certificate files is given, links use TLS.
 """
 
 import json
--- a/tests/operator/stand_ins.py
+++ b/tests/operator/stand_ins.py
@@ -1,4 +1,4 @@
-"""An object API and a balancer on 127.0.0.1 for tests of commands."""
+"""Stand-ins for the object API and a balancer, served on 127.0.0.1."""
 
 import json
 import os
@@ -22,9 +22,10 @@
 
 
 class ObjectApi:
-    """Conditional updates by the protocol of the platform.
+    """Object API with the conditional updates of the platform's protocol.
 
-    `lose_next` writes and closes without an answer.
+    The next `lose_next` writes take effect, but their connections are
+    closed without an answer.
     """
 
     def __init__(self):
@@ -68,7 +69,7 @@
             self._answer(200, {'version': version})
 
     def log_message(self, *_arguments):
-        """Keep the test output free of access logs."""
+        """Print no access log into the test output."""
 
     def _answer(self, status, content):
         encoded = json.dumps(content).encode()
@@ -79,9 +80,10 @@
 
 
 class Balancer:
-    """Answers status queries and takes deltas over a control link.
+    """Answers status queries and applies deltas over a control link.
 
-    With `is_stuck` it keeps its version.
+    With `is_stuck` it answers deltas but does not apply them. `targets`
+    are further member records in the status replies.
     """
 
     def __init__(self, keys):
--- a/tests/operator/test_cli.py
+++ b/tests/operator/test_cli.py
@@ -52,22 +52,25 @@
 
 class FilesTest(CommandTest):
     def test_init_explains_and_check_accepts(self):
-        # Guards against generated files that the tool itself refuses.
+        # Guards against an `init` that does not explain derived values, or
+        # that generates a file which `check` refuses.
         self.assertEqual(ExitCode.OK, self.init())
         self.assertIn('queue_length', self.out.getvalue())
         self.assertIn('# answer connections_per_target', self.file.read_text())
         code = self.run_command('check', self.file, COOPERATIVE)
         self.assertEqual(ExitCode.OK, code)
 
-    def test_init_keeps_files_that_exist(self):
-        # Guards against an edited configuration that is overwritten.
+    def test_init_overwrites_only_with_force(self):
+        # Guards against an edited configuration that a second `init`
+        # overwrites without --force.
         self.file.write_text('edited')
         self.assertEqual(ExitCode.BAD_USAGE, self.init())
         self.assertEqual('edited', self.file.read_text())
         self.assertEqual(ExitCode.OK, self.init('--force'))
 
-    def test_init_names_the_contradicting_question(self):
-        # Guards against a refusal that does not say what to change.
+    def test_init_names_the_contradictory_answer(self):
+        # Guards against an error that does not name the answer to change,
+        # and against a file written in spite of the error.
         answers = self.folder / 'answers.toml'
         text = COOPERATIVE.read_text()
         answers.write_text(text.replace('typical_ms = 20', 'typical_ms = 9999'))
@@ -79,7 +82,7 @@
         self.assertFalse(self.file.exists())
 
     def test_check_reports_all_files(self):
-        # Guards against a check that stops at the first bad file.
+        # Guards against a `check` that stops at the first invalid file.
         first, second = self.folder / 'a.toml', self.folder / 'b.toml'
         first.write_text('role = 1\n')
         second.write_text('services = []\n')
@@ -89,14 +92,15 @@
         self.assertIn('b.toml:1: services = []', self.err.getvalue())
 
     def test_output_without_terminal_has_no_colours(self):
-        # Guards against escape codes in logs and pipes.
+        # Guards against escape codes in output that goes to a file or pipe.
         self.init()
         self.run_command('check', self.folder / 'missing.toml')
         self.assertNotIn('\x1b', self.out.getvalue() + self.err.getvalue())
 
-    def test_usage_errors_and_completion_of_the_process(self):
-        # Guards against exit codes and shell scripts that a terminal's
-        # width changes; runs the entry point as users do.
+    def test_exit_code_and_completion_script_of_the_entry_point(self):
+        # Guards against an entry point that loses the exit code of a usage
+        # error, and against a completion script whose lines are wrapped
+        # at the terminal width. Runs the entry point as users do.
         environment = {**os.environ, 'SHELL': 'bash', 'PYTHONPATH': str(ROOT)}
         command = [sys.executable, '-m', 'greengagepath']
         bad = subprocess.run(
@@ -147,14 +151,16 @@
         self.assertIn(before, text)
         self.file.write_text(text.replace(before, after))
 
-    def test_dry_run_changes_nothing(self):
-        # Guards against a dry run that writes.
+    def test_dry_run_shows_changes_and_writes_nothing(self):
+        # Guards against a dry run that writes to the object API.
         self.assertEqual(ExitCode.OK, self.apply('--dry-run'))
         self.assertIn('+ services.licence-core.port', self.out.getvalue())
         self.assertEqual({}, self.api.objects)
 
-    def test_apply_brings_into_force_and_can_be_repeated(self):
-        # Guards against a file that is stale after its own `apply`.
+    def test_apply_is_in_force_and_can_be_repeated(self):
+        # Guards against an `apply` that does not update the base in the
+        # file, so that the next one is a conflict, and against writes
+        # without a change.
         self.assertEqual(ExitCode.OK, self.apply())
         self.assertIn('version 1 is in force on all 1', self.out.getvalue())
         self.assertEqual(1, self.balancer.version)
@@ -164,14 +170,16 @@
         self.assertEqual(ExitCode.OK, self.apply())
         self.assertEqual(2, self.api.writes)
 
-    def test_lost_answer_of_the_write_is_no_conflict(self):
-        # Guards against an own write that is taken for another's.
+    def test_lost_answer_to_a_write_is_not_a_conflict(self):
+        # Guards against a write that took effect but whose answer was lost,
+        # and which is then reported as the change of another operator.
         self.api.lose_next = 1
         self.assertEqual(ExitCode.OK, self.apply())
         self.assertEqual(1, self.api.writes)
 
-    def test_second_operator_gets_a_conflict_and_can_go_on(self):
-        # Guards against changes that are lost without notice.
+    def test_second_operator_gets_a_conflict_and_can_resolve_it(self):
+        # Guards against an `apply` that overwrites the change of another
+        # operator, made since the file was copied, without an error.
         self.apply()
         other = self.folder / 'other.toml'
         other.write_text(self.file.read_text())
@@ -187,14 +195,16 @@
         self.assertEqual(ExitCode.OK, code)
 
     def test_fetched_file_can_be_applied(self):
-        # Guards against a dead end after a conflict.
+        # Guards against a file from --fetch that cannot be applied; the
+        # error of a conflict recommends --fetch.
         self.apply()
         self.assertEqual(ExitCode.OK, self.apply('--fetch'))
         self.edit('queue_length = 200', 'queue_length = 100')
         self.assertEqual(ExitCode.OK, self.apply())
 
-    def test_balancer_that_keeps_its_version_is_named(self):
-        # Guards against success while a balancer has the old version.
+    def test_balancer_with_an_old_version_is_named(self):
+        # Guards against success reported while a balancer still has the old
+        # version.
         self.balancer.is_stuck = True
         self.assertEqual(ExitCode.TIMEOUT, self.apply('--json'))
         report = json.loads(self.out.getvalue())
@@ -202,9 +212,10 @@
         self.assertEqual(1, len(report['behind']))
         self.assertIn('still has version 0', self.err.getvalue())
 
-    def test_stored_version_without_balancers_is_no_later_conflict(self):
-        # Guards against a conflict with the operator's own write, which
-        # no balancer could confirm at the time.
+    def test_version_stored_without_balancers_is_not_a_later_conflict(self):
+        # Guards against a base that is updated only if balancers confirm
+        # the version: with all of them down the write is stored, and the
+        # next `apply` would conflict with it.
         self.balancer.close()
         self.assertEqual(ExitCode.UNREACHABLE, self.apply())
         self.assertIn('version 1 is stored', self.err.getvalue())
@@ -212,15 +223,17 @@
         self.assertEqual(ExitCode.UNREACHABLE, self.apply())
         self.assertEqual(2, self.api.writes)
 
-    def test_store_down_changes_nothing(self):
-        # Guards against an outage that is reported as anything else.
+    def test_object_api_down_changes_nothing(self):
+        # Guards against an outage of the object API that gets another exit
+        # code or changes the base in the file.
         self.api.close()
         self.assertEqual(ExitCode.UNREACHABLE, self.apply())
         self.assertIn('nothing was changed', self.err.getvalue())
         self.assertEqual('', tomllib.loads(self.file.read_text())['base'])
 
-    def test_drain_finds_the_service_and_survives_apply(self):
-        # Guards against a drained target that an `apply` takes back.
+    def test_drain_finds_the_service_and_persists_across_apply(self):
+        # Guards against an `apply` that undrains targets, because the file
+        # does not list them, and against a `drain` that needs --service.
         self.apply()
         stored = self.api.objects[CURRENT]['body']['services'][0]
         record = build_balancer(('127.0.0.1', 9), 0)
@@ -247,8 +260,8 @@
         services = self.api.objects[CURRENT]['body']['services']
         return services[0]['drained_targets']
 
-    def test_status_shows_the_fleet_with_the_store_down(self):
-        # Guards against a status that needs the object API.
+    def test_status_works_with_the_object_api_down(self):
+        # Guards against a `status` that needs the object API.
         self.apply()
         self.api.close()
         self.assertEqual(ExitCode.OK, self.run_with_settings('status'))
@@ -258,7 +271,8 @@
         self.assertEqual(1, reply['configuration_version'])
 
     def test_wrong_key_is_refused(self):
-        # Guards against a tool of another system that is obeyed.
+        # Guards against balancers that answer a tool with the key of
+        # another system.
         (self.folder / 'tag.key').write_text(OTHER_SECRET)
         self.assertEqual(ExitCode.UNREACHABLE, self.run_with_settings('status'))
         (self.folder / 'tag.key').write_text(SECRET)
@@ -289,9 +303,9 @@
             'report', self.outcomes, '--configuration', self.file, *arguments
         )
 
-    def test_json_holds_the_rates(self):
-        # Guards against figures that only the table shows; 2 of 10 are
-        # bad where 0.1% may be.
+    def test_json_has_the_burn_rates(self):
+        # Guards against burn rates that are missing from the JSON output.
+        # 2 of 10 requests are bad and 0.1% are allowed, a rate of 200.
         self.assertEqual(ExitCode.OK, self.report('--json'))
         report = json.loads(self.out.getvalue())
         row = report['burn'][0]
@@ -299,7 +313,8 @@
         self.assertEqual(['fast', 'slow'], row['alerts'])
 
     def test_page_is_self_contained_and_escaped(self):
-        # Guards against a page that loads files or runs names as HTML.
+        # Guards against a page that loads other files, and against names
+        # that are inserted as HTML.
         page = self.folder / 'burn.html'
         self.assertEqual(ExitCode.OK, self.report('--html', page))
         text = page.read_text()
@@ -308,9 +323,10 @@
         self.assertNotIn('<b>firm', text)
         self.assertIn('8/10 ', self.out.getvalue())
 
-    def test_scrapes_become_a_history(self):
-        # Guards against totals since start that raise an alert, and
-        # against a scrape that is forgotten by the next one.
+    def test_scrapes_are_kept_in_a_history(self):
+        # Guards against failures in the first scrape that raise an alert,
+        # although they may date from any time since the process started,
+        # and against a second scrape that ignores the first.
         metrics = Metrics()
         labels = {
             'service': 'licence-core',
@@ -344,7 +360,8 @@
         self.assertEqual(ExitCode.UNREACHABLE, code)
 
     def scrape(self, url, history):
-        # The server needs the loop that the command's read would block.
+        # Runs in a thread, because the blocking read of the command would
+        # stop the event loop that the server runs in.
         code = gevent.get_hub().threadpool.apply(
             self.run_command,
             (
@@ -362,7 +379,8 @@
         return json.loads(self.out.getvalue())['burn'][0]
 
     def test_malformed_lines_are_named(self):
-        # Guards against a report over a part of the input.
+        # Guards against a report that skips malformed input and covers only
+        # the rest.
         self.outcomes.write_text('{"time": 1}\n')
         self.assertEqual(ExitCode.BAD_USAGE, self.report())
         self.assertIn('outcomes.jsonl:1:', self.err.getvalue())
--- a/tests/operator/test_documents.py
+++ b/tests/operator/test_documents.py
@@ -14,8 +14,9 @@
 
 
 class DocumentsTest(TestCase):
-    def test_embedding_example_runs_and_spreads_the_work(self):
-        # Guards against an example that no longer fits the modules.
+    def test_embedding_example_runs_and_distributes_the_work(self):
+        # Guards against an example that breaks when the modules change, and
+        # against one that refuses work or distributes it unevenly.
         names = runpy.run_path(str(EXAMPLE))
         ended = names['run_work'](400)
         self.assertEqual(400, sum(ended.values()))
@@ -23,8 +24,9 @@
         self.assertGreater(min(ended.values()), 400 / 4 * 0.8)
         self.assertEqual(names['run_work'](400, seed=3)['refused'], 0)
 
-    def test_embedding_example_is_a_program(self):
-        # Guards against imports that need the repository's own paths.
+    def test_embedding_example_runs_as_a_program(self):
+        # Guards against an example that runs only inside the test process,
+        # because its imports depend on the paths set there.
         run = subprocess.run(
             [sys.executable, str(EXAMPLE)],
             env={'PYTHONPATH': str(ROOT)},
@@ -35,7 +37,8 @@
         self.assertIn('worker-0:', run.stdout)
 
     def test_operations_page_lists_every_metric(self):
-        # Guards against metrics that the person on call cannot look up.
+        # Guards against metrics that are missing from the operations page,
+        # so that an on-call engineer cannot look them up.
         page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
         for definition in DEFINITIONS:
             labels = ', '.join(definition.labels) or '-'
@@ -46,7 +49,8 @@
             self.assertIn(row, page)
 
     def test_readme_names_every_command_and_folder(self):
-        # Guards against a map that leaves out new parts.
+        # Guards against new commands and packages that are missing from the
+        # overview in the README.
         readme = (ROOT / 'README.md').read_text()
         for command in get_args(Tool.__annotations__['command'])[0].__args__:
             self.assertIn(f'`{command.__name__.lower()}`', readme)
--- a/tests/operator/test_fleet.py
+++ b/tests/operator/test_fleet.py
@@ -20,7 +20,7 @@
 
 @pytest.mark.processes
 class FleetTest(CommandTest):
-    """Commands against the control planes of real balancers."""
+    """Runs commands against the control planes of real balancers."""
 
     def start_fleet(self, *arguments):
         self.fleet = subprocess.Popen(
@@ -51,12 +51,13 @@
             if status is not None and len(status['records']) == count:
                 return
             time.sleep(0.05)
-        self.fail(f'{count} members did not find each other')
+        self.fail(f'status did not show {count} members in time')
 
     def test_versions_reach_every_balancer(self):
-        # Guards against a tool that works with stand-ins only: links,
-        # deltas, the object API, and the proof that a version is in
-        # force on balancers it did not reach directly.
+        # Guards against a tool that works only with the stand-ins of the
+        # other tests. Covers links, deltas, the object API, and the
+        # check that a version is in force also on balancers that the
+        # tool did not connect to.
         self.start_fleet()
         self.wait_for_records(4)
         code, first = self.run_json('apply', self.file)
@@ -68,7 +69,7 @@
         self.assertEqual(ExitCode.OK, code)
         self.assertEqual(3, drained['in_force'])
         self.assertGreater(drained['version'], first['version'])
-        # The target for any accepted version is 3 s.
+        # The required maximum for any accepted version is 3 s.
         self.assertLess(max(first['took_ms'], drained['took_ms']), 3000)
         _, status = self.run_json('status')
         versions = {
@@ -78,9 +79,10 @@
         }
         self.assertEqual({drained['version']}, versions)
 
-    def test_links_need_a_certificate_of_the_authority(self):
-        # Guards against TLS that is configured and not used, and against
-        # a tool of another authority that is answered.
+    def test_links_require_a_certificate_of_the_authority(self):
+        # Guards against balancers that have TLS configured but accept
+        # links without it, and against balancers that answer a tool
+        # whose certificate was signed by another authority.
         certificates = self.folder / 'certificates'
         certificates.mkdir()
         tls = Authority('system').write(certificates)
