--- a/greengagepath/cli/changes.py
+++ b/greengagepath/cli/changes.py
@@ -1,4 +1,8 @@
-"""What `apply`, `drain` and `undrain` share: write, hand over, wait."""
+"""Execution of a change plan, shared by `apply`, `drain` and `undrain`.
+
+Stores the new configuration, sends it to balancers, waits until it is
+in force and reports the result.
+"""
 
 from dataclasses import dataclass
 
@@ -29,7 +33,7 @@
 
 @dataclass(slots=True, frozen=True)
 class ChangeOptions:
-    """How long to wait, and how to report."""
+    """Longest wait for the change to be in force, and the output format."""
 
     wait_s: float
     as_json: bool
@@ -37,14 +41,17 @@
 
 @dataclass(slots=True, frozen=True)
 class ChangeResult:
-    """How a change ended; it may be stored and not yet in force."""
+    """Exit code of a change, and whether it is stored.
+
+    A stored change can still fail to be in force within the wait.
+    """
 
     code: ExitCode
     is_stored: bool
 
 
 def report_plan(plan: ChangePlan, *, as_json: bool) -> None:
-    """Show what a change would do."""
+    """Print the fields that a plan changes."""
     if as_json:
         print_json(
             {
@@ -54,13 +61,15 @@
         )
         return
     print_changes(plan.changes)
-    held = plan.stored.configuration.version
+    stored_version = plan.stored.configuration.version
     count = len(plan.changes)
-    make_console().print(f'fields that differ from version {held}: {count}')
+    make_console().print(
+        f'fields that differ from version {stored_version}: {count}'
+    )
 
 
 def report_conflict(conflict: ChangeConflict, *, as_json: bool) -> None:
-    """Show what somebody else has changed."""
+    """Print the fields that differ from the stored version, and advice."""
     if as_json:
         print_json({'conflict': conflict})
     else:
@@ -77,9 +86,10 @@
 def run_plan(
     connections: Connections, plan: ChangePlan, options: ChangeOptions
 ) -> ChangeResult:
-    """Write a plan and wait until it is in force.
+    """Store a plan, wait until it is in force and report the result.
 
-    A plan without changes only waits for the version that is stored.
+    Waits at most `options.wait_s` seconds. A plan without changes is not
+    written; the wait is then for the version that is already stored.
     """
     if not options.as_json:
         report_plan(plan, as_json=False)
@@ -106,7 +116,7 @@
         options.wait_s,
     )
     took_ms = round((connections.timers.now() - start_s) * MS_PER_S)
-    _report_spread(outcome, failures, (version, took_ms), options)
+    _report_rollout(outcome, failures, (version, took_ms), options)
     return ChangeResult(_choose_code(outcome), is_stored=True)
 
 
@@ -114,17 +124,17 @@
     if isinstance(failure, ChangeConflict):
         report_conflict(failure, as_json=as_json)
         return ExitCode.CONFLICT
-    print_error(f'the object API cannot be written: {failure.reason}')
+    print_error(f'cannot write to the object API: {failure.reason}')
     return ExitCode.UNREACHABLE
 
 
-def _report_spread(
+def _report_rollout(
     outcome: RolloutStatus,
     failures: list[str],
-    progress: tuple[int, int],
+    version_and_took_ms: tuple[int, int],
     options: ChangeOptions,
 ) -> None:
-    version, took_ms = progress
+    version, took_ms = version_and_took_ms
     if options.as_json:
         print_json(
             {
@@ -141,19 +151,19 @@
             f' balancers after {took_ms} ms'
         )
     if not outcome.is_complete:
-        _report_behind(outcome, failures, version)
+        _report_incomplete_rollout(outcome, failures, version)
 
 
-def _report_behind(
+def _report_incomplete_rollout(
     outcome: RolloutStatus, failures: list[str], version: int
 ) -> None:
     for failure in failures:
         print_error(failure)
     if outcome.in_force == 0 and outcome.unreachable is not None:
         print_error(
-            f'version {version} is stored, but no balancer could be asked:'
+            f'version {version} is stored, but no balancer could be queried:'
             f' {outcome.unreachable}',
-            'name living balancers in the settings, then run `status`',
+            'list running balancers in the settings, then run `status`',
         )
         return
     for record in outcome.behind:
@@ -165,7 +175,7 @@
     print_error(
         f'version {version} is stored and in force on {outcome.in_force}'
         f' balancers, not on {len(outcome.behind)}',
-        'they take it when they are reachable again; see `status`',
+        'these receive it once they are reachable again; see `status`',
     )
 
 
--- a/greengagepath/cli/check.py
+++ b/greengagepath/cli/check.py
@@ -1,4 +1,4 @@
-"""`check`: all errors of files, offline."""
+"""`check`: reports all errors in files, offline."""
 
 from dataclasses import dataclass
 from pathlib import Path
@@ -16,15 +16,16 @@
 from ..output.console import make_console, print_problems
 from ..protocol.keys import load_keys
 
-_Checked = Result[object, list[SettingProblem]]
+_CheckResult = Result[object, list[SettingProblem]]
 
 
 @cappa.command(
     help='Check files offline and report all errors at once.',
     description="""
-The kind of a file follows from its content: a configuration, answers
-to the questionnaire, or settings of a daemon or of the tool. Settings
-are checked together with the key and certificate files they name.
+The kind of a file is detected from its content: a configuration,
+answers to the questionnaire, or settings of a daemon or of the tool.
+Settings are checked together with the key and certificate files that
+they refer to.
 
 Examples:
 
@@ -38,7 +39,12 @@
 
     files: Annotated[
         list[Path],
-        cappa.Arg(value_name='FILE', num_args=-1, required=True, help='Files.'),
+        cappa.Arg(
+            value_name='FILE',
+            num_args=-1,
+            required=True,
+            help='Files to check.',
+        ),
     ]
 
     def __call__(self) -> ExitCode:
@@ -54,25 +60,27 @@
         return code
 
 
-def check_file(path: Path) -> _Checked:
+def check_file(path: Path) -> _CheckResult:
     """Return the content of a file of any kind, or its problems."""
-    return read_toml(path).and_then(lambda document: _check(document, path))
+    return read_toml(path).and_then(
+        lambda document: _check_document(document, path)
+    )
 
 
-def _check(document: TomlDocument, path: Path) -> _Checked:
+def _check_document(document: TomlDocument, path: Path) -> _CheckResult:
     if 'deployment' in document.raw:
         return load_answers(path)
     if 'services' in document.raw:
         return load_configuration(path)
     if 'role' in document.raw:
-        return load_settings(path).and_then(_check_files)
+        return load_settings(path).and_then(_check_referenced_files)
     if 'object_api' in document.raw:
-        return load_tool_settings(path).and_then(_check_files)
+        return load_tool_settings(path).and_then(_check_referenced_files)
     allowed = 'services, deployment, role or object_api'
     return Err([document.create_problem('file', list(document.raw), allowed)])
 
 
-def _check_files(settings) -> _Checked:
+def _check_referenced_files(settings) -> _CheckResult:
     problems: list[SettingProblem] = []
     keys = load_keys(settings)
     if isinstance(keys, Err):
--- a/greengagepath/cli/draining.py
+++ b/greengagepath/cli/draining.py
@@ -1,4 +1,4 @@
-"""What `drain` and `undrain` share."""
+"""Options and implementation of `drain` and `undrain`."""
 
 from dataclasses import dataclass
 from pathlib import Path
@@ -30,7 +30,10 @@
 
 @dataclass(slots=True, frozen=True)
 class DrainRequest:
-    """Targets to drain or take back."""
+    """Targets to drain, or to undrain if `drained` is False.
+
+    `service` is the name of their service; None if it must be looked up.
+    """
 
     targets: tuple[str, ...]
     service: str | None
@@ -39,7 +42,7 @@
 
 @dataclass
 class DrainOptions:
-    """Options of both commands; `drained` is what they make of targets."""
+    """Options of both commands; `drained` is True for `drain`."""
 
     drained: ClassVar[bool]
 
@@ -61,22 +64,25 @@
 def run_drain(
     path: Path, request: DrainRequest, options: ChangeOptions
 ) -> ExitCode:
-    """Change the drained targets of a service and wait."""
+    """Change the drained targets of a service and wait for the change.
+
+    `path` is the settings file of the tool.
+    """
     with open_connections(path) as opened:
         match opened:
             case Ok(connections):
-                return _change(connections, request, options)
+                return _change_targets(connections, request, options)
             case Err(problems):
                 print_problems(problems)
     return ExitCode.BAD_USAGE
 
 
-def _change(
+def _change_targets(
     connections: Connections, request: DrainRequest, options: ChangeOptions
 ) -> ExitCode:
     stored = connections.store.read()
     if isinstance(stored, Err):
-        print_error(f'the object API cannot be read: {stored.err_value}')
+        print_error(f'cannot read from the object API: {stored.err_value}')
         return ExitCode.UNREACHABLE
     planned = find_service(connections, stored.ok_value, request).and_then(
         lambda service: plan_drain(
@@ -102,14 +108,21 @@
     stored: StoredConfiguration,
     request: DrainRequest,
 ) -> Result[Service, UnknownName | StoreUnreachable]:
-    """Return the one service that all targets belong to."""
+    """Return the one service that all targets belong to.
+
+    It is the service named in the request; otherwise the service that
+    lists all targets as drained, or the one in their member records,
+    which are queried from a balancer. The error is `UnknownName` if
+    there is no such service or several, `StoreUnreachable` if no
+    balancer answers.
+    """
     services = stored.configuration.services
     if request.service is not None:
         return _find_by_name(services, request.service)
-    held = _find_by_drained(services, request.targets)
-    if held is not None:
-        return Ok(held)
-    return _find_by_records(connections, services, request.targets)
+    drained_from = _find_by_drained_targets(services, request.targets)
+    if drained_from is not None:
+        return Ok(drained_from)
+    return _find_by_member_records(connections, services, request.targets)
 
 
 def _find_by_name(
@@ -119,10 +132,10 @@
         if service.name == name:
             return Ok(service)
     names = ', '.join(entry.name for entry in services)
-    return Err(UnknownName(f'no service is named {name}, only {names}'))
+    return Err(UnknownName(f'no service is named {name}; there are: {names}'))
 
 
-def _find_by_drained(
+def _find_by_drained_targets(
     services: list[Service], targets: tuple[str, ...]
 ) -> Service | None:
     for service in services:
@@ -131,7 +144,7 @@
     return None
 
 
-def _find_by_records(
+def _find_by_member_records(
     connections: Connections,
     services: list[Service],
     targets: tuple[str, ...],
--- a/tests/operator/fleet.py
+++ b/tests/operator/fleet.py
@@ -1,8 +1,8 @@
 """Control planes of three balancers and an agent, for `test_fleet`.
 
-Runs as `python -m gevent.monkey fleet.py [FOLDER]` until its input
-closes; the first line it prints is a JSON object with the ports. With a
-folder of certificates the links use TLS.
+Run as `python -m gevent.monkey fleet.py [FOLDER]`; ends when its
+standard input is closed. The first line of output is a JSON object with
+the ports. If FOLDER with certificate files is given, links use TLS.
 """
 
 import json
@@ -62,8 +62,8 @@
     )
     for member in members:
         member.start()
-    report = json.dumps({'object_api': object_port, 'balancers': ports})
-    sys.stdout.write(f'{report}\n')
+    ports_json = json.dumps({'object_api': object_port, 'balancers': ports})
+    sys.stdout.write(f'{ports_json}\n')
     sys.stdout.flush()
     FileObject(sys.stdin).read()
 
