Name random sources and locations of the virtual fleet plainly

`chance` of ControlFleet and VirtualStore is a random.Random and becomes `random`, as in NodePorts. `place` of VirtualLinks becomes `location`; `place` means region and zone elsewhere. No behaviour changes.

--- a/greengagepath/bench/control_fleet.py
+++ b/greengagepath/bench/control_fleet.py
@@ -92,10 +92,10 @@
         counts_bytes: bool = False,
     ) -> None:
         self.timers = VirtualTimerService(start_s=1000)
-        self.chance = random.Random(seed)
+        self.random = random.Random(seed)
         self.limits = limits or LimitSettings()
         self.network = VirtualNetwork(self.timers, counts_bytes=counts_bytes)
-        self.store = VirtualStore(self.timers, self.chance)
+        self.store = VirtualStore(self.timers, self.random)
         self.balancers: dict[str, VirtualBalancer] = {}
         self.agents: dict[str, VirtualAgent] = {}
         self.fallback_seeds: tuple[Address, ...] = ()
@@ -188,12 +188,12 @@
         links: VirtualLinks,
         transport: VirtualTransport,
     ) -> NodePorts:
-        chance = random.Random(self.chance.getrandbits(SEED_BITS))
+        rng = random.Random(self.random.getrandbits(SEED_BITS))
         return NodePorts(
             timers=clock,
             links=links,
-            store=ObjectClient(transport, clock, chance),
-            random=chance,
+            store=ObjectClient(transport, clock, rng),
+            random=rng,
             limits=self.limits,
             fallback_seeds=self.fallback_seeds,
         )
--- a/greengagepath/bench/virtual_links.py
+++ b/greengagepath/bench/virtual_links.py
@@ -110,29 +110,29 @@
         """Return the size on the wire, 0 if sizes are not counted."""
         return 0 if self._sizes is None else self._sizes.count(message)
 
-    def block(self, place: str, other: str) -> None:
+    def block(self, location: str, other: str) -> None:
         """Cut two places off from each other."""
-        self._blocked.add(frozenset((place, other)))
+        self._blocked.add(frozenset((location, other)))
 
-    def unblock(self, place: str, other: str) -> None:
+    def unblock(self, location: str, other: str) -> None:
         """End a partition; what was held is delivered."""
-        self._blocked.discard(frozenset((place, other)))
+        self._blocked.discard(frozenset((location, other)))
         for links in tuple(self.links_by_address.values()):
             links.release()
 
-    def is_blocked(self, place: str, other: str) -> bool:
+    def is_blocked(self, location: str, other: str) -> bool:
         """Return whether a partition lies between the places."""
-        return frozenset((place, other)) in self._blocked
+        return frozenset((location, other)) in self._blocked
 
 
 class VirtualLinks:
     """Implements `LinkService` for one process at one place."""
 
     def __init__(
-        self, network: VirtualNetwork, clock: ProcessClock, place: str
+        self, network: VirtualNetwork, clock: ProcessClock, location: str
     ) -> None:
         self.clock = clock
-        self.place = place
+        self.location = location
         self.traffic = Traffic()
         self.events: LinkEvents | None = None
         self.network = network
@@ -233,7 +233,7 @@
         if other is None or other.clock.is_dead:
             self._end(end)
             return
-        is_blocked = self.network.is_blocked(self.place, other.place)
+        is_blocked = self.network.is_blocked(self.location, other.location)
         if is_blocked or not other.clock.is_running:
             self.network.timers.call_after(
                 CONNECT_TIMEOUT_S, lambda: self._end(end)
@@ -268,4 +268,6 @@
     owner = end.owner
     if owner.clock.is_paused:
         return False
-    return not owner.network.is_blocked(owner.place, end.other.owner.place)
+    return not owner.network.is_blocked(
+        owner.location, end.other.owner.location
+    )
--- a/greengagepath/bench/virtual_store.py
+++ b/greengagepath/bench/virtual_store.py
@@ -56,7 +56,7 @@
     """Versioned objects with conditional updates and watches."""
 
     timers: VirtualTimerService
-    chance: random.Random
+    random: random.Random
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: int = 0
     writes: list[AcceptedWrite] = field(default_factory=list)
@@ -166,7 +166,7 @@
         self, key: ObjectKey, call: ObjectCall, exchange: '_Exchange'
     ) -> None:
         answer = self._store.write(self._writer, key, call)
-        if self._store.chance.random() >= self._store.faults.lose_answers:
+        if self._store.random.random() >= self._store.faults.lose_answers:
             exchange.answer(answer)
 
     def _watch(
--- a/tests/control/operators.py
+++ b/tests/control/operators.py
@@ -34,7 +34,7 @@
         self.store = ObjectClient(
             VirtualTransport(fleet.store, clock, name),
             clock,
-            random.Random(fleet.chance.random()),
+            random.Random(fleet.random.random()),
         )
         self.outcomes = []
         self.accepted = []
--- a/tests/control/test_control_scenarios.py
+++ b/tests/control/test_control_scenarios.py
@@ -100,8 +100,8 @@
         fleet = make_fleet(balancers=4, agents=1, zones=1)
         agent = fleet.agents['a0']
         home = fleet.balancers[agent.node.own.record.homes[0]]
-        agent.links.place = 'agent'
-        home.links.place = 'home'
+        agent.links.location = 'agent'
+        home.links.location = 'home'
         fleet.network.block('agent', 'home')
         for _ in range(100):
             fleet.advance(0.5)
