--- a/greengagepath/bench/capacity.py
+++ b/greengagepath/bench/capacity.py
@@ -35,15 +35,15 @@
 
 # With 8 balancers or more in a zone the overlay has its full degree.
 SIZES = (48, 72, 96, 144)
-AGENTS_FOR_BALANCER = DESIGN_AGENTS / DESIGN_BALANCERS
-SERVICES_FOR_BALANCER = DESIGN_SERVICES / DESIGN_BALANCERS
+AGENTS_PER_BALANCER = DESIGN_AGENTS / DESIGN_BALANCERS
+SERVICES_PER_BALANCER = DESIGN_SERVICES / DESIGN_BALANCERS
 ZONES = 6
 ZONES_IN_REGION = 3
 SETTLE_S = 30
 IDLE_S = 30
 # Time in which a change has reached everyone.
-EVENT_S = 8.0
-FINE_STEP_S = 0.01
+EVENT_SETTLE_S = 8.0
+POLL_INTERVAL_S = 0.01
 IN_FORCE_LIMIT_S = 10
 EVENTS = 3
 SEED = 1
@@ -58,18 +58,18 @@
 
     def __init__(self, balancers: int) -> None:
         self.fleet = ControlFleet(SEED, counts_bytes=True)
-        self._replaced = 0
+        self._replaced_count = 0
         self._version = 0
-        self._services = round(balancers * SERVICES_FOR_BALANCER)
+        self._services = round(balancers * SERVICES_PER_BALANCER)
         for index in range(balancers):
-            self.fleet.add_balancer(f'b{index}', *_place(index))
-        for index in range(round(balancers * AGENTS_FOR_BALANCER)):
-            zone, _region = _place(index)
+            self.fleet.add_balancer(f'b{index}', *_choose_zone(index))
+        for index in range(round(balancers * AGENTS_PER_BALANCER)):
+            zone, _region = _choose_zone(index)
             self.fleet.add_agent(f'a{index}', zone, 1 + index % self._services)
         self.fleet.advance(SETTLE_S)
         self.change_configuration()
         self.fleet.advance(SETTLE_S)
-        self._roles = self._group()
+        self._roles = self._group_by_role()
 
     def measure(self) -> SizePoint:
         """Return the figures of this size."""
@@ -94,7 +94,7 @@
 
     def records(self) -> tuple[MemberRecord, ...]:
         """Return the table of one balancer."""
-        return self._first.table.records()
+        return self._first_balancer.table.records()
 
     def change_configuration(self) -> None:
         """Change one service and hand the version to one balancer."""
@@ -108,7 +108,7 @@
             )
             for service_id in range(1, self._services + 1)
         ]
-        self._first.spread.offer(
+        self._first_balancer.spread.offer(
             Configuration(version=self._version, services=services)
         )
 
@@ -117,21 +117,21 @@
         self.change_configuration()
         waited_s = 0.0
         while not self._is_in_force() and waited_s < IN_FORCE_LIMIT_S:
-            self.fleet.advance(FINE_STEP_S)
-            waited_s += FINE_STEP_S
+            self.fleet.advance(POLL_INTERVAL_S)
+            waited_s += POLL_INTERVAL_S
         return waited_s
 
     def replace_target(self) -> None:
         """Let one target die silently and start another in its place."""
-        gone = self.fleet.agents[f'a{self._replaced}']
-        self._replaced += 1
-        self.fleet.kill(gone, silently=True)
+        killed = self.fleet.agents[f'a{self._replaced_count}']
+        self._replaced_count += 1
+        self.fleet.kill(killed, silently=True)
         self.fleet.add_agent(
-            f'new{self._replaced}', gone.record.availability_zone
+            f'new{self._replaced_count}', killed.record.availability_zone
         )
 
     @property
-    def _first(self) -> BalancerNode:
+    def _first_balancer(self) -> BalancerNode:
         return self.fleet.balancers['b0'].node
 
     def _is_in_force(self) -> bool:
@@ -141,31 +141,33 @@
         )
 
     def _observe_events(
-        self, act: Callable[[], None], idle: Mapping[str, Reading]
+        self, action: Callable[[], None], idle: Mapping[str, Reading]
     ) -> dict[str, Reading]:
         """Return what one event costs beyond the idle traffic."""
-        found = self._observe(lambda: self._repeat(act))
+        found = self._observe(lambda: self._repeat(action))
         return {
             role: found[role]
-            .minus(idle[role].times(EVENTS * EVENT_S))
+            .minus(idle[role].times(EVENTS * EVENT_SETTLE_S))
             .times(1 / EVENTS)
             for role in self._roles
         }
 
-    def _repeat(self, act: Callable[[], None]) -> None:
+    def _repeat(self, action: Callable[[], None]) -> None:
         for _ in range(EVENTS):
-            act()
-            self.fleet.advance(EVENT_S)
+            action()
+            self.fleet.advance(EVENT_SETTLE_S)
 
-    def _observe(self, act: Callable[[], None]) -> dict[str, Reading]:
-        before = {role: _read(found) for role, found in self._roles.items()}
-        act()
+    def _observe(self, action: Callable[[], None]) -> dict[str, Reading]:
+        before = {
+            role: _read_means(found) for role, found in self._roles.items()
+        }
+        action()
         return {
-            role: _read(found).minus(before[role])
+            role: _read_means(found).minus(before[role])
             for role, found in self._roles.items()
         }
 
-    def _group(self) -> Roles:
+    def _group_by_role(self) -> Roles:
         balancers = list(self.fleet.balancers.values())
         agents = list(self.fleet.agents.values())
         return {
@@ -192,12 +194,12 @@
     return used_bytes
 
 
-def _place(index: int) -> tuple[str, str]:
+def _choose_zone(index: int) -> tuple[str, str]:
     zone = index % ZONES
     return f'z{zone}', f'r{zone // ZONES_IN_REGION}'
 
 
-def _read(processes: list[Process]) -> Reading:
+def _read_means(processes: list[Process]) -> Reading:
     count = max(len(processes), 1)
     return Reading(
         sent_bytes=sum(entry.links.traffic.sent_bytes for entry in processes),
--- a/greengagepath/bench/capacity_data_plane.py
+++ b/greengagepath/bench/capacity_data_plane.py
@@ -11,13 +11,13 @@
 DESIGN_FLOWS = 15_000_000
 DESIGN_FLOWS_PER_S = 46_000
 # OPEN, one REQUEST part, and ACKs of a short answer.
-PACKETS_FOR_A_FLOW = 4
+PACKETS_PER_FLOW = 4
 BODY_BYTES = 300
 FLOW_ENTRIES = 20000
 # Flow ids are as large as random ones, which costs memory.
 FLOW_ID_SHIFT = 40
-MICROSECONDS = 1_000_000
-MEGABYTE = 1_000_000
+US_PER_S = 1_000_000
+BYTES_PER_MB = 1_000_000
 PERCENT = 100
 
 
@@ -59,11 +59,11 @@
     packet = cost.packet
     balancer_flows = DESIGN_FLOWS / DESIGN_BALANCERS
     agent_flows = DESIGN_FLOWS / DESIGN_AGENTS
-    packets_per_s = DESIGN_FLOWS_PER_S * PACKETS_FOR_A_FLOW / DESIGN_BALANCERS
-    core_share = packets_per_s * packet.uncached_us / MICROSECONDS
-    per_core = MICROSECONDS / packet.uncached_us
-    cache_mb = cost.token_bytes * cost.token_entries / MEGABYTE
-    agent_mb = cost.flow_bytes * agent_flows / MEGABYTE
+    packets_per_s = DESIGN_FLOWS_PER_S * PACKETS_PER_FLOW / DESIGN_BALANCERS
+    core_share = packets_per_s * packet.uncached_us / US_PER_S
+    per_core = US_PER_S / packet.uncached_us
+    cache_mb = cost.token_bytes * cost.token_entries / BYTES_PER_MB
+    agent_mb = cost.flow_bytes * agent_flows / BYTES_PER_MB
     return [
         '| role | quantity | formula | value at the size to design for |',
         '| --- | --- | --- | --- |',
--- a/greengagepath/bench/capacity_page.py
+++ b/greengagepath/bench/capacity_page.py
@@ -7,8 +7,8 @@
     DESIGN_BALANCERS,
     Reading,
     SizePoint,
-    at_design_rates,
-    fit,
+    fit_line,
+    rate_at_design,
 )
 from .wire_cost import WireCost
 
@@ -19,9 +19,9 @@
 LIMIT_BYTES_PER_S = 18000
 LIMIT_CORE_SHARE = 0.039
 LIMIT_MEMORY_BYTES = 128_000_000
-MS = 1000
-MICROSECONDS = 1_000_000
-MEGABYTE = 1_000_000
+MS_PER_S = 1000
+US_PER_S = 1_000_000
+BYTES_PER_MB = 1_000_000
 
 
 def write_page(
@@ -68,7 +68,7 @@
                 f'| {role} | {point.balancers} + {point.agents} '
                 f'| {found.idle.total_bytes:,.0f} '
                 f'| {found.idle.messages:.1f} '
-                f'| {found.idle.busy_s * MS:.2f} '
+                f'| {found.idle.busy_s * MS_PER_S:.2f} '
                 f'| {found.change.total_bytes:,.0f} '
                 f'| {found.restart.total_bytes:,.0f} |'
             )
@@ -95,17 +95,17 @@
 def _design_rows(
     points: list[SizePoint], cost: WireCost, process_bytes: int
 ) -> list[str]:
-    table = fit(points, lambda point: point.table_bytes)
-    calls = fit(points, lambda point: point.calls_per_s)
+    table = fit_line(points, lambda point: point.table_bytes)
+    calls = fit_line(points, lambda point: point.calls_per_s)
     memory = process_bytes + table.at_design
     rows = [
         (
             f'At {DESIGN_BALANCERS} balancers and {DESIGN_AGENTS} agents, from '
             'the lines through these points and the rates of a day. A message '
-            f'costs {cost.message_s * MICROSECONDS:.0f} us at each end: '
-            f'{cost.frame_s * MICROSECONDS:.0f} us for the frame, '
-            f'{cost.record_s * MICROSECONDS:.0f} us for a record, '
-            f'{cost.socket_s * MICROSECONDS:.0f} us for websocket and kernel.'
+            f'costs {cost.message_s * US_PER_S:.0f} us at each end: '
+            f'{cost.frame_s * US_PER_S:.0f} us for the frame, '
+            f'{cost.record_s * US_PER_S:.0f} us for a record, '
+            f'{cost.socket_s * US_PER_S:.0f} us for websocket and kernel.'
         ),
         '',
         (
@@ -119,9 +119,10 @@
         *rows,
         '',
         (
-            f'Memory of a balancer: {process_bytes / MEGABYTE:.0f} MB for the '
-            f'process without members and {table.at_design / MEGABYTE:.1f} MB '
-            f'for its table, {memory / MEGABYTE:.0f} MB of 128 MB'
+            f'Memory of a balancer: {process_bytes / BYTES_PER_MB:.0f} MB for '
+            'the process without members and '
+            f'{table.at_design / BYTES_PER_MB:.1f} MB for its table, '
+            f'{memory / BYTES_PER_MB:.0f} MB of 128 MB'
             f'{"" if memory <= LIMIT_MEMORY_BYTES else ": over the limit"}. '
             f'Calls to the object API: {calls.at_design:.1f} per second.'
         ),
@@ -129,9 +130,9 @@
 
 
 def _design_row(points: list[SizePoint], role: str, cost: WireCost) -> str:
-    bytes_per_s = at_design_rates(points, role, _total_bytes)
-    messages_per_s = at_design_rates(points, role, _messages)
-    share = at_design_rates(points, role, _busy_s)
+    bytes_per_s = rate_at_design(points, role, _total_bytes)
+    messages_per_s = rate_at_design(points, role, _messages)
+    share = rate_at_design(points, role, _busy_s)
     share += messages_per_s * cost.message_s
     is_within = bytes_per_s <= LIMIT_BYTES_PER_S and share <= LIMIT_CORE_SHARE
     return (
--- a/greengagepath/bench/capacity_points.py
+++ b/greengagepath/bench/capacity_points.py
@@ -83,22 +83,24 @@
         return max(self.intercept + self.slope * DESIGN_BALANCERS, 0)
 
 
-def fit(points: list[SizePoint], measure: Callable[[SizePoint], float]) -> Line:
+def fit_line(
+    points: list[SizePoint], measure: Callable[[SizePoint], float]
+) -> Line:
     """Return the least-squares line of a measure."""
     sizes = [point.balancers for point in points]
     fitted = linear_regression(sizes, [measure(point) for point in points])
     return Line(fitted.intercept, fitted.slope)
 
 
-def at_design_rates(
+def rate_at_design(
     points: list[SizePoint],
     role: str,
     measure: Callable[[Reading], float],
 ) -> float:
     """Return a measure for each second at the size to design for."""
-    idle = fit(points, lambda point: measure(point.roles[role].idle))
-    change = fit(points, lambda point: measure(point.roles[role].change))
-    restart = fit(points, lambda point: measure(point.roles[role].restart))
+    idle = fit_line(points, lambda point: measure(point.roles[role].idle))
+    change = fit_line(points, lambda point: measure(point.roles[role].change))
+    restart = fit_line(points, lambda point: measure(point.roles[role].restart))
     return (
         idle.at_design
         + DESIGN_CHANGES / DAY_S * change.at_design
--- a/greengagepath/bench/control_fleet.py
+++ b/greengagepath/bench/control_fleet.py
@@ -99,16 +99,16 @@
         self.balancers: dict[str, VirtualBalancer] = {}
         self.agents: dict[str, VirtualAgent] = {}
         self.fallback_seeds: tuple[Address, ...] = ()
-        self._hosts = 0
+        self._host_count = 0
 
     def add_balancer(
         self, member_id: str, zone: str, region: str = 'r1'
     ) -> VirtualBalancer:
         """Start a balancer; one of the same id continues its address."""
-        earlier = self.balancers.get(member_id)
+        previous = self.balancers.get(member_id)
         record = self._make_record(member_id, MemberKind.balancer, zone, region)
-        if earlier is not None:
-            record = _restarted(earlier.record)
+        if previous is not None:
+            record = _restarted(previous.record)
         clock, links, transport = self._make_process(member_id, zone)
         balancer = VirtualBalancer(record, clock, links, transport)
         balancer.node = BalancerNode(
@@ -127,12 +127,12 @@
         self, member_id: str, zone: str, service_id: int = 1
     ) -> VirtualAgent:
         """Start an agent; one of the same id continues its address."""
-        earlier = self.agents.get(member_id)
+        previous = self.agents.get(member_id)
         record = self._make_record(
             member_id, MemberKind.agent, zone, 'r1', service_id
         )
-        if earlier is not None:
-            record = _restarted(earlier.record)
+        if previous is not None:
+            record = _restarted(previous.record)
         clock, links, transport = self._make_process(member_id, zone)
         agent = VirtualAgent(record, clock, links, transport)
         agent.node = AgentNode(
@@ -149,7 +149,7 @@
         self, process: VirtualBalancer | VirtualAgent, *, silently: bool
     ) -> None:
         """End a process without an announcement."""
-        process.links.die(silently=silently)
+        process.links.kill(silently=silently)
 
     def pause(self, process: VirtualBalancer | VirtualAgent) -> None:
         """Stop a process as SIGSTOP does."""
@@ -222,8 +222,8 @@
         )
 
     def _next_address(self) -> Address:
-        self._hosts += 1
-        third, fourth = divmod(self._hosts, HOSTS_PER_NETWORK)
+        self._host_count += 1
+        third, fourth = divmod(self._host_count, HOSTS_PER_NETWORK)
         return f'10.0.{third}.{fourth + 1}', CONTROL_PORT
 
 
--- a/greengagepath/bench/experiments.py
+++ b/greengagepath/bench/experiments.py
@@ -10,14 +10,14 @@
 
 from .fakes import RequestOutcome
 from .measures import (
-    list_between,
-    measure_customer_gap,
+    measure_fair_share_gap,
     measure_imbalance,
-    measure_in_time,
+    measure_in_time_gap,
+    measure_in_time_share,
     measure_recovery_s,
     measure_refusal_s,
-    measure_service_gap,
     measure_short_tail_s,
+    select_sent_between,
     sum_goodput_s,
 )
 from .scenarios import ScenarioSpec
@@ -30,7 +30,7 @@
 CREST_START_S = 10.0
 CREST_END_S = 20.0
 CREST_RUN_S = 30.0
-USUAL_LOAD = 0.6
+NORMAL_LOAD = 0.6
 HIGH_LOAD = 0.7
 # From 0.41 on, the naive balancer overloads the slowest targets even
 # without long work, and its ratio would say nothing about blocking.
@@ -40,7 +40,7 @@
 CHANGES_RUN_S = 40.0
 RECOVERY_LIMIT_S = 2.0
 # Within this share of the requests in time, service is back to normal.
-NORMAL_SHARE = 0.99
+RECOVERED_SHARE = 0.99
 GOODPUT_BOUND = 0.9
 BLOCKING_BOUND = 1.5
 
@@ -89,14 +89,14 @@
 
 
 _DIGITS = 4
-_QUALITY_CAPACITY = (CREST_END_S - CREST_START_S) * GOODPUT_BOUND
-_SWING_USUAL = USUAL_LOAD * (CREST_START_S + CREST_RUN_S - CREST_END_S)
-_SWING_CREST = CREST_LOAD * (CREST_END_S - CREST_START_S)
+_CREST_WORK_BOUND = (CREST_END_S - CREST_START_S) * GOODPUT_BOUND
+_NORMAL_WORK = NORMAL_LOAD * (CREST_START_S + CREST_RUN_S - CREST_END_S)
+_CREST_WORK = CREST_LOAD * (CREST_END_S - CREST_START_S)
 # What 90% of the capacity at the crest, all requests before it and all
 # but those of the recovery after it, are of the requests of the swing.
 QUALITY_BOUND = (
-    _SWING_USUAL - USUAL_LOAD * RECOVERY_LIMIT_S + _QUALITY_CAPACITY
-) / (_SWING_USUAL + _SWING_CREST)
+    _NORMAL_WORK - NORMAL_LOAD * RECOVERY_LIMIT_S + _CREST_WORK_BOUND
+) / (_NORMAL_WORK + _CREST_WORK)
 
 BROKEN_FLOWS = Measure('broken_flows', 'share', Better.LOWER, 0.0)
 IMBALANCE = Measure('imbalance', 'variation', Better.LOWER, 0.1)
@@ -116,11 +116,11 @@
 STEADY = LoadPlan((LoadPhase(STEADY_RUN_S, HIGH_LOAD),))
 WITH_LONG = LoadPlan((LoadPhase(STEADY_RUN_S, BLOCKING_LOAD),))
 WITHOUT_LONG = LoadPlan(WITH_LONG.phases, with_long_work=False)
-UNDER_CHANGES = LoadPlan((LoadPhase(CHANGES_RUN_S, USUAL_LOAD),))
+UNDER_CHANGES = LoadPlan((LoadPhase(CHANGES_RUN_S, NORMAL_LOAD),))
 # All kinds of changes to both services, one every few seconds.
-CHANGE_GAP_S = 3.0
+CHANGE_INTERVAL_S = 3.0
 CHANGES = tuple(
-    Change((step + 1) * CHANGE_GAP_S, kind, service, number)
+    Change((step + 1) * CHANGE_INTERVAL_S, kind, service, number)
     for step, (kind, service, number) in enumerate(
         (
             (ChangeKind.JOIN, 1, 2),
@@ -139,7 +139,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Pair:
+class RunPair:
     """The same run of both systems."""
 
     naive: RunOutcome
@@ -166,10 +166,10 @@
     def compare_imbalance(self) -> list[Row]:
         """Steady load on targets of different speed, after warm-up."""
         pair = self._run(STEADY)
-        naive = list_between(
+        naive = select_sent_between(
             pair.naive.request_log.outcomes, WARM_UP_S, STEADY_RUN_S
         )
-        ours = list_between(
+        ours = select_sent_between(
             pair.ours.request_log.outcomes, WARM_UP_S, STEADY_RUN_S
         )
         return [
@@ -180,8 +180,8 @@
             ),
             self._make_row(
                 CUSTOMER_GAP,
-                measure_service_gap(naive),
-                measure_service_gap(ours),
+                measure_in_time_gap(naive),
+                measure_in_time_gap(ours),
             ),
         ]
 
@@ -202,7 +202,7 @@
         naive = pair.naive.request_log.outcomes
         ours = pair.ours.request_log.outcomes
         measures = (
-            (CREST_QUALITY, measure_in_time),
+            (CREST_QUALITY, measure_in_time_share),
             (CREST_GOODPUT, self._measure_goodput),
             (CREST_RECOVERY, _measure_recovery_s),
             (CREST_REFUSAL, measure_refusal_s),
@@ -217,22 +217,24 @@
         others = len(self._scenario.customers) - 1
         weights = (float(others), *(1.0 for _ in range(others)))
         pair = self._run(make_crest(weights))
-        naive = list_between(
+        naive = select_sent_between(
             pair.naive.request_log.outcomes, CREST_START_S, CREST_END_S
         )
-        ours = list_between(
+        ours = select_sent_between(
             pair.ours.request_log.outcomes, CREST_START_S, CREST_END_S
         )
         row = self._make_row(
             CREST_CUSTOMERS,
-            measure_customer_gap(naive),
-            measure_customer_gap(ours),
+            measure_fair_share_gap(naive),
+            measure_fair_share_gap(ours),
         )
         return [row]
 
-    def _run(self, plan: LoadPlan, changes: tuple[Change, ...] = ()) -> Pair:
+    def _run(self, plan: LoadPlan, changes: tuple[Change, ...] = ()) -> RunPair:
         setup = RunSetup(self._scenario, plan, self._seed, changes, WARM_UP_S)
-        return Pair(NaiveSimulation(setup).run(), OursSimulation(setup).run())
+        return RunPair(
+            NaiveSimulation(setup).run(), OursSimulation(setup).run()
+        )
 
     def _make_row(self, measure: Measure, naive: float, ours: float) -> Row:
         return Row(
@@ -275,9 +277,9 @@
     """Return the load of a demand swing."""
     return LoadPlan(
         phases=(
-            LoadPhase(CREST_START_S, USUAL_LOAD),
+            LoadPhase(CREST_START_S, NORMAL_LOAD),
             LoadPhase(CREST_END_S, CREST_LOAD),
-            LoadPhase(CREST_RUN_S, USUAL_LOAD),
+            LoadPhase(CREST_RUN_S, NORMAL_LOAD),
         ),
         customer_weights=customer_weights,
         single_requests=True,
@@ -285,4 +287,4 @@
 
 
 def _measure_recovery_s(outcomes: list[RequestOutcome]) -> float:
-    return measure_recovery_s(outcomes, CREST_END_S, NORMAL_SHARE)
+    return measure_recovery_s(outcomes, CREST_END_S, RECOVERED_SHARE)
--- a/greengagepath/bench/fakes.py
+++ b/greengagepath/bench/fakes.py
@@ -17,10 +17,10 @@
 from .workload import RequestSpec
 
 # A cold back end starts at a third of its speed and warms up.
-COLD_SPEED = 0.33
+COLD_SPEED_FACTOR = 0.33
 WARM_UP_S = 8.0
 # The fabric sprays to a dead balancer until it notices.
-FABRIC_NOTICE_S = 0.5
+FABRIC_DETECTION_S = 0.5
 
 
 class BackEnd:
@@ -46,45 +46,49 @@
         return self.running < self.slots
 
     def run(
-        self, request: RequestSpec, done: Callable[[RequestSpec, float], None]
+        self,
+        request: RequestSpec,
+        on_done: Callable[[RequestSpec, float], None],
     ) -> None:
         """Take a slot; call `done` with the duration in s at the end."""
         if not self.has_free_slot:
             raise AssertionError('the back end has no free slot')
         self.running += 1
-        duration_s = request.work_s / self._present_speed()
+        duration_s = request.work_s / self._current_speed()
         self._timers.call_after(
-            duration_s, lambda: self._end(request, duration_s, done)
+            duration_s, lambda: self._end(request, duration_s, on_done)
         )
 
     def _end(
         self,
         request: RequestSpec,
         duration_s: float,
-        done: Callable[[RequestSpec, float], None],
+        on_done: Callable[[RequestSpec, float], None],
     ) -> None:
         if self.is_dead:
             return
         self.running -= 1
         self.work_done_s += request.work_s
-        done(request, duration_s)
+        on_done(request, duration_s)
 
-    def _present_speed(self) -> float:
+    def _current_speed(self) -> float:
         if self._started_s is None:
             return self.speed
         age_s = self._timers.now() - self._started_s
-        warmth = min(age_s / WARM_UP_S, 1.0)
-        return self.speed * (COLD_SPEED + (1 - COLD_SPEED) * warmth)
+        warm_up_share = min(age_s / WARM_UP_S, 1.0)
+        return self.speed * (
+            COLD_SPEED_FACTOR + (1 - COLD_SPEED_FACTOR) * warm_up_share
+        )
 
 
 class Fabric:
     """Sprays each packet to any balancer, also to one just dead."""
 
     def __init__(
-        self, timers: TimerService, drawn: random.Random, delay_s: float
+        self, timers: TimerService, rng: random.Random, delay_s: float
     ) -> None:
         self._timers = timers
-        self._random = drawn
+        self._random = rng
         self._delay_s = delay_s
         self._balancers: list[object] = []
         self.dead: set[int] = set()
@@ -93,12 +97,12 @@
         """Send a part of the packets to this balancer from now on."""
         self._balancers.append(balancer)
 
-    def kill_first(self) -> None:
+    def kill_first_balancer(self) -> None:
         """Kill a balancer; packets sent to it are lost until noticed."""
-        victim = self._balancers[0]
-        self.dead.add(id(victim))
+        balancer = self._balancers[0]
+        self.dead.add(id(balancer))
         self._timers.call_after(
-            FABRIC_NOTICE_S, lambda: self._balancers.remove(victim)
+            FABRIC_DETECTION_S, lambda: self._balancers.remove(balancer)
         )
 
     def spray(self, deliver: Callable[[object], None]) -> None:
@@ -109,7 +113,7 @@
 
 
 @unique
-class ObjectProblem(StrEnum):
+class ObjectApiError(StrEnum):
     """Why a call to the object API failed."""
 
     DOWN = 'down'
@@ -141,24 +145,24 @@
         self.is_down = False
         self.calls = 0
 
-    def read(self, name: str) -> Result[StoredObject | None, ObjectProblem]:
+    def read(self, name: str) -> Result[StoredObject | None, ObjectApiError]:
         """Return the present version, None if there is none."""
         self.calls += 1
         if self.is_down:
-            return Err(ObjectProblem.DOWN)
+            return Err(ObjectApiError.DOWN)
         return Ok(self._objects_by_name.get(name))
 
     def write(
         self, name: str, body: object, if_version: int
-    ) -> Result[StoredObject, ObjectProblem]:
+    ) -> Result[StoredObject, ObjectApiError]:
         """Replace the object if its version is still `if_version`."""
         self.calls += 1
         if self.is_down:
-            return Err(ObjectProblem.DOWN)
-        held = self._objects_by_name.get(name, StoredObject(0, None))
-        if held.version != if_version:
-            return Err(ObjectProblem.CONFLICT)
-        stored = StoredObject(held.version + 1, body)
+            return Err(ObjectApiError.DOWN)
+        current = self._objects_by_name.get(name, StoredObject(0, None))
+        if current.version != if_version:
+            return Err(ObjectApiError.CONFLICT)
+        stored = StoredObject(current.version + 1, body)
         self._objects_by_name[name] = stored
         for watcher in self._watchers:
             self._notify(watcher, name, stored)
@@ -175,12 +179,12 @@
         name: str,
         stored: StoredObject,
     ) -> None:
-        notice: Callback = lambda: watcher(name, stored)  # noqa: E731
-        self._timers.call_after(self._delay_s(), notice)
+        notification: Callback = lambda: watcher(name, stored)  # noqa: E731
+        self._timers.call_after(self._delay_s(), notification)
 
 
 @unique
-class RequestEnd(StrEnum):
+class RequestResult(StrEnum):
     """How a request ended for its caller."""
 
     ANSWERED = 'answered'
@@ -196,20 +200,20 @@
     """
 
     request: RequestSpec
-    fate: RequestEnd
+    result: RequestResult
     ended_s: float
-    decided_s: float = 0.0
+    refusal_delay_s: float = 0.0
 
     @property
     def in_time(self) -> bool:
         """Whether the whole answer came before the deadline."""
         return (
-            self.fate == RequestEnd.ANSWERED
+            self.result == RequestResult.ANSWERED
             and self.ended_s <= self.request.end_s
         )
 
     @property
-    def taken_s(self) -> float:
+    def duration_s(self) -> float:
         """Seconds from the request to its end."""
         return self.ended_s - self.request.at_s
 
--- a/greengagepath/bench/flow_survival.py
+++ b/greengagepath/bench/flow_survival.py
@@ -19,10 +19,10 @@
 STEPS = 600
 TARGETS = 7
 BALANCERS = 3
-CHANGE_EVERY = 10
-BALANCER_CHANGE_EVERY = 100
+CHANGE_INTERVAL_STEPS = 10
+BALANCER_CHANGE_INTERVAL_STEPS = 100
 # A balancer learns of a change up to this many steps late.
-MAX_LAG = 3
+MAX_LAG_STEPS = 3
 LONG_HISTORY = 16
 _FLOW_ID_BITS = 64
 
@@ -42,7 +42,7 @@
     has_token: bool = False
 
 
-WAYS = (
+LOOKUPS = (
     OwnerLookup('hash alone'),
     OwnerLookup('hash and flow table', remembers_flows=True),
     OwnerLookup('hash and 4 former owner sets', generations=4),
@@ -71,8 +71,8 @@
 class SurvivalExperiment:
     """One run of one way; `run` returns the share of broken flows."""
 
-    def __init__(self, way: OwnerLookup, seed: int) -> None:
-        self._way = way
+    def __init__(self, lookup: OwnerLookup, seed: int) -> None:
+        self._lookup = lookup
         self._random = random.Random(seed)
         self._numbers = list(range(TARGETS))
         self._next_number = TARGETS
@@ -83,9 +83,9 @@
     def run(self) -> float:
         """Return broken flows over all flows."""
         for step in range(STEPS):
-            if step and step % CHANGE_EVERY == 0:
+            if step and step % CHANGE_INTERVAL_STEPS == 0:
                 self._change_targets()
-            if step and step % BALANCER_CHANGE_EVERY == 0:
+            if step and step % BALANCER_CHANGE_INTERVAL_STEPS == 0:
                 # One balancer dies and an empty one joins.
                 self._balancers.pop(0)
                 self._balancers.append(_Balancer())
@@ -123,7 +123,7 @@
         self._next_number += 1
         self._tables.append(self._build_table())
         for balancer in self._balancers:
-            balancer.lag = self._random.randint(0, MAX_LAG)
+            balancer.lag = self._random.randint(0, MAX_LAG_STEPS)
 
     def _send_packets(self, step: int) -> None:
         for flow in self._flows:
@@ -135,20 +135,20 @@
         if not flow.owner:
             flow.owner = reached
         flow.broken = reached != flow.owner
-        if self._way.remembers_flows:
+        if self._lookup.remembers_flows:
             balancer.owners_by_flow[flow.flow_id] = reached
 
     def _route(self, flow: _Flow, balancer: _Balancer) -> str:
-        if self._way.has_token and flow.owner:
+        if self._lookup.has_token and flow.owner:
             return flow.owner
-        remembered = balancer.owners_by_flow.get(flow.flow_id)
-        if remembered is not None:
-            return remembered
+        remembered_owner = balancer.owners_by_flow.get(flow.flow_id)
+        if remembered_owner is not None:
+            return remembered_owner
         newest = len(self._tables) - 1
         current = newest if balancer.lag == 0 else max(newest - 1, 0)
         reached = self._hash_owner(flow, current)
         # Agents hand the packet back along the former owners they know.
-        oldest = max(newest - self._way.generations, 0)
+        oldest = max(newest - self._lookup.generations, 0)
         former = (
             self._hash_owner(flow, generation)
             for generation in range(oldest, newest)
@@ -163,8 +163,8 @@
 def measure_survival() -> dict[str, list[float]]:
     """Return the share of broken flows for each seed, by way."""
     return {
-        way.name: [SurvivalExperiment(way, seed).run() for seed in SEEDS]
-        for way in WAYS
+        lookup.name: [SurvivalExperiment(lookup, seed).run() for seed in SEEDS]
+        for lookup in LOOKUPS
     }
 
 
--- a/greengagepath/bench/hash_figures.py
+++ b/greengagepath/bench/hash_figures.py
@@ -21,9 +21,9 @@
 BUILDS = 3
 WEIGHTS = (1.0, 2.0, 3.0, 4.0)
 _US_PER_S = 1000000.0
-_FLOW_STEP = 0x9E3779B97F4A7C15
+_FLOW_ID_MULTIPLIER = 0x9E3779B97F4A7C15
 _FLOW_ID_BITS = 64
-_FLOW_MASK = (1 << _FLOW_ID_BITS) - 1
+_FLOW_ID_MASK = (1 << _FLOW_ID_BITS) - 1
 
 
 @dataclass(slots=True, frozen=True)
@@ -48,14 +48,14 @@
     """Measure one kind of table with `count` targets."""
     targets = _make_targets(count + 1)
     table = kind(targets[:-1])
-    gone = targets[count // 2]
+    removed = targets[count // 2]
     owners = _list_owners(table)
-    without = _list_owners(kind(one for one in table.targets if one != gone))
+    without = _list_owners(kind(one for one in table.targets if one != removed))
     joined = _list_owners(kind(targets))
     return HashFigures(
         name=kind.__name__,
         targets=count,
-        moved_by_removal=_count_moved(owners, without, gone),
+        moved_by_removal=_count_moved(owners, without, removed),
         moved_by_join=_count_moved(joined, owners, targets[-1]),
         unevenness=_measure_unevenness(owners, table.targets),
         lookup_us=_time_lookup_us(table),
@@ -89,7 +89,9 @@
 
 
 def _list_flow_ids() -> list[int]:
-    return [number * _FLOW_STEP & _FLOW_MASK for number in range(FLOWS)]
+    return [
+        number * _FLOW_ID_MULTIPLIER & _FLOW_ID_MASK for number in range(FLOWS)
+    ]
 
 
 def _list_owners(table: OwnerTable) -> list[str]:
--- a/greengagepath/bench/measures.py
+++ b/greengagepath/bench/measures.py
@@ -6,10 +6,10 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from .fakes import RequestEnd, RequestOutcome
+from .fakes import RequestOutcome, RequestResult
 from .simulation import RunOutcome
 
-_TAIL = 0.99
+_TAIL_SHARE = 0.99
 # Some 450 requests: in a shorter interval, a single straggler that
 # misses its deadline would already count as not recovered.
 RECOVERY_STEP_S = 1.0
@@ -44,28 +44,30 @@
     """Return the 99th percentile of short work of a service, in s."""
     return percentile(
         (
-            ended.taken_s
-            for ended in outcomes
-            if ended.request.is_short
-            and ended.request.service == service
-            and ended.request.at_s >= from_s
+            outcome.duration_s
+            for outcome in outcomes
+            if outcome.request.is_short
+            and outcome.request.service == service
+            and outcome.request.at_s >= from_s
         ),
-        _TAIL,
+        _TAIL_SHARE,
     )
 
 
-def list_between(
+def select_sent_between(
     outcomes: Iterable[RequestOutcome], start_s: float, end_s: float
 ) -> list[RequestOutcome]:
     """Return the outcomes of requests sent in the interval."""
     return [
-        ended for ended in outcomes if start_s <= ended.request.at_s < end_s
+        outcome
+        for outcome in outcomes
+        if start_s <= outcome.request.at_s < end_s
     ]
 
 
-def measure_in_time(outcomes: Iterable[RequestOutcome]) -> float:
+def measure_in_time_share(outcomes: Iterable[RequestOutcome]) -> float:
     """Return the share of requests answered before their deadline."""
-    return statistics.fmean(ended.in_time for ended in outcomes)
+    return statistics.fmean(outcome.in_time for outcome in outcomes)
 
 
 def sum_goodput_s(
@@ -73,22 +75,22 @@
 ) -> float:
     """Return work answered in time in the interval, in s at speed 1."""
     return sum(
-        ended.request.work_s
-        for ended in outcomes
-        if ended.in_time and start_s <= ended.ended_s < end_s
+        outcome.request.work_s
+        for outcome in outcomes
+        if outcome.in_time and start_s <= outcome.ended_s < end_s
     )
 
 
-def measure_service_gap(outcomes: Iterable[RequestOutcome]) -> float:
+def measure_in_time_gap(outcomes: Iterable[RequestOutcome]) -> float:
     """Return the largest gap between customers in requests in time."""
     flags_by_customer: dict[int, list[bool]] = defaultdict(list)
-    for ended in outcomes:
-        flags_by_customer[ended.request.customer_id].append(ended.in_time)
+    for outcome in outcomes:
+        flags_by_customer[outcome.request.customer_id].append(outcome.in_time)
     shares = [statistics.fmean(one) for one in flags_by_customer.values()]
     return max(shares) - min(shares)
 
 
-def measure_customer_gap(outcomes: Iterable[RequestOutcome]) -> float:
+def measure_fair_share_gap(outcomes: Iterable[RequestOutcome]) -> float:
     """Return the largest gap between customers in served fair share.
 
     The work done in time is divided by max-min fairness: a customer's
@@ -97,17 +99,19 @@
     """
     demand: dict[int, float] = defaultdict(float)
     served: dict[int, float] = defaultdict(float)
-    for ended in outcomes:
-        customer_id = ended.request.customer_id
-        demand[customer_id] += ended.request.work_s
-        served[customer_id] += ended.request.work_s * ended.in_time
-    fair = _fill_evenly(demand, sum(served.values()))
-    parts = [served[customer_id] / fair[customer_id] for customer_id in fair]
-    return max(parts) - min(parts)
+    for outcome in outcomes:
+        customer_id = outcome.request.customer_id
+        demand[customer_id] += outcome.request.work_s
+        served[customer_id] += outcome.request.work_s * outcome.in_time
+    fair = _compute_fair_shares(demand, sum(served.values()))
+    served_shares = [
+        served[customer_id] / fair[customer_id] for customer_id in fair
+    ]
+    return max(served_shares) - min(served_shares)
 
 
 def measure_recovery_s(
-    outcomes: Iterable[RequestOutcome], crest_end_s: float, goal: float
+    outcomes: Iterable[RequestOutcome], crest_end_s: float, threshold: float
 ) -> float:
     """Return how long after the crest requests keep missing the goal.
 
@@ -115,14 +119,14 @@
     the share answered in time stays at `goal` or above.
     """
     in_time_by_step: dict[int, list[bool]] = defaultdict(list)
-    for ended in outcomes:
-        step = int((ended.request.at_s - crest_end_s) // RECOVERY_STEP_S)
+    for outcome in outcomes:
+        step = int((outcome.request.at_s - crest_end_s) // RECOVERY_STEP_S)
         if step >= 0:
-            in_time_by_step[step].append(ended.in_time)
+            in_time_by_step[step].append(outcome.in_time)
     missed = [
         step
         for step, flags in in_time_by_step.items()
-        if statistics.fmean(flags) < goal
+        if statistics.fmean(flags) < threshold
     ]
     return (max(missed, default=-1) + 1) * RECOVERY_STEP_S
 
@@ -130,23 +134,23 @@
 def measure_refusal_s(outcomes: Iterable[RequestOutcome]) -> float:
     """Return the 99th percentile of the delay of refusals, in s."""
     delays = [
-        ended.decided_s
-        for ended in outcomes
-        if ended.fate == RequestEnd.REFUSED
+        outcome.refusal_delay_s
+        for outcome in outcomes
+        if outcome.result == RequestResult.REFUSED
     ]
-    return percentile(delays, _TAIL) if delays else 0.0
+    return percentile(delays, _TAIL_SHARE) if delays else 0.0
 
 
-def _fill_evenly(
+def _compute_fair_shares(
     demand: dict[int, float], capacity_s: float
 ) -> dict[int, float]:
     """Return the max-min fair shares of the capacity."""
     left_s = capacity_s
     fair: dict[int, float] = {}
     ordered = sorted(demand.items(), key=lambda entry: entry[1])
-    for place, (customer_id, wanted_s) in zip(
+    for index, (customer_id, demand_s) in zip(
         itertools.count(), ordered, strict=False
     ):
-        fair[customer_id] = min(wanted_s, left_s / (len(ordered) - place))
+        fair[customer_id] = min(demand_s, left_s / (len(ordered) - index))
         left_s -= fair[customer_id]
     return fair
--- a/greengagepath/bench/naive.py
+++ b/greengagepath/bench/naive.py
@@ -11,13 +11,13 @@
 import xxhash
 
 from ..foundation.timers import VirtualTimerService
-from .fakes import BackEnd, Fabric, RequestEnd, RequestLog, RequestOutcome
+from .fakes import BackEnd, Fabric, RequestLog, RequestOutcome, RequestResult
 from .scenarios import QUEUE_LENGTH
 from .workload import RequestSpec
 
 MAX_ATTEMPTS = 3
 # Parts of the deadline after which an attempt is given up.
-ATTEMPT_SHARE = 1 / MAX_ATTEMPTS
+ATTEMPT_TIMEOUT_SHARE = 1 / MAX_ATTEMPTS
 _FLOW_ID_BYTES = 8
 
 
@@ -53,12 +53,12 @@
         if self.back_end.is_dead:
             return
         if len(self._queue) >= QUEUE_LENGTH:
-            reply(RequestEnd.REFUSED)
+            reply(RequestResult.REFUSED)
             return
         self._queue.append((request, reply))
-        self._pump()
+        self._process_queue()
 
-    def _pump(self) -> None:
+    def _process_queue(self) -> None:
         while self._queue and self.back_end.has_free_slot:
             request, reply = self._queue.popleft()
             self.back_end.run(request, partial(self._finish, reply))
@@ -66,11 +66,11 @@
     def _finish(
         self, reply: 'Reply', request: RequestSpec, duration_s: float
     ) -> None:
-        reply(RequestEnd.ANSWERED)
-        self._pump()
+        reply(RequestResult.ANSWERED)
+        self._process_queue()
 
 
-Reply = Callable[[RequestEnd], None]
+Reply = Callable[[RequestResult], None]
 
 
 class NaiveCall:
@@ -90,25 +90,28 @@
             return
         self._attempts += 1
         sent_s = self._caller.timers.now()
-        self._caller.send(self._request, lambda fate: self._end(fate, sent_s))
+        self._caller.send(
+            self._request, lambda result: self._end(result, sent_s)
+        )
         self._caller.timers.call_after(
-            self._request.operation.deadline_s * ATTEMPT_SHARE, self.attempt
+            self._request.operation.deadline_s * ATTEMPT_TIMEOUT_SHARE,
+            self.attempt,
         )
 
-    def give_up(self) -> None:
+    def time_out(self) -> None:
         """End the call at its deadline."""
-        self._end(RequestEnd.TIMED_OUT, self._request.at_s)
+        self._end(RequestResult.TIMED_OUT, self._request.at_s)
 
-    def _end(self, fate: RequestEnd, sent_s: float) -> None:
+    def _end(self, result: RequestResult, sent_s: float) -> None:
         if self._ended:
             return
-        if fate == RequestEnd.REFUSED and self._attempts < MAX_ATTEMPTS:
+        if result == RequestResult.REFUSED and self._attempts < MAX_ATTEMPTS:
             self.attempt()
             return
         self._ended = True
         now_s = self._caller.timers.now()
         self._caller.request_log.outcomes.append(
-            RequestOutcome(self._request, fate, now_s, now_s - sent_s)
+            RequestOutcome(self._request, result, now_s, now_s - sent_s)
         )
 
 
@@ -130,7 +133,7 @@
     def start(self, request: RequestSpec) -> None:
         """Begin a request at its time."""
         call = NaiveCall(self, request)
-        self.timers.call_after(request.operation.deadline_s, call.give_up)
+        self.timers.call_after(request.operation.deadline_s, call.time_out)
         call.attempt()
 
     def send(self, request: RequestSpec, reply: Reply) -> None:
@@ -144,17 +147,17 @@
         agent.receive(request, partial(self._answer, request, reply))
 
     def _answer(
-        self, request: RequestSpec, reply: Reply, fate: RequestEnd
+        self, request: RequestSpec, reply: Reply, result: RequestResult
     ) -> None:
         self.timers.call_after(
-            self._delay_s, partial(self._receive, request, reply, fate)
+            self._delay_s, partial(self._receive, request, reply, result)
         )
 
     def _receive(
-        self, request: RequestSpec, reply: Reply, fate: RequestEnd
+        self, request: RequestSpec, reply: Reply, result: RequestResult
     ) -> None:
         self._fabric.spray(partial(self._route, request))
-        reply(fate)
+        reply(result)
 
     def _route(
         self, request: RequestSpec, balancer: NaiveBalancer
--- a/greengagepath/bench/ours.py
+++ b/greengagepath/bench/ours.py
@@ -25,7 +25,7 @@
     TargetChooser,
 )
 from ..routing.targets import TargetInfo
-from .fakes import BackEnd, Fabric, RequestEnd, RequestLog, RequestOutcome
+from .fakes import BackEnd, Fabric, RequestLog, RequestOutcome, RequestResult
 from .scenarios import QUEUE_LENGTH, SLOTS
 from .workload import RequestSpec
 
@@ -49,7 +49,7 @@
 
 
 @dataclass(slots=True)
-class World:
+class RunContext:
     """What all parts of a run share; `random` draws delays."""
 
     timers: TimerService
@@ -66,21 +66,21 @@
     """Admission beside one back end."""
 
     def __init__(
-        self, world: World, target: TargetInfo, back_end: BackEnd
+        self, context: RunContext, target: TargetInfo, back_end: BackEnd
     ) -> None:
         self.target = target
         self.back_end = back_end
-        self._world = world
+        self._context = context
         limits = Limits(slots=SLOTS, queue_length=QUEUE_LENGTH)
-        self.gate = AdmissionGate(world.timers, limits)
+        self.gate = AdmissionGate(context.timers, limits)
         self._attempts_by_request: dict[bytes, Attempt] = {}
 
     def receive_open(self, opening: 'Opening') -> None:
         """Accept a flow, or hand it to the next candidate."""
         if self.back_end.is_dead:
             return
-        unwilling = self.gate.is_draining or self.gate.load().is_full
-        if unwilling and opening.alternates:
+        cannot_accept = self.gate.is_draining or self.gate.load().is_full
+        if cannot_accept and opening.alternates:
             self._hand_off(opening)
             return
         if self.gate.is_draining:
@@ -88,9 +88,9 @@
             return
         claims = TokenClaims(self.target.address, self.target.incarnation, 0)
         token = issue_token(
-            self._world.keys, self.target.service, opening.flow_id, claims
+            self._context.keys, self.target.service, opening.flow_id, claims
         )
-        self._world.request_log.record_packet(
+        self._context.request_log.record_packet(
             opening.flow_id, self.target.target_id
         )
         opening.reply(token)
@@ -113,12 +113,12 @@
         )
         if offered.is_err():
             self._answer(request.request_id, offered.unwrap_err().reason)
-        self._pump()
+        self._process_queue()
 
     def start_draining(self) -> None:
         """Refuse queued and new requests from now on."""
         self.gate.start_draining()
-        self._pump()
+        self._process_queue()
 
     def load(self) -> ProbeReply:
         """Return the reply to a probe."""
@@ -135,15 +135,15 @@
 
     def _hand_off(self, opening: 'Opening') -> None:
         address = opening.alternates[0].address
-        following = Opening(
+        forwarded = Opening(
             opening.flow_id, opening.reply, opening.alternates[1:]
         )
-        agent = self._world.agents_by_address[address]
-        self._world.timers.call_after(
-            self._world.zone_delay_s, lambda: agent.receive_open(following)
+        agent = self._context.agents_by_address[address]
+        self._context.timers.call_after(
+            self._context.zone_delay_s, lambda: agent.receive_open(forwarded)
         )
 
-    def _pump(self) -> None:
+    def _process_queue(self) -> None:
         queued = self.gate.next_request()
         while queued is not None:
             self._run(queued.payload)
@@ -152,18 +152,18 @@
             self._answer(refusal.request_id, refusal.reason)
 
     def _run(self, request: RequestSpec) -> None:
-        self._world.request_log.runs_by_request[request.request_id] += 1
+        self._context.request_log.runs_by_request[request.request_id] += 1
         self.back_end.run(request, self._finish)
 
     def _finish(self, request: RequestSpec, duration_s: float) -> None:
         self.gate.finish(request.request_id, duration_s, succeeded=True)
         self._answer(request.request_id, None)
-        self._pump()
+        self._process_queue()
 
     def _answer(self, request_id: bytes, reason: RefusalReason | None) -> None:
         attempt = self._attempts_by_request.pop(request_id)
-        self._world.timers.call_after(
-            self._world.client_delay_s, lambda: attempt.reply(reason)
+        self._context.timers.call_after(
+            self._context.client_delay_s, lambda: attempt.reply(reason)
         )
 
 
@@ -192,16 +192,16 @@
 
     def __init__(
         self,
-        world: World,
+        context: RunContext,
         shared: ChooserServices,
         make_chooser: ChooserFactory = TargetChooser,
     ) -> None:
-        self._world = world
+        self._context = context
         self._shared = shared
         self._make_chooser = make_chooser
         self._choosers_by_service: dict[int, TargetChooser] = {}
         self.is_dead = False
-        world.timers.subscribe(PROBE_CHECK_S, self._probe_all)
+        context.timers.subscribe(PROBE_CHECK_S, self._probe_all)
 
     def replace_targets(
         self, targets_by_service: dict[int, tuple[TargetInfo, ...]]
@@ -223,13 +223,13 @@
         if chosen.is_err():
             return
         choice: Choice = chosen.unwrap()
-        agent = self._world.agents_by_address[choice.target.address]
+        agent = self._context.agents_by_address[choice.target.address]
         forwarded = Opening(
             opening.flow_id,
             opening.reply,
             choice.alternates[:MAX_HAND_OFFS],
         )
-        self._world.timers.call_after(
+        self._context.timers.call_after(
             self._hop_s(choice.target),
             lambda: agent.receive_open(forwarded),
         )
@@ -239,11 +239,11 @@
         """Return the agent in the token of an established flow."""
         if self.is_dead:
             return None
-        claims = verify_token(self._world.keys, service, flow_id, token)
+        claims = verify_token(self._context.keys, service, flow_id, token)
         if claims is None:
             return None
-        agent = self._world.agents_by_address[claims.address]
-        self._world.request_log.record_packet(flow_id, agent.target.target_id)
+        agent = self._context.agents_by_address[claims.address]
+        self._context.request_log.record_packet(flow_id, agent.target.target_id)
         return agent
 
     def _probe_all(self) -> None:
@@ -253,41 +253,41 @@
 
     def _probe(self, chooser: TargetChooser) -> None:
         for target in chooser.targets_to_probe():
-            ProbeExchange(self._world, chooser, target).start(
+            ProbeExchange(self._context, chooser, target).start(
                 self._hop_s(target)
             )
 
     def _hop_s(self, target: TargetInfo) -> float:
         zone = self._shared.place.availability_zone
         if target.availability_zone == zone:
-            return self._world.zone_delay_s / 4
-        return self._world.zone_delay_s
+            return self._context.zone_delay_s / 4
+        return self._context.zone_delay_s
 
 
 class ProbeExchange:
     """One probe, its reply and its time limit."""
 
     def __init__(
-        self, world: World, chooser: TargetChooser, target: TargetInfo
+        self, context: RunContext, chooser: TargetChooser, target: TargetInfo
     ) -> None:
-        self._world = world
+        self._context = context
         self._chooser = chooser
-        self._agent = world.agents_by_address[target.address]
+        self._agent = context.agents_by_address[target.address]
         self._answered = False
 
     def start(self, hop_s: float) -> None:
         """Send the probe; `hop_s` is the delay one way."""
-        delay_s = hop_s + self._world.random.uniform(0, PROBE_JITTER_S)
-        self._world.timers.call_after(delay_s, lambda: self._reply(hop_s))
-        self._world.timers.call_after(PROBE_TIMEOUT_S, self._time_out)
+        delay_s = hop_s + self._context.random.uniform(0, PROBE_JITTER_S)
+        self._context.timers.call_after(delay_s, lambda: self._reply(hop_s))
+        self._context.timers.call_after(PROBE_TIMEOUT_S, self._time_out)
 
     def _reply(self, hop_s: float) -> None:
         if self._agent.back_end.is_dead:
             return
         reply = self._agent.load()
-        self._world.timers.call_after(hop_s, lambda: self._take(reply))
+        self._context.timers.call_after(hop_s, lambda: self._receive(reply))
 
-    def _take(self, reply: ProbeReply) -> None:
+    def _receive(self, reply: ProbeReply) -> None:
         self._answered = True
         self._chooser.record_probe(reply)
 
@@ -310,15 +310,17 @@
 class LibraryCaller:
     """Callers of all customers; one retry budget each."""
 
-    def __init__(self, world: World) -> None:
-        self.world = world
+    def __init__(self, context: RunContext) -> None:
+        self.context = context
         self.budgets_by_customer: dict[int, RetryBudget] = {}
         self._flows_by_group: dict[int, CallerFlow] = {}
 
     def start(self, request: RequestSpec) -> None:
         """Begin a request at its time."""
         call = Call(self, request)
-        self.world.timers.call_after(request.operation.deadline_s, call.give_up)
+        self.context.timers.call_after(
+            request.operation.deadline_s, call.time_out
+        )
         budget = self.budgets_by_customer.setdefault(
             request.customer_id, RetryBudget(RETRY_SHARE)
         )
@@ -333,8 +335,8 @@
         flow = self._flows_by_group.get(group)
         if flow is None:
             flow_id = group
-            if group in self.world.request_log.owners_by_flow:
-                flow_id = self.world.random.getrandbits(_FLOW_ID_BITS)
+            if group in self.context.request_log.owners_by_flow:
+                flow_id = self.context.random.getrandbits(_FLOW_ID_BITS)
             flow = CallerFlow(flow_id, waiting=[call])
             self._flows_by_group[group] = flow
             self._send_open(call.request, flow)
@@ -351,16 +353,16 @@
         if flow.token is not None or not flow.waiting:
             return
         opening = Opening(flow.flow_id, partial(self._answer_open, flow))
-        self.world.fabric.spray(
+        self.context.fabric.spray(
             lambda balancer: balancer.receive_open(request, opening)
         )
-        self.world.timers.call_after(
+        self.context.timers.call_after(
             OPEN_TIMEOUT_S, lambda: self._send_open(request, flow)
         )
 
     def _answer_open(self, flow: CallerFlow, token: bytes | None) -> None:
-        self.world.timers.call_after(
-            self.world.client_delay_s, partial(self._accept, flow, token)
+        self.context.timers.call_after(
+            self.context.client_delay_s, partial(self._accept, flow, token)
         )
 
     def _accept(self, flow: CallerFlow, token: bytes | None) -> None:
@@ -373,27 +375,29 @@
             self._send(call, flow)
 
     def _send(self, call: 'Call', flow: CallerFlow) -> None:
-        RequestSending(self.world, call, flow).send()
+        RequestTransmission(self.context, call, flow).send()
 
     def acknowledge(self, request: RequestSpec, flow: CallerFlow) -> None:
         """Send the packet that acknowledges an answer."""
         token = flow.token or b''
-        self.world.fabric.spray(
+        self.context.fabric.spray(
             lambda balancer: balancer.route(
                 request.service, flow.flow_id, token
             )
         )
 
 
-class RequestSending:
+class RequestTransmission:
     """Sends a request on a flow until the agent has it."""
 
-    def __init__(self, world: World, call: 'Call', flow: CallerFlow) -> None:
-        self._world = world
+    def __init__(
+        self, context: RunContext, call: 'Call', flow: CallerFlow
+    ) -> None:
+        self._context = context
         self._call = call
         self._flow = flow
         self._attempt = Attempt(
-            call.request, partial(call.reply, flow, world.timers.now())
+            call.request, partial(call.reply, flow, context.timers.now())
         )
         self._arrived = False
         self._sends = 0
@@ -403,11 +407,11 @@
         if self._arrived:
             return
         if self._sends >= MAX_SENDS:
-            self._call.lose_flow()
+            self._call.retry_on_new_flow()
             return
         self._sends += 1
-        self._world.fabric.spray(self._deliver)
-        self._world.timers.call_after(OPEN_TIMEOUT_S, self.send)
+        self._context.fabric.spray(self._deliver)
+        self._context.timers.call_after(OPEN_TIMEOUT_S, self.send)
 
     def _deliver(self, balancer: Balancer) -> None:
         token = self._flow.token or b''
@@ -428,11 +432,11 @@
         self._retries = 0
         self.ended = False
 
-    def give_up(self) -> None:
+    def time_out(self) -> None:
         """End the call at its deadline."""
-        self._end(RequestEnd.TIMED_OUT, 0.0)
+        self._end(RequestResult.TIMED_OUT, 0.0)
 
-    def lose_flow(self) -> None:
+    def retry_on_new_flow(self) -> None:
         """Move to a new flow, as the target did not get the request."""
         self._caller.drop_flow(self.request)
         self._retry(0.0)
@@ -443,13 +447,15 @@
         """Take the outcome of an attempt that was sent at `sent_s`."""
         if reason is None:
             self._caller.acknowledge(self.request, flow)
-            self._end(RequestEnd.ANSWERED, 0.0)
+            self._end(RequestResult.ANSWERED, 0.0)
             return
         self._caller.drop_flow(self.request)
-        self._refuse(reason, self._caller.world.timers.now() - sent_s)
+        self._handle_refusal(reason, self._caller.context.timers.now() - sent_s)
 
-    def _refuse(self, reason: RefusalReason, decided_s: float) -> None:
-        world = self._caller.world
+    def _handle_refusal(
+        self, reason: RefusalReason, refusal_delay_s: float
+    ) -> None:
+        context = self._caller.context
         budget = self._caller.budgets_by_customer[self.request.customer_id]
         if reason == RefusalReason.draining:
             # The library moves to a new flow outside the budget.
@@ -457,25 +463,25 @@
         elif budget.try_retry():
             longest_s = BACKOFF_S * 2**self._retries
             self._retries += 1
-            self._retry(world.random.uniform(0.0, longest_s))
+            self._retry(context.random.uniform(0.0, longest_s))
         else:
-            self._end(RequestEnd.REFUSED, decided_s)
+            self._end(RequestResult.REFUSED, refusal_delay_s)
 
     def _retry(self, delay_s: float) -> None:
         if not self.ended:
-            self._caller.world.timers.call_after(
+            self._caller.context.timers.call_after(
                 delay_s, lambda: self._caller.attempt(self)
             )
 
-    def _end(self, fate: RequestEnd, decided_s: float) -> None:
+    def _end(self, result: RequestResult, refusal_delay_s: float) -> None:
         if self.ended:
             return
         self.ended = True
-        self._caller.world.request_log.outcomes.append(
+        self._caller.context.request_log.outcomes.append(
             RequestOutcome(
                 self.request,
-                fate,
-                self._caller.world.timers.now(),
-                decided_s,
+                result,
+                self._caller.context.timers.now(),
+                refusal_delay_s,
             )
         )
--- a/greengagepath/bench/plots.py
+++ b/greengagepath/bench/plots.py
@@ -11,7 +11,7 @@
 
 _SIZE_INCHES = (6.0, 4.0)
 _BAR_WIDTH = 0.4
-_LOG_FROM_RATIO = 20.0
+_LOG_SCALE_RATIO = 20.0
 
 
 def write_plots(rows: list[Row], output_dir: Path) -> list[Path]:
@@ -43,14 +43,14 @@
 
 
 def _draw_bars(axes: Axes, rows: list[Row]) -> None:
-    places = range(len(rows))
+    positions = range(len(rows))
     half = _BAR_WIDTH / 2
     naive = [row.naive for row in rows]
     ours = [row.ours for row in rows]
-    axes.bar([at - half for at in places], naive, _BAR_WIDTH, label='naive')
-    axes.bar([at + half for at in places], ours, _BAR_WIDTH, label='ours')
-    axes.set_xticks(list(places), [row.scenario for row in rows])
-    if min(ours) > 0 and max(naive) > _LOG_FROM_RATIO * min(ours):
+    axes.bar([at - half for at in positions], naive, _BAR_WIDTH, label='naive')
+    axes.bar([at + half for at in positions], ours, _BAR_WIDTH, label='ours')
+    axes.set_xticks(list(positions), [row.scenario for row in rows])
+    if min(ours) > 0 and max(naive) > _LOG_SCALE_RATIO * min(ours):
         axes.set_yscale('log')
 
 
--- a/greengagepath/bench/policies.py
+++ b/greengagepath/bench/policies.py
@@ -62,10 +62,10 @@
             return Err(NoTarget(self.service, NoTargetReason.NONE_ALIVE))
         self._add_probe_credit()
         pair = self._random.sample(pool, min(len(pool), 2))
-        pair.sort(key=self._compare)
+        pair.sort(key=self._get_load_key)
         return Ok(Choice(pair[0], tuple(pair[1:])))
 
-    def _compare(self, target: TargetInfo) -> tuple[float, float]:
+    def _get_load_key(self, target: TargetInfo) -> tuple[float, float]:
         load = self._loads_by_target_id[target.target_id]
         return load.reported_requests, load.latency_s
 
@@ -77,8 +77,8 @@
         """Take a report when it is old; one target claims no load."""
         if reply.target_id.endswith(MISLEADING_SUFFIX):
             reply = replace(reply, in_flight=0, queued=0)
-        take = partial(super().record_probe, reply)
-        self._timers.call_after(REPORT_LAG_S, take)
+        record_late = partial(super().record_probe, reply)
+        self._timers.call_after(REPORT_LAG_S, record_late)
 
 
 POLICIES: tuple[type[TargetChooser], ...] = (
--- a/greengagepath/bench/scenarios.py
+++ b/greengagepath/bench/scenarios.py
@@ -74,11 +74,11 @@
 _LONG_S = _SHORT_S * LONG_FACTOR
 
 # Requests answered while someone waits, and those that may queue.
-_PATIENCE_S = 1.5
-_SHEET_PATIENCE_S = 2.0
-_LODGING_PATIENCE_S = 4.0
-_LIST_PATIENCE_S = 30.0
-_BUNDLE_PATIENCE_S = 60.0
+_LOOKUP_DEADLINE_S = 1.5
+_REPORT_DEADLINE_S = 2.0
+_UPDATE_DEADLINE_S = 4.0
+_LISTING_DEADLINE_S = 30.0
+_BATCH_DEADLINE_S = 60.0
 # Rates relative to the service's long operation.
 _STATUS_RATE = 150
 _RENEWAL_RATE = 49
@@ -99,12 +99,14 @@
             name='licence-core',
             speeds=SEVEN_SPEEDS,
             operations=(
-                OperationSpec('status', _STATUS_RATE, _SHORT_S, _PATIENCE_S),
                 OperationSpec(
-                    'renewal', _RENEWAL_RATE, _SHORT_S * 2, _LODGING_PATIENCE_S
+                    'status', _STATUS_RATE, _SHORT_S, _LOOKUP_DEADLINE_S
                 ),
                 OperationSpec(
-                    'history', 1, _LONG_S, _LIST_PATIENCE_S, SizeClass.long
+                    'renewal', _RENEWAL_RATE, _SHORT_S * 2, _UPDATE_DEADLINE_S
+                ),
+                OperationSpec(
+                    'history', 1, _LONG_S, _LISTING_DEADLINE_S, SizeClass.long
                 ),
             ),
         ),
@@ -114,10 +116,10 @@
             speeds=THREE_SPEEDS,
             operations=(
                 OperationSpec(
-                    'index', _INDEX_RATE, _SHORT_S, _SHEET_PATIENCE_S
+                    'index', _INDEX_RATE, _SHORT_S, _REPORT_DEADLINE_S
                 ),
                 OperationSpec(
-                    'bundle', 1, _LONG_S, _BUNDLE_PATIENCE_S, SizeClass.long
+                    'bundle', 1, _LONG_S, _BATCH_DEADLINE_S, SizeClass.long
                 ),
             ),
         ),
@@ -137,13 +139,17 @@
             speeds=SEVEN_SPEEDS,
             operations=(
                 OperationSpec(
-                    'catalogue', _CATALOGUE_RATE, _SHORT_S, _PATIENCE_S
+                    'catalogue', _CATALOGUE_RATE, _SHORT_S, _LOOKUP_DEADLINE_S
                 ),
                 OperationSpec(
-                    'order', _ORDER_RATE, _SHORT_S * 2, _LODGING_PATIENCE_S
+                    'order', _ORDER_RATE, _SHORT_S * 2, _UPDATE_DEADLINE_S
                 ),
                 OperationSpec(
-                    'stock-list', 1, _LONG_S, _LIST_PATIENCE_S, SizeClass.long
+                    'stock-list',
+                    1,
+                    _LONG_S,
+                    _LISTING_DEADLINE_S,
+                    SizeClass.long,
                 ),
             ),
         ),
@@ -153,10 +159,10 @@
             speeds=THREE_SPEEDS,
             operations=(
                 OperationSpec(
-                    'sheet', _SHEET_RATE, _SHORT_S, _SHEET_PATIENCE_S
+                    'sheet', _SHEET_RATE, _SHORT_S, _REPORT_DEADLINE_S
                 ),
                 OperationSpec(
-                    'render', 1, _LONG_S, _BUNDLE_PATIENCE_S, SizeClass.long
+                    'render', 1, _LONG_S, _BATCH_DEADLINE_S, SizeClass.long
                 ),
             ),
         ),
--- a/greengagepath/bench/simulation.py
+++ b/greengagepath/bench/simulation.py
@@ -23,11 +23,11 @@
 DEAD_S = 5.0
 TARGETS_OBJECT = 'targets'
 # Time after the last arrival for requests to end.
-RUN_OUT_S = 10.0
+COOL_DOWN_S = 10.0
 _FIRST_PORT = 20000
 
 
-TargetsTaker = Callable[[tuple[TargetInfo, ...]], None]
+TargetsCallback = Callable[[tuple[TargetInfo, ...]], None]
 RequestStarter = Callable[[RequestSpec], None]
 
 
@@ -82,11 +82,11 @@
     back_end: BackEnd
     agent: Agent | NaiveAgent
     is_listed: bool = True
-    work_before_s: float = 0.0
+    warm_up_work_s: float = 0.0
 
 
 @dataclass(slots=True)
-class Parts:
+class Environment:
     """What both systems run on."""
 
     timers: VirtualTimerService
@@ -95,12 +95,12 @@
     request_log: RequestLog = field(default_factory=RequestLog)
 
 
-def make_parts(setup: RunSetup) -> Parts:
+def make_environment(setup: RunSetup) -> Environment:
     """Return fresh parts whose randomness follows from the seed."""
     timers = VirtualTimerService()
-    drawn = random.Random(f'{setup.seed} {setup.scenario.name} run')
-    fabric = Fabric(timers, drawn, setup.scenario.client_delay_s)
-    return Parts(timers, drawn, fabric)
+    rng = random.Random(f'{setup.seed} {setup.scenario.name} run')
+    fabric = Fabric(timers, rng, setup.scenario.client_delay_s)
+    return Environment(timers, rng, fabric)
 
 
 class Simulation:
@@ -108,11 +108,11 @@
 
     def __init__(self, setup: RunSetup) -> None:
         self.setup = setup
-        self.parts = make_parts(setup)
+        self.environment = make_environment(setup)
         self.hosts_by_id: dict[str, Host] = {}
         self.object_api = FakeObjectApi(
-            self.parts.timers,
-            lambda: self.parts.random.uniform(MIN_LAG_S, MAX_LAG_S),
+            self.environment.timers,
+            lambda: self.environment.random.uniform(MIN_LAG_S, MAX_LAG_S),
         )
         for service in setup.scenario.services:
             for speed in service.speeds:
@@ -123,23 +123,23 @@
         self._publish()
         for _ in range(BALANCERS):
             self._add_balancer()
-        timers = self.parts.timers
+        timers = self.environment.timers
         for change in self.setup.changes:
             timers.call_after(change.at_s, partial(self._apply, change))
         timers.call_after(self.setup.measure_from_s, self._start_measuring)
         workload = WorkloadBuilder(
             self.setup.scenario, self.setup.plan, self.setup.seed
         )
-        start = self._get_start()
+        start = self._make_request_starter()
         for request in workload.build():
             timers.advance(request.at_s - timers.now())
             start(request)
         timers.advance(self.setup.plan.end_s - timers.now())
         outcome = self._make_outcome()
-        timers.advance(RUN_OUT_S)
+        timers.advance(COOL_DOWN_S)
         return outcome
 
-    def _get_start(self) -> RequestStarter:
+    def _make_request_starter(self) -> RequestStarter:
         raise NotImplementedError
 
     def _make_agent(
@@ -167,7 +167,7 @@
             availability_zone=ZONES[number % len(ZONES)],
             region=REGION,
         )
-        back_end = BackEnd(self.parts.timers, speed, started_s)
+        back_end = BackEnd(self.environment.timers, speed, started_s)
         self.hosts_by_id[target.target_id] = Host(
             target, back_end, self._make_agent(target, back_end)
         )
@@ -176,7 +176,7 @@
         match change.kind:
             case ChangeKind.JOIN:
                 self._add_host(
-                    change.service, change.number, self.parts.timers.now()
+                    change.service, change.number, self.environment.timers.now()
                 )
                 self._publish()
             case ChangeKind.DRAIN:
@@ -186,7 +186,7 @@
             case ChangeKind.DISAPPEAR:
                 self._disappear(self._find_host(change))
             case ChangeKind.KILL_BALANCER:
-                self.parts.fabric.kill_first()
+                self.environment.fabric.kill_first_balancer()
             case ChangeKind.ADD_BALANCER:
                 self._add_balancer()
 
@@ -200,8 +200,8 @@
 
     def _disappear(self, host: Host) -> None:
         host.back_end.is_dead = True
-        self.parts.request_log.dead_targets.add(host.target.target_id)
-        timers = self.parts.timers
+        self.environment.request_log.dead_targets.add(host.target.target_id)
+        timers = self.environment.timers
         timers.call_after(
             SUSPECT_S, lambda: self._set_state(host, TargetState.SUSPECT)
         )
@@ -216,33 +216,33 @@
         self._publish()
 
     def _publish(self) -> None:
-        held = self.object_api.read(TARGETS_OBJECT).unwrap()
+        current = self.object_api.read(TARGETS_OBJECT).unwrap()
         infos = tuple(
             host.target for host in self.hosts_by_id.values() if host.is_listed
         )
-        version = held.version if held else 0
+        version = current.version if current else 0
         self.object_api.write(TARGETS_OBJECT, infos, version).unwrap()
 
-    def _watch(self, apply: TargetsTaker) -> None:
+    def _watch(self, apply: TargetsCallback) -> None:
         """Apply the present set now and later ones late, in order."""
-        held = self.object_api.read(TARGETS_OBJECT).unwrap()
-        applied = [held.version]
-        apply(held.body)
+        current = self.object_api.read(TARGETS_OBJECT).unwrap()
+        applied = [current.version]
+        apply(current.body)
 
-        self.object_api.watch(partial(_apply_newer, applied, apply))
+        self.object_api.watch(partial(_apply_if_newer, applied, apply))
 
     def _start_measuring(self) -> None:
         for host in self.hosts_by_id.values():
-            host.work_before_s = host.back_end.work_done_s
+            host.warm_up_work_s = host.back_end.work_done_s
 
     def _make_outcome(self) -> RunOutcome:
         span_s = self.setup.plan.end_s - self.setup.measure_from_s
         hosts = self.hosts_by_id.values()
         return RunOutcome(
-            request_log=self.parts.request_log,
+            request_log=self.environment.request_log,
             work_by_target={
                 host.target.target_id: host.back_end.work_done_s
-                - host.work_before_s
+                - host.warm_up_work_s
                 for host in hosts
             },
             capacity_by_target={
@@ -255,8 +255,8 @@
         )
 
 
-def _apply_newer(
-    applied: list[int], apply: TargetsTaker, name: str, stored: StoredObject
+def _apply_if_newer(
+    applied: list[int], apply: TargetsCallback, name: str, stored: StoredObject
 ) -> None:
     if stored.version > applied[0]:
         applied[0] = stored.version
--- a/greengagepath/bench/systems.py
+++ b/greengagepath/bench/systems.py
@@ -7,7 +7,7 @@
 from ..routing.targets import TargetInfo, TargetState
 from .fakes import BackEnd
 from .naive import NaiveAgent, NaiveBalancer, NaiveCaller
-from .ours import Agent, Balancer, LibraryCaller, World
+from .ours import Agent, Balancer, LibraryCaller, RunContext
 from .scenarios import REGION, ZONES
 from .simulation import Host, RequestStarter, RunSetup, Simulation
 
@@ -15,11 +15,11 @@
 class NaiveSimulation(Simulation):
     """The naive balancer."""
 
-    def _get_start(self) -> RequestStarter:
+    def _make_request_starter(self) -> RequestStarter:
         return NaiveCaller(
-            self.parts.timers,
-            self.parts.fabric,
-            self.parts.request_log,
+            self.environment.timers,
+            self.environment.fabric,
+            self.environment.request_log,
             self.setup.scenario.client_delay_s,
         ).start
 
@@ -30,7 +30,7 @@
         balancer = NaiveBalancer()
 
         self._watch(partial(self._apply_targets, balancer))
-        self.parts.fabric.add_balancer(balancer)
+        self.environment.fabric.add_balancer(balancer)
 
     def _apply_targets(
         self, balancer: NaiveBalancer, targets: tuple[TargetInfo, ...]
@@ -41,9 +41,9 @@
         agents_by_service = {
             service: [
                 self.hosts_by_id[target.target_id].agent
-                for target in of_service
+                for target in service_targets
             ]
-            for service, of_service in _group(live).items()
+            for service, service_targets in _group_by_service(live).items()
         }
         balancer.replace_targets(agents_by_service)
 
@@ -55,43 +55,47 @@
     """The real decision modules."""
 
     def __init__(self, setup: RunSetup) -> None:
-        self._world: World | None = None
-        self._balancers = 0
+        self._context: RunContext | None = None
+        self._balancer_count = 0
         super().__init__(setup)
 
-    def _get_world(self) -> World:
-        if self._world is None:
-            self._world = World(
-                timers=self.parts.timers,
-                fabric=self.parts.fabric,
-                request_log=self.parts.request_log,
-                random=self.parts.random,
+    def _get_context(self) -> RunContext:
+        if self._context is None:
+            self._context = RunContext(
+                timers=self.environment.timers,
+                fabric=self.environment.fabric,
+                request_log=self.environment.request_log,
+                random=self.environment.random,
                 client_delay_s=self.setup.scenario.client_delay_s,
                 zone_delay_s=self.setup.scenario.zone_delay_s,
             )
-        return self._world
+        return self._context
 
-    def _get_start(self) -> RequestStarter:
-        return LibraryCaller(self._get_world()).start
+    def _make_request_starter(self) -> RequestStarter:
+        return LibraryCaller(self._get_context()).start
 
     def _make_agent(self, target: TargetInfo, back_end: BackEnd) -> Agent:
-        world = self._get_world()
-        agent = Agent(world, target, back_end)
-        world.agents_by_address[target.address] = agent
+        context = self._get_context()
+        agent = Agent(context, target, back_end)
+        context.agents_by_address[target.address] = agent
         return agent
 
     def _add_balancer(self) -> None:
-        zone = ZONES[self._balancers % len(ZONES)]
-        self._balancers += 1
+        zone = ZONES[self._balancer_count % len(ZONES)]
+        self._balancer_count += 1
         shared = ChooserServices(
             place=Place(REGION, zone),
-            timers=self.parts.timers,
-            random=self.parts.random,
-            wall_clock=self.parts.timers.now,
+            timers=self.environment.timers,
+            random=self.environment.random,
+            wall_clock=self.environment.timers.now,
         )
-        balancer = Balancer(self._get_world(), shared, self.setup.make_chooser)
-        self._watch(lambda targets: balancer.replace_targets(_group(targets)))
-        self.parts.fabric.add_balancer(balancer)
+        balancer = Balancer(
+            self._get_context(), shared, self.setup.make_chooser
+        )
+        self._watch(
+            lambda targets: balancer.replace_targets(_group_by_service(targets))
+        )
+        self.environment.fabric.add_balancer(balancer)
 
     def _drain(self, host: Host) -> None:
         host.agent.start_draining()
@@ -103,7 +107,7 @@
 }
 
 
-def _group(
+def _group_by_service(
     targets: Iterable[TargetInfo],
 ) -> dict[int, tuple[TargetInfo, ...]]:
     targets_by_service: dict[int, tuple[TargetInfo, ...]] = {}
--- a/greengagepath/bench/virtual_links.py
+++ b/greengagepath/bench/virtual_links.py
@@ -21,7 +21,7 @@
 # acknowledgement.
 FRAME_OVERHEAD_BYTES = 137
 # Sequence of a heartbeat after a day; its CBOR form has 5 B.
-MANY_BEATS = 86400
+HEARTBEATS_PER_DAY = 86400
 
 
 @dataclass(slots=True)
@@ -48,7 +48,9 @@
     def __init__(self) -> None:
         self._sizes_by_record: dict[tuple[object, ...], int] = {}
         self._empty_bytes = _count_bytes(Records(records=[]))
-        self._heartbeat_bytes = _count_bytes(Heartbeat(sequence=MANY_BEATS))
+        self._heartbeat_bytes = _count_bytes(
+            Heartbeat(sequence=HEARTBEATS_PER_DAY)
+        )
 
     def count(self, message: msgspec.Struct) -> int:
         """Return bytes with all headers."""
@@ -80,7 +82,7 @@
 
     owner: 'VirtualLinks'
     link_id: int
-    other: 'Endpoint | None' = None
+    peer: 'Endpoint | None' = None
     is_open: bool = True
     is_silenced: bool = False
     held: deque[Callable[[], None]] = field(default_factory=deque)
@@ -110,19 +112,19 @@
         """Return the size on the wire, 0 if sizes are not counted."""
         return 0 if self._sizes is None else self._sizes.count(message)
 
-    def block(self, location: str, other: str) -> None:
+    def block(self, first: str, second: str) -> None:
         """Cut two places off from each other."""
-        self._blocked.add(frozenset((location, other)))
+        self._blocked.add(frozenset((first, second)))
 
-    def unblock(self, location: str, other: str) -> None:
+    def unblock(self, first: str, second: str) -> None:
         """End a partition; what was held is delivered."""
-        self._blocked.discard(frozenset((location, other)))
+        self._blocked.discard(frozenset((first, second)))
         for links in tuple(self.links_by_address.values()):
             links.release()
 
-    def is_blocked(self, location: str, other: str) -> bool:
+    def is_blocked(self, first: str, second: str) -> bool:
         """Return whether a partition lies between the places."""
-        return frozenset((location, other)) in self._blocked
+        return frozenset((first, second)) in self._blocked
 
 
 class VirtualLinks:
@@ -146,22 +148,23 @@
 
     def connect(self, address: Address) -> int:
         """Open a link; it fails at once if nothing listens there."""
-        end = self._create()
+        end = self._create_end()
         self.network.timers.call_after(
-            self.network.latency_s, lambda: self._reach(end, address)
+            self.network.latency_s,
+            lambda: self._finish_connecting(end, address),
         )
         return end.link_id
 
     def send(self, link_id: int, message: msgspec.Struct) -> bool:
         """Send a message to the other end."""
         end = self.ends_by_link.get(link_id)
-        if end is None or end.other is None or not end.is_open:
+        if end is None or end.peer is None or not end.is_open:
             return False
         size = self.network.count_bytes(message)
         self.traffic.count_sent(message, size)
         if not end.is_silenced:
-            end.other.owner.arrive(
-                end, lambda other: other.receive(end.other, message, size)
+            end.peer.owner.deliver_later(
+                end, lambda links: links.receive(end.peer, message, size)
             )
         return True
 
@@ -169,23 +172,23 @@
         """Close the link; the other end learns it as it would a FIN."""
         end = self.ends_by_link.get(link_id)
         if end is not None and end.is_open:
-            self._end(end)
-            self._tell_other(end)
+            self._close_end(end)
+            self._notify_peer(end)
 
     def silence(self, link_id: int) -> None:
         """Lose all that is sent on this link, both ways, from now on."""
         end = self.ends_by_link[link_id]
         end.is_silenced = True
-        if end.other is not None:
-            end.other.is_silenced = True
+        if end.peer is not None:
+            end.peer.is_silenced = True
 
-    def die(self, *, silently: bool) -> None:
+    def kill(self, *, silently: bool) -> None:
         """End the process; its host sends no FIN if it dies silently."""
         self.clock.is_dead = True
         for end in tuple(self.ends_by_link.values()):
             end.is_open = False
             if not silently:
-                self._tell_other(end)
+                self._notify_peer(end)
         self.ends_by_link.clear()
 
     def release(self) -> None:
@@ -194,13 +197,13 @@
             while end.held and _is_reachable(end):
                 end.held.popleft()()
 
-    def arrive(
-        self, source: Endpoint, act: Callable[['VirtualLinks'], None]
+    def deliver_later(
+        self, source: Endpoint, action: Callable[['VirtualLinks'], None]
     ) -> None:
         """Act at this end after the latency, in the order of sending."""
         self.network.timers.call_after(
             self.network.latency_s,
-            lambda: self._deliver(source.other, act),
+            lambda: self._deliver(source.peer, action),
         )
 
     def receive(
@@ -215,41 +218,41 @@
             )
 
     def _deliver(
-        self, end: Endpoint, act: Callable[['VirtualLinks'], None]
+        self, end: Endpoint, action: Callable[['VirtualLinks'], None]
     ) -> None:
         if end.held or not _is_reachable(end):
-            end.held.append(lambda: act(self))
+            end.held.append(lambda: action(self))
         else:
-            act(self)
+            action(self)
 
-    def _create(self) -> Endpoint:
+    def _create_end(self) -> Endpoint:
         end = Endpoint(self, next(self._ids))
         self.ends_by_link[end.link_id] = end
         return end
 
-    def _reach(self, end: Endpoint, address: Address) -> None:
+    def _finish_connecting(self, end: Endpoint, address: Address) -> None:
         """Finish a connection attempt."""
-        other = self.network.links_by_address.get(address)
-        if other is None or other.clock.is_dead:
-            self._end(end)
+        listener = self.network.links_by_address.get(address)
+        if listener is None or listener.clock.is_dead:
+            self._close_end(end)
             return
-        is_blocked = self.network.is_blocked(self.location, other.location)
-        if is_blocked or not other.clock.is_running:
+        is_blocked = self.network.is_blocked(self.location, listener.location)
+        if is_blocked or not listener.clock.is_running:
             self.network.timers.call_after(
-                CONNECT_TIMEOUT_S, lambda: self._end(end)
+                CONNECT_TIMEOUT_S, lambda: self._close_end(end)
             )
             return
         if end.is_open and self.clock.is_running:
-            self._join(end, other)
+            self._establish(end, listener)
 
-    def _join(self, end: Endpoint, other: 'VirtualLinks') -> None:
-        far = other._create()
-        end.other = far
-        far.other = end
-        other.events.link_opened(far.link_id, outgoing=False)
+    def _establish(self, end: Endpoint, listener: 'VirtualLinks') -> None:
+        peer_end = listener._create_end()
+        end.peer = peer_end
+        peer_end.peer = end
+        listener.events.link_opened(peer_end.link_id, outgoing=False)
         self.events.link_opened(end.link_id, outgoing=True)
 
-    def _end(self, end: Endpoint) -> None:
+    def _close_end(self, end: Endpoint) -> None:
         """Close this end and tell the process soon."""
         if end.is_open:
             end.is_open = False
@@ -258,9 +261,11 @@
                 0, lambda: self.events.link_closed(end.link_id)
             )
 
-    def _tell_other(self, end: Endpoint) -> None:
-        if end.other is not None and not end.is_silenced:
-            end.other.owner.arrive(end, lambda other: other._end(end.other))
+    def _notify_peer(self, end: Endpoint) -> None:
+        if end.peer is not None and not end.is_silenced:
+            end.peer.owner.deliver_later(
+                end, lambda links: links._close_end(end.peer)
+            )
 
 
 def _is_reachable(end: Endpoint) -> bool:
@@ -268,6 +273,4 @@
     owner = end.owner
     if owner.clock.is_paused:
         return False
-    return not owner.network.is_blocked(
-        owner.location, end.other.owner.location
-    )
+    return not owner.network.is_blocked(owner.location, end.peer.owner.location)
--- a/greengagepath/bench/virtual_processes.py
+++ b/greengagepath/bench/virtual_processes.py
@@ -15,10 +15,10 @@
     once, as those of a real loop do. After its death none runs.
     """
 
-    def __init__(self, world: VirtualTimerService) -> None:
+    def __init__(self, timers: VirtualTimerService) -> None:
         super().__init__()
-        self._world = world
-        self._waiting_by_callback: dict[Callback, None] = {}
+        self._timers = timers
+        self._deferred_callbacks: dict[Callback, None] = {}
         self.is_paused = False
         self.is_dead = False
         # Real seconds that the process's own code has used.
@@ -31,15 +31,15 @@
 
     def now(self) -> float:
         """Return the virtual time, which counts pauses."""
-        return self._world.now()
+        return self._timers.now()
 
     def call_after(self, delay_s: float, callback: Callback) -> Timer:
         """Call once after `delay_s` seconds."""
-        return self._world.call_after(delay_s, self._guard(callback))
+        return self._timers.call_after(delay_s, self._guard(callback))
 
     def subscribe(self, period_s: float, callback: Callback) -> Timer:
         """Call every `period_s` seconds."""
-        return self._world.subscribe(period_s, self._guard(callback))
+        return self._timers.subscribe(period_s, self._guard(callback))
 
     def run(self, callback: Callback) -> None:
         """Run now, or on resume, or never, as the process stands."""
@@ -48,14 +48,14 @@
             callback()
             self.busy_s += time.perf_counter() - started_s
         elif not self.is_dead:
-            self._waiting_by_callback[callback] = None
+            self._deferred_callbacks[callback] = None
 
     def resume(self) -> None:
         """Run what became due during the pause."""
         self.is_paused = False
-        waiting = tuple(self._waiting_by_callback)
-        self._waiting_by_callback.clear()
-        for callback in waiting:
+        deferred = tuple(self._deferred_callbacks)
+        self._deferred_callbacks.clear()
+        for callback in deferred:
             self.run(callback)
 
     def _guard(self, callback: Callback) -> Callback:
--- a/greengagepath/bench/virtual_store.py
+++ b/greengagepath/bench/virtual_store.py
@@ -16,7 +16,7 @@
 ANSWER_S = 0.005
 
 ObjectKey = tuple[str, str]
-_NOTHING_NEW = ObjectAnswer(HTTPStatus.NO_CONTENT, {})
+_NO_CONTENT = ObjectAnswer(HTTPStatus.NO_CONTENT, {})
 
 
 @dataclass(slots=True)
@@ -48,7 +48,7 @@
     key: ObjectKey
     after: int
     reply: Callable[[int], None]
-    is_over: bool = False
+    is_finished: bool = False
 
 
 @dataclass(slots=True)
@@ -98,7 +98,7 @@
         self.writes.append(
             AcceptedWrite(self.timers.now(), writer, key, self._version, body)
         )
-        self._wake(key)
+        self._notify_watches(key)
         return self.read(key)
 
     def add_watch(
@@ -110,10 +110,10 @@
         else:
             self._watches.append(_Watch(key, after, reply))
 
-    def _wake(self, key: ObjectKey) -> None:
-        woken = [watch for watch in self._watches if watch.key == key]
+    def _notify_watches(self, key: ObjectKey) -> None:
+        matching = [watch for watch in self._watches if watch.key == key]
         self._watches = [watch for watch in self._watches if watch.key != key]
-        for watch in woken:
+        for watch in matching:
             watch.reply()
 
 
@@ -178,7 +178,7 @@
     ) -> None:
         self._store.timers.call_after(
             call.wait_s,
-            lambda: exchange.answer(_NOTHING_NEW),
+            lambda: exchange.answer(_NO_CONTENT),
         )
         self._store.add_watch(
             key, after, lambda: exchange.answer(self._store.read(key))
@@ -194,7 +194,7 @@
         self._store = store
         self._clock = clock
         self._on_answer = on_answer
-        self._is_over = False
+        self._is_finished = False
 
     def answer(self, answer: ObjectAnswer) -> None:
         """Answer, unless the store went down meanwhile."""
@@ -212,6 +212,6 @@
         self._finish(Err('timeout'))
 
     def _finish(self, outcome: object) -> None:
-        if not self._is_over:
-            self._is_over = True
+        if not self._is_finished:
+            self._is_finished = True
             self._clock.run(lambda: self._on_answer(outcome))
--- a/greengagepath/bench/wall_clock.py
+++ b/greengagepath/bench/wall_clock.py
@@ -109,14 +109,17 @@
     one target. `uncached_us` is with each token verified.
     """
     with ExitStack() as stack:
-        lane = _SocketPair(stack, Random(seed), body_bytes)
-        takers = (
-            lane.send_back,
-            lane.connect(lane.target_address),
-            lane.create_router(verified_tokens=FLOWS).route,
-            lane.create_router(verified_tokens=0).route,
+        sockets = _SocketSet(stack, Random(seed), body_bytes)
+        handlers = (
+            sockets.forward,
+            sockets.connect(sockets.target_address),
+            sockets.create_router(verified_tokens=FLOWS).route,
+            sockets.create_router(verified_tokens=0).route,
         )
-        times = [[lane.run(taker) for taker in takers] for _ in range(rounds)]
+        times = [
+            [sockets.run(handler) for handler in handlers]
+            for _ in range(rounds)
+        ]
     medians = map(statistics.median, zip(*times, strict=True))
     return PacketCost(body_bytes, *medians)
 
@@ -127,13 +130,13 @@
     The cache is filled twice over, so that evictions are included.
     Memory is counted by `tracemalloc`.
     """
-    source = Random(seed)
+    rng = Random(seed)
     key_bytes = FLOW_KEY_END - FLOW_KEY_START
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     cache = VerifiedTokenCache(entries)
     for _ in range(2 * entries):
-        cache.add(source.randbytes(key_bytes), len)
+        cache.add(rng.randbytes(key_bytes), len)
     after = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
     return CacheCost(len(cache), (after - before) / len(cache))
@@ -143,10 +146,10 @@
     body_bytes: int, seed: int = 1, repeats: int = TAG_REPEATS
 ) -> TagCost:
     """Return the cost of an envelope's tag and of a token's check."""
-    source = Random(seed)
-    keys = _create_keys(source)
+    rng = Random(seed)
+    keys = _create_keys(rng)
     address = (LOCALHOST, 1)
-    packet = _create_packets(source, keys, address, body_bytes)[0]
+    packet = _create_packets(rng, keys, address, body_bytes)[0]
     tagged_end = FABRIC_HEADER_BYTES + TAGGED_BYTES
     tagged = packet[FABRIC_HEADER_BYTES:tagged_end]
     token = issue_token(keys, SERVICE_ID, 1, TokenClaims(address, 1, 1))
@@ -158,12 +161,10 @@
     )
 
 
-class _SocketPair:
+class _SocketSet:
     """Sockets through which batches pass the measured loop."""
 
-    def __init__(
-        self, stack: ExitStack, source: Random, body_bytes: int
-    ) -> None:
+    def __init__(self, stack: ExitStack, rng: Random, body_bytes: int) -> None:
         self._inbox = stack.enter_context(open_data_socket((LOCALHOST, 0)))
         self._target = stack.enter_context(open_data_socket((LOCALHOST, 0)))
         self._outbox = stack.enter_context(open_udp_socket())
@@ -171,14 +172,14 @@
         stack.callback(sockets.close)
         self.connect = sockets.connect
         self.target_address: Address = self._target.getsockname()
-        self._source = source
-        self._keys = _create_keys(source)
+        self._random = rng
+        self._keys = _create_keys(rng)
         self._packets = _create_packets(
-            source, self._keys, self.target_address, body_bytes
+            rng, self._keys, self.target_address, body_bytes
         )
-        self._next = 0
+        self._next_packet = 0
 
-    def send_back(self, packet: bytes) -> object:
+    def forward(self, packet: bytes) -> object:
         """Send on as a bare loop does."""
         return self._inbox.sendto(packet, self.target_address)
 
@@ -189,7 +190,7 @@
                 keys=self._keys,
                 choosers=NoChoosers(),
                 timers=VirtualTimerService(),
-                random=self._source,
+                random=self._random,
                 connect=self.connect,
                 send_probe=self._inbox.sendto,
                 own_address=self._inbox.getsockname(),
@@ -198,25 +199,25 @@
             )
         )
 
-    def run(self, take: Callable[[bytes], object]) -> float:
+    def run(self, handler: Callable[[bytes], object]) -> float:
         """Return microseconds for each datagram of one batch."""
         address = self._inbox.getsockname()
         for _ in range(MAX_DRAINED):
-            self._next = (self._next + 1) % len(self._packets)
-            self._outbox.sendto(self._packets[self._next], address)
+            self._next_packet = (self._next_packet + 1) % len(self._packets)
+            self._outbox.sendto(self._packets[self._next_packet], address)
         start_s = time.perf_counter()
-        count = drain_socket(self._inbox.recv, take)
+        count = drain_socket(self._inbox.recv, handler)
         elapsed_s = time.perf_counter() - start_s
         drain_socket(self._target.recv, len)
         return elapsed_s / max(count, 1) * _US_PER_S
 
 
-def _create_keys(source: Random) -> KeyRing:
-    return KeyRing([Key(1, source.randbytes(KEY_BYTES))], time.time)
+def _create_keys(rng: Random) -> KeyRing:
+    return KeyRing([Key(1, rng.randbytes(KEY_BYTES))], time.time)
 
 
 def _create_packets(
-    source: Random, keys: KeyRing, address: Address, body_bytes: int
+    rng: Random, keys: KeyRing, address: Address, body_bytes: int
 ) -> list[bytes]:
     header = FabricHeader(_CALLER, _SERVICE).encode()
     claims = TokenClaims(address, 1, 1)
@@ -229,7 +230,7 @@
             token=issue_token(keys, SERVICE_ID, flow_id, claims),
             request_number=1,
             part_count=1,
-            body=source.randbytes(body_bytes),
+            body=rng.randbytes(body_bytes),
         )
         packets.append(header + datagram.encode())
     return packets
--- a/greengagepath/bench/wire_cost.py
+++ b/greengagepath/bench/wire_cost.py
@@ -13,7 +13,7 @@
 
 ROUNDS = 3000
 # A round trip is sent and received at both ends.
-ENDS_OF_ROUND_TRIP = 4
+OPERATIONS_PER_ROUND_TRIP = 4
 HOST = '127.0.0.1'
 NONCE = bytes(NONCE_BYTES)
 
@@ -66,7 +66,7 @@
         port = listener.socket.getsockname()[1]
         used_s = _exchange(port)
         listener.shutdown()
-    return used_s / ROUNDS / ENDS_OF_ROUND_TRIP
+    return used_s / ROUNDS / OPERATIONS_PER_ROUND_TRIP
 
 
 def _exchange(port: int) -> float:
--- a/greengagepath/bench/workload.py
+++ b/greengagepath/bench/workload.py
@@ -13,7 +13,7 @@
 # Most flows are short; the rest send requests for many seconds.
 FLOW_LENGTHS = ((0.7, 1), (0.25, 4), (0.05, 16))
 MEAN_FLOW_LENGTH = sum(share * length for share, length in FLOW_LENGTHS)
-MEAN_GAP_S = 0.5
+MEAN_REQUEST_INTERVAL_S = 0.5
 # Shape of the gamma distribution of work: deviation is half the mean.
 WORK_SHAPE = 4.0
 _FLOW_ID_BITS = 64
@@ -121,7 +121,7 @@
         for _ in range(self._draw_length()):
             if at_s < self._plan.end_s:
                 yield self._build_request(service, flow_id, customer_id, at_s)
-            at_s += self._random.expovariate(1 / MEAN_GAP_S)
+            at_s += self._random.expovariate(1 / MEAN_REQUEST_INTERVAL_S)
 
     def _draw_length(self) -> int:
         if self._plan.single_requests:
@@ -143,7 +143,7 @@
         work_s = self._random.gammavariate(
             WORK_SHAPE, operation.mean_work_s / WORK_SHAPE
         )
-        straggles = (
+        is_straggler = (
             not operation.is_long
             and self._random.random() < self._scenario.straggler_share
         )
@@ -153,7 +153,7 @@
             service=service.service,
             customer_id=customer_id,
             operation=operation,
-            work_s=work_s * LONG_FACTOR if straggles else work_s,
+            work_s=work_s * LONG_FACTOR if is_straggler else work_s,
             at_s=at_s,
-            is_straggler=straggles,
+            is_straggler=is_straggler,
         )
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -1,8 +1,8 @@
 from testtools import TestCase
 
-from greengagepath.bench.fakes import RequestEnd, RequestOutcome
+from greengagepath.bench.fakes import RequestOutcome, RequestResult
 from greengagepath.bench.measures import (
-    measure_customer_gap,
+    measure_fair_share_gap,
     measure_recovery_s,
     percentile,
 )
@@ -12,28 +12,32 @@
 OPERATION = COOPERATIVE.services[0].operations[0]
 
 
-def build_outcome(customer_id=1, at_s=0.0, fate=RequestEnd.ANSWERED):
+def build_outcome(customer_id=1, at_s=0.0, result=RequestResult.ANSWERED):
     request = RequestSpec(b'1', 1, 1, customer_id, OPERATION, 1.0, at_s)
-    return RequestOutcome(request, fate, at_s + 0.1)
+    return RequestOutcome(request, result, at_s + 0.1)
 
 
 class MeasuresTest(TestCase):
     def test_customer_who_gets_more_than_its_share_shows(self):
         # Guards against a gap that a flood of one customer hides.
-        refused = [build_outcome(1, fate=RequestEnd.REFUSED) for _ in range(90)]
+        refused = [
+            build_outcome(1, result=RequestResult.REFUSED) for _ in range(90)
+        ]
         even = [build_outcome(1 + place % 2) for place in range(20)]
-        self.assertAlmostEqual(0.0, measure_customer_gap(even + refused))
+        self.assertAlmostEqual(0.0, measure_fair_share_gap(even + refused))
         uneven = [build_outcome(1) for _ in range(10)]
-        waiting = [build_outcome(2, fate=RequestEnd.REFUSED) for _ in range(10)]
+        waiting = [
+            build_outcome(2, result=RequestResult.REFUSED) for _ in range(10)
+        ]
         self.assertGreater(
-            measure_customer_gap(even + uneven + waiting + refused), 0.5
+            measure_fair_share_gap(even + uneven + waiting + refused), 0.5
         )
 
     def test_recovery_ends_with_the_last_bad_second(self):
         # Guards against a recovery that stops at the first good second.
         outcomes = [build_outcome(at_s=20.0 + step) for step in range(5)]
         self.assertEqual(0, measure_recovery_s(outcomes, 20.0, 0.99))
-        outcomes.append(build_outcome(at_s=22.5, fate=RequestEnd.REFUSED))
+        outcomes.append(build_outcome(at_s=22.5, result=RequestResult.REFUSED))
         self.assertEqual(3, measure_recovery_s(outcomes, 20.0, 0.99))
 
     def test_percentile_is_a_sample(self):
--- a/tests/bench/test_simulation.py
+++ b/tests/bench/test_simulation.py
@@ -2,7 +2,7 @@
 
 from testtools import TestCase
 
-from greengagepath.bench.fakes import RequestEnd, RequestLog
+from greengagepath.bench.fakes import RequestLog, RequestResult
 from greengagepath.bench.simulation import Change, ChangeKind
 from greengagepath.bench.systems import NaiveSimulation, OursSimulation
 from greengagepath.bench.workload import WorkloadBuilder
@@ -54,7 +54,7 @@
         refused = {
             one.request.request_id
             for one in request_log.outcomes
-            if one.fate == RequestEnd.REFUSED
+            if one.result == RequestResult.REFUSED
         }
         self.assertEqual(set(), refused & request_log.runs_by_request.keys())
 
