--- a/greengagepath/bench/capacity.py
+++ b/greengagepath/bench/capacity.py
@@ -1,4 +1,4 @@
-"""Measures the control plane at several sizes and fits slopes.
+"""Measures the control plane at several sizes and fits lines.
 
 `python -m greengagepath.bench.capacity` runs whole fleets in virtual
 time in one process and rewrites the measured tables of
@@ -41,7 +41,7 @@
 ZONES_IN_REGION = 3
 SETTLE_S = 30
 IDLE_S = 30
-# Time in which a change has reached everyone.
+# Time after an event in which it reaches all members.
 EVENT_SETTLE_S = 8.0
 POLL_INTERVAL_S = 0.01
 IN_FORCE_LIMIT_S = 10
@@ -54,7 +54,7 @@
 
 
 class CapacityRun:
-    """One fleet and what is measured on it."""
+    """One simulated fleet and the measurements on it."""
 
     def __init__(self, balancers: int) -> None:
         self.fleet = ControlFleet(SEED, counts_bytes=True)
@@ -72,10 +72,10 @@
         self._roles = self._group_by_role()
 
     def measure(self) -> SizePoint:
-        """Return the figures of this size."""
+        """Return the figures at this fleet size."""
         calls_before = self.fleet.store.calls
         idle = self._observe(lambda: self.fleet.advance(IDLE_S))
-        idle = {role: found.times(1 / IDLE_S) for role, found in idle.items()}
+        idle = {role: cost.times(1 / IDLE_S) for role, cost in idle.items()}
         calls = self.fleet.store.calls - calls_before
         in_force_s = max(self.time_change() for _ in range(EVENTS))
         change = self._observe_events(self.change_configuration, idle)
@@ -93,11 +93,11 @@
         )
 
     def records(self) -> tuple[MemberRecord, ...]:
-        """Return the table of one balancer."""
+        """Return the member records of one balancer."""
         return self._first_balancer.table.records()
 
     def change_configuration(self) -> None:
-        """Change one service and hand the version to one balancer."""
+        """Change one service and offer the version to one balancer."""
         self._version += 1
         services = [
             Service(
@@ -113,7 +113,7 @@
         )
 
     def time_change(self) -> float:
-        """Return seconds until a change is in force everywhere."""
+        """Return seconds until a change is in force, up to the limit."""
         self.change_configuration()
         waited_s = 0.0
         while not self._is_in_force() and waited_s < IN_FORCE_LIMIT_S:
@@ -122,7 +122,7 @@
         return waited_s
 
     def replace_target(self) -> None:
-        """Let one target die silently and start another in its place."""
+        """Kill one target silently and start another in its place."""
         killed = self.fleet.agents[f'a{self._replaced_count}']
         self._replaced_count += 1
         self.fleet.kill(killed, silently=True)
@@ -143,10 +143,10 @@
     def _observe_events(
         self, action: Callable[[], None], idle: Mapping[str, Reading]
     ) -> dict[str, Reading]:
-        """Return what one event costs beyond the idle traffic."""
-        found = self._observe(lambda: self._repeat(action))
+        """Return the cost of one event beyond the idle traffic."""
+        costs = self._observe(lambda: self._repeat(action))
         return {
-            role: found[role]
+            role: costs[role]
             .minus(idle[role].times(EVENTS * EVENT_SETTLE_S))
             .times(1 / EVENTS)
             for role in self._roles
@@ -159,12 +159,13 @@
 
     def _observe(self, action: Callable[[], None]) -> dict[str, Reading]:
         before = {
-            role: _read_means(found) for role, found in self._roles.items()
+            role: _read_means(processes)
+            for role, processes in self._roles.items()
         }
         action()
         return {
-            role: _read_means(found).minus(before[role])
-            for role, found in self._roles.items()
+            role: _read_means(processes).minus(before[role])
+            for role, processes in self._roles.items()
         }
 
     def _group_by_role(self) -> Roles:
@@ -177,13 +178,13 @@
             'bridge': [
                 entry for entry in balancers if entry.node.bridge.is_bridge
             ],
-            # Those that are replaced are not measured.
+            # Agents that `replace_target` kills are not measured.
             'agent': agents[2 * EVENTS :],
         }
 
 
 def measure_table_bytes(records: Iterable[MemberRecord]) -> int:
-    """Return the memory of a table that holds decoded copies."""
+    """Return the memory in B of a table that holds decoded copies."""
     encoded = [encode_body(record) for record in records]
     tracemalloc.start()
     table = MemberTable(LimitSettings(), VirtualTimerService())
@@ -217,7 +218,7 @@
 
 
 def main() -> None:
-    """Measure all sizes and rewrite the page."""
+    """Measure all sizes and rewrite the tables of the page."""
     usage = resource.getrusage(resource.RUSAGE_SELF)
     process_bytes = usage.ru_maxrss * BYTES_IN_RSS_UNIT
     replace_section(DATA_PLANE, render_data_plane(measure_data_plane()))
--- a/greengagepath/bench/capacity_data_plane.py
+++ b/greengagepath/bench/capacity_data_plane.py
@@ -14,7 +14,7 @@
 PACKETS_PER_FLOW = 4
 BODY_BYTES = 300
 FLOW_ENTRIES = 20000
-# Flow ids are as large as random ones, which costs memory.
+# Makes flow ids as large as random ones: a larger int takes more memory.
 FLOW_ID_SHIFT = 40
 US_PER_S = 1_000_000
 BYTES_PER_MB = 1_000_000
@@ -55,7 +55,7 @@
 
 
 def render_data_plane(cost: DataPlaneCost) -> list[str]:
-    """Return the rows of the page."""
+    """Return the rows of the table in docs/CAPACITY.md."""
     packet = cost.packet
     balancer_flows = DESIGN_FLOWS / DESIGN_BALANCERS
     agent_flows = DESIGN_FLOWS / DESIGN_AGENTS
--- a/greengagepath/bench/capacity_page.py
+++ b/greengagepath/bench/capacity_page.py
@@ -27,7 +27,7 @@
 def write_page(
     points: list[SizePoint], cost: WireCost, process_bytes: int
 ) -> None:
-    """Replace the tables of the control plane.
+    """Rewrite the tables of the control plane.
 
     `process_bytes` is the memory of a process that holds no members.
     """
@@ -42,7 +42,10 @@
 
 
 def replace_section(name: str, lines: list[str]) -> None:
-    """Replace what stands between the marks of a section."""
+    """Replace the text between the markers of a section.
+
+    Raises ValueError unless the page has each marker once.
+    """
     begin = f'<!-- measured {name}: begin -->'
     end = f'<!-- measured {name}: end -->'
     before, rest = PAGE.read_text().split(begin)
@@ -63,14 +66,14 @@
     ]
     for role in ROLES:
         for point in points:
-            found = point.roles[role]
+            role_point = point.roles[role]
             rows.append(
                 f'| {role} | {point.balancers} + {point.agents} '
-                f'| {found.idle.total_bytes:,.0f} '
-                f'| {found.idle.messages:.1f} '
-                f'| {found.idle.busy_s * MS_PER_S:.2f} '
-                f'| {found.change.total_bytes:,.0f} '
-                f'| {found.restart.total_bytes:,.0f} |'
+                f'| {role_point.idle.total_bytes:,.0f} '
+                f'| {role_point.idle.messages:.1f} '
+                f'| {role_point.idle.busy_s * MS_PER_S:.2f} '
+                f'| {role_point.change.total_bytes:,.0f} '
+                f'| {role_point.restart.total_bytes:,.0f} |'
             )
     return rows
 
@@ -141,13 +144,13 @@
     )
 
 
-def _total_bytes(found: Reading) -> float:
-    return found.total_bytes
+def _total_bytes(reading: Reading) -> float:
+    return reading.total_bytes
 
 
-def _messages(found: Reading) -> float:
-    return found.messages
+def _messages(reading: Reading) -> float:
+    return reading.messages
 
 
-def _busy_s(found: Reading) -> float:
-    return found.busy_s
+def _busy_s(reading: Reading) -> float:
+    return reading.busy_s
--- a/greengagepath/bench/capacity_points.py
+++ b/greengagepath/bench/capacity_points.py
@@ -1,4 +1,4 @@
-"""What a capacity run measures, and lines through it."""
+"""Figures of capacity runs and lines fitted to them."""
 
 from collections.abc import Callable
 from dataclasses import dataclass, fields
@@ -8,15 +8,19 @@
 DESIGN_BALANCERS = 520
 DESIGN_AGENTS = 2800
 DESIGN_SERVICES = 740
-# Events of a day.
+# Configuration changes per day.
 DESIGN_CHANGES = 2700
-# 1,000 planned and 17 unplanned ones.
+# Restarts of targets per day: 1,000 planned and 17 unplanned ones.
 DESIGN_RESTARTS = 1017
 
 
 @dataclass(slots=True, frozen=True)
 class Reading:
-    """Means over the processes of one role."""
+    """Means over the processes of one role.
+
+    `busy_s` is real time spent in callbacks, in seconds; `calls` are
+    calls to the object API.
+    """
 
     sent_bytes: float
     received_bytes: float
@@ -49,8 +53,8 @@
 class RolePoint:
     """Means for one process of a role at one size.
 
-    `idle` is for each second; `change` and `restart` are what one new
-    configuration and one replaced target cost beyond that.
+    `idle` is per second; `change` and `restart` are the cost of one new
+    configuration and of one replaced target beyond that.
     """
 
     idle: Reading
@@ -60,7 +64,11 @@
 
 @dataclass(slots=True, frozen=True)
 class SizePoint:
-    """All figures at one size; bytes of one table, seconds, calls."""
+    """All figures at one fleet size.
+
+    `in_force_s` is the time until a configuration is in force at all
+    balancers, `table_bytes` the memory of one balancer's member table.
+    """
 
     balancers: int
     agents: int
@@ -79,14 +87,14 @@
 
     @property
     def at_design(self) -> float:
-        """The value at the size to design for, not below zero."""
+        """The value at the design size, not below 0."""
         return max(self.intercept + self.slope * DESIGN_BALANCERS, 0)
 
 
 def fit_line(
     points: list[SizePoint], measure: Callable[[SizePoint], float]
 ) -> Line:
-    """Return the least-squares line of a measure."""
+    """Return the least-squares line of a measure over the sizes."""
     sizes = [point.balancers for point in points]
     fitted = linear_regression(sizes, [measure(point) for point in points])
     return Line(fitted.intercept, fitted.slope)
@@ -97,7 +105,7 @@
     role: str,
     measure: Callable[[Reading], float],
 ) -> float:
-    """Return a measure for each second at the size to design for."""
+    """Return a measure per second at the design size."""
     idle = fit_line(points, lambda point: measure(point.roles[role].idle))
     change = fit_line(points, lambda point: measure(point.roles[role].change))
     restart = fit_line(points, lambda point: measure(point.roles[role].restart))
--- a/greengagepath/bench/control_fleet.py
+++ b/greengagepath/bench/control_fleet.py
@@ -1,4 +1,4 @@
-"""Balancers and agents with their real decision modules, simulated."""
+"""Simulated balancers and agents with the real decision modules."""
 
 import random
 from collections.abc import Mapping
@@ -32,7 +32,7 @@
 
 @dataclass(slots=True)
 class VirtualBalancer:
-    """A balancer and what it told its data path."""
+    """A simulated balancer and what it passed to its data path."""
 
     record: MemberRecord
     clock: ProcessClock
@@ -44,11 +44,11 @@
 
     @property
     def is_running(self) -> bool:
-        """Whether the process reacts."""
+        """Whether the process is neither paused nor dead."""
         return self.clock.is_running
 
     def target_ids(self) -> frozenset[str]:
-        """Return the targets that routing knows of."""
+        """Return the ids of the targets in the data path."""
         return frozenset(
             target.target_id
             for targets in self.targets.values()
@@ -56,13 +56,13 @@
         )
 
     def on_targets(self, targets: Mapping[int, tuple[TargetInfo, ...]]) -> None:
-        """Keep what the data path was told last."""
+        """Store the targets that were passed to the data path last."""
         self.targets = targets
 
 
 @dataclass(slots=True)
 class VirtualAgent:
-    """An agent and what it learnt of its service."""
+    """A simulated agent and the versions of its service it received."""
 
     record: MemberRecord
     clock: ProcessClock
@@ -73,15 +73,16 @@
 
     @property
     def is_running(self) -> bool:
-        """Whether the process reacts."""
+        """Whether the process is neither paused nor dead."""
         return self.clock.is_running
 
 
 class ControlFleet:
-    """A fleet in virtual time, from one seed.
+    """A fleet in virtual time; its random choices follow from one seed.
 
-    Member ids are unique over all starts; `places` are availability
-    zones, between which the network can be cut.
+    A member that is added under an existing id is a restart at the same
+    address. Availability zones are the locations of the network, which
+    partitions can separate.
     """
 
     def __init__(
@@ -104,7 +105,7 @@
     def add_balancer(
         self, member_id: str, zone: str, region: str = 'r1'
     ) -> VirtualBalancer:
-        """Start a balancer; one of the same id continues its address."""
+        """Start a balancer; an existing id restarts at its address."""
         previous = self.balancers.get(member_id)
         record = self._make_record(member_id, MemberKind.balancer, zone, region)
         if previous is not None:
@@ -126,7 +127,7 @@
     def add_agent(
         self, member_id: str, zone: str, service_id: int = 1
     ) -> VirtualAgent:
-        """Start an agent; one of the same id continues its address."""
+        """Start an agent; an existing id restarts at its address."""
         previous = self.agents.get(member_id)
         record = self._make_record(
             member_id, MemberKind.agent, zone, 'r1', service_id
@@ -148,7 +149,7 @@
     def kill(
         self, process: VirtualBalancer | VirtualAgent, *, silently: bool
     ) -> None:
-        """End a process without an announcement."""
+        """End a process without an announcement that it leaves."""
         process.links.kill(silently=silently)
 
     def pause(self, process: VirtualBalancer | VirtualAgent) -> None:
@@ -156,20 +157,20 @@
         process.clock.is_paused = True
 
     def resume(self, process: VirtualBalancer | VirtualAgent) -> None:
-        """Let a paused process go on."""
+        """Continue a paused process."""
         process.clock.resume()
         process.links.release()
 
     def advance(self, duration_s: float) -> None:
-        """Let virtual time pass."""
+        """Advance virtual time by `duration_s` seconds."""
         self.timers.advance(duration_s)
 
     def running_balancers(self) -> list[VirtualBalancer]:
-        """Return the balancers that react."""
+        """Return the balancers that are neither paused nor dead."""
         return [entry for entry in self.balancers.values() if entry.is_running]
 
     def running_agents(self) -> list[VirtualAgent]:
-        """Return the agents that react."""
+        """Return the agents that are neither paused nor dead."""
         return [entry for entry in self.agents.values() if entry.is_running]
 
     def _make_process(
--- a/greengagepath/bench/experiments.py
+++ b/greengagepath/bench/experiments.py
@@ -33,13 +33,13 @@
 NORMAL_LOAD = 0.6
 HIGH_LOAD = 0.7
 # From 0.41 on, the naive balancer overloads the slowest targets even
-# without long work, and its ratio would say nothing about blocking.
+# without long work, so that its ratio would not measure blocking.
 BLOCKING_LOAD = 0.4
 WARM_UP_S = 15.0
 STEADY_RUN_S = 45.0
 CHANGES_RUN_S = 40.0
 RECOVERY_LIMIT_S = 2.0
-# Within this share of the requests in time, service is back to normal.
+# Service has recovered when at least this share of requests is in time.
 RECOVERED_SHARE = 0.99
 GOODPUT_BOUND = 0.9
 BLOCKING_BOUND = 1.5
@@ -47,7 +47,7 @@
 
 @unique
 class Better(Enum):
-    """Which side of the bound is good."""
+    """Whether lower or higher figures are better."""
 
     LOWER = 'lower'
     HIGHER = 'higher'
@@ -65,7 +65,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Row:
-    """A figure of both systems, on the same inputs."""
+    """The figures of both systems for a measure, on the same inputs."""
 
     measure: Measure
     scenario: str
@@ -92,8 +92,9 @@
 _CREST_WORK_BOUND = (CREST_END_S - CREST_START_S) * GOODPUT_BOUND
 _NORMAL_WORK = NORMAL_LOAD * (CREST_START_S + CREST_RUN_S - CREST_END_S)
 _CREST_WORK = CREST_LOAD * (CREST_END_S - CREST_START_S)
-# What 90% of the capacity at the crest, all requests before it and all
-# but those of the recovery after it, are of the requests of the swing.
+# Share of the requests of a demand swing that are in time if 90% of the
+# capacity is used at the crest, and if all requests before and after it
+# are in time except those sent during the recovery.
 QUALITY_BOUND = (
     _NORMAL_WORK - NORMAL_LOAD * RECOVERY_LIMIT_S + _CREST_WORK_BOUND
 ) / (_NORMAL_WORK + _CREST_WORK)
@@ -140,7 +141,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RunPair:
-    """The same run of both systems."""
+    """Outcomes of both systems on the same inputs."""
 
     naive: RunOutcome
     ours: RunOutcome
@@ -154,7 +155,7 @@
         self._seed = seed
 
     def compare_broken_flows(self) -> list[Row]:
-        """Targets and balancers change under load."""
+        """Compare broken flows while targets and balancers change."""
         pair = self._run(UNDER_CHANGES, CHANGES)
         row = self._make_row(
             BROKEN_FLOWS,
@@ -164,7 +165,7 @@
         return [row]
 
     def compare_imbalance(self) -> list[Row]:
-        """Steady load on targets of different speed, after warm-up."""
+        """Compare imbalance on targets of different speed, after warm-up."""
         pair = self._run(STEADY)
         naive = select_sent_between(
             pair.naive.request_log.outcomes, WARM_UP_S, STEADY_RUN_S
@@ -186,7 +187,7 @@
         ]
 
     def compare_head_of_line(self) -> list[Row]:
-        """Short work with long work present and without."""
+        """Compare the tail of short work with and without long work."""
         mixed = self._run(WITH_LONG)
         alone = self._run(WITHOUT_LONG)
         row = self._make_row(
@@ -197,7 +198,7 @@
         return [row]
 
     def compare_crest(self) -> list[Row]:
-        """Three times the capacity for 10 s."""
+        """Compare the service when load is 3 times the capacity for 10 s."""
         pair = self._run(make_crest())
         naive = pair.naive.request_log.outcomes
         ours = pair.ours.request_log.outcomes
@@ -213,7 +214,10 @@
         ]
 
     def compare_customers(self) -> list[Row]:
-        """A crest; one customer sends as much as all others together."""
+        """Compare fairness between customers at the crest.
+
+        One customer sends as much as all others together.
+        """
         others = len(self._scenario.customers) - 1
         weights = (float(others), *(1.0 for _ in range(others)))
         pair = self._run(make_crest(weights))
@@ -274,7 +278,7 @@
 
 
 def make_crest(customer_weights: tuple[float, ...] = ()) -> LoadPlan:
-    """Return the load of a demand swing."""
+    """Return the load of a demand swing: normal, crest, normal."""
     return LoadPlan(
         phases=(
             LoadPhase(CREST_START_S, NORMAL_LOAD),
--- a/greengagepath/bench/fakes.py
+++ b/greengagepath/bench/fakes.py
@@ -1,7 +1,7 @@
 """Stand-ins in virtual time: fabric, object API, back end, records.
 
-They hold what is outside the system and is the same for the naive
-balancer and ours.
+They simulate what is outside the compared systems and is the same for
+the naive balancer and ours.
 """
 
 import random
@@ -16,17 +16,19 @@
 from .scenarios import SLOTS
 from .workload import RequestSpec
 
-# A cold back end starts at a third of its speed and warms up.
+# A new back end starts at this share of its speed, which then rises
+# linearly until it has warmed up.
 COLD_SPEED_FACTOR = 0.33
 WARM_UP_S = 8.0
-# The fabric sprays to a dead balancer until it notices.
+# Time for which the fabric still sprays packets to a dead balancer.
 FABRIC_DETECTION_S = 0.5
 
 
 class BackEnd:
-    """Runs requests in its slots and counts runs by request id.
+    """Runs requests in its slots.
 
-    `work_done_s` and `busy_s` are in seconds at speed 1 and of a slot.
+    `work_done_s` is in seconds at speed 1. With `started_s`, the back
+    end starts cold at that time; with None it has its full speed.
     """
 
     def __init__(
@@ -50,7 +52,10 @@
         request: RequestSpec,
         on_done: Callable[[RequestSpec, float], None],
     ) -> None:
-        """Take a slot; call `done` with the duration in s at the end."""
+        """Run a request; call `on_done` with its duration in s at the end.
+
+        Raises AssertionError if no slot is free.
+        """
         if not self.has_free_slot:
             raise AssertionError('the back end has no free slot')
         self.running += 1
@@ -82,7 +87,7 @@
 
 
 class Fabric:
-    """Sprays each packet to any balancer, also to one just dead."""
+    """Sprays packets to random balancers, also to one that just died."""
 
     def __init__(
         self, timers: TimerService, rng: random.Random, delay_s: float
@@ -94,11 +99,14 @@
         self.dead: set[int] = set()
 
     def add_balancer(self, balancer: object) -> None:
-        """Send a part of the packets to this balancer from now on."""
+        """Spray packets to this balancer too from now on."""
         self._balancers.append(balancer)
 
     def kill_first_balancer(self) -> None:
-        """Kill a balancer; packets sent to it are lost until noticed."""
+        """Kill the first balancer.
+
+        Packets sent to it are lost until the fabric detects this.
+        """
         balancer = self._balancers[0]
         self.dead.add(id(balancer))
         self._timers.call_after(
@@ -106,7 +114,7 @@
         )
 
     def spray(self, deliver: Callable[[object], None]) -> None:
-        """Call `deliver` with a balancer after the delay."""
+        """Call `deliver` with a balancer after the delay, unless it is dead."""
         balancer = self._random.choice(self._balancers)
         if id(balancer) not in self.dead:
             self._timers.call_after(self._delay_s, lambda: deliver(balancer))
@@ -122,7 +130,7 @@
 
 @dataclass(slots=True, frozen=True)
 class StoredObject:
-    """A version of an object."""
+    """One version of an object."""
 
     version: int
     body: object
@@ -131,8 +139,9 @@
 class FakeObjectApi:
     """Versioned objects with conditional updates and watches.
 
-    `delay_s` returns the delay of the next notice to a watcher, so
-    that watchers learn of a version at different times.
+    `delay_s` returns the delay in s of the next notification, so that
+    watchers receive a version at different times. Reads and writes
+    fail with DOWN while `is_down` is set.
     """
 
     def __init__(
@@ -146,7 +155,7 @@
         self.calls = 0
 
     def read(self, name: str) -> Result[StoredObject | None, ObjectApiError]:
-        """Return the present version, None if there is none."""
+        """Return the current version, None if the object does not exist."""
         self.calls += 1
         if self.is_down:
             return Err(ObjectApiError.DOWN)
@@ -155,7 +164,7 @@
     def write(
         self, name: str, body: object, if_version: int
     ) -> Result[StoredObject, ObjectApiError]:
-        """Replace the object if its version is still `if_version`."""
+        """Replace the object; fail unless its version is `if_version`."""
         self.calls += 1
         if self.is_down:
             return Err(ObjectApiError.DOWN)
@@ -169,7 +178,7 @@
         return Ok(stored)
 
     def watch(self, watcher: Callable[[str, StoredObject], None]) -> None:
-        """Call `watcher` with each new version, late."""
+        """Call `watcher` with each new version after a delay."""
         self.calls += 1
         self._watchers.append(watcher)
 
@@ -196,7 +205,8 @@
 class RequestOutcome:
     """End of a request; times in seconds of the run.
 
-    `decided_s` is how long the last refusal took to reach the caller.
+    `refusal_delay_s` is the time from sending the last attempt to its
+    refusal; it is only valid for refused requests.
     """
 
     request: RequestSpec
@@ -214,13 +224,13 @@
 
     @property
     def duration_s(self) -> float:
-        """Seconds from the request to its end."""
+        """Seconds from sending the request to its end."""
         return self.ended_s - self.request.at_s
 
 
 @dataclass(slots=True)
 class RequestLog:
-    """What the experiments count, outside both systems.
+    """Records for the measures of a run, kept outside both systems.
 
     The owner of a flow is the target that its first packet reached. A
     flow is broken when a later packet reaches another target although
@@ -234,7 +244,7 @@
     runs_by_request: Counter[bytes] = field(default_factory=Counter)
 
     def record_packet(self, flow_id: int, target_id: str) -> None:
-        """Note where a packet of an established flow arrived."""
+        """Record that a packet of a flow has reached a target."""
         owner = self.owners_by_flow.setdefault(flow_id, target_id)
         if owner == target_id or owner in self.dead_targets:
             return
--- a/greengagepath/bench/flow_survival.py
+++ b/greengagepath/bench/flow_survival.py
@@ -1,8 +1,8 @@
-"""Survival of flows with three ways to find their owner.
+"""Share of broken flows with several ways to look up their owner.
 
 Run as `python -m greengagepath.bench.flow_survival`. Packets of long
-flows reach any balancer while targets join, drain and restart and
-balancers die and join; identical on every run with the same seed.
+flows reach any balancer while targets drain and join and balancers die
+and join. Figures are identical on every run with the same seed.
 """
 
 import random
@@ -21,7 +21,7 @@
 BALANCERS = 3
 CHANGE_INTERVAL_STEPS = 10
 BALANCER_CHANGE_INTERVAL_STEPS = 100
-# A balancer learns of a change up to this many steps late.
+# A balancer receives a change up to this many steps late.
 MAX_LAG_STEPS = 3
 LONG_HISTORY = 16
 _FLOW_ID_BITS = 64
@@ -32,7 +32,7 @@
     """A way to find the owner of an established flow.
 
     `remembers_flows` keeps a table at each balancer; `generations` is
-    how many former owner sets an agent knows for handing on a packet;
+    the number of former owner sets that agents keep to forward packets;
     `has_token` lets each packet carry its owner.
     """
 
@@ -53,7 +53,7 @@
 
 @dataclass(slots=True)
 class _Balancer:
-    """A balancer that sees the target set `lag` changes late."""
+    """A balancer that gets the newest target set in `lag` steps."""
 
     lag: int = 0
     owners_by_flow: dict[int, str] = field(default_factory=dict)
@@ -69,7 +69,7 @@
 
 
 class SurvivalExperiment:
-    """One run of one way; `run` returns the share of broken flows."""
+    """One run of the experiment with one lookup and seed."""
 
     def __init__(self, lookup: OwnerLookup, seed: int) -> None:
         self._lookup = lookup
@@ -81,7 +81,7 @@
         self._flows = [self._make_flow() for _ in range(FLOWS)]
 
     def run(self) -> float:
-        """Return broken flows over all flows."""
+        """Return the share of broken flows."""
         for step in range(STEPS):
             if step and step % CHANGE_INTERVAL_STEPS == 0:
                 self._change_targets()
@@ -147,7 +147,7 @@
         newest = len(self._tables) - 1
         current = newest if balancer.lag == 0 else max(newest - 1, 0)
         reached = self._hash_owner(flow, current)
-        # Agents hand the packet back along the former owners they know.
+        # Agents forward the packet along the former owner sets they keep.
         oldest = max(newest - self._lookup.generations, 0)
         former = (
             self._hash_owner(flow, generation)
@@ -161,7 +161,7 @@
 
 
 def measure_survival() -> dict[str, list[float]]:
-    """Return the share of broken flows for each seed, by way."""
+    """Return the share of broken flows for each seed, by lookup."""
     return {
         lookup.name: [SurvivalExperiment(lookup, seed).run() for seed in SEEDS]
         for lookup in LOOKUPS
--- a/greengagepath/bench/hash_figures.py
+++ b/greengagepath/bench/hash_figures.py
@@ -30,9 +30,9 @@
 class HashFigures:
     """Figures of one kind of table for one size of the set.
 
-    Movement is the share of flows that change their owner beyond the
-    share that must. `unevenness` is the coefficient of variation of
-    the flows per weight across targets.
+    Movement is the share of flows that change their owner although
+    that owner is in both sets. `unevenness` is the coefficient of
+    variation of the flows per weight across targets.
     """
 
     name: str
--- a/greengagepath/bench/measures.py
+++ b/greengagepath/bench/measures.py
@@ -10,16 +10,16 @@
 from .simulation import RunOutcome
 
 _TAIL_SHARE = 0.99
-# Some 450 requests: in a shorter interval, a single straggler that
-# misses its deadline would already count as not recovered.
+# About 450 requests are sent in this interval. In a shorter one, a
+# single straggler that misses its deadline would count as not recovered.
 RECOVERY_STEP_S = 1.0
 
 
 def measure_imbalance(run: RunOutcome) -> float:
-    """Return the largest variation of work per capacity of a service.
+    """Return the imbalance of the service with the largest one.
 
-    The coefficient of variation over the targets of each service; the
-    largest of the services counts.
+    The imbalance of a service is the coefficient of variation of work
+    per capacity over its targets.
     """
     loads_by_service: dict[int, list[float]] = defaultdict(list)
     for target_id, work_s in run.work_by_target.items():
@@ -33,7 +33,10 @@
 
 
 def percentile(samples: Iterable[float], share: float) -> float:
-    """Return the smallest sample that `share` of them do not exceed."""
+    """Return the smallest sample that `share` of them do not exceed.
+
+    Raises IndexError without samples.
+    """
     ordered = sorted(samples)
     return ordered[max(math.ceil(len(ordered) * share) - 1, 0)]
 
@@ -41,7 +44,10 @@
 def measure_short_tail_s(
     outcomes: Iterable[RequestOutcome], from_s: float, service: int
 ) -> float:
-    """Return the 99th percentile of short work of a service, in s."""
+    """Return the 99th percentile of durations of short work, in s.
+
+    Counts the requests to `service` that were sent from `from_s` on.
+    """
     return percentile(
         (
             outcome.duration_s
@@ -82,7 +88,11 @@
 
 
 def measure_in_time_gap(outcomes: Iterable[RequestOutcome]) -> float:
-    """Return the largest gap between customers in requests in time."""
+    """Return the largest difference in service between customers.
+
+    Each customer's value is the share of its requests answered before
+    their deadline.
+    """
     flags_by_customer: dict[int, list[bool]] = defaultdict(list)
     for outcome in outcomes:
         flags_by_customer[outcome.request.customer_id].append(outcome.in_time)
@@ -91,11 +101,12 @@
 
 
 def measure_fair_share_gap(outcomes: Iterable[RequestOutcome]) -> float:
-    """Return the largest gap between customers in served fair share.
+    """Return the largest difference in served fair share.
 
-    The work done in time is divided by max-min fairness: a customer's
-    fair share is its demand, or an equal part of what others leave.
-    Gap 0 means that all got exactly their fair share.
+    Each customer's value is its work done in time, divided by its
+    max-min fair share of all work done in time: its demand, or an equal
+    part of what smaller demands leave. 0 means that all customers got
+    exactly their fair share.
     """
     demand: dict[int, float] = defaultdict(float)
     served: dict[int, float] = defaultdict(float)
@@ -113,10 +124,11 @@
 def measure_recovery_s(
     outcomes: Iterable[RequestOutcome], crest_end_s: float, threshold: float
 ) -> float:
-    """Return how long after the crest requests keep missing the goal.
+    """Return the time from the end of the crest to recovery, in s.
 
-    Looks at intervals of sending of `RECOVERY_STEP_S`; recovered when
-    the share answered in time stays at `goal` or above.
+    Requests are grouped by the time of sending into intervals of
+    `RECOVERY_STEP_S`. Service has recovered after the last interval in
+    which the share answered in time is below `threshold`.
     """
     in_time_by_step: dict[int, list[bool]] = defaultdict(list)
     for outcome in outcomes:
@@ -132,7 +144,7 @@
 
 
 def measure_refusal_s(outcomes: Iterable[RequestOutcome]) -> float:
-    """Return the 99th percentile of the delay of refusals, in s."""
+    """Return the 99th percentile of delays of refusals, in s, or 0."""
     delays = [
         outcome.refusal_delay_s
         for outcome in outcomes
--- a/greengagepath/bench/naive.py
+++ b/greengagepath/bench/naive.py
@@ -1,7 +1,7 @@
-"""The naive balancer that ours is measured against.
+"""The naive balancer, which is the baseline for ours.
 
 Modulo hash over the live targets, first-in first-out queues, immediate
-retry, no flow ownership. It is kept as small as it can honestly be.
+retry, no flow ownership. It is as small as a fair comparison allows.
 """
 
 from collections import deque
@@ -16,7 +16,7 @@
 from .workload import RequestSpec
 
 MAX_ATTEMPTS = 3
-# Parts of the deadline after which an attempt is given up.
+# Share of the deadline after which the next attempt is sent.
 ATTEMPT_TIMEOUT_SHARE = 1 / MAX_ATTEMPTS
 _FLOW_ID_BYTES = 8
 
@@ -30,11 +30,11 @@
     def replace_targets(
         self, agents_by_service: dict[int, list['NaiveAgent']]
     ) -> None:
-        """Take the live targets, in order of their ids."""
+        """Replace the agents of the live targets, in order of their ids."""
         self._agents_by_service = agents_by_service
 
     def find_agent(self, service: int, flow_id: int) -> 'NaiveAgent':
-        """Return where a packet of the flow goes now."""
+        """Return the agent that gets a packet of the flow now."""
         agents = self._agents_by_service[service]
         packed = flow_id.to_bytes(_FLOW_ID_BYTES, 'big')
         return agents[xxhash.xxh3_64_intdigest(packed) % len(agents)]
@@ -83,7 +83,7 @@
         self._ended = False
 
     def attempt(self) -> None:
-        """Send the request again, at once."""
+        """Send the request, and again later, until attempts run out."""
         if self._ended:
             return
         if self._attempts >= MAX_ATTEMPTS:
@@ -131,13 +131,13 @@
         self._delay_s = delay_s
 
     def start(self, request: RequestSpec) -> None:
-        """Begin a request at its time."""
+        """Send a request and limit it by its deadline."""
         call = NaiveCall(self, request)
         self.timers.call_after(request.operation.deadline_s, call.time_out)
         call.attempt()
 
     def send(self, request: RequestSpec, reply: Reply) -> None:
-        """Send one attempt; `reply` is called when it is answered."""
+        """Send one attempt; `reply` is called with its result."""
         self._fabric.spray(partial(self._deliver, request, reply))
 
     def _deliver(
--- a/greengagepath/bench/ours.py
+++ b/greengagepath/bench/ours.py
@@ -1,7 +1,8 @@
-"""Thin shells of the fakes around the real decision modules.
+"""Our system in virtual time: the real decision modules on fakes.
 
 Balancer: `TargetChooser` and flow tokens. Agent: `AdmissionGate` and
-its back end. Caller: flows by token and `RetryBudget`, as the library.
+its back end. Caller: flows with tokens and `RetryBudget`, as in the
+library.
 """
 
 import random
@@ -33,7 +34,7 @@
 OPEN_TIMEOUT_S = 0.25
 MAX_SENDS = 4
 PROBE_TIMEOUT_S = 0.25
-# Probes are delayed by up to this much beyond the way to the target.
+# Largest random delay of a probe, added to the network delay.
 PROBE_JITTER_S = 0.02
 PROBE_CHECK_S = 0.25
 BACKOFF_S = 0.05
@@ -50,7 +51,10 @@
 
 @dataclass(slots=True)
 class RunContext:
-    """What all parts of a run share; `random` draws delays."""
+    """Services and settings that all parts of a run share.
+
+    `random` draws delays and flow ids; delays are one way, in seconds.
+    """
 
     timers: TimerService
     fabric: Fabric
@@ -63,7 +67,7 @@
 
 
 class Agent:
-    """Admission beside one back end."""
+    """Admission control in front of one back end."""
 
     def __init__(
         self, context: RunContext, target: TargetInfo, back_end: BackEnd
@@ -169,7 +173,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Opening:
-    """An OPEN on its way; `reply` takes the token, None if refused."""
+    """An OPEN in transit; `reply` gets the token, None if refused."""
 
     flow_id: int
     reply: Callable[[bytes | None], None]
@@ -178,7 +182,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Attempt:
-    """A request on its way; `reply` takes the refusal, None if run."""
+    """A request in transit; `reply` gets the refusal, None if run."""
 
     request: RequestSpec
     reply: Callable[[RefusalReason | None], None]
@@ -188,7 +192,7 @@
 
 
 class Balancer:
-    """Chooses targets for flows and routes the rest by token."""
+    """Chooses targets for new flows and routes other packets by token."""
 
     def __init__(
         self,
@@ -206,7 +210,7 @@
     def replace_targets(
         self, targets_by_service: dict[int, tuple[TargetInfo, ...]]
     ) -> None:
-        """Take the target set as this balancer learns it."""
+        """Replace the targets of the given services."""
         for service, targets in targets_by_service.items():
             chooser = self._choosers_by_service.get(service)
             if chooser is None:
@@ -236,7 +240,7 @@
         self._probe(chooser)
 
     def route(self, service: int, flow_id: int, token: bytes) -> Agent | None:
-        """Return the agent in the token of an established flow."""
+        """Return the agent in the token, None if it is not valid."""
         if self.is_dead:
             return None
         claims = verify_token(self._context.keys, service, flow_id, token)
@@ -265,7 +269,7 @@
 
 
 class ProbeExchange:
-    """One probe, its reply and its time limit."""
+    """One probe, its reply and its timeout."""
 
     def __init__(
         self, context: RunContext, chooser: TargetChooser, target: TargetInfo
@@ -300,7 +304,7 @@
 
 @dataclass(slots=True)
 class CallerFlow:
-    """A flow of the library; `waiting` are calls until it is open."""
+    """A flow of the library; calls are `waiting` until it is open."""
 
     flow_id: int
     token: bytes | None = None
@@ -308,7 +312,7 @@
 
 
 class LibraryCaller:
-    """Callers of all customers; one retry budget each."""
+    """The callers of all customers, each with a retry budget."""
 
     def __init__(self, context: RunContext) -> None:
         self.context = context
@@ -316,7 +320,7 @@
         self._flows_by_group: dict[int, CallerFlow] = {}
 
     def start(self, request: RequestSpec) -> None:
-        """Begin a request at its time."""
+        """Send a request and limit it by its deadline."""
         call = Call(self, request)
         self.context.timers.call_after(
             request.operation.deadline_s, call.time_out
@@ -346,7 +350,7 @@
             self._send(call, flow)
 
     def drop_flow(self, request: RequestSpec) -> None:
-        """Open a new flow for the next request."""
+        """Remove the flow, so that the next request opens a new one."""
         self._flows_by_group.pop(request.flow_id, None)
 
     def _send_open(self, request: RequestSpec, flow: CallerFlow) -> None:
@@ -388,7 +392,7 @@
 
 
 class RequestTransmission:
-    """Sends a request on a flow until the agent has it."""
+    """Sends a request on a flow until the agent has received it."""
 
     def __init__(
         self, context: RunContext, call: 'Call', flow: CallerFlow
@@ -403,7 +407,7 @@
         self._sends = 0
 
     def send(self) -> None:
-        """Send or retransmit, or give the flow up."""
+        """Send or retransmit; after `MAX_SENDS`, move to a new flow."""
         if self._arrived:
             return
         if self._sends >= MAX_SENDS:
@@ -437,14 +441,14 @@
         self._end(RequestResult.TIMED_OUT, 0.0)
 
     def retry_on_new_flow(self) -> None:
-        """Move to a new flow, as the target did not get the request."""
+        """Retry on a new flow; the target did not get the request."""
         self._caller.drop_flow(self.request)
         self._retry(0.0)
 
     def reply(
         self, flow: CallerFlow, sent_s: float, reason: RefusalReason | None
     ) -> None:
-        """Take the outcome of an attempt that was sent at `sent_s`."""
+        """Handle the outcome of an attempt that was sent at `sent_s`."""
         if reason is None:
             self._caller.acknowledge(self.request, flow)
             self._end(RequestResult.ANSWERED, 0.0)
@@ -458,7 +462,7 @@
         context = self._caller.context
         budget = self._caller.budgets_by_customer[self.request.customer_id]
         if reason == RefusalReason.draining:
-            # The library moves to a new flow outside the budget.
+            # As in the library, a new flow after draining costs no budget.
             self._retry(0.0)
         elif budget.try_retry():
             longest_s = BACKOFF_S * 2**self._retries
--- a/greengagepath/bench/plots.py
+++ b/greengagepath/bench/plots.py
@@ -47,8 +47,18 @@
     half = _BAR_WIDTH / 2
     naive = [row.naive for row in rows]
     ours = [row.ours for row in rows]
-    axes.bar([at - half for at in positions], naive, _BAR_WIDTH, label='naive')
-    axes.bar([at + half for at in positions], ours, _BAR_WIDTH, label='ours')
+    axes.bar(
+        [position - half for position in positions],
+        naive,
+        _BAR_WIDTH,
+        label='naive',
+    )
+    axes.bar(
+        [position + half for position in positions],
+        ours,
+        _BAR_WIDTH,
+        label='ours',
+    )
     axes.set_xticks(list(positions), [row.scenario for row in rows])
     if min(ours) > 0 and max(naive) > _LOG_SCALE_RATIO * min(ours):
         axes.set_yscale('log')
--- a/greengagepath/bench/policies.py
+++ b/greengagepath/bench/policies.py
@@ -1,4 +1,4 @@
-"""Policies for the choice of a target that the shipped one competes with.
+"""Compares the shipped policy for choosing targets with alternatives.
 
 Run as `python -m greengagepath.bench.policies`; prints the table of
 docs/routing.md. All policies get the same inputs.
@@ -31,7 +31,8 @@
 
 SEEDS = (1, 2, 3)
 PROCESSES = 4
-# Load endpoints of targets lag, and one of them misleads.
+# Load reports arrive late, and targets whose id has this suffix report
+# no load.
 REPORT_LAG_S = 1.0
 MISLEADING_SUFFIX = '6'
 _MS_PER_S = 1000.0
@@ -56,7 +57,7 @@
     def choose(
         self, flow_id: int, size_class: SizeClass
     ) -> Result[Choice, NoTarget]:
-        """Return the one with fewer in flight, then of less latency."""
+        """Return the one with fewer requests, then with less latency."""
         pool = self._list_eligible(flow_id)
         if not pool:
             return Err(NoTarget(self.service, NoTargetReason.NONE_ALIVE))
@@ -71,10 +72,10 @@
 
 
 class TwoByReportsChooser(TwoByProbesChooser):
-    """The better of two by the load that targets report themselves."""
+    """The better of two random candidates by their own load reports."""
 
     def record_probe(self, reply: ProbeReply) -> None:
-        """Take a report when it is old; one target claims no load."""
+        """Record a report after the lag; misleading ones show no load."""
         if reply.target_id.endswith(MISLEADING_SUFFIX):
             reply = replace(reply, in_flight=0, queued=0)
         record_late = partial(super().record_probe, reply)
@@ -98,7 +99,7 @@
 
 
 def measure_policy(policy: int, scenario: int, seed: int) -> PolicyFigures:
-    """Run a policy; `policy` and `scenario` are places in the lists."""
+    """Run a policy; arguments are indexes into both tuples and a seed."""
     spec = SCENARIOS[scenario]
     setup = RunSetup(
         spec, STEADY, seed, (), WARM_UP_S, make_chooser=POLICIES[policy]
--- a/greengagepath/bench/runner.py
+++ b/greengagepath/bench/runner.py
@@ -22,8 +22,9 @@
 )
 
 REPORT_NAME = 'bench.json'
-# Each experiment is one process; more of them would disturb nothing
-# but the machine, since figures are in virtual time.
+# Experiments that run at a time, each in a process of its own. Figures
+# are in virtual time and do not depend on it; more processes would only
+# load the machine.
 PROCESSES = 4
 # Targets of the design page for the data path and for an open flow.
 PACKET_BOUND = 2.0
@@ -35,7 +36,7 @@
 class WallClockFigure:
     """A figure of this machine, which differs from run to run.
 
-    Without a bound it is only shown.
+    Without a bound it is for information only.
     """
 
     measure: str
@@ -51,7 +52,7 @@
 
 @dataclass(slots=True, frozen=True)
 class BenchReport:
-    """Rows in virtual time, and wall-clock figures apart from them."""
+    """Rows in virtual time and, kept apart, wall-clock figures."""
 
     rows: list[Row]
     wall_clock: list[WallClockFigure]
@@ -73,7 +74,8 @@
 def run_benchmark(output_dir: Path, seed: int = SEED) -> ExitCode:
     """Run everything; FAILURE if a bound is missed."""
     output_dir.mkdir(parents=True, exist_ok=True)
-    # One after the other, so that rows do not slow the measured packets.
+    # One after the other, so that the experiments do not slow down the
+    # wall-clock measurements.
     report = BenchReport(run_rows(seed), measure_wall_clock())
     write_report(report, output_dir)
     write_plots(report.rows, output_dir)
@@ -110,7 +112,7 @@
 
 
 def row_to_json(row: Row) -> dict[str, object]:
-    """Return the row as the design page lists its fields."""
+    """Return the row with the fields that the design page lists."""
     return {
         'measure': row.measure.name,
         'scenario': row.scenario,
@@ -140,7 +142,7 @@
 
 
 def run_comparison(scenario: int, comparison: int, seed: int) -> list[Row]:
-    """Run one comparison; arguments are places in the lists of both."""
+    """Run one comparison; arguments are indexes into both tuples."""
     return COMPARISONS[comparison](Comparison(SCENARIOS[scenario], seed))
 
 
--- a/greengagepath/bench/scenarios.py
+++ b/greengagepath/bench/scenarios.py
@@ -10,9 +10,10 @@
 
 @dataclass(slots=True, frozen=True)
 class OperationSpec:
-    """An operation; `mean_work_s` at a target of speed 1.
+    """An operation of a service.
 
-    `weight` is its rate relative to the service's other operations.
+    `mean_work_s` is in seconds at a target of speed 1; `weight` is the
+    rate relative to the service's other operations.
     """
 
     name: str
@@ -23,13 +24,13 @@
 
     @property
     def is_long(self) -> bool:
-        """Whether it is long work."""
+        """Whether the operation is long work."""
         return self.size_class == SizeClass.long
 
 
 @dataclass(slots=True, frozen=True)
 class ServiceSpec:
-    """A service; one target for each of `speeds`, with 2 slots each."""
+    """A service with one target for each of `speeds`, of 2 slots each."""
 
     service: int
     name: str
@@ -38,7 +39,7 @@
 
     @property
     def capacity(self) -> float:
-        """Work in seconds at speed 1 that the targets do in a second."""
+        """Work that all targets do per second, in seconds at speed 1."""
         return sum(self.speeds) * SLOTS
 
     @property
@@ -58,7 +59,7 @@
     zone_delay_s: float
     services: tuple[ServiceSpec, ...]
     customers: tuple[int, ...]
-    # Part of short requests that turn out to be stragglers.
+    # Share of short requests that take `LONG_FACTOR` times as long.
     straggler_share: float
 
 
@@ -67,13 +68,15 @@
 BALANCERS = 3
 ZONES = ('zone-1', 'zone-2', 'zone-3')
 REGION = 'region-1'
-# Speeds differ by 4 times; nobody announces them as weights.
+# Speeds differ by a factor of 4; the weights of the targets do not
+# reflect this.
 SEVEN_SPEEDS = (1.0, 1.0, 2.0, 2.0, 3.0, 4.0, 4.0)
 THREE_SPEEDS = (1.0, 2.0, 4.0)
 _SHORT_S = 0.04
 _LONG_S = _SHORT_S * LONG_FACTOR
 
-# Requests answered while someone waits, and those that may queue.
+# Deadlines in seconds: short if a person waits for the answer, long if
+# the request may queue.
 _LOOKUP_DEADLINE_S = 1.5
 _REPORT_DEADLINE_S = 2.0
 _UPDATE_DEADLINE_S = 4.0
--- a/greengagepath/bench/simulation.py
+++ b/greengagepath/bench/simulation.py
@@ -15,14 +15,16 @@
 from .scenarios import BALANCERS, REGION, SLOTS, ZONES, ScenarioSpec
 from .workload import LoadPlan, RequestSpec, WorkloadBuilder
 
-# Balancers learn of a change at different times, at most this late.
+# Bounds of the random delay after which a balancer receives a changed
+# target set.
 MAX_LAG_S = 2.5
 MIN_LAG_S = 0.05
-# Silence after which a target is suspected and then dead.
+# Time after a target disappears until it is marked suspect, and until
+# it is removed as dead.
 SUSPECT_S = 3.0
 DEAD_S = 5.0
 TARGETS_OBJECT = 'targets'
-# Time after the last arrival for requests to end.
+# Time after the end of the load in which pending requests end.
 COOL_DOWN_S = 10.0
 _FIRST_PORT = 20000
 
@@ -44,7 +46,11 @@
 
 @dataclass(slots=True, frozen=True)
 class Change:
-    """A change at `at_s`; `number` picks the target or its speed."""
+    """A change of a target or of a balancer, `at_s` seconds into the run.
+
+    `number` is the speed of a target that joins, else the index of the
+    target among those of its service; changes of balancers ignore it.
+    """
 
     at_s: float
     kind: ChangeKind
@@ -54,7 +60,7 @@
 
 @dataclass(slots=True, frozen=True)
 class RunSetup:
-    """Inputs of a run; `measure_from_s` ends the warm-up."""
+    """Inputs of a run; `measure_from_s` is the end of the warm-up."""
 
     scenario: ScenarioSpec
     plan: LoadPlan
@@ -66,7 +72,7 @@
 
 @dataclass(slots=True)
 class RunOutcome:
-    """What a run produced; work in seconds at speed 1."""
+    """Result of a run; work and capacity are in seconds at speed 1."""
 
     request_log: RequestLog
     work_by_target: dict[str, float]
@@ -76,7 +82,11 @@
 
 @dataclass(slots=True)
 class Host:
-    """A target with its back end and its agent."""
+    """A target with its back end and its agent.
+
+    `warm_up_work_s` is the work done before the measured time, in
+    seconds at speed 1.
+    """
 
     target: TargetInfo
     back_end: BackEnd
@@ -87,7 +97,7 @@
 
 @dataclass(slots=True)
 class Environment:
-    """What both systems run on."""
+    """Timers, random source, fabric and request log of a run."""
 
     timers: VirtualTimerService
     random: random.Random
@@ -96,7 +106,7 @@
 
 
 def make_environment(setup: RunSetup) -> Environment:
-    """Return fresh parts whose randomness follows from the seed."""
+    """Return a new environment; its random source has the run's seed."""
     timers = VirtualTimerService()
     rng = random.Random(f'{setup.seed} {setup.scenario.name} run')
     fabric = Fabric(timers, rng, setup.scenario.client_delay_s)
@@ -104,7 +114,7 @@
 
 
 class Simulation:
-    """Hosts, changes and arrivals; subclasses add the system."""
+    """Runs hosts, changes and arrivals; subclasses add a system."""
 
     def __init__(self, setup: RunSetup) -> None:
         self.setup = setup
@@ -119,7 +129,11 @@
                 self._add_host(service.service, speed, None)
 
     def run(self) -> RunOutcome:
-        """Run to the end and return what was recorded."""
+        """Run to the end and return the outcome.
+
+        Work counts up to the end of the load, requests until the end of
+        the cool-down.
+        """
         self._publish()
         for _ in range(BALANCERS):
             self._add_balancer()
@@ -224,7 +238,7 @@
         self.object_api.write(TARGETS_OBJECT, infos, version).unwrap()
 
     def _watch(self, apply: TargetsCallback) -> None:
-        """Apply the present set now and later ones late, in order."""
+        """Apply the current targets now and newer versions after a delay."""
         current = self.object_api.read(TARGETS_OBJECT).unwrap()
         applied = [current.version]
         apply(current.body)
--- a/greengagepath/bench/systems.py
+++ b/greengagepath/bench/systems.py
@@ -13,7 +13,7 @@
 
 
 class NaiveSimulation(Simulation):
-    """The naive balancer."""
+    """Runs the naive balancer."""
 
     def _make_request_starter(self) -> RequestStarter:
         return NaiveCaller(
@@ -48,11 +48,11 @@
         balancer.replace_targets(agents_by_service)
 
     def _drain(self, host: Host) -> None:
-        """Leave the agent to finish what it has."""
+        """Do nothing: the naive agent finishes its queue."""
 
 
 class OursSimulation(Simulation):
-    """The real decision modules."""
+    """Runs our system with the real decision modules."""
 
     def __init__(self, setup: RunSetup) -> None:
         self._context: RunContext | None = None
--- a/greengagepath/bench/virtual_links.py
+++ b/greengagepath/bench/virtual_links.py
@@ -1,4 +1,4 @@
-"""Control links in virtual time, with the faults of real ones."""
+"""Control links in virtual time, with simulated faults."""
 
 import itertools
 from collections import deque
@@ -20,13 +20,13 @@
 # 8 B, TCP and IP headers 52 B for the segment and as much for its
 # acknowledgement.
 FRAME_OVERHEAD_BYTES = 137
-# Sequence of a heartbeat after a day; its CBOR form has 5 B.
+# Sequence number of a heartbeat after a day; it takes 5 B in CBOR.
 HEARTBEATS_PER_DAY = 86400
 
 
 @dataclass(slots=True)
 class Traffic:
-    """What one process has sent and received on its links."""
+    """Messages and bytes that one process sent and received."""
 
     sent_messages: int = 0
     sent_bytes: int = 0
@@ -78,7 +78,11 @@
 
 @dataclass(slots=True, eq=False)
 class Endpoint:
-    """One end of a link; `held` waits for a pause or partition to end."""
+    """One end of a link.
+
+    `held` contains deliveries that wait for the end of a pause or of a
+    partition. If `is_silenced`, all that is sent is lost.
+    """
 
     owner: 'VirtualLinks'
     link_id: int
@@ -91,7 +95,7 @@
 class VirtualNetwork:
     """Delivers messages between the processes that are attached to it.
 
-    `is_blocked` tells whether two places cannot reach each other. With
+    Partitions separate locations; they hold back what is sent. With
     `counts_bytes` the sizes of messages are counted.
     """
 
@@ -113,22 +117,22 @@
         return 0 if self._sizes is None else self._sizes.count(message)
 
     def block(self, first: str, second: str) -> None:
-        """Cut two places off from each other."""
+        """Start a partition between two locations."""
         self._blocked.add(frozenset((first, second)))
 
     def unblock(self, first: str, second: str) -> None:
-        """End a partition; what was held is delivered."""
+        """End a partition and deliver what was held back."""
         self._blocked.discard(frozenset((first, second)))
         for links in tuple(self.links_by_address.values()):
             links.release()
 
     def is_blocked(self, first: str, second: str) -> bool:
-        """Return whether a partition lies between the places."""
+        """Return whether a partition separates the locations."""
         return frozenset((first, second)) in self._blocked
 
 
 class VirtualLinks:
-    """Implements `LinkService` for one process at one place."""
+    """Implements `LinkService` for one process at one location."""
 
     def __init__(
         self, network: VirtualNetwork, clock: ProcessClock, location: str
@@ -147,7 +151,10 @@
         self.network.links_by_address[address] = self
 
     def connect(self, address: Address) -> int:
-        """Open a link; it fails at once if nothing listens there."""
+        """Open a link and return its id.
+
+        It is closed after the latency if nothing listens there.
+        """
         end = self._create_end()
         self.network.timers.call_after(
             self.network.latency_s,
@@ -156,7 +163,7 @@
         return end.link_id
 
     def send(self, link_id: int, message: msgspec.Struct) -> bool:
-        """Send a message to the other end."""
+        """Send a message to the peer; return False on a closed link."""
         end = self.ends_by_link.get(link_id)
         if end is None or end.peer is None or not end.is_open:
             return False
@@ -169,21 +176,21 @@
         return True
 
     def close(self, link_id: int) -> None:
-        """Close the link; the other end learns it as it would a FIN."""
+        """Close the link; the peer's end closes as it does on a FIN."""
         end = self.ends_by_link.get(link_id)
         if end is not None and end.is_open:
             self._close_end(end)
             self._notify_peer(end)
 
     def silence(self, link_id: int) -> None:
-        """Lose all that is sent on this link, both ways, from now on."""
+        """Lose all that is sent on this link, in both directions."""
         end = self.ends_by_link[link_id]
         end.is_silenced = True
         if end.peer is not None:
             end.peer.is_silenced = True
 
     def kill(self, *, silently: bool) -> None:
-        """End the process; its host sends no FIN if it dies silently."""
+        """End the process; its host sends no FIN if `silently`."""
         self.clock.is_dead = True
         for end in tuple(self.ends_by_link.values()):
             end.is_open = False
@@ -192,7 +199,7 @@
         self.ends_by_link.clear()
 
     def release(self) -> None:
-        """Deliver what was held, as far as it can be by now."""
+        """Deliver what was held back to ends that are reachable now."""
         for end in tuple(self.ends_by_link.values()):
             while end.held and _is_reachable(end):
                 end.held.popleft()()
@@ -200,7 +207,7 @@
     def deliver_later(
         self, source: Endpoint, action: Callable[['VirtualLinks'], None]
     ) -> None:
-        """Act at this end after the latency, in the order of sending."""
+        """Run `action` here after the latency, in the order of sending."""
         self.network.timers.call_after(
             self.network.latency_s,
             lambda: self._deliver(source.peer, action),
@@ -209,7 +216,7 @@
     def receive(
         self, end: Endpoint, message: msgspec.Struct, size: int
     ) -> None:
-        """Hand a message that has arrived to the process."""
+        """Pass a message that has arrived to the process."""
         if end.is_open and self.events is not None:
             self.traffic.received_messages += 1
             self.traffic.received_bytes += size
@@ -231,7 +238,7 @@
         return end
 
     def _finish_connecting(self, end: Endpoint, address: Address) -> None:
-        """Finish a connection attempt."""
+        """Establish the link, or close it at once or after a timeout."""
         listener = self.network.links_by_address.get(address)
         if listener is None or listener.clock.is_dead:
             self._close_end(end)
@@ -253,7 +260,7 @@
         self.events.link_opened(end.link_id, outgoing=True)
 
     def _close_end(self, end: Endpoint) -> None:
-        """Close this end and tell the process soon."""
+        """Close this end and schedule the event for the process."""
         if end.is_open:
             end.is_open = False
             self.ends_by_link.pop(end.link_id, None)
@@ -269,7 +276,7 @@
 
 
 def _is_reachable(end: Endpoint) -> bool:
-    """Return whether what was sent to this end can arrive."""
+    """Return whether messages of the peer can be delivered here."""
     owner = end.owner
     if owner.clock.is_paused:
         return False
--- a/greengagepath/bench/virtual_processes.py
+++ b/greengagepath/bench/virtual_processes.py
@@ -12,7 +12,7 @@
     """The timers of one process.
 
     While the process is paused, due callbacks wait; on resume each runs
-    once, as those of a real loop do. After its death none runs.
+    once, as in a real event loop. When the process is dead, none runs.
     """
 
     def __init__(self, timers: VirtualTimerService) -> None:
@@ -21,16 +21,16 @@
         self._deferred_callbacks: dict[Callback, None] = {}
         self.is_paused = False
         self.is_dead = False
-        # Real seconds that the process's own code has used.
+        # Real seconds spent in the callbacks of the process.
         self.busy_s = 0.0
 
     @property
     def is_running(self) -> bool:
-        """Whether the process reacts to anything."""
+        """Whether the process is neither paused nor dead."""
         return not (self.is_paused or self.is_dead)
 
     def now(self) -> float:
-        """Return the virtual time, which counts pauses."""
+        """Return the virtual time in s; pauses count."""
         return self._timers.now()
 
     def call_after(self, delay_s: float, callback: Callback) -> Timer:
@@ -42,7 +42,7 @@
         return self._timers.subscribe(period_s, self._guard(callback))
 
     def run(self, callback: Callback) -> None:
-        """Run now, or on resume, or never, as the process stands."""
+        """Run now, on resume if paused, or not at all if dead."""
         if self.is_running:
             started_s = time.perf_counter()
             callback()
--- a/greengagepath/bench/virtual_store.py
+++ b/greengagepath/bench/virtual_store.py
@@ -1,4 +1,4 @@
-"""Object API in virtual time, with the faults of the real one."""
+"""Object API in virtual time, with simulated faults."""
 
 import random
 from collections.abc import Callable
@@ -21,10 +21,10 @@
 
 @dataclass(slots=True)
 class StoreFaults:
-    """What is wrong with the object API now.
+    """Current faults of the object API.
 
-    `lose_answers` is the share of answers lost after the call took
-    effect.
+    `delay_s` is added to each call; `lose_answers` is the share of
+    writes whose answer is lost after the write was done.
     """
 
     is_down: bool = False
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True, frozen=True)
 class AcceptedWrite:
-    """A write that took effect, for checks."""
+    """A write that took effect, recorded for checks."""
 
     time_s: float
     writer: str
@@ -74,7 +74,7 @@
         return ObjectAnswer(HTTPStatus.OK, {'version': version, 'body': body})
 
     def list_kind(self, kind: str) -> ObjectAnswer:
-        """Return all objects of a kind."""
+        """Return all objects of a kind, by name."""
         return ObjectAnswer(
             HTTPStatus.OK,
             {
@@ -87,7 +87,7 @@
     def write(
         self, writer: str, key: ObjectKey, call: ObjectCall
     ) -> ObjectAnswer:
-        """Write if the version matches, and wake the watches."""
+        """Write and answer the watches, or return 412 on another version."""
         current = self.objects_by_key.get(key, (0, {}))
         if current[0] != call.expected_version:
             content = {'version': current[0], 'body': current[1]}
@@ -131,7 +131,7 @@
         self.on_send: Callable[[ObjectCall], None] | None = None
 
     def send(self, call: ObjectCall, on_answer: OnAnswer) -> None:
-        """Carry the call to the store and its answer back."""
+        """Send the call to the store; call `on_answer` with the outcome."""
         self.calls += 1
         self._store.calls += 1
         if self.on_send is not None:
@@ -186,7 +186,7 @@
 
 
 class _Exchange:
-    """Gives a process the first outcome of a call and no other."""
+    """Passes only the first outcome of a call to the process."""
 
     def __init__(
         self, store: VirtualStore, clock: ProcessClock, on_answer: OnAnswer
@@ -197,7 +197,7 @@
         self._is_finished = False
 
     def answer(self, answer: ObjectAnswer) -> None:
-        """Answer, unless the store went down meanwhile."""
+        """End the call with an answer, or fail if the store is down now."""
         if self._store.faults.is_down:
             self.fail('connection reset')
         else:
@@ -208,7 +208,7 @@
         self._finish(Err(reason))
 
     def time_out(self) -> None:
-        """Give up waiting."""
+        """End the call with a timeout."""
         self._finish(Err('timeout'))
 
     def _finish(self, outcome: object) -> None:
--- a/greengagepath/bench/wall_clock.py
+++ b/greengagepath/bench/wall_clock.py
@@ -1,8 +1,8 @@
 """Wall-clock cost of a balancer's data path, on 127.0.0.1.
 
-Each measurement compares with a bare receive-and-send loop of the same
-run. Rounds of both alternate, so that a slow moment of the machine
-falls on both; the median of the rounds is reported.
+Each measurement is compared with a bare receive-and-send loop of the
+same run. Rounds of both alternate, so that a temporary slowdown of the
+machine affects both; the median of the rounds is reported.
 """
 
 import statistics
@@ -87,12 +87,12 @@
 
 
 class NoChoosers:
-    """Choosers without any target: only tokens are routed."""
+    """Choosers without targets: only packets with tokens are routed."""
 
     def choose(
         self, service: int, flow_id: int, size_class: SizeClass
     ) -> Result[Choice, NoTarget]:
-        """Return that there is no target."""
+        """Return the error NONE_ALIVE."""
         return Err(NoTarget(service, NoTargetReason.NONE_ALIVE))
 
     def get_chooser(self, service: int) -> TargetChooser | None:
@@ -105,8 +105,9 @@
     """Return the cost of forwarding datagrams with a body of this size.
 
     The bare loop sends with `sendto`, because one socket reaches any
-    target; `bare_connected_us` is a bare loop that only ever sends to
-    one target. `uncached_us` is with each token verified.
+    target; `bare_connected_us` is a bare loop whose connected socket
+    reaches one target only. `uncached_us` is the cost if the token of
+    each datagram is verified.
     """
     with ExitStack() as stack:
         sockets = _SocketSet(stack, Random(seed), body_bytes)
@@ -162,7 +163,7 @@
 
 
 class _SocketSet:
-    """Sockets through which batches pass the measured loop."""
+    """Sockets that pass batches of datagrams through a measured loop."""
 
     def __init__(self, stack: ExitStack, rng: Random, body_bytes: int) -> None:
         self._inbox = stack.enter_context(open_data_socket((LOCALHOST, 0)))
@@ -180,7 +181,7 @@
         self._next_packet = 0
 
     def forward(self, packet: bytes) -> object:
-        """Send on as a bare loop does."""
+        """Forward a packet as a bare loop does."""
         return self._inbox.sendto(packet, self.target_address)
 
     def create_router(self, verified_tokens: int) -> PacketRouter:
--- a/greengagepath/bench/wire_cost.py
+++ b/greengagepath/bench/wire_cost.py
@@ -12,7 +12,7 @@
 from ..protocol.tags import KEY_BYTES, Key, KeyRing
 
 ROUNDS = 3000
-# A round trip is sent and received at both ends.
+# Each end sends and receives one message in a round trip.
 OPERATIONS_PER_ROUND_TRIP = 4
 HOST = '127.0.0.1'
 NONCE = bytes(NONCE_BYTES)
@@ -38,7 +38,7 @@
 
 
 def measure_wire_cost(record: MemberRecord) -> WireCost:
-    """Measure on this machine, over 127.0.0.1."""
+    """Measure the cost on this machine, over 127.0.0.1."""
     heartbeat_s = _measure_frames(Heartbeat(sequence=1))
     one_record_s = _measure_frames(Records(records=[record]))
     return WireCost(
--- a/greengagepath/bench/workload.py
+++ b/greengagepath/bench/workload.py
@@ -1,7 +1,7 @@
 """Flows and requests of a run, drawn before it starts.
 
-Both systems get the same flows at the same times, whatever becomes of
-earlier requests.
+Both systems get the same flows at the same times, regardless of the
+outcome of earlier requests.
 """
 
 import random
@@ -10,7 +10,8 @@
 
 from .scenarios import LONG_FACTOR, OperationSpec, ScenarioSpec, ServiceSpec
 
-# Most flows are short; the rest send requests for many seconds.
+# Shares of flows and their numbers of requests: most flows are short,
+# the rest send requests for many seconds.
 FLOW_LENGTHS = ((0.7, 1), (0.25, 4), (0.05, 16))
 MEAN_FLOW_LENGTH = sum(share * length for share, length in FLOW_LENGTHS)
 MEAN_REQUEST_INTERVAL_S = 0.5
@@ -30,8 +31,9 @@
 
 @dataclass(slots=True, frozen=True)
 class LoadPlan:
-    """Load over time and which part of it is left out.
+    """Load over time.
 
+    `with_long_work` is False to leave out long work and stragglers.
     `customer_weights` are relative rates of the customers, equal if
     empty. `single_requests` makes every flow one request long.
     """
@@ -43,13 +45,13 @@
 
     @property
     def end_s(self) -> float:
-        """When the last flow may start."""
+        """End of the load, in seconds of the run."""
         return self.phases[-1].end_s
 
 
 @dataclass(slots=True, frozen=True)
 class RequestSpec:
-    """A request; `work_s` at speed 1, `deadline_s` after `at_s`."""
+    """A request sent at `at_s`; `work_s` is in seconds at speed 1."""
 
     request_id: bytes
     flow_id: int
@@ -62,7 +64,7 @@
 
     @property
     def end_s(self) -> float:
-        """When the caller gives up."""
+        """Time of the deadline, in seconds of the run."""
         return self.at_s + self.operation.deadline_s
 
     @property
--- a/tests/bench/test_bench_rows.py
+++ b/tests/bench/test_bench_rows.py
@@ -25,8 +25,9 @@
 from greengagepath.bench.scenarios import SCENARIOS
 
 
-# Guards against a change of routing or admission that misses a target
-# of the design page, and against a naive version that does as well.
+# Guards against a change of routing or admission that misses a bound of
+# the design page, and against a comparison in which the naive system
+# gives the same figure, as if both had run the same code.
 @pytest.mark.parametrize('scenario', range(len(SCENARIOS)))
 @pytest.mark.parametrize('comparison', range(len(COMPARISONS)))
 def test_rows_meet_their_bounds(scenario, comparison):
@@ -38,7 +39,8 @@
 
 class ReportTest(TestCase):
     def test_missed_bounds_are_found_on_both_sides(self):
-        # Guards against a benchmark that passes whatever it measures.
+        # Guards against a benchmark that passes whatever it measures: a
+        # figure may miss its bound by being too high or too low.
         rows = [
             Row(BROKEN_FLOWS, 'jinhua', 0.2, 0.1, 1),
             Row(CREST_QUALITY, 'jinhua', 0.2, 0.1, 1),
@@ -52,7 +54,8 @@
         )
 
     def test_report_and_plots_are_written(self):
-        # Guards against rows without a field that readers rely on.
+        # Guards against a field missing in the rows of `bench.json`, which
+        # readers rely on, and against empty plots.
         row = Row(BROKEN_FLOWS, 'jinhua', 0.2, 0.1, 1)
         with TemporaryDirectory() as name:
             path = write_report(BenchReport([row], []), Path(name))
@@ -74,6 +77,6 @@
         )
 
     def test_bounds_are_those_of_the_design_page(self):
-        # Guards against a bound that was moved to fit a figure.
+        # Guards against a bound that was changed to fit a measured figure.
         self.assertEqual(0.0, BROKEN_FLOWS.bound)
         self.assertEqual(1.5, BLOCKING_BOUND)
--- a/tests/bench/test_measures.py
+++ b/tests/bench/test_measures.py
@@ -18,8 +18,9 @@
 
 
 class MeasuresTest(TestCase):
-    def test_customer_who_gets_more_than_its_share_shows(self):
-        # Guards against a gap that a flood of one customer hides.
+    def test_gap_shows_customer_above_its_fair_share(self):
+        # Guards against a gap that the refused requests of one flooding
+        # customer cause or hide.
         refused = [
             build_outcome(1, result=RequestResult.REFUSED) for _ in range(90)
         ]
@@ -33,14 +34,16 @@
             measure_fair_share_gap(even + uneven + waiting + refused), 0.5
         )
 
-    def test_recovery_ends_with_the_last_bad_second(self):
-        # Guards against a recovery that stops at the first good second.
+    def test_recovery_ends_after_the_last_missed_interval(self):
+        # Guards against a recovery time that ends with the first good
+        # interval although requests are refused in a later one.
         outcomes = [build_outcome(at_s=20.0 + step) for step in range(5)]
         self.assertEqual(0, measure_recovery_s(outcomes, 20.0, 0.99))
         outcomes.append(build_outcome(at_s=22.5, result=RequestResult.REFUSED))
         self.assertEqual(3, measure_recovery_s(outcomes, 20.0, 0.99))
 
     def test_percentile_is_a_sample(self):
-        # Guards against a tail that misses the slowest requests.
+        # Guards against an index that is too low by one, so that the tail
+        # would leave out the slowest requests.
         self.assertEqual(99, percentile(range(1, 101), 0.99))
         self.assertEqual(5, percentile([5], 0.99))
--- a/tests/bench/test_simulation.py
+++ b/tests/bench/test_simulation.py
@@ -12,8 +12,8 @@
 
 class SimulationTest(TestCase):
     def test_same_seed_gives_the_same_run(self):
-        # Guards against figures that depend on the machine or the order
-        # of a set.
+        # Guards against figures that depend on the machine or on the
+        # iteration order of a set.
         for kind in (NaiveSimulation, OursSimulation):
             first = kind(build_setup()).run()
             second = kind(build_setup()).run()
@@ -33,7 +33,8 @@
             self.assertEqual(Counter(), seen - expected)
 
     def test_offered_load_matches_the_plan(self):
-        # Guards against a load that is not the stated part of capacity.
+        # Guards against an offered load that differs from the share of the
+        # capacity in the plan.
         plan = build_plan(end_s=60.0, load=0.5)
         setup = build_setup(plan=plan)
         built = WorkloadBuilder(setup.scenario, plan, 1).build()
@@ -41,8 +42,9 @@
         load = sum(request.work_s for request in built) / 60.0 / capacity
         self.assertAlmostEqual(0.5, load, delta=0.05)
 
-    def test_ours_runs_each_request_once_and_none_refused(self):
-        # Guards against a fake that hides duplicated or refused work.
+    def test_ours_runs_each_request_once_and_no_refused_one(self):
+        # Guards against a request that runs twice, or that runs although
+        # it was refused, when a target drains and a balancer dies.
         changes = (
             Change(2.0, ChangeKind.DRAIN, 1, 0),
             Change(3.0, ChangeKind.KILL_BALANCER),
@@ -59,9 +61,9 @@
         self.assertEqual(set(), refused & request_log.runs_by_request.keys())
 
 
-class LedgerTest(TestCase):
+class RequestLogTest(TestCase):
     def test_packet_at_another_target_breaks_the_flow(self):
-        # Guards against a request_log that never reports a broken flow.
+        # Guards against a log that never reports a broken flow.
         request_log = RequestLog()
         request_log.record_packet(1, 'a')
         request_log.record_packet(2, 'b')
@@ -69,7 +71,8 @@
         self.assertEqual({1}, request_log.broken_flows)
 
     def test_flow_of_a_dead_target_is_not_broken_by_moving(self):
-        # Guards against blaming the balancer for a lost target.
+        # Guards against counting a flow as broken by the balancer when its
+        # target has died.
         request_log = RequestLog(dead_targets={'a'})
         request_log.record_packet(1, 'a')
         request_log.record_packet(1, 'b')
