--- a/greengagepath/bench/fakes.py
+++ b/greengagepath/bench/fakes.py
@@ -1,7 +1,7 @@
 """Stand-ins in virtual time: fabric, object API, back end, records.
 
-They hold what is outside the system and is the same for the naive
-balancer and ours.
+They simulate what is outside the compared systems and is the same for
+the naive balancer and ours.
 """
 
 import random
@@ -16,17 +16,19 @@
 from .scenarios import SLOTS
 from .workload import RequestSpec
 
-# A cold back end starts at a third of its speed and warms up.
-COLD_SPEED = 0.33
+# A new back end starts at this share of its speed, which then rises
+# linearly until it has warmed up.
+COLD_SPEED_FACTOR = 0.33
 WARM_UP_S = 8.0
-# The fabric sprays to a dead balancer until it notices.
-FABRIC_NOTICE_S = 0.5
+# Time for which the fabric still sprays packets to a dead balancer.
+FABRIC_DETECTION_S = 0.5
 
 
 class BackEnd:
-    """Runs requests in its slots and counts runs by request id.
+    """Runs requests in its slots.
 
-    `work_done_s` and `busy_s` are in seconds at speed 1 and of a slot.
+    `work_done_s` is in seconds at speed 1. With `started_s`, the back
+    end starts cold at that time; with None it has its full speed.
     """
 
     def __init__(
@@ -46,70 +48,80 @@
         return self.running < self.slots
 
     def run(
-        self, request: RequestSpec, done: Callable[[RequestSpec, float], None]
+        self,
+        request: RequestSpec,
+        on_done: Callable[[RequestSpec, float], None],
     ) -> None:
-        """Take a slot; call `done` with the duration in s at the end."""
+        """Run a request; call `on_done` with its duration in s at the end.
+
+        Raises AssertionError if no slot is free.
+        """
         if not self.has_free_slot:
             raise AssertionError('the back end has no free slot')
         self.running += 1
-        duration_s = request.work_s / self._present_speed()
+        duration_s = request.work_s / self._current_speed()
         self._timers.call_after(
-            duration_s, lambda: self._end(request, duration_s, done)
+            duration_s, lambda: self._end(request, duration_s, on_done)
         )
 
     def _end(
         self,
         request: RequestSpec,
         duration_s: float,
-        done: Callable[[RequestSpec, float], None],
+        on_done: Callable[[RequestSpec, float], None],
     ) -> None:
         if self.is_dead:
             return
         self.running -= 1
         self.work_done_s += request.work_s
-        done(request, duration_s)
+        on_done(request, duration_s)
 
-    def _present_speed(self) -> float:
+    def _current_speed(self) -> float:
         if self._started_s is None:
             return self.speed
         age_s = self._timers.now() - self._started_s
-        warmth = min(age_s / WARM_UP_S, 1.0)
-        return self.speed * (COLD_SPEED + (1 - COLD_SPEED) * warmth)
+        warm_up_share = min(age_s / WARM_UP_S, 1.0)
+        return self.speed * (
+            COLD_SPEED_FACTOR + (1 - COLD_SPEED_FACTOR) * warm_up_share
+        )
 
 
 class Fabric:
-    """Sprays each packet to any balancer, also to one just dead."""
+    """Sprays packets to random balancers, also to one that just died."""
 
     def __init__(
-        self, timers: TimerService, drawn: random.Random, delay_s: float
+        self, timers: TimerService, rng: random.Random, delay_s: float
     ) -> None:
         self._timers = timers
-        self._random = drawn
+        self._random = rng
         self._delay_s = delay_s
         self._balancers: list[object] = []
         self.dead: set[int] = set()
 
     def add_balancer(self, balancer: object) -> None:
-        """Send a part of the packets to this balancer from now on."""
+        """Spray packets to this balancer too from now on."""
         self._balancers.append(balancer)
 
-    def kill_first(self) -> None:
-        """Kill a balancer; packets sent to it are lost until noticed."""
-        victim = self._balancers[0]
-        self.dead.add(id(victim))
+    def kill_first_balancer(self) -> None:
+        """Kill the first balancer.
+
+        Packets sent to it are lost until the fabric detects this.
+        """
+        balancer = self._balancers[0]
+        self.dead.add(id(balancer))
         self._timers.call_after(
-            FABRIC_NOTICE_S, lambda: self._balancers.remove(victim)
+            FABRIC_DETECTION_S, lambda: self._balancers.remove(balancer)
         )
 
     def spray(self, deliver: Callable[[object], None]) -> None:
-        """Call `deliver` with a balancer after the delay."""
+        """Call `deliver` with a balancer after the delay, unless it is dead."""
         balancer = self._random.choice(self._balancers)
         if id(balancer) not in self.dead:
             self._timers.call_after(self._delay_s, lambda: deliver(balancer))
 
 
 @unique
-class ObjectProblem(StrEnum):
+class ObjectApiError(StrEnum):
     """Why a call to the object API failed."""
 
     DOWN = 'down'
@@ -118,7 +130,7 @@
 
 @dataclass(slots=True, frozen=True)
 class StoredObject:
-    """A version of an object."""
+    """One version of an object."""
 
     version: int
     body: object
@@ -127,8 +139,9 @@
 class FakeObjectApi:
     """Versioned objects with conditional updates and watches.
 
-    `delay_s` returns the delay of the next notice to a watcher, so
-    that watchers learn of a version at different times.
+    `delay_s` returns the delay in s of the next notification, so that
+    watchers receive a version at different times. Reads and writes
+    fail with DOWN while `is_down` is set.
     """
 
     def __init__(
@@ -141,31 +154,31 @@
         self.is_down = False
         self.calls = 0
 
-    def read(self, name: str) -> Result[StoredObject | None, ObjectProblem]:
-        """Return the present version, None if there is none."""
+    def read(self, name: str) -> Result[StoredObject | None, ObjectApiError]:
+        """Return the current version, None if the object does not exist."""
         self.calls += 1
         if self.is_down:
-            return Err(ObjectProblem.DOWN)
+            return Err(ObjectApiError.DOWN)
         return Ok(self._objects_by_name.get(name))
 
     def write(
         self, name: str, body: object, if_version: int
-    ) -> Result[StoredObject, ObjectProblem]:
-        """Replace the object if its version is still `if_version`."""
+    ) -> Result[StoredObject, ObjectApiError]:
+        """Replace the object; fail unless its version is `if_version`."""
         self.calls += 1
         if self.is_down:
-            return Err(ObjectProblem.DOWN)
-        held = self._objects_by_name.get(name, StoredObject(0, None))
-        if held.version != if_version:
-            return Err(ObjectProblem.CONFLICT)
-        stored = StoredObject(held.version + 1, body)
+            return Err(ObjectApiError.DOWN)
+        current = self._objects_by_name.get(name, StoredObject(0, None))
+        if current.version != if_version:
+            return Err(ObjectApiError.CONFLICT)
+        stored = StoredObject(current.version + 1, body)
         self._objects_by_name[name] = stored
         for watcher in self._watchers:
             self._notify(watcher, name, stored)
         return Ok(stored)
 
     def watch(self, watcher: Callable[[str, StoredObject], None]) -> None:
-        """Call `watcher` with each new version, late."""
+        """Call `watcher` with each new version after a delay."""
         self.calls += 1
         self._watchers.append(watcher)
 
@@ -175,12 +188,12 @@
         name: str,
         stored: StoredObject,
     ) -> None:
-        notice: Callback = lambda: watcher(name, stored)  # noqa: E731
-        self._timers.call_after(self._delay_s(), notice)
+        notification: Callback = lambda: watcher(name, stored)  # noqa: E731
+        self._timers.call_after(self._delay_s(), notification)
 
 
 @unique
-class RequestEnd(StrEnum):
+class RequestResult(StrEnum):
     """How a request ended for its caller."""
 
     ANSWERED = 'answered'
@@ -192,31 +205,32 @@
 class RequestOutcome:
     """End of a request; times in seconds of the run.
 
-    `decided_s` is how long the last refusal took to reach the caller.
+    `refusal_delay_s` is the time from sending the last attempt to its
+    refusal; it is only valid for refused requests.
     """
 
     request: RequestSpec
-    fate: RequestEnd
+    result: RequestResult
     ended_s: float
-    decided_s: float = 0.0
+    refusal_delay_s: float = 0.0
 
     @property
     def in_time(self) -> bool:
         """Whether the whole answer came before the deadline."""
         return (
-            self.fate == RequestEnd.ANSWERED
+            self.result == RequestResult.ANSWERED
             and self.ended_s <= self.request.end_s
         )
 
     @property
-    def taken_s(self) -> float:
-        """Seconds from the request to its end."""
+    def duration_s(self) -> float:
+        """Seconds from sending the request to its end."""
         return self.ended_s - self.request.at_s
 
 
 @dataclass(slots=True)
 class RequestLog:
-    """What the experiments count, outside both systems.
+    """Records for the measures of a run, kept outside both systems.
 
     The owner of a flow is the target that its first packet reached. A
     flow is broken when a later packet reaches another target although
@@ -230,7 +244,7 @@
     runs_by_request: Counter[bytes] = field(default_factory=Counter)
 
     def record_packet(self, flow_id: int, target_id: str) -> None:
-        """Note where a packet of an established flow arrived."""
+        """Record that a packet of a flow has reached a target."""
         owner = self.owners_by_flow.setdefault(flow_id, target_id)
         if owner == target_id or owner in self.dead_targets:
             return
--- a/greengagepath/bench/naive.py
+++ b/greengagepath/bench/naive.py
@@ -1,7 +1,7 @@
-"""The naive balancer that ours is measured against.
+"""The naive balancer, which is the baseline for ours.
 
 Modulo hash over the live targets, first-in first-out queues, immediate
-retry, no flow ownership. It is kept as small as it can honestly be.
+retry, no flow ownership. It is as small as a fair comparison allows.
 """
 
 from collections import deque
@@ -11,13 +11,13 @@
 import xxhash
 
 from ..foundation.timers import VirtualTimerService
-from .fakes import BackEnd, Fabric, RequestEnd, RequestLog, RequestOutcome
+from .fakes import BackEnd, Fabric, RequestLog, RequestOutcome, RequestResult
 from .scenarios import QUEUE_LENGTH
 from .workload import RequestSpec
 
 MAX_ATTEMPTS = 3
-# Parts of the deadline after which an attempt is given up.
-ATTEMPT_SHARE = 1 / MAX_ATTEMPTS
+# Share of the deadline after which the next attempt is sent.
+ATTEMPT_TIMEOUT_SHARE = 1 / MAX_ATTEMPTS
 _FLOW_ID_BYTES = 8
 
 
@@ -30,11 +30,11 @@
     def replace_targets(
         self, agents_by_service: dict[int, list['NaiveAgent']]
     ) -> None:
-        """Take the live targets, in order of their ids."""
+        """Replace the agents of the live targets, in order of their ids."""
         self._agents_by_service = agents_by_service
 
     def find_agent(self, service: int, flow_id: int) -> 'NaiveAgent':
-        """Return where a packet of the flow goes now."""
+        """Return the agent that gets a packet of the flow now."""
         agents = self._agents_by_service[service]
         packed = flow_id.to_bytes(_FLOW_ID_BYTES, 'big')
         return agents[xxhash.xxh3_64_intdigest(packed) % len(agents)]
@@ -53,12 +53,12 @@
         if self.back_end.is_dead:
             return
         if len(self._queue) >= QUEUE_LENGTH:
-            reply(RequestEnd.REFUSED)
+            reply(RequestResult.REFUSED)
             return
         self._queue.append((request, reply))
-        self._pump()
+        self._process_queue()
 
-    def _pump(self) -> None:
+    def _process_queue(self) -> None:
         while self._queue and self.back_end.has_free_slot:
             request, reply = self._queue.popleft()
             self.back_end.run(request, partial(self._finish, reply))
@@ -66,11 +66,11 @@
     def _finish(
         self, reply: 'Reply', request: RequestSpec, duration_s: float
     ) -> None:
-        reply(RequestEnd.ANSWERED)
-        self._pump()
+        reply(RequestResult.ANSWERED)
+        self._process_queue()
 
 
-Reply = Callable[[RequestEnd], None]
+Reply = Callable[[RequestResult], None]
 
 
 class NaiveCall:
@@ -83,32 +83,35 @@
         self._ended = False
 
     def attempt(self) -> None:
-        """Send the request again, at once."""
+        """Send the request, and again later, until attempts run out."""
         if self._ended:
             return
         if self._attempts >= MAX_ATTEMPTS:
             return
         self._attempts += 1
         sent_s = self._caller.timers.now()
-        self._caller.send(self._request, lambda fate: self._end(fate, sent_s))
+        self._caller.send(
+            self._request, lambda result: self._end(result, sent_s)
+        )
         self._caller.timers.call_after(
-            self._request.operation.deadline_s * ATTEMPT_SHARE, self.attempt
+            self._request.operation.deadline_s * ATTEMPT_TIMEOUT_SHARE,
+            self.attempt,
         )
 
-    def give_up(self) -> None:
+    def time_out(self) -> None:
         """End the call at its deadline."""
-        self._end(RequestEnd.TIMED_OUT, self._request.at_s)
+        self._end(RequestResult.TIMED_OUT, self._request.at_s)
 
-    def _end(self, fate: RequestEnd, sent_s: float) -> None:
+    def _end(self, result: RequestResult, sent_s: float) -> None:
         if self._ended:
             return
-        if fate == RequestEnd.REFUSED and self._attempts < MAX_ATTEMPTS:
+        if result == RequestResult.REFUSED and self._attempts < MAX_ATTEMPTS:
             self.attempt()
             return
         self._ended = True
         now_s = self._caller.timers.now()
         self._caller.request_log.outcomes.append(
-            RequestOutcome(self._request, fate, now_s, now_s - sent_s)
+            RequestOutcome(self._request, result, now_s, now_s - sent_s)
         )
 
 
@@ -128,13 +131,13 @@
         self._delay_s = delay_s
 
     def start(self, request: RequestSpec) -> None:
-        """Begin a request at its time."""
+        """Send a request and limit it by its deadline."""
         call = NaiveCall(self, request)
-        self.timers.call_after(request.operation.deadline_s, call.give_up)
+        self.timers.call_after(request.operation.deadline_s, call.time_out)
         call.attempt()
 
     def send(self, request: RequestSpec, reply: Reply) -> None:
-        """Send one attempt; `reply` is called when it is answered."""
+        """Send one attempt; `reply` is called with its result."""
         self._fabric.spray(partial(self._deliver, request, reply))
 
     def _deliver(
@@ -144,17 +147,17 @@
         agent.receive(request, partial(self._answer, request, reply))
 
     def _answer(
-        self, request: RequestSpec, reply: Reply, fate: RequestEnd
+        self, request: RequestSpec, reply: Reply, result: RequestResult
     ) -> None:
         self.timers.call_after(
-            self._delay_s, partial(self._receive, request, reply, fate)
+            self._delay_s, partial(self._receive, request, reply, result)
         )
 
     def _receive(
-        self, request: RequestSpec, reply: Reply, fate: RequestEnd
+        self, request: RequestSpec, reply: Reply, result: RequestResult
     ) -> None:
         self._fabric.spray(partial(self._route, request))
-        reply(fate)
+        reply(result)
 
     def _route(
         self, request: RequestSpec, balancer: NaiveBalancer
--- a/greengagepath/bench/virtual_store.py
+++ b/greengagepath/bench/virtual_store.py
@@ -1,4 +1,4 @@
-"""Object API in virtual time, with the faults of the real one."""
+"""Object API in virtual time, with simulated faults."""
 
 import random
 from collections.abc import Callable
@@ -16,15 +16,15 @@
 ANSWER_S = 0.005
 
 ObjectKey = tuple[str, str]
-_NOTHING_NEW = ObjectAnswer(HTTPStatus.NO_CONTENT, {})
+_NO_CONTENT = ObjectAnswer(HTTPStatus.NO_CONTENT, {})
 
 
 @dataclass(slots=True)
 class StoreFaults:
-    """What is wrong with the object API now.
+    """Current faults of the object API.
 
-    `lose_answers` is the share of answers lost after the call took
-    effect.
+    `delay_s` is added to each call; `lose_answers` is the share of
+    writes whose answer is lost after the write was done.
     """
 
     is_down: bool = False
@@ -34,7 +34,7 @@
 
 @dataclass(slots=True, frozen=True)
 class AcceptedWrite:
-    """A write that took effect, for checks."""
+    """A write that took effect, recorded for checks."""
 
     time_s: float
     writer: str
@@ -48,7 +48,7 @@
     key: ObjectKey
     after: int
     reply: Callable[[int], None]
-    is_over: bool = False
+    is_finished: bool = False
 
 
 @dataclass(slots=True)
@@ -56,7 +56,7 @@
     """Versioned objects with conditional updates and watches."""
 
     timers: VirtualTimerService
-    chance: random.Random
+    random: random.Random
     faults: StoreFaults = field(default_factory=StoreFaults)
     calls: int = 0
     writes: list[AcceptedWrite] = field(default_factory=list)
@@ -74,7 +74,7 @@
         return ObjectAnswer(HTTPStatus.OK, {'version': version, 'body': body})
 
     def list_kind(self, kind: str) -> ObjectAnswer:
-        """Return all objects of a kind."""
+        """Return all objects of a kind, by name."""
         return ObjectAnswer(
             HTTPStatus.OK,
             {
@@ -87,7 +87,7 @@
     def write(
         self, writer: str, key: ObjectKey, call: ObjectCall
     ) -> ObjectAnswer:
-        """Write if the version matches, and wake the watches."""
+        """Write and answer the watches, or return 412 on another version."""
         current = self.objects_by_key.get(key, (0, {}))
         if current[0] != call.expected_version:
             content = {'version': current[0], 'body': current[1]}
@@ -98,7 +98,7 @@
         self.writes.append(
             AcceptedWrite(self.timers.now(), writer, key, self._version, body)
         )
-        self._wake(key)
+        self._notify_watches(key)
         return self.read(key)
 
     def add_watch(
@@ -110,10 +110,10 @@
         else:
             self._watches.append(_Watch(key, after, reply))
 
-    def _wake(self, key: ObjectKey) -> None:
-        woken = [watch for watch in self._watches if watch.key == key]
+    def _notify_watches(self, key: ObjectKey) -> None:
+        matching = [watch for watch in self._watches if watch.key == key]
         self._watches = [watch for watch in self._watches if watch.key != key]
-        for watch in woken:
+        for watch in matching:
             watch.reply()
 
 
@@ -131,7 +131,7 @@
         self.on_send: Callable[[ObjectCall], None] | None = None
 
     def send(self, call: ObjectCall, on_answer: OnAnswer) -> None:
-        """Carry the call to the store and its answer back."""
+        """Send the call to the store; call `on_answer` with the outcome."""
         self.calls += 1
         self._store.calls += 1
         if self.on_send is not None:
@@ -166,7 +166,7 @@
         self, key: ObjectKey, call: ObjectCall, exchange: '_Exchange'
     ) -> None:
         answer = self._store.write(self._writer, key, call)
-        if self._store.chance.random() >= self._store.faults.lose_answers:
+        if self._store.random.random() >= self._store.faults.lose_answers:
             exchange.answer(answer)
 
     def _watch(
@@ -178,7 +178,7 @@
     ) -> None:
         self._store.timers.call_after(
             call.wait_s,
-            lambda: exchange.answer(_NOTHING_NEW),
+            lambda: exchange.answer(_NO_CONTENT),
         )
         self._store.add_watch(
             key, after, lambda: exchange.answer(self._store.read(key))
@@ -186,7 +186,7 @@
 
 
 class _Exchange:
-    """Gives a process the first outcome of a call and no other."""
+    """Passes only the first outcome of a call to the process."""
 
     def __init__(
         self, store: VirtualStore, clock: ProcessClock, on_answer: OnAnswer
@@ -194,10 +194,10 @@
         self._store = store
         self._clock = clock
         self._on_answer = on_answer
-        self._is_over = False
+        self._is_finished = False
 
     def answer(self, answer: ObjectAnswer) -> None:
-        """Answer, unless the store went down meanwhile."""
+        """End the call with an answer, or fail if the store is down now."""
         if self._store.faults.is_down:
             self.fail('connection reset')
         else:
@@ -208,10 +208,10 @@
         self._finish(Err(reason))
 
     def time_out(self) -> None:
-        """Give up waiting."""
+        """End the call with a timeout."""
         self._finish(Err('timeout'))
 
     def _finish(self, outcome: object) -> None:
-        if not self._is_over:
-            self._is_over = True
+        if not self._is_finished:
+            self._is_finished = True
             self._clock.run(lambda: self._on_answer(outcome))
--- a/greengagepath/bench/workload.py
+++ b/greengagepath/bench/workload.py
@@ -1,7 +1,7 @@
 """Flows and requests of a run, drawn before it starts.
 
-Both systems get the same flows at the same times, whatever becomes of
-earlier requests.
+Both systems get the same flows at the same times, regardless of the
+outcome of earlier requests.
 """
 
 import random
@@ -10,10 +10,11 @@
 
 from .scenarios import LONG_FACTOR, OperationSpec, ScenarioSpec, ServiceSpec
 
-# Most flows are short; the rest send requests for many seconds.
+# Shares of flows and their numbers of requests: most flows are short,
+# the rest send requests for many seconds.
 FLOW_LENGTHS = ((0.7, 1), (0.25, 4), (0.05, 16))
 MEAN_FLOW_LENGTH = sum(share * length for share, length in FLOW_LENGTHS)
-MEAN_GAP_S = 0.5
+MEAN_REQUEST_INTERVAL_S = 0.5
 # Shape of the gamma distribution of work: deviation is half the mean.
 WORK_SHAPE = 4.0
 _FLOW_ID_BITS = 64
@@ -30,8 +31,9 @@
 
 @dataclass(slots=True, frozen=True)
 class LoadPlan:
-    """Load over time and which part of it is left out.
+    """Load over time.
 
+    `with_long_work` is False to leave out long work and stragglers.
     `customer_weights` are relative rates of the customers, equal if
     empty. `single_requests` makes every flow one request long.
     """
@@ -43,13 +45,13 @@
 
     @property
     def end_s(self) -> float:
-        """When the last flow may start."""
+        """End of the load, in seconds of the run."""
         return self.phases[-1].end_s
 
 
 @dataclass(slots=True, frozen=True)
 class RequestSpec:
-    """A request; `work_s` at speed 1, `deadline_s` after `at_s`."""
+    """A request sent at `at_s`; `work_s` is in seconds at speed 1."""
 
     request_id: bytes
     flow_id: int
@@ -62,7 +64,7 @@
 
     @property
     def end_s(self) -> float:
-        """When the caller gives up."""
+        """Time of the deadline, in seconds of the run."""
         return self.at_s + self.operation.deadline_s
 
     @property
@@ -121,7 +123,7 @@
         for _ in range(self._draw_length()):
             if at_s < self._plan.end_s:
                 yield self._build_request(service, flow_id, customer_id, at_s)
-            at_s += self._random.expovariate(1 / MEAN_GAP_S)
+            at_s += self._random.expovariate(1 / MEAN_REQUEST_INTERVAL_S)
 
     def _draw_length(self) -> int:
         if self._plan.single_requests:
@@ -143,7 +145,7 @@
         work_s = self._random.gammavariate(
             WORK_SHAPE, operation.mean_work_s / WORK_SHAPE
         )
-        straggles = (
+        is_straggler = (
             not operation.is_long
             and self._random.random() < self._scenario.straggler_share
         )
@@ -153,7 +155,7 @@
             service=service.service,
             customer_id=customer_id,
             operation=operation,
-            work_s=work_s * LONG_FACTOR if straggles else work_s,
+            work_s=work_s * LONG_FACTOR if is_straggler else work_s,
             at_s=at_s,
-            is_straggler=straggles,
+            is_straggler=is_straggler,
         )
