--- a/greengagepath/emulator/http_server.py
+++ b/greengagepath/emulator/http_server.py
@@ -1,4 +1,4 @@
-"""Small pieces that the HTTP stand-ins share."""
+"""HTTP server that the stand-ins share."""
 
 import json
 import socket
@@ -13,8 +13,8 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Reply:
-    """Status line, body and headers of an HTTP answer."""
+class HttpResponse:
+    """Status line, body and headers of an HTTP response."""
 
     status: str
     body: bytes = b''
@@ -25,14 +25,18 @@
 NO_CONTENT = '204 No Content'
 BAD_REQUEST = '400 Bad Request'
 NOT_FOUND = '404 Not Found'
-CONFLICT = '412 Precondition Failed'
-UNAVAILABLE = '503 Service Unavailable'
+PRECONDITION_FAILED = '412 Precondition Failed'
+SERVICE_UNAVAILABLE = '503 Service Unavailable'
 GATEWAY_TIMEOUT = '504 Gateway Timeout'
 
 
 @dataclass(slots=True, frozen=True)
-class Call:
-    """An HTTP request as the stand-ins see it."""
+class HttpRequest:
+    """An HTTP request and its connection.
+
+    Header names are in lower case; `query` has the first value of each
+    parameter.
+    """
 
     method: str
     path: str
@@ -46,12 +50,12 @@
         return json.loads(self.body or b'null')
 
     def abort(self) -> None:
-        """Close the connection so that the answer is lost."""
+        """Shut down the connection so that the client gets no response."""
         self.connection.shutdown(socket.SHUT_RDWR)
 
 
 class _ConnectionHandler(WSGIHandler):
-    """Passes the connection to the application."""
+    """Adds the socket of the connection to the WSGI environment."""
 
     def get_environ(self) -> dict[str, object]:
         environ = super().get_environ()
@@ -60,30 +64,30 @@
 
 
 class Application:
-    """WSGI application that answers each call with `answer`."""
+    """WSGI application that passes each request to `handler`."""
 
-    def __init__(self, answer: Callable[[Call], Reply]) -> None:
-        self._answer = answer
+    def __init__(self, handler: Callable[[HttpRequest], HttpResponse]) -> None:
+        self._handler = handler
 
     def __call__(
         self,
         environ: dict[str, object],
         start_response: Callable[..., object],
     ) -> Iterable[bytes]:
-        """Answer one request of the WSGI server."""
-        reply = self._answer(_read_call(environ))
-        headers = [('Content-Length', str(len(reply.body)))]
-        start_response(reply.status, [*headers, *reply.headers])
-        return [reply.body]
+        """Handle one request of the WSGI server."""
+        response = self._handler(_read_request(environ))
+        headers = [('Content-Length', str(len(response.body)))]
+        start_response(response.status, [*headers, *response.headers])
+        return [response.body]
 
 
 def make_server(
-    host: str, port: int, answer: Callable[[Call], Reply]
+    host: str, port: int, handler: Callable[[HttpRequest], HttpResponse]
 ) -> WSGIServer:
-    """Return a server that answers each call with `answer`."""
+    """Return a server that passes each request to `handler`."""
     return WSGIServer(
         (host, port),
-        Application(answer),
+        Application(handler),
         backlog=LISTEN_BACKLOG,
         log=None,
         error_log=None,
@@ -91,23 +95,23 @@
     )
 
 
-def reply_json(payload: object, status: str = STATUS_OK) -> Reply:
-    """Return an answer with a JSON body."""
-    return Reply(
+def json_response(payload: object, status: str = STATUS_OK) -> HttpResponse:
+    """Return a response with a JSON body."""
+    return HttpResponse(
         status,
         json.dumps(payload).encode(),
         (('Content-Type', JSON_TYPE),),
     )
 
 
-def _read_call(environ: dict[str, object]) -> Call:
+def _read_request(environ: dict[str, object]) -> HttpRequest:
     query = parse_qs(str(environ.get('QUERY_STRING', '')))
     headers = {
         name.removeprefix('HTTP_').replace('_', '-').lower(): str(text)
         for name, text in environ.items()
         if name.startswith('HTTP_')
     }
-    return Call(
+    return HttpRequest(
         method=str(environ['REQUEST_METHOD']),
         path=str(environ['PATH_INFO']),
         query={name: texts[0] for name, texts in query.items()},
--- a/greengagepath/emulator/load.py
+++ b/greengagepath/emulator/load.py
@@ -1,9 +1,9 @@
-"""Load tool: callers of one customer.
+"""Load generator for the callers of one customer.
 
 `python -m greengagepath.emulator.load --plan FILE --output FILE` sends
-requests at random times (open loop, so that a slow system does not
-slow the load down) and writes one JSON line for each outcome. The lines
-are input for `greengagepath report --outcomes`.
+requests at random times and writes one JSON line for each outcome. The
+loop is open: a slow system does not slow the load down. The lines are
+input for `greengagepath report --outcomes`.
 """
 
 import random
@@ -59,7 +59,7 @@
 
 
 class LoadPlan(msgspec.Struct, frozen=True, kw_only=True):
-    """What the callers of one customer send."""
+    """Requests that the callers of one customer send in `seconds`."""
 
     customer: str
     customer_id: int
@@ -69,9 +69,12 @@
 
 
 class CallOutcome(msgspec.Struct, frozen=True, kw_only=True):
-    """How one call ended; extends the lines that `report` reads.
+    """Outcome of one call; extends the lines that `report` reads.
 
-    `request_id` is hexadecimal. `not_run` is what the system said.
+    `time` is in seconds since the epoch, `request_id` is hexadecimal.
+    `not_run` is set if the system reported that the request did not run;
+    `verdict.count_outcomes` compares it with the runs of the back ends.
+    `whole` means that the checksum of the answer matches.
     """
 
     time: float
@@ -111,7 +114,7 @@
         self.outcomes: list[CallOutcome] = []
 
     def run(self) -> None:
-        """Send everything and wait for the last outcome."""
+        """Send all requests and wait for the last outcome."""
         senders = [
             gevent.spawn(self._send_operation, operation)
             for operation in self._plan.operations
@@ -162,18 +165,20 @@
         )
         started_s = time.monotonic()
         deadline_s = operation.deadline_ms / MS_PER_S
-        called = self._client.call(address, request, deadline_s, held)
+        call_result = self._client.call(address, request, deadline_s, held)
         latency_ms = (time.monotonic() - started_s) * MS_PER_S
-        match called:
+        match call_result:
             case Ok(answer):
-                outcome = self._describe_answer(operation, request, answer)
+                outcome = self._make_answer_outcome(operation, request, answer)
             case Err(failure):
-                outcome = self._describe_failure(operation, request, failure)
+                outcome = self._make_failure_outcome(
+                    operation, request, failure
+                )
         self.outcomes.append(
             msgspec.structs.replace(outcome, latency_ms=latency_ms)
         )
 
-    def _describe_answer(
+    def _make_answer_outcome(
         self, operation: LoadOperation, request: CallRequest, answer: Answer
     ) -> CallOutcome:
         headers = {name.lower(): text for name, text in answer.headers.items()}
@@ -185,7 +190,7 @@
             service=operation.service,
             customer=self._plan.customer,
             operation=operation.name,
-            outcome=_name_answer(is_ok=is_ok, whole=whole),
+            outcome=_classify_answer(is_ok=is_ok, whole=whole),
             latency_ms=0,
             target=answer.target_id,
             request_id=request_id,
@@ -198,7 +203,7 @@
             detail='' if is_ok else f'status {answer.status}',
         )
 
-    def _describe_failure(
+    def _make_failure_outcome(
         self,
         operation: LoadOperation,
         request: CallRequest,
@@ -218,7 +223,7 @@
         )
 
 
-def _name_answer(*, is_ok: bool, whole: bool) -> str:
+def _classify_answer(*, is_ok: bool, whole: bool) -> str:
     if whole:
         return 'answered'
     return 'broken' if is_ok else 'failed'
@@ -243,7 +248,7 @@
     client.close()
     lines = (msgspec.json.encode(outcome) for outcome in generator.outcomes)
     options.output.write_bytes(b'\n'.join(lines))
-    # The caller's own counters help to find out why a request was lost.
+    # Counters of the client help to find out why a request was lost.
     sys.stderr.write(f'events {dict(client.setup.events)}\n')
     sys.stderr.write(f'drops {dict(client.setup.drops)}\n')
 
--- a/greengagepath/emulator/settings_files.py
+++ b/greengagepath/emulator/settings_files.py
@@ -1,4 +1,4 @@
-"""Settings files of the processes of a deployment."""
+"""Writes the settings files of the processes of a deployment."""
 
 import secrets
 from dataclasses import dataclass
@@ -14,7 +14,7 @@
 
 @dataclass(slots=True, frozen=True)
 class BalancerProcess:
-    """Ports of a balancer and its place."""
+    """Ports and availability zone of a balancer."""
 
     name: str
     data_port: int
@@ -25,7 +25,7 @@
 
 @dataclass(slots=True, frozen=True)
 class TargetProcess:
-    """Ports of an agent and of the back end beside it."""
+    """Ports, zone and relative speed of a target and its agent."""
 
     name: str
     service_id: int
@@ -38,7 +38,7 @@
 
 
 class SettingsFiles:
-    """Writes settings files that share one key and one platform."""
+    """Writes settings files that share their keys and the platform."""
 
     def __init__(
         self, folder: Path, platform_port: int, answer_port: int
@@ -52,7 +52,7 @@
     def use_keys(self, *key_ids: int) -> None:
         """Use these keys in files written from now on; the first signs.
 
-        A key that is not there yet is made.
+        Generates the secret of a key that has none yet.
         """
         self._key_ids = key_ids
         for key_id in key_ids:
@@ -64,8 +64,8 @@
         """Write the settings of a balancer; return the path."""
         settings = {
             'role': 'balancer',
-            'node': _describe_node(balancer),
-            **self._describe_shared(),
+            'node': _node_settings(balancer),
+            **self._shared_settings(),
         }
         return self._write(balancer.name, settings)
 
@@ -73,7 +73,7 @@
         """Write the settings of an agent; return the path."""
         settings = {
             'role': 'agent',
-            'node': _describe_node(target),
+            'node': _node_settings(target),
             'target': {
                 'service_id': target.service_id,
                 'host': LOCAL_HOST,
@@ -81,14 +81,14 @@
                 'weight': target.speed,
                 'slots': slots,
             },
-            **self._describe_shared(),
+            **self._shared_settings(),
         }
         return self._write(target.name, settings)
 
     def write_tool(self, control_ports: list[int]) -> Path:
         """Write the settings of the tool; return the path."""
         addresses = [f'{LOCAL_HOST}:{port}' for port in control_ports]
-        settings = {**self._describe_shared(), 'balancers': addresses}
+        settings = {**self._shared_settings(), 'balancers': addresses}
         settings.pop('fabric')
         return self._write('greengagepath', settings)
 
@@ -97,7 +97,7 @@
         path.write_text(tomli_w.dumps(settings))
         return path
 
-    def _describe_shared(self) -> dict[str, object]:
+    def _shared_settings(self) -> dict[str, object]:
         keys = [
             {'key_id': key_id, 'secret_file': str(self._key_path(key_id))}
             for key_id in self._key_ids
@@ -113,7 +113,7 @@
         return self._folder / f'tag-{key_id}.key'
 
 
-def _describe_node(
+def _node_settings(
     process: BalancerProcess | TargetProcess,
 ) -> dict[str, object]:
     return {
--- a/greengagepath/emulator/verdict.py
+++ b/greengagepath/emulator/verdict.py
@@ -1,4 +1,4 @@
-"""Figures of a demo run, from callers and back ends."""
+"""Computes the verdict of a demo run from callers and back ends."""
 
 import math
 from collections import Counter
@@ -12,15 +12,15 @@
 MAX_DRAIN_MS = 3000
 MAX_IN_FORCE_MS = 3000
 MIN_ANSWERED_SHARE = 0.95
-MEDIAN = 0.5
-TAIL = 0.99
+P50 = 0.5
+P99 = 0.99
 
 
 class Verdict(msgspec.Struct, frozen=True, kw_only=True):
-    """The last line of `greengagepath demo`.
+    """The last line that `greengagepath demo` prints.
 
-    Times are in ms. `drain_new_work_after_ms` is when the drained
-    target started its last request, counted from the drain command.
+    Times are in ms. `drain_new_work_after_ms` is the time from the
+    stored drain until the drained target started its last request.
     """
 
     scenario: str
@@ -43,8 +43,8 @@
     problems: tuple[str, ...] = ()
 
 
-def judge(verdict: Verdict) -> Verdict:
-    """Return the verdict with what did not hold."""
+def evaluate(verdict: Verdict) -> Verdict:
+    """Return the verdict with `held` and `problems` filled in."""
     problems = [
         f'{name} is {found}, must be 0'
         for name, found in (
@@ -67,7 +67,7 @@
     ):
         if not found <= limit:
             problems.append(f'{name} is {found}, limit {limit}')
-    # Keeps a run from passing because nearly everything was refused.
+    # Without this limit a run that refuses nearly everything passes.
     if verdict.answered_whole < MIN_ANSWERED_SHARE * verdict.requests:
         problems.append('fewer than 95% of the requests were answered')
     if not verdict.requests:
@@ -81,7 +81,7 @@
     outcomes: Sequence[CallOutcome],
     runs_by_service: Mapping[str, Sequence[Run]],
 ) -> dict[str, float]:
-    """Return the counts of a verdict.
+    """Return the counts and latencies of a verdict.
 
     `runs_by_service` maps the service id of a back end to its runs.
     """
@@ -107,8 +107,8 @@
         ),
         'wrong_service': _count_wrong_service(outcomes, runs_by_service),
         'wrong_caller': sum(entry.wrong_caller for entry in outcomes),
-        'p50_ms': percentile(latencies, MEDIAN),
-        'p99_ms': percentile(latencies, TAIL),
+        'p50_ms': percentile(latencies, P50),
+        'p99_ms': percentile(latencies, P99),
         'largest_answer_bytes': max(
             (entry.answer_bytes for entry in outcomes if entry.whole),
             default=0,
@@ -122,9 +122,9 @@
 
 
 def percentile(ordered: Sequence[float], share: float) -> float:
-    """Return the value that `share` of the ordered ones do not exceed.
+    """Return the value that `share` of the ordered values do not exceed.
 
-    Without any value the result is NaN.
+    `ordered` is ascending. The result is NaN if it is empty.
     """
     if not ordered:
         return math.nan
--- a/tests/protocol/test_transfer.py
+++ b/tests/protocol/test_transfer.py
@@ -65,7 +65,7 @@
         while self.events and self.events[0][0] <= self.now_s:
             self.deliver(*heapq.heappop(self.events)[2:])
         if self.receiver.is_ack_due(self.now_s):
-            self.push('ack', encode_ack(self.receiver.take_ack()))
+            self.push('ack', encode_ack(self.receiver.build_ack()))
         self.sender.check_timeout(self.now_s)
 
     def deliver(self, kind, value):
@@ -103,14 +103,14 @@
         spread_s=st.sampled_from([0.0, 0.002, 0.02]),
     )
     def test_payload_arrives_whole(self, size, seed, loss, spread_s):
-        # Guards against lost, repeated or swapped parts of an answer.
+        # Guards against lost, duplicated or reordered parts of an answer.
         payload = Random(seed).randbytes(size)
         path = transfer(payload, seed, loss, spread_s)
         self.assertTrue(path.sender.is_complete)
         self.assertEqual(payload, path.receiver.payload())
 
-    def test_silent_peer_ends_the_transfer(self):
-        # Guards against a sender that retransmits for ever.
+    def test_silent_peer_fails_the_transfer(self):
+        # Guards against a sender that retransmits forever.
         sender = PartSender(b'x' * 5000, 0.0)
         now_s = 0.0
         sent = 0
@@ -148,7 +148,7 @@
         receiver = PartReceiver(2000)
         for part in range(1, 1999, 2):
             receiver.accept(part, 2000, bytes(PART_BYTES), 0.0)
-        ack = receiver.take_ack()
+        ack = receiver.build_ack()
         self.assertLessEqual(len(encode_ack(ack)), MAX_BODY_BYTES)
         self.assertEqual(ack.missing[-1][1] + 1, ack.end)
 
@@ -156,7 +156,7 @@
 class AckDecoderTest(TestCase):
     @given(st.binary(max_size=1300))
     def test_any_bytes_are_decoded_or_refused(self, body):
-        # Guards against a datagram that ends the process.
+        # Guards against an exception that ends the process.
         decoded = decode_ack(body)
         if decoded.is_ok():
             self.assertEqual(body, encode_ack(decoded.unwrap()))
