Use the terms latency objective and incarnation in steering

Cause: the latency objective of a route was called "goal" in steering and "objective" in the rest of the code. One run of a target between two starts was called a lifetime, like the duration of a flow. The number of probes that the credit allows was called an allowance.

Change: goal_s, goal_ms and MAX_GOAL_MS of routes and peer messages are objective_s, objective_ms and MAX_OBJECTIVE_MS; HeartbeatOutcome.NEW_LIFETIME is NEW_INCARNATION; the local allowance of TargetChooser is probe_limit. Comments and two test names follow. The log field goal_ms of flow.refused, the value 'new_lifetime' and the layouts of datagrams are unchanged. The outcome of a heartbeat is neither logged nor sent.

Not run: tests/processes, tests/emulator and the remaining folders.

--- a/greengagepath/platform/configuration.py
+++ b/greengagepath/platform/configuration.py
@@ -51,7 +51,7 @@
             )
             for share in shares
         ),
-        goal_s=float(entry.get('target-latency-ms', 0)) / _MS_PER_S,
+        objective_s=float(entry.get('target-latency-ms', 0)) / _MS_PER_S,
         priority=int(entry.get('priority', 0)),
     )
 
--- a/greengagepath/routing/choice.py
+++ b/greengagepath/routing/choice.py
@@ -259,9 +259,9 @@
             for target_id in sorted(self._outliers.ejected)
             if self._loads_by_target_id[target_id].is_probe_due(now_s, gap_s)
         ]
-        allowance = int(self._probe_credit)
-        if allowance > 0:
-            due = self._list_due_targets()[:allowance]
+        probe_limit = int(self._probe_credit)
+        if probe_limit > 0:
+            due = self._list_due_targets()[:probe_limit]
             self._probe_credit -= len(due)
             chosen.extend(due)
         for target in chosen:
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -112,9 +112,9 @@
             estimate = own
         else:
             estimate = chosen[0] if chosen else None
-        goal_s = message.goal_ms / MS_PER_S
+        objective_s = message.objective_ms / MS_PER_S
         if estimate is None or not should_accept(
-            estimate, goal_s, message.priority
+            estimate, objective_s, message.priority
         ):
             self._refuse(segment.flow, message, estimate)
         elif chosen is None:
@@ -128,25 +128,26 @@
     def _make_hand_over(self, held: HeldFlow | None) -> PeerMessage:
         """Return the message that hands an opening to another agent.
 
-        The time that the packet spent here is subtracted from its goal.
+        The time that the packet spent here is subtracted from its latency
+        objective.
         """
         service = self._context.identity.service
         offer = held.offer if held else None
         if held is None or offer is None:
             # The agent has restarted since the packet was offered, so
-            # its goal and priority are not known.
+            # its latency objective and priority are not known.
             return PeerMessage(PeerKind.PLACE, service, hops=1)
-        goal_ms = offer.goal_ms
-        if goal_ms:
+        objective_ms = offer.objective_ms
+        if objective_ms:
             held_s = self._context.timers.now() - held.offered_s
-            goal_ms = max(goal_ms - round(held_s * MS_PER_S), 1)
+            objective_ms = max(objective_ms - round(held_s * MS_PER_S), 1)
         return PeerMessage(
             PeerKind.PLACE,
             service,
             hops=offer.hops + 1,
             balancer=offer.balancer,
             priority=offer.priority,
-            goal_ms=goal_ms,
+            objective_ms=objective_ms,
         )
 
     def _choose_peer(
@@ -214,7 +215,7 @@
             balancer=message.balancer,
             version=self._context.latest_version,
             priority=message.priority,
-            goal_ms=message.goal_ms,
+            objective_ms=message.objective_ms,
             body=segment.raw,
         )
         self._context.outbox.to_agent(owner, placed.encode())
@@ -236,7 +237,7 @@
             flow=describe_flow(flow),
             reason='too late' if estimate else 'no target',
             finish_s=round(estimate.finish_s, 3) if estimate else None,
-            goal_ms=message.goal_ms,
+            goal_ms=message.objective_ms,
             hops=message.hops,
             load=context.held_flows.load,
             phase=context.gate.phase.value,
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -119,9 +119,12 @@
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
         """Handle a heartbeat of the target; return what it changed."""
         outcome = self.context.gate.handle_heartbeat(heartbeat)
-        if outcome is HeartbeatOutcome.NEW_LIFETIME:
+        if outcome is HeartbeatOutcome.NEW_INCARNATION:
             self.context.held_flows.clear()
-        if outcome in {HeartbeatOutcome.NEW_LIFETIME, HeartbeatOutcome.CHANGED}:
+        if outcome in {
+            HeartbeatOutcome.NEW_INCARNATION,
+            HeartbeatOutcome.CHANGED,
+        }:
             log_event(
                 _logger,
                 'target.changed',
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -202,7 +202,7 @@
             balancer=self._address,
             version=self.routes.latest_seen,
             priority=route.priority,
-            goal_ms=round(route.goal_s * MS_PER_S),
+            objective_ms=round(route.objective_s * MS_PER_S),
             body=segment.raw,
         )
         self._outbox.to_agent(home, opening.encode())
--- a/greengagepath/steering/durations.py
+++ b/greengagepath/steering/durations.py
@@ -2,7 +2,7 @@
 
 from bisect import bisect_left
 
-# Upper bounds in seconds; dense around the latency goals of short
+# Upper bounds in seconds; dense around the latency objectives of short
 # requests.
 BOUNDS_S = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.5, 1.0, 2.5)
 
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -1,7 +1,7 @@
 """Datagrams between balancers and agents.
 
-All start with the same header: kind, hops, priority and response-time
-goal of the route in ms, digest of the service, address of a balancer
+All start with the same header: kind, hops, priority and latency
+objective of the route in ms, digest of the service, address of a balancer
 and the highest configuration version that the sender has seen.
 """
 
@@ -16,7 +16,7 @@
 NO_ADDRESS = bytes(4)
 MAX_VERSION = 0xFFFFFFFFFFFFFFFF
 MAX_PRIORITY = 0xFF
-MAX_GOAL_MS = 0xFFFF
+MAX_OBJECTIVE_MS = 0xFFFF
 MAX_COUNT = 0xFFFF
 ADDRESS_BYTES = 4
 # Addresses in one roster; keeps the datagram below 1,300 B.
@@ -54,16 +54,16 @@
 class PeerMessage:
     """A datagram between two processes of the system.
 
-    `priority` (0 is highest) and `goal_ms` (0 if there is no goal) come
-    from the route of an opening packet.
+    `priority` (0 is highest) and `objective_ms` (0 if there is no latency
+    objective) come from the route of an opening packet.
     """
 
     __slots__ = (
         'balancer',
         'body',
-        'goal_ms',
         'hops',
         'kind',
+        'objective_ms',
         'priority',
         'service',
         'version',
@@ -78,7 +78,7 @@
         balancer: bytes = NO_ADDRESS,
         version: int = 0,
         priority: int = 0,
-        goal_ms: int = 0,
+        objective_ms: int = 0,
         body: bytes = b'',
     ) -> None:
         self.kind = kind
@@ -87,7 +87,7 @@
         self.balancer = balancer
         self.version = version
         self.priority = priority
-        self.goal_ms = goal_ms
+        self.objective_ms = objective_ms
         self.body = body
 
     def encode(self) -> bytes:
@@ -96,7 +96,7 @@
             self.kind,
             self.hops,
             min(self.priority, MAX_PRIORITY),
-            min(self.goal_ms, MAX_GOAL_MS),
+            min(self.objective_ms, MAX_OBJECTIVE_MS),
             self.service,
             self.balancer,
             self.version,
@@ -186,7 +186,7 @@
     fields = HEADER.unpack_from(datagram)
     if fields[0] not in _KINDS:
         return Err(f'kind {fields[0]} is unknown')
-    kind, hops, priority, goal_ms, *named = fields
+    kind, hops, priority, objective_ms, *named = fields
     service, balancer, version = named
     message = PeerMessage(
         _KINDS[kind],
@@ -195,7 +195,7 @@
         balancer=balancer,
         version=version,
         priority=priority,
-        goal_ms=goal_ms,
+        objective_ms=objective_ms,
         body=datagram[HEADER.size :],
     )
     return Ok(message)
--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -22,10 +22,10 @@
 # States of targets that accept new flows.
 ACCEPTING_STATES = frozenset((ReportedState.READY, ReportedState.UNHEARD))
 # A request of the highest priority is accepted if it is expected to finish
-# within this share of its goal. The rest is for the network between
-# caller and target, which the agent cannot measure, and for requests that
-# run longer than average. Each lower priority gets a smaller share, so
-# that urgent requests are still accepted at peak load.
+# within this share of its latency objective. The rest is for the network
+# between caller and target, which the agent cannot measure, and for
+# requests that run longer than average. Each lower priority gets a smaller
+# share, so that urgent requests are still accepted at peak load.
 TOP_PRIORITY_SHARE = 0.6
 SHARE_STEP = 0.1
 MIN_SHARE = 0.3
@@ -131,17 +131,19 @@
     return best
 
 
-def should_accept(estimate: Estimate, goal_s: float, priority: int) -> bool:
+def should_accept(
+    estimate: Estimate, objective_s: float, priority: int
+) -> bool:
     """Return whether a request should be accepted rather than refused.
 
     Load pattern: after an outage, or when demand triples, more requests
     arrive than can finish. A full queue would make all responses late,
-    whereas refused callers can retry at once. A `goal_s` of 0 means that
-    the route has no goal. A free slot is always used: refusing requests
-    because targets seem too slow would leave a service idle whose
-    estimates are wrong.
+    whereas refused callers can retry at once. An `objective_s` of 0 means
+    that the route has no latency objective. A free slot is always used:
+    refusing requests because targets seem too slow would leave a service
+    idle whose estimates are wrong.
     """
-    if not goal_s or not estimate.is_waiting:
+    if not objective_s or not estimate.is_waiting:
         return True
     share = max(TOP_PRIORITY_SHARE - SHARE_STEP * priority, MIN_SHARE)
-    return estimate.finish_s <= goal_s * share
+    return estimate.finish_s <= objective_s * share
--- a/greengagepath/steering/route_codec.py
+++ b/greengagepath/steering/route_codec.py
@@ -5,10 +5,11 @@
 
 from result import Err, Ok, Result
 
-from .peer_messages import MAX_GOAL_MS, MAX_PRIORITY
+from .peer_messages import MAX_OBJECTIVE_MS, MAX_PRIORITY
 from .routes import Route, RouteTable, ServiceShare
 
-# Destination, priority, goal in ms, count of shares, length of the name.
+# Destination, priority, latency objective in ms, count of shares, length
+# of the name.
 _ROUTE = struct.Struct('!6sBHBB')
 _SHARE = struct.Struct('!8sf')
 _MS_PER_S = 1000
@@ -38,7 +39,7 @@
     head = _ROUTE.pack(
         destination,
         min(route.priority, MAX_PRIORITY),
-        min(round(route.goal_s * _MS_PER_S), MAX_GOAL_MS),
+        min(round(route.objective_s * _MS_PER_S), MAX_OBJECTIVE_MS),
         len(shares),
         len(name),
     )
@@ -52,7 +53,7 @@
     offset = 0
     while offset < len(encoded):
         fields = _ROUTE.unpack_from(encoded, offset)
-        destination, priority, goal_ms, count, size = fields
+        destination, priority, objective_ms, count, size = fields
         offset += _ROUTE.size
         name = encoded[offset : offset + size].decode(errors='replace')
         offset += size
@@ -65,5 +66,10 @@
         offset += count * _SHARE.size
         yield (
             destination,
-            Route(name, shares, goal_s=goal_ms / _MS_PER_S, priority=priority),
+            Route(
+                name,
+                shares,
+                objective_s=objective_ms / _MS_PER_S,
+                priority=priority,
+            ),
         )
--- a/greengagepath/steering/routes.py
+++ b/greengagepath/steering/routes.py
@@ -20,23 +20,23 @@
 class Route:
     """Services that get the new flows to one address and port.
 
-    `goal_s` is the response-time goal in seconds, 0 if there is none;
+    `objective_s` is the latency objective in seconds, 0 if there is none;
     a `priority` of 0 is the highest.
     """
 
-    __slots__ = ('goal_s', 'name', 'priority', 'shares')
+    __slots__ = ('name', 'objective_s', 'priority', 'shares')
 
     def __init__(
         self,
         name: str,
         shares: tuple[ServiceShare, ...],
         *,
-        goal_s: float = 0,
+        objective_s: float = 0,
         priority: int = 0,
     ) -> None:
         self.name = name
         self.shares = shares
-        self.goal_s = goal_s
+        self.objective_s = objective_s
         self.priority = priority
 
     def choose_service(self, flow: bytes) -> bytes | None:
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -27,7 +27,7 @@
     SAME = 'same'
     CHANGED = 'changed'
     # First heartbeat after a restart of the target, or of a new target.
-    NEW_LIFETIME = 'new_lifetime'
+    NEW_INCARNATION = 'new_lifetime'
     # Ignored: of an earlier start, older than the last heartbeat, or
     # sent before the departure of the target.
     STALE = 'stale'
@@ -74,8 +74,8 @@
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
         """Apply a heartbeat unless it is stale; return what it changed."""
-        lifetime = (heartbeat.target_id, heartbeat.started_ms)
-        is_new = lifetime != (self.target_id, self.started_ms)
+        incarnation = (heartbeat.target_id, heartbeat.started_ms)
+        is_new = incarnation != (self.target_id, self.started_ms)
         if self._is_stale(heartbeat, is_new):
             return HeartbeatOutcome.STALE
         self.record_activity()
@@ -91,7 +91,7 @@
             self.target_id = heartbeat.target_id
             self.started_ms = heartbeat.started_ms
             if known_before:
-                return HeartbeatOutcome.NEW_LIFETIME
+                return HeartbeatOutcome.NEW_INCARNATION
         return HeartbeatOutcome.CHANGED if changed else HeartbeatOutcome.SAME
 
     def handle_departure(self, target_id: str) -> bool:
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -120,7 +120,7 @@
         destination = (8443).to_bytes(2, 'big') + bytes((198, 18, 0, 2))
         route = table.by_destination[destination]
         self.assertEqual(digest_service('wuno96b'), route.shares[0].service)
-        self.assertEqual(505, round(route.goal_s * 1000))
+        self.assertEqual(505, round(route.objective_s * 1000))
 
     def test_split_gives_all_copies_of_a_flow_the_same_service(self):
         # Guards against copies of an opening packet that open the same
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -133,7 +133,7 @@
     hops: int = 0,
     version: int = 0,
     priority: int = 0,
-    goal_ms: int = 0,
+    objective_ms: int = 0,
     body: bytes = b'',
 ) -> PeerMessage:
     """Return a message of another process."""
@@ -144,7 +144,7 @@
         balancer=balancer or make_address(9, network=9),
         version=version,
         priority=priority,
-        goal_ms=goal_ms,
+        objective_ms=objective_ms,
         body=body,
     )
 
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -176,10 +176,10 @@
     def test_requests_accepted_at_twice_the_capacity_finish_in_time(self):
         # Replays a demand of twice the capacity: guards against requests
         # that are accepted although they are expected to finish only just
-        # at the goal, so that the network to the caller or a longer
-        # request makes the response late. Goodput at peak load has to be
-        # 90% of the capacity (docs/design.md).
-        overload = Overload(slots=2, mean_s=0.025, goal_s=0.15)
+        # at the latency objective, so that the network to the caller or a
+        # longer request makes the response late. Goodput at peak load has
+        # to be 90% of the capacity (docs/design.md).
+        overload = Overload(slots=2, mean_s=0.025, objective_s=0.15)
         capacity = overload.run(seconds=20.0)
         self.assertGreater(overload.in_time, 0.9 * capacity)
 
@@ -189,13 +189,15 @@
         self.assertTrue(should_accept(make_estimate(6), 0.15, 1))
         self.assertFalse(should_accept(make_estimate(6), 0.15, 2))
 
-    def test_route_without_a_goal_is_not_refused(self):
-        # Guards against refusals because a missing goal counts as 0 s.
+    def test_route_without_a_latency_objective_is_not_refused(self):
+        # Guards against refusals because a missing latency objective
+        # counts as 0 s.
         self.assertTrue(should_accept(make_estimate(500), 0, 2))
 
     def test_free_slot_is_used_however_slow_the_target_seems(self):
         # Guards against a service that refuses all requests forever after
-        # stragglers made all its targets seem slower than the goal.
+        # stragglers made all its targets seem slower than the latency
+        # objective.
         self.assertTrue(should_accept(Estimate(1, 2, 9.0, 0.0), 0.15, 2))
 
     def test_high_estimates_of_all_targets_return_to_the_default(self):
@@ -218,12 +220,12 @@
     # between caller and target, which the agent cannot measure.
     NETWORK_S = 0.012
 
-    def __init__(self, slots: int, mean_s: float, goal_s: float) -> None:
+    def __init__(self, slots: int, mean_s: float, objective_s: float) -> None:
         self.in_time = 0
         self.accepted = 0
         self._slots = slots
         self._mean_s = mean_s
-        self._goal_s = goal_s
+        self._objective_s = objective_s
         self._random = random.Random(7)
 
     def run(self, seconds: float) -> float:
@@ -236,7 +238,7 @@
             now_s += self._random.expovariate(2 * capacity_per_s)
             ends_s = [end_s for end_s in ends_s if end_s > now_s]
             estimate = Estimate(len(ends_s), self._slots, self._mean_s, 0.0)
-            if not should_accept(estimate, self._goal_s, 0):
+            if not should_accept(estimate, self._objective_s, 0):
                 continue
             slot = free_at_s.index(min(free_at_s))
             work_s = self._random.expovariate(1 / self._mean_s)
@@ -244,7 +246,7 @@
             ends_s.append(free_at_s[slot])
             self.accepted += 1
             took_s = free_at_s[slot] - now_s + self.NETWORK_S
-            self.in_time += took_s <= self._goal_s
+            self.in_time += took_s <= self._objective_s
         return capacity_per_s * seconds
 
 
--- a/tests/steering/test_route_copies.py
+++ b/tests/steering/test_route_copies.py
@@ -25,7 +25,7 @@
 def make_large_table(version: int, count: int = 700) -> RouteTable:
     """Return a configuration that needs several datagrams."""
     route = Route(
-        'a-route', (ServiceShare(SERVICE, 1.0),), goal_s=0.15, priority=2
+        'a-route', (ServiceShare(SERVICE, 1.0),), objective_s=0.15, priority=2
     )
     return RouteTable(
         version, {number.to_bytes(6, 'big'): route for number in range(count)}
@@ -44,7 +44,7 @@
         self.assertEqual(700, len(decoded.by_destination))
         route = decoded.by_destination[bytes(6)]
         self.assertEqual(SERVICE, route.shares[0].service)
-        self.assertEqual(150, round(route.goal_s * 1000))
+        self.assertEqual(150, round(route.objective_s * 1000))
 
     def test_parts_of_two_versions_do_not_mix(self):
         # Guards against a mixed configuration when a newer version
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -50,12 +50,12 @@
         self.assertEqual(HeartbeatOutcome.STALE, outcome)
         self.assertFalse(self.gate.is_open)
 
-    def test_same_id_with_a_later_start_is_a_new_lifetime(self):
+    def test_same_id_with_a_later_start_is_a_new_incarnation(self):
         # Guards against a restarted target whose heartbeats all look stale
         # because its sequence numbers start from the beginning.
         self.gate.handle_heartbeat(make_heartbeat(50, is_draining=True))
         outcome = self.gate.handle_heartbeat(make_heartbeat(1, started_ms=2000))
-        self.assertEqual(HeartbeatOutcome.NEW_LIFETIME, outcome)
+        self.assertEqual(HeartbeatOutcome.NEW_INCARNATION, outcome)
         self.assertTrue(self.gate.is_open)
 
     def test_departure_of_an_earlier_target_is_ignored(self):
@@ -182,10 +182,10 @@
 
     def test_opening_that_is_handed_over_keeps_its_goal(self):
         # Replays a power loss: flows that were handed over had lost their
-        # goal, so they were never refused as too late and made all queues
-        # longer.
+        # latency objective, so they were never refused as too late and made
+        # all queues longer.
         self._report_from_peer()
-        self._offer(make_flow(), goal_ms=150, priority=2)
+        self._offer(make_flow(), objective_ms=150, priority=2)
         self.timers.advance(0.02)
         self.agent.handle_target_packet(
             make_returned(make_opening(make_flow()))
@@ -193,12 +193,12 @@
         placed = self.outbox.sent_to_agents[-1][1]
         self.assertEqual(
             (PeerKind.PLACE, 130, 2),
-            (placed.kind, placed.goal_ms, placed.priority),
+            (placed.kind, placed.objective_ms, placed.priority),
         )
 
     def test_opening_is_not_handed_over_to_a_queue_that_is_too_long(self):
         # Guards against a hop to a target that would finish too late.
-        self._offer(make_flow(), goal_ms=150)
+        self._offer(make_flow(), objective_ms=150)
         self._report_from_peer(20, service_s=0.05)
         self.agent.handle_target_packet(
             make_returned(make_opening(make_flow()))
