Refuse heartbeats whose numbers fit no load report

Cause: decode_heartbeat accepted integers of any size. A 'born' of 2**64 makes each load report fail from then on (struct.error), and with it the greenlet of the timers: the agent reports nothing any more. Integers of more than 4,300 digits were answered as bodies that are not JSON.

Change: numbers above 2**64 - 1 are refused like other unreadable ones.

--- a/greengagepath/platform/heartbeats.py
+++ b/greengagepath/platform/heartbeats.py
@@ -1,16 +1,18 @@
 """Heartbeats that targets send to the agent on their VM."""
 
-import json
 from typing import Any
 
 from result import Err, Ok, Result
 
+from ..foundation.tolerant_json import decode_json
 from ..steering.target_gate import Heartbeat
 
 PATH_PREFIX = '/endpoints/'
 ACKNOWLEDGEMENT = b'{}'
 _DRAINING_BY_STATE = {'ready': False, 'draining': True}
 _MAX_ID_CHARACTERS = 200
+# The largest number that load reports can hold.
+_MAX_UNSIGNED = 0xFFFFFFFFFFFFFFFF
 
 
 def decode_target_id(path: str) -> str | None:
@@ -27,10 +29,10 @@
     target_id: str, body: bytes, service: str
 ) -> Result[Heartbeat, str]:
     """Return the heartbeat, or why it is not a valid one of `service`."""
-    try:
-        found = json.loads(body)
-    except (ValueError, RecursionError):
-        return Err('heartbeat is not JSON')
+    decoded = decode_json(body)
+    if isinstance(decoded, Err):
+        return Err(f'heartbeat is {decoded.err_value}')
+    found = decoded.ok_value
     if not isinstance(found, dict):
         return Err('heartbeat is not an object')
     if found.get('service') != service:
@@ -44,7 +46,7 @@
     # Older targets do not send their start time.
     started_ms = _read_unsigned(found, 'born') if 'born' in found else 0
     if None in numbers or started_ms is None:
-        return Err('a number is missing or not whole')
+        return Err('a number is missing, not whole or out of range')
     heartbeat = Heartbeat(
         target_id,
         started_ms=started_ms,
@@ -57,6 +59,6 @@
 
 def _read_unsigned(found: dict[str, Any], name: str) -> int | None:
     number = found.get(name)
-    if isinstance(number, bool) or not isinstance(number, int) or number < 0:
+    if isinstance(number, bool) or not isinstance(number, int):
         return None
-    return number
+    return number if 0 <= number <= _MAX_UNSIGNED else None
