Refuse routes whose port, objective, priority or weight is out of range

Cause: a port of 70,000 raised OverflowError, which decode_configuration did not return as an error, so that the greenlet that follows the configuration ended. An infinite or negative objective or priority was accepted and raised when the first opening packet of the route was handled; with an infinite or negative weight no service can be chosen.

Change: ports from 1 to 65535, other numbers finite and not negative; OverflowError and RecursionError are errors of the configuration too.

--- a/greengagepath/platform/configuration.py
+++ b/greengagepath/platform/configuration.py
@@ -1,5 +1,6 @@
 """Decodes the operator's configuration into routes."""
 
+import math
 from typing import Any
 
 from result import Err, Ok, Result
@@ -9,7 +10,17 @@
 from ..steering.settings import pack_address
 
 _MS_PER_S = 1000
-_DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+_MAX_ERROR_CHARACTERS = 200
+_MAX_PORT = 65535
+# RecursionError: the text of an error quotes a deeply nested value.
+_DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 def decode_configuration(spec: Any) -> Result[RouteTable, str]:
@@ -21,7 +32,7 @@
     try:
         return Ok(_decode(spec))
     except _DECODE_ERRORS as error:
-        return Err(f'configuration cannot be read: {error!r}')
+        return Err(f'configuration cannot be read: {_shorten(error)}')
 
 
 def _decode(spec: Any) -> RouteTable:
@@ -33,8 +44,8 @@
     for entry in spec['routes']:
         address = pack_address(entry['host'])
         port = int(entry['path-prefix'].strip('/'))
-        if address is None:
-            raise ValueError(f'host {entry["host"]!r}')
+        if address is None or not 0 < port <= _MAX_PORT:
+            raise ValueError(f'host {entry["host"]!r} port {port}')
         destination = port.to_bytes(2, 'big') + address
         by_destination[destination] = _decode_route(entry, digests)
     return RouteTable(version, by_destination)
@@ -47,15 +58,27 @@
         tuple(
             ServiceShare(
                 _digest(share['service'], digests),
-                float(share.get('weight', 1)),
+                _read_number(share, 'weight', 1),
             )
             for share in shares
         ),
-        objective_s=float(entry.get('target-latency-ms', 0)) / _MS_PER_S,
-        priority=int(entry.get('priority', 0)),
+        objective_s=_read_number(entry, 'target-latency-ms', 0) / _MS_PER_S,
+        priority=int(_read_number(entry, 'priority', 0)),
     )
 
 
+def _read_number(entry: dict[str, Any], name: str, default: float) -> float:
+    number = float(entry.get(name, default))
+    # Not a number compares as False.
+    if not 0 <= number < math.inf:
+        raise ValueError(f'{name} {number}')
+    return number
+
+
+def _shorten(error: Exception) -> str:
+    return repr(error)[:_MAX_ERROR_CHARACTERS]
+
+
 def _digest(name: str, digests: dict[str, bytes]) -> bytes:
     if name not in digests:
         digests[name] = digest_service(name)
