Pause between reads for a version that the store does not have

Cause: while a peer's message named a version above the active one, a successful read that brought nothing newer was repeated at once. A stray datagram with a version that nobody wrote made each balancer read the store without a pause.

--- a/greengagepath/daemon/route_follower.py
+++ b/greengagepath/daemon/route_follower.py
@@ -7,6 +7,7 @@
 from gevent.event import Event
 from result import Err
 
+from ..foundation.greenlets import spawn_supervised
 from ..foundation.logs import log_event
 from ..steering.balancer_steering import BalancerSteering
 from ..steering.store import SteeringStore, StoredRoutes, StoreProblem
@@ -44,8 +45,8 @@
 
     def start(self) -> None:
         """Start the greenlets: one watches, one reads missed versions."""
-        gevent.spawn(self._follow)
-        gevent.spawn(self._catch_up)
+        spawn_supervised('routes.follow', self._follow)
+        spawn_supervised('routes.catch_up', self._catch_up)
 
     def request_catch_up(self) -> None:
         """Read the store soon: a peer has reported a higher version."""
@@ -80,9 +81,10 @@
             retry_s = FIRST_RETRY_S
             while self._steering.routes.is_behind:
                 outcome = self._store.read_routes()
-                if outcome.is_ok():
-                    self._apply(outcome.ok_value)
+                if outcome.is_ok() and self._apply(outcome.ok_value):
                     continue
+                # The store has no newer version either: a peer has named
+                # one that was never written.
                 gevent.sleep(self._rng.uniform(retry_s / 2, retry_s))
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
