Run the greenlets of a plain-flow process again after an exception

Change: spawn_supervised logs greenlet.failed with the cause and the line that raised, and runs the function again with back-off. A link of the own protocol is closed after any exception.

--- a/greengagepath/daemon/datagram_socket.py
+++ b/greengagepath/daemon/datagram_socket.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent.socket import wait_read
 
+from ..foundation.greenlets import spawn_supervised
 from ..foundation.native_sockets import open_udp_socket
 
 MAX_DATAGRAM_BYTES = 2048
@@ -52,7 +53,7 @@
 
     def start(self) -> None:
         """Start the greenlet that receives."""
-        self._loop = gevent.spawn(self._run)
+        self._loop = spawn_supervised('datagrams.receive', self._run)
 
     def send(self, datagram: bytes, address: tuple[str, int]) -> None:
         """Send a datagram, or drop and count it."""
--- a/greengagepath/daemon/links.py
+++ b/greengagepath/daemon/links.py
@@ -143,6 +143,14 @@
         )
 
     def _run_outgoing(self, session: LinkSession, address: Address) -> None:
+        try:
+            self._exchange(session, address)
+        finally:
+            # Also after an exception that is no error of the link, so that
+            # the link does not count as open any more.
+            session.finish()
+
+    def _exchange(self, session: LinkSession, address: Address) -> None:
         try:
             with open_connection(address, self._options.tls) as connection:
                 session.run(connection)
@@ -155,7 +163,6 @@
                 address=f'{address[0]}:{address[1]}',
                 reason=str(failure),
             )
-        session.finish()
 
 
 def exchange_message(
--- a/greengagepath/daemon/membership_listing.py
+++ b/greengagepath/daemon/membership_listing.py
@@ -7,6 +7,7 @@
 import gevent
 from result import Err
 
+from ..foundation.greenlets import spawn_supervised
 from ..foundation.logs import log_event
 from ..steering.store import Member, MemberRole, SteeringStore
 
@@ -37,7 +38,7 @@
 
     def start(self) -> None:
         """Start the greenlet; it ends when the member is registered."""
-        gevent.spawn(self._run)
+        spawn_supervised('membership.listing', self._run)
 
     def _run(self) -> None:
         retry_s = FIRST_RETRY_S
--- a/greengagepath/daemon/steering_process.py
+++ b/greengagepath/daemon/steering_process.py
@@ -9,6 +9,7 @@
 from gevent.event import Event
 from result import Err
 
+from ..foundation.greenlets import spawn_supervised
 from ..foundation.logs import log_event
 from ..foundation.timers import LoopTimerService
 from ..steering.peer_messages import PeerMessage, decode_message
@@ -91,7 +92,7 @@
         gevent.signal_handler(signal.SIGTERM, self._stopping.set)
         gevent.signal_handler(signal.SIGINT, self._stopping.set)
         gevent.signal_handler(signal.SIGHUP, _log_unchanged_settings)
-        self._timers.start()
+        spawn_supervised('timers', self._timers.run)
         self._peers.start()
         for address in filter(None, http_addresses):
             HttpListener(address, self._answer).start()
--- a/greengagepath/foundation/timers.py
+++ b/greengagepath/foundation/timers.py
@@ -169,7 +169,7 @@
 
     def start(self) -> gevent.Greenlet:
         """Start the greenlet that runs the callbacks."""
-        return gevent.spawn(self._run)
+        return gevent.spawn(self.run)
 
     def stop(self) -> None:
         """End the greenlet after the running callback."""
@@ -181,7 +181,8 @@
         self._changed.set()
         return timer
 
-    def _run(self) -> None:
+    def run(self) -> None:
+        """Run the callbacks until `stop` is called."""
         while not self._stopped:
             self._changed.clear()
             self.run_due()
