Skip odd entries in lists of the stores and use the rest

Cause: one entry of another writer hid all others. On the users' platform, a role that is a list, or a name with a NUL, raised in list_members; a value nested 1,000 deep, an integer of more than 4,300 digits or one byte that is not UTF-8 made the whole answer unreadable. A process that started afterwards read no members and did not register. A name with a space made the next page unreadable, and pages beyond the 20th were left out without a word. In the product's own object API, a version that is no number raised in the greenlet of the call, so that a lease or the watch on the configuration stayed pending; one seed address with a wrong type hid the others.

Odd members are skipped, counted and logged (members.odd_entries); a list that is cut is logged (members.cut). A watch goes on behind a configuration that cannot be decoded (configuration.unreadable). The own object API answers an invalid version as an error, and unusable seed addresses are left out.

--- a/greengagepath/foundation/object_api.py
+++ b/greengagepath/foundation/object_api.py
@@ -20,6 +20,7 @@
 from result import Err, Ok, Result
 
 from .timers import TimerService
+from .tolerant_json import decode_json
 
 OPERATION_ID = 'operation_id'
 OPERATION_BITS = 128
@@ -30,6 +31,8 @@
 WATCH_WAIT_S = 20.0
 # Simultaneous calls of one process, including pending watches.
 MAX_CALLS = 8
+# Versions above this are not counters of the object API.
+MAX_VERSION = 0x7FFFFFFFFFFFFFFF
 # Enough for any object, whose value is at most 1 MB.
 MAX_ANSWER_BYTES = 2097152
 
@@ -243,8 +246,7 @@
 
     def __call__(self, answer: ObjectAnswer) -> ObjectOutcome:
         if answer.status == _OK:
-            version = int(str(answer.content['version']))
-            return Ok(StoredObject(version, self.body))
+            return Ok(StoredObject(_read_version(answer) or 0, self.body))
         current = _parse_stored_object(answer)
         if current.body.get(OPERATION_ID) == self.body[OPERATION_ID]:
             return Ok(current)
@@ -264,18 +266,27 @@
         return StoredObject(0, {})
     body = answer.content.get('body')
     return StoredObject(
-        int(str(answer.content.get('version', 0))),
-        body if isinstance(body, dict) else {},
+        _read_version(answer) or 0, body if isinstance(body, dict) else {}
     )
 
 
+def _read_version(answer: ObjectAnswer) -> int | None:
+    """Return the version, 0 if the answer has none, None if it is odd."""
+    version = answer.content.get('version', 0)
+    if isinstance(version, bool) or not isinstance(version, int):
+        return None
+    return version if 0 <= version <= MAX_VERSION else None
+
+
 def _find_problem(answer: Result[ObjectAnswer, str]) -> str | None:
     if answer.is_err():
         return answer.unwrap_err()
     status = answer.unwrap().status
-    if status in {_OK, _NO_CONTENT, _NOT_FOUND, _CONFLICT}:
-        return None
-    return f'status {status}'
+    if status not in {_OK, _NO_CONTENT, _NOT_FOUND, _CONFLICT}:
+        return f'status {status}'
+    if _read_version(answer.unwrap()) is None:
+        return 'answer has no valid version'
+    return None
 
 
 class HttpTransport:
@@ -338,7 +349,7 @@
         )
     response = connection.getresponse()
     content = response.read(MAX_ANSWER_BYTES)
-    decoded = json.loads(content) if content else {}
+    decoded = decode_json(content).unwrap_or({}) if content else {}
     return ObjectAnswer(
         response.status, decoded if isinstance(decoded, dict) else {}
     )
--- a/greengagepath/membership/seeds.py
+++ b/greengagepath/membership/seeds.py
@@ -1,5 +1,8 @@
 """Seed objects: addresses of balancers in an availability zone."""
 
+import ipaddress
+from typing import Annotated
+
 import msgspec
 
 from ..foundation.addresses import Address
@@ -16,14 +19,23 @@
 # Number of addresses in a seed object; one that answers is enough.
 SEED_ADDRESSES = 5
 SEED_CHECK_S = 5.0
+# Number of addresses that are read of a seed object.
+MAX_LISTED = 50
+MAX_HOST_CHARACTERS = 15
+MAX_PORT = 65535
 _TOKEN = 'fencing_token'
 
 
 class _SeedBody(msgspec.Struct):
-    addresses: list[Address]
+    addresses: list[object]
     fencing_token: int = 0
 
 
+class _SeedAddress(msgspec.Struct, array_like=True):
+    host: Annotated[str, msgspec.Meta(max_length=MAX_HOST_CHARACTERS)]
+    port: Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+
+
 class SeedWriter:
     """Keeps the seed object of the zone up to date.
 
@@ -101,8 +113,22 @@
 
 
 def addresses_of(body: object) -> list[Address]:
-    """Return the addresses in a seed object, or none if it is invalid."""
+    """Return the valid addresses in a seed object.
+
+    Addresses of another writer that cannot be used are left out.
+    """
     try:
-        return msgspec.convert(body, _SeedBody).addresses
+        listed = msgspec.convert(body, _SeedBody).addresses
     except msgspec.ValidationError:
         return []
+    parsed = map(_parse_address, listed[:MAX_LISTED])
+    return [address for address in parsed if address is not None]
+
+
+def _parse_address(entry: object) -> Address | None:
+    try:
+        address = msgspec.convert(entry, _SeedAddress)
+        ipaddress.IPv4Address(address.host)
+    except ValueError:
+        return None
+    return address.host, address.port
--- a/greengagepath/platform/store.py
+++ b/greengagepath/platform/store.py
@@ -1,12 +1,16 @@
 """Client of the platform's store; implements `SteeringStore`."""
 
 import json
+import logging
+import string
 from collections import Counter
 from typing import Any
 
 from result import Err, Ok, Result
 
 from ..daemon.http_connection import HttpAnswer, HttpConnection
+from ..foundation.logs import log_event
+from ..foundation.tolerant_json import decode_json
 from ..steering.routes import RouteTable
 from ..steering.settings import format_address, pack_address
 from ..steering.store import (
@@ -19,7 +23,8 @@
 
 CALL_TIMEOUT_S = 3.0
 WATCH_TIMEOUT_MS = 30000
-MAX_PAGES = 20
+# A page has about 500 entries.
+MAX_PAGES = 100
 _WATCH_MARGIN_S = 2.0
 _MS_PER_S = 1000
 _CONFIGURATION = '/objects/config'
@@ -33,6 +38,8 @@
 
 _Body = dict[str, Any]
 
+_logger = logging.getLogger(__name__)
+
 
 class PlatformStore:
     """Reads and writes objects; watches the configuration.
@@ -51,9 +58,12 @@
         response = self._call('read_routes', 'GET', _CONFIGURATION)
         if isinstance(response, Err):
             return response
-        return self._decode_routes(
-            response.ok_value, response.ok_value.get('items')
-        )
+        entries = _read_list(response.ok_value, 'items')
+        decoded = self._decode_routes(response.ok_value, entries)
+        has_entry = _CONFIGURATION_NAME in map(_decode_name, entries)
+        if has_entry and decoded.is_ok() and decoded.ok_value.table is None:
+            return Err(StoreProblem('configuration cannot be decoded'))
+        return decoded
 
     def watch_routes(self, revision: int) -> Result[StoredRoutes, StoreProblem]:
         """Wait for a configuration that is newer than the revision.
@@ -67,28 +77,42 @@
         response = self._interpret('watch_routes', answer)
         if isinstance(response, Err):
             return response
-        events = response.ok_value.get('events')
         changed = [
             event.get('object')
-            for event in events or ()
+            for event in _read_list(response.ok_value, 'events')
             if isinstance(event, dict) and not event.get('removed')
         ]
         return self._decode_routes(response.ok_value, changed)
 
     def list_members(self) -> Result[list[Member], StoreProblem]:
-        """Return the registered processes, of at most `MAX_PAGES` pages."""
+        """Return the registered processes, of at most `MAX_PAGES` pages.
+
+        Entries that cannot be decoded are skipped and counted in `calls`
+        as `odd_entry`.
+        """
         members: list[Member] = []
         after = ''
         for _ in range(MAX_PAGES):
-            query = f'?after={after}' if after else ''
+            query = f'?after={_quote(after)}' if after else ''
             response = self._call('list_members', 'GET', _MEMBERS + query)
             if isinstance(response, Err):
                 return response
-            entries = response.ok_value.get('items') or []
-            members.extend(filter(None, map(_decode_member, entries)))
-            if not response.ok_value.get('more') or not entries:
+            entries = _read_list(response.ok_value, 'items')
+            members += self._decode_members(entries)
+            last = max(map(_decode_name, entries), default='')
+            if not response.ok_value.get('more'):
+                return Ok(members)
+            if last <= after:
+                # No entry of the page has a name to continue after.
                 break
-            after = _decode_name(entries[-1])
+            after = last
+        log_event(
+            _logger,
+            'members.cut',
+            level=logging.WARNING,
+            members=len(members),
+            after=after,
+        )
         return Ok(members)
 
     def add_member(self, member: Member) -> Result[None, StoreProblem]:
@@ -140,31 +164,77 @@
                     f'status {status}', is_history_lost=is_history_lost
                 )
             )
-        try:
-            decoded = json.loads(answer.ok_value.body or b'{}')
-        except (ValueError, RecursionError):
-            return Err(StoreProblem('answer is not JSON'))
-        return Ok(decoded if isinstance(decoded, dict) else {})
+        decoded = decode_json(answer.ok_value.body or b'{}')
+        if isinstance(decoded, Err):
+            return Err(StoreProblem(f'answer is {decoded.err_value}'))
+        body = decoded.ok_value
+        return Ok(body if isinstance(body, dict) else {})
+
+    def _decode_members(self, entries: list[Any]) -> list[Member]:
+        members = list(filter(None, map(_decode_member, entries)))
+        odd = len(entries) - len(members)
+        if odd:
+            self.calls['list_members', 'odd_entry'] += odd
+            log_event(
+                _logger,
+                'members.odd_entries',
+                level=logging.WARNING,
+                repeats=True,
+                odd=odd,
+                members=len(members),
+            )
+        return members
 
     def _decode_routes(
-        self, body: _Body, entries: list[Any] | None
+        self, body: _Body, entries: list[Any]
     ) -> Result[StoredRoutes, StoreProblem]:
+        """Return the highest version that can be decoded.
+
+        Others are logged and skipped, so that the watch goes on behind
+        them.
+        """
         revision = body.get('current-rev')
         if not isinstance(revision, int):
             return Err(StoreProblem('answer has no revision'))
         latest: RouteTable | None = None
-        for entry in entries or ():
+        for entry in entries:
             if _decode_name(entry) != _CONFIGURATION_NAME:
                 continue
             decoded = decode_configuration(entry.get('spec'))
             if isinstance(decoded, Err):
-                return Err(StoreProblem(decoded.err_value))
+                self.calls['decode_routes', 'odd_entry'] += 1
+                log_event(
+                    _logger,
+                    'configuration.unreadable',
+                    level=logging.ERROR,
+                    repeats=True,
+                    revision=revision,
+                    reason=decoded.err_value,
+                )
+                continue
             table = decoded.ok_value
             if latest is None or table.version > latest.version:
                 latest = table
         return Ok(StoredRoutes(latest, revision))
 
 
+def _read_list(body: _Body, name: str) -> list[Any]:
+    found = body.get(name)
+    return found if isinstance(found, list) else []
+
+
+def _quote(name: str) -> str:
+    """Return a name for the query of a request.
+
+    `urllib.parse` would cost each process 1 MB.
+    """
+    encoded = name.encode('utf-8', 'replace')
+    return ''.join(
+        chr(octet) if octet in _UNQUOTED else f'%{octet:02X}'
+        for octet in encoded
+    )
+
+
 def _decode_name(entry: Any) -> str:
     meta = entry.get('meta') if isinstance(entry, dict) else None
     name = meta.get('name') if isinstance(meta, dict) else None
@@ -175,10 +245,11 @@
     address = pack_address(_decode_name(entry))
     spec = entry.get('spec') if isinstance(entry, dict) else None
     role = spec.get('role') if isinstance(spec, dict) else None
-    if address is None or role not in _ROLES:
+    if address is None or not isinstance(role, str) or role not in _ROLES:
         return None
     return Member(address, MemberRole(role))
 
 
 _CONFLICT_REASON = f'status {_CONFLICT}'
 _ROLES = frozenset(role.value for role in MemberRole)
+_UNQUOTED = frozenset(f'-._~{string.digits}{string.ascii_letters}'.encode())
--- a/greengagepath/steering/settings.py
+++ b/greengagepath/steering/settings.py
@@ -112,7 +112,8 @@
     """Return the 4 bytes of an IPv4 address, None if it is invalid."""
     try:
         return socket.inet_pton(socket.AF_INET, host)
-    except OSError:
+    except (OSError, ValueError, TypeError):
+        # ValueError: a NUL or a lone surrogate in a name of the store.
         return None
 
 
