Reset open flows that no target holds any more

Seen by callers: after a crash of targets or a power loss of all VMs, requests on open flows were repeated until their deadline.

Cause: a packet of a flow that no target holds was searched at all targets again and again and never answered, since an agent could not tell a lost flow from one whose agent it does not know.

Change: the target at which the caller has opened a flow proves by sending a packet back that the flow is lost. After restarts, agents answer a search with NOT_HELD once their target has rejected the packet (or they have seen all of its flows), and the searching agent resets the flow when every agent of the service has denied it. It decides only after it has read the list of members, knows a balancer and the service of each listed agent (asked for by a report with hops 1, at most 3 s), and half a second after its start. Resets are paced at half of what the own target can serve, the youngest flows first. Agents of earlier builds ignore the new message and never deny, so that beside them nothing is reset.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -121,6 +121,10 @@
         """Send a reset to the caller of a flow that has not been opened."""
         self.to_caller(flow, self._codec.encode_reset(flow))
 
+    def reset_open(self, flow: bytes, sequence: int) -> None:
+        """Send a reset to the caller of an open flow."""
+        self.to_caller(flow, self._codec.encode_reset(flow, sequence))
+
     def _read_gauges(self) -> dict[str, float]:
         context = self.steering.context
         return {
@@ -157,13 +161,11 @@
             address for address in balancers if peers.record_balancer(address)
         ]
         # Agents of other services answer with a report that contains
-        # their service, and are not stored.
-        added += [
-            address
-            for address in agents
-            if address not in peers.agents and address != self._settings.address
-        ]
-        self.steering.reports.report_to(added)
+        # their service, and are not stored. The listing has agents only
+        # if it was read from the store.
+        if agents:
+            added += peers.record_listed(agents)
+        self.steering.reports.report_to(added, asks=True)
 
     def _handle_target_packet(self, raw: bytes, _: str) -> None:
         segment = self._codec.decode_from_target(raw)
--- a/greengagepath/daemon/steering_process.py
+++ b/greengagepath/daemon/steering_process.py
@@ -33,8 +33,8 @@
     def decode_from_caller(self, raw: bytes) -> Segment | None:
         """Decode a caller's packet; None if it is malformed."""
 
-    def encode_reset(self, flow: bytes) -> bytes:
-        """Return a reset for a flow that has not been opened."""
+    def encode_reset(self, flow: bytes, sequence: int = 0) -> bytes:
+        """Return a reset; `sequence` matters only for an open flow."""
 
     def caller_address(self, flow: bytes) -> bytes:
         """Return the packed IPv4 address of the caller of a flow."""
--- a/greengagepath/platform/packets.py
+++ b/greengagepath/platform/packets.py
@@ -12,6 +12,8 @@
 # The fields that identify a flow, in the order of the header.
 _FLOW = struct.Struct('>2s2s4s4s')
 _FLOW_OFFSET = 18
+# What precedes the flow; all but the sequence number is 0.
+_RESET_HEAD = struct.Struct('>10xI4x')
 _FLOW_END = _FLOW_OFFSET + _FLOW.size
 _FLAGS_OFFSET = 30
 _SYN = 16
@@ -51,11 +53,16 @@
     return segment
 
 
-def encode_reset(flow: bytes) -> bytes:
-    """Return a reset to the caller of a flow that has not opened."""
+def encode_reset(flow: bytes, sequence: int = 0) -> bytes:
+    """Return a reset to the caller of a flow.
+
+    On an open flow, `sequence` has to be near the last sequence number
+    that the caller has acknowledged.
+    """
     source_port, port, destination, source = _FLOW.unpack(flow)
     reversed_flow = port + source_port + source + destination
-    return bytes(_FLOW_OFFSET) + reversed_flow + bytes((_RST,))
+    head = _RESET_HEAD.pack(sequence)
+    return b''.join((head, reversed_flow, bytes((_RST,))))
 
 
 def caller_address(flow: bytes) -> bytes:
--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -27,6 +27,13 @@
     def reset(self, flow: bytes) -> None:
         """Send a reset to the caller of a flow that has not opened."""
 
+    def reset_open(self, flow: bytes, sequence: int) -> None:
+        """Send a reset to the caller of an open flow.
+
+        The caller accepts it if `sequence` is near the last sequence
+        number that it has acknowledged.
+        """
+
     def to_agent(self, address: bytes, datagram: bytes) -> None:
         """Send a datagram to another agent."""
 
--- a/greengagepath/steering/agent_peers.py
+++ b/greengagepath/steering/agent_peers.py
@@ -10,6 +10,9 @@
 # store or a roster has named.
 REMOVE_AFTER_S = 60.0
 MAX_CONTACTS = 1000
+# An agent that is listed in the store and does not answer for this long is
+# not running: a killed process is back within a second or two.
+IDENTIFY_S = 3.0
 
 
 class AgentPeers:
@@ -26,6 +29,9 @@
         self._timers = timers
         self._balancer_seen_s: dict[bytes, float] = {}
         self._agent_seen_s: dict[bytes, float] = {}
+        # Listed agents whose service is not known, by when they were listed.
+        self._unidentified_s: dict[bytes, float] = {}
+        self._is_listed = False
 
     @property
     def balancers(self) -> list[bytes]:
@@ -42,6 +48,31 @@
         """Return the reported loads of the other targets."""
         return list(self.load_by_address.values())
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether all agents of the service should be known.
+
+        False until the store's list was read and a balancer is known,
+        and while a listed agent has not reported its service.
+        """
+        if not self._is_listed or not self._balancer_seen_s:
+            return False
+        drop_older(self._unidentified_s, self._timers.now() - IDENTIFY_S)
+        return not self._unidentified_s
+
+    def record_listed(self, addresses: list[bytes]) -> list[bytes]:
+        """Record the agents in the store's list; return the unknown ones."""
+        self._is_listed = True
+        now_s = self._timers.now()
+        unknown = [
+            address
+            for address in addresses
+            if address not in self._agent_seen_s and address != self.own_address
+        ]
+        for address in unknown[:MAX_CONTACTS]:
+            self._unidentified_s.setdefault(address, now_s)
+        return unknown
+
     def record_balancer(self, address: bytes) -> bool:
         """Record contact with a balancer; True if it is new."""
         return self._record(self._balancer_seen_s, address)
@@ -63,6 +94,7 @@
         """Record the load of another target; True if its agent is new."""
         if address == self.own_address:
             return False
+        self._unidentified_s.pop(address, None)
         is_new = self._record(self._agent_seen_s, address)
         load = self.load_by_address.get(address)
         if load is None:
@@ -76,6 +108,7 @@
 
     def remove_agent(self, address: bytes) -> None:
         """Remove an agent that now serves another service."""
+        self._unidentified_s.pop(address, None)
         self._agent_seen_s.pop(address, None)
         if self.load_by_address.pop(address, None):
             self._rebuild_homes()
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -4,6 +4,7 @@
 
 from .agent_context import AgentContext
 from .peer_messages import (
+    ASK_REPORT,
     NO_ADDRESS,
     LoadReport,
     PeerKind,
@@ -57,10 +58,14 @@
         if now_s - self._balancers_reported_s >= BALANCER_REPORT_INTERVAL_S:
             self._report_to_balancers()
 
-    def report_to(self, addresses: list[bytes]) -> None:
-        """Report to the given contacts only, usually new ones."""
+    def report_to(self, addresses: list[bytes], *, asks: bool = False) -> None:
+        """Report to the given contacts only, usually new ones.
+
+        With `asks`, agents answer with a report, also those of other
+        services.
+        """
         balancers = self._context.peers.balancers
-        encoded = self._make_report()
+        encoded = self._make_report(ASK_REPORT if asks else 0)
         for address in addresses:
             if address in balancers:
                 self._context.outbox.to_balancer(address, encoded)
@@ -72,10 +77,15 @@
         decoded = decode_report(message.body)
         if isinstance(decoded, Err):
             self._context.drop('unreadable_report', decoded.err_value)
-        elif message.service != self._context.identity.service:
-            self._context.peers.remove_agent(sender)
-        elif self._context.peers.record_report(sender, decoded.ok_value):
-            self._context.outbox.to_agent(sender, self._make_report())
+        else:
+            peers = self._context.peers
+            is_new = False
+            if message.service == self._context.identity.service:
+                is_new = peers.record_report(sender, decoded.ok_value)
+            else:
+                peers.remove_agent(sender)
+            if is_new or message.hops == ASK_REPORT:
+                self._context.outbox.to_agent(sender, self._make_report())
 
     def handle_presence(self, sender: bytes, message: PeerMessage) -> None:
         """Handle a PRESENCE of a balancer and the contacts in it."""
@@ -120,9 +130,9 @@
             encoded = self._make_message(PeerKind.HELD, body=flow).encode()
             self._context.outbox.to_balancer(balancer, encoded)
 
-    def send_held_to_agent(self, flow: bytes, address: bytes) -> None:
-        """Notify another agent that the target holds the flow."""
-        encoded = self._make_message(PeerKind.HELD, body=flow).encode()
+    def send_notice(self, kind: PeerKind, flow: bytes, address: bytes) -> None:
+        """Notify another agent, with HELD or NOT_HELD, about a flow."""
+        encoded = self._make_message(kind, body=flow).encode()
         self._context.outbox.to_agent(address, encoded)
 
     def send_packet(
@@ -160,7 +170,7 @@
         is_full = context.held_flows.is_full(context.timers.now())
         return ReportedState.FULL if is_full else state
 
-    def _make_report(self) -> bytes:
+    def _make_report(self, hops: int = 0) -> bytes:
         context = self._context
         report = LoadReport(
             self._current_state(),
@@ -170,9 +180,9 @@
             service_s=context.estimate_service_s(),
         )
         self._last_reported = (report.load, report.state)
-        return self._make_message(
-            PeerKind.REPORT, body=report.encode()
-        ).encode()
+        message = self._make_message(PeerKind.REPORT, body=report.encode())
+        message.hops = hops
+        return message.encode()
 
     def _report_to_agents(self) -> None:
         self._agents_reported_s = self._context.timers.now()
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -77,6 +77,9 @@
                 context.drop('foreign_service', message.kind.name)
             case PeerKind.HELD:
                 self._owner_by_flow.put(message.body, sender)
+                self._search.record_owner(message.body)
+            case PeerKind.NOT_HELD:
+                self._search.record_denial(sender, message.body)
             case _ if segment is None:
                 context.drop('unreadable_packet', message.kind.name)
             case _ if segment.is_opening:
@@ -163,7 +166,7 @@
     ) -> None:
         held = self.context.held_flows.by_flow.get(segment.flow)
         if held is None or not held.matches(segment):
-            self._search.handle_unknown(message, segment, held)
+            self._search.handle_unknown(sender, message, segment, held)
             return
         self._deliver(segment, held)
         is_relayed = message.kind is not PeerKind.FORWARD
@@ -171,7 +174,7 @@
             held.balancer = message.balancer
             self.reports.send_held_to_balancer(segment.flow, message.balancer)
         if message.kind is PeerKind.SEARCH:
-            self.reports.send_held_to_agent(segment.flow, sender)
+            self.reports.send_notice(PeerKind.HELD, segment.flow, sender)
 
     def _deliver(self, segment: Segment, held: HeldFlow) -> None:
         context = self.context
@@ -234,7 +237,7 @@
     def _notify_home(self, flow: bytes) -> None:
         home = self.context.peers.homes.find_home(flow)
         if home and home != self.context.identity.address:
-            self.reports.send_held_to_agent(flow, home)
+            self.reports.send_notice(PeerKind.HELD, flow, home)
 
     def _log_answer(self, segment: Segment, duration_s: float) -> None:
         log_event(
--- a/greengagepath/steering/held_flows.py
+++ b/greengagepath/steering/held_flows.py
@@ -120,6 +120,8 @@
         self._started_s_by_flow: dict[bytes, float] = {}
         self._limit: int | None = None
         self._limit_set_s = 0.0
+        # Whether open flows were removed because there were too many.
+        self.has_evicted = False
 
     @property
     def load(self) -> int:
@@ -279,5 +281,6 @@
 
     def _add(self, flow: bytes, held: HeldFlow) -> None:
         if len(self.by_flow) >= MAX_FLOWS:
+            self.has_evicted = True
             self.remove(next(iter(self.by_flow)))
         self.by_flow[flow] = held
--- a/greengagepath/steering/leave_notices.py
+++ b/greengagepath/steering/leave_notices.py
@@ -3,6 +3,7 @@
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
 from .homes import HomeTable
+from .peer_messages import PeerKind
 
 # Flows of which an agent sends a notice at one check: 33 kB/s, and 2,000
 # flows within the grace time.
@@ -45,4 +46,4 @@
             home = self._homes.find_home(flow)
             if home is not None:
                 self._context.counts['leave_notices'] += 1
-                self._reports.send_held_to_agent(flow, home)
+                self._reports.send_notice(PeerKind.HELD, flow, home)
--- /dev/null
+++ b/greengagepath/steering/lost_flows.py
@@ -0,0 +1,168 @@
+"""Flows that no target holds any more.
+
+Load pattern: a target crashes, or all VMs lose power, and the callers go
+on with their open flows. Without an answer they repeat their packets
+until their deadline; a reset lets them retry on a new flow at once.
+Flows that were lost together are not reset together, because the targets
+would refuse most of the requests that come back.
+"""
+
+import logging
+
+from ..foundation.logs import log_event
+from .agent_context import AgentContext
+from .recent_map import RecentMap
+from .segments import Segment, describe_flow
+from .service_times import DEFAULT_S
+
+MAX_LOST = 20000
+MAX_POLLS = 5000
+# Agents answer within a round trip and the time of a trial. After a
+# restart, the list of members and the first reports take longer.
+POLL_TIMEOUT_S = 2.0
+# Resets per request that the own target can serve in the same time; callers
+# of other flows need the rest.
+RESET_SHARE = 0.5
+# Resets that are sent without a pause.
+MAX_BURST = 2.0
+# Until this time after its start an agent may not have received the reports
+# and rosters of all other processes.
+WARM_UP_S = 0.5
+
+_logger = logging.getLogger(__name__)
+
+
+class _Poll:
+    """Agents that have denied that their target holds a flow.
+
+    `sequence` is the sequence number that a reset to the caller needs.
+    """
+
+    __slots__ = ('denied_by', 'sequence', 'started_s')
+
+    def __init__(self, sequence: int, started_s: float) -> None:
+        self.denied_by: set[bytes] = set()
+        self.sequence = sequence
+        self.started_s = started_s
+
+
+class LostFlows:
+    """Resets a flow once it is certain that no target holds it.
+
+    It is certain if the target at which the caller has opened the flow
+    sends a packet of it back, or if every agent of the service has
+    denied that its target holds the flow. An agent that does not know
+    all agents of its service resets nothing.
+    """
+
+    def __init__(self, context: AgentContext) -> None:
+        self._context = context
+        self._poll_by_flow: dict[bytes, _Poll] = {}
+        self._lost_flows: RecentMap[bytes, bool] = RecentMap(MAX_LOST)
+        # Sequence numbers of the resets that are still to be sent.
+        self._due_by_flow: dict[bytes, int] = {}
+        self._allowed_resets = MAX_BURST
+        self._refilled_s = context.timers.now()
+        self._warm_s = self._refilled_s + WARM_UP_S
+
+    def reset_again(self, segment: Segment) -> bool:
+        """Reset a flow that is known to be lost; False for others."""
+        if not self._lost_flows.get(segment.flow):
+            return False
+        if segment.has_acknowledgement:
+            self._due_by_flow[segment.flow] = segment.acknowledged
+            self._send_due()
+        return True
+
+    def declare(self, segment: Segment) -> None:
+        """Reset a flow of which its own target sent a packet back."""
+        if segment.has_acknowledgement:
+            self._declare(segment.flow, segment.acknowledged, 'target')
+
+    def start_poll(self, segment: Segment) -> None:
+        """Wait for the denials of all agents, which are asked for a flow."""
+        if not segment.has_acknowledgement:
+            return
+        if len(self._poll_by_flow) >= MAX_POLLS:
+            self._context.counts['polls_dropped'] += 1
+            return
+        now_s = self._context.timers.now()
+        # A repeated packet starts a new poll, which is then the youngest.
+        self._poll_by_flow.pop(segment.flow, None)
+        poll = _Poll(segment.acknowledged, now_s)
+        self._poll_by_flow[segment.flow] = poll
+        self._decide(segment.flow, poll)
+
+    def record_denial(self, agent: bytes, flow: bytes) -> None:
+        """Record that the target of another agent does not hold a flow."""
+        poll = self._poll_by_flow.get(flow)
+        if poll is not None:
+            poll.denied_by.add(agent)
+            self._decide(flow, poll)
+
+    def record_owner(self, flow: bytes) -> None:
+        """Record that a target holds the flow."""
+        self._poll_by_flow.pop(flow, None)
+        self._due_by_flow.pop(flow, None)
+        self._lost_flows.discard(flow)
+
+    def check(self) -> None:
+        """Decide polls that were answered before all agents were known.
+
+        Polls that are too old are dropped, and the resets that are due
+        are sent.
+        """
+        self._send_due()
+        before_s = self._context.timers.now() - POLL_TIMEOUT_S
+        for flow, poll in tuple(self._poll_by_flow.items()):
+            if poll.started_s <= before_s:
+                self._context.counts['polls_unanswered'] += 1
+                del self._poll_by_flow[flow]
+            else:
+                self._decide(flow, poll)
+
+    def rotate(self) -> None:
+        """Drop entries of idle flows."""
+        self._lost_flows.rotate()
+
+    def _decide(self, flow: bytes, poll: _Poll) -> None:
+        peers = self._context.peers
+        if self._context.timers.now() < self._warm_s or not peers.is_complete:
+            return
+        if poll.denied_by.issuperset(peers.agents):
+            del self._poll_by_flow[flow]
+            self._declare(flow, poll.sequence, 'all agents')
+
+    def _declare(self, flow: bytes, sequence: int, source: str) -> None:
+        self._lost_flows.put(flow, True)
+        log_event(
+            _logger,
+            'flow.lost',
+            repeats=True,
+            flow=describe_flow(flow),
+            denied_by=source,
+            agents=len(self._context.peers.agents),
+            target_id=self._context.gate.target_id,
+        )
+        self._context.counts['flows_lost'] += 1
+        self._due_by_flow[flow] = sequence
+        self._send_due()
+
+    def _send_due(self) -> None:
+        """Send the resets that the pace allows, the youngest flows first.
+
+        Requests that have waited for longer are late already.
+        """
+        self._refill()
+        while self._due_by_flow and self._allowed_resets >= 1:
+            flow, sequence = self._due_by_flow.popitem()
+            self._allowed_resets -= 1
+            self._context.outbox.reset_open(flow, sequence)
+
+    def _refill(self) -> None:
+        now_s = self._context.timers.now()
+        request_s = self._context.estimate_service_s() or DEFAULT_S
+        per_s = self._context.gate.slots / request_s * RESET_SHARE
+        added = (now_s - self._refilled_s) * per_s
+        self._allowed_resets = min(self._allowed_resets + added, MAX_BURST)
+        self._refilled_s = now_s
--- a/greengagepath/steering/owner_search.py
+++ b/greengagepath/steering/owner_search.py
@@ -6,6 +6,7 @@
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
 from .held_flows import HeldFlow
+from .lost_flows import LostFlows
 from .peer_messages import KNOWN_ONLY, PeerKind, PeerMessage
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
@@ -34,13 +35,16 @@
         self._context = context
         self._reports = reports
         self._owner_by_flow = owner_by_flow
-        self._trials = TargetTrials(
-            context, self._search_all_agents, self._search_known
-        )
+        self._trials = TargetTrials(context, self)
+        self._lost = LostFlows(context)
         self._searches_left = MAX_SEARCHES_PER_S
 
     def handle_unknown(
-        self, message: PeerMessage, segment: Segment, held: HeldFlow | None
+        self,
+        sender: bytes,
+        message: PeerMessage,
+        segment: Segment,
+        held: HeldFlow | None,
     ) -> None:
         """Handle a packet of a flow that the target may not hold."""
         owner = self._owner_by_flow.get(segment.flow)
@@ -51,17 +55,22 @@
                 owner, PeerKind.RELAY, message.balancer, segment.raw
             )
             return
-        if held is None and self._trials.give(message, segment):
-            return
-        if message.kind is not PeerKind.SEARCH:
-            self._search_all_agents(segment, message.balancer)
+        if held is not None:
+            if message.kind is not PeerKind.SEARCH:
+                self.search_all_agents(segment, message.balancer)
+        elif message.kind is PeerKind.SEARCH:
+            self._handle_search(sender, message, segment)
+        elif not self._lost.reset_again(segment):
+            self._find_owner(message, segment)
 
     def handle_lost(self, segment: Segment, held: HeldFlow) -> None:
         """Handle a sent-back packet of a flow that was held here."""
         self._context.counts['packets_returned'] += 1
         self._trials.reject(segment.flow)
-        if held.balancer:
-            self._search_all_agents(segment, held.balancer)
+        if held.is_confirmed and not held.is_closed and held.matches(segment):
+            self._lost.declare(segment)
+        elif held.balancer:
+            self.search_all_agents(segment, held.balancer)
 
     def handle_rejected(
         self, flow: bytes, returned: Segment | None = None
@@ -78,9 +87,18 @@
         """Record that the target sent a packet of the flow."""
         self._trials.accept(flow)
 
+    def record_owner(self, flow: bytes) -> None:
+        """Record that the target of another agent holds the flow."""
+        self._lost.record_owner(flow)
+
+    def record_denial(self, agent: bytes, flow: bytes) -> None:
+        """Record that the target of another agent does not hold the flow."""
+        self._lost.record_denial(agent, flow)
+
     def check_trials(self) -> None:
         """Search for the owners of flows whose trial is unanswered."""
         self._trials.check()
+        self._lost.check()
 
     def stop_trying(self) -> None:
         """Try no more flows: the target has started after this agent."""
@@ -94,17 +112,51 @@
         """Drop entries of idle flows."""
         self._owner_by_flow.rotate()
         self._trials.rotate()
+        self._lost.rotate()
+
+    def deny(self, flow: bytes, agents: list[bytes]) -> None:
+        """Notify agents that search a flow that the target rejects it."""
+        for address in agents:
+            self._reports.send_notice(PeerKind.NOT_HELD, flow, address)
 
-    def _search_all_agents(self, segment: Segment, balancer: bytes) -> None:
+    def poll_agents(self, segment: Segment, balancer: bytes) -> None:
+        """Search a flow that is not held here; if no target has it, reset it.
+
+        A poll that is not answered is repeated with the next packet.
+        """
+        if self._search(segment, balancer, hops=0):
+            self._lost.start_poll(segment)
+
+    def search_all_agents(self, segment: Segment, balancer: bytes) -> None:
+        """Search a flow that may be held here, too."""
         self._search(segment, balancer, hops=0)
 
-    def _search_known(self, segment: Segment, balancer: bytes) -> None:
+    def search_known(self, segment: Segment, balancer: bytes) -> None:
+        """Search a flow among agents that need not try it."""
         self._search(segment, balancer, hops=KNOWN_ONLY)
 
-    def _search(self, segment: Segment, balancer: bytes, *, hops: int) -> None:
+    def _handle_search(
+        self, sender: bytes, message: PeerMessage, segment: Segment
+    ) -> None:
+        if message.hops == KNOWN_ONLY:
+            return
+        is_given = self._trials.give(message, segment, sender)
+        if not is_given and not self._context.held_flows.has_evicted:
+            self.deny(segment.flow, [sender])
+
+    def _find_owner(self, message: PeerMessage, segment: Segment) -> None:
+        if self._trials.give(message, segment):
+            return
+        if self._context.held_flows.has_evicted:
+            self.search_all_agents(segment, message.balancer)
+        else:
+            self.poll_agents(segment, message.balancer)
+
+    def _search(self, segment: Segment, balancer: bytes, *, hops: int) -> bool:
+        """Send the packet to all agents; False beyond the limit."""
         if self._searches_left <= 0:
             self._context.drop('searches', describe_flow(segment.flow))
-            return
+            return False
         self._searches_left -= 1
         self._context.counts['searches'] += 1
         log_event(
@@ -120,3 +172,4 @@
             self._reports.send_packet(
                 address, PeerKind.SEARCH, balancer, segment.raw, hops=hops
             )
+        return True
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -20,8 +20,10 @@
 MAX_COUNT = 0xFFFF
 ADDRESS_BYTES = 4
 # Value of `hops` in a search that only agents which know the flow answer;
-# others do not try the packet at their targets.
+# others neither try the packet at their targets nor deny the flow.
 KNOWN_ONLY = 1
+# Value of `hops` in a report whose receiver is to answer with its own.
+ASK_REPORT = 1
 # Addresses in one roster; keeps the datagram below 1,300 B.
 MAX_ROSTER = 300
 _REPORT = struct.Struct('!QIHHfB')
@@ -52,6 +54,8 @@
     PULL = 9
     # One part of a configuration copy.
     PART = 10
+    # The sender's target does not hold the flow in the body.
+    NOT_HELD = 11
 
 
 class PeerMessage:
--- a/tests/steering/recorder.py
+++ b/tests/steering/recorder.py
@@ -32,6 +32,9 @@
     def reset(self, flow: bytes) -> None:
         self.resets.append(flow)
 
+    def reset_open(self, flow: bytes, sequence: int) -> None:
+        self.resets.append(flow)
+
     def to_agent(self, address: bytes, datagram: bytes) -> None:
         if self._fits(datagram):
             message = decode_message(datagram).unwrap()
