Connect to the store without loading the resolver

Cause: gevent's create_connection resolves the address, though it is a number, and for that loads the thread pool of look-ups and concurrent.futures.

Change: a socket that connects to the address itself.

Modules that load lazily were tried and reverted: h11 and greenlet use inspect and traceback while they load.

--- a/greengagepath/daemon/http_connection.py
+++ b/greengagepath/daemon/http_connection.py
@@ -85,7 +85,16 @@
         return answer
 
     def _open(self) -> None:
-        opened = socket.create_connection(self._address, timeout=CONNECT_S)
+        # `create_connection` would load the resolver, with its thread pool,
+        # though the address is a number.
+        opened = socket.socket(native.AF_INET, native.SOCK_STREAM)
+        try:
+            opened.settimeout(CONNECT_S)
+            opened.connect(self._address)
+        except BaseException:
+            # Also at a time-out of the whole call.
+            opened.close()
+            raise
         opened.settimeout(None)
         for level, option, number in (
             (native.SOL_SOCKET, native.SO_KEEPALIVE, 1),
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,8 @@
 """The store client against a stand-in over HTTP."""
 
+import subprocess
+import sys
+
 import gevent
 from testtools import TestCase
 
@@ -91,3 +94,21 @@
         broken['routes'][0]['host'] = 'x'
         self.stand_in.put('config', 'main', broken)
         self.assertTrue(self.store.read_routes().is_err())
+
+    def test_calls_load_no_resolver(self):
+        # Guards against a start that loads the thread pool of name
+        # look-ups, 8 ms of processor time, though addresses are numbers.
+        script = (
+            'import sys\n'
+            'from greengagepath.daemon.http_connection import HttpConnection\n'
+            f'connection = HttpConnection({self.stand_in.address!r})\n'
+            'print(connection.call("GET", "/objects/config", b"", 0.2))\n'
+            'print("concurrent.futures" in sys.modules)\n'
+        )
+        done = subprocess.run(
+            [sys.executable, '-c', script],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        self.assertEqual('False', done.stdout.split()[-1])
