Report loads to neighbours and pace what is sent to the whole fleet

Cause: each agent reported each change of its load to all agents of its service, so that reports grew with the square of the service, and each balancer sent its whole roster to every agent each second.

Change: an agent reports changes to at most eight neighbours, four of them in its own zone, along rings of hashed addresses; others get a report every 2 s, by which no flow is placed. If neither the own target nor a neighbour has room, the flow is handed to an agent beyond the neighbours before it is refused. Reports to balancers and rosters are sent in turn, without bursts: at most 100 reports a second of an agent, with the interval in the report, and 20 rosters a second of a balancer. The 4 unused bytes of a report hold zone and interval; older builds send 0 and ignore them. Lists of members fill at most 5,000 entries.

Small sites have at most eight other agents and report as before.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -10,6 +10,7 @@
 from ..foundation.logs import log_event
 from ..steering.agent_context import AgentIdentity
 from ..steering.agent_steering import AgentSteering
+from ..steering.neighbours import digest_zone
 from ..steering.peer_messages import PeerKind, PeerMessage, digest_service
 from ..steering.segments import Segment
 from ..steering.settings import SteeringSettings
@@ -73,6 +74,7 @@
             heartbeat_s=settings.heartbeat_ms / 1000,
             idle_s=settings.flow_lifetime_s,
             is_first_start=settings.first_start,
+            zone=digest_zone(settings.availability_zone),
         )
         self.steering = AgentSteering(identity, self._timers, self)
         context = self.steering.context
--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -8,6 +8,8 @@
 from ..foundation.timers import TimerService
 from .agent_peers import AgentPeers
 from .held_flows import HeldFlows
+from .neighbours import UNKNOWN_ZONE
+from .peer_messages import NO_ADDRESS, PeerKind, PeerMessage
 from .placement import average_service_s
 from .route_copies import RouteCopy
 from .target_gate import TargetGate
@@ -42,8 +44,9 @@
 
 
 class AgentIdentity:
-    """Address, service and time limits of an agent.
+    """Address, service, zone and time limits of an agent.
 
+    `zone` is the number of the availability zone in reports.
     `heartbeat_s` is the interval of the target's heartbeats and `idle_s`
     how long an idle flow is kept, both in seconds. `is_first_start` is
     True only if no flow can have been opened before this process started.
@@ -55,6 +58,7 @@
         'idle_s',
         'is_first_start',
         'service',
+        'zone',
     )
 
     def __init__(
@@ -65,8 +69,10 @@
         heartbeat_s: float,
         idle_s: float,
         is_first_start: bool,
+        zone: int = UNKNOWN_ZONE,
     ) -> None:
         self.address = address
+        self.zone = zone
         self.service = service
         self.heartbeat_s = heartbeat_s
         self.idle_s = idle_s
@@ -107,7 +113,7 @@
         self.is_leaving = False
         self.latest_version = 0
         self.outbox = outbox
-        self.peers = AgentPeers(identity.address, timers)
+        self.peers = AgentPeers(identity.address, identity.zone, timers)
         self.routes = RouteCopy()
         self.timers = timers
 
@@ -117,6 +123,18 @@
             self.timers.now(), average_service_s(self.peers.loads)
         )
 
+    def make_message(
+        self, kind: PeerKind, *, body: bytes, balancer: bytes = NO_ADDRESS
+    ) -> PeerMessage:
+        """Return a message about this agent's service."""
+        return PeerMessage(
+            kind,
+            self.identity.service,
+            balancer=balancer,
+            version=self.latest_version,
+            body=body,
+        )
+
     def drop(self, reason: str, detail: str) -> None:
         """Count and log a datagram that is dropped."""
         self.counts[f'dropped_{reason}'] += 1
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -149,12 +149,27 @@
         if estimate is None or not should_accept(
             estimate, objective_s, message.priority
         ):
-            self._refuse(segment, message, estimate)
+            self._place_or_refuse(message, segment, estimate)
         elif chosen is None:
             self._accept(message, segment, estimate)
         else:
             self._place_at_peer(chosen[1], message, segment)
 
+    def _place_or_refuse(
+        self, message: PeerMessage, segment: Segment, estimate: Estimate | None
+    ) -> None:
+        """Try agents beyond the neighbours before a flow is refused."""
+        distant = None
+        if message.hops <= MAX_HOPS:
+            distant = self._context.peers.choose_distant(
+                segment.flow, message.hops
+            )
+        if distant is None:
+            self._refuse(segment, message, estimate)
+        else:
+            self._context.counts['flows_placed_distantly'] += 1
+            self._place_at_peer(distant, message, segment)
+
     def _hand_over(self, segment: Segment, held: HeldFlow | None) -> None:
         self._place(self._make_hand_over(held), segment, None)
 
--- a/greengagepath/steering/agent_peers.py
+++ b/greengagepath/steering/agent_peers.py
@@ -1,10 +1,13 @@
 """Balancers and agents to which an agent reports its load."""
 
+import xxhash
+
 from ..foundation.timers import TimerService
 from .ages import drop_older
 from .homes import HomeTable
+from .neighbours import choose_neighbours
 from .peer_messages import LoadReport, ReportedState, Roster
-from .placement import PeerLoad
+from .placement import ACCEPTING_STATES, PeerLoad
 
 # Contacts without a message for this long are removed, also those that the
 # store or a roster has named.
@@ -13,6 +16,9 @@
 # An agent that is listed in the store and does not answer for this long is
 # not running: a killed process is back within a second or two.
 IDENTIFY_S = 3.0
+# An agent without a message for this long has missed three reports: it is
+# gone, or its target cannot be reached through it.
+GONE_AFTER_S = 6.5
 
 
 class AgentPeers:
@@ -22,8 +28,13 @@
     have reported a target that is not absent.
     """
 
-    def __init__(self, own_address: bytes, timers: TimerService) -> None:
+    def __init__(
+        self, own_address: bytes, own_zone: int, timers: TimerService
+    ) -> None:
         self.own_address = own_address
+        # Agents of the service that get each change of the load.
+        self.neighbours: list[bytes] = []
+        self._own_zone = own_zone
         self.homes = HomeTable([own_address])
         self.load_by_address: dict[bytes, PeerLoad] = {}
         self._timers = timers
@@ -90,8 +101,51 @@
                     added.append(address)
         return added
 
-    def record_report(self, address: bytes, report: LoadReport) -> bool:
-        """Record the load of another target; True if its agent is new."""
+    @property
+    def present_agents(self) -> list[bytes]:
+        """Return the other agents that are not silent for too long."""
+        seen_after_s = self._timers.now() - GONE_AFTER_S
+        return [
+            address
+            for address, seen_s in self._agent_seen_s.items()
+            if seen_s > seen_after_s
+        ]
+
+    @property
+    def distant_agents(self) -> list[bytes]:
+        """Return the other agents that are no neighbours."""
+        neighbours = set(self.neighbours)
+        return [
+            address
+            for address in self._agent_seen_s
+            if address not in neighbours
+        ]
+
+    def choose_distant(self, flow: bytes, hops: int) -> PeerLoad | None:
+        """Return an agent beyond the neighbours that may accept a flow.
+
+        Its load is not known; it places the flow by those of its own
+        neighbours. The choice depends on the flow and the hops so far.
+        """
+        neighbours = set(self.neighbours)
+        candidates = [
+            load
+            for address, load in self.load_by_address.items()
+            if address not in neighbours
+            and load.report.state in ACCEPTING_STATES
+        ]
+        if not candidates:
+            return None
+        choice = xxhash.xxh3_64_intdigest(flow, hops) % len(candidates)
+        return candidates[choice]
+
+    def record_report(
+        self, address: bytes, report: LoadReport, *, is_rare: bool = False
+    ) -> bool:
+        """Record the load of another target; True if its agent is new.
+
+        No flows are placed by a report that is repeated rarely.
+        """
         if address == self.own_address:
             return False
         self._unidentified_s.pop(address, None)
@@ -100,9 +154,11 @@
         if load is None:
             load = PeerLoad(address)
             self.load_by_address[address] = load
-        was_absent = load.report.state is ReportedState.ABSENT
-        load.update(report, self._timers.now())
-        if was_absent != (report.state is ReportedState.ABSENT):
+        earlier = load.report
+        load.update(report, self._timers.now(), is_rare=is_rare)
+        is_absent = report.state is ReportedState.ABSENT
+        was_absent = earlier.state is ReportedState.ABSENT
+        if was_absent != is_absent or earlier.zone != report.zone:
             self._rebuild_homes()
         return is_new
 
@@ -117,6 +173,8 @@
         """Exclude a pause of this process from the silence of peers."""
         for load in self.load_by_address.values():
             load.last_seen_s += pause_s
+        for address in self._agent_seen_s:
+            self._agent_seen_s[address] += pause_s
 
     def remove_silent(self) -> None:
         """Remove contacts without a message for `REMOVE_AFTER_S`."""
@@ -142,3 +200,11 @@
             if load.report.state is not ReportedState.ABSENT
         ]
         self.homes = HomeTable([*present, self.own_address])
+        self.neighbours = choose_neighbours(
+            self.own_address,
+            self._own_zone,
+            {
+                address: self.load_by_address[address].report.zone
+                for address in present
+            },
+        )
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -3,9 +3,11 @@
 from result import Err
 
 from .agent_context import AgentContext
+from .paced_rounds import PacedRounds
 from .peer_messages import (
     ASK_REPORT,
     NO_ADDRESS,
+    RARE_REPORT,
     LoadReport,
     PeerKind,
     PeerMessage,
@@ -14,13 +16,17 @@
     decode_roster,
 )
 from .placement import ACCEPTING_STATES
-from .route_copies import RouteAssembly
 
 # Shortest and longest time between reports to agents of the service.
 MIN_REPORT_INTERVAL_S = 0.01
 MAX_REPORT_INTERVAL_S = 0.1
-# Longest time between reports to balancers.
+# Longest time between reports to one balancer, unless there are so many
+# balancers that the next limit applies.
 BALANCER_REPORT_INTERVAL_S = 0.25
+MAX_BALANCER_REPORTS_PER_S = 100
+# Longest time between reports to an agent that is no neighbour.
+DISTANT_REPORT_INTERVAL_S = 2.0
+_MS_PER_S = 1000
 
 
 class AgentReports:
@@ -29,34 +35,42 @@
     def __init__(self, context: AgentContext) -> None:
         self._context = context
         self._agents_reported_s = context.timers.now()
-        self._balancers_reported_s = self._agents_reported_s
-        self._assembly = RouteAssembly()
-        self._pulls = 0
+        self._balancer_rounds = PacedRounds(self._agents_reported_s)
+        self._distant_rounds = PacedRounds(self._agents_reported_s)
         self._last_reported: tuple[int, ReportedState] | None = None
 
     def send_all(self) -> None:
         """Report load and state to all contacts now."""
-        self._report_to_agents()
-        self._report_to_balancers()
+        self._report_to_neighbours()
+        self._report_to_distant(self._context.peers.distant_agents)
+        self._report_to_balancers(self._context.peers.balancers)
 
     def send_change(self) -> None:
-        """Report to the agents unless the last report is too recent."""
+        """Report to the neighbours unless the last report is too recent."""
         now_s = self._context.timers.now()
         if now_s - self._agents_reported_s >= MIN_REPORT_INTERVAL_S:
-            self._report_to_agents()
+            self._report_to_neighbours()
 
     def send_due(self) -> None:
         """Send the reports that are due.
 
-        Agents get one after a change of load or state, too.
+        Neighbours get one after a change of load or state, too.
         """
         now_s = self._context.timers.now()
         load = (self._context.held_flows.load, self._current_state())
         idle_s = now_s - self._agents_reported_s
         if idle_s >= MAX_REPORT_INTERVAL_S or load != self._last_reported:
-            self._report_to_agents()
-        if now_s - self._balancers_reported_s >= BALANCER_REPORT_INTERVAL_S:
-            self._report_to_balancers()
+            self._report_to_neighbours()
+        peers = self._context.peers
+        interval_s = self._balancer_interval_s()
+        self._report_to_balancers(
+            self._balancer_rounds.take(peers.balancers, interval_s, now_s)
+        )
+        self._report_to_distant(
+            self._distant_rounds.take(
+                peers.distant_agents, DISTANT_REPORT_INTERVAL_S, now_s
+            )
+        )
 
     def report_to(self, addresses: list[bytes], *, asks: bool = False) -> None:
         """Report to the given contacts only, usually new ones.
@@ -81,7 +95,11 @@
             peers = self._context.peers
             is_new = False
             if message.service == self._context.identity.service:
-                is_new = peers.record_report(sender, decoded.ok_value)
+                is_new = peers.record_report(
+                    sender,
+                    decoded.ok_value,
+                    is_rare=message.hops == RARE_REPORT,
+                )
             else:
                 peers.remove_agent(sender)
             if is_new or message.hops == ASK_REPORT:
@@ -99,40 +117,17 @@
         if message.service == self._context.identity.service:
             self.report_to(peers.add_roster(decoded.ok_value))
 
-    def pull_routes(self) -> None:
-        """Ask a balancer for the configuration if a newer version exists."""
-        context = self._context
-        balancers = context.peers.balancers
-        if context.latest_version <= context.routes.version or not balancers:
-            return
-        self._pulls += 1
-        asked = balancers[self._pulls % len(balancers)]
-        pull = self._make_message(PeerKind.PULL, body=b'')
-        context.outbox.to_balancer(asked, pull.encode())
-
-    def handle_part(self, message: PeerMessage) -> None:
-        """Handle a part of a configuration copy."""
-        copy = self._assembly.add(message)
-        if copy is not None and copy.version > self._context.routes.version:
-            self._context.routes = copy
-
-    def send_routes(self, sender: bytes) -> None:
-        """Send the copy of the configuration, if any, to a balancer."""
-        if not self._context.routes.version:
-            return
-        service = self._context.identity.service
-        for part in self._context.routes.make_parts(service):
-            self._context.outbox.to_balancer(sender, part.encode())
-
     def send_held_to_balancer(self, flow: bytes, balancer: bytes) -> None:
         """Notify a balancer that the target holds the flow."""
         if balancer and balancer != NO_ADDRESS:
-            encoded = self._make_message(PeerKind.HELD, body=flow).encode()
+            encoded = self._context.make_message(
+                PeerKind.HELD, body=flow
+            ).encode()
             self._context.outbox.to_balancer(balancer, encoded)
 
     def send_notice(self, kind: PeerKind, flow: bytes, address: bytes) -> None:
         """Notify another agent, with HELD or NOT_HELD, about a flow."""
-        encoded = self._make_message(kind, body=flow).encode()
+        encoded = self._context.make_message(kind, body=flow).encode()
         self._context.outbox.to_agent(address, encoded)
 
     def send_packet(
@@ -145,21 +140,10 @@
         hops: int = 0,
     ) -> None:
         """Send a caller's packet of an open flow to another agent."""
-        message = self._make_message(kind, balancer=balancer, body=raw)
+        message = self._context.make_message(kind, balancer=balancer, body=raw)
         message.hops = hops
         self._context.outbox.to_agent(address, message.encode())
 
-    def _make_message(
-        self, kind: PeerKind, *, body: bytes, balancer: bytes = NO_ADDRESS
-    ) -> PeerMessage:
-        return PeerMessage(
-            kind,
-            self._context.identity.service,
-            balancer=balancer,
-            version=self._context.latest_version,
-            body=body,
-        )
-
     def _current_state(self) -> ReportedState:
         context = self._context
         state = context.gate.reported_state()
@@ -178,20 +162,39 @@
             slots=context.gate.slots,
             load=context.held_flows.load,
             service_s=context.estimate_service_s(),
+            zone=context.identity.zone,
+            interval_ms=round(self._balancer_interval_s() * _MS_PER_S),
+        )
+        message = self._context.make_message(
+            PeerKind.REPORT, body=report.encode()
         )
-        self._last_reported = (report.load, report.state)
-        message = self._make_message(PeerKind.REPORT, body=report.encode())
         message.hops = hops
         return message.encode()
 
-    def _report_to_agents(self) -> None:
+    def _balancer_interval_s(self) -> float:
+        balancers = len(self._context.peers.balancers)
+        return max(
+            BALANCER_REPORT_INTERVAL_S, balancers / MAX_BALANCER_REPORTS_PER_S
+        )
+
+    def _report_to_neighbours(self) -> None:
         self._agents_reported_s = self._context.timers.now()
         encoded = self._make_report()
-        for address in self._context.peers.agents:
+        self._last_reported = (
+            self._context.held_flows.load,
+            self._current_state(),
+        )
+        for address in self._context.peers.neighbours:
             self._context.outbox.to_agent(address, encoded)
 
-    def _report_to_balancers(self) -> None:
-        self._balancers_reported_s = self._context.timers.now()
-        encoded = self._make_report()
-        for address in self._context.peers.balancers:
+    def _report_to_distant(self, agents: list[bytes]) -> None:
+        if agents:
+            encoded = self._make_report(RARE_REPORT)
+        for address in agents:
+            self._context.outbox.to_agent(address, encoded)
+
+    def _report_to_balancers(self, balancers: list[bytes]) -> None:
+        if balancers:
+            encoded = self._make_report()
+        for address in balancers:
             self._context.outbox.to_balancer(address, encoded)
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -7,6 +7,7 @@
 from .agent_context import AgentContext, AgentIdentity, AgentOutbox
 from .agent_openings import AgentOpenings
 from .agent_reports import AgentReports
+from .agent_routes import AgentRoutes
 from .backlog import Backlog
 from .held_flows import HeldFlow
 from .leave_notices import LeaveNotices
@@ -46,6 +47,7 @@
     ) -> None:
         self.context = AgentContext(identity, timers, outbox)
         self.reports = AgentReports(self.context)
+        self._routes = AgentRoutes(self.context)
         owner_by_flow: RecentMap[bytes, bytes] = RecentMap(MAX_OWNERS)
         self._owner_by_flow = owner_by_flow
         self._openings = AgentOpenings(
@@ -99,9 +101,9 @@
             case PeerKind.PRESENCE:
                 self.reports.handle_presence(sender, message)
             case PeerKind.PART:
-                self.reports.handle_part(message)
+                self._routes.handle_part(message)
             case PeerKind.PULL:
-                self.reports.send_routes(sender)
+                self._routes.send_routes(sender)
 
     def handle_target_packet(self, segment: Segment) -> None:
         """Handle a packet that the target sent or sent back."""
@@ -268,4 +270,4 @@
         self._search.reset_search_limit()
         self.context.held_flows.sweep(now_s, self.context.identity.idle_s)
         self.context.peers.remove_silent()
-        self.reports.pull_routes()
+        self._routes.pull_routes()
--- a/greengagepath/steering/balancer_contacts.py
+++ b/greengagepath/steering/balancer_contacts.py
@@ -5,6 +5,7 @@
 from ..foundation.timers import TimerService
 from .ages import drop_older
 from .known_agents import KnownAgent, KnownAgents
+from .paced_rounds import PacedRounds
 from .peer_messages import (
     NO_SERVICE,
     PeerKind,
@@ -16,7 +17,16 @@
 from .routes import RouteHolder
 
 REMOVE_AFTER_S = 60.0
+# Agents, and balancers, that are taken from the store's list; bounds the
+# memory that entries of another writer can take.
+MAX_LISTED = 5000
+# Interval of the PRESENCE to balancers of the own zone, which have to
+# notice a silent one.
 PRESENCE_S = 1.0
+# Agents and the other balancers get one every second, or fewer if there
+# are more of them than this.
+MAX_PRESENCES_PER_S = 20
+ROSTER_CHECK_S = 0.25
 
 
 class BalancerOutbox(Protocol):
@@ -64,40 +74,50 @@
         self._outbox = outbox
         self._routes = routes
         self._balancer_seen_s: dict[bytes, float] = {}
-        timers.subscribe(PRESENCE_S, self.announce)
+        # Balancers of the own zone, as they announced themselves.
+        self._zone_peers: set[bytes] = set()
+        self._rosters = 0
+        self._roster_rounds = PacedRounds(timers.now())
+        self._balancer_rounds = PacedRounds(timers.now())
+        timers.subscribe(PRESENCE_S, self._announce_to_zone)
+        timers.subscribe(ROSTER_CHECK_S, self._announce_due)
         timers.subscribe(REMOVE_AFTER_S, self._remove_silent_balancers)
 
     def add_agents(self, addresses: list[bytes]) -> None:
         """Add agents from the store or settings; send them a PRESENCE."""
-        for address in addresses:
+        room = MAX_LISTED - len(self.agents.by_address)
+        for address in addresses[: max(room, 0)]:
             if address not in self.agents.by_address:
                 self._send_presence(self.agents.add(address), Roster([], []))
 
     def add_balancers(self, addresses: list[bytes]) -> None:
         """Add balancers from the store or the settings."""
         now_s = self._timers.now()
-        for address in addresses:
+        room = MAX_LISTED - len(self._balancer_seen_s)
+        for address in addresses[: max(room, 0)]:
             if address != self._address:
                 self._balancer_seen_s.setdefault(address, now_s)
 
     def announce(self) -> None:
-        """Send a PRESENCE to all known agents and balancers.
+        """Send stage and version to all known balancers and agents."""
+        # Balancers first: if the link is full, what follows is lost.
+        self._send_stage(list(self._balancer_seen_s))
+        for agent in tuple(self.agents.by_address.values()):
+            self._send_presence(agent, Roster([], []))
+
+    def send_roster(self, agent: KnownAgent) -> None:
+        """Send an agent the balancers and the agents of its service.
 
-        Agents get a roster of the balancers and agents that this
-        balancer knows, balancers its stage.
+        A roster that is too long has another part of the agents each
+        time.
         """
-        # The rosters of a large service can fill the link; datagrams that
-        # are sent after them are lost.
-        presence = self._encode(self._zone, b'', hops=self.stage)
-        for address in self._balancer_seen_s:
-            self._outbox.to_balancer(address, presence)
         balancers = [self._address, *self._balancer_seen_s]
-        for agent in tuple(self.agents.by_address.values()):
-            service_agents = self.agents.by_service.get(agent.service)
-            agents = (
-                list(service_agents.known.addresses) if service_agents else []
-            )
-            self._send_presence(agent, Roster(balancers, agents))
+        service_agents = self.agents.by_service.get(agent.service)
+        agents = list(service_agents.known.addresses) if service_agents else []
+        self._rosters += 1
+        start = self._rosters % len(agents) if agents else 0
+        roster = Roster(balancers, agents[start:] + agents[:start])
+        self._send_presence(agent, roster)
 
     def enter_stage(self, stage: BalancerStage) -> None:
         """Set the stage of this balancer and announce a change."""
@@ -122,10 +142,38 @@
         """Handle a PRESENCE of another balancer."""
         self._balancer_seen_s[sender] = self._timers.now()
         if message.service == self._zone and message.hops in _STAGES:
+            self._zone_peers.add(sender)
             self.rotation.update(sender, _STAGES[message.hops])
 
+    def _announce_to_zone(self) -> None:
+        self._send_stage(list(self._zone_peers))
+
+    def _announce_due(self) -> None:
+        """Send the stages and rosters that are due, in turn."""
+        now_s = self._timers.now()
+        distant = [
+            address
+            for address in self._balancer_seen_s
+            if address not in self._zone_peers
+        ]
+        self._send_stage(
+            self._balancer_rounds.take(distant, _round_s(distant), now_s)
+        )
+        agents = list(self.agents.by_address)
+        due = self._roster_rounds.take(agents, _round_s(agents), now_s)
+        for address in due:
+            self.send_roster(self.agents.by_address[address])
+
+    def _send_stage(self, balancers: list[bytes]) -> None:
+        presence = self._encode(self._zone, b'', hops=self.stage)
+        for address in balancers:
+            self._outbox.to_balancer(address, presence)
+
     def _remove_silent_balancers(self) -> None:
-        drop_older(self._balancer_seen_s, self._timers.now() - REMOVE_AFTER_S)
+        removed = drop_older(
+            self._balancer_seen_s, self._timers.now() - REMOVE_AFTER_S
+        )
+        self._zone_peers.difference_update(removed)
 
     def _send_presence(self, agent: KnownAgent, roster: Roster) -> None:
         encoded = self._encode(agent.service, roster.encode())
@@ -143,4 +191,9 @@
         return message.encode()
 
 
+def _round_s(receivers: list[bytes]) -> float:
+    """Return the time in which each receiver gets one PRESENCE."""
+    return max(PRESENCE_S, len(receivers) / MAX_PRESENCES_PER_S)
+
+
 _STAGES = {int(stage): stage for stage in BalancerStage}
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -292,9 +292,9 @@
         if isinstance(decoded, Err):
             self.counts['dropped_unreadable'] += 1
             return
-        self.contacts.agents.record_report(
-            sender, message.service, decoded.ok_value
-        )
+        agents = self.contacts.agents
+        if agents.record_report(sender, message.service, decoded.ok_value):
+            self.contacts.send_roster(agents.by_address[sender])
 
     def _send(
         self, address: bytes, kind: PeerKind, service: bytes, body: bytes
--- a/greengagepath/steering/known_agents.py
+++ b/greengagepath/steering/known_agents.py
@@ -9,8 +9,11 @@
 from .settings import format_address
 
 # Agents report every 250 ms; three lost reports in a row mean that an
-# agent is not running or cannot be reached.
+# agent is not running or cannot be reached. With many balancers an agent
+# reports less often and says so; the limit is then this many intervals.
 SILENCE_LIMIT_S = 0.9
+SILENCE_INTERVALS = 3.6
+_MS_PER_S = 1000
 REMOVE_AFTER_S = 60.0
 CHECK_S = 0.25
 
@@ -21,16 +24,28 @@
     """Last reported service and state of an agent.
 
     `service` is `NO_SERVICE` and `state` ABSENT until the first report;
-    `last_seen_s` is in monotonic seconds.
+    `last_seen_s` is in monotonic seconds; an agent is silent
+    `silence_limit_s` seconds later.
     """
 
-    __slots__ = ('address', 'last_seen_s', 'service', 'state')
+    __slots__ = (
+        'address',
+        'last_seen_s',
+        'service',
+        'silence_limit_s',
+        'state',
+    )
 
     def __init__(self, address: bytes, last_seen_s: float) -> None:
         self.address = address
         self.service = NO_SERVICE
         self.state = ReportedState.ABSENT
         self.last_seen_s = last_seen_s
+        self.silence_limit_s = SILENCE_LIMIT_S
+
+    def is_silent(self, now_s: float) -> bool:
+        """Return whether the agent has not reported for too long."""
+        return now_s - self.last_seen_s > self.silence_limit_s
 
     def may_hold_flows_of(self, service: bytes) -> bool:
         """Return whether the target may hold flows of the service."""
@@ -78,15 +93,20 @@
 
     def record_report(
         self, address: bytes, service: bytes, report: LoadReport
-    ) -> None:
-        """Record the load report of an agent."""
+    ) -> bool:
+        """Record the load report of an agent; True if it was not present."""
         agent = self.by_address.get(address) or self.add(address)
         now_s = self._timers.now()
-        was_silent = now_s - agent.last_seen_s > SILENCE_LIMIT_S
+        was_silent = agent.is_silent(now_s)
         agent.last_seen_s = now_s
+        agent.silence_limit_s = max(
+            SILENCE_LIMIT_S,
+            report.interval_ms / _MS_PER_S * SILENCE_INTERVALS,
+        )
         is_same = agent.service == service and agent.state is report.state
         if is_same and not was_silent:
-            return
+            return False
+        was_absent = agent.state is ReportedState.ABSENT
         if _is_notable_change(agent, report) or was_silent:
             log_event(
                 _logger,
@@ -99,6 +119,7 @@
         agent.service = service
         agent.state = report.state
         self._index_by_service()
+        return was_absent
 
     def _exclude_pause(self, pause_s: float) -> None:
         """Exclude a pause of this process from the silence of agents."""
@@ -114,14 +135,14 @@
         self._index_by_service()
 
     def _index_by_service(self) -> None:
-        seen_after_s = self._timers.now() - SILENCE_LIMIT_S
+        now_s = self._timers.now()
         known: dict[bytes, list[bytes]] = {}
         live: dict[bytes, list[bytes]] = {}
         for agent in self.by_address.values():
             if agent.state is ReportedState.ABSENT:
                 continue
             known.setdefault(agent.service, []).append(agent.address)
-            if agent.last_seen_s >= seen_after_s:
+            if not agent.is_silent(now_s):
                 live.setdefault(agent.service, []).append(agent.address)
         self.by_service = {
             service: ServiceAgents(addresses, live.get(service, []))
--- a/greengagepath/steering/lost_flows.py
+++ b/greengagepath/steering/lost_flows.py
@@ -14,6 +14,7 @@
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
 from .service_times import DEFAULT_S
+from .settings import format_address
 
 MAX_LOST = 20000
 MAX_POLLS = 5000
@@ -50,9 +51,9 @@
     """Resets a flow once it is certain that no target holds it.
 
     It is certain if the target at which the caller has opened the flow
-    sends a packet of it back, or if every agent of the service has
-    denied that its target holds the flow. An agent that does not know
-    all agents of its service resets nothing.
+    sends a packet of it back, or if every agent of the service that is
+    not silent has denied that its target holds the flow. An agent that
+    does not know all agents of its service resets nothing.
     """
 
     def __init__(self, context: AgentContext) -> None:
@@ -116,8 +117,8 @@
         before_s = self._context.timers.now() - POLL_TIMEOUT_S
         for flow, poll in tuple(self._poll_by_flow.items()):
             if poll.started_s <= before_s:
-                self._context.counts['polls_unanswered'] += 1
                 del self._poll_by_flow[flow]
+                self._log_unanswered(flow, poll)
             else:
                 self._decide(flow, poll)
 
@@ -125,11 +126,24 @@
         """Drop entries of idle flows."""
         self._lost_flows.rotate()
 
+    def _log_unanswered(self, flow: bytes, poll: _Poll) -> None:
+        """Log why a flow that nobody holds could not be reset."""
+        self._context.counts['polls_unanswered'] += 1
+        missing = set(self._context.peers.present_agents) - poll.denied_by
+        log_event(
+            _logger,
+            'flow.poll_unanswered',
+            repeats=True,
+            flow=describe_flow(flow),
+            missing=[format_address(agent) for agent in sorted(missing)[:3]],
+            is_complete=self._context.peers.is_complete,
+        )
+
     def _decide(self, flow: bytes, poll: _Poll) -> None:
         peers = self._context.peers
         if self._context.timers.now() < self._warm_s or not peers.is_complete:
             return
-        if poll.denied_by.issuperset(peers.agents):
+        if poll.denied_by.issuperset(peers.present_agents):
             del self._poll_by_flow[flow]
             self._declare(flow, poll.sequence, 'all agents')
 
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -24,9 +24,11 @@
 KNOWN_ONLY = 1
 # Value of `hops` in a report whose receiver is to answer with its own.
 ASK_REPORT = 1
+# Value of `hops` in a report that is repeated too rarely to place flows by.
+RARE_REPORT = 2
 # Addresses in one roster; keeps the datagram below 1,300 B.
 MAX_ROSTER = 300
-_REPORT = struct.Struct('!QIHHfB')
+_REPORT = struct.Struct('!QHHHHfB')
 _COUNT = struct.Struct('!H')
 
 
@@ -132,10 +134,20 @@
     `started_ms` is the target's start in ms since the epoch, 0 if
     unknown; `load` counts requests in progress and opened flows whose
     request is still expected; `service_s` is the estimated duration of
-    a request in seconds, 0 if unknown.
+    a request in seconds, 0 if unknown. `zone` identifies the availability
+    zone and `interval_ms` is the longest time between reports to a
+    balancer; agents of earlier builds report 0 for both.
     """
 
-    __slots__ = ('load', 'service_s', 'slots', 'started_ms', 'state')
+    __slots__ = (
+        'interval_ms',
+        'load',
+        'service_s',
+        'slots',
+        'started_ms',
+        'state',
+        'zone',
+    )
 
     def __init__(
         self,
@@ -145,8 +157,12 @@
         slots: int = 1,
         load: int = 0,
         service_s: float = 0,
+        zone: int = 0,
+        interval_ms: int = 0,
     ) -> None:
         self.state = state
+        self.zone = zone
+        self.interval_ms = interval_ms
         self.started_ms = started_ms
         self.slots = slots
         self.load = load
@@ -156,7 +172,8 @@
         """Return the body of a REPORT."""
         return _REPORT.pack(
             self.started_ms,
-            0,
+            self.zone,
+            min(self.interval_ms, MAX_COUNT),
             min(self.slots, MAX_COUNT),
             min(self.load, MAX_COUNT),
             self.service_s,
@@ -212,7 +229,8 @@
     """Return the report in the body of a REPORT, or why it is invalid."""
     if len(body) != _REPORT.size:
         return Err(f'report has {len(body)} B, expected {_REPORT.size} B')
-    started_ms, _, slots, load, service_s, state = _REPORT.unpack(body)
+    started_ms, zone, interval_ms, *numbers = _REPORT.unpack(body)
+    slots, load, service_s, state = numbers
     if state not in _STATES or not 0 <= service_s < _MAX_SERVICE_S:
         return Err('report has values out of range')
     report = LoadReport(
@@ -221,6 +239,8 @@
         slots=max(slots, 1),
         load=load,
         service_s=service_s,
+        zone=zone,
+        interval_ms=interval_ms,
     )
     return Ok(report)
 
--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -45,10 +45,17 @@
         self.last_seen_s = -SILENCE_LIMIT_S
         self._placements_s: list[float] = []
 
-    def update(self, report: LoadReport, now_s: float) -> None:
-        """Store a report; keep the placements that it cannot include yet."""
+    def update(
+        self, report: LoadReport, now_s: float, *, is_rare: bool = False
+    ) -> None:
+        """Store a report; keep the placements that it cannot include yet.
+
+        A rare report does not make the target usable: all homes that get
+        it would choose the target for as long as it counts as fresh.
+        """
         self.report = report
-        self.last_seen_s = now_s
+        if not is_rare:
+            self.last_seen_s = now_s
         if self._placements_s:
             since_s = now_s - REPORT_TRANSIT_S
             self._placements_s = [
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -7,6 +7,9 @@
 
 # A target is silent after this many heartbeat intervals.
 MISSED_HEARTBEATS = 3.5
+# A target that runs sends its first heartbeat to a new agent within this
+# many intervals.
+FIRST_HEARTBEATS = 2.0
 
 
 @unique
@@ -137,6 +140,17 @@
         limit_s = self._heartbeat_s * MISSED_HEARTBEATS
         return not self._opening_failed and silent_s < limit_s
 
+    @property
+    def is_down(self) -> bool:
+        """Return whether the target is most likely not running.
+
+        It has left, is silent, or has not sent anything to this agent.
+        """
+        intervals = MISSED_HEARTBEATS if self.is_heard else FIRST_HEARTBEATS
+        silent_s = self._timers.now() - self._last_seen_s
+        is_silent = silent_s >= self._heartbeat_s * intervals
+        return is_silent or self.phase is TargetPhase.GONE
+
     def reported_state(self) -> ReportedState:
         """Return the state for load reports."""
         match self.phase:
--- a/greengagepath/steering/target_trials.py
+++ b/greengagepath/steering/target_trials.py
@@ -196,13 +196,14 @@
             return
         self._context.counts['trials_unanswered'] += 1
         self._trial_by_flow.discard(flow)
-        self._fail(
-            trial,
-            segments,
-            self._owner.search_known
-            if gate.is_heard
-            else self._owner.search_all_agents,
-        )
+        if gate.is_down:
+            self._owner.deny(flow, trial.searchers)
+            search = self._owner.poll_agents
+        elif gate.is_heard:
+            search = self._owner.search_known
+        else:
+            search = self._owner.search_all_agents
+        self._fail(trial, segments, search)
 
     def _fail(
         self,
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -121,7 +121,11 @@
 
 
 def make_identity(
-    number: int = 1, *, is_first_start: bool = True, service: bytes = SERVICE
+    number: int = 1,
+    *,
+    is_first_start: bool = True,
+    service: bytes = SERVICE,
+    zone: int = 0,
 ) -> AgentIdentity:
     """Return the identity of an agent."""
     return AgentIdentity(
@@ -130,6 +134,7 @@
         heartbeat_s=1.2,
         idle_s=60.0,
         is_first_start=is_first_start,
+        zone=zone,
     )
 
 
--- a/tests/steering/test_lost_flows.py
+++ b/tests/steering/test_lost_flows.py
@@ -4,11 +4,12 @@
 from hypothesis import strategies as st
 from testtools import TestCase
 
-from greengagepath.steering.agent_peers import IDENTIFY_S
+from greengagepath.steering.agent_peers import GONE_AFTER_S, IDENTIFY_S
 from greengagepath.steering.lost_flows import WARM_UP_S
+from greengagepath.steering.target_gate import FIRST_HEARTBEATS
 
 from .builders import OTHER_SERVICE, make_address, make_flow
-from .world import World
+from .world import HEARTBEAT_S, World
 
 AGENTS = 3
 EXAMPLES = 300
@@ -82,6 +83,17 @@
         self._restart_all(except_target=self.holder)
         self.world.stop_agent(self.holder)
         self.assertEqual([], self._request_again())
+        self.world.timers.advance(GONE_AFTER_S / 2)
+        self.assertEqual([], self._request_again())
+
+    def test_agent_that_is_gone_is_no_obstacle(self):
+        # Guards against lost flows that are not reset for a minute, since
+        # the VM of an agent was removed after the others had restarted.
+        self._restart_all()
+        self.world.stop_agent(self.holder % AGENTS + 1)
+        self.assertEqual([], self._request_again())
+        self.world.timers.advance(GONE_AFTER_S)
+        self.assertNotEqual([], self._request_again())
 
     def test_flow_is_kept_while_a_listed_agent_is_unknown(self):
         # Guards against the reset of a flow whose agent is listed in the
@@ -113,6 +125,22 @@
         self.world.target_by_address[make_address(self.holder)].work_s = 5
         self.assertEqual([], self._request_again())
 
+    def test_agent_without_a_running_target_is_no_obstacle(self):
+        # Guards against lost flows that are never reset, because an agent
+        # has restarted beside a target that is gone and answers nothing.
+        self._restart_all()
+        other = self.holder % AGENTS + 1
+        self.world.target_by_address[make_address(other)].is_dead = True
+        self.world.stop_agent(other)
+        self.world.start_agent(
+            other, is_first_start=False, heartbeat_after_s=1000
+        )
+        self.world.list_members(other)
+        self.world.timers.advance(0.2)
+        self.assertEqual([], self._request_again())
+        self.world.timers.advance(FIRST_HEARTBEATS * HEARTBEAT_S)
+        self.assertNotEqual([], self._request_again())
+
     def test_listed_agent_of_another_service_is_no_obstacle(self):
         # Guards against lost flows that are never reset, because a listed
         # agent serves another service and does not answer.
