--- a/tests/steering/test_neighbours.py
+++ b/tests/steering/test_neighbours.py
@@ -241,7 +241,7 @@
         # lists a million members that do not exist.
         listed = [number.to_bytes(4, 'big') for number in range(MAX_LISTED * 2)]
         self.contacts.add_agents(listed)
-        self.contacts.add_agents(listed[::-1])
+        self.contacts.add_agents(list(reversed(listed)))
         self.contacts.add_balancers(listed)
         self.assertEqual(MAX_LISTED, len(self.contacts.agents.by_address))
         self.outbox.sent_to_balancers.clear()
