Keep a new flow that uses the ports of a lost one

Cause: an agent remembers for up to a minute which flows were lost, by addresses and ports, and resets their packets. A caller that opens a new flow from the same port would get such a reset if the agent has not heard of the new owner.

Change: only packets whose acknowledgement is near that of the lost flow belong to it.

--- a/greengagepath/steering/lost_flows.py
+++ b/greengagepath/steering/lost_flows.py
@@ -18,6 +18,8 @@
 
 MAX_LOST = 20000
 MAX_POLLS = 5000
+# Packets of one flow that are further apart belong to different flows.
+MAX_SEQUENCE_STEP = 76800
 # Agents answer within a round trip and the time of a trial. After a
 # restart, the list of members and the first reports take longer.
 POLL_TIMEOUT_S = 2.0
@@ -59,7 +61,8 @@
     def __init__(self, context: AgentContext) -> None:
         self._context = context
         self._poll_by_flow: dict[bytes, _Poll] = {}
-        self._lost_flows: RecentMap[bytes, bool] = RecentMap(MAX_LOST)
+        # Last sequence number that the caller acknowledged, by flow.
+        self._lost_flows: RecentMap[bytes, int] = RecentMap(MAX_LOST)
         # Sequence numbers of the resets that are still to be sent.
         self._due_by_flow: dict[bytes, int] = {}
         self._allowed_resets = MAX_BURST
@@ -67,8 +70,16 @@
         self._warm_s = self._refilled_s + WARM_UP_S
 
     def reset_again(self, segment: Segment) -> bool:
-        """Reset a flow that is known to be lost; False for others."""
-        if not self._lost_flows.get(segment.flow):
+        """Reset a flow that is known to be lost; False for others.
+
+        A caller may use the ports of a lost flow again. Its new flow has
+        other sequence numbers.
+        """
+        sequence = self._lost_flows.get(segment.flow)
+        if sequence is None:
+            return False
+        if abs(segment.acknowledged - sequence) > MAX_SEQUENCE_STEP:
+            self._lost_flows.discard(segment.flow)
             return False
         if segment.has_acknowledgement:
             self._due_by_flow[segment.flow] = segment.acknowledged
@@ -148,7 +159,7 @@
             self._declare(flow, poll.sequence, 'all agents')
 
     def _declare(self, flow: bytes, sequence: int, source: str) -> None:
-        self._lost_flows.put(flow, True)
+        self._lost_flows.put(flow, sequence)
         log_event(
             _logger,
             'flow.lost',
--- a/tests/steering/test_lost_flows.py
+++ b/tests/steering/test_lost_flows.py
@@ -5,10 +5,10 @@
 from testtools import TestCase
 
 from greengagepath.steering.agent_peers import GONE_AFTER_S, IDENTIFY_S
-from greengagepath.steering.lost_flows import WARM_UP_S
+from greengagepath.steering.lost_flows import WARM_UP_S, LostFlows
 from greengagepath.steering.target_gate import FIRST_HEARTBEATS
 
-from .builders import OTHER_SERVICE, make_address, make_flow
+from .builders import OTHER_SERVICE, make_address, make_data, make_flow
 from .world import HEARTBEAT_S, World
 
 AGENTS = 3
@@ -70,6 +70,16 @@
         self.assertEqual(searches, self._count_searches())
         self.assertEqual(resets + 1, len(self.world.open_resets[self.flow]))
 
+    def test_new_flow_with_the_ports_of_a_lost_one_is_kept(self):
+        # Guards against the reset of a flow that a caller has opened with
+        # the ports of one that was lost before.
+        agent = self.world.agent_by_address[make_address(1)]
+        lost = LostFlows(agent.context)
+        lost.declare(make_data(self.flow, 1000))
+        self.assertTrue(lost.reset_again(make_data(self.flow, 2000)))
+        self.assertFalse(lost.reset_again(make_data(self.flow, 5000000)))
+        self.assertFalse(lost.reset_again(make_data(self.flow, 2000)))
+
     def test_flow_of_a_running_target_is_kept(self):
         # Guards against the reset of an open flow after all agents have
         # restarted.
