Compare a poll with the agents only when enough have denied

Cause: each denial of a lost flow compared it with all agents of the service, which takes a time that grows with the square of the service.

Change: a poll with fewer denials than there were agents at the last check, every 20 ms, is not compared.

--- a/greengagepath/steering/lost_flows.py
+++ b/greengagepath/steering/lost_flows.py
@@ -63,6 +63,9 @@
         self._poll_by_flow: dict[bytes, _Poll] = {}
         # Last sequence number that the caller acknowledged, by flow.
         self._lost_flows: RecentMap[bytes, int] = RecentMap(MAX_LOST)
+        # Number of agents at the last check; a poll with fewer denials
+        # need not be compared with the agents.
+        self._needed_denials = 0
         # Sequence numbers of the resets that are still to be sent.
         self._due_by_flow: dict[bytes, int] = {}
         self._allowed_resets = MAX_BURST
@@ -125,6 +128,7 @@
         are sent.
         """
         self._send_due()
+        self._needed_denials = len(self._context.peers.present_agents)
         before_s = self._context.timers.now() - POLL_TIMEOUT_S
         for flow, poll in tuple(self._poll_by_flow.items()):
             if poll.started_s <= before_s:
@@ -151,6 +155,8 @@
         )
 
     def _decide(self, flow: bytes, poll: _Poll) -> None:
+        if len(poll.denied_by) < self._needed_denials:
+            return
         peers = self._context.peers
         if self._context.timers.now() < self._warm_s or not peers.is_complete:
             return
