--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,78 +1,80 @@
-"""A late status report of an earlier lifetime after an agent's restart."""
+"""A draining endpoint that has started while its clock was stepped."""
 
 import asyncio
-import json
-import random
 import sys
+import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parents[1]))
-from stand_ins import http
 from stand_ins.deployment import Deployment, make_route
 from stand_ins.runner import run_case
 from stand_ins.scene import Scene
 
 PORT = 443
-FLOWS = 20
-# Longer than `stable-window-ms`.
-PAUSE_S = 5.0
+DRAIN_S = 3.0
+# `clock_step` in the site file: 2,400 ms ahead.
+STEP_MS = 2400
+# The endpoint crashes this long after its start, and starts again.
+LIVES_S = 1.0
+RESTARTS_AFTER_S = 0.5
+BEFORE_S = 8.0
+AFTER_S = 9.0
+GAP_S = 0.05
 
 
 async def run(deployment: Deployment, has_trouble: bool) -> list[str]:
-    """Return the open flows that got a reset of the system's own."""
-    record = deployment.record
+    """Return the requests that reached the draining endpoint too late."""
     await deployment.start_store()
     scene = Scene(deployment, 2, ['huvo11a', 'huvo11a'])
     deployment.write_configuration(
         7, [make_route('r', scene.route_host, PORT, service='huvo11a')]
     )
     await scene.start()
-    earlier = scene.endpoints[0]
-    host = scene.agents[0]
-    earlier.crash()
-    late_report = json.dumps(earlier.describe() | {'sequence': 1000}).encode()
-    await asyncio.sleep(1)
-    reborn = deployment.make_endpoint(host, 'i-reborn')
-    scene.endpoints[0] = reborn
-    await reborn.start()
-    await asyncio.sleep(1)
+    crashing = scene.endpoints[0]
+    crashing.crash()
+    await asyncio.sleep(RESTARTS_AFTER_S)
+    # The clock of this machine is ahead, then back at the true time.
+    step_ms = STEP_MS if has_trouble else 0
+    ahead = await _start_again(deployment, scene, 'i-a', step_ms)
+    await asyncio.sleep(LIVES_S)
+    ahead.crash()
+    await asyncio.sleep(RESTARTS_AFTER_S)
+    leaving = await _start_again(deployment, scene, 'i-b', 0)
+    traffic = asyncio.ensure_future(_send_requests(scene))
+    await asyncio.sleep(BEFORE_S)
 
-    flows = [
-        scene.requesters.create_flow((scene.route_host, PORT))
-        for _ in range(FLOWS)
-    ]
-    opened = [flow for flow in flows if await flow.open()]
-    await asyncio.gather(*(_request(scene, flow, 1) for flow in opened))
+    acknowledged_s = await leaving.drain()
+    late: list[str] = []
 
-    rolling = asyncio.ensure_future(deployment.roll(host))
-    control = deployment.address(host, 'control')
-    await rolling
-    if has_trouble:
-        # The delayed report arrives as soon as the agent listens again.
-        status = 0
-        while status != 200:
-            await asyncio.sleep(0.02)
-            status = await http.call(
-                control, 'PUT', f'/endpoints/{earlier.name}', late_report
+    def check_opening(caller: tuple[str, int]) -> None:
+        waited_s = time.monotonic() - acknowledged_s
+        if waited_s > DRAIN_S:
+            late.append(
+                f'DRAIN: flow {caller[1]} reached {leaving.name} '
+                f'{waited_s:.2f} s after its draining was acknowledged'
             )
-        record.write('late report of the earlier lifetime', id=earlier.name)
-    await asyncio.sleep(PAUSE_S)
-    await asyncio.gather(*(_request(scene, flow, 2) for flow in opened))
-    for flow in opened:
-        flow.close()
-    return [
-        f'FLOW: flow {port}, open at {holder}, got a reset that its endpoint '
-        'did not send'
-        for port, holder in scene.resets.items()
-    ]
 
+    leaving.on_opening = check_opening
+    await asyncio.sleep(AFTER_S)
+    traffic.cancel()
+    return late
 
-async def _request(scene: Scene, flow, number: int) -> None:
-    await asyncio.sleep(random.uniform(0, 1))
-    attempt = f'{flow.end[1]}-{number}'
-    scene.record.write('request sent', attempt=attempt)
-    answer = await flow.request(attempt)
-    scene.record.write('request ended', attempt=attempt, is_served=bool(answer))
+
+async def _start_again(deployment, scene, name: str, step_ms: int):
+    """Start an endpoint on the first machine; return it."""
+    born = int(time.time() * 1000) + step_ms
+    endpoint = deployment.make_endpoint(scene.agents[0], name, born=born)
+    await endpoint.start()
+    return endpoint
+
+
+async def _send_requests(scene: Scene) -> None:
+    number = 0
+    async with asyncio.TaskGroup() as group:
+        while True:
+            number += 1
+            group.create_task(scene.request_once(PORT, f'r-{number}'))
+            await asyncio.sleep(GAP_S)
 
 
 if __name__ == '__main__':
