--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """Open flows of a route with two services while a balancer restarts."""
 
 import asyncio
+import os
 import random
 import sys
 from pathlib import Path
@@ -11,6 +12,9 @@
 from stand_ins.runner import run_case
 from stand_ins.scene import Scene
 
+# With TROUBLE=0 the case runs without its disruption.
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
 FLOWS = 30
 PORT = 443
 # The balancer restarts this long after the flows have been opened.
@@ -65,4 +69,4 @@
 
 
 if __name__ == '__main__':
-    run_case(__file__, run)
+    run_case(__file__, run, has_trouble=HAS_TROUBLE)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """A configuration change after answers of the store were lost."""
 
 import asyncio
+import os
 import random
 import sys
 from pathlib import Path
@@ -10,6 +11,9 @@
 from stand_ins.runner import run_case
 from stand_ins.scene import Scene
 
+# With TROUBLE=0 the case runs without its disruption.
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
 KEPT_PORT = 443
 DROPPED_PORT = 444
 ADDED_PORT = 445
@@ -79,4 +83,4 @@
 
 
 if __name__ == '__main__':
-    run_case(__file__, run)
+    run_case(__file__, run, has_trouble=HAS_TROUBLE)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,6 +1,7 @@
 """A draining endpoint that has started while its clock was stepped."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -10,6 +11,9 @@
 from stand_ins.runner import run_case
 from stand_ins.scene import Scene
 
+# With TROUBLE=0 the case runs without its disruption.
+HAS_TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+
 PORT = 443
 DRAIN_S = 3.0
 # `clock_step` in the site file: 2,400 ms ahead.
@@ -78,4 +82,4 @@
 
 
 if __name__ == '__main__':
-    run_case(__file__, run)
+    run_case(__file__, run, has_trouble=HAS_TROUBLE)
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -28,6 +28,8 @@
 RESTART_S = 0.5
 START_S = 20.0
 GRACE_S = 6
+# Port of the metrics in the settings template.
+METRICS_PORT = 9464
 
 
 class CannotRunError(Exception):
@@ -40,7 +42,7 @@
     def __init__(self, record: Record) -> None:
         self.record = record
         self.store = Store()
-        self.network = f'127.{random.randrange(16, 240)}.77'
+        self.network = _find_free_network()
         self.ports = _find_free_ports(self.host(9), 24)
         self.endpoints: dict[str, Endpoint] = {}
         self.balancers: list[str] = []
@@ -270,6 +272,23 @@
     return re.sub(r'\{\{([^}]+)\}\}', replace, template)
 
 
+def _find_free_network() -> str:
+    """Return the start of loopback addresses that nobody uses.
+
+    The metrics have the same port on all machines, so two deployments on
+    the same addresses would collide.
+    """
+    for _ in range(50):
+        network = f'127.{random.randrange(1, 255)}.{random.randrange(1, 255)}'
+        with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as bound:
+            try:
+                bound.bind((f'{network}.1', METRICS_PORT))
+            except OSError:
+                continue
+            return network
+    raise CannotRunError('no free loopback addresses')
+
+
 def _find_free_ports(host: str, count: int) -> int:
     """Return the first of some ports that are free at an address."""
     for _ in range(50):
--- a/review/stand_ins/runner.py
+++ b/review/stand_ins/runner.py
@@ -20,9 +20,8 @@
 Case = Callable[[Deployment, bool], Awaitable[list[str]]]
 
 
-def run_case(script: str, case: Case) -> None:
-    """Run a case, with the disruption unless `TROUBLE` is 0, and exit."""
-    has_trouble = os.environ.get('TROUBLE', '1') != '0'
+def run_case(script: str, case: Case, *, has_trouble: bool) -> None:
+    """Run a case, with or without its disruption, and exit."""
     status = asyncio.run(
         _run(Path(script).parent, case, has_trouble=has_trouble)
     )
