Reset an open flow only after all services have denied it

Cause: a balancer that does not know the owner of a flow sends its packet to the home of each service of the route. The home of the service that does not hold the flow gets the denials of all agents of its own service, and took them for proof that no target holds the flow. The set that was asked was the set that the home knows, not the set that can hold the flow. The same conclusion was wrong after a change of the services of a route, which leaves open flows where they are.

Change: a home that has the denials of its service tells the balancer (DENIED). The balancer asks the homes of all other services, and has the flow reset (LOST) when all services with an agent that is not gone have denied it, it has read the list of members and knows the service of every listed agent. Without proof nothing is sent. The same way finds flows whose service was taken off their route, which got no answer before. Balancers keep the packets of open flows in a module of their own (open_flows.py), the proof is decided without I/O (flow_denials.py). `flow.denied` and `flow.denied_by_all` say who has denied a flow and who was asked.

Why it works: a flow is held by one target, its agent does not deny it, and that agent's service is one of those that have to deny.

--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -9,7 +9,7 @@
 from ..foundation.logs import log_event
 from ..steering.balancer_contacts import BalancerIdentity
 from ..steering.balancer_steering import BalancerSteering
-from ..steering.peer_messages import PeerMessage
+from ..steering.peer_messages import PeerKind, PeerMessage
 from ..steering.rotation import BalancerStage
 from ..steering.settings import SteeringSettings
 from ..steering.store import MemberRole, SteeringStore
@@ -138,7 +138,10 @@
         self.steering.handle_caller_packet(segment)
 
     def _handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
-        self.steering.handle_peer_message(sender, message)
+        segment = None
+        if message.kind is PeerKind.DENIED:
+            segment = self._codec.decode_from_caller(message.body)
+        self.steering.handle_peer_message(sender, message, segment)
 
     def _answer(self, request: HttpRequest) -> HttpReply:
         if request.path.partition('?')[0] != self._codec.readiness_path:
--- a/greengagepath/output/flow_trace.py
+++ b/greengagepath/output/flow_trace.py
@@ -20,6 +20,9 @@
     'flow.tried',
     'flow.reset_by_target',
     'flow.searched',
+    'flow.denied',
+    'flow.denied_by_all',
+    'flow.lost',
     'flow.answered',
 )
 _ORIGIN = frozenset(('time', 'level', 'event', 'role', 'member_id', 'flow'))
--- a/greengagepath/steering/agent_peers.py
+++ b/greengagepath/steering/agent_peers.py
@@ -5,6 +5,12 @@
 from ..foundation.timers import TimerService
 from .ages import drop_older
 from .homes import HomeTable
+from .known_agents import (
+    GONE_AFTER_S,
+    IDENTIFY_S,
+    IDLE_GONE_AFTER_S,
+    IDLE_STATES,
+)
 from .neighbours import choose_neighbours
 from .peer_messages import LoadReport, ReportedState, Roster
 from .placement import ACCEPTING_STATES, PeerLoad
@@ -13,16 +19,6 @@
 # store or a roster has named.
 REMOVE_AFTER_S = 60.0
 MAX_CONTACTS = 1000
-# An agent that is listed in the store and does not answer for this long is
-# not running: a killed process is back within a second or two.
-IDENTIFY_S = 3.0
-# An agent without a message for this long has missed three reports: it is
-# gone, or its target cannot be reached through it.
-GONE_AFTER_S = 6.5
-# The same for an agent that has last reported no running target: such a VM
-# is often taken away with its target.
-IDLE_GONE_AFTER_S = 2.5
-_IDLE_STATES = frozenset((ReportedState.ABSENT, ReportedState.UNHEARD))
 
 
 class AgentPeers:
@@ -190,7 +186,7 @@
 
     def _gone_after_s(self, address: bytes) -> float:
         load = self.load_by_address.get(address)
-        if load is not None and load.report.state in _IDLE_STATES:
+        if load is not None and load.report.state in IDLE_STATES:
             return IDLE_GONE_AFTER_S
         return GONE_AFTER_S
 
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -26,6 +26,8 @@
 _PROCESS_KINDS = frozenset(
     (PeerKind.REPORT, PeerKind.PRESENCE, PeerKind.PART, PeerKind.PULL)
 )
+# Kinds of messages about the holder of one flow.
+_NOTICE_KINDS = frozenset((PeerKind.HELD, PeerKind.NOT_HELD, PeerKind.LOST))
 
 _logger = logging.getLogger(__name__)
 
@@ -77,11 +79,8 @@
                 self._handle_process_message(sender, message)
             case _ if message.service != context.identity.service:
                 context.drop('foreign_service', message.kind.name)
-            case PeerKind.HELD:
-                self._owner_by_flow.put(message.body, sender)
-                self._search.record_owner(message.body)
-            case PeerKind.NOT_HELD:
-                self._search.record_denial(sender, message.body)
+            case kind if kind in _NOTICE_KINDS:
+                self._handle_notice(sender, message.kind, message.body)
             case _ if segment is None:
                 context.drop('unreadable_packet', message.kind.name)
             case _ if segment.is_opening:
@@ -92,6 +91,19 @@
             case _:
                 self._handle_packet(sender, message, segment)
 
+    def _handle_notice(
+        self, sender: bytes, kind: PeerKind, flow: bytes
+    ) -> None:
+        lost_flows = self._search.lost_flows
+        match kind:
+            case PeerKind.HELD:
+                self._owner_by_flow.put(flow, sender)
+                lost_flows.record_owner(flow)
+            case PeerKind.NOT_HELD:
+                lost_flows.record_denial(sender, flow)
+            case _ if flow not in self.context.held_flows.by_flow:
+                lost_flows.record_lost(flow)
+
     def _handle_process_message(
         self, sender: bytes, message: PeerMessage
     ) -> None:
--- a/greengagepath/steering/balancer_contacts.py
+++ b/greengagepath/steering/balancer_contacts.py
@@ -84,11 +84,16 @@
         timers.subscribe(REMOVE_AFTER_S, self._remove_silent_balancers)
 
     def add_agents(self, addresses: list[bytes]) -> None:
-        """Add agents from the store or settings; send them a PRESENCE."""
+        """Add the agents of the store's list; send them a PRESENCE."""
         room = MAX_LISTED - len(self.agents.by_address)
-        for address in addresses[: max(room, 0)]:
-            if address not in self.agents.by_address:
-                self._send_presence(self.agents.add(address), Roster([], []))
+        added = [
+            address
+            for address in addresses
+            if address not in self.agents.by_address
+        ]
+        self.agents.is_listed = len(added) <= room
+        for address in added[: max(room, 0)]:
+            self._send_presence(self.agents.add(address), Roster([], []))
 
     def add_balancers(self, addresses: list[bytes]) -> None:
         """Add balancers from the store or the settings."""
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -14,13 +14,13 @@
     BalancerIdentity,
     BalancerOutbox,
 )
+from .open_flows import OpenFlows
 from .peer_messages import (
     NO_SERVICE,
     PeerKind,
     PeerMessage,
     decode_report,
 )
-from .recent_map import RecentMap
 from .route_codec import decode_routes, encode_routes
 from .route_copies import RouteAssembly, RouteCopy
 from .routes import Route, RouteHolder, RouteTable
@@ -33,7 +33,6 @@
 # many checks in a row, which gives the store time to deliver it.
 PULL_CHECK_S = 0.3
 PULL_AFTER_CHECKS = 2
-MAX_OWNERS = 400000
 # Until this time after its start a balancer may not have received the
 # reports of all agents.
 WARM_UP_S = 1.5
@@ -41,16 +40,6 @@
 _logger = logging.getLogger(__name__)
 
 
-class FlowOwner:
-    """Agent whose target holds a flow, and the service of the flow."""
-
-    __slots__ = ('agent', 'service')
-
-    def __init__(self, agent: bytes, service: bytes) -> None:
-        self.agent = agent
-        self.service = service
-
-
 class BalancerSteering:
     """Forwards packets of callers to agents.
 
@@ -72,14 +61,16 @@
         self._timers = timers
         self._outbox = outbox
         self._on_behind = on_behind
-        self._owner_by_flow: RecentMap[bytes, FlowOwner] = RecentMap(MAX_OWNERS)
+        self._open_flows = OpenFlows(
+            timers, self.routes, self.contacts.agents, self.counts, self._send
+        )
         self._assembly = RouteAssembly()
         self._copy = RouteCopy()
         self._outdated_checks = 0
         self.backlog = Backlog(timers)
         self._started_s = timers.now()
         timers.subscribe(PULL_CHECK_S, self.pull_routes)
-        timers.subscribe(ROTATE_S, self._owner_by_flow.rotate)
+        timers.subscribe(ROTATE_S, self._open_flows.rotate)
 
     @property
     def has_agents(self) -> bool:
@@ -93,16 +84,28 @@
         elif segment.is_opening:
             self._handle_opening(segment)
         else:
-            self._forward(segment)
+            self._open_flows.forward(segment)
+
+    def handle_peer_message(
+        self,
+        sender: bytes,
+        message: PeerMessage,
+        segment: Segment | None = None,
+    ) -> None:
+        """Handle a datagram of another process.
 
-    def handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
-        """Handle a datagram of another process."""
+        `segment` is the caller's packet that a DENIED carries, None if it
+        is malformed and for all other messages.
+        """
         if self.routes.observe_version(message.version):
             self._on_behind()
         match message.kind:
             case PeerKind.HELD:
-                owner = FlowOwner(sender, message.service)
-                self._owner_by_flow.put(message.body, owner)
+                self._open_flows.record_owner(
+                    sender, message.service, message.body
+                )
+            case PeerKind.DENIED if segment is not None:
+                self._open_flows.handle_denial(sender, message.service, segment)
             case PeerKind.REPORT:
                 self._handle_report(sender, message)
             case PeerKind.PULL:
@@ -221,36 +224,6 @@
         ranked = service_agents.live.rank(segment.flow)
         return ranked[segment.copy_number % len(ranked)]
 
-    def _forward(self, segment: Segment) -> None:
-        flow = segment.flow
-        owner = self._owner_by_flow.get(flow)
-        if owner is not None:
-            agent = self.contacts.agents.by_address.get(owner.agent)
-            if agent is not None and agent.may_hold_flows_of(owner.service):
-                self.counts['packets_forwarded'] += 1
-                self._send(
-                    owner.agent, PeerKind.FORWARD, owner.service, segment.raw
-                )
-                return
-            self._owner_by_flow.discard(flow)
-        self._forward_unknown(segment)
-
-    def _forward_unknown(self, segment: Segment) -> None:
-        route = self.routes.find(segment.flow)
-        if route is None:
-            self.counts['dropped_no_route'] += 1
-            return
-        for share in route.shares:
-            service_agents = self.contacts.agents.by_service.get(share.service)
-            home = (
-                service_agents.find_home(segment.flow)
-                if service_agents
-                else None
-            )
-            if home is not None:
-                self.counts['packets_to_home'] += 1
-                self._send(home, PeerKind.FORWARD, share.service, segment.raw)
-
     def _refuse_unknown_route(self, flow: bytes) -> None:
         if self.routes.table is None or self.routes.is_behind:
             # The route may be in a version that has not arrived yet; the
--- a/greengagepath/steering/known_agents.py
+++ b/greengagepath/steering/known_agents.py
@@ -15,6 +15,15 @@
 SILENCE_INTERVALS = 3.6
 _MS_PER_S = 1000
 REMOVE_AFTER_S = 60.0
+# An agent that is listed in the store and has not reported for this long is
+# not running: a killed process is back within a second or two.
+IDENTIFY_S = 3.0
+# An agent without a report for this long is gone, or its target cannot be
+# reached through it. Shorter if its last report named no running target:
+# such a VM is often taken away with its target.
+GONE_AFTER_S = 6.5
+IDLE_GONE_AFTER_S = 2.5
+IDLE_STATES = frozenset((ReportedState.ABSENT, ReportedState.UNHEARD))
 CHECK_S = 0.25
 
 _logger = logging.getLogger(__name__)
@@ -47,6 +56,14 @@
         """Return whether the agent has not reported for too long."""
         return now_s - self.last_seen_s > self.silence_limit_s
 
+    @property
+    def gone_after_s(self) -> float:
+        """Return how long after its last report the agent counts as gone."""
+        if self.service == NO_SERVICE:
+            return IDENTIFY_S
+        is_idle = self.state in IDLE_STATES
+        return IDLE_GONE_AFTER_S if is_idle else GONE_AFTER_S
+
     def may_hold_flows_of(self, service: bytes) -> bool:
         """Return whether the target may hold flows of the service."""
         is_present = self.state is not ReportedState.ABSENT
@@ -74,21 +91,53 @@
 class KnownAgents:
     """Table of agents by address and, for routing, by service.
 
-    `pauses` counts the pauses of this process.
+    `pauses` counts the pauses of this process. `is_listed` tells whether
+    the table has all agents of the store's list. `present_services` are
+    the services of all agents that are not gone, also of those without a
+    running target: their agents have to deny a flow, too.
     """
 
     def __init__(self, timers: TimerService) -> None:
         self.by_address: dict[bytes, KnownAgent] = {}
         self.by_service: dict[bytes, ServiceAgents] = {}
         self.pauses = 0
+        self.is_listed = False
+        self.present_services: set[bytes] = set()
+        self._has_unidentified = False
         self._timers = timers
         timers.subscribe(CHECK_S, self._check)
         timers.subscribe_pauses(self._exclude_pause)
 
+    @property
+    def is_complete(self) -> bool:
+        """Return whether the services of all agents should be known.
+
+        False until the store's list was read, and while a listed agent has
+        not reported its service.
+        """
+        return self.is_listed and not self._has_unidentified
+
+    def find_home(self, service: bytes, flow: bytes) -> bytes | None:
+        """Return the home of an open flow at a service, None without agents.
+
+        An agent without a running target is the home only if there is no
+        other agent.
+        """
+        service_agents = self.by_service.get(service)
+        if service_agents is not None:
+            return service_agents.find_home(flow)
+        idle = [
+            agent.address
+            for agent in self._present_agents()
+            if agent.service == service
+        ]
+        return HomeTable(idle).find_home(flow)
+
     def add(self, address: bytes) -> KnownAgent:
         """Add an agent that has not sent a report yet."""
         agent = KnownAgent(address, self._timers.now())
         self.by_address[address] = agent
+        self._has_unidentified = True
         return agent
 
     def record_report(
@@ -121,6 +170,14 @@
         self._index_by_service()
         return was_absent
 
+    def _present_agents(self) -> list[KnownAgent]:
+        now_s = self._timers.now()
+        return [
+            agent
+            for agent in self.by_address.values()
+            if now_s - agent.last_seen_s < agent.gone_after_s
+        ]
+
     def _exclude_pause(self, pause_s: float) -> None:
         """Exclude a pause of this process from the silence of agents."""
         self.pauses += 1
@@ -148,6 +205,9 @@
             service: ServiceAgents(addresses, live.get(service, []))
             for service, addresses in known.items()
         }
+        services = {present.service for present in self._present_agents()}
+        self._has_unidentified = NO_SERVICE in services
+        self.present_services = services - {NO_SERVICE}
 
 
 def _is_notable_change(agent: KnownAgent, report: LoadReport) -> bool:
--- a/greengagepath/steering/lost_flows.py
+++ b/greengagepath/steering/lost_flows.py
@@ -11,6 +11,8 @@
 
 from ..foundation.logs import log_event
 from .agent_context import AgentContext
+from .flow_denials import MAX_SEQUENCE_STEP
+from .peer_messages import PeerKind
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
 from .service_times import DEFAULT_S
@@ -18,8 +20,6 @@
 
 MAX_LOST = 20000
 MAX_POLLS = 5000
-# Packets of one flow that are further apart belong to different flows.
-MAX_SEQUENCE_STEP = 76800
 # Agents answer within a round trip and the time of a trial. After a
 # restart, the list of members and the first reports take longer.
 POLL_TIMEOUT_S = 2.0
@@ -38,14 +38,18 @@
 class _Poll:
     """Agents that have denied that their target holds a flow.
 
-    `sequence` is the sequence number that a reset to the caller needs.
+    `segment` is the packet whose flow is searched, and `balancer` the one
+    that sent it.
     """
 
-    __slots__ = ('denied_by', 'sequence', 'started_s')
+    __slots__ = ('balancer', 'denied_by', 'segment', 'started_s')
 
-    def __init__(self, sequence: int, started_s: float) -> None:
+    def __init__(
+        self, segment: Segment, balancer: bytes, started_s: float
+    ) -> None:
+        self.balancer = balancer
         self.denied_by: set[bytes] = set()
-        self.sequence = sequence
+        self.segment = segment
         self.started_s = started_s
 
 
@@ -53,15 +57,19 @@
     """Resets a flow once it is certain that no target holds it.
 
     It is certain if the target at which the caller has opened the flow
-    sends a packet of it back, or if every agent of the service that is
-    not silent has denied that its target holds the flow. An agent that
-    does not know all agents of its service resets nothing.
+    sends a packet of it back. Else the service denies the flow once every
+    agent of it that is not silent has denied that its target holds the
+    flow; an agent that does not know all agents of its service denies
+    nothing. The balancer then asks the other services, and the flow is
+    reset when it has the denials of all of them.
     """
 
     def __init__(self, context: AgentContext) -> None:
         self._context = context
         self._poll_by_flow: dict[bytes, _Poll] = {}
-        # Last sequence number that the caller acknowledged, by flow.
+        # Last sequence numbers that the callers acknowledged, of flows
+        # that the service has denied and of those that are lost.
+        self._denied_flows: RecentMap[bytes, int] = RecentMap(MAX_LOST)
         self._lost_flows: RecentMap[bytes, int] = RecentMap(MAX_LOST)
         # Number of agents at the last check; a poll with fewer denials
         # need not be compared with the agents.
@@ -94,7 +102,7 @@
         if segment.has_acknowledgement:
             self._declare(segment.flow, segment.acknowledged, 'target')
 
-    def start_poll(self, segment: Segment) -> None:
+    def start_poll(self, segment: Segment, balancer: bytes) -> None:
         """Wait for the denials of all agents, which are asked for a flow."""
         if not segment.has_acknowledgement:
             return
@@ -104,7 +112,7 @@
         now_s = self._context.timers.now()
         # A repeated packet starts a new poll, which is then the youngest.
         self._poll_by_flow.pop(segment.flow, None)
-        poll = _Poll(segment.acknowledged, now_s)
+        poll = _Poll(segment, balancer, now_s)
         self._poll_by_flow[segment.flow] = poll
         self._decide(segment.flow, poll)
 
@@ -115,9 +123,20 @@
             poll.denied_by.add(agent)
             self._decide(flow, poll)
 
+    def record_lost(self, flow: bytes) -> None:
+        """Reset a flow that all services have denied.
+
+        Ignored unless this agent has denied it for its own service.
+        """
+        sequence = self._denied_flows.get(flow)
+        if sequence is not None:
+            self._denied_flows.discard(flow)
+            self._declare(flow, sequence, 'all services')
+
     def record_owner(self, flow: bytes) -> None:
         """Record that a target holds the flow."""
         self._poll_by_flow.pop(flow, None)
+        self._denied_flows.discard(flow)
         self._due_by_flow.pop(flow, None)
         self._lost_flows.discard(flow)
 
@@ -139,6 +158,7 @@
 
     def rotate(self) -> None:
         """Drop entries of idle flows."""
+        self._denied_flows.rotate()
         self._lost_flows.rotate()
 
     def _log_unanswered(self, flow: bytes, poll: _Poll) -> None:
@@ -162,7 +182,24 @@
             return
         if poll.denied_by.issuperset(peers.present_agents):
             del self._poll_by_flow[flow]
-            self._declare(flow, poll.sequence, 'all agents')
+            self._deny(poll)
+
+    def _deny(self, poll: _Poll) -> None:
+        """Notify the balancer that the own service does not hold the flow."""
+        segment = poll.segment
+        self._denied_flows.put(segment.flow, segment.acknowledged)
+        self._context.counts['flows_denied'] += 1
+        log_event(
+            _logger,
+            'flow.denied',
+            repeats=True,
+            flow=describe_flow(segment.flow),
+            agents=len(poll.denied_by),
+            after_s=round(self._context.timers.now() - poll.started_s, 4),
+            balancer=format_address(poll.balancer),
+        )
+        message = self._context.make_message(PeerKind.DENIED, body=segment.raw)
+        self._context.outbox.to_balancer(poll.balancer, message.encode())
 
     def _declare(self, flow: bytes, sequence: int, source: str) -> None:
         self._lost_flows.put(flow, sequence)
--- a/greengagepath/steering/owner_search.py
+++ b/greengagepath/steering/owner_search.py
@@ -23,7 +23,7 @@
     """Forwards packets of flows that the agent's target does not hold.
 
     A restarted agent first tries its own target, unless another agent is
-    known to hold the flow.
+    known to hold the flow. `lost_flows` are those that no target holds.
     """
 
     def __init__(
@@ -36,7 +36,7 @@
         self._reports = reports
         self._owner_by_flow = owner_by_flow
         self._trials = TargetTrials(context, self)
-        self._lost = LostFlows(context)
+        self.lost_flows = LostFlows(context)
         self._searches_left = MAX_SEARCHES_PER_S
 
     def handle_unknown(
@@ -60,7 +60,7 @@
                 self.search_all_agents(segment, message.balancer)
         elif message.kind is PeerKind.SEARCH:
             self._handle_search(sender, message, segment)
-        elif not self._lost.reset_again(segment):
+        elif not self.lost_flows.reset_again(segment):
             self._find_owner(message, segment)
 
     def handle_lost(self, segment: Segment, held: HeldFlow) -> None:
@@ -68,7 +68,7 @@
         self._context.counts['packets_returned'] += 1
         self._trials.reject(segment.flow)
         if held.is_confirmed and not held.is_closed and held.matches(segment):
-            self._lost.declare(segment)
+            self.lost_flows.declare(segment)
         elif held.balancer:
             self.search_all_agents(segment, held.balancer)
 
@@ -87,18 +87,10 @@
         """Record that the target sent a packet of the flow."""
         self._trials.accept(flow)
 
-    def record_owner(self, flow: bytes) -> None:
-        """Record that the target of another agent holds the flow."""
-        self._lost.record_owner(flow)
-
-    def record_denial(self, agent: bytes, flow: bytes) -> None:
-        """Record that the target of another agent does not hold the flow."""
-        self._lost.record_denial(agent, flow)
-
     def check_trials(self) -> None:
         """Search for the owners of flows whose trial is unanswered."""
         self._trials.check()
-        self._lost.check()
+        self.lost_flows.check()
 
     def stop_trying(self) -> None:
         """Try no more flows: the target has started after this agent."""
@@ -112,7 +104,7 @@
         """Drop entries of idle flows."""
         self._owner_by_flow.rotate()
         self._trials.rotate()
-        self._lost.rotate()
+        self.lost_flows.rotate()
 
     def deny(self, flow: bytes, agents: list[bytes]) -> None:
         """Notify agents that search a flow that the target rejects it."""
@@ -125,7 +117,7 @@
         A poll that is not answered is repeated with the next packet.
         """
         if self._search(segment, balancer, hops=0):
-            self._lost.start_poll(segment)
+            self.lost_flows.start_poll(segment, balancer)
 
     def search_all_agents(self, segment: Segment, balancer: bytes) -> None:
         """Search a flow that may be held here, too."""
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -58,6 +58,12 @@
     PART = 10
     # The sender's target does not hold the flow in the body.
     NOT_HELD = 11
+    # No target of the sender's service holds the flow of the packet in the
+    # body; from the home of the flow to the balancer that sent the packet.
+    DENIED = 12
+    # No target of any service holds the flow in the body; from a balancer
+    # to the home that has denied it first.
+    LOST = 13
 
 
 class PeerMessage:
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -199,9 +199,11 @@
 
 
 def make_table(
-    version: int = 1, services: tuple[bytes, ...] = (SERVICE,)
+    version: int = 1,
+    services: tuple[bytes, ...] = (SERVICE,),
+    weights: tuple[float, ...] = (1.0, 1.0),
 ) -> RouteTable:
-    """Return a configuration with one route."""
+    """Return a configuration with one route; each service has a weight."""
     destination = struct.pack('!H4s', ROUTE_PORT, ROUTE_ADDRESS)
-    shares = tuple(ServiceShare(service, 1.0) for service in services)
+    shares = tuple(map(ServiceShare, services, weights))
     return RouteTable(version, {destination: Route('r', shares)})
--- /dev/null
+++ b/tests/steering/test_flow_denials.py
@@ -0,0 +1,96 @@
+"""Tests of the proof that no target of any service holds a flow."""
+
+from testtools import TestCase
+
+from greengagepath.foundation.timers import VirtualTimerService
+from greengagepath.steering.agent_steering import AgentSteering
+from greengagepath.steering.flow_denials import (
+    DENIAL_TIMEOUT_S,
+    MAX_SEQUENCE_STEP,
+    FlowDenials,
+)
+from greengagepath.steering.known_agents import KnownAgents
+from greengagepath.steering.peer_messages import PeerKind, decode_report
+
+from .builders import (
+    OTHER_SERVICE,
+    SERVICE,
+    make_address,
+    make_data,
+    make_flow,
+    make_identity,
+    make_message,
+    make_report_message,
+)
+from .recorder import RecordingOutbox
+
+HOME = make_address(1)
+OTHER_HOME = make_address(2)
+
+
+class FlowDenialsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.timers = VirtualTimerService(start_s=100.0)
+        self.agents = KnownAgents(self.timers)
+        report = decode_report(make_report_message().body).unwrap()
+        self.agents.record_report(HOME, SERVICE, report)
+        self.agents.record_report(OTHER_HOME, OTHER_SERVICE, report)
+        self.agents.is_listed = True
+        self.denials = FlowDenials(self.timers, self.agents)
+
+    def _record(self, home, service, acknowledged=7001):
+        packet = make_data(make_flow(), acknowledged)
+        return self.denials.record(home, service, packet, set())
+
+    def test_denial_of_one_service_asks_the_others_once(self):
+        # Guards against a flow that is taken for lost after one service of
+        # two has denied it, and against a search for each denial.
+        denied = self._record(HOME, SERVICE)
+        self.assertFalse(self.denials.is_lost(denied))
+        self.assertEqual({OTHER_SERVICE}, self.denials.take_unasked(denied))
+        self.assertEqual(set(), self.denials.take_unasked(denied))
+
+    def test_flow_that_all_services_deny_is_lost(self):
+        # Guards against a lost flow whose caller is never reset.
+        self._record(HOME, SERVICE)
+        denied = self._record(OTHER_HOME, OTHER_SERVICE)
+        self.assertTrue(self.denials.is_lost(denied))
+        self.assertEqual((HOME, SERVICE), (denied.home, denied.service))
+
+    def test_denials_that_are_far_apart_are_not_combined(self):
+        # Guards against the reset of a flow that a caller has opened with
+        # the ports of one that a service has denied before.
+        self._record(HOME, SERVICE)
+        self.timers.advance(DENIAL_TIMEOUT_S + 0.1)
+        self.assertFalse(
+            self.denials.is_lost(self._record(OTHER_HOME, OTHER_SERVICE))
+        )
+        acknowledged = 7001 + MAX_SEQUENCE_STEP + 1
+        self.assertFalse(
+            self.denials.is_lost(self._record(HOME, SERVICE, acknowledged))
+        )
+
+    def test_unknown_agents_leave_the_decision_open(self):
+        # Guards against a reset by a balancer that does not know the
+        # service of an agent, or has not read the list of members.
+        self._record(HOME, SERVICE)
+        denied = self._record(OTHER_HOME, OTHER_SERVICE)
+        self.agents.is_listed = False
+        self.assertFalse(self.denials.is_lost(denied))
+        self.agents.is_listed = True
+        self.agents.add(make_address(3))
+        self.assertFalse(self.denials.is_lost(denied))
+
+
+class LostNoticeTest(TestCase):
+    def test_notice_about_a_flow_that_was_not_denied_is_ignored(self):
+        # Guards against the reset of an open flow by a late or stray
+        # datagram of a balancer.
+        outbox = RecordingOutbox()
+        timers = VirtualTimerService(start_s=100.0)
+        agent = AgentSteering(make_identity(), timers, outbox)
+        lost = make_message(PeerKind.LOST, body=make_flow())
+        agent.handle_peer_message(make_address(1, network=9), lost, None)
+        timers.advance(1)
+        self.assertEqual([], outbox.resets)
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -12,9 +12,12 @@
 from greengagepath.steering.balancer_contacts import BalancerIdentity
 from greengagepath.steering.balancer_steering import BalancerSteering
 from greengagepath.steering.peer_messages import PeerKind, decode_message
+from greengagepath.steering.routes import RouteTable
 from greengagepath.steering.segments import Segment
 
 from .builders import (
+    OTHER_SERVICE,
+    SERVICE,
     TARGET_SEQUENCE,
     make_acknowledgement,
     make_address,
@@ -236,9 +239,19 @@
 
 
 class World:
-    """One service on `agents` VMs behind `balancers` VMs."""
+    """One service on `agents` VMs behind `balancers` VMs.
 
-    def __init__(self, balancers: int = 2, agents: int = 4) -> None:
+    With `other_agents` a second service of the same route runs on so many
+    further VMs; their numbers follow those of the first service.
+    """
+
+    def __init__(
+        self, balancers: int = 2, agents: int = 4, *, other_agents: int = 0
+    ) -> None:
+        self.first_agents = agents
+        self.table = make_table()
+        if other_agents:
+            self.table = make_table(services=(SERVICE, OTHER_SERVICE))
         self.timers = VirtualTimerService(start_s=100.0)
         self.segment_by_raw: dict[bytes, Segment] = {}
         self.agent_by_address: dict[bytes, AgentSteering] = {}
@@ -257,7 +270,7 @@
         self.heartbeats = 1
         for number in range(1, balancers + 1):
             self.start_balancer(number)
-        for number in range(1, agents + 1):
+        for number in range(1, agents + other_agents + 1):
             self.start_target(number)
             self.start_agent(number)
         self.timers.subscribe(HEARTBEAT_S, self._send_heartbeats)
@@ -276,9 +289,10 @@
             outbox,
             lambda: None,
         )
-        steering.apply_routes(make_table())
+        steering.apply_routes(self.table)
         self.balancer_by_address[address] = steering
-        steering.contacts.add_agents(list(self.agent_by_address))
+        # An agent that was killed stays in the store's list.
+        steering.contacts.add_agents(list(self.target_by_address))
         return steering
 
     def start_target(self, number: int) -> FakeTarget:
@@ -295,7 +309,11 @@
     ) -> AgentSteering:
         address = make_address(number)
         steering = AgentSteering(
-            make_identity(number, is_first_start=is_first_start),
+            make_identity(
+                number,
+                is_first_start=is_first_start,
+                service=self.find_service(number),
+            ),
             self.timers,
             FakeOutbox(self, address),
         )
@@ -315,6 +333,16 @@
         steering.reports.report_to([*self.balancer_by_address, *known])
         return steering
 
+    def find_service(self, number: int) -> bytes:
+        """Return the service of the target with a number."""
+        return SERVICE if number <= self.first_agents else OTHER_SERVICE
+
+    def apply_routes(self, table: RouteTable) -> None:
+        """Write a configuration: all balancers apply it, also later ones."""
+        self.table = table
+        for balancer in self.balancer_by_address.values():
+            balancer.apply_routes(table)
+
     def stop_agent(self, number: int) -> None:
         """Kill the process; what its timers send is discarded."""
         steering = self.agent_by_address.pop(make_address(number))
@@ -510,10 +538,13 @@
         self, sender: bytes, address: bytes, datagram: bytes
     ) -> None:
         balancer = self.balancer_by_address.get(address)
-        if balancer is not None:
-            balancer.handle_peer_message(
-                sender, decode_message(datagram).unwrap()
-            )
+        if balancer is None:
+            return
+        message = decode_message(datagram).unwrap()
+        segment = None
+        if message.kind is PeerKind.DENIED:
+            segment = self.segment_by_raw[message.body]
+        balancer.handle_peer_message(sender, message, segment)
 
 
 def _count_within(times_s: list[float], start_s: float, from_s: float) -> int:
