Read the configuration again before the bound of configuration runs out

Cause: a balancer learned of a version from its watch, or from a peer that had it. A lost answer leaves the connection open, so a dead watch looks like a store in which nothing changes, at all balancers at once. The limit on the watch, 32 s and one more to connect, and the limit on a read, 4 s, were longer than the bound that depends on them.

Change: what a balancer knows of the store has an age, that of the last answered read, its own or a peer's (store_freshness.py). When it exceeds 0.35 to 0.5 of the bound the balancer reads, and tells the others with the time since the read began, so that usually one reads for all. Only own reads are told, since an age that is passed on grows younger by the delay of each message. A read that finds a version which the watch has not brought replaces the watch. Limits on calls come from the bound: 0.2 of it, doubled after an unanswered call up to the whole bound, connecting included; that covers reads, lists of members and registrations. `watch.missed`, `age_s` in `store.lost` and the gauge `store_age_s` show how old a balancer's word is.

Why it works: without any peer a balancer reads at most 0.5 of the bound after its last word; an unanswered read leaves time for another. Peers only put the read off.

--- a/greengagepath/daemon/http_connection.py
+++ b/greengagepath/daemon/http_connection.py
@@ -44,11 +44,11 @@
     ) -> Result[HttpAnswer, str]:
         """Send a request and return the answer, or why there is none.
 
-        The call ends within `timeout_s` plus `CONNECT_S` seconds. A
+        The call ends within `timeout_s` seconds, connecting included. A
         request without an answer may still have taken effect.
         """
         try:
-            with gevent.Timeout(timeout_s + CONNECT_S):
+            with gevent.Timeout(timeout_s):
                 return Ok(self._exchange(method, target, body))
         except gevent.Timeout:
             self.close()
--- a/greengagepath/daemon/route_follower.py
+++ b/greengagepath/daemon/route_follower.py
@@ -5,11 +5,12 @@
 
 import gevent
 from gevent.event import Event
-from result import Err
+from result import Err, Result
 
 from ..foundation.greenlets import spawn_supervised
 from ..foundation.logs import log_event
 from ..steering.balancer_steering import BalancerSteering
+from ..steering.settings import DEFAULT_APPLY_LIMIT_S
 from ..steering.store import SteeringStore, StoredRoutes, StoreProblem
 
 FIRST_RETRY_S = 0.2
@@ -20,6 +21,12 @@
 # After a peer has reported a higher version, the watch usually delivers
 # it within this time, and the store need not be read.
 CATCH_UP_DELAY_S = 0.2
+# The store is read again when the last word from it is older than this
+# share of the time in which a configuration has to be in force, plus a
+# random part up to the second share: usually one balancer reads and tells
+# the others.
+READ_AGAIN_SHARE = 0.35
+READ_JITTER_SHARE = 0.15
 
 _logger = logging.getLogger(__name__)
 
@@ -28,7 +35,9 @@
     """Applies the routes in the store and watches them for changes.
 
     Reads the store also when a peer has reported a higher version than
-    the one in force.
+    the one in force, and when neither this balancer nor a peer has read it
+    for a share of `apply_s`, the time in which a configuration has to be
+    in force: the answer of a watch may have been lost.
     """
 
     def __init__(
@@ -36,17 +45,25 @@
         store: SteeringStore,
         steering: BalancerSteering,
         rng: random.Random,
+        apply_s: float = DEFAULT_APPLY_LIMIT_S,
     ) -> None:
         self._store = store
         self._steering = steering
         self._rng = rng
+        self._apply_s = apply_s
+        self._is_watching = False
+        # Revision of a read that has shown that the watch missed a change.
+        self._read_revision: int | None = None
         self._catch_up_requested = Event()
         self._is_store_reachable = True
 
-    def start(self) -> None:
-        """Start the greenlets: one watches, one reads missed versions."""
-        spawn_supervised('routes.follow', self._follow)
-        spawn_supervised('routes.catch_up', self._catch_up)
+    def start(self) -> list[gevent.Greenlet]:
+        """Start the greenlets: one watches, two read missed versions."""
+        return [
+            spawn_supervised('routes.follow', self._follow),
+            spawn_supervised('routes.catch_up', self._catch_up),
+            spawn_supervised('routes.verify', self._verify),
+        ]
 
     def request_catch_up(self) -> None:
         """Read the store soon: a peer has reported a higher version."""
@@ -57,10 +74,12 @@
         retry_s = FIRST_RETRY_S
         while True:
             outcome = (
-                self._store.read_routes()
-                if revision is None
-                else self._store.watch_routes(revision)
+                self._read() if revision is None else self._watch(revision)
             )
+            if self._read_revision is not None:
+                revision = self._read_revision
+                self._read_revision = None
+                continue
             if isinstance(outcome, Err):
                 self._log_store_lost(outcome.err_value)
                 revision = None
@@ -80,14 +99,69 @@
             gevent.sleep(CATCH_UP_DELAY_S)
             retry_s = FIRST_RETRY_S
             while self._steering.routes.is_behind:
-                outcome = self._store.read_routes()
-                if outcome.is_ok() and self._apply(outcome.ok_value):
+                outcome = self._read()
+                if outcome.is_ok() and self._apply_missed(outcome.ok_value):
                     continue
                 # The store has no newer version either: a peer has named
                 # one that was never written.
                 gevent.sleep(self._rng.uniform(retry_s / 2, retry_s))
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
 
+    def _verify(self) -> None:
+        """Read the store when what is known of it is too old."""
+        freshness = self._steering.contacts.freshness
+        retry_s = FIRST_RETRY_S
+        limit_s = self._draw_limit_s()
+        while True:
+            if freshness.age_s < limit_s:
+                retry_s = FIRST_RETRY_S
+                gevent.sleep(limit_s - freshness.age_s)
+                continue
+            if self._is_watching:
+                outcome = self._read()
+                if outcome.is_ok():
+                    self._apply_missed(outcome.ok_value)
+                    limit_s = self._draw_limit_s()
+                    continue
+            # The store does not answer, or `_follow` reads it already.
+            gevent.sleep(self._rng.uniform(retry_s / 2, retry_s))
+            retry_s = min(retry_s * 2, MAX_RETRY_S)
+
+    def _draw_limit_s(self) -> float:
+        share = READ_AGAIN_SHARE + self._rng.uniform(0, READ_JITTER_SHARE)
+        return self._apply_s * share
+
+    def _read(self) -> Result[StoredRoutes, StoreProblem]:
+        """Read the routes and tell peers that they need not."""
+        started_s = self._steering.now()
+        outcome = self._store.read_routes()
+        if outcome.is_ok():
+            self._steering.contacts.announce_read(started_s)
+        return outcome
+
+    def _watch(self, revision: int) -> Result[StoredRoutes, StoreProblem]:
+        self._is_watching = True
+        try:
+            return self._store.watch_routes(revision)
+        finally:
+            self._is_watching = False
+
+    def _apply_missed(self, stored: StoredRoutes) -> bool:
+        """Apply routes that the watch has not brought; replace the watch."""
+        if not self._apply(stored):
+            return False
+        if self._is_watching:
+            log_event(
+                _logger,
+                'watch.missed',
+                level=logging.WARNING,
+                version=self._steering.routes.version,
+                revision=stored.revision,
+            )
+            self._read_revision = stored.revision
+            self._store.interrupt_watch()
+        return True
+
     def _apply(self, stored: StoredRoutes) -> bool:
         if stored.table is None:
             return False
@@ -102,6 +176,7 @@
                 level=logging.WARNING,
                 reason=problem.reason,
                 version=self._steering.routes.version,
+                age_s=round(self._steering.contacts.freshness.age_s, 3),
             )
 
     def _log_store_regained(self) -> None:
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -69,7 +69,9 @@
             self.steering.backlog.mark_socket_empty,
         )
         self._bind(settings.balancer_port, counts, ignore_empty)
-        self._follower = RouteFollower(store, self.steering, random.Random())
+        self._follower = RouteFollower(
+            store, self.steering, random.Random(), store.apply_s
+        )
         self._started_s = self._timers.now()
 
     def run(self) -> ExitCode:
@@ -79,7 +81,7 @@
         self.steering.contacts.add_balancers(self._settings.seeds)
         self._follower.start()
         self._listing.start()
-        log_event(_logger, 'balancer.started')
+        log_event(_logger, 'balancer.started', apply_s=self._store.apply_s)
         self._stopping.wait()
         self._leave()
         log_event(_logger, 'balancer.stopped', **self.steering.counts)
@@ -90,6 +92,7 @@
         return {
             'configuration_version': self.steering.routes.version,
             'latest_version': self.steering.routes.latest_seen,
+            'store_age_s': contacts.freshness.age_s,
             'agents': len(contacts.agents.by_address),
             'pauses': contacts.agents.pauses,
             'stage': contacts.stage,
--- a/greengagepath/platform/__main__.py
+++ b/greengagepath/platform/__main__.py
@@ -9,6 +9,7 @@
 from ..foundation.exit_codes import ExitCode
 from ..foundation.logs import DroppingStream, configure_logs
 from ..steering.settings import SteeringSettings, load_steering_settings
+from .bounds import read_apply_limit_s
 from .store import PlatformStore
 from .wire import PlatformWire
 
@@ -32,7 +33,8 @@
     if settings.store_address is None:
         sys.stderr.write('store_address is missing\n')
         return ExitCode.BAD_USAGE
-    store = PlatformStore(settings.store_address)
+    apply_s = read_apply_limit_s(os.environ)
+    store = PlatformStore(settings.store_address, apply_s)
     match role:
         case 'balancer':
             from ..daemon.steering_balancer import BalancerDaemon
--- a/greengagepath/platform/store.py
+++ b/greengagepath/platform/store.py
@@ -12,7 +12,11 @@
 from ..foundation.logs import log_event
 from ..foundation.tolerant_json import decode_json
 from ..steering.routes import RouteTable
-from ..steering.settings import format_address, pack_address
+from ..steering.settings import (
+    DEFAULT_APPLY_LIMIT_S,
+    format_address,
+    pack_address,
+)
 from ..steering.store import (
     Member,
     MemberRole,
@@ -21,7 +25,13 @@
 )
 from .configuration import decode_configuration
 
-CALL_TIMEOUT_S = 3.0
+# A call may wait for this share of the time in which a configuration has to
+# be in force, so that a lost answer leaves room for another call. After an
+# unanswered call the limit doubles, up to the whole time, since the store
+# may be slow.
+CALL_SHARE = 0.2
+# A watch only makes changes known sooner. That none was missed is learned
+# from reads, so its limit depends on no other bound.
 WATCH_TIMEOUT_MS = 30000
 # A page has about 500 entries.
 MAX_PAGES = 100
@@ -44,13 +54,19 @@
 class PlatformStore:
     """Reads and writes objects; watches the configuration.
 
-    Each call opens a connection of its own; watches share one.
+    Each call opens a connection of its own; watches share one. `apply_s`
+    is the time in seconds in which a configuration has to be in force.
     """
 
-    def __init__(self, address: tuple[str, int]) -> None:
+    def __init__(
+        self, address: tuple[str, int], apply_s: float = DEFAULT_APPLY_LIMIT_S
+    ) -> None:
         # Number of calls by operation and outcome, for metrics.
         self.calls: Counter[tuple[str, str]] = Counter()
+        self.apply_s = apply_s
         self._address = address
+        self._first_limit_s = apply_s * CALL_SHARE
+        self._call_limit_s = self._first_limit_s
         self._watch_connection = HttpConnection(address)
 
     def read_routes(self) -> Result[StoredRoutes, StoreProblem]:
@@ -84,6 +100,10 @@
         ]
         return self._decode_routes(response.ok_value, changed)
 
+    def interrupt_watch(self) -> None:
+        """Close the connection of the watch, so that its call fails."""
+        self._watch_connection.close()
+
     def list_members(self) -> Result[list[Member], StoreProblem]:
         """Return the registered processes, of at most `MAX_PAGES` pages.
 
@@ -144,11 +164,19 @@
         body = b'' if entry is None else json.dumps(entry).encode()
         connection = HttpConnection(self._address)
         try:
-            answer = connection.call(method, target, body, CALL_TIMEOUT_S)
+            answer = connection.call(method, target, body, self._call_limit_s)
         finally:
             connection.close()
+        self._adapt_limit(is_answered=answer.is_ok())
         return self._interpret(operation, answer)
 
+    def _adapt_limit(self, *, is_answered: bool) -> None:
+        self._call_limit_s = (
+            self._first_limit_s
+            if is_answered
+            else min(self._call_limit_s * 2, self.apply_s)
+        )
+
     def _interpret(
         self, operation: str, answer: Result[HttpAnswer, str]
     ) -> Result[_Body, StoreProblem]:
--- a/greengagepath/steering/balancer_contacts.py
+++ b/greengagepath/steering/balancer_contacts.py
@@ -15,6 +15,7 @@
 )
 from .rotation import BalancerStage, Rotation
 from .routes import RouteHolder
+from .store_freshness import StoreFreshness
 
 REMOVE_AFTER_S = 60.0
 # Agents, and balancers, that are taken from the store's list; bounds the
@@ -55,7 +56,8 @@
 class BalancerContacts:
     """Announces this balancer to agents and to other balancers.
 
-    `stage` is the stage of this balancer's life cycle.
+    `stage` is the stage of this balancer's life cycle, and `freshness` the
+    age of what it knows of the store.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         self.agents = KnownAgents(timers)
         self.rotation = Rotation(timers)
         self.stage = BalancerStage.STARTING
+        self.freshness = StoreFreshness(timers)
         self._address = identity.address
         self._zone = digest_service(identity.availability_zone)
         self._timers = timers
@@ -110,6 +113,11 @@
         for agent in tuple(self.agents.by_address.values()):
             self._send_presence(agent, Roster([], []))
 
+    def announce_read(self, started_s: float) -> None:
+        """Record a read of the store and tell all known balancers of it."""
+        self.freshness.record_read(started_s)
+        self._send_stage(list(self._balancer_seen_s))
+
     def send_roster(self, agent: KnownAgent) -> None:
         """Send an agent the balancers and the agents of its service.
 
@@ -146,6 +154,7 @@
     def handle_presence(self, sender: bytes, message: PeerMessage) -> None:
         """Handle a PRESENCE of another balancer."""
         self._balancer_seen_s[sender] = self._timers.now()
+        self.freshness.record_peer(message.body)
         if message.service == self._zone and message.hops in _STAGES:
             self._zone_peers.add(sender)
             self.rotation.update(sender, _STAGES[message.hops])
@@ -170,7 +179,9 @@
             self.send_roster(self.agents.by_address[address])
 
     def _send_stage(self, balancers: list[bytes]) -> None:
-        presence = self._encode(self._zone, b'', hops=self.stage)
+        presence = self._encode(
+            self._zone, self.freshness.encode_own(), hops=self.stage
+        )
         for address in balancers:
             self._outbox.to_balancer(address, presence)
 
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -72,6 +72,10 @@
         timers.subscribe(PULL_CHECK_S, self.pull_routes)
         timers.subscribe(ROTATE_S, self._open_flows.rotate)
 
+    def now(self) -> float:
+        """Return monotonic seconds, pauses included."""
+        return self._timers.now()
+
     @property
     def has_agents(self) -> bool:
         """Return whether any agent has reported."""
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -50,7 +50,8 @@
     HELD = 6
     # Load and state of the sender's target.
     REPORT = 7
-    # The sender is a balancer; the body is a roster.
+    # The sender is a balancer; the body is a roster for an agent, and the
+    # age of the sender's last read of the store for a balancer.
     PRESENCE = 8
     # Request for the receiver's copy of the configuration.
     PULL = 9
--- a/greengagepath/steering/settings.py
+++ b/greengagepath/steering/settings.py
@@ -11,6 +11,8 @@
 from .peer_messages import ADDRESS_BYTES
 
 MAX_PORT = 65535
+# Time in which a configuration has to be in force, in seconds.
+DEFAULT_APPLY_LIMIT_S = 3.0
 _UNREADABLE = (OSError, ValueError, TypeError, AttributeError)
 
 
--- a/greengagepath/steering/store.py
+++ b/greengagepath/steering/store.py
@@ -54,10 +54,12 @@
 class SteeringStore(Protocol):
     """Store whose calls block the greenlet until an answer or time-out.
 
-    `calls` counts the calls by operation and outcome.
+    `calls` counts the calls by operation and outcome. `apply_s` is the
+    time in seconds in which a configuration has to be in force.
     """
 
     calls: Counter[tuple[str, str]]
+    apply_s: float
 
     def read_routes(self) -> Result[StoredRoutes, StoreProblem]:
         """Return the configuration of a linearizable read."""
@@ -65,6 +67,9 @@
     def watch_routes(self, revision: int) -> Result[StoredRoutes, StoreProblem]:
         """Wait for a configuration that is newer than the revision."""
 
+    def interrupt_watch(self) -> None:
+        """End the call of `watch_routes` that waits, if any, with an error."""
+
     def list_members(self) -> Result[list[Member], StoreProblem]:
         """Return all registered processes."""
 
--- /dev/null
+++ b/greengagepath/steering/store_freshness.py
@@ -0,0 +1,61 @@
+"""How old a balancer's last word from the store on the configuration is.
+
+A watch tells of changes at once, but a lost answer looks like a store in
+which nothing changes. A balancer therefore knows that it has the latest
+configuration only as of a read that was answered, of its own or of a peer.
+"""
+
+import struct
+
+from ..foundation.timers import TimerService
+
+_AGE = struct.Struct('!H')
+_MS_PER_S = 1000
+MAX_AGE_S = 86400.0
+# Age in ms of a balancer that has not read the configuration yet.
+UNKNOWN_AGE_MS = 0xFFFF
+
+
+class StoreFreshness:
+    """Age of the last answered read, here or at a peer.
+
+    Ages are in seconds of a clock that counts pauses of the process, and
+    `MAX_AGE_S` before the first read. Peers are told of own reads only: an age
+    that is passed on would grow younger by the delay of each message.
+    """
+
+    def __init__(self, timers: TimerService) -> None:
+        self._timers = timers
+        self._own_read_s: float | None = None
+        self._read_s: float | None = None
+
+    @property
+    def age_s(self) -> float:
+        """Return the age of the last word from the store."""
+        if self._read_s is None:
+            return MAX_AGE_S
+        return min(self._timers.now() - self._read_s, MAX_AGE_S)
+
+    def record_read(self, started_s: float) -> None:
+        """Record the answer to an own read that started at `started_s`."""
+        self._own_read_s = started_s
+        self._record(started_s)
+
+    def encode_own(self) -> bytes:
+        """Return the age of the last own read, for a PRESENCE."""
+        age_ms: float = UNKNOWN_AGE_MS
+        if self._own_read_s is not None:
+            age_ms = (self._timers.now() - self._own_read_s) * _MS_PER_S
+        return _AGE.pack(min(round(age_ms), UNKNOWN_AGE_MS))
+
+    def record_peer(self, body: bytes) -> None:
+        """Record the age in a PRESENCE; earlier builds send none."""
+        if len(body) != _AGE.size:
+            return
+        age_ms = _AGE.unpack(body)[0]
+        if age_ms != UNKNOWN_AGE_MS:
+            self._record(self._timers.now() - age_ms / _MS_PER_S)
+
+    def _record(self, read_s: float) -> None:
+        if self._read_s is None or read_s > self._read_s:
+            self._read_s = read_s
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -5,6 +5,7 @@
 """
 
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -23,13 +24,16 @@
 class StoreStandIn:
     """Serves objects by kind and name.
 
-    A `forced_status` other than 0 is the answer to every call.
+    A `forced_status` other than 0 is the answer to every call. `loses`
+    decides for the path of a call whether its answer is lost: the call is
+    executed, and its connection stays open without a byte.
     """
 
     def __init__(self) -> None:
         self.objects: dict[str, dict[str, Any]] = {}
         self.calls: list[tuple[str, str]] = []
         self.forced_status = 0
+        self.loses: Callable[[str], bool] = lambda path: False
         self.revision = 1
         self.oldest_revision = 0
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -58,6 +62,12 @@
         self._changed.set()
 
     def _answer(self, request: HttpRequest) -> HttpReply:
+        reply = self._execute(request)
+        if self.loses(request.path):
+            Event().wait()
+        return reply
+
+    def _execute(self, request: HttpRequest) -> HttpReply:
         self.calls.append((request.method, request.path))
         if self.forced_status:
             return HttpReply(self.forced_status)
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -262,6 +262,9 @@
         gevent.sleep(30)
         return Err(StoreProblem('no answer in time'))
 
+    def interrupt_watch(self) -> None:
+        """Do nothing: the watch ends by itself."""
+
 
 class CatchUpTest(TestCase):
     def test_version_that_does_not_exist_causes_few_reads(self):
