Decide which start of a target is living by who goes on reporting

Cause: reports with a lower start time than the highest one seen were dropped for good, and acknowledged all the same. Start times of different starts are no order, since clocks go back. A late DELETE with the id of the living target ended it for good.

Change: one decision without I/O (incarnations.py), which the gate asks and whose consequences the agent draws. The living start is the one that has reported for 1.25 intervals with rising sequence numbers and none else meanwhile. A later start time is followed at once only if that opens nothing that is closed, or if no other start was heard for 1.25 intervals. A departure is taken back when its target goes on. An agent stops to try flows at its target only after two starts were each certainly living. While no start is, a report that says `draining` closes the gate. `heartbeat.dropped` says which report was dropped and which start is taken for the living one.

Why it works: a living target is heard in each 1.25 intervals, so no earlier start can fulfil the proof while it lives, whatever its start time, id and sequence numbers and however late its reports come.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -10,12 +10,13 @@
 from ..foundation.logs import log_event
 from ..steering.agent_context import AgentIdentity
 from ..steering.agent_steering import AgentSteering
+from ..steering.incarnations import Heartbeat
 from ..steering.neighbours import digest_zone
 from ..steering.peer_messages import PeerKind, PeerMessage, digest_service
 from ..steering.segments import Segment
 from ..steering.settings import SteeringSettings
 from ..steering.store import MemberRole, SteeringStore
-from ..steering.target_gate import Heartbeat, TargetPhase
+from ..steering.target_gate import HeartbeatOutcome, TargetPhase
 from .datagram_socket import DatagramSocket
 from .http_listener import (
     BAD_REQUEST,
@@ -211,5 +212,9 @@
                 reason=decoded.err_value,
             )
             return HttpReply(BAD_REQUEST)
-        self.steering.handle_heartbeat(decoded.ok_value)
+        outcome = self.steering.handle_heartbeat(decoded.ok_value)
+        if outcome is HeartbeatOutcome.STALE:
+            # What was not applied is not acknowledged: the target reports
+            # again at its next interval.
+            return HttpReply(UNAVAILABLE)
         return HttpReply(OK, self._codec.acknowledgement)
--- a/greengagepath/platform/heartbeats.py
+++ b/greengagepath/platform/heartbeats.py
@@ -5,7 +5,7 @@
 from result import Err, Ok, Result
 
 from ..foundation.tolerant_json import decode_json
-from ..steering.target_gate import Heartbeat
+from ..steering.incarnations import Heartbeat
 
 PATH_PREFIX = '/endpoints/'
 ACKNOWLEDGEMENT = b'{}'
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -10,12 +10,13 @@
 from .agent_routes import AgentRoutes
 from .backlog import Backlog
 from .held_flows import HeldFlow
+from .incarnations import Heartbeat
 from .leave_notices import LeaveNotices
 from .owner_search import MAX_OWNERS, OwnerSearch
 from .peer_messages import PeerKind, PeerMessage
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
-from .target_gate import Heartbeat, HeartbeatOutcome
+from .target_gate import HeartbeatOutcome
 from .target_resets import TargetResets
 
 CHECK_S = 0.02
@@ -140,9 +141,11 @@
 
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
         """Handle a heartbeat of the target; return what it changed."""
-        outcome = self.context.gate.handle_heartbeat(heartbeat)
+        gate = self.context.gate
+        outcome = gate.handle_heartbeat(heartbeat)
         if outcome is HeartbeatOutcome.NEW_INCARNATION:
             self.context.held_flows.forget_load()
+        if gate.incarnations.take_restart():
             self._search.stop_trying()
         if outcome in {
             HeartbeatOutcome.NEW_INCARNATION,
@@ -153,12 +156,13 @@
                 'target.changed',
                 target_id=heartbeat.target_id,
                 started_ms=heartbeat.started_ms,
-                phase=self.context.gate.phase.value,
+                sequence=heartbeat.sequence,
+                phase=gate.phase.value,
                 outcome=outcome.value,
             )
             self.reports.send_all()
         if outcome is HeartbeatOutcome.STALE:
-            self.context.counts['heartbeats_stale'] += 1
+            _log_stale(self.context, heartbeat)
         return outcome
 
     def handle_departure(self, target_id: str) -> None:
@@ -283,3 +287,25 @@
         self.context.held_flows.sweep(now_s, self.context.identity.idle_s)
         self.context.peers.remove_silent()
         self._routes.pull_routes()
+
+
+def _log_stale(context: AgentContext, heartbeat: Heartbeat) -> None:
+    """Log a heartbeat that was not applied, and what it was weighed against."""
+    context.counts['heartbeats_stale'] += 1
+    current = context.gate.incarnations.current
+    if current is None:
+        return
+    log_event(
+        _logger,
+        'heartbeat.dropped',
+        repeats=True,
+        target_id=heartbeat.target_id,
+        started_ms=heartbeat.started_ms,
+        sequence=heartbeat.sequence,
+        is_draining=heartbeat.is_draining,
+        current_id=current.target_id,
+        current_started_ms=current.started_ms,
+        current_sequence=current.sequence,
+        current_age_s=round(context.timers.now() - current.last_heard_s, 3),
+        phase=context.gate.phase.value,
+    )
--- a/greengagepath/steering/target_gate.py
+++ b/greengagepath/steering/target_gate.py
@@ -3,6 +3,7 @@
 from enum import Enum, unique
 
 from ..foundation.timers import TimerService
+from .incarnations import Heartbeat, Incarnations, ReportVerdict
 from .peer_messages import ReportedState
 
 # A target is silent after this many heartbeat intervals.
@@ -23,6 +24,10 @@
     GONE = 'gone'
 
 
+# Phases in which the target accepts no new flows.
+_CLOSED = frozenset((TargetPhase.DRAINING, TargetPhase.GONE))
+
+
 @unique
 class HeartbeatOutcome(Enum):
     """Change that a heartbeat caused."""
@@ -31,76 +36,64 @@
     CHANGED = 'changed'
     # First heartbeat after a restart of the target, or of a new target.
     NEW_INCARNATION = 'new_lifetime'
-    # Ignored: of an earlier start, older than the last heartbeat, or
-    # sent before the departure of the target.
+    # Not applied: possibly of an earlier start, older than the last
+    # heartbeat, or sent before the departure of the target.
     STALE = 'stale'
 
 
-class Heartbeat:
-    """Message in which a target reports its state to its agent.
-
-    `started_ms` is the target's start in ms since the epoch, 0 if not
-    given; `sequence` increases with each heartbeat since that start.
-    """
-
-    __slots__ = ('is_draining', 'sequence', 'slots', 'started_ms', 'target_id')
-
-    def __init__(
-        self,
-        target_id: str,
-        *,
-        started_ms: int = 0,
-        sequence: int = 0,
-        slots: int = 1,
-        is_draining: bool = False,
-    ) -> None:
-        self.target_id = target_id
-        self.started_ms = started_ms
-        self.sequence = sequence
-        self.slots = slots
-        self.is_draining = is_draining
-
-
 class TargetGate:
     """State of an agent's target, and whether it accepts flows."""
 
     def __init__(self, timers: TimerService, heartbeat_s: float) -> None:
         self.phase = TargetPhase.UNKNOWN
-        self.target_id = ''
-        self.started_ms = 0
+        self.incarnations = Incarnations(timers, heartbeat_s)
         self.slots = 1
+        # Whether a heartbeat that was not applied says that the target
+        # drains, while it is not certain which target is the living one.
+        self._may_drain = False
         self._timers = timers
         self._heartbeat_s = heartbeat_s
-        self._sequence = -1
         self._last_seen_s = timers.now()
         self._opening_failed = False
         self.is_heard = False
 
+    @property
+    def target_id(self) -> str:
+        """Return the id of the target, empty before its first heartbeat."""
+        current = self.incarnations.current
+        return current.target_id if current else ''
+
+    @property
+    def started_ms(self) -> int:
+        """Return the target's start in ms since the epoch, 0 if unknown."""
+        current = self.incarnations.current
+        return current.started_ms if current else 0
+
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
-        """Apply a heartbeat unless it is stale; return what it changed."""
-        incarnation = (heartbeat.target_id, heartbeat.started_ms)
-        is_new = incarnation != (self.target_id, self.started_ms)
-        if self._is_stale(heartbeat, is_new):
+        """Apply a heartbeat of the living target; return what it changed."""
+        was_known = self.incarnations.current is not None
+        is_closed = self.phase in _CLOSED
+        verdict = self.incarnations.judge(
+            heartbeat, reopens=is_closed and not heartbeat.is_draining
+        )
+        if verdict is ReportVerdict.UNPROVEN:
+            self._consider(heartbeat)
             return HeartbeatOutcome.STALE
+        self._may_drain = False
         self.record_activity()
-        self._sequence = heartbeat.sequence
         self.slots = heartbeat.slots
         phase = (
             TargetPhase.DRAINING if heartbeat.is_draining else TargetPhase.READY
         )
         changed = phase is not self.phase
         self.phase = phase
-        if is_new:
-            known_before = bool(self.target_id)
-            self.target_id = heartbeat.target_id
-            self.started_ms = heartbeat.started_ms
-            if known_before:
-                return HeartbeatOutcome.NEW_INCARNATION
+        if verdict is ReportVerdict.REPLACED and was_known:
+            return HeartbeatOutcome.NEW_INCARNATION
         return HeartbeatOutcome.CHANGED if changed else HeartbeatOutcome.SAME
 
     def handle_departure(self, target_id: str) -> bool:
         """Record that the target leaves; False if the id is another one."""
-        if self.target_id and target_id != self.target_id:
+        if not self.incarnations.record_departure(target_id):
             return False
         self.phase = TargetPhase.GONE
         return True
@@ -114,6 +107,7 @@
     def exclude_pause(self, pause_s: float) -> None:
         """Exclude a pause of this process from the target's silence."""
         self._last_seen_s += pause_s
+        self.incarnations.exclude_pause(pause_s)
 
     def record_failed_opening(self, offered_s: float) -> None:
         """Record that an opening packet was unanswered or sent back.
@@ -131,7 +125,7 @@
     @property
     def is_open(self) -> bool:
         """Return whether the phase of the target allows new flows."""
-        return self.phase in {TargetPhase.UNKNOWN, TargetPhase.READY}
+        return self.phase not in _CLOSED and not self._may_drain
 
     @property
     def is_responsive(self) -> bool:
@@ -158,16 +152,19 @@
                 return ReportedState.ABSENT
             case TargetPhase.DRAINING:
                 return ReportedState.DRAINING
+        if self._may_drain:
+            return ReportedState.DRAINING
         if not self.is_responsive:
             return ReportedState.ABSENT
         if self.phase is TargetPhase.UNKNOWN:
             return ReportedState.UNHEARD
         return ReportedState.READY
 
-    def _is_stale(self, heartbeat: Heartbeat, is_new: bool) -> bool:
-        if is_new:
-            return heartbeat.started_ms < self.started_ms
-        return (
-            heartbeat.sequence <= self._sequence
-            or self.phase is TargetPhase.GONE
-        )
+    def _consider(self, heartbeat: Heartbeat) -> None:
+        """Close the gate if the living target may be a draining one.
+
+        An agent that has restarted may have acknowledged that before.
+        """
+        current = self.incarnations.current
+        if heartbeat.is_draining and current and not current.was_proven:
+            self._may_drain = True
--- a/tests/platform/test_processes.py
+++ b/tests/platform/test_processes.py
@@ -57,6 +57,23 @@
             self.deployment.caller.open(port, BALANCERS[0])
         self.assertEqual(before, leaving.opened)
 
+    def test_late_report_is_not_acknowledged_and_opens_nothing(self):
+        # Guards against a late report of an earlier start that makes a
+        # draining target accept flows again, or is acknowledged though it
+        # was not applied.
+        leaving = self.deployment.targets[AGENTS[0]]
+        self.deployment.draining.add(AGENTS[0])
+        gevent.sleep(1.0)
+        before = leaving.opened
+        for born in (1600000000000, 1800000000000):
+            status = self.deployment.report(
+                AGENTS[0], 'i-earlier', born=born, sequence=1000
+            )
+            self.assertEqual(503, status)
+        for port in range(42100, 42120):
+            self.deployment.caller.open(port, BALANCERS[0])
+        self.assertEqual(before, leaving.opened)
+
     def test_balancer_forwards_after_sigterm(self):
         # Guards against packets lost while the fabric still sends to a
         # balancer that is stopping.
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -3,6 +3,7 @@
 import struct
 
 from greengagepath.steering.agent_context import AgentIdentity
+from greengagepath.steering.incarnations import Heartbeat
 from greengagepath.steering.peer_messages import (
     LoadReport,
     PeerKind,
@@ -12,7 +13,6 @@
 )
 from greengagepath.steering.routes import Route, RouteTable, ServiceShare
 from greengagepath.steering.segments import Segment
-from greengagepath.steering.target_gate import Heartbeat
 
 SERVICE = digest_service('orders')
 OTHER_SERVICE = digest_service('proofs')
--- a/tests/steering/test_target_gate.py
+++ b/tests/steering/test_target_gate.py
@@ -52,9 +52,14 @@
 
     def test_same_id_with_a_later_start_is_a_new_incarnation(self):
         # Guards against a restarted target whose heartbeats all look stale
-        # because its sequence numbers start from the beginning.
+        # because its sequence numbers start from the beginning. The first
+        # of them may be late, so the draining one has to miss a heartbeat.
         self.gate.handle_heartbeat(make_heartbeat(50, is_draining=True))
+        self.timers.advance(0.5)
         outcome = self.gate.handle_heartbeat(make_heartbeat(1, started_ms=2000))
+        self.assertEqual(HeartbeatOutcome.STALE, outcome)
+        self.timers.advance(1.2)
+        outcome = self.gate.handle_heartbeat(make_heartbeat(2, started_ms=2000))
         self.assertEqual(HeartbeatOutcome.NEW_INCARNATION, outcome)
         self.assertTrue(self.gate.is_open)
 
