Refuse a report that lacks a field of the platform's page

The page says that an entry with missing fields, or of another type, names no endpoint to use.

Change: all fields that the page's example has are required with their type; `born`, which it does not have, stays optional. `address` needs a port in range. The decision on incarnations already keeps a single such report from opening a target whose agent hears the living one; this keeps it out of an agent that has heard nothing yet.

Evidence: the new test fails on the code before and passes now.

--- a/greengagepath/platform/heartbeats.py
+++ b/greengagepath/platform/heartbeats.py
@@ -6,11 +6,16 @@
 
 from ..foundation.tolerant_json import decode_json
 from ..steering.incarnations import Heartbeat
+from ..steering.settings import MAX_PORT, pack_address
 
 PATH_PREFIX = '/endpoints/'
 ACKNOWLEDGEMENT = b'{}'
 _DRAINING_BY_STATE = {'ready': False, 'draining': True}
 _MAX_ID_CHARACTERS = 200
+# Fields that each heartbeat has; one without them is of another writer.
+_TEXTS = ('address', 'zone', 'version')
+_MAX_PORT_DIGITS = 5
+_NUMBERS = ('sequence', 'slots', 'cold-remaining-ms')
 # The largest number that load reports can hold.
 _MAX_UNSIGNED = 0xFFFFFFFFFFFFFFFF
 
@@ -40,9 +45,10 @@
     state = found.get('state')
     if not isinstance(state, str) or state not in _DRAINING_BY_STATE:
         return Err('state is unknown')
-    if not isinstance(found.get('address'), str):
-        return Err('address is not text')
-    numbers = [_read_unsigned(found, name) for name in ('sequence', 'slots')]
+    has_texts = all(isinstance(found.get(name), str) for name in _TEXTS)
+    if not has_texts or not _is_address(found['address']):
+        return Err('a text is missing, or address has no valid port')
+    numbers = [_read_unsigned(found, name) for name in _NUMBERS]
     # Older targets do not send their start time.
     started_ms = _read_unsigned(found, 'born') if 'born' in found else 0
     if None in numbers or started_ms is None:
@@ -57,6 +63,13 @@
     return Ok(heartbeat)
 
 
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(':')
+    if pack_address(host) is None or not port.isdecimal():
+        return False
+    return len(port) <= _MAX_PORT_DIGITS and 0 < int(port) <= MAX_PORT
+
+
 def _read_unsigned(found: dict[str, Any], name: str) -> int | None:
     number = found.get(name)
     if isinstance(number, bool) or not isinstance(number, int):
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -219,6 +219,30 @@
         )
         self.assertTrue(decode_heartbeat('i-1', body, 'huvo11a').is_err())
 
+    def test_heartbeat_without_a_field_is_refused(self):
+        # Guards against a target that another writer names: its report
+        # lacks a field, or has one of another type or out of range.
+        for field in json.loads(make_heartbeat_body()):
+            # The page's example has no start time.
+            if field != 'born':
+                body = make_heartbeat_body(**{field: None})
+                decoded = decode_heartbeat('i-1', body, 'huvo11a')
+                self.assertTrue(decoded.is_err(), field)
+        for odd in (
+            {'zone': 7},
+            {'version': ['v1']},
+            {'cold-remaining-ms': -1},
+            {'cold-remaining-ms': '0'},
+            {'address': '10.128.0.9'},
+            {'address': '10.128.0.9:0'},
+            {'address': '10.128.0.9:65536'},
+            {'address': f'10.128.0.9:{LONG_INTEGER}'},
+            {'address': 'x:8080'},
+        ):
+            body = make_heartbeat_body(**odd)
+            decoded = decode_heartbeat('i-1', body, 'huvo11a')
+            self.assertTrue(decoded.is_err(), odd)
+
     @given(odd_values(), st.sampled_from(('service', 'state', 'born')))
     def test_any_heartbeat_gives_a_result(self, odd, field):
         # Guards against an exception for a heartbeat of another writer.
