Share the steps of generated restarts between two tests

Cause: test_two_services.py repeated the steps of test_lost_flows.py that restart an agent or replace a target. Change: both call the world's `replace_agent` and `replace_target`. The orders that are generated and the assertions stay.

--- a/tests/steering/test_lost_flows.py
+++ b/tests/steering/test_lost_flows.py
@@ -234,19 +234,12 @@
     def _apply(self, world, fault, number, *, is_listed):
         match fault:
             case 'restart target':
-                world.restart_target(number)
-                started_ms = int(world.timers.now() * 1000)
-                world.send_first_heartbeat(number, started_ms)
+                world.replace_target(number)
             case 'restart balancer':
                 world.start_balancer(number % 2 + 1)
-            case 'stop agent':
-                self._stop(world, number)
             case _:
-                self._stop(world, number)
-                world.start_agent(number, is_first_start=False)
-                if is_listed:
-                    world.list_members(number)
-
-    def _stop(self, world, number):
-        if make_address(number) in world.agent_by_address:
-            world.stop_agent(number)
+                world.replace_agent(
+                    number,
+                    starts=fault == 'restart agent',
+                    is_listed=is_listed,
+                )
--- a/tests/steering/test_two_services.py
+++ b/tests/steering/test_two_services.py
@@ -250,9 +250,7 @@
     def _apply(self, world, fault, number, version, *, is_listed):
         match fault:
             case 'restart target':
-                world.restart_target(number)
-                started_ms = int(world.timers.now() * 1000)
-                world.send_first_heartbeat(number, started_ms)
+                world.replace_target(number)
             case 'restart balancer':
                 world.start_balancer(number % 2 + 1)
             case 'first service only':
@@ -264,12 +262,8 @@
             case 'both services':
                 world.apply_routes(make_table(version, services=BOTH))
             case _:
-                self._restart_agent(world, fault, number, is_listed)
-
-    def _restart_agent(self, world, fault, number, is_listed):
-        if make_address(number) in world.agent_by_address:
-            world.stop_agent(number)
-        if fault == 'restart agent':
-            world.start_agent(number, is_first_start=False)
-            if is_listed:
-                world.list_members(number)
+                world.replace_agent(
+                    number,
+                    starts=fault == 'restart agent',
+                    is_listed=is_listed,
+                )
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -368,6 +368,22 @@
                 make_heartbeat(target_id=f'i-{number}', started_ms=started_ms)
             )
 
+    def replace_target(self, number: int) -> None:
+        """Crash a target and start one that reports itself at once."""
+        self.restart_target(number)
+        self.send_first_heartbeat(number, int(self.timers.now() * 1000))
+
+    def replace_agent(
+        self, number: int, *, starts: bool, is_listed: bool
+    ) -> None:
+        """Kill an agent, if it runs; start it, with or without the list."""
+        if make_address(number) in self.agent_by_address:
+            self.stop_agent(number)
+        if starts:
+            self.start_agent(number, is_first_start=False)
+            if is_listed:
+                self.list_members(number)
+
     def list_members(self, number: int) -> None:
         """Give an agent the store's list of all agents."""
         agent = self.agent_by_address[make_address(number)]
