--- a/greengagepath/daemon/route_follower.py
+++ b/greengagepath/daemon/route_follower.py
@@ -21,7 +21,7 @@
 # After a peer has reported a higher version, the watch usually delivers
 # it within this time, and the store need not be read.
 CATCH_UP_DELAY_S = 0.2
-# The store is read again when the last word from it is older than this
+# The store is read again when the last answered read is older than this
 # share of the time in which a configuration has to be in force, plus a
 # random part up to the second share: usually one balancer reads and tells
 # the others.
--- a/greengagepath/steering/store_freshness.py
+++ b/greengagepath/steering/store_freshness.py
@@ -1,8 +1,8 @@
-"""How old a balancer's last word from the store on the configuration is.
+"""Age of what a balancer knows of the configuration in the store.
 
-A watch tells of changes at once, but a lost answer looks like a store in
+A watch reports changes at once, but a lost answer looks like a store in
 which nothing changes. A balancer therefore knows that it has the latest
-configuration only as of a read that was answered, of its own or of a peer.
+configuration only as of a read that was answered, its own or a peer's.
 """
 
 import struct
@@ -31,7 +31,7 @@
 
     @property
     def age_s(self) -> float:
-        """Return the age of the last word from the store."""
+        """Return the age of the last answered read."""
         if self._read_s is None:
             return MAX_AGE_S
         return min(self._timers.now() - self._read_s, MAX_AGE_S)
--- a/tests/steering/test_store_freshness.py
+++ b/tests/steering/test_store_freshness.py
@@ -1,4 +1,4 @@
-"""Tests of the age of a balancer's last word from the store."""
+"""Tests of the age of the last answered read of the store."""
 
 from testtools import TestCase
 
@@ -19,7 +19,7 @@
         self.own.record_peer(self.peer.encode_own())
         self.assertAlmostEqual(0.5, self.own.age_s)
 
-    def test_older_word_does_not_replace_a_younger_one(self):
+    def test_older_read_does_not_replace_a_younger_one(self):
         # Guards against needless reads after a late message.
         late = self.peer
         late.record_read(99.0)
@@ -27,7 +27,7 @@
         self.own.record_peer(late.encode_own())
         self.assertAlmostEqual(0.0, self.own.age_s)
 
-    def test_word_of_a_peer_is_not_passed_on(self):
+    def test_read_of_a_peer_is_not_passed_on(self):
         # Guards against balancers that tell each other of a read that
         # nobody repeats: each message would make it look younger.
         self.peer.record_read(100.0)
