Evacuate availability zones and limit the rate of cold targets

Change: balancers share one list call (a read is due at 0.2 to 0.3 of `evacuate-ms` after the last one) and tell each other and the agents with the new datagram ZONES. An agent of an evacuated zone reports DRAINING, accepts no opening packet and goes on as a home. The agent also limits the opening packets of a cold target in any span of a second, by `cold-per-s` of its service and the bounds of the deployment; the rates travel in copies of the configuration. Both are off without the deployment's settings.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -73,9 +73,11 @@
             settings.address,
             digest_service(settings.service),
             heartbeat_s=settings.heartbeat_ms / 1000,
-            idle_s=settings.flow_lifetime_s,
+            idle_s=settings.bounds.flow_lifetime_s,
             is_first_start=settings.first_start,
             zone=digest_zone(settings.availability_zone),
+            zone_digest=digest_service(settings.availability_zone),
+            cold_bounds=settings.bounds.cold,
         )
         self.steering = AgentSteering(identity, self._timers, self)
         context = self.steering.context
@@ -137,6 +139,9 @@
             'agents': len(context.peers.agents),
             'balancers': len(context.peers.balancers),
             'latest_version': context.latest_version,
+            'is_evacuated': context.is_evacuated,
+            'zones_revision': context.zones.revision,
+            'is_cold_limited': not context.allows_cold(),
         }
 
     def _leave(self) -> None:
@@ -151,7 +156,7 @@
         if self.steering.context.gate.phase is TargetPhase.GONE:
             self._store.remove_member(self._own)
             return
-        end_s = self._timers.now() + self._settings.termination_s
+        end_s = self._timers.now() + self._settings.bounds.termination_s
         end_s -= LEAVE_RESERVE_S
         while self._timers.now() < end_s:
             if self.steering.context.gate.phase is TargetPhase.GONE:
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -14,6 +14,7 @@
 from ..steering.settings import SteeringSettings
 from ..steering.store import MemberRole, SteeringStore
 from .datagram_socket import DatagramSocket
+from .evacuation_follower import EvacuationFollower
 from .http_listener import (
     NOT_FOUND,
     OK,
@@ -72,6 +73,9 @@
         self._follower = RouteFollower(
             store, self.steering, random.Random(), store.apply_s
         )
+        self._evacuations = EvacuationFollower(
+            store, self.steering, random.Random(), settings.bounds.evacuate_s
+        )
         self._started_s = self._timers.now()
 
     def run(self) -> ExitCode:
@@ -80,6 +84,8 @@
         self._callers.start()
         self.steering.contacts.add_balancers(self._settings.seeds)
         self._follower.start()
+        if self._settings.bounds.evacuate_s:
+            self._evacuations.start()
         self._listing.start()
         log_event(_logger, 'balancer.started', apply_s=self._store.apply_s)
         self._stopping.wait()
@@ -95,6 +101,9 @@
             'store_age_s': contacts.freshness.age_s,
             'agents': len(contacts.agents.by_address),
             'pauses': contacts.agents.pauses,
+            'evacuated_zones': len(contacts.zones.zones.digests),
+            'zones_revision': contacts.zones.zones.revision,
+            'zones_age_s': contacts.zones.freshness.age_s,
             'stage': contacts.stage,
         }
 
@@ -105,7 +114,9 @@
         rotation = self.steering.contacts.rotation
         rotation.request_leave()
         self.steering.contacts.enter_stage(BalancerStage.LEAVING)
-        limit_s = self._settings.termination_s - LEAVE_S - LEAVE_RESERVE_S
+        limit_s = (
+            self._settings.bounds.termination_s - LEAVE_S - LEAVE_RESERVE_S
+        )
         while not rotation.may_leave():
             if self._timers.now() - asked_s >= limit_s:
                 break
--- /dev/null
+++ b/greengagepath/evacuation/__init__.py
@@ -0,0 +1,1 @@
+"""Evacuation of availability zones."""
--- a/greengagepath/platform/configuration.py
+++ b/greengagepath/platform/configuration.py
@@ -48,7 +48,9 @@
             raise ValueError(f'host {entry["host"]!r} port {port}')
         destination = port.to_bytes(2, 'big') + address
         by_destination[destination] = _decode_route(entry, digests)
-    return RouteTable(version, by_destination)
+    return RouteTable(
+        version, by_destination, _decode_cold_rates(spec, digests)
+    )
 
 
 def _decode_route(entry: dict[str, Any], digests: dict[str, bytes]) -> Route:
@@ -67,6 +69,19 @@
     )
 
 
+def _decode_cold_rates(
+    spec: dict[str, Any], digests: dict[str, bytes]
+) -> dict[bytes, float]:
+    """Return the rates of cold targets of the services that state one."""
+    rate_by_service = {
+        _digest(entry['name'], digests): _read_number(entry, 'cold-per-s', 0)
+        for entry in spec.get('services', ())
+    }
+    return {
+        service: per_s for service, per_s in rate_by_service.items() if per_s
+    }
+
+
 def _read_number(entry: dict[str, Any], name: str, default: float) -> float:
     number = float(entry.get(name, default))
     # Not a number compares as False.
--- a/greengagepath/platform/heartbeats.py
+++ b/greengagepath/platform/heartbeats.py
@@ -16,6 +16,7 @@
 _TEXTS = ('address', 'zone', 'version')
 _MAX_PORT_DIGITS = 5
 _NUMBERS = ('sequence', 'slots', 'cold-remaining-ms')
+_MS_PER_S = 1000
 # The largest number that load reports can hold.
 _MAX_UNSIGNED = 0xFFFFFFFFFFFFFFFF
 
@@ -59,6 +60,7 @@
         sequence=numbers[0] or 0,
         slots=max(numbers[1] or 1, 1),
         is_draining=_DRAINING_BY_STATE[state],
+        cold_remaining_s=(numbers[2] or 0) / _MS_PER_S,
     )
     return Ok(heartbeat)
 
--- a/greengagepath/platform/store.py
+++ b/greengagepath/platform/store.py
@@ -21,6 +21,7 @@
     Member,
     MemberRole,
     StoredRoutes,
+    StoredZones,
     StoreProblem,
 )
 from .configuration import decode_configuration
@@ -40,6 +41,7 @@
 _CONFIGURATION = '/objects/config'
 _CONFIGURATION_NAME = 'main'
 _MEMBERS = '/objects/greengagepath-members'
+_EVACUATIONS = '/objects/evacuations'
 _OK = 200
 _CREATED = 201
 _CONFLICT = 409
@@ -104,6 +106,25 @@
         """Close the connection of the watch, so that its call fails."""
         self._watch_connection.close()
 
+    def list_evacuated_zones(self) -> Result[StoredZones, StoreProblem]:
+        """Return the evacuated zones, of the first page of the list.
+
+        Entries without a readable name are skipped and counted in `calls`
+        as `odd_entry`.
+        """
+        response = self._call('list_evacuated_zones', 'GET', _EVACUATIONS)
+        if isinstance(response, Err):
+            return response
+        revision = response.ok_value.get('current-rev')
+        if not isinstance(revision, int) or revision < 0:
+            return Err(StoreProblem('answer has no revision'))
+        entries = _read_list(response.ok_value, 'items')
+        names = list(filter(None, map(_decode_name, entries)))
+        odd = len(entries) - len(names)
+        if odd:
+            self.calls['list_evacuated_zones', 'odd_entry'] += odd
+        return Ok(StoredZones(names, revision))
+
     def list_members(self) -> Result[list[Member], StoreProblem]:
         """Return the registered processes, of at most `MAX_PAGES` pages.
 
--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -4,8 +4,10 @@
 from collections import Counter
 from typing import Protocol
 
+from ..evacuation.zones import EvacuatedZones
 from ..foundation.logs import log_event
 from ..foundation.timers import TimerService
+from ..pace.cold_limit import ColdBounds, ColdLimit
 from .agent_peers import AgentPeers
 from .held_flows import HeldFlows
 from .neighbours import UNKNOWN_ZONE
@@ -46,7 +48,9 @@
 class AgentIdentity:
     """Address, service, zone and time limits of an agent.
 
-    `zone` is the number of the availability zone in reports.
+    `zone` is the number of the availability zone in reports, and
+    `zone_digest` its digest in lists of evacuated zones. `cold_bounds` is
+    None if the rate of a cold target is not limited.
     `heartbeat_s` is the interval of the target's heartbeats and `idle_s`
     how long an idle flow is kept, both in seconds. `is_first_start` is
     True only if no flow can have been opened before this process started.
@@ -54,11 +58,13 @@
 
     __slots__ = (
         'address',
+        'cold_bounds',
         'heartbeat_s',
         'idle_s',
         'is_first_start',
         'service',
         'zone',
+        'zone_digest',
     )
 
     def __init__(
@@ -70,9 +76,13 @@
         idle_s: float,
         is_first_start: bool,
         zone: int = UNKNOWN_ZONE,
+        zone_digest: bytes = b'',
+        cold_bounds: ColdBounds | None = None,
     ) -> None:
         self.address = address
         self.zone = zone
+        self.zone_digest = zone_digest
+        self.cold_bounds = cold_bounds
         self.service = service
         self.heartbeat_s = heartbeat_s
         self.idle_s = idle_s
@@ -84,10 +94,12 @@
 
     `latest_version` is the highest configuration version seen in any
     message. `routes` is a copy of the configuration for balancers that
-    start while the store does not answer.
+    start while the store does not answer. `cold_limit` is None if the
+    deployment does not limit the rate of cold targets.
     """
 
     __slots__ = (
+        'cold_limit',
         'counts',
         'gate',
         'held_flows',
@@ -98,6 +110,7 @@
         'peers',
         'routes',
         'timers',
+        'zones',
     )
 
     def __init__(
@@ -116,6 +129,21 @@
         self.peers = AgentPeers(identity.address, identity.zone, timers)
         self.routes = RouteCopy()
         self.timers = timers
+        self.zones = EvacuatedZones()
+        self.cold_limit: ColdLimit | None = None
+        if identity.cold_bounds is not None:
+            self.cold_limit = ColdLimit(identity.cold_bounds, timers.now())
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Return whether the zone of this agent is evacuated."""
+        return self.identity.zone_digest in self.zones.digests
+
+    def allows_cold(self, *, is_last_resort: bool = False) -> bool:
+        """Return whether the rate limit of a cold target allows a flow."""
+        return self.cold_limit is None or self.cold_limit.allows(
+            self.timers.now(), is_last_resort=is_last_resort
+        )
 
     def estimate_service_s(self) -> float:
         """Return the estimated duration of a request in s, 0 if unknown."""
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -63,7 +63,12 @@
             if owner in self._context.peers.load_by_address:
                 self._send_place(owner, message, segment)
                 return
-        self._place(message, segment, self._estimate_own())
+        is_last_resort = (
+            not self._context.allows_cold()
+            and self._choose_peer(message) is None
+        )
+        own = self._estimate_own(is_last_resort=is_last_resort)
+        self._place(message, segment, own)
 
     def handle_returned(self, segment: Segment, held: HeldFlow | None) -> None:
         """Hand over an opening packet that the target sent back or reset.
@@ -206,11 +211,21 @@
         context = self._context
         return choose_peer(context.peers.loads, context.timers.now())
 
-    def _estimate_own(self) -> Estimate | None:
+    def _estimate_own(self, *, is_last_resort: bool) -> Estimate | None:
+        """Return the estimate of this target, None if it takes no flow.
+
+        `is_last_resort` tells that no other target accepts the flow.
+        """
         context = self._context
         gate = context.gate
         if context.is_leaving or not gate.is_open or not gate.is_responsive:
             return None
+        if context.is_evacuated:
+            context.counts['openings_evacuated'] += 1
+            return None
+        if not context.allows_cold(is_last_resort=is_last_resort):
+            context.counts['openings_cold'] += 1
+            return None
         now_s = context.timers.now()
         if context.held_flows.is_full(now_s):
             return None
@@ -240,7 +255,10 @@
             finish_s=round(estimate.finish_s, 4),
             version=context.latest_version,
         )
-        context.held_flows.accept(segment, message, context.timers.now())
+        now_s = context.timers.now()
+        context.held_flows.accept(segment, message, now_s)
+        if context.cold_limit is not None:
+            context.cold_limit.record(now_s)
         context.counts['flows_offered'] += 1
         context.outbox.to_target(segment.raw)
         self._reports.send_change()
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -149,10 +149,12 @@
         state = context.gate.reported_state()
         if state not in ACCEPTING_STATES:
             return state
-        if context.is_leaving:
+        if context.is_leaving or context.is_evacuated:
             return ReportedState.DRAINING
         is_full = context.held_flows.is_full(context.timers.now())
-        return ReportedState.FULL if is_full else state
+        if is_full or not context.allows_cold():
+            return ReportedState.FULL
+        return state
 
     def _make_report(self, hops: int = 0) -> bytes:
         context = self._context
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -8,6 +8,7 @@
 from .agent_openings import AgentOpenings
 from .agent_reports import AgentReports
 from .agent_routes import AgentRoutes
+from .agent_zones import AgentZones
 from .backlog import Backlog
 from .held_flows import HeldFlow
 from .incarnations import Heartbeat
@@ -25,7 +26,13 @@
 
 # Kinds of messages about processes instead of a single flow.
 _PROCESS_KINDS = frozenset(
-    (PeerKind.REPORT, PeerKind.PRESENCE, PeerKind.PART, PeerKind.PULL)
+    (
+        PeerKind.REPORT,
+        PeerKind.PRESENCE,
+        PeerKind.PART,
+        PeerKind.PULL,
+        PeerKind.ZONES,
+    )
 )
 # Kinds of messages about the holder of one flow.
 _NOTICE_KINDS = frozenset((PeerKind.HELD, PeerKind.NOT_HELD, PeerKind.LOST))
@@ -51,6 +58,7 @@
         self.context = AgentContext(identity, timers, outbox)
         self.reports = AgentReports(self.context)
         self._routes = AgentRoutes(self.context)
+        self._zones = AgentZones(self.context, self.reports)
         owner_by_flow: RecentMap[bytes, bytes] = RecentMap(MAX_OWNERS)
         self._owner_by_flow = owner_by_flow
         self._openings = AgentOpenings(
@@ -117,6 +125,8 @@
                 self._routes.handle_part(message)
             case PeerKind.PULL:
                 self._routes.send_routes(sender)
+            case PeerKind.ZONES:
+                self._zones.handle_notice(sender, message)
 
     def handle_target_packet(self, segment: Segment) -> None:
         """Handle a packet that the target sent or sent back."""
@@ -143,6 +153,7 @@
         """Handle a heartbeat of the target; return what it changed."""
         gate = self.context.gate
         outcome = gate.handle_heartbeat(heartbeat)
+        self._zones.handle_heartbeat(heartbeat, outcome)
         if outcome is HeartbeatOutcome.NEW_INCARNATION:
             self.context.held_flows.forget_load()
         if gate.incarnations.take_restart():
--- a/greengagepath/steering/balancer_contacts.py
+++ b/greengagepath/steering/balancer_contacts.py
@@ -4,6 +4,7 @@
 
 from ..foundation.timers import TimerService
 from .ages import drop_older
+from .balancer_zones import BalancerZones
 from .known_agents import KnownAgent, KnownAgents
 from .paced_rounds import PacedRounds
 from .peer_messages import (
@@ -56,8 +57,8 @@
 class BalancerContacts:
     """Announces this balancer to agents and to other balancers.
 
-    `stage` is the stage of this balancer's life cycle, and `freshness` the
-    age of what it knows of the store.
+    `stage` is the stage of this balancer's life cycle, `freshness` the age
+    of what it knows of the store, and `zones` the evacuated zones.
     """
 
     def __init__(
@@ -71,6 +72,7 @@
         self.rotation = Rotation(timers)
         self.stage = BalancerStage.STARTING
         self.freshness = StoreFreshness(timers)
+        self.zones = BalancerZones(identity.address, timers, outbox, routes)
         self._address = identity.address
         self._zone = digest_service(identity.availability_zone)
         self._timers = timers
@@ -118,6 +120,15 @@
         self.freshness.record_read(started_s)
         self._send_stage(list(self._balancer_seen_s))
 
+    def announce_zones_read(
+        self, names: list[str], revision: int, started_s: float
+    ) -> None:
+        """Record a list of evacuated zones and tell other balancers of it."""
+        is_changed = self.zones.record_read(names, revision, started_s)
+        self.zones.send_to_balancers(self._balancer_seen_s)
+        if is_changed:
+            self.zones.send_to_agents(self.agents)
+
     def send_roster(self, agent: KnownAgent) -> None:
         """Send an agent the balancers and the agents of its service.
 
@@ -151,6 +162,13 @@
         if agents:
             self._outbox.to_agent(agents[attempt % len(agents)], datagram)
 
+    def handle_message(self, sender: bytes, message: PeerMessage) -> None:
+        """Handle a PRESENCE or ZONES of another balancer."""
+        if message.kind is PeerKind.PRESENCE:
+            self.handle_presence(sender, message)
+        elif self.zones.handle_notice(sender, message):
+            self.zones.send_to_agents(self.agents)
+
     def handle_presence(self, sender: bytes, message: PeerMessage) -> None:
         """Handle a PRESENCE of another balancer."""
         self._balancer_seen_s[sender] = self._timers.now()
@@ -194,6 +212,7 @@
     def _send_presence(self, agent: KnownAgent, roster: Roster) -> None:
         encoded = self._encode(agent.service, roster.encode())
         self._outbox.to_agent(agent.address, encoded)
+        self.zones.send_to_agent(agent)
 
     def _encode(self, service: bytes, body: bytes, hops: int = 0) -> bytes:
         message = PeerMessage(
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -16,6 +16,7 @@
 )
 from .open_flows import OpenFlows
 from .peer_messages import (
+    ASK_REPORT,
     NO_SERVICE,
     PeerKind,
     PeerMessage,
@@ -116,8 +117,8 @@
                 self._send_routes(sender, message)
             case PeerKind.PART:
                 self._handle_part(sender, message)
-            case PeerKind.PRESENCE:
-                self.contacts.handle_presence(sender, message)
+            case PeerKind.PRESENCE | PeerKind.ZONES:
+                self.contacts.handle_message(sender, message)
             case _:
                 self.counts['dropped_unexpected'] += 1
 
@@ -272,6 +273,9 @@
         agents = self.contacts.agents
         if agents.record_report(sender, message.service, decoded.ok_value):
             self.contacts.send_roster(agents.by_address[sender])
+        elif message.hops == ASK_REPORT:
+            # An agent that has just started knows of no evacuation.
+            self.contacts.zones.send_to_agent(agents.by_address[sender])
 
     def _send(
         self, address: bytes, kind: PeerKind, service: bytes, body: bytes
--- a/greengagepath/steering/incarnations.py
+++ b/greengagepath/steering/incarnations.py
@@ -31,10 +31,17 @@
 
     `started_ms` is the target's start in ms since the epoch by the clock
     of its VM, 0 if not given; `sequence` increases with each heartbeat
-    since that start.
+    since that start. The target stays cold for `cold_remaining_s`.
     """
 
-    __slots__ = ('is_draining', 'sequence', 'slots', 'started_ms', 'target_id')
+    __slots__ = (
+        'cold_remaining_s',
+        'is_draining',
+        'sequence',
+        'slots',
+        'started_ms',
+        'target_id',
+    )
 
     def __init__(
         self,
@@ -44,8 +51,10 @@
         sequence: int = 0,
         slots: int = 1,
         is_draining: bool = False,
+        cold_remaining_s: float = 0,
     ) -> None:
         self.target_id = target_id
+        self.cold_remaining_s = cold_remaining_s
         self.started_ms = started_ms
         self.sequence = sequence
         self.slots = slots
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -22,7 +22,8 @@
 # Value of `hops` in a search that only agents which know the flow answer;
 # others neither try the packet at their targets nor deny the flow.
 KNOWN_ONLY = 1
-# Value of `hops` in a report whose receiver is to answer with its own.
+# Value of `hops` in a report whose receiver is to answer: an agent with its
+# own report, a balancer with the evacuated zones.
 ASK_REPORT = 1
 # Value of `hops` in a report that is repeated too rarely to place flows by.
 RARE_REPORT = 2
@@ -65,6 +66,9 @@
     # No target of any service holds the flow in the body; from a balancer
     # to the home that has denied it first.
     LOST = 13
+    # Evacuated zones, from a balancer; for an agent also the rate that cold
+    # targets of its service bear.
+    ZONES = 14
 
 
 class PeerMessage:
--- a/greengagepath/steering/route_codec.py
+++ b/greengagepath/steering/route_codec.py
@@ -15,22 +15,40 @@
 _MS_PER_S = 1000
 _MAX_NAME_BYTES = 255
 _MAX_SHARES = 255
+# Rates of cold targets are encoded as a route to port 0, with the rate of
+# each service as its weight. Builds that know no such rates keep the entry
+# and never match it.
+_COLD_RATES = bytes(6)
+_COLD_RATES_NAME = 'cold-rates'
 
 
 def encode_routes(table: RouteTable) -> bytes:
     """Return all routes of a table; the version is sent separately."""
+    by_destination = dict(table.by_destination)
+    if table.cold_per_s_by_service:
+        rates = sorted(table.cold_per_s_by_service.items())
+        by_destination[_COLD_RATES] = Route(
+            _COLD_RATES_NAME,
+            tuple(ServiceShare(service, per_s) for service, per_s in rates),
+        )
     return b''.join(
         _encode_route(destination, route)
-        for destination, route in sorted(table.by_destination.items())
+        for destination, route in sorted(by_destination.items())
     )
 
 
 def decode_routes(version: int, encoded: bytes) -> Result[RouteTable, str]:
     """Return the table, or why the bytes cannot be decoded."""
     try:
-        return Ok(RouteTable(version, dict(_decode(encoded))))
+        by_destination = dict(_decode(encoded))
     except (struct.error, UnicodeDecodeError, IndexError) as error:
         return Err(f'routes cannot be read: {error}')
+    rates = by_destination.get(_COLD_RATES)
+    if rates is None or rates.name != _COLD_RATES_NAME:
+        return Ok(RouteTable(version, by_destination))
+    del by_destination[_COLD_RATES]
+    cold_per_s = {share.service: share.weight for share in rates.shares}
+    return Ok(RouteTable(version, by_destination, cold_per_s))
 
 
 def _encode_route(destination: bytes, route: Route) -> bytes:
--- a/greengagepath/steering/routes.py
+++ b/greengagepath/steering/routes.py
@@ -63,13 +63,23 @@
 
 
 class RouteTable:
-    """Routes of one version, by packed destination port and address."""
+    """Routes of one version, by packed destination port and address.
 
-    __slots__ = ('by_destination', 'version')
+    `cold_per_s_by_service` has the new flows per second that a cold target
+    bears, for the services that state a limit.
+    """
+
+    __slots__ = ('by_destination', 'cold_per_s_by_service', 'version')
 
-    def __init__(self, version: int, by_destination: dict[bytes, Route]):
+    def __init__(
+        self,
+        version: int,
+        by_destination: dict[bytes, Route],
+        cold_per_s_by_service: dict[bytes, float] | None = None,
+    ) -> None:
         self.version = version
         self.by_destination = by_destination
+        self.cold_per_s_by_service = cold_per_s_by_service or {}
 
 
 class RouteHolder:
--- a/greengagepath/steering/settings.py
+++ b/greengagepath/steering/settings.py
@@ -8,11 +8,13 @@
 
 from ..foundation.addresses import Address
 from ..foundation.logs import LogOptions
+from ..pace.cold_limit import ColdBounds
 from .peer_messages import ADDRESS_BYTES
 
 MAX_PORT = 65535
 # Time in which a configuration has to be in force, in seconds.
 DEFAULT_APPLY_LIMIT_S = 3.0
+_MS_PER_S = 1000
 _UNREADABLE = (OSError, ValueError, TypeError, AttributeError)
 
 
@@ -40,6 +42,28 @@
         self.target_outbound = _parse_address(found['target_outbound_address'])
 
 
+class DeploymentBounds:
+    """Times and rates that the deployment prescribes.
+
+    `termination_s` is how long a process may run after SIGTERM,
+    `flow_lifetime_s` how long a flow may be open, and `evacuate_s` the time
+    in which an evacuation has to be in force, 0 if the deployment has none;
+    all in seconds. `cold` is None if the rate of cold targets is not
+    limited.
+    """
+
+    __slots__ = ('cold', 'evacuate_s', 'flow_lifetime_s', 'termination_s')
+
+    def __init__(self, found: dict[str, Any]) -> None:
+        self.termination_s = float(found['termination_s'])
+        self.flow_lifetime_s = float(found['flow_lifetime_s'])
+        self.evacuate_s = float(found.get('evacuate_ms') or 0) / _MS_PER_S
+        overage = found.get('cold_overage')
+        self.cold: ColdBounds | None = None
+        if overage is not None:
+            self.cold = ColdBounds(float(overage), float(found['cold_slack']))
+
+
 class SteeringSettings:
     """Identity, addresses and initial peers of a steering daemon.
 
@@ -50,8 +74,8 @@
     __slots__ = (
         'address',
         'availability_zone',
+        'bounds',
         'first_start',
-        'flow_lifetime_s',
         'heartbeat_ms',
         'listening',
         'logs',
@@ -61,7 +85,6 @@
         'service',
         'store_address',
         'target_address',
-        'termination_s',
     )
 
     def __init__(self, found: dict[str, Any]) -> None:
@@ -79,8 +102,7 @@
         self.store_address = _parse_address(found['store_address'])
         self.first_start = bool(found['first_start'])
         self.heartbeat_ms = float(found['heartbeat_ms'])
-        self.termination_s = float(found['termination_s'])
-        self.flow_lifetime_s = float(found['flow_lifetime_s'])
+        self.bounds = DeploymentBounds(found)
 
     @property
     def host(self) -> str:
--- a/greengagepath/steering/store.py
+++ b/greengagepath/steering/store.py
@@ -37,6 +37,16 @@
         self.revision = revision
 
 
+class StoredZones:
+    """Names of the evacuated zones, and the revision of the list."""
+
+    __slots__ = ('names', 'revision')
+
+    def __init__(self, names: list[str], revision: int) -> None:
+        self.names = names
+        self.revision = revision
+
+
 class StoreProblem:
     """Reason why a call failed.
 
@@ -70,6 +80,9 @@
     def interrupt_watch(self) -> None:
         """End the call of `watch_routes` that waits, if any, with an error."""
 
+    def list_evacuated_zones(self) -> Result[StoredZones, StoreProblem]:
+        """Return the availability zones that operators have evacuated."""
+
     def list_members(self) -> Result[list[Member], StoreProblem]:
         """Return all registered processes."""
 
--- a/greengagepath/steering/store_freshness.py
+++ b/greengagepath/steering/store_freshness.py
@@ -41,18 +41,26 @@
         self._own_read_s = started_s
         self._record(started_s)
 
+    @property
+    def own_age_ms(self) -> int:
+        """Return the age of the last own read, `UNKNOWN_AGE_MS` at most."""
+        if self._own_read_s is None:
+            return UNKNOWN_AGE_MS
+        age_ms = (self._timers.now() - self._own_read_s) * _MS_PER_S
+        return min(round(age_ms), UNKNOWN_AGE_MS)
+
     def encode_own(self) -> bytes:
         """Return the age of the last own read, for a PRESENCE."""
-        age_ms: float = UNKNOWN_AGE_MS
-        if self._own_read_s is not None:
-            age_ms = (self._timers.now() - self._own_read_s) * _MS_PER_S
-        return _AGE.pack(min(round(age_ms), UNKNOWN_AGE_MS))
+        return _AGE.pack(self.own_age_ms)
 
     def record_peer(self, body: bytes) -> None:
         """Record the age in a PRESENCE; earlier builds send none."""
         if len(body) != _AGE.size:
             return
-        age_ms = _AGE.unpack(body)[0]
+        self.record_peer_read(_AGE.unpack(body)[0])
+
+    def record_peer_read(self, age_ms: int) -> None:
+        """Record that a peer read the store `age_ms` ago."""
         if age_ms != UNKNOWN_AGE_MS:
             self._record(self._timers.now() - age_ms / _MS_PER_S)
 
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -16,6 +16,7 @@
     encode_reset,
 )
 from greengagepath.steering.peer_messages import digest_service
+from greengagepath.steering.route_codec import decode_routes, encode_routes
 
 from .builders import make_configuration, make_heartbeat_body
 
@@ -141,3 +142,30 @@
         for version in ('7', None, -1, 2**64):
             decoded = decode_configuration(make_configuration(version))
             self.assertTrue(decoded.is_err(), version)
+
+
+class ColdTargetTest(TestCase):
+    def test_heartbeat_says_how_long_the_target_stays_cold(self):
+        # Guards against a cold target that gets a full load.
+        changed = {'cold-remaining-ms': 1500}
+        body = make_heartbeat_body(**changed)
+        heartbeat = decode_heartbeat('i-1', body, 'huvo11a')
+        self.assertEqual(1.5, heartbeat.unwrap().cold_remaining_s)
+
+    def test_copies_of_the_configuration_keep_the_rates(self):
+        # Guards against balancers that got the configuration from a peer
+        # and limit no cold target.
+        spec = make_configuration()
+        spec['services'][0]['cold-per-s'] = 12.5
+        spec['services'][1]['cold-per-s'] = 0
+        table = decode_configuration(spec).unwrap()
+        copied = decode_routes(7, encode_routes(table)).unwrap()
+        expected = {digest_service('huvo11a'): 12.5}
+        self.assertEqual(expected, table.cold_per_s_by_service)
+        self.assertEqual(expected, copied.cold_per_s_by_service)
+        self.assertEqual(set(table.by_destination), set(copied.by_destination))
+
+    def test_configuration_without_rates_is_encoded_as_before(self):
+        # Guards against entries that earlier builds do not know.
+        table = decode_configuration(make_configuration()).unwrap()
+        self.assertNotIn(b'cold-rates', encode_routes(table))
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -2,6 +2,7 @@
 
 import struct
 
+from greengagepath.pace.cold_limit import ColdBounds
 from greengagepath.steering.agent_context import AgentIdentity
 from greengagepath.steering.incarnations import Heartbeat
 from greengagepath.steering.peer_messages import (
@@ -126,6 +127,8 @@
     is_first_start: bool = True,
     service: bytes = SERVICE,
     zone: int = 0,
+    zone_digest: bytes = b'',
+    cold_bounds: ColdBounds | None = None,
 ) -> AgentIdentity:
     """Return the identity of an agent."""
     return AgentIdentity(
@@ -135,6 +138,8 @@
         idle_s=60.0,
         is_first_start=is_first_start,
         zone=zone,
+        zone_digest=zone_digest,
+        cold_bounds=cold_bounds,
     )
 
 
@@ -145,6 +150,7 @@
     started_ms: int = 1000,
     is_draining: bool = False,
     slots: int = 2,
+    cold_remaining_s: float = 0,
 ) -> Heartbeat:
     """Return a heartbeat of a target."""
     return Heartbeat(
@@ -153,6 +159,7 @@
         sequence=sequence,
         slots=slots,
         is_draining=is_draining,
+        cold_remaining_s=cold_remaining_s,
     )
 
 
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -8,10 +8,15 @@
 from collections import defaultdict
 
 from greengagepath.foundation.timers import VirtualTimerService
+from greengagepath.pace.cold_limit import ColdBounds
 from greengagepath.steering.agent_steering import AgentSteering
 from greengagepath.steering.balancer_contacts import BalancerIdentity
 from greengagepath.steering.balancer_steering import BalancerSteering
-from greengagepath.steering.peer_messages import PeerKind, decode_message
+from greengagepath.steering.peer_messages import (
+    PeerKind,
+    decode_message,
+    digest_service,
+)
 from greengagepath.steering.routes import RouteTable
 from greengagepath.steering.segments import Segment
 
@@ -243,12 +248,20 @@
     """One service on `agents` VMs behind `balancers` VMs.
 
     With `other_agents` a second service of the same route runs on so many
-    further VMs; their numbers follow those of the first service.
+    further VMs; their numbers follow those of the first service. VMs of
+    agents are in the zones a, b, a, b and so on.
     """
 
     def __init__(
-        self, balancers: int = 2, agents: int = 4, *, other_agents: int = 0
+        self,
+        balancers: int = 2,
+        agents: int = 4,
+        *,
+        other_agents: int = 0,
+        cold_bounds: ColdBounds | None = None,
     ) -> None:
+        self.cold_bounds = cold_bounds
+        self.revision = 1
         self.first_agents = agents
         self.table = make_table()
         if other_agents:
@@ -314,6 +327,8 @@
                 number,
                 is_first_start=is_first_start,
                 service=self.find_service(number),
+                zone_digest=digest_service(find_zone(number)),
+                cold_bounds=self.cold_bounds,
             ),
             self.timers,
             FakeOutbox(self, address),
@@ -335,13 +350,23 @@
         self.agent_by_address[address] = steering
         for balancer in self.balancer_by_address:
             steering.context.peers.record_balancer(balancer)
-        steering.reports.report_to([*self.balancer_by_address, *known])
+        steering.reports.report_to(
+            [*self.balancer_by_address, *known], asks=True
+        )
         return steering
 
     def find_service(self, number: int) -> bytes:
         """Return the service of the target with a number."""
         return SERVICE if number <= self.first_agents else OTHER_SERVICE
 
+    def evacuate(self, *zones: str, balancer: int = 1) -> None:
+        """Let a balancer read these zones in the store's list."""
+        self.revision += 1
+        address = make_address(balancer, network=9)
+        self.balancer_by_address[address].contacts.announce_zones_read(
+            list(zones), self.revision, self.timers.now()
+        )
+
     def apply_routes(self, table: RouteTable) -> None:
         """Write a configuration: all balancers apply it, also later ones."""
         self.table = table
@@ -575,6 +600,11 @@
         balancer.handle_peer_message(sender, message, segment)
 
 
+def find_zone(number: int) -> str:
+    """Return the availability zone of an agent's VM."""
+    return 'ab'[(number - 1) % 2]
+
+
 def _count_within(times_s: list[float], start_s: float, from_s: float) -> int:
     """Return how many times are in `from_s` to `start_s` + `REORDER_S`."""
     return sum(from_s <= at_s < start_s + REORDER_S for at_s in times_s)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,6 +13,8 @@
     'generated',
     'foundation',
     'protocol',
+    'evacuation',
+    'pace',
     'routing',
     'admission',
     'steering',
