Replace the module bundle atomically; start without a damaged one

A build rewrote target/modules.bundle in place. A process that started meanwhile read a short file and ended with EOFError.

The build writes a new file and renames it. A process checks the length, the layout and the Python version; if the bundle cannot be used it writes one line with the file and the reason on standard error and imports the sources. Code of a module that cannot be decoded is compiled from its source. target/deps is on the path for that case, and for libraries that are loaded late (the metrics registry).

The bundle left out namespace packages, so that with the pinned zope.interface, which has no zope/__init__.py, a role ended with "No module named 'zope'" unless PYTHONPATH named target/deps. It has them now.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -7,6 +7,8 @@
 # a third of the start.
 gc.disable()
 sys.path[0] = ''
+# Libraries that are not in the bundle, or all of them without a bundle.
+sys.path.append('target/deps')
 from greengagepath.startup.module_bundle import install_bundle  # noqa: E402
 
 install_bundle('target/modules.bundle')
--- a/greengagepath/startup/module_bundle.py
+++ b/greengagepath/startup/module_bundle.py
@@ -9,21 +9,29 @@
 import marshal
 import os
 import sys
-from _frozen_importlib_external import ExtensionFileLoader, PathFinder
+from _frozen_importlib_external import (
+    ExtensionFileLoader,
+    NamespaceLoader,
+    PathFinder,
+    SourceFileLoader,
+)
 
 # Version of the layout of the index; raise it with each change.
-FORMAT = 1
+FORMAT = 2
 
 # The file starts with the size of the index in this many bytes.
 _SIZE_BYTES = 8
 _ModuleSpec = type(sys.__spec__)
+# What reading a damaged or foreign file raises.
+_DAMAGED = (EOFError, KeyError, MemoryError, TypeError, ValueError)
 
 
 class BundledModule:
     """Location of one module.
 
     `offset` and `length` are bytes in the bundle, `origin` is the source
-    file. `folder` is the folder of a package and empty for other modules.
+    file and empty for a namespace package, which has no code. `folder` is
+    the folder of a package and empty for other modules.
     `path` is the file of an extension module and empty for Python code.
     """
 
@@ -58,6 +66,10 @@
             spec = _ModuleSpec(name, loader, origin=found.path)
             spec.has_location = True
             return spec
+        if not found.origin:
+            spec = _ModuleSpec(name, None, is_package=True)
+            spec.submodule_search_locations = [found.folder]
+            return spec
         spec = _ModuleSpec(
             name, self, origin=found.origin, is_package=bool(found.folder)
         )
@@ -73,32 +85,71 @@
         """Run the code of the module in its namespace."""
         found = self._modules_by_name[module.__name__]
         code = os.pread(self._descriptor, found.length, found.offset)
-        exec(marshal.loads(code), module.__dict__)
+        try:
+            loaded = marshal.loads(code)
+        except _DAMAGED as error:
+            _report_unusable(found.origin, f'bundled code is damaged: {error}')
+            loaded = _compile_source(module.__name__, found.origin)
+        exec(loaded, module.__dict__)
 
 
 def install_bundle(path: str) -> bool:
     """Import from the bundle first; return whether it can be used.
 
-    A missing bundle, or one of another Python version or layout, leaves
-    the usual import unchanged.
+    A bundle that is missing, cut short or unreadable, or that is of another
+    Python version or layout, leaves the usual import unchanged. The file
+    and the reason are then written on standard error, in one line.
     """
     try:
         descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
-    except OSError:
-        return False
-    size_field = os.pread(descriptor, _SIZE_BYTES, 0)
-    size = int.from_bytes(size_field, 'big')
-    index = marshal.loads(os.pread(descriptor, size, _SIZE_BYTES))
-    if index['format'] != FORMAT or index['version'] != sys.version:
+    except OSError as error:
+        return _report_unusable(path, error.strerror)
+    try:
+        modules = _read_index(descriptor)
+    except _DAMAGED as error:
         os.close(descriptor)
-        return False
+        return _report_unusable(path, f'{type(error).__name__}: {error}')
+    sys.meta_path.insert(0, BundleFinder(descriptor, modules))
+    return True
+
+
+def _read_index(descriptor: int) -> dict[str, BundledModule]:
+    """Return the modules of an open bundle by their names.
+
+    Raises one of `_DAMAGED` if the file is not a whole bundle of this
+    layout and Python version.
+    """
+    size = int.from_bytes(os.pread(descriptor, _SIZE_BYTES, 0), 'big')
     start = _SIZE_BYTES + size
-    modules = {
+    file_bytes = os.fstat(descriptor).st_size
+    if start > file_bytes:
+        raise EOFError(f'{file_bytes} bytes are shorter than the index')
+    index = marshal.loads(os.pread(descriptor, size, _SIZE_BYTES))
+    if index['format'] != FORMAT:
+        raise ValueError(f'layout {index["format"]}, not {FORMAT}')
+    _check_version(index['version'])
+    if start + index['code_bytes'] != file_bytes:
+        raise EOFError(f'{file_bytes} bytes are not the whole bundle')
+    return {
         name: BundledModule(offset + start, *location)
         for name, offset, *location in index['modules']
     }
-    sys.meta_path.insert(0, BundleFinder(descriptor, modules))
-    return True
+
+
+def _check_version(version: str) -> None:
+    if version != sys.version:
+        raise ValueError(f'written by Python {version}')
+
+
+def _report_unusable(path: str, reason: str) -> bool:
+    """Write which file is not used and why; return False."""
+    line = ' '.join(f'{path} is not used: {reason}'.split())
+    sys.stderr.write(f'{line}; modules are imported from their sources\n')
+    return False
+
+
+def _compile_source(name: str, origin: str):
+    return SourceFileLoader(name, origin).get_code(name)
 
 
 def write_bundle(path: str, names: list[str]) -> int:
@@ -121,16 +172,32 @@
                 (name, len(code), len(compiled), spec.origin, folder, '')
             )
             code += compiled
+        elif isinstance(loader, NamespaceLoader):
+            # A namespace package is found through `sys.path` only, where
+            # the folder of the libraries need not be.
+            folder = next(iter(spec.submodule_search_locations))
+            entries.append((name, 0, 0, '', folder, ''))
     _write(path, {'modules': entries}, code)
     return len(entries)
 
 
 def _write(path: str, index: dict[str, object], code: bytes) -> None:
-    versioned = {'format': FORMAT, 'version': sys.version} | index
+    """Replace the bundle atomically.
+
+    A process that starts meanwhile reads either file whole, and one that
+    has the replaced file open goes on to read it.
+    """
+    versioned = {
+        'format': FORMAT,
+        'version': sys.version,
+        'code_bytes': len(code),
+    } | index
     encoded_index = marshal.dumps(versioned)
     size = len(encoded_index).to_bytes(_SIZE_BYTES, 'big')
-    with open(path, 'wb') as bundle:  # noqa: PTH123
+    written_path = f'{path}.{os.getpid()}'
+    with open(written_path, 'wb') as bundle:  # noqa: PTH123
         bundle.write(b''.join((size, encoded_index, code)))
+    os.replace(written_path, path)  # noqa: PTH105
 
 
 def _find_spec(name: str):
--- a/tests/platform/test_module_bundle.py
+++ b/tests/platform/test_module_bundle.py
@@ -1,5 +1,6 @@
 """Import of modules from a bundle file, as at the start of a daemon."""
 
+import marshal
 import subprocess
 import sys
 import tempfile
@@ -7,7 +8,11 @@
 
 from testtools import TestCase
 
-from greengagepath.startup.module_bundle import install_bundle, write_bundle
+from greengagepath.startup.module_bundle import (
+    FORMAT,
+    install_bundle,
+    write_bundle,
+)
 
 ROOT = Path(__file__).parents[2]
 
@@ -37,6 +42,26 @@
         )
         self.assertEqual('BundleFinder 1\n', done.stdout)
 
+    def test_namespace_package_comes_from_the_bundle(self):
+        # Guards against a start that fails, because a library is part of a
+        # namespace package and its folder is not on the path.
+        folder = self._make_folder()
+        (folder / 'spaced' / 'part').mkdir(parents=True)
+        (folder / 'spaced' / 'part' / '__init__.py').write_text('SIZE = 3\n')
+        path = folder / 'modules.bundle'
+        writing = (
+            'import sys\n'
+            f'sys.path.append({str(folder)!r})\n'
+            'import spaced.part\n'
+            'from greengagepath.startup.module_bundle import write_bundle\n'
+            f'write_bundle({str(path)!r}, ["spaced", "spaced.part"])\n'
+        )
+        subprocess.run([sys.executable, '-c', writing], cwd=ROOT, check=True)
+        done = self._run_with_bundle(
+            path, 'import spaced.part; print(spaced.part.SIZE)'
+        )
+        self.assertEqual('3\n', done.stdout)
+
     def test_missing_or_foreign_bundle_leaves_the_usual_import(self):
         # Guards against a daemon that does not start after an upgrade of
         # Python, because its bundle is of the earlier version.
@@ -50,7 +75,86 @@
         foreign.write_bytes(written.replace(version, b'x' * len(version)))
         self.assertFalse(install_bundle(str(foreign)))
 
+    def test_damaged_bundle_leaves_the_usual_import_and_is_reported(self):
+        # Guards against processes that end with EOFError, because they start
+        # while a build writes the bundle, or after it was cut off.
+        path = self._make_folder() / 'modules.bundle'
+        write_bundle(str(path), ['json', 'json.decoder'])
+        whole = path.read_bytes()
+        damaged_by_reason = {
+            'not the whole bundle': whole[:-1],
+            'shorter than the index': whole[:100],
+            'EOFError': b'',
+            'layout 1': _change_index(whole, format=FORMAT - 1),
+            'ValueError': whole.replace(
+                _read_index(whole), b'?' * len(_read_index(whole))
+            ),
+            'KeyError': whole.replace(b'modules', b'mudoles'),
+        }
+        for reason, damaged in damaged_by_reason.items():
+            path.write_bytes(damaged)
+            done = self._run_with_bundle(path, 'assert not is_used')
+            self.assertEqual(1, done.stderr.count('\n'), done.stderr)
+            self.assertIn(str(path), done.stderr)
+            self.assertIn(reason, done.stderr)
+
+    def test_damaged_module_is_imported_from_its_source(self):
+        # Guards against a start that fails at one module, if the code in
+        # the bundle was damaged without a change of its length.
+        path = self._make_folder() / 'modules.bundle'
+        write_bundle(str(path), ['json', 'json.decoder'])
+        whole = path.read_bytes()
+        index_end = 8 + len(_read_index(whole))
+        path.write_bytes(whole[:index_end] + b'?' * (len(whole) - index_end))
+        done = self._run_with_bundle(
+            path, 'import json; print(json.loads("1"))'
+        )
+        self.assertEqual('1\n', done.stdout)
+        self.assertIn('json/__init__.py is not used', done.stderr)
+
+    def test_bundle_is_replaced_while_it_is_open(self):
+        # Guards against a bundle that is rewritten in place: a process that
+        # has it open would read code from offsets of the file before.
+        folder = self._make_folder()
+        path = folder / 'modules.bundle'
+        write_bundle(str(path), ['json', 'json.decoder', 'bisect'])
+        script = (
+            'import os\n'
+            'from greengagepath.startup.module_bundle import write_bundle\n'
+            f'write_bundle({str(path)!r}, ["os"])\n'
+            'import bisect\n'
+            'print(type(bisect.__spec__.loader).__name__)\n'
+        )
+        done = self._run_with_bundle(path, script)
+        self.assertEqual(('BundleFinder\n', ''), (done.stdout, done.stderr))
+        self.assertEqual([path], list(folder.iterdir()))
+
+    def _run_with_bundle(self, path: Path, script: str):
+        """Run a script in a process that imports from the bundle."""
+        head = (
+            'from greengagepath.startup.module_bundle import install_bundle\n'
+            f'is_used = install_bundle({str(path)!r})\n'
+        )
+        return subprocess.run(
+            [sys.executable, '-c', head + script],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+
     def _make_folder(self) -> Path:
         holder = tempfile.TemporaryDirectory()
         self.addCleanup(holder.cleanup)
         return Path(holder.name)
+
+
+def _read_index(whole: bytes) -> bytes:
+    return whole[8 : 8 + int.from_bytes(whole[:8], 'big')]
+
+
+def _change_index(whole: bytes, **changes) -> bytes:
+    index = _read_index(whole)
+    changed = marshal.dumps(marshal.loads(index) | changes)
+    code = whole[8 + len(index) :]
+    return len(changed).to_bytes(8, 'big') + changed + code
