--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -6,6 +6,8 @@
 # Loaded modules are never freed; collecting garbage while they load takes
 # a third of the start.
 gc.disable()
+# Extension modules bind a function when it is first called.
+sys.setdlopenflags(1)
 sys.path[0] = ''
 # Libraries that are not in the bundle, or all of them without a bundle.
 sys.path.append('target/deps')
--- a/greengagepath/startup/__main__.py
+++ b/greengagepath/startup/__main__.py
@@ -6,7 +6,7 @@
 import importlib
 import sys
 
-from .module_bundle import write_bundle
+from .bundle_writer import write_bundle
 
 MODULES = (
     'encodings.idna',
--- a/greengagepath/startup/module_bundle.py
+++ b/greengagepath/startup/module_bundle.py
@@ -9,19 +9,18 @@
 import marshal
 import os
 import sys
-from _frozen_importlib_external import (
-    ExtensionFileLoader,
-    NamespaceLoader,
-    PathFinder,
-    SourceFileLoader,
-)
+from _frozen_importlib_external import ExtensionFileLoader, SourceFileLoader
 
 # Version of the layout of the index; raise it with each change.
 FORMAT = 2
 
 # The file starts with the size of the index in this many bytes.
-_SIZE_BYTES = 8
+SIZE_BYTES = 8
+ModuleType = type(sys)
 _ModuleSpec = type(sys.__spec__)
+# These serve error messages and interactive use. They are loaded when an
+# attribute is first used: `inspect` alone loads a dozen others.
+DEFERRED = frozenset(('ast', 'dis', 'inspect', 'linecache', 'tokenize'))
 # What reading a damaged or foreign file raises.
 _DAMAGED = (EOFError, KeyError, MemoryError, TypeError, ValueError)
 
@@ -47,6 +46,16 @@
         self.path = path
 
 
+class DeferredModule(ModuleType):
+    """A module whose code runs when an attribute is first used."""
+
+    def __getattr__(self, name: str) -> object:
+        """Run the code of the module and return the attribute."""
+        self.__class__ = ModuleType
+        self.__spec__.loader.run_code(self)
+        return getattr(self, name)
+
+
 class BundleFinder:
     """Meta path finder and loader for the modules of one bundle."""
 
@@ -82,6 +91,13 @@
         """Return None, so that the import system creates the module."""
 
     def exec_module(self, module) -> None:
+        """Run the code of the module in its namespace, or defer it."""
+        if module.__name__ in DEFERRED:
+            module.__class__ = DeferredModule
+        else:
+            self.run_code(module)
+
+    def run_code(self, module) -> None:
         """Run the code of the module in its namespace."""
         found = self._modules_by_name[module.__name__]
         code = os.pread(self._descriptor, found.length, found.offset)
@@ -119,12 +135,12 @@
     Raises one of `_DAMAGED` if the file is not a whole bundle of this
     layout and Python version.
     """
-    size = int.from_bytes(os.pread(descriptor, _SIZE_BYTES, 0), 'big')
-    start = _SIZE_BYTES + size
+    size = int.from_bytes(os.pread(descriptor, SIZE_BYTES, 0), 'big')
+    start = SIZE_BYTES + size
     file_bytes = os.fstat(descriptor).st_size
     if start > file_bytes:
         raise EOFError(f'{file_bytes} bytes are shorter than the index')
-    index = marshal.loads(os.pread(descriptor, size, _SIZE_BYTES))
+    index = marshal.loads(os.pread(descriptor, size, SIZE_BYTES))
     if index['format'] != FORMAT:
         raise ValueError(f'layout {index["format"]}, not {FORMAT}')
     _check_version(index['version'])
@@ -150,64 +166,3 @@
 
 def _compile_source(name: str, origin: str):
     return SourceFileLoader(name, origin).get_code(name)
-
-
-def write_bundle(path: str, names: list[str]) -> int:
-    """Write a bundle of loaded modules and return their number.
-
-    Built-in and frozen modules are left out, because importing them
-    reads no file.
-    """
-    entries: list[tuple[str, int, int, str, str, str]] = []
-    code = b''
-    for name in sorted(names):
-        spec = _find_spec(name)
-        loader = getattr(spec, 'loader', None)
-        if isinstance(loader, ExtensionFileLoader):
-            entries.append((name, 0, 0, '', '', loader.path))
-        elif hasattr(loader, 'get_code') and spec.has_location:
-            compiled = marshal.dumps(loader.get_code(name))
-            folder = (spec.submodule_search_locations or [''])[0]
-            entries.append(
-                (name, len(code), len(compiled), spec.origin, folder, '')
-            )
-            code += compiled
-        elif isinstance(loader, NamespaceLoader):
-            # A namespace package is found through `sys.path` only, where
-            # the folder of the libraries need not be.
-            folder = next(iter(spec.submodule_search_locations))
-            entries.append((name, 0, 0, '', folder, ''))
-    _write(path, {'modules': entries}, code)
-    return len(entries)
-
-
-def _write(path: str, index: dict[str, object], code: bytes) -> None:
-    """Replace the bundle atomically.
-
-    A process that starts meanwhile reads either file whole, and one that
-    has the replaced file open goes on to read it.
-    """
-    versioned = {
-        'format': FORMAT,
-        'version': sys.version,
-        'code_bytes': len(code),
-    } | index
-    encoded_index = marshal.dumps(versioned)
-    size = len(encoded_index).to_bytes(_SIZE_BYTES, 'big')
-    written_path = f'{path}.{os.getpid()}'
-    with open(written_path, 'wb') as bundle:  # noqa: PTH123
-        bundle.write(b''.join((size, encoded_index, code)))
-    os.replace(written_path, path)  # noqa: PTH105
-
-
-def _find_spec(name: str):
-    """Return the spec of the file that a module name stands for.
-
-    Some packages replace a module of theirs in `sys.modules` by another
-    one, whose spec has a different name.
-    """
-    spec = getattr(sys.modules.get(name), '__spec__', None)
-    if spec is None or spec.name == name:
-        return spec
-    parent = sys.modules.get(name.rpartition('.')[0])
-    return PathFinder.find_spec(name, getattr(parent, '__path__', None))
--- a/tests/platform/test_module_bundle.py
+++ b/tests/platform/test_module_bundle.py
@@ -8,11 +8,8 @@
 
 from testtools import TestCase
 
-from greengagepath.startup.module_bundle import (
-    FORMAT,
-    install_bundle,
-    write_bundle,
-)
+from greengagepath.startup.bundle_writer import write_bundle
+from greengagepath.startup.module_bundle import FORMAT, install_bundle
 
 ROOT = Path(__file__).parents[2]
 
@@ -53,7 +50,7 @@
             'import sys\n'
             f'sys.path.append({str(folder)!r})\n'
             'import spaced.part\n'
-            'from greengagepath.startup.module_bundle import write_bundle\n'
+            'from greengagepath.startup.bundle_writer import write_bundle\n'
             f'write_bundle({str(path)!r}, ["spaced", "spaced.part"])\n'
         )
         subprocess.run([sys.executable, '-c', writing], cwd=ROOT, check=True)
@@ -62,6 +59,54 @@
         )
         self.assertEqual('3\n', done.stdout)
 
+    def test_error_tools_are_loaded_at_their_first_use(self):
+        # Guards against a start that loads `inspect` and what it needs, for
+        # which nothing asks before the first error.
+        path = self._make_folder() / 'modules.bundle'
+        write_bundle(str(path), ['ast', 'dis', 'inspect', 'opcode'])
+        done = self._run_with_bundle(
+            path,
+            'import sys\n'
+            'for name in ("ast", "dis", "inspect"):\n'
+            '    sys.modules.pop(name, None)\n'
+            'sys.modules.pop("opcode", None)\n'
+            'import inspect\n'
+            'import inspect\n'
+            'print("opcode" in sys.modules)\n'
+            'print(inspect.isclass(int), "opcode" in sys.modules)\n'
+            'print(type(inspect) is type(sys))\n',
+        )
+        self.assertEqual('False\nTrue True\nTrue\n', done.stdout)
+
+    def test_bundled_data_classes_do_not_load_inspect(self):
+        # Guards against a start in which `dataclass` loads `inspect` to
+        # derive a docstring from the signature of a class.
+        folder = self._make_folder()
+        (folder / 'points.py').write_text(
+            'from dataclasses import dataclass\n\n\n'
+            '@dataclass\nclass Point:\n    x: int\n'
+        )
+        path = folder / 'modules.bundle'
+        writing = (
+            'import inspect, sys\n'
+            f'sys.path.append({str(folder)!r})\n'
+            'import points\n'
+            'from greengagepath.startup.bundle_writer import write_bundle\n'
+            f'write_bundle({str(path)!r}, ["points"])\n'
+        )
+        subprocess.run([sys.executable, '-c', writing], cwd=ROOT, check=True)
+        (folder / 'points.py').unlink()
+        done = self._run_with_bundle(
+            path,
+            'import inspect, points\n'
+            'inspect.signature = None\n'
+            'import importlib, sys\n'
+            'del sys.modules["points"]\n'
+            'import points\n'
+            'print(points.Point.__doc__)\n',
+        )
+        self.assertEqual('Point(x: int)\n', done.stdout)
+
     def test_missing_or_foreign_bundle_leaves_the_usual_import(self):
         # Guards against a daemon that does not start after an upgrade of
         # Python, because its bundle is of the earlier version.
@@ -120,7 +165,7 @@
         write_bundle(str(path), ['json', 'json.decoder', 'bisect'])
         script = (
             'import os\n'
-            'from greengagepath.startup.module_bundle import write_bundle\n'
+            'from greengagepath.startup.bundle_writer import write_bundle\n'
             f'write_bundle({str(path)!r}, ["os"])\n'
             'import bisect\n'
             'print(type(bisect.__spec__.loader).__name__)\n'
