Log the steps of a start in one event

`process.started` has the processor and wall time since the start of the process for each step: interpreter, settings, imports, sockets, then routes, agents and ready of a balancer, serving of an agent.

--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -15,6 +15,11 @@
 
 install_bundle('target/modules.bundle')
 
+from greengagepath.foundation.start_steps import StartSteps  # noqa: E402
+
+steps = StartSteps()
+steps.record('interpreter')
+
 from greengagepath.platform.__main__ import main  # noqa: E402
 
-raise SystemExit(int(main()))
+raise SystemExit(int(main(steps)))
--- a/greengagepath/daemon/route_follower.py
+++ b/greengagepath/daemon/route_follower.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 import gevent
 from gevent.event import Event
@@ -56,6 +57,8 @@
         self._read_revision: int | None = None
         self._catch_up_requested = Event()
         self._is_store_reachable = True
+        # Called after the first routes, and each time that they change.
+        self.on_applied: Callable[[], None] = _ignore_routes
 
     def start(self) -> list[gevent.Greenlet]:
         """Start the greenlets: one watches, two read missed versions."""
@@ -165,7 +168,9 @@
     def _apply(self, stored: StoredRoutes) -> bool:
         if stored.table is None:
             return False
-        return self._steering.apply_routes(stored.table).is_ok()
+        applied = self._steering.apply_routes(stored.table)
+        self.on_applied()
+        return applied.is_ok()
 
     def _log_store_lost(self, problem: StoreProblem) -> None:
         if self._is_store_reachable:
@@ -183,3 +188,7 @@
         if not self._is_store_reachable:
             self._is_store_reachable = True
             log_event(_logger, 'store.regained')
+
+
+def _ignore_routes() -> None:
+    """Do nothing: nobody records the steps of the start."""
--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -8,6 +8,7 @@
 
 from ..foundation.exit_codes import ExitCode
 from ..foundation.logs import log_event
+from ..foundation.start_steps import StartSteps
 from ..steering.agent_context import AgentIdentity
 from ..steering.agent_steering import AgentSteering
 from ..steering.incarnations import Heartbeat
@@ -66,8 +67,9 @@
         settings: SteeringSettings,
         codec: AgentCodec,
         store: SteeringStore,
+        steps: StartSteps | None = None,
     ) -> None:
-        super().__init__(settings, store, MemberRole.AGENT)
+        super().__init__(settings, store, MemberRole.AGENT, steps)
         self._codec = codec
         identity = AgentIdentity(
             settings.address,
@@ -106,6 +108,7 @@
         self._add_members(self._settings.seeds, [])
         self._listing.start()
         log_event(_logger, 'agent.started', service=self._settings.service)
+        self._log_start('serving')
         self._stopping.wait()
         self._leave()
         log_event(_logger, 'agent.stopped', **self.steering.context.counts)
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -7,6 +7,7 @@
 
 from ..foundation.exit_codes import ExitCode
 from ..foundation.logs import log_event
+from ..foundation.start_steps import StartSteps
 from ..steering.balancer_contacts import BalancerIdentity
 from ..steering.balancer_steering import BalancerSteering
 from ..steering.peer_messages import PeerKind, PeerMessage
@@ -49,8 +50,9 @@
         settings: SteeringSettings,
         codec: SteeringCodec,
         store: SteeringStore,
+        steps: StartSteps | None = None,
     ) -> None:
-        super().__init__(settings, store, MemberRole.BALANCER)
+        super().__init__(settings, store, MemberRole.BALANCER, steps)
         self._codec = codec
         self._is_leaving = False
         self.steering = BalancerSteering(
@@ -72,6 +74,7 @@
         self._follower = RouteFollower(
             store, self.steering, random.Random(), store.apply_s
         )
+        self._follower.on_applied = self._record_progress
         self._started_s = self._timers.now()
 
     def run(self) -> ExitCode:
@@ -145,6 +148,14 @@
         if message.kind is PeerKind.DENIED:
             segment = self._codec.decode_from_caller(message.body)
         self.steering.handle_peer_message(sender, message, segment)
+        if not self._steps.has('agents'):
+            self._record_progress()
+
+    def _record_progress(self) -> None:
+        if self.steering.routes.table is not None:
+            self._steps.record('routes')
+        if self.steering.has_agents:
+            self._steps.record('agents')
 
     def _answer(self, request: HttpRequest) -> HttpReply:
         if request.path.partition('?')[0] != self._codec.readiness_path:
@@ -154,6 +165,7 @@
         if self.steering.contacts.stage is BalancerStage.STARTING:
             after_s = round(self._timers.now() - self._started_s, 3)
             log_event(_logger, 'balancer.ready', after_s=after_s)
+            self._log_start('ready')
             self.steering.contacts.enter_stage(BalancerStage.READY)
         return HttpReply(OK)
 
--- a/greengagepath/daemon/steering_process.py
+++ b/greengagepath/daemon/steering_process.py
@@ -11,6 +11,7 @@
 
 from ..foundation.greenlets import spawn_supervised
 from ..foundation.logs import log_event
+from ..foundation.start_steps import EVENT, StartSteps
 from ..foundation.timers import LoopTimerService
 from ..steering.peer_messages import PeerMessage, decode_message
 from ..steering.segments import Segment
@@ -50,9 +51,14 @@
     """
 
     def __init__(
-        self, settings: SteeringSettings, store: SteeringStore, role: MemberRole
+        self,
+        settings: SteeringSettings,
+        store: SteeringStore,
+        role: MemberRole,
+        steps: StartSteps | None = None,
     ) -> None:
         self._settings = settings
+        self._steps = steps or StartSteps()
         self._store = store
         self._timers = LoopTimerService()
         self._stopping = Event()
@@ -93,12 +99,18 @@
         gevent.signal_handler(signal.SIGINT, self._stopping.set)
         gevent.signal_handler(signal.SIGHUP, _log_unchanged_settings)
         spawn_supervised('timers', self._timers.run)
+        self._steps.record('sockets')
         self._peers.start()
         for address in filter(None, http_addresses):
             HttpListener(address, self._answer).start()
         listening = self._settings.listening
         self._metrics.serve(self._settings.host, listening.metrics_port)
 
+    def _log_start(self, last_step: str) -> None:
+        """Log how long the steps of the start have taken."""
+        self._steps.record(last_step)
+        log_event(_logger, EVENT, **self._steps.describe())
+
     def _handle_datagram(self, datagram: bytes, host: str) -> None:
         decoded = decode_message(datagram)
         sender = pack_address(host)
--- a/greengagepath/platform/__main__.py
+++ b/greengagepath/platform/__main__.py
@@ -8,6 +8,7 @@
 
 from ..foundation.exit_codes import ExitCode
 from ..foundation.logs import DroppingStream, configure_logs
+from ..foundation.start_steps import StartSteps
 from ..steering.settings import SteeringSettings, load_steering_settings
 from .bounds import read_apply_limit_s
 from .store import PlatformStore
@@ -16,8 +17,11 @@
 SETTINGS_VARIABLE = 'GREENGAGEPATH_BOOT'
 
 
-def main() -> ExitCode:
-    """Run the role named by the first argument until it is stopped."""
+def main(steps: StartSteps | None = None) -> ExitCode:
+    """Run the role named by the first argument until it is stopped.
+
+    `steps` are those of the start so far.
+    """
     role = sys.argv[1] if len(sys.argv) > 1 else ''
     loaded = load_steering_settings(os.environ.get(SETTINGS_VARIABLE, ''))
     if isinstance(loaded, Err):
@@ -26,10 +30,12 @@
     settings = loaded.ok_value
     stream = DroppingStream(sys.stdout.fileno())
     configure_logs(settings.logs, role, settings.member_id, stream)
-    return _run(role, settings)
+    steps = steps or StartSteps()
+    steps.record('settings')
+    return _run(role, settings, steps)
 
 
-def _run(role: str, settings: SteeringSettings) -> ExitCode:
+def _run(role: str, settings: SteeringSettings, steps: StartSteps) -> ExitCode:
     if settings.store_address is None:
         sys.stderr.write('store_address is missing\n')
         return ExitCode.BAD_USAGE
@@ -39,24 +45,27 @@
         case 'balancer':
             from ..daemon.steering_balancer import BalancerDaemon
 
-            _freeze_startup_objects()
-            return BalancerDaemon(settings, PlatformWire(), store).run()
+            _end_imports(steps)
+            wire = PlatformWire()
+            return BalancerDaemon(settings, wire, store, steps).run()
         case 'agent':
             from ..daemon.steering_agent import AgentDaemon
 
-            _freeze_startup_objects()
-            return AgentDaemon(settings, PlatformWire(), store).run()
+            _end_imports(steps)
+            wire = PlatformWire()
+            return AgentDaemon(settings, wire, store, steps).run()
     sys.stderr.write('usage: python -m greengagepath.platform balancer|agent\n')
     return ExitCode.BAD_USAGE
 
 
-def _freeze_startup_objects() -> None:
+def _end_imports(steps: StartSteps) -> None:
     """Turn garbage collection on, but leave out what is loaded by now.
 
     Those objects live as long as the process.
     """
     gc.freeze()
     gc.enable()
+    steps.record('imports')
 
 
 if __name__ == '__main__':
