Compile regular expressions and data classes when the bundle is built

29 patterns and the methods of h11's data classes were compiled from text at each start. The bundle now has their compiled forms; what it lacks is compiled as before.

--- a/greengagepath/startup/__main__.py
+++ b/greengagepath/startup/__main__.py
@@ -7,6 +7,7 @@
 import sys
 
 from .bundle_writer import write_bundle
+from .precompiler import SourceRecorder
 
 MODULES = (
     'encodings.idna',
@@ -18,10 +19,14 @@
 
 def main() -> int:
     """Import the modules of both roles and write them to one file."""
+    recorder = SourceRecorder()
+    recorder.install()
     for module in MODULES:
         importlib.import_module(module)
     written = write_bundle(
-        f'{sys.argv[1]}/modules.bundle', list(filter(_is_loaded, sys.modules))
+        f'{sys.argv[1]}/modules.bundle',
+        list(filter(_is_loaded, sys.modules)),
+        recorder.code_by_source,
     )
     sys.stdout.write(f'{written} modules bundled\n')
     return 0
--- a/greengagepath/startup/bundle_writer.py
+++ b/greengagepath/startup/bundle_writer.py
@@ -12,39 +12,64 @@
 from types import ModuleType
 
 from .module_bundle import FORMAT, SIZE_BYTES
+from .precompiler import compile_loaded_patterns
 
+# Name, offset and length of the code, source file, folder of a package, and
+# file of an extension module; see `BundledModule`.
+Entry = tuple[str, int, int, str, str, str]
 _DATA_CLASS = b'dataclass'
 
 
-def write_bundle(path: str, names: list[str]) -> int:
+def write_bundle(
+    path: str,
+    names: list[str],
+    code_by_source: dict[str, object] | None = None,
+) -> int:
     """Write a bundle of loaded modules and return their number.
 
+    `code_by_source` has the functions that data classes compile.
+
     Built-in and frozen modules are left out, because importing them
     reads no file.
     """
-    entries: list[tuple[str, int, int, str, str, str]] = []
+    entries: list[Entry] = []
     code = b''
     for name in sorted(names):
-        spec = _find_spec(name)
-        loader = getattr(spec, 'loader', None)
-        if isinstance(loader, ExtensionFileLoader):
-            entries.append((name, 0, 0, '', '', loader.path))
-        elif hasattr(loader, 'get_code') and spec.has_location:
-            compiled = marshal.dumps(_compile(loader, name, spec.origin))
-            folder = (spec.submodule_search_locations or [''])[0]
-            entries.append(
-                (name, len(code), len(compiled), spec.origin, folder, '')
-            )
-            code += compiled
-        elif isinstance(loader, NamespaceLoader):
-            # A namespace package is found through `sys.path` only, where
-            # the folder of the libraries need not be.
-            folder = next(iter(spec.submodule_search_locations))
-            entries.append((name, 0, 0, '', folder, ''))
-    _write(path, {'modules': entries}, code)
+        written = _write_module(name, len(code))
+        if written is not None:
+            entries.append(written[0])
+            code += written[1]
+    index = {
+        'modules': entries,
+        'patterns': compile_loaded_patterns(),
+        'sources': code_by_source or {},
+    }
+    _write(path, index, code)
     return len(entries)
 
 
+def _write_module(name: str, offset: int) -> tuple[Entry, bytes] | None:
+    """Return the entry of a module in the index, and its code.
+
+    `offset` is where the code will be.
+    """
+    spec = _find_spec(name)
+    loader = getattr(spec, 'loader', None)
+    if isinstance(loader, ExtensionFileLoader):
+        return (name, 0, 0, '', '', loader.path), b''
+    if isinstance(loader, NamespaceLoader):
+        # A namespace package is found through `sys.path` only, where the
+        # folder of the libraries need not be.
+        folder = next(iter(spec.submodule_search_locations))
+        return (name, 0, 0, '', folder, ''), b''
+    if not (hasattr(loader, 'get_code') and spec.has_location):
+        return None
+    compiled = marshal.dumps(_compile(loader, name, spec.origin))
+    folder = (spec.submodule_search_locations or [''])[0]
+    entry = (name, offset, len(compiled), spec.origin, folder, '')
+    return entry, compiled
+
+
 def _compile(loader, name: str, origin: str):
     """Return the code of a module without assertions and docstrings.
 
--- a/greengagepath/startup/module_bundle.py
+++ b/greengagepath/startup/module_bundle.py
@@ -11,8 +11,10 @@
 import sys
 from _frozen_importlib_external import ExtensionFileLoader, SourceFileLoader
 
+from .precompiled import PatternTable, SourceTable
+
 # Version of the layout of the index; raise it with each change.
-FORMAT = 2
+FORMAT = 3
 
 # The file starts with the size of the index in this many bytes.
 SIZE_BYTES = 8
@@ -60,10 +62,14 @@
     """Meta path finder and loader for the modules of one bundle."""
 
     def __init__(
-        self, descriptor: int, modules_by_name: dict[str, BundledModule]
+        self,
+        descriptor: int,
+        modules_by_name: dict[str, BundledModule],
+        tables: list[PatternTable | SourceTable],
     ) -> None:
         self._descriptor = descriptor
         self._modules_by_name = modules_by_name
+        self._tables_by_module = {table.module: table for table in tables}
 
     def find_spec(self, name: str, path: object, target: object = None):
         """Return the spec of a module, or None if the bundle lacks it."""
@@ -107,6 +113,9 @@
             _report_unusable(found.origin, f'bundled code is damaged: {error}')
             loaded = _compile_source(module.__name__, found.origin)
         exec(loaded, module.__dict__)
+        table = self._tables_by_module.get(module.__name__)
+        if table is not None:
+            table.install(module)
 
 
 def install_bundle(path: str) -> bool:
@@ -121,16 +130,16 @@
     except OSError as error:
         return _report_unusable(path, error.strerror)
     try:
-        modules = _read_index(descriptor)
+        finder = _read_index(descriptor)
     except _DAMAGED as error:
         os.close(descriptor)
         return _report_unusable(path, f'{type(error).__name__}: {error}')
-    sys.meta_path.insert(0, BundleFinder(descriptor, modules))
+    sys.meta_path.insert(0, finder)
     return True
 
 
-def _read_index(descriptor: int) -> dict[str, BundledModule]:
-    """Return the modules of an open bundle by their names.
+def _read_index(descriptor: int) -> BundleFinder:
+    """Return the finder for the modules of an open bundle.
 
     Raises one of `_DAMAGED` if the file is not a whole bundle of this
     layout and Python version.
@@ -146,10 +155,12 @@
     _check_version(index['version'])
     if start + index['code_bytes'] != file_bytes:
         raise EOFError(f'{file_bytes} bytes are not the whole bundle')
-    return {
+    modules_by_name = {
         name: BundledModule(offset + start, *location)
         for name, offset, *location in index['modules']
     }
+    tables = [PatternTable(index['patterns']), SourceTable(index['sources'])]
+    return BundleFinder(descriptor, modules_by_name, tables)
 
 
 def _check_version(version: str) -> None:
--- a/tests/platform/test_module_bundle.py
+++ b/tests/platform/test_module_bundle.py
@@ -1,15 +1,24 @@
 """Import of modules from a bundle file, as at the start of a daemon."""
 
+import dataclasses
 import marshal
+import re
 import subprocess
 import sys
 import tempfile
 from pathlib import Path
+from types import SimpleNamespace
+from unittest import mock
 
 from testtools import TestCase
 
 from greengagepath.startup.bundle_writer import write_bundle
 from greengagepath.startup.module_bundle import FORMAT, install_bundle
+from greengagepath.startup.precompiled import PatternTable, SourceTable
+from greengagepath.startup.precompiler import (
+    SourceRecorder,
+    compile_loaded_patterns,
+)
 
 ROOT = Path(__file__).parents[2]
 
@@ -107,6 +116,51 @@
         )
         self.assertEqual('Point(x: int)\n', done.stdout)
 
+    def test_precompiled_pattern_is_the_one_that_re_compiles(self):
+        # Guards against a pattern that matches otherwise, or lacks its
+        # groups, in a role that starts from the bundle.
+        patterns = (
+            (rb'(?P<name>[a-z]+):[ \t]*(?P<value>.*)', 0),
+            ('(?i)ab|c', re.MULTILINE),
+            ('x(y)?', re.DOTALL | re.ASCII),
+        )
+        for pattern, flags in patterns:
+            expected = re.compile(pattern, flags)
+            compiler = SimpleNamespace(compile=self.fail)
+            PatternTable(compile_loaded_patterns()).install(compiler)
+            found = compiler.compile(pattern, int(flags))
+            self.assertEqual(expected, found)
+            self.assertEqual(expected.groupindex, found.groupindex)
+            self.assertEqual(expected.groups, found.groups)
+
+    def test_unknown_pattern_is_compiled_as_usual(self):
+        # Guards against modules that fail, because the build did not load
+        # them, and against errors of patterns that are lost.
+        compiler = SimpleNamespace(compile=re._compiler.compile)
+        PatternTable({}).install(compiler)
+        self.assertEqual('ab', compiler.compile('a.').match('abc').group())
+        self.assertRaises(re.error, compiler.compile, '(')
+
+    def test_data_class_has_the_methods_of_its_source(self):
+        # Guards against a data class of the bundle that compares or shows
+        # otherwise, and against one that the build did not load.
+        with mock.patch.object(dataclasses, 'exec', exec, create=True):
+            recorder = SourceRecorder()
+            recorder.install()
+            dataclasses.make_dataclass('Point', [('x', int)], frozen=True)
+            table = SourceTable(recorder.code_by_source)
+            table.install(dataclasses)
+            for name in ('x', 'y'):
+                point = dataclasses.make_dataclass(
+                    'Point', [(name, int)], frozen=True
+                )
+                self.assertEqual(f'Point({name}=1)', repr(point(1)))
+                self.assertEqual(point(1), point(1))
+                self.assertNotEqual(point(1), point(2))
+                self.assertRaises(
+                    dataclasses.FrozenInstanceError, setattr, point(1), 'x', 2
+                )
+
     def test_missing_or_foreign_bundle_leaves_the_usual_import(self):
         # Guards against a daemon that does not start after an upgrade of
         # Python, because its bundle is of the earlier version.
@@ -130,7 +184,7 @@
             'not the whole bundle': whole[:-1],
             'shorter than the index': whole[:100],
             'EOFError': b'',
-            'layout 1': _change_index(whole, format=FORMAT - 1),
+            f'layout {FORMAT - 1}': _change_index(whole, format=FORMAT - 1),
             'ValueError': whole.replace(
                 _read_index(whole), b'?' * len(_read_index(whole))
             ),
