Ask for the configuration as soon as a process shows a version

A balancer that starts while the store does not answer waited for two checks, 0.6 s, before it asked a peer. It now asks the first three processes that show a version, beside its read of the store, and announces itself to its seeds at once, whose rosters tell agents of it. A copy with an older version is dropped as before.

In virtual time (tests/steering/test_recovery.py), store down, agents with copies: routes 0.605 s after the start before, 0.025 s after. The same file replays a loss of all processes with the store up: each caller is served with the first packet that finds a balancer, before and after, so no fixed wait is left there. tests/steering, platform, daemon: passed.

--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -82,6 +82,9 @@
         self._open(self._settings.listening.readiness)
         self._callers.start()
         self.steering.contacts.add_balancers(self._settings.seeds)
+        # Seeds tell agents of this balancer, which then report to it, also
+        # while the store does not answer.
+        self.steering.contacts.announce()
         self._follower.start()
         self._listing.start()
         log_event(_logger, 'balancer.started', apply_s=self._store.apply_s)
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -33,6 +33,9 @@
 # many checks in a row, which gives the store time to deliver it.
 PULL_CHECK_S = 0.3
 PULL_AFTER_CHECKS = 2
+# After its start a balancer reads the store and asks so many processes that
+# show a version at the same time, whichever answers first.
+MAX_FIRST_PULLS = 3
 # Until this time after its start a balancer may not have received the
 # reports of all agents.
 WARM_UP_S = 1.5
@@ -67,6 +70,7 @@
         self._assembly = RouteAssembly()
         self._copy = RouteCopy()
         self._outdated_checks = 0
+        self._first_pulls = 0
         self.backlog = Backlog(timers)
         self._started_s = timers.now()
         timers.subscribe(PULL_CHECK_S, self.pull_routes)
@@ -103,6 +107,8 @@
         """
         if self.routes.observe_version(message.version):
             self._on_behind()
+        if self.routes.table is None and message.version:
+            self._pull_first(sender, message.kind)
         match message.kind:
             case PeerKind.HELD:
                 self._open_flows.record_owner(
@@ -148,6 +154,20 @@
             self._encode(PeerKind.PULL, NO_SERVICE, b''), self._outdated_checks
         )
 
+    def _pull_first(self, sender: bytes, kind: PeerKind) -> None:
+        """Ask a process that knows of a configuration for its copy."""
+        match kind:
+            case PeerKind.REPORT:
+                send = self._outbox.to_agent
+            case PeerKind.PRESENCE:
+                send = self._outbox.to_balancer
+            case _:
+                return
+        if self._first_pulls < MAX_FIRST_PULLS:
+            self._first_pulls += 1
+            self.counts['pulls'] += 1
+            send(sender, self._encode(PeerKind.PULL, NO_SERVICE, b''))
+
     def _send_routes(self, sender: bytes, message: PeerMessage) -> None:
         if not self._copy.version:
             return
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -277,7 +277,9 @@
         self.timers.subscribe(HEARTBEAT_S, self._send_heartbeats)
         self.timers.advance(0.5)
 
-    def start_balancer(self, number: int) -> BalancerSteering:
+    def start_balancer(
+        self, number: int, *, reads_store: bool = True
+    ) -> BalancerSteering:
         address = make_address(number, network=9)
         earlier = self.balancer_outboxes.get(address)
         if earlier is not None:
@@ -290,12 +292,22 @@
             outbox,
             lambda: None,
         )
-        steering.apply_routes(self.table)
         self.balancer_by_address[address] = steering
-        # An agent that was killed stays in the store's list.
-        steering.contacts.add_agents(list(self.target_by_address))
+        if reads_store:
+            steering.apply_routes(self.table)
+            # An agent that was killed stays in the store's list.
+            steering.contacts.add_agents(list(self.target_by_address))
         return steering
 
+    def stop_all(self) -> None:
+        """Cut the power of all VMs: processes and targets lose their state."""
+        for number in range(1, len(self.target_by_address) + 1):
+            self.stop_agent(number)
+            self.restart_target(number).is_dead = True
+        for address in self.balancer_by_address:
+            self.balancer_outboxes[address].is_dead = True
+        self.balancer_by_address.clear()
+
     def start_target(self, number: int) -> FakeTarget:
         target = FakeTarget(self, number)
         self.target_by_address[make_address(number)] = target
@@ -412,11 +424,13 @@
         """Deliver a caller's packet to a balancer, as the fabric does."""
         self.segment_by_raw[segment.raw] = segment
         address = make_address(balancer, network=9)
-        self.deliver_later(
-            lambda: self.balancer_by_address[address].handle_caller_packet(
-                segment
-            )
-        )
+
+        def deliver() -> None:
+            steering = self.balancer_by_address.get(address)
+            if steering is not None:
+                steering.handle_caller_packet(segment)
+
+        self.deliver_later(deliver)
 
     def start_caller(self, flow: bytes, balancer: int = 1) -> 'FakeCaller':
         """Start a caller that opens a flow for one request."""
