--- a/deploy/launch.py
+++ b/deploy/launch.py
@@ -1,13 +1,14 @@
 """Starts a role on a VM: `python3 -S deploy/launch.py balancer|agent`."""
 
 import gc
+import os
 import sys
 
 # Loaded modules are never freed; collecting garbage while they load takes
 # a third of the start.
 gc.disable()
 # Extension modules bind a function when it is first called.
-sys.setdlopenflags(1)
+sys.setdlopenflags(os.RTLD_LAZY)
 sys.path[0] = ''
 # Libraries that are not in the bundle, or all of them without a bundle.
 sys.path.append('target/deps')
