Readmit targets that have all drained, after an undrain

A probe reply that reports draining keeps a target out until a later reply says otherwise. Now every new flow adds the credit, also one without a target. The new test fails without the change.

--- a/greengagepath/routing/choice.py
+++ b/greengagepath/routing/choice.py
@@ -201,6 +201,9 @@
 
         The error is `NoTarget` if no target is alive and accepting.
         """
+        # Flows without a target pay for probes too: a reply is what readmits
+        # targets that have all reported that they drain.
+        self._add_probe_credit()
         pool = self._list_eligible(flow_id)
         if not pool:
             return Err(NoTarget(self.service, NoTargetReason.NONE_ALIVE))
@@ -208,7 +211,6 @@
         target = pool[0]
         load = self._loads_by_target_id[target.target_id]
         load.requests_since_report += _LOAD_BY_SIZE_CLASS[size_class]
-        self._add_probe_credit()
         end = 1 + self._settings.alternates
         return Ok(Choice(target, tuple(pool[1:end])))
 
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -51,6 +51,25 @@
         problem = chooser.choose(1, SHORT).unwrap_err()
         self.assertEqual(NoTargetReason.NONE_ALIVE, problem.reason)
 
+    def test_targets_that_all_drained_are_chosen_again(self):
+        # Guards against a service that stays without targets after an
+        # undrain, because probes were paid for by chosen flows only.
+        timers = VirtualTimerService()
+        target = build_target(1)
+        chooser = build_chooser((target,), timers)
+        draining = ProbeReply('target-1', 0, 0, 0, ProbeState.DRAINING)
+        while chooser.targets_to_probe():
+            chooser.record_probe(draining)
+            timers.advance(1)
+        chooser.replace_targets((build_target(1, state=TargetState.DRAINING),))
+        chooser.replace_targets((target,))
+        for flow_id in range(4):
+            chooser.choose(flow_id, SHORT)
+            for probed in chooser.targets_to_probe():
+                chooser.record_probe(ProbeReply(probed.target_id, 0, 0, 0))
+            timers.advance(1)
+        self.assertTrue(chooser.choose(9, SHORT).is_ok())
+
     def test_other_region_is_used_only_without_local_targets(self):
         # Guards against flows that leave the region while it has targets
         # of its own.
