--- a/greengagepath/cli/draining.py
+++ b/greengagepath/cli/draining.py
@@ -1,12 +1,14 @@
 """Options and implementation of `drain` and `undrain`."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import ClassVar
 
 from result import Err, Ok, Result
 
+from ..configuration.drains import ZONE_PREFIX
 from ..configuration.rollout import (
+    ChangePlan,
     StoredConfiguration,
     StoreUnreachable,
     UnknownName,
@@ -25,7 +27,16 @@
     SettingsOption,
     TargetsArgument,
     WaitOption,
+    ZonesOption,
 )
+from .zone_draining import (
+    NoBalancerAnswered,
+    ZoneRequest,
+    find_by_name,
+    plan_zones,
+)
+
+PlanError = UnknownName | StoreUnreachable | NoBalancerAnswered
 
 
 @dataclass(slots=True, frozen=True)
@@ -46,7 +57,8 @@
 
     drained: ClassVar[bool]
 
-    targets: TargetsArgument
+    targets: TargetsArgument = field(default_factory=list)
+    zones: ZonesOption = field(default_factory=list)
     service: ServiceOption = None
     settings: SettingsOption = DEFAULT_SETTINGS
     wait_s: WaitOption = DEFAULT_WAIT_S
@@ -54,17 +66,30 @@
 
     def __call__(self) -> ExitCode:
         """Run the command."""
-        request = DrainRequest(
-            tuple(self.targets), self.service, drained=self.drained
-        )
-        options = ChangeOptions(self.wait_s, self.as_json)
-        return run_drain(self.settings, request, options)
+        match self._make_request():
+            case Ok(request):
+                options = ChangeOptions(self.wait_s, self.as_json)
+                return run_drain(self.settings, request, options)
+            case Err(message):
+                print_error(message, 'see --help for examples')
+        return ExitCode.BAD_USAGE
+
+    def _make_request(self) -> Result[DrainRequest | ZoneRequest, str]:
+        if bool(self.targets) == bool(self.zones):
+            return Err('name either targets or availability zones')
+        if any(entry.startswith(ZONE_PREFIX) for entry in self.targets):
+            return Err(f'{ZONE_PREFIX} is not part of an id; use --zone')
+        if self.targets:
+            targets = tuple(self.targets)
+            return Ok(DrainRequest(targets, self.service, self.drained))
+        zones = tuple(self.zones)
+        return Ok(ZoneRequest(zones, self.service, self.drained))
 
 
 def run_drain(
-    path: Path, request: DrainRequest, options: ChangeOptions
+    path: Path, request: DrainRequest | ZoneRequest, options: ChangeOptions
 ) -> ExitCode:
-    """Change the drained targets of a service and wait for the change.
+    """Change which targets are drained and wait for the change.
 
     `path` is the settings file of the tool.
     """
@@ -78,28 +103,50 @@
 
 
 def _change_targets(
-    connections: Connections, request: DrainRequest, options: ChangeOptions
+    connections: Connections,
+    request: DrainRequest | ZoneRequest,
+    options: ChangeOptions,
 ) -> ExitCode:
     stored = connections.store.read()
     if isinstance(stored, Err):
         print_error(f'cannot read from the object API: {stored.err_value}')
         return ExitCode.UNREACHABLE
-    planned = find_service(connections, stored.ok_value, request).and_then(
-        lambda service: plan_drain(
-            stored.ok_value,
-            service.service_id,
-            request.targets,
-            drained=request.drained,
-        )
-    )
-    match planned:
+    match _make_plan(connections, stored.ok_value, request):
         case Ok(plan):
             return run_plan(connections, plan, options).code
-        case Err(UnknownName(message)):
+        case Err(failure):
+            return _report_failure(failure)
+    return ExitCode.UNREACHABLE
+
+
+def _make_plan(
+    connections: Connections,
+    stored: StoredConfiguration,
+    request: DrainRequest | ZoneRequest,
+) -> Result[ChangePlan, PlanError]:
+    match request:
+        case ZoneRequest():
+            return plan_zones(connections, stored, request)
+        case DrainRequest(targets, _, drained):
+            return find_service(connections, stored, request).and_then(
+                lambda service: plan_drain(
+                    stored, service.service_id, targets, drained=drained
+                )
+            )
+
+
+def _report_failure(failure: PlanError) -> ExitCode:
+    match failure:
+        case UnknownName(message):
             print_error(message, 'see `greengagepath status --json`')
             return ExitCode.BAD_USAGE
-        case Err(failure):
-            print_error(failure.reason, 'name the service with --service')
+        case NoBalancerAnswered(reason):
+            print_error(
+                f'no balancer answered: {reason}',
+                'list running balancers in the settings',
+            )
+        case StoreUnreachable(reason):
+            print_error(reason, 'name the service with --service')
     return ExitCode.UNREACHABLE
 
 
@@ -118,23 +165,13 @@
     """
     services = stored.configuration.services
     if request.service is not None:
-        return _find_by_name(services, request.service)
+        return find_by_name(services, request.service)
     drained_from = _find_by_drained_targets(services, request.targets)
     if drained_from is not None:
         return Ok(drained_from)
     return _find_by_member_records(connections, services, request.targets)
 
 
-def _find_by_name(
-    services: list[Service], name: str
-) -> Result[Service, UnknownName]:
-    for service in services:
-        if service.name == name:
-            return Ok(service)
-    names = ', '.join(entry.name for entry in services)
-    return Err(UnknownName(f'no service is named {name}; there are: {names}'))
-
-
 def _find_by_drained_targets(
     services: list[Service], targets: tuple[str, ...]
 ) -> Service | None:
--- a/greengagepath/cli/options.py
+++ b/greengagepath/cli/options.py
@@ -44,7 +44,17 @@
     cappa.Arg(
         long='--service',
         value_name='NAME',
-        help='Service of the targets; by default looked up by their ids.',
+        help='Service of the targets; by default looked up by their ids,'
+        ' and all services for --zone.',
+    ),
+]
+ZonesOption = Annotated[
+    list[str],
+    cappa.Arg(
+        long='--zone',
+        value_name='ZONE',
+        help='Availability zone whose targets are meant, also those that'
+        ' join it later; can be repeated.',
     ),
 ]
 TargetsArgument = Annotated[
@@ -52,7 +62,6 @@
     cappa.Arg(
         value_name='TARGET',
         num_args=-1,
-        required=True,
-        help='Member ids as shown by `status`.',
+        help='Member ids as shown by `status`; not together with --zone.',
     ),
 ]
--- a/greengagepath/cli/status.py
+++ b/greengagepath/cli/status.py
@@ -18,6 +18,7 @@
     print_json,
     print_problems,
 )
+from ..output.drained_zones import count_drained_zones
 from ..output.status_table import render_status
 from .options import DEFAULT_SETTINGS, JsonOption, SettingsOption
 
@@ -98,7 +99,10 @@
             connections.balancers, addresses or connections.list_addresses()
         ):
             case Ok(reply) if self.as_json:
-                print_json(msgspec.to_builtins(reply))
+                counts = count_drained_zones(reply)
+                print_json(
+                    {**msgspec.to_builtins(reply), 'drained_zones': counts}
+                )
             case Ok(reply):
                 make_console().print(render_status(reply))
             case Err(reason):
--- a/greengagepath/cli/undrain.py
+++ b/greengagepath/cli/undrain.py
@@ -11,10 +11,12 @@
     help='Let drained targets receive new work again.',
     description="""
 Traffic to the targets ramps up over 10 s, as after a cold start.
+Targets that are drained by their id stay drained after --zone.
 
 Examples:
 
 - `greengagepath undrain licence-core-3`
+- `greengagepath undrain --zone perth-a`
 """,
 )
 @dataclass
--- a/greengagepath/configuration/rollout.py
+++ b/greengagepath/configuration/rollout.py
@@ -6,11 +6,10 @@
 """
 
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
-from msgspec import structs
 from result import Err, Ok, Result
 
 from ..foundation.addresses import Address
@@ -25,6 +24,7 @@
     StatusReply,
 )
 from .diff import FieldChange, diff_services
+from .drains import change_drained, keep_drained_targets, make_zone_entry
 from .files import ConfigurationFile, compute_digest
 
 # Balancers that the version is sent to; they pass it on to the others.
@@ -134,35 +134,23 @@
     drained: bool,
 ) -> Result[ChangePlan, UnknownName]:
     """Return the plan that drains or undrains targets of a service."""
-    held = stored.configuration
-    changed_ids = set(target_ids)
-    services = []
-    for service in held.services:
-        if service.service_id == service_id:
-            before = set(service.drained_targets)
-            after = before | changed_ids if drained else before - changed_ids
-            services.append(
-                structs.replace(service, drained_targets=sorted(after))
-            )
-        else:
-            services.append(service)
-    if service_id not in {entry.service_id for entry in held.services}:
+    held_ids = {entry.service_id for entry in stored.configuration.services}
+    if service_id not in held_ids:
         return Err(UnknownName(f'no service has the id {service_id}'))
-    changes = diff_services(held.services, services)
-    return Ok(ChangePlan(stored, _next_version(stored, services), changes))
-
-
-def keep_drained_targets(
-    held: Iterable[Service], wanted: Iterable[Service]
-) -> list[Service]:
-    """Return the wanted services with the drained targets of `held`."""
-    drained_by_id = {entry.service_id: entry.drained_targets for entry in held}
-    return [
-        structs.replace(
-            entry, drained_targets=drained_by_id.get(entry.service_id, [])
-        )
-        for entry in wanted
-    ]
+    changed_ids = frozenset(target_ids)
+    return Ok(_plan_change(stored, {service_id}, changed_ids, drained=drained))
+
+
+def plan_zone_drain(
+    stored: StoredConfiguration,
+    service_ids: Collection[int],
+    zones: Iterable[str],
+    *,
+    drained: bool,
+) -> ChangePlan:
+    """Return the plan that drains or undrains zones of some services."""
+    entries = frozenset(map(make_zone_entry, zones))
+    return _plan_change(stored, service_ids, entries, drained=drained)
 
 
 def write_plan(
@@ -291,6 +279,24 @@
         sleep(POLL_S)
 
 
+def _plan_change(
+    stored: StoredConfiguration,
+    service_ids: Collection[int],
+    entries: Collection[str],
+    *,
+    drained: bool,
+) -> ChangePlan:
+    held = stored.configuration.services
+    services = [
+        change_drained(service, entries, drained=drained)
+        if service.service_id in service_ids
+        else service
+        for service in held
+    ]
+    changes = diff_services(held, services)
+    return ChangePlan(stored, _next_version(stored, services), changes)
+
+
 def _next_version(
     stored: StoredConfiguration, services: list[Service]
 ) -> Configuration:
--- a/greengagepath/daemon/agent.py
+++ b/greengagepath/daemon/agent.py
@@ -14,6 +14,7 @@
 
 from ..agent.flows import TICK_S, AgentFlows
 from ..agent.work import Work
+from ..configuration.drains import is_drained
 from ..foundation.exit_codes import ExitCode
 from ..foundation.logs import configure_logs, log_event
 from ..foundation.timers import LoopTimerService
@@ -209,11 +210,11 @@
         self._service = structs.replace(service, limits=limits)
         self._flows.replace_service(self._service)
         self._back_end.max_answer_bytes = limits.max_answer_bytes
-        member_id = self._settings.node.member_id
-        is_drained = member_id in service.drained_targets
-        if is_drained and not self._flows.is_draining:
+        node = self._settings.node
+        drains = is_drained(service, node.member_id, node.availability_zone)
+        if drains and not self._flows.is_draining:
             self._start_draining('configuration')
-        elif not is_drained and self._flows.is_draining and not self._signals:
+        elif not drains and self._flows.is_draining and not self._signals:
             self._flows.stop_draining()
             self._control.set_state(MemberState.alive)
             log_event(_logger, 'agent.undrained')
--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ..configuration.drains import group_drained_zones
 from ..foundation.addresses import Address
 from ..foundation.timers import Timer
 from ..generated.messages import (
@@ -168,10 +169,13 @@
                 self._answer_status(link_id, message)
 
     def _answer_status(self, link_id: int, query: StatusQuery) -> None:
+        current = self.spread.holder.current
+        services = [] if current is None else current.services
         reply = StatusReply(
             query_id=query.query_id,
             configuration_version=self.spread.holder.version,
             records=list(self.table.records()),
+            drained_zones=group_drained_zones(services),
         )
         self._ports.links.send(link_id, reply)
 
@@ -191,11 +195,7 @@
         self._exchange.dissemination.push(record)
 
     def _configuration_applied(self, configuration: Configuration) -> None:
-        self.table.target_view.drained_ids = frozenset(
-            target_id
-            for service in configuration.services
-            for target_id in service.drained_targets
-        )
+        self.table.target_view.set_drained(configuration.services)
         self._exchange.publish_version(configuration.version)
         self._on_configuration(configuration)
         self._target_notifier.schedule()
--- a/greengagepath/membership/table.py
+++ b/greengagepath/membership/table.py
@@ -1,12 +1,18 @@
 """Table of all members known to a process."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from enum import Enum, unique
 
 import msgspec
 
+from ..configuration.drains import list_drained_zones
 from ..foundation.timers import TimerService
-from ..generated.messages import MemberKind, MemberRecord, MemberState
+from ..generated.messages import (
+    MemberKind,
+    MemberRecord,
+    MemberState,
+    Service,
+)
 from ..generated.settings import LimitSettings
 from ..routing.targets import TargetInfo
 from .records import (
@@ -62,13 +68,28 @@
     """Converts records of agents to targets for routing.
 
     `drained_ids` are the targets that the configuration drains,
+    `drained_zones` the service ids and zones whose targets it drains,
     `unreachable_zones` the zones that no bridge reaches.
     """
 
     def __init__(self) -> None:
         self.drained_ids: frozenset[str] = frozenset()
+        self.drained_zones: frozenset[tuple[int, str]] = frozenset()
         self.unreachable_zones: frozenset[str] = frozenset()
 
+    def set_drained(self, services: Collection[Service]) -> None:
+        """Replace the targets and zones that the services drain."""
+        self.drained_ids = frozenset(
+            target_id
+            for service in services
+            for target_id in service.drained_targets
+        )
+        self.drained_zones = frozenset(
+            (service.service_id, zone)
+            for service in services
+            for zone in list_drained_zones(service)
+        )
+
     def build(
         self, records: Iterable[MemberRecord]
     ) -> Mapping[int, tuple[TargetInfo, ...]]:
@@ -86,9 +107,13 @@
 
     def _describe(self, record: MemberRecord) -> TargetInfo:
         zone = record.availability_zone
+        is_drained = (
+            record.member_id in self.drained_ids
+            or (record.service_id, zone) in self.drained_zones
+        )
         return target_of(
             record,
-            is_drained=record.member_id in self.drained_ids,
+            is_drained=is_drained,
             is_unreachable=zone in self.unreachable_zones,
         )
 
--- a/greengagepath/output/console.py
+++ b/greengagepath/output/console.py
@@ -24,10 +24,12 @@
 
 def print_error(message: object, advice: str = '') -> None:
     """Print an error, and advice if there is any, on standard error."""
-    console = Console(stderr=True, highlight=False, soft_wrap=True)
-    console.print(f'[red]error:[/red] {escape(str(message))}')
-    if advice:
-        console.print(f'  {escape(advice)}')
+    _print_message('[red]error:[/red]', message, advice)
+
+
+def print_warning(message: object, advice: str = '') -> None:
+    """Print a warning, and advice if there is any, on standard error."""
+    _print_message('[yellow]warning:[/yellow]', message, advice)
 
 
 def print_problems(problems: Iterable[object]) -> None:
@@ -55,3 +57,10 @@
             console.print(f'[red]- {path}: {before}[/red]')
         else:
             console.print(f'[yellow]~ {path}: {before} -> {after}[/yellow]')
+
+
+def _print_message(label: str, message: object, advice: str) -> None:
+    console = Console(stderr=True, highlight=False, soft_wrap=True)
+    console.print(f'{label} {escape(str(message))}')
+    if advice:
+        console.print(f'  {escape(advice)}')
--- a/greengagepath/output/status_table.py
+++ b/greengagepath/output/status_table.py
@@ -7,6 +7,7 @@
 from rich.table import Table
 
 from ..generated.messages import MemberKind, MemberRecord, StatusReply
+from .drained_zones import DrainedZoneCount, count_drained_zones
 
 # Rows of one table, so that it stays readable for a large fleet; `--json`
 # has all records.
@@ -29,6 +30,8 @@
         _render_balancers(balancers, version),
         _render_services(targets),
     ]
+    if reply.drained_zones:
+        parts.append(_render_drained_zones(count_drained_zones(reply)))
     if not_alive:
         parts.append(_render_targets(not_alive))
     return Group(*parts)
@@ -72,6 +75,22 @@
     return table
 
 
+def _render_drained_zones(rows: list[DrainedZoneCount]) -> Table:
+    table = Table(title='drained zones')
+    for column in ('zone', 'service id', 'targets', 'not yet draining'):
+        table.add_column(column)
+    for row in rows[:MAX_ROWS]:
+        table.add_row(
+            row.availability_zone,
+            str(row.service_id),
+            str(row.targets),
+            str(row.not_draining),
+            style='yellow' if row.not_draining else None,
+        )
+    _add_overflow_row(table, len(rows))
+    return table
+
+
 def _render_targets(targets: list[MemberRecord]) -> Table:
     table = Table(title='targets that are not alive')
     for column in ('target', 'zone', 'address', 'service id', 'state'):
--- a/tests/control/test_control_scenarios.py
+++ b/tests/control/test_control_scenarios.py
@@ -2,6 +2,7 @@
 
 from testtools import TestCase
 
+from greengagepath.configuration.drains import is_drained
 from greengagepath.generated.messages import MemberState
 from greengagepath.routing.targets import TargetState
 from tests.control.builders import (
@@ -22,6 +23,23 @@
     }
 
 
+def find_draining(fleet, balancer):
+    """Return the ids of targets that a balancer takes for draining."""
+    return {
+        name
+        for name, target in find_targets(fleet.balancers[balancer]).items()
+        if target.state is TargetState.DRAINING
+    }
+
+
+def drain_zone(fleet, version, *target_ids):
+    """Drain zone z0 and some targets of service 1."""
+    entries = ['availability_zone=z0', *target_ids]
+    drained = make_service(1, drained_targets=entries)
+    spread = fleet.balancers['b1'].node.spread
+    spread.offer(make_configuration(version, drained, make_service(2)))
+
+
 def set_fallback_seeds(fleet):
     """Set two balancers as fallback seeds of processes started later."""
     records = [entry.record for entry in fleet.running_balancers()]
@@ -265,6 +283,40 @@
             state = find_targets(balancer)['a0'].state
             self.assertIs(TargetState.DRAINING, state)
 
+    def test_drained_zone_covers_targets_that_join_it_later(self):
+        # Guards against new work for a target that starts in an evacuated
+        # zone, and for targets of that zone at a restarted balancer.
+        fleet = make_fleet()
+        drain_zone(fleet, 1)
+        fleet.advance(3)
+        self.assertEqual({'a0', 'a2', 'a4'}, find_draining(fleet, 'b1'))
+        fleet.add_agent('a9', 'z0')
+        fleet.add_agent('other', 'z0', 2)
+        fleet.kill(fleet.balancers['b0'], silently=False)
+        fleet.advance(3)
+        fleet.add_balancer('b0', 'z0')
+        fleet.advance(5)
+        for name in fleet.balancers:
+            draining = find_draining(fleet, name)
+            self.assertEqual({'a0', 'a2', 'a4', 'a9'}, draining)
+        service = fleet.agents['a9'].services[-1]
+        self.assertTrue(is_drained(service, 'a9', 'z0'))
+        self.assertFalse(is_drained(service, 'a9', 'z1'))
+
+    def test_targets_of_a_zone_come_back(self):
+        # Guards against targets that stay without work after the zone is
+        # taken back, and against work for one drained by its id.
+        fleet = make_fleet()
+        drain_zone(fleet, 1, 'a4')
+        fleet.advance(3)
+        undrained = make_service(1, drained_targets=['a4'])
+        spread = fleet.balancers['b0'].node.spread
+        spread.offer(make_configuration(2, undrained, make_service(2)))
+        fleet.advance(3)
+        for name in fleet.balancers:
+            self.assertEqual({'a4'}, find_draining(fleet, name))
+        self.assertEqual([undrained], fleet.agents['a0'].services[1:])
+
     def test_second_of_two_operators_gets_a_conflict(self):
         # Guards against a lost update: two operators write at the same
         # time and one change is overwritten without an error.
--- a/tests/operator/builders.py
+++ b/tests/operator/builders.py
@@ -7,6 +7,7 @@
 
 from greengagepath.configuration.derivation import derive_services
 from greengagepath.configuration.questionnaire import load_answers
+from greengagepath.generated.messages import MemberRecord
 
 SECRET = 'ab' * 32
 OTHER_SECRET = 'cd' * 32
@@ -65,6 +66,26 @@
     return structs.replace(service, limits=changed)
 
 
+def build_target(member_id, zone, service_id, **fields):
+    """Return the member record of a target in an availability zone."""
+    defaults = {
+        'kind': 'agent',
+        'host': '127.0.0.1',
+        'data_port': 1,
+        'control_port': 0,
+        'region': 'perth',
+        'incarnation': 1,
+        'record_version': 1,
+        'state': 'alive',
+    }
+    return MemberRecord(
+        member_id=member_id,
+        availability_zone=zone,
+        service_id=service_id,
+        **{**defaults, **fields},
+    )
+
+
 def write_tool_settings(folder, url, *balancers):
     """Write settings of the tool and its key file; return their path.
 
--- a/tests/operator/fleet.py
+++ b/tests/operator/fleet.py
@@ -10,6 +10,7 @@
 import time
 
 from gevent.fileobject import FileObject
+from msgspec import structs
 
 from greengagepath.daemon.control import AgentControl, BalancerControl
 from greengagepath.foundation.timers import LoopTimerService
@@ -23,7 +24,7 @@
     make_agent_record,
     make_settings,
 )
-from tests.operator.builders import SECRET
+from tests.operator.builders import SECRET, build_services
 
 
 def make_tls(folder):
@@ -55,7 +56,10 @@
             make_settings('a1', 'agent', agent_port, object_port),
             keys,
             timers,
-            make_agent_record('a1', agent_port),
+            structs.replace(
+                make_agent_record('a1', agent_port),
+                service_id=build_services()[0].service_id,
+            ),
             lambda service: None,
             tls,
         )
--- a/tests/operator/stand_ins.py
+++ b/tests/operator/stand_ins.py
@@ -25,13 +25,15 @@
     """Object API with the conditional updates of the platform's protocol.
 
     The next `lose_next` writes take effect, but their connections are
-    closed without an answer.
+    closed without an answer. `before_write` is called once, before the
+    next write, as if another operator were faster.
     """
 
     def __init__(self):
         self.objects = {}
         self.lose_next = 0
         self.writes = 0
+        self.before_write = None
         handler = type('Handler', (_ObjectHandler,), {'api': self})
         self._server = ThreadingHTTPServer(('127.0.0.1', 0), handler)
         self.url = f'http://127.0.0.1:{self._server.server_port}'
@@ -54,6 +56,10 @@
 
     def do_PUT(self):
         body = self.rfile.read(int(self.headers['Content-Length']))
+        before_write = self.api.before_write
+        self.api.before_write = None
+        if before_write is not None:
+            before_write()
         nothing = {'version': 0, 'body': {}}
         stored = self.api.objects.get(self.path, nothing)
         if stored['version'] != int(self.headers['If-Match']):
--- a/tests/operator/test_fleet.py
+++ b/tests/operator/test_fleet.py
@@ -10,7 +10,7 @@
 
 from greengagepath.foundation.exit_codes import ExitCode
 
-from .builders import ROOT, write_tool_settings
+from .builders import ROOT, build_services, write_tool_settings
 from .certificates import Authority
 from .test_cli import CommandTest
 
@@ -79,6 +79,34 @@
         }
         self.assertEqual({drained['version']}, versions)
 
+    def test_status_shows_drained_zones(self):
+        # Guards against an evacuation that nobody can see in `status`, or
+        # that the balancers which answer do not have in force.
+        self.start_fleet()
+        self.wait_for_records(4)
+        self.run_json('apply', self.file)
+        code, drained = self.run_json('drain', '--zone', 'z1')
+        self.assertEqual((ExitCode.OK, 3), (code, drained['in_force']))
+        self.assertLess(drained['took_ms'], 3000)
+        _, status = self.run_json('status')
+        core = build_services()[0].service_id
+        rows = {row['service_id']: row for row in status['drained_zones']}
+        self.assertEqual(2, len(rows))
+        self.assertEqual(
+            {
+                'availability_zone': 'z1',
+                'service_id': core,
+                'targets': 1,
+                'not_draining': 1,
+            },
+            rows[core],
+        )
+        self.run_command('status', '--settings', self.settings)
+        self.assertIn('drained zones', self.out.getvalue())
+        self.run_json('undrain', '--zone', 'z1')
+        _, status = self.run_json('status')
+        self.assertEqual([], status['drained_zones'])
+
     def test_links_require_a_certificate_of_the_authority(self):
         # Guards against balancers that have TLS configured but accept
         # links without it, and against balancers that answer a tool
