Explain with route where a new request would go, and why

Cause: an operator saw only afterwards, from metrics, why a target got no new flows.

Change: greengagepath route SERVICE [--zone ZONE] [--json] sends a RouteQuery over the control link that status uses. The balancer computes the choice for a random flow with a copy of the service's chooser, so with the code of TargetChooser.choose and without a change of the state that it uses. The answer has the choice, the alternates and for each target state, load, expected wait, age of the load and why it is left out. A balancer that does not answer is named; exit code 4 if none does, 2 for an unknown service or zone.

--- a/greengagepath/cli/tool.py
+++ b/greengagepath/cli/tool.py
@@ -20,6 +20,7 @@
 from .explain import Explain
 from .init import Init
 from .report import Report
+from .route import Route
 from .status import Status
 from .undrain import Undrain
 
@@ -43,6 +44,7 @@
         | Check
         | Apply
         | Status
+        | Route
         | Drain
         | Undrain
         | Call
--- a/greengagepath/daemon/balancer.py
+++ b/greengagepath/daemon/balancer.py
@@ -25,6 +25,7 @@
 from .datapath import DataPath, open_data_socket
 from .http_status import StatusServer
 from .reloads import Reloader, Reloads
+from .route_answers import RouteAnswers
 from .target_sockets import TargetSockets, limit_target_sockets
 
 # Pause between the slices in which tables of targets are rebuilt.
@@ -79,6 +80,7 @@
             self._apply_targets,
             self._apply_configuration,
             tls,
+            RouteAnswers(node, self._choosers, self._get_configuration).answer,
         )
         self._metrics = BalancerMetrics(
             self._path, self._control, self._choosers, self._timers
@@ -152,6 +154,9 @@
         if self._is_rebuild_scheduled:
             self._timers.call_after(SLICE_PAUSE_S, self._rebuild_slice)
 
+    def _get_configuration(self) -> Configuration | None:
+        return self._control.configuration
+
     def _apply_configuration(self, configuration: Configuration) -> None:
         self._path.router.use_configuration(configuration)
         log_event(_logger, 'balancer.configured', version=configuration.version)
--- a/greengagepath/daemon/connections.py
+++ b/greengagepath/daemon/connections.py
@@ -29,6 +29,8 @@
     Configuration,
     ConfigurationDelta,
     LinkError,
+    RouteQuery,
+    RouteReply,
     StatusQuery,
     StatusReply,
 )
@@ -105,6 +107,15 @@
         message = StatusQuery(query_id=next(self._query_ids))
         return self._exchange(address, message).and_then(_expect_status)
 
+    def query_route(
+        self, address: Address, service: str, flow_id: int
+    ) -> Result[RouteReply, str]:
+        """Return where one balancer would send a new flow now."""
+        message = RouteQuery(
+            query_id=next(self._query_ids), service=service, flow_id=flow_id
+        )
+        return self._exchange(address, message).and_then(_expect_route)
+
     def send_delta(
         self, address: Address, delta: ConfigurationDelta
     ) -> Result[None, str]:
@@ -210,6 +221,12 @@
     return Err(f'unexpected answer {type(message).__name__}')
 
 
+def _expect_route(message: msgspec.Struct) -> Result[RouteReply, str]:
+    if isinstance(message, RouteReply):
+        return Ok(message)
+    return Err(f'unexpected answer {type(message).__name__}')
+
+
 def _convert_link_error(message: msgspec.Struct) -> Result[msgspec.Struct, str]:
     if isinstance(message, LinkError):
         return Err(message.reason)
--- a/greengagepath/daemon/control.py
+++ b/greengagepath/daemon/control.py
@@ -18,10 +18,12 @@
 from ..generated.settings import Settings
 from ..membership.agent_node import AgentNode
 from ..membership.balancer_node import (
+    AnswerRoute,
     BalancerListeners,
     BalancerNode,
     OnConfiguration,
     OnTargets,
+    refuse_route,
 )
 from ..membership.ports import NodePorts
 from ..protocol.tags import KeyRing
@@ -32,9 +34,9 @@
     """Members, targets and configuration known to one balancer.
 
     `on_targets` is called with the targets of each service id,
-    `on_configuration` with each configuration that comes into force.
-    Both are called from the greenlets of timers and links and must not
-    block.
+    `on_configuration` with each configuration that comes into force,
+    `answer_route` with questions of operators. All are called from the
+    greenlets of timers and links and must not block.
     """
 
     def __init__(
@@ -45,6 +47,7 @@
         on_targets: OnTargets,
         on_configuration: OnConfiguration,
         tls: TlsContexts | None = None,
+        answer_route: AnswerRoute = refuse_route,
     ) -> None:
         self._settings = settings
         self.links = WebsocketLinks(LinkOptions(keys, settings.limits, tls))
@@ -52,7 +55,7 @@
         self.node = BalancerNode(
             _make_balancer_record(settings),
             _make_ports(settings, timers, self.links, self._transport),
-            BalancerListeners(on_targets, on_configuration),
+            BalancerListeners(on_targets, on_configuration, answer_route),
         )
 
     def start(self) -> None:
--- a/greengagepath/membership/balancer_node.py
+++ b/greengagepath/membership/balancer_node.py
@@ -15,10 +15,12 @@
     ConfigurationPull,
     Digest,
     Hello,
+    LinkError,
     MemberRecord,
     MemberState,
     Pull,
     Records,
+    RouteQuery,
     StatusQuery,
     StatusReply,
     Versions,
@@ -49,6 +51,12 @@
 SCAN_S = 0.5
 
 OnConfiguration = Callable[[Configuration], None]
+AnswerRoute = Callable[[RouteQuery], msgspec.Struct]
+
+
+def refuse_route(query: RouteQuery) -> LinkError:
+    """Answer in the place of a process that chooses no targets."""
+    return LinkError(reason=f'no targets of {query.service} are chosen here')
 
 
 @dataclass(slots=True, frozen=True)
@@ -56,11 +64,13 @@
     """Callbacks for new targets and configurations.
 
     `on_targets` gets the targets by service id, `on_configuration` each
-    configuration that comes into force.
+    configuration that comes into force. `answer_route` answers questions
+    of operators about the choice of targets.
     """
 
     on_targets: OnTargets
     on_configuration: OnConfiguration
+    answer_route: AnswerRoute = refuse_route
 
 
 class BalancerNode:
@@ -88,7 +98,7 @@
         )
         self.link_monitor = LinkMonitor(self.peers, ports)
         self._ports = ports
-        self._on_configuration = listeners.on_configuration
+        self._listeners = listeners
         self._target_notifier = TargetNotifier(
             self.table, ports, listeners.on_targets
         )
@@ -167,6 +177,9 @@
                 self.spread.send_since(link_id, message.held_version)
             case StatusQuery():
                 self._answer_status(link_id, message)
+            case RouteQuery():
+                answer = self._listeners.answer_route(message)
+                self._ports.links.send(link_id, answer)
 
     def _answer_status(self, link_id: int, query: StatusQuery) -> None:
         current = self.spread.holder.current
@@ -197,7 +210,7 @@
     def _configuration_applied(self, configuration: Configuration) -> None:
         self.table.target_view.set_drained(configuration.services)
         self._exchange.publish_version(configuration.version)
-        self._on_configuration(configuration)
+        self._listeners.on_configuration(configuration)
         self._target_notifier.schedule()
 
     def _compare_tables(self) -> None:
--- a/greengagepath/protocol/codec.py
+++ b/greengagepath/protocol/codec.py
@@ -22,6 +22,8 @@
     messages.ConfigurationDelta,
     messages.StatusQuery,
     messages.StatusReply,
+    messages.RouteQuery,
+    messages.RouteReply,
     messages.LinkError,
 )
 _LINK_MESSAGES_BY_NAME = {kind.__name__: kind for kind in LINK_MESSAGES}
--- a/greengagepath/routing/choosers.py
+++ b/greengagepath/routing/choosers.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import Mapping
 
-from result import Err, Result
+from result import Err, Ok, Result
 
 from ..generated.messages import SizeClass
 from .choice import (
@@ -14,6 +14,7 @@
     ProbeReply,
     TargetChooser,
 )
+from .explanation import Explanation, explain_choice
 from .targets import TargetInfo
 
 # Tables that are rebuilt between two readings of the clock.
@@ -96,6 +97,18 @@
             return Err(NoTarget(service, NoTargetReason.UNKNOWN_SERVICE))
         return chooser.choose(flow_id, size_class)
 
+    def explain(
+        self, service: int, flow_id: int
+    ) -> Result[Explanation, NoTarget]:
+        """Return the choice for a flow and its reasons, without making it.
+
+        The error is `NoTarget` if the service has no targets.
+        """
+        chooser = self.get_chooser(service)
+        if chooser is None:
+            return Err(NoTarget(service, NoTargetReason.UNKNOWN_SERVICE))
+        return Ok(explain_choice(chooser, self._shared, flow_id))
+
     def record_probe(self, service: int, reply: ProbeReply) -> None:
         """Pass a probe reply to the chooser of the service, if any."""
         chooser = self._choosers_by_service.get(service)
--- a/tests/operator/fleet.py
+++ b/tests/operator/fleet.py
@@ -6,6 +6,7 @@
 """
 
 import json
+import random
 import sys
 import time
 
@@ -13,10 +14,13 @@
 from msgspec import structs
 
 from greengagepath.daemon.control import AgentControl, BalancerControl
+from greengagepath.daemon.route_answers import RouteAnswers
 from greengagepath.foundation.timers import LoopTimerService
 from greengagepath.foundation.tls import TlsContexts
 from greengagepath.generated.settings import TlsSettings
 from greengagepath.protocol.tags import Key, KeyRing
+from greengagepath.routing.choice import ChooserServices, Place
+from greengagepath.routing.choosers import ServiceChoosers
 from tests.control.http_store import HttpStore
 from tests.control.processes import (
     HOST,
@@ -33,6 +37,27 @@
     return TlsContexts(TlsSettings(**paths))
 
 
+def run_balancer(settings, keys, timers, tls):
+    """Return a control plane with the choosers of a data path."""
+    place = Place(settings.node.region, settings.node.availability_zone)
+    choosers = ServiceChoosers(
+        ChooserServices(place, timers, random.SystemRandom())
+    )
+    answers = RouteAnswers(
+        settings.node, choosers, lambda: control.configuration
+    )
+    control = BalancerControl(
+        settings,
+        keys,
+        timers,
+        choosers.update_targets,
+        lambda found: None,
+        tls,
+        answers.answer,
+    )
+    return control
+
+
 def run_fleet(tls=None):
     object_port, agent_port, *ports = free_ports(5)
     store = HttpStore()
@@ -41,12 +66,10 @@
     timers = LoopTimerService()
     timers.start()
     members = [
-        BalancerControl(
+        run_balancer(
             make_settings(f'b{port}', 'balancer', port, object_port),
             keys,
             timers,
-            lambda found: None,
-            lambda found: None,
             tls,
         )
         for port in ports
--- a/tests/operator/test_fleet.py
+++ b/tests/operator/test_fleet.py
@@ -107,6 +107,31 @@
         _, status = self.run_json('status')
         self.assertEqual([], status['drained_zones'])
 
+    def test_route_shows_the_choice_and_why_a_target_is_left_out(self):
+        # Guards against a question that the balancers do not answer, and
+        # against an answer that does not say why a target gets nothing.
+        self.start_fleet()
+        self.wait_for_records(4)
+        self.run_json('apply', self.file)
+        code, found = self.run_json('route', 'licence-core', '--zone', 'z1')
+        self.assertEqual((ExitCode.OK, 'a1'), (code, found['target_id']))
+        self.assertEqual(-1, found['candidates'][0]['report_age_ms'])
+        for arguments, cause in (
+            (('--zone', 'z1'), 'zone_drained'),
+            (('a1',), 'drained'),
+        ):
+            self.run_json('drain', *arguments)
+            code, found = self.run_json('route', 'licence-core')
+            self.assertEqual((ExitCode.OK, ''), (code, found['target_id']))
+            self.assertEqual('none_alive', found['reason'])
+            self.assertEqual(cause, found['candidates'][0]['left_out'])
+        self.run_command('route', 'licence-core', '--settings', self.settings)
+        self.assertIn('left out: drained', self.out.getvalue())
+        for arguments in (('nobody',), ('licence-core', '--zone', 'z9')):
+            code, _ = self.run_json('route', *arguments)
+            self.assertEqual(ExitCode.BAD_USAGE, code)
+        self.assertIn('zones with balancers: z1', self.err.getvalue())
+
     def test_links_require_a_certificate_of_the_authority(self):
         # Guards against balancers that have TLS configured but accept
         # links without it, and against balancers that answer a tool
--- a/tests/operator/test_zone_drain.py
+++ b/tests/operator/test_zone_drain.py
@@ -127,6 +127,17 @@
         self.assertEqual(ExitCode.CONFLICT, code)
         self.assertEqual([[ENTRY], [ENTRY]], self.get_drained())
 
+    def test_route_names_a_process_that_does_not_answer(self):
+        # Guards against a `route` that hides a balancer of an earlier
+        # build, or one that is down, and reports success.
+        code = self.run_command(
+            'route', 'licence-core', '--settings', self.settings
+        )
+        self.assertEqual(ExitCode.UNREACHABLE, code)
+        self.assertIn(
+            f'{self.balancer.name} did not answer', self.err.getvalue()
+        )
+
     def test_targets_and_zones_are_not_mixed(self):
         # Guards against a drain of the wrong set of targets, and against
         # an id that is stored as a zone without the check of its name.
