--- a/tests/operator/fleet.py
+++ b/tests/operator/fleet.py
@@ -6,16 +6,21 @@
 """
 
 import json
+import random
 import sys
 import time
 
 from gevent.fileobject import FileObject
+from msgspec import structs
 
 from greengagepath.daemon.control import AgentControl, BalancerControl
+from greengagepath.daemon.route_answers import RouteAnswers
 from greengagepath.foundation.timers import LoopTimerService
 from greengagepath.foundation.tls import TlsContexts
 from greengagepath.generated.settings import TlsSettings
 from greengagepath.protocol.tags import Key, KeyRing
+from greengagepath.routing.choice import ChooserServices, Place
+from greengagepath.routing.choosers import ServiceChoosers
 from tests.control.http_store import HttpStore
 from tests.control.processes import (
     HOST,
@@ -23,7 +28,7 @@
     make_agent_record,
     make_settings,
 )
-from tests.operator.builders import SECRET
+from tests.operator.builders import SECRET, build_services
 
 
 def make_tls(folder):
@@ -32,6 +37,27 @@
     return TlsContexts(TlsSettings(**paths))
 
 
+def run_balancer(settings, keys, timers, tls):
+    """Return a control plane with the choosers of a data path."""
+    place = Place(settings.node.region, settings.node.availability_zone)
+    choosers = ServiceChoosers(
+        ChooserServices(place, timers, random.SystemRandom())
+    )
+    answers = RouteAnswers(
+        settings.node, choosers, lambda: control.configuration
+    )
+    control = BalancerControl(
+        settings,
+        keys,
+        timers,
+        choosers.update_targets,
+        lambda found: None,
+        tls,
+        answers.answer,
+    )
+    return control
+
+
 def run_fleet(tls=None):
     object_port, agent_port, *ports = free_ports(5)
     store = HttpStore()
@@ -40,12 +66,10 @@
     timers = LoopTimerService()
     timers.start()
     members = [
-        BalancerControl(
+        run_balancer(
             make_settings(f'b{port}', 'balancer', port, object_port),
             keys,
             timers,
-            lambda found: None,
-            lambda found: None,
             tls,
         )
         for port in ports
@@ -55,7 +79,10 @@
             make_settings('a1', 'agent', agent_port, object_port),
             keys,
             timers,
-            make_agent_record('a1', agent_port),
+            structs.replace(
+                make_agent_record('a1', agent_port),
+                service_id=build_services()[0].service_id,
+            ),
             lambda service: None,
             tls,
         )
