Share the accounting of start-time fair queueing

FairQueue kept virtual time and start tags itself, so a second queue could not use them without a copy. FairShares and StartTag hold them now, and FairQueue uses these.

--- a/greengagepath/admission/fair_queue.py
+++ b/greengagepath/admission/fair_queue.py
@@ -1,14 +1,14 @@
 """Weighted fair queueing between customers.
 
-Start-time fair queueing (Goyal, Vin and Cheng, 1996) over one queue for
-each customer, which keeps short and long work apart. Costs are in
-seconds of a slot.
+Start-time fair queueing over one queue for each customer, which keeps
+short and long work apart. Costs are in seconds of a slot.
 """
 
 from collections import deque
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
+from ..foundation.fair_shares import FairShares, StartTag
 from ..generated.messages import SizeClass
 
 # Number of customer queues at which the empty ones are removed. Until
@@ -44,14 +44,10 @@
 
 @dataclass(slots=True)
 class CustomerQueue:
-    """Queued requests of one customer.
-
-    `virtual_s` is the start tag of its next request, in virtual time.
-    """
+    """Queued requests of one customer, and the tag of its next one."""
 
     customer_id: int
-    share: float = DEFAULT_SHARE
-    virtual_s: float = 0.0
+    tag: StartTag
     short: deque[QueuedRequest] = field(default_factory=deque)
     long: deque[QueuedRequest] = field(default_factory=deque)
 
@@ -88,7 +84,7 @@
         # New shares do not move requests that are already queued.
         self._queues_by_request_id: dict[bytes, CustomerQueue] = {}
         self._shares_by_customer: Mapping[int, float] = {}
-        self._virtual_s = 0.0
+        self._fair_shares = FairShares()
 
     def __len__(self) -> int:
         """Return the number of queued requests."""
@@ -98,13 +94,13 @@
         """Replace the shares, as given in the configuration."""
         self._shares_by_customer = dict(shares_by_customer)
         for queue in self._queues_by_customer.values():
-            queue.share = self._share_of(queue.customer_id)
+            queue.tag.share = self._share_of(queue.customer_id)
 
     def push(self, request: QueuedRequest) -> None:
         """Append a request to the queue of its customer."""
         queue = self._get_queue(request.customer_id)
         if not queue:
-            queue.virtual_s = max(queue.virtual_s, self._virtual_s)
+            self._fair_shares.activate(queue.tag)
         queue.requests_of(request.size_class).append(request)
         self._requests_by_id[request.request_id] = request
         self._queues_by_request_id[request.request_id] = queue
@@ -120,8 +116,7 @@
         request = queue.requests_of(size_class).popleft()
         self._requests_by_id.pop(request.request_id)
         self._queues_by_request_id.pop(request.request_id)
-        self._virtual_s = max(self._virtual_s, queue.virtual_s)
-        queue.virtual_s += request.expected_s / queue.share
+        self._fair_shares.charge(queue.tag, request.expected_s)
         return request
 
     def adjust_charge(self, customer_id: int, difference_s: float) -> None:
@@ -130,7 +125,7 @@
         `difference_s` is in seconds of a slot, negative for a refund.
         """
         queue = self._get_queue(customer_id)
-        queue.virtual_s += difference_s / queue.share
+        self._fair_shares.adjust(queue.tag, difference_s)
 
     def remove(self, request_id: bytes) -> QueuedRequest | None:
         """Remove and return a request, or None if it is not queued."""
@@ -162,14 +157,14 @@
         active_share = 0.0
         for queue in self._queues_by_customer.values():
             if queue.requests_of(size_class):
-                active_share += queue.share
+                active_share += queue.tag.share
                 total_s += _cost_s(queue, size_class)
         own = self._get_queue(customer_id)
         if not own.requests_of(size_class):
-            active_share += own.share
+            active_share += own.tag.share
         # The new request itself waits for one round of the customers.
-        turn_s = total_s / max(len(self), 1) * active_share / own.share
-        own_s = _cost_s(own, size_class) * active_share / own.share
+        turn_s = total_s / max(len(self), 1) * active_share / own.tag.share
+        own_s = _cost_s(own, size_class) * active_share / own.tag.share
         return min(total_s, own_s + turn_s)
 
     def find_eviction(self, customer_id: int) -> QueuedRequest | None:
@@ -182,9 +177,9 @@
         own = self._get_queue(customer_id)
         fullest = max(
             self._queues_by_customer.values(),
-            key=lambda queue: len(queue) / queue.share,
+            key=lambda queue: len(queue) / queue.tag.share,
         )
-        if len(fullest) / fullest.share <= (len(own) + 1) / own.share:
+        if len(fullest) / fullest.tag.share <= (len(own) + 1) / own.tag.share:
             return None
         return fullest.newest()
 
@@ -200,10 +195,10 @@
         queue = self._queues_by_customer.get(customer_id)
         if queue is None:
             self._remove_idle_queues()
+            share = self._share_of(customer_id)
             queue = CustomerQueue(
-                customer_id, share=self._share_of(customer_id)
+                customer_id, self._fair_shares.make_tag(share)
             )
-            queue.virtual_s = self._virtual_s
             self._queues_by_customer[customer_id] = queue
         return queue
 
@@ -218,7 +213,7 @@
             for queue in self._queues_by_customer.values()
             if queue.requests_of(size_class)
         ]
-        return min(waiting, key=lambda queue: queue.virtual_s, default=None)
+        return min(waiting, key=lambda queue: queue.tag.start, default=None)
 
     def _remove_idle_queues(self) -> None:
         if len(self._queues_by_customer) < MAX_IDLE_QUEUES:
