Let opening packets wait until a target has room

A home resets an opening packet if no target serves it in time now. The caller returns from a new port within milliseconds, so at a load peak it has used its three tries before the next slot becomes free.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -97,6 +97,9 @@
             context.held_flows.handshakes
         )
         self._metrics.durations_by_step['request'] = context.held_flows.requests
+        self._metrics.durations_by_step['waiting'] = (
+            self.steering.waits.durations
+        )
 
     def run(self) -> ExitCode:
         """Serve until a signal, then until the target is gone."""
@@ -133,6 +136,7 @@
         return {
             'flows_held': len(context.held_flows.by_flow),
             'load': context.held_flows.load,
+            'openings_waiting': len(self.steering.waits),
             'service_s': context.estimate_service_s(),
             'agents': len(context.peers.agents),
             'balancers': len(context.peers.balancers),
--- a/greengagepath/output/flow_trace.py
+++ b/greengagepath/output/flow_trace.py
@@ -13,6 +13,7 @@
 # lines are sorted by these steps unless all have a collector's time.
 _STEPS = (
     'flow.routed',
+    'flow.waiting',
     'flow.refused',
     'flow.offered',
     'target.unanswered',
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -1,11 +1,15 @@
-"""Placement of opening packets: accept, hand over or refuse."""
+"""Placement of opening packets: accept, hand over, queue or refuse."""
 
 import logging
 
 from ..foundation.logs import log_event
+from ..waiting.opening_queue import MAX_WAITING
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
+from .hand_overs import make_hand_over
 from .held_flows import HeldFlow
+from .opening_refusals import OpeningRefusals
+from .opening_waits import MAX_HOPS, MS_PER_S, OpeningWaits, choose_refuge
 from .peer_messages import PeerKind, PeerMessage
 from .placement import (
     Estimate,
@@ -18,18 +22,11 @@
 from .segments import Segment, describe_flow
 from .settings import format_address
 
-# An opening packet is forwarded by its home and at most this many more
-# agents.
-MAX_HOPS = 3
 # Another target has to finish sooner by this time per hop so far.
 HAND_OVER_GAIN_S = 0.004
 # A running target answers an opening packet within a millisecond; if one
 # is unanswered after this many checks, the target is not running.
 UNANSWERED_CHECKS = 5
-MS_PER_S = 1000
-# Until this time after its start an agent may not have received the reports
-# of all other agents.
-WARM_UP_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -37,7 +34,8 @@
 class AgentOpenings:
     """Accepts, hands over or refuses opening packets.
 
-    `owner_by_flow` stores the agent to which this agent sent a flow.
+    `owner_by_flow` stores the agent to which this agent sent a flow, and
+    `waits` the openings that wait because no target has room.
     """
 
     def __init__(
@@ -49,7 +47,8 @@
         self._context = context
         self._reports = reports
         self._owner_by_flow = owner_by_flow
-        self._started_s = context.timers.now()
+        self._refusals = OpeningRefusals(context)
+        self.waits = OpeningWaits(context, reports, self._refusals)
 
     def handle_opening(self, message: PeerMessage, segment: Segment) -> None:
         """Handle an opening packet from a balancer or another agent."""
@@ -58,11 +57,18 @@
             held.last_used_s = self._context.timers.now()
             self._context.outbox.to_target(segment.raw)
             return
-        if message.kind is PeerKind.OPEN:
+        if self.waits.record_copy(segment):
+            return
+        if message.kind is PeerKind.OPEN or self.waits.is_later_copy(segment):
             owner = self._owner_by_flow.get(segment.flow)
             if owner in self._context.peers.load_by_address:
                 self._send_place(owner, message, segment)
                 return
+        if self.waits.holds_before(message.priority):
+            # Openings that wait are served first.
+            self._place_or_refuse(message, segment, None)
+            self.serve_waiting()
+            return
         self._place(message, segment, self._estimate_own())
 
     def handle_returned(self, segment: Segment, held: HeldFlow | None) -> None:
@@ -124,6 +130,51 @@
             context.held_flows.remove(flow)
             self._hand_over(held.opening, held)
 
+    def serve_waiting(self, most: int = MAX_WAITING) -> None:
+        """Place at most `most` of the openings that wait.
+
+        Each target of another agent gets one only: its other homes have
+        received the same report, and place their openings as well.
+        """
+        context = self._context
+        now_s = context.timers.now()
+        used: set[bytes] = set()
+        for _ in range(min(most, len(self.waits))):
+            own = self._estimate_own()
+            chosen = _choose_unused(context.peers.loads, used, now_s)
+            entry = self.waits.pop_best(own, chosen)
+            if entry is None:
+                return
+            if not self.waits.fits_peer(entry, chosen):
+                chosen = None
+            if self.waits.fits_own(entry, own) and _is_own_better(
+                own, chosen, entry.message.hops
+            ):
+                self._accept(entry.message, entry.segment, own)
+            else:
+                used.add(chosen[1].address)
+                self._place_at_peer(chosen[1], entry.message, entry.segment)
+
+    def serve_after_report(self, sender: bytes) -> None:
+        """Place one opening that waits if another target has a free slot."""
+        if not self.waits:
+            return
+        load = self._context.peers.load_by_address.get(sender)
+        now_s = self._context.timers.now()
+        if load is not None and load.has_free_slot(now_s):
+            self.serve_waiting(most=1)
+
+    def release_waiting(self) -> None:
+        """Place all openings that wait elsewhere, or refuse them."""
+        now_s = self._context.timers.now()
+        for entry in self.waits.take_all():
+            message, segment = entry.message, entry.segment
+            refuge = choose_refuge(self._context.peers, message, segment, now_s)
+            if refuge is None:
+                self._refusals.refuse(segment, message, 'leaving')
+            else:
+                self._place_at_peer(refuge, message, segment)
+
     def _record_failed_opening(self, held: HeldFlow) -> None:
         """Mark the target absent if it has sent nothing since the offer."""
         gate = self._context.gate
@@ -133,7 +184,12 @@
             self._reports.send_all()
 
     def _place(
-        self, message: PeerMessage, segment: Segment, own: Estimate | None
+        self,
+        message: PeerMessage,
+        segment: Segment,
+        own: Estimate | None,
+        *,
+        may_wait: bool = True,
     ) -> None:
         """Choose between this target and those of other agents.
 
@@ -149,53 +205,50 @@
         if estimate is None or not should_accept(
             estimate, objective_s, message.priority
         ):
-            self._place_or_refuse(message, segment, estimate)
+            self._place_or_refuse(message, segment, estimate, may_wait=may_wait)
         elif chosen is None:
             self._accept(message, segment, estimate)
         else:
             self._place_at_peer(chosen[1], message, segment)
 
     def _place_or_refuse(
-        self, message: PeerMessage, segment: Segment, estimate: Estimate | None
+        self,
+        message: PeerMessage,
+        segment: Segment,
+        estimate: Estimate | None,
+        *,
+        may_wait: bool = True,
     ) -> None:
-        """Try agents beyond the neighbours before a flow is refused."""
+        """Try agents beyond the neighbours before a flow waits.
+
+        An opening that does not wait, or would wait too long, is refused.
+        """
         distant = None
         if message.hops <= MAX_HOPS:
             distant = self._context.peers.choose_distant(
                 segment.flow, message.hops
             )
-        if distant is None:
-            self._refuse(segment, message, estimate)
-        else:
+        if distant is not None:
             self._context.counts['flows_placed_distantly'] += 1
             self._place_at_peer(distant, message, segment)
+        elif not may_wait or not self.waits.offer(message, segment, estimate):
+            self._refusals.refuse(
+                segment,
+                message,
+                'too late' if estimate or self.waits else 'no target',
+                finish_s=estimate.finish_s if estimate else None,
+            )
 
     def _hand_over(self, segment: Segment, held: HeldFlow | None) -> None:
-        self._place(self._make_hand_over(held), segment, None)
+        # It was offered to a target, whose answer may still come, so it
+        # does not wait.
+        message = self._make_hand_over(held)
+        self._place(message, segment, None, may_wait=False)
 
     def _make_hand_over(self, held: HeldFlow | None) -> PeerMessage:
-        """Return the message that hands an opening to another agent.
-
-        The time that the packet spent here is subtracted from its latency
-        objective.
-        """
-        service = self._context.identity.service
-        offer = held.offer if held else None
-        if held is None or offer is None:
-            # The agent has restarted since the packet was offered, so
-            # its latency objective and priority are not known.
-            return PeerMessage(PeerKind.PLACE, service, hops=1)
-        objective_ms = offer.objective_ms
-        if objective_ms:
-            held_s = self._context.timers.now() - held.offered_s
-            objective_ms = max(objective_ms - round(held_s * MS_PER_S), 1)
-        return PeerMessage(
-            PeerKind.PLACE,
-            service,
-            hops=offer.hops + 1,
-            balancer=offer.balancer,
-            priority=offer.priority,
-            objective_ms=objective_ms,
+        context = self._context
+        return make_hand_over(
+            context.identity.service, held, context.timers.now()
         )
 
     def _choose_peer(
@@ -268,33 +321,6 @@
         )
         self._context.outbox.to_agent(owner, placed.encode())
 
-    def _refuse(
-        self, segment: Segment, message: PeerMessage, estimate: Estimate | None
-    ) -> None:
-        context = self._context
-        if context.timers.now() - self._started_s < WARM_UP_S:
-            # Agents that have not reported yet may accept the flow; the
-            # caller sends copies of the packet after 200 and 600 ms.
-            context.counts['dropped_unsettled'] += 1
-            return
-        context.counts['flows_refused'] += 1
-        log_event(
-            _logger,
-            'flow.refused',
-            repeats=True,
-            flow=describe_flow(segment.flow),
-            copy=segment.copy_number,
-            reason='too late' if estimate else 'no target',
-            finish_s=round(estimate.finish_s, 3) if estimate else None,
-            goal_ms=message.objective_ms,
-            hops=message.hops,
-            load=context.held_flows.load,
-            phase=context.gate.phase.value,
-            agents=len(context.peers.load_by_address),
-            version=context.latest_version,
-        )
-        context.outbox.reset(segment.flow)
-
 
 def _is_own_better(
     own: Estimate, chosen: tuple[Estimate, PeerLoad] | None, hops: int
@@ -303,3 +329,10 @@
     if chosen is None:
         return True
     return own.rank_s <= chosen[0].rank_s + HAND_OVER_GAIN_S * hops
+
+
+def _choose_unused(
+    loads: list[PeerLoad], used: set[bytes], now_s: float
+) -> tuple[Estimate, PeerLoad] | None:
+    unused = [load for load in loads if load.address not in used]
+    return choose_peer(unused, now_s)
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -144,6 +144,11 @@
         message.hops = hops
         self._context.outbox.to_agent(address, message.encode())
 
+    @property
+    def state(self) -> ReportedState:
+        """Return the state of the target, as it is reported."""
+        return self._current_state()
+
     def _current_state(self) -> ReportedState:
         context = self._context
         state = context.gate.reported_state()
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -56,6 +56,7 @@
         self._openings = AgentOpenings(
             self.context, self.reports, owner_by_flow
         )
+        self.waits = self._openings.waits
         self._search = OwnerSearch(self.context, self.reports, owner_by_flow)
         self._resets = TargetResets(self.context, self._openings, self._search)
         self._notices = LeaveNotices(self.context, self.reports)
@@ -111,6 +112,7 @@
         match message.kind:
             case PeerKind.REPORT:
                 self.reports.handle_report(sender, message)
+                self._openings.serve_after_report(sender)
             case PeerKind.PRESENCE:
                 self.reports.handle_presence(sender, message)
             case PeerKind.PART:
@@ -178,6 +180,7 @@
         self.context.is_leaving = True
         self._notices.start()
         self.reports.send_all()
+        self._openings.release_waiting()
 
     def _handle_packet(
         self, sender: bytes, message: PeerMessage, segment: Segment
@@ -238,6 +241,8 @@
         held.record_sent(segment)
         if segment.is_final or segment.is_reset:
             flows.record_closed(segment.flow, held, now_s)
+        if not segment.is_opening_answer:
+            self._openings.serve_waiting()
 
     def _handle_opened(self, segment: Segment, held: HeldFlow) -> None:
         if held.is_answered and held.first_sequence == segment.sequence:
@@ -279,6 +284,8 @@
         self._search.check_trials()
         self._notices.send_due()
         self.context.held_flows.expire_expected(self.context.timers.now())
+        self.waits.check()
+        self._openings.serve_waiting()
         self.reports.send_due()
 
     def _sweep(self) -> None:
--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -70,6 +70,16 @@
         """Return whether the target accepts new flows and is not silent."""
         if self.report.state not in ACCEPTING_STATES:
             return False
+        return self.is_fresh(now_s)
+
+    def has_free_slot(self, now_s: float) -> bool:
+        """Return whether the target would run a request at once."""
+        if not self.is_usable(now_s):
+            return False
+        return self.estimate_load() < self.report.slots
+
+    def is_fresh(self, now_s: float) -> bool:
+        """Return whether the target's agent is not silent."""
         return now_s - self.last_seen_s < SILENCE_LIMIT_S
 
     def estimate_load(self) -> int:
@@ -152,5 +162,9 @@
     """
     if not objective_s or not estimate.is_waiting:
         return True
-    share = max(TOP_PRIORITY_SHARE - SHARE_STEP * priority, MIN_SHARE)
-    return estimate.finish_s <= objective_s * share
+    return estimate.finish_s <= objective_s * find_accepted_share(priority)
+
+
+def find_accepted_share(priority: int) -> float:
+    """Return the share of the objective in which a request has to finish."""
+    return max(TOP_PRIORITY_SHARE - SHARE_STEP * priority, MIN_SHARE)
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -14,6 +14,7 @@
     'foundation',
     'protocol',
     'routing',
+    'waiting',
     'admission',
     'steering',
     'configuration',
