--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -3,27 +3,27 @@
 import logging
 
 from ..foundation.logs import log_event
-from ..waiting.opening_queue import MAX_WAITING
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
 from .hand_overs import make_hand_over
 from .held_flows import HeldFlow
+from .opening_dispatch import OpeningDispatch
 from .opening_refusals import OpeningRefusals
-from .opening_waits import MAX_HOPS, MS_PER_S, OpeningWaits, choose_refuge
+from .opening_waits import MAX_HOPS, MS_PER_S, OpeningWaits
 from .peer_messages import PeerKind, PeerMessage
 from .placement import (
     Estimate,
     PeerLoad,
     average_service_s,
     choose_peer,
+    is_own_better,
     should_accept,
 )
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
 from .settings import format_address
 
-# Another target has to finish sooner by this time per hop so far.
-HAND_OVER_GAIN_S = 0.004
+MAX_SENT_COPIES = 5000
 # A running target answers an opening packet within a millisecond; if one
 # is unanswered after this many checks, the target is not running.
 UNANSWERED_CHECKS = 5
@@ -34,8 +34,8 @@
 class AgentOpenings:
     """Accepts, hands over or refuses opening packets.
 
-    `owner_by_flow` stores the agent to which this agent sent a flow, and
-    `waits` the openings that wait because no target has room.
+    `owner_by_flow` stores the agent to which this agent sent a flow, `waits`
+    the openings that wait, and `dispatch` places these later.
     """
 
     def __init__(
@@ -47,8 +47,18 @@
         self._context = context
         self._reports = reports
         self._owner_by_flow = owner_by_flow
+        # Number of the last copy that was sent to the agent of a flow.
+        self._sent_copy: RecentMap[bytes, int] = RecentMap(MAX_SENT_COPIES)
         self._refusals = OpeningRefusals(context)
         self.waits = OpeningWaits(context, reports, self._refusals)
+        self.dispatch = OpeningDispatch(
+            context,
+            self.waits,
+            self._refusals,
+            estimate_own=self._estimate_own,
+            accept=self._accept,
+            place_at_peer=self._place_at_peer,
+        )
 
     def handle_opening(self, message: PeerMessage, segment: Segment) -> None:
         """Handle an opening packet from a balancer or another agent."""
@@ -59,16 +69,18 @@
             return
         if self.waits.record_copy(segment):
             return
-        if message.kind is PeerKind.OPEN or self.waits.is_later_copy(segment):
+        if message.kind is PeerKind.OPEN or self._is_later_copy(segment):
             owner = self._owner_by_flow.get(segment.flow)
-            if owner in self._context.peers.load_by_address:
+            load = self._context.peers.load_by_address.get(owner)
+            if load and not load.is_newly_silent(self._context.timers.now()):
                 self._send_place(owner, message, segment)
                 return
         if self.waits.holds_before(message.priority):
             # Openings that wait are served first.
             self._place_or_refuse(message, segment, None)
-            self.serve_waiting()
+            self.dispatch.serve()
             return
+        self.waits.record_passed(message.priority)
         self._place(message, segment, self._estimate_own())
 
     def handle_returned(self, segment: Segment, held: HeldFlow | None) -> None:
@@ -130,51 +142,6 @@
             context.held_flows.remove(flow)
             self._hand_over(held.opening, held)
 
-    def serve_waiting(self, most: int = MAX_WAITING) -> None:
-        """Place at most `most` of the openings that wait.
-
-        Each target of another agent gets one only: its other homes have
-        received the same report, and place their openings as well.
-        """
-        context = self._context
-        now_s = context.timers.now()
-        used: set[bytes] = set()
-        for _ in range(min(most, len(self.waits))):
-            own = self._estimate_own()
-            chosen = _choose_unused(context.peers.loads, used, now_s)
-            entry = self.waits.pop_best(own, chosen)
-            if entry is None:
-                return
-            if not self.waits.fits_peer(entry, chosen):
-                chosen = None
-            if self.waits.fits_own(entry, own) and _is_own_better(
-                own, chosen, entry.message.hops
-            ):
-                self._accept(entry.message, entry.segment, own)
-            else:
-                used.add(chosen[1].address)
-                self._place_at_peer(chosen[1], entry.message, entry.segment)
-
-    def serve_after_report(self, sender: bytes) -> None:
-        """Place one opening that waits if another target has a free slot."""
-        if not self.waits:
-            return
-        load = self._context.peers.load_by_address.get(sender)
-        now_s = self._context.timers.now()
-        if load is not None and load.has_free_slot(now_s):
-            self.serve_waiting(most=1)
-
-    def release_waiting(self) -> None:
-        """Place all openings that wait elsewhere, or refuse them."""
-        now_s = self._context.timers.now()
-        for entry in self.waits.take_all():
-            message, segment = entry.message, entry.segment
-            refuge = choose_refuge(self._context.peers, message, segment, now_s)
-            if refuge is None:
-                self._refusals.refuse(segment, message, 'leaving')
-            else:
-                self._place_at_peer(refuge, message, segment)
-
     def _record_failed_opening(self, held: HeldFlow) -> None:
         """Mark the target absent if it has sent nothing since the offer."""
         gate = self._context.gate
@@ -196,7 +163,7 @@
         `own` is None if this target does not accept the flow.
         """
         chosen = self._choose_peer(message)
-        if own is not None and _is_own_better(own, chosen, message.hops):
+        if own is not None and is_own_better(own, chosen, message.hops):
             chosen = None
             estimate = own
         else:
@@ -231,7 +198,7 @@
         if distant is not None:
             self._context.counts['flows_placed_distantly'] += 1
             self._place_at_peer(distant, message, segment)
-        elif not may_wait or not self.waits.offer(message, segment, estimate):
+        elif not may_wait or not self.waits.offer(message, segment):
             self._refusals.refuse(
                 segment,
                 message,
@@ -303,8 +270,20 @@
     ) -> None:
         chosen.record_placement(self._context.timers.now())
         self._owner_by_flow.put(segment.flow, chosen.address)
+        self._sent_copy.put(segment.flow, segment.copy_number)
         self._send_place(chosen.address, message, segment)
 
+    def _is_later_copy(self, segment: Segment) -> bool:
+        """Return whether an earlier copy was sent to another agent.
+
+        An agent that hands the same copy back does not get it again.
+        """
+        sent = self._sent_copy.get(segment.flow)
+        if sent is None or segment.copy_number <= sent:
+            return False
+        self._sent_copy.put(segment.flow, segment.copy_number)
+        return True
+
     def _send_place(
         self, owner: bytes, message: PeerMessage, segment: Segment
     ) -> None:
@@ -320,19 +299,3 @@
             body=segment.raw,
         )
         self._context.outbox.to_agent(owner, placed.encode())
-
-
-def _is_own_better(
-    own: Estimate, chosen: tuple[Estimate, PeerLoad] | None, hops: int
-) -> bool:
-    """Return whether the gain at the other target is below a hop's cost."""
-    if chosen is None:
-        return True
-    return own.rank_s <= chosen[0].rank_s + HAND_OVER_GAIN_S * hops
-
-
-def _choose_unused(
-    loads: list[PeerLoad], used: set[bytes], now_s: float
-) -> tuple[Estimate, PeerLoad] | None:
-    unused = [load for load in loads if load.address not in used]
-    return choose_peer(unused, now_s)
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -57,6 +57,7 @@
             self.context, self.reports, owner_by_flow
         )
         self.waits = self._openings.waits
+        self._dispatch = self._openings.dispatch
         self._search = OwnerSearch(self.context, self.reports, owner_by_flow)
         self._resets = TargetResets(self.context, self._openings, self._search)
         self._notices = LeaveNotices(self.context, self.reports)
@@ -112,7 +113,7 @@
         match message.kind:
             case PeerKind.REPORT:
                 self.reports.handle_report(sender, message)
-                self._openings.serve_after_report(sender)
+                self._dispatch.serve_after_report(sender)
             case PeerKind.PRESENCE:
                 self.reports.handle_presence(sender, message)
             case PeerKind.PART:
@@ -180,7 +181,7 @@
         self.context.is_leaving = True
         self._notices.start()
         self.reports.send_all()
-        self._openings.release_waiting()
+        self._dispatch.release()
 
     def _handle_packet(
         self, sender: bytes, message: PeerMessage, segment: Segment
@@ -242,7 +243,7 @@
         if segment.is_final or segment.is_reset:
             flows.record_closed(segment.flow, held, now_s)
         if not segment.is_opening_answer:
-            self._openings.serve_waiting()
+            self._dispatch.serve()
 
     def _handle_opened(self, segment: Segment, held: HeldFlow) -> None:
         if held.is_answered and held.first_sequence == segment.sequence:
@@ -284,8 +285,7 @@
         self._search.check_trials()
         self._notices.send_due()
         self.context.held_flows.expire_expected(self.context.timers.now())
-        self.waits.check()
-        self._openings.serve_waiting()
+        self._dispatch.check()
         self.reports.send_due()
 
     def _sweep(self) -> None:
--- a/greengagepath/steering/opening_waits.py
+++ b/greengagepath/steering/opening_waits.py
@@ -5,12 +5,13 @@
 from ..foundation.logs import log_event
 from ..waiting.opening_queue import OpeningQueue, WaitingOpening
 from ..waiting.wait_times import (
-    expect_wait_s,
+    LIMIT_SHARE,
+    TargetPace,
+    can_begin_to_wait,
     find_longest_wait_s,
     is_in_time,
 )
 from .agent_context import AgentContext
-from .agent_peers import AgentPeers
 from .agent_reports import AgentReports
 from .durations import DurationCounts
 from .opening_refusals import OpeningRefusals
@@ -24,7 +25,6 @@
     find_accepted_share,
     should_accept,
 )
-from .recent_map import RecentMap
 from .segments import Segment, describe_flow
 from .service_times import DEFAULT_S
 
@@ -36,7 +36,6 @@
 # Each copy goes to the next home, which is notified this long before where
 # the packet waits.
 NOTICE_S = 0.05
-MAX_LATER_COPIES = 1000
 MS_PER_S = 1000
 # States of targets that may have room soon.
 RUNNING_STATES = ACCEPTING_STATES | {ReportedState.FULL}
@@ -61,12 +60,14 @@
     )
 
     def __init__(
-        self, message: PeerMessage, segment: Segment, latest_s: float
+        self, message: PeerMessage, segment: Segment, now_s: float
     ) -> None:
-        super().__init__(segment.flow, message.priority, latest_s)
+        super().__init__(segment.flow, message.priority)
         self.message = message
         self.segment = segment
         self.objective_s = message.objective_ms / MS_PER_S
+        if self.objective_s:
+            self.limit_s = now_s + self.objective_s * LIMIT_SHARE
         self.copy_number = segment.copy_number
         self.next_copy = segment.copy_number + 1
 
@@ -110,14 +111,15 @@
         self._reports = reports
         self._refusals = refusals
         self._queue: OpeningQueue[QueuedOpening] = OpeningQueue()
-        # Copy number up to which a placed opening has been received, for
-        # openings whose next home sends copies here.
-        self._received_copy: RecentMap[bytes, int] = RecentMap(MAX_LATER_COPIES)
 
     def __len__(self) -> int:
         """Return the number of openings that wait."""
         return len(self._queue)
 
+    def holds(self, flow: bytes) -> bool:
+        """Return whether the opening packet of a flow waits."""
+        return flow in self._queue.by_flow
+
     def record_copy(self, segment: Segment) -> bool:
         """Return whether the opening already waits; count the copy."""
         entry = self._queue.by_flow.get(segment.flow)
@@ -127,46 +129,35 @@
         self._context.counts['waiting_copies'] += 1
         return True
 
-    def is_later_copy(self, segment: Segment) -> bool:
-        """Return whether the opening has waited here and is placed.
-
-        True once for a flow, so that agents which hand the copy back do
-        not get it again.
-        """
-        received = self._received_copy.get(segment.flow)
-        if received is None or segment.copy_number <= received:
-            return False
-        self._received_copy.discard(segment.flow)
-        return True
+    def record_passed(self, priority: int) -> None:
+        """Record an opening that is placed while others wait."""
+        if self._queue:
+            self._queue.record_passed(priority)
 
     def holds_before(self, priority: int) -> bool:
         """Return whether openings of this or a higher priority wait."""
         return bool(len(self._queue)) and self._queue.holds_before(priority)
 
-    def offer(
-        self, message: PeerMessage, segment: Segment, estimate: Estimate | None
-    ) -> bool:
-        """Let an opening wait; False if no slot becomes free in time.
-
-        `estimate` is that of the best target, None if none has room.
-        """
+    def offer(self, message: PeerMessage, segment: Segment) -> bool:
+        """Let an opening wait; False if it would not be served in time."""
         context = self._context
-        if self._refusals.is_warming_up or context.is_leaving:
-            return False
-        if estimate is None and not self._has_running_target():
+        pace = self._find_pace()
+        if self._refusals.is_warming_up or context.is_leaving or pace is None:
             return False
         now_s = context.timers.now()
-        service_s = _find_service_s(context)
         entry = QueuedOpening(message, segment, now_s)
-        longest_s = find_longest_wait_s(entry.objective_s, service_s)
-        expected_s = self._expect_s(entry, estimate, service_s)
-        if expected_s > longest_s:
-            return False
+        longest_s = find_longest_wait_s(entry.objective_s, pace.service_s)
         entry.latest_s = now_s + longest_s
-        evicted = self._queue.offer(entry, now_s)
+        finish_s = pace.finish_after_s(
+            self._queue.count_before(entry),
+            self._queue.find_overtaking_share(entry.priority),
+        )
+        share = find_accepted_share(entry.priority)
+        if not can_begin_to_wait(entry.objective_s, finish_s, share):
+            return False
         context.counts['waiting_offered'] += 1
-        self._log_wait(entry, expected_s)
-        for refused in evicted:
+        self._log_wait(entry, finish_s)
+        for refused in self._queue.offer(entry, now_s):
             context.counts['waiting_evicted'] += 1
             self._refuse(refused, 'evicted')
         return True
@@ -176,15 +167,18 @@
         if not self._queue:
             return
         now_s = self._context.timers.now()
-        for entry in self._queue.take_due(now_s):
-            self._context.counts['waiting_late'] += 1
-            self._refuse(entry, 'waited too long')
-        is_servable = self._has_running_target()
-        for entry in tuple(self._queue.by_flow.values()):
-            if not is_servable:
-                self._queue.remove(entry.flow)
+        pace = self._find_pace()
+        if pace is None:
+            for entry in self._queue.take_all():
                 self._refuse(entry, 'no target')
-            elif entry.is_notice_due(now_s):
+            return
+        for entry in self._queue.take_due(
+            now_s, pace.finish_s, pace.interval_s
+        ):
+            self._context.counts['waiting_late'] += 1
+            self._refuse(entry, 'too late')
+        for entry in self._queue.by_flow.values():
+            if entry.is_notice_due(now_s):
                 self._notify_next_home(entry)
 
     def pop_best(
@@ -196,25 +190,34 @@
         """
         now_s = self._context.timers.now()
         entry = self._queue.pop_best(
-            now_s,
             lambda queued: (
                 self.fits_own(queued, own) or self.fits_peer(queued, chosen)
-            ),
+            )
         )
         if entry is not None:
             self._context.counts['waiting_served'] += 1
             self.durations.add(now_s - entry.queued_s)
-            self._record_end(entry)
+            entry.subtract_wait(now_s)
         return entry
 
     def take_all(self) -> list[QueuedOpening]:
         """Return all openings, which no longer wait here."""
         entries = self._queue.take_all()
         self._context.counts['waiting_released'] += len(entries)
+        now_s = self._context.timers.now()
         for entry in entries:
-            self._record_end(entry)
+            entry.subtract_wait(now_s)
         return entries
 
+    def announce_move(self, entry: QueuedOpening, receiver: bytes) -> None:
+        """Notify the homes of all later copies to send them here.
+
+        The agent that receives the opening does not know when the caller
+        sends them.
+        """
+        while entry.next_copy < len(COPIES_S):
+            self._notify_next_home(entry, receiver)
+
     def fits_own(self, entry: QueuedOpening, own: Estimate | None) -> bool:
         """Return whether the own target serves the opening in time.
 
@@ -241,43 +244,39 @@
         left_s = entry.left_s(self._context.timers.now())
         return should_accept(chosen[0], left_s, entry.priority)
 
-    def _record_end(self, entry: QueuedOpening) -> None:
-        """Prepare an opening that is placed, and forward its later copies."""
-        entry.subtract_wait(self._context.timers.now())
-        if entry.next_copy > entry.segment.copy_number + 1:
-            self._received_copy.put(entry.flow, entry.copy_number)
-
-    def _expect_s(
-        self, entry: QueuedOpening, estimate: Estimate | None, service_s: float
-    ) -> float:
-        """Return how long the opening is expected to wait, in seconds."""
-        excess_s = 0.0
-        if estimate is not None:
-            share = find_accepted_share(entry.priority)
-            excess_s = estimate.finish_s - entry.objective_s * share
-        ahead = self._queue.count_ahead(entry.priority, entry.caller)
-        slot_interval_s = service_s / self._context.gate.slots
-        return expect_wait_s(ahead, slot_interval_s, excess_s)
-
-    def _has_running_target(self) -> bool:
-        """Return whether a target of the service may get room."""
+    def _find_pace(self) -> TargetPace | None:
+        """Return the pace of the target that serves the queue, if one runs.
+
+        That is the own target: as many homes place flows at another one as
+        this home uses.
+        """
+        context = self._context
+        loads = context.peers.loads
+        average_s = average_service_s(loads)
         if self._is_own_running():
-            return True
-        now_s = self._context.timers.now()
-        return any(
-            _is_running(load, now_s) for load in self._context.peers.loads
-        )
+            service_s = context.estimate_service_s() or average_s or DEFAULT_S
+            return TargetPace(
+                context.held_flows.load, context.gate.slots, service_s
+            )
+        running = choose_running(loads, context.timers.now())
+        if running is None:
+            return None
+        report = running.report
+        service_s = report.service_s or average_s or DEFAULT_S
+        return TargetPace(running.estimate_load(), report.slots, service_s)
 
     def _is_own_running(self) -> bool:
         return self._reports.state in RUNNING_STATES
 
-    def _notify_next_home(self, entry: QueuedOpening) -> None:
+    def _notify_next_home(
+        self, entry: QueuedOpening, receiver: bytes = b''
+    ) -> None:
         """Notify the home of the caller's next copy where the packet waits."""
         context = self._context
         ranked = context.peers.homes.rank(entry.flow)
         home = ranked[entry.next_copy % len(ranked)]
         entry.next_copy += 1
-        if home != context.identity.address:
+        if home not in {context.identity.address, receiver}:
             context.counts['waiting_notices'] += 1
             self._reports.send_notice(PeerKind.HELD, entry.flow, home)
 
@@ -287,7 +286,7 @@
             entry.segment, entry.message, reason, waited_s=waited_s
         )
 
-    def _log_wait(self, entry: QueuedOpening, expected_s: float) -> None:
+    def _log_wait(self, entry: QueuedOpening, finish_s: float) -> None:
         context = self._context
         log_event(
             _logger,
@@ -296,7 +295,7 @@
             flow=describe_flow(entry.flow),
             copy=entry.copy_number,
             priority=entry.priority,
-            expected_s=round(expected_s, 3),
+            finish_s=round(finish_s, 3),
             goal_ms=entry.message.objective_ms,
             hops=entry.message.hops,
             waiting=len(self._queue),
@@ -305,27 +304,14 @@
         )
 
 
-def choose_refuge(
-    peers: AgentPeers, message: PeerMessage, segment: Segment, now_s: float
-) -> PeerLoad | None:
-    """Return an agent at which an opening may wait, None if none runs."""
-    chosen = choose_peer(peers.loads, now_s)
+def choose_running(loads: list[PeerLoad], now_s: float) -> PeerLoad | None:
+    """Return the best other target, or the least loaded of the full ones."""
+    chosen = choose_peer(loads, now_s)
     if chosen is not None:
         return chosen[1]
-    running = [load for load in peers.loads if _is_running(load, now_s)]
-    if running:
-        return min(running, key=PeerLoad.estimate_load)
-    return peers.choose_distant(segment.flow, message.hops)
-
-
-def _is_running(load: PeerLoad, now_s: float) -> bool:
-    return load.report.state in RUNNING_STATES and load.is_fresh(now_s)
-
-
-def _find_service_s(context: AgentContext) -> float:
-    """Return the expected duration of a request in seconds."""
-    return (
-        context.estimate_service_s()
-        or average_service_s(context.peers.loads)
-        or DEFAULT_S
-    )
+    running = [
+        load
+        for load in loads
+        if load.report.state in RUNNING_STATES and load.is_fresh(now_s)
+    ]
+    return min(running, key=PeerLoad.estimate_load, default=None)
--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -13,12 +13,22 @@
 # Reports arrive at least every 100 ms; three lost in a row mean that the
 # agent is not running or cannot be reached.
 SILENCE_LIMIT_S = 0.35
+# Without a report for this long, an agent may have been killed, and copies
+# of an opening packet that was sent to it are placed anew. Agents under load
+# report every 10 to 100 ms; with the limit above, the first copy would be
+# lost, which the caller sends after 0.2 s.
+NEWLY_SILENT_S = 0.15
+# Agents that are silent for longer may never have reported each change, and
+# the caller has sent all copies by then.
+LONG_SILENT_S = 2.0
 # Transit time of a report: flows placed less than this long before its
 # arrival are not included in its load.
 REPORT_TRANSIT_S = 0.003
 # After a power loss an agent starts before its target, so targets that
 # have sent a heartbeat are preferred.
 UNHEARD_PENALTY_S = 0.1
+# Another target has to finish sooner by this time per hop so far.
+HAND_OVER_GAIN_S = 0.004
 # States of targets that accept new flows.
 ACCEPTING_STATES = frozenset((ReportedState.READY, ReportedState.UNHEARD))
 # A request of the highest priority is accepted if it is expected to finish
@@ -82,6 +92,10 @@
         """Return whether the target's agent is not silent."""
         return now_s - self.last_seen_s < SILENCE_LIMIT_S
 
+    def is_newly_silent(self, now_s: float) -> bool:
+        """Return whether the target's agent may just have been killed."""
+        return NEWLY_SILENT_S <= now_s - self.last_seen_s < LONG_SILENT_S
+
     def estimate_load(self) -> int:
         """Return the reported load plus the placements since."""
         return self.report.load + len(self._placements_s)
@@ -168,3 +182,12 @@
 def find_accepted_share(priority: int) -> float:
     """Return the share of the objective in which a request has to finish."""
     return max(TOP_PRIORITY_SHARE - SHARE_STEP * priority, MIN_SHARE)
+
+
+def is_own_better(
+    own: Estimate, chosen: tuple[Estimate, PeerLoad] | None, hops: int
+) -> bool:
+    """Return whether the gain at the other target is below a hop's cost."""
+    if chosen is None:
+        return True
+    return own.rank_s <= chosen[0].rank_s + HAND_OVER_GAIN_S * hops
--- /dev/null
+++ b/tests/waiting/peak.py
@@ -0,0 +1,232 @@
+"""Replay of a load peak on targets that queue few requests.
+
+Callers whose opening packet is reset, or whose request is refused, return
+twice from a new port within milliseconds.
+"""
+
+import random
+import sys
+from collections import Counter, deque
+from collections.abc import Callable
+
+from greengagepath.steering.peer_messages import PeerMessage
+from greengagepath.steering.segments import Segment
+
+from ..steering.builders import make_address, make_flow, make_response
+from ..steering.world import FakeCaller, FakeTarget, World
+from .builders import OBJECTIVES_S, PORTS, make_peak_table, make_refusal
+
+MAX_TRIES = 3
+RETRY_S = 0.002
+# Time in which a caller gives up.
+DEADLINE_S = 3.0
+# Shares of the routes in the demand.
+DEMAND = {'submission': 0.2, 'feed': 0.7, 'download': 0.1}
+
+
+class QueueingTarget(FakeTarget):
+    """A target that runs `slots` requests at once and queues a few more."""
+
+    slots = 2
+    queue_length = 8
+
+    def __init__(self, world: 'PeakWorld', number: int) -> None:
+        super().__init__(world, number)
+        self.work_s = world.work_s_by_target.get(number, 0.05)
+        self._random = random.Random(number)
+        self._running = 0
+        self._queue: deque[bytes] = deque()
+
+    def _receive_data(self, segment: Segment) -> None:
+        flow = segment.flow
+        if flow in self.runs_by_flow or flow in self._queue:
+            return
+        if self._running < self.slots:
+            self._run(flow)
+        elif len(self._queue) < self.queue_length:
+            self._queue.append(flow)
+        else:
+            self._send(make_refusal(flow))
+
+    def _run(self, flow: bytes) -> None:
+        self._running += 1
+        self.runs_by_flow[flow] = 1
+        self.world.timers.call_after(
+            self._random.gammavariate(4, self.work_s / 4),
+            lambda: self._finish(flow),
+        )
+
+    def _finish(self, flow: bytes) -> None:
+        self._running -= 1
+        self._send(make_response(flow))
+        if self._queue:
+            self._run(self._queue.popleft())
+
+
+class PeakCaller(FakeCaller):
+    """One request of a caller, with up to `MAX_TRIES` flows.
+
+    `finished_s` is the time of the response after the start, None if there
+    is none.
+    """
+
+    def __init__(self, world: 'PeakWorld', route: str, caller: int) -> None:
+        super().__init__(world, b'', 1 + caller % 2)
+        self.route = route
+        self.caller = caller
+        self.flows: list[bytes] = []
+        self.started_s = world.timers.now()
+        self.finished_s: float | None = None
+        self._open()
+
+    @property
+    def is_in_time(self) -> bool:
+        took_s = self.finished_s
+        return took_s is not None and took_s <= OBJECTIVES_S[self.route]
+
+    def handle_reset(self) -> None:
+        if self.sequence is None:
+            self.handle_refusal()
+
+    def handle_refusal(self) -> None:
+        """Try again from a new port, while tries are left."""
+        if self.is_refused or self.finished_s is not None:
+            return
+        self.is_refused = True
+        if len(self.flows) < MAX_TRIES:
+            self.world.timers.call_after(RETRY_S, self._open)
+
+    def handle_response(self) -> None:
+        if self.finished_s is None:
+            self.finished_s = self.world.timers.now() - self.started_s
+
+    def _open(self) -> None:
+        self.world.caller_by_flow.pop(self.flow, None)
+        self.flow = self.world.make_flow(self.route, self.caller)
+        self.flows.append(self.flow)
+        self.sequence = None
+        self.is_refused = False
+        self.world.caller_by_flow[self.flow] = self
+        self.start()
+
+    def start(self) -> None:
+        """Send the packet and its copies, of the present flow only."""
+        flow = self.flow
+        for copy, delay_s in enumerate((0.0, 0.2, 0.6)):
+            self.world.timers.call_after(
+                delay_s, lambda copy=copy: self._send_copy(flow, copy)
+            )
+
+    def _send_copy(self, flow: bytes, copy: int) -> None:
+        if flow == self.flow:
+            self._send_opening(copy)
+
+    def _send_request(self, repeat_s: float) -> None:
+        if self.sequence is not None and not self.is_refused:
+            super()._send_request(repeat_s)
+
+
+class PeakWorld(World):
+    """One service with three routes, with or without the queue.
+
+    `work_s_by_target` are the mean durations of a request by target.
+    """
+
+    def __init__(
+        self,
+        *,
+        agents: int = 4,
+        has_queue: bool = True,
+        work_s_by_target: dict[int, float] | None = None,
+        seed: int = 1,
+    ) -> None:
+        self.has_queue = has_queue
+        self.work_s_by_target = work_s_by_target or {}
+        self.requests: list[PeakCaller] = []
+        self._ports: Counter[int] = Counter()
+        self._random = random.Random(seed)
+        super().__init__(balancers=2, agents=agents)
+        self.apply_routes(make_peak_table())
+        # Until then, agents drop openings for which no target has room.
+        self.timers.advance(1.0)
+
+    def start_target(self, number: int) -> FakeTarget:
+        target = QueueingTarget(self, number)
+        self.target_by_address[make_address(number)] = target
+        return target
+
+    def start_agent(self, number: int, **options):
+        agent = super().start_agent(number, **options)
+        if not self.has_queue:
+            agent.waits.offer = _refuse_to_wait
+        return agent
+
+    def make_flow(self, route: str, caller: int) -> bytes:
+        self._ports[caller] += 1
+        return make_flow(self._ports[caller], PORTS[route], caller)
+
+    def start_request(self, route: str, caller: int) -> PeakCaller:
+        request = PeakCaller(self, route, caller)
+        self.requests.append(request)
+        return request
+
+    def send_load(
+        self, rate_per_s: float, seconds: float, pick_caller: Callable[[], int]
+    ) -> None:
+        """Let requests arrive at random for a time."""
+        end_s = self.timers.now() + seconds
+        while self.timers.now() < end_s:
+            self.timers.advance(self._random.expovariate(rate_per_s))
+            route = self._random.choices(
+                list(DEMAND), weights=list(DEMAND.values())
+            )[0]
+            self.start_request(route, pick_caller())
+
+    def receive_at_caller(self, flow: bytes, raw: bytes) -> None:
+        segment = self.segment_by_raw[raw]
+        super().receive_at_caller(flow, raw)
+        request = self.caller_by_flow.get(flow)
+        if request is None or not segment.data_bytes:
+            return
+        if segment.is_refusal:
+            request.handle_refusal()
+        else:
+            request.handle_response()
+
+    def count(self, name: str) -> int:
+        """Return a counter, summed over the agents that run."""
+        return sum(
+            agent.context.counts[name]
+            for agent in self.agent_by_address.values()
+        )
+
+    def count_holders(self, flow: bytes) -> int:
+        return sum(
+            flow in target.opened for target in self.target_by_address.values()
+        )
+
+
+class Figures:
+    """What callers got: requests in time, late and refused."""
+
+    def __init__(self, requests: list[PeakCaller]) -> None:
+        self.requests = len(requests)
+        self.in_time = sum(request.is_in_time for request in requests)
+        served = sum(request.finished_s is not None for request in requests)
+        self.late = served - self.in_time
+        self.refused = self.requests - served
+
+    def __str__(self) -> str:
+        return (
+            f'{self.requests} requests: {self.in_time} in time, '
+            f'{self.late} late, {self.refused} not served'
+        )
+
+
+def report(line: str) -> None:
+    """Print a figure, which pytest shows with `-s` or after a failure."""
+    sys.stdout.write(f'{line}\n')
+
+
+def _refuse_to_wait(*_: PeerMessage) -> bool:
+    return False
