Expect slower service for priorities that others overtake

Packets of low priority began to wait and were refused when others of higher priority came meanwhile; the next try of such a caller finishes late. The expected wait now grows with the slots that higher priorities got lately, at half weight.

--- a/greengagepath/waiting/wait_times.py
+++ b/greengagepath/waiting/wait_times.py
@@ -14,8 +14,9 @@
 # when its packet is placed. The rest is for the network and for requests
 # that run longer than average.
 FINISH_SHARE = 0.6
-# A priority is expected to get at least this share of the slots.
-MIN_SLOT_SHARE = 0.1
+# Weight of the slots that higher priorities got lately: a part of them has
+# waited longer, and is counted among the packets ahead as well.
+OVERTAKING_WEIGHT = 0.5
 # Longest wait of a route without a latency objective, in seconds; the
 # caller sends the first copy of its packet after 0.2 s.
 NO_OBJECTIVE_WAIT_S = 0.2
@@ -47,7 +48,7 @@
         `overtaking_share` is the share of the slots that packets of higher
         priority get which arrive meanwhile.
         """
-        share = max(1 - overtaking_share, MIN_SLOT_SHARE)
+        share = 1 - overtaking_share * OVERTAKING_WEIGHT
         return self.finish_s + ahead * self.interval_s / share
 
 
