--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -94,6 +94,8 @@
 
     def is_newly_silent(self, now_s: float) -> bool:
         """Return whether the target's agent may just have been killed."""
+        if self.last_seen_s < 0:
+            return False
         return NEWLY_SILENT_S <= now_s - self.last_seen_s < LONG_SILENT_S
 
     def estimate_load(self) -> int:
--- a/greengagepath/waiting/wait_times.py
+++ b/greengagepath/waiting/wait_times.py
@@ -2,9 +2,9 @@
 
 # An opening packet begins to wait if its request is expected to finish
 # within the share of the latency objective in which its priority is
-# accepted, plus this share. With 0.25 in place of 0.1, four times as many
-# packets are refused after a wait, since others of higher priority arrive
-# meanwhile; the next try of such a caller finishes late.
+# accepted, plus this share. With 0.15 in place of 0.1, up to 1.8 times as
+# many packets are refused after a wait, since others of higher priority
+# arrive meanwhile; the next try of such a caller finishes late.
 EXTRA_SHARE = 0.1
 # A packet is refused once its request is expected to finish after this
 # share of the objective. The difference absorbs wrong estimates and packets
