--- a/tests/steering/test_opening_waits.py
+++ b/tests/steering/test_opening_waits.py
@@ -84,9 +84,7 @@
 
     def _start_burst(self, *, has_queue: bool) -> PeakWorld:
         """Start requests until the queues of all targets are full."""
-        world = PeakWorld(
-            agents=3, has_queue=has_queue, work_s_by_target=WORK_S
-        )
+        world = PeakWorld(has_queue=has_queue, work_s_by_target=WORK_S)
         for number in range(90):
             world.start_request('submission', 1 + number % 20)
         world.timers.advance(0.04)
--- a/tests/waiting/peak.py
+++ b/tests/waiting/peak.py
@@ -6,20 +6,18 @@
 
 import random
 import sys
-from collections import Counter, deque
+from collections import deque
 from collections.abc import Callable
 
 from greengagepath.steering.peer_messages import PeerMessage
 from greengagepath.steering.segments import Segment
 
 from ..steering.builders import make_address, make_flow, make_response
-from ..steering.world import FakeCaller, FakeTarget, World
+from ..steering.world import COPY_DELAYS_S, FakeCaller, FakeTarget, World
 from .builders import OBJECTIVES_S, PORTS, make_peak_table, make_refusal
 
 MAX_TRIES = 3
 RETRY_S = 0.002
-# Time in which a caller gives up.
-DEADLINE_S = 3.0
 # Shares of the routes in the demand.
 DEMAND = {'submission': 0.2, 'feed': 0.7, 'download': 0.1}
 
@@ -32,7 +30,7 @@
 
     def __init__(self, world: 'PeakWorld', number: int) -> None:
         super().__init__(world, number)
-        self.work_s = world.work_s_by_target.get(number, 0.05)
+        self.work_s = world.work_s_by_target[number]
         self._random = random.Random(number)
         self._running = 0
         self._queue: deque[bytes] = deque()
@@ -86,19 +84,17 @@
 
     def handle_reset(self) -> None:
         if self.sequence is None:
-            self.handle_refusal()
+            self.handle_response(is_refusal=True)
 
-    def handle_refusal(self) -> None:
-        """Try again from a new port, while tries are left."""
+    def handle_response(self, *, is_refusal: bool) -> None:
+        """After a refusal, try again from a new port, while tries are left."""
         if self.is_refused or self.finished_s is not None:
             return
-        self.is_refused = True
-        if len(self.flows) < MAX_TRIES:
-            self.world.timers.call_after(RETRY_S, self._open)
-
-    def handle_response(self) -> None:
-        if self.finished_s is None:
+        self.is_refused = is_refusal
+        if not is_refusal:
             self.finished_s = self.world.timers.now() - self.started_s
+        elif len(self.flows) < MAX_TRIES:
+            self.world.timers.call_after(RETRY_S, self._open)
 
     def _open(self) -> None:
         self.world.caller_by_flow.pop(self.flow, None)
@@ -112,14 +108,13 @@
     def start(self) -> None:
         """Send the packet and its copies, of the present flow only."""
         flow = self.flow
-        for copy, delay_s in enumerate((0.0, 0.2, 0.6)):
-            self.world.timers.call_after(
-                delay_s, lambda copy=copy: self._send_copy(flow, copy)
-            )
 
-    def _send_copy(self, flow: bytes, copy: int) -> None:
-        if flow == self.flow:
-            self._send_opening(copy)
+        def send(copy: int) -> None:
+            if flow == self.flow:
+                self._send_opening(copy)
+
+        for copy, delay_s in enumerate(COPY_DELAYS_S):
+            self.world.timers.call_after(delay_s, lambda copy=copy: send(copy))
 
     def _send_request(self, repeat_s: float) -> None:
         if self.sequence is not None and not self.is_refused:
@@ -135,17 +130,16 @@
     def __init__(
         self,
         *,
-        agents: int = 4,
-        has_queue: bool = True,
-        work_s_by_target: dict[int, float] | None = None,
+        has_queue: bool,
+        work_s_by_target: dict[int, float],
         seed: int = 1,
     ) -> None:
         self.has_queue = has_queue
-        self.work_s_by_target = work_s_by_target or {}
+        self.work_s_by_target = work_s_by_target
         self.requests: list[PeakCaller] = []
-        self._ports: Counter[int] = Counter()
+        self._flows = 0
         self._random = random.Random(seed)
-        super().__init__(balancers=2, agents=agents)
+        super().__init__(balancers=2, agents=len(work_s_by_target))
         self.apply_routes(make_peak_table())
         # Until then, agents drop openings for which no target has room.
         self.timers.advance(1.0)
@@ -162,8 +156,8 @@
         return agent
 
     def make_flow(self, route: str, caller: int) -> bytes:
-        self._ports[caller] += 1
-        return make_flow(self._ports[caller], PORTS[route], caller)
+        self._flows += 1
+        return make_flow(self._flows, PORTS[route], caller)
 
     def start_request(self, route: str, caller: int) -> PeakCaller:
         request = PeakCaller(self, route, caller)
@@ -186,12 +180,8 @@
         segment = self.segment_by_raw[raw]
         super().receive_at_caller(flow, raw)
         request = self.caller_by_flow.get(flow)
-        if request is None or not segment.data_bytes:
-            return
-        if segment.is_refusal:
-            request.handle_refusal()
-        else:
-            request.handle_response()
+        if request is not None and segment.data_bytes:
+            request.handle_response(is_refusal=segment.is_refusal)
 
     def count(self, name: str) -> int:
         """Return a counter, summed over the agents that run."""
