--- a/greengagepath/steering/opening_waits.py
+++ b/greengagepath/steering/opening_waits.py
@@ -47,17 +47,11 @@
     """An opening packet that waits, and the message that it came with.
 
     `objective_s` is what was left of the latency objective at its arrival,
-    0 if the route has none. `copy_number` is that of the last copy, and
-    `next_copy` that of the copy whose home is notified next.
+    0 if the route has none. `next_copy` is the number of the copy whose
+    home is notified next.
     """
 
-    __slots__ = (
-        'copy_number',
-        'message',
-        'next_copy',
-        'objective_s',
-        'segment',
-    )
+    __slots__ = ('message', 'next_copy', 'objective_s', 'segment')
 
     def __init__(
         self, message: PeerMessage, segment: Segment, now_s: float
@@ -68,7 +62,6 @@
         self.objective_s = message.objective_ms / MS_PER_S
         if self.objective_s:
             self.limit_s = now_s + self.objective_s * LIMIT_SHARE
-        self.copy_number = segment.copy_number
         self.next_copy = segment.copy_number + 1
 
     def left_s(self, now_s: float) -> float:
@@ -122,10 +115,8 @@
 
     def record_copy(self, segment: Segment) -> bool:
         """Return whether the opening already waits; count the copy."""
-        entry = self._queue.by_flow.get(segment.flow)
-        if entry is None:
+        if not self.holds(segment.flow):
             return False
-        entry.copy_number = max(entry.copy_number, segment.copy_number)
         self._context.counts['waiting_copies'] += 1
         return True
 
@@ -136,7 +127,7 @@
 
     def holds_before(self, priority: int) -> bool:
         """Return whether openings of this or a higher priority wait."""
-        return bool(len(self._queue)) and self._queue.holds_before(priority)
+        return self._queue.holds_before(priority)
 
     def offer(self, message: PeerMessage, segment: Segment) -> bool:
         """Let an opening wait; False if it would not be served in time."""
@@ -153,7 +144,8 @@
             self._queue.find_overtaking_share(entry.priority),
         )
         share = find_accepted_share(entry.priority)
-        if not can_begin_to_wait(entry.objective_s, finish_s, share):
+        is_early = can_begin_to_wait(entry.objective_s, finish_s, share)
+        if longest_s <= 0 or not is_early:
             return False
         context.counts['waiting_offered'] += 1
         self._log_wait(entry, finish_s)
@@ -293,7 +285,7 @@
             'flow.waiting',
             repeats=True,
             flow=describe_flow(entry.flow),
-            copy=entry.copy_number,
+            copy=entry.segment.copy_number,
             priority=entry.priority,
             finish_s=round(finish_s, 3),
             goal_ms=entry.message.objective_ms,
