--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -1,35 +1,32 @@
-"""Placement of opening packets: accept, hand over or refuse."""
+"""Placement of opening packets: accept, hand over, queue or refuse."""
 
 import logging
 
 from ..foundation.logs import log_event
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
+from .hand_overs import make_hand_over
 from .held_flows import HeldFlow
+from .opening_dispatch import OpeningDispatch
+from .opening_refusals import OpeningRefusals
+from .opening_waits import MAX_HOPS, MS_PER_S, OpeningWaits
 from .peer_messages import PeerKind, PeerMessage
 from .placement import (
     Estimate,
     PeerLoad,
     average_service_s,
     choose_peer,
+    is_own_better,
     should_accept,
 )
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
 from .settings import format_address
 
-# An opening packet is forwarded by its home and at most this many more
-# agents.
-MAX_HOPS = 3
-# Another target has to finish sooner by this time per hop so far.
-HAND_OVER_GAIN_S = 0.004
+MAX_SENT_COPIES = 5000
 # A running target answers an opening packet within a millisecond; if one
 # is unanswered after this many checks, the target is not running.
 UNANSWERED_CHECKS = 5
-MS_PER_S = 1000
-# Until this time after its start an agent may not have received the reports
-# of all other agents.
-WARM_UP_S = 0.5
 
 _logger = logging.getLogger(__name__)
 
@@ -37,7 +34,8 @@
 class AgentOpenings:
     """Accepts, hands over or refuses opening packets.
 
-    `owner_by_flow` stores the agent to which this agent sent a flow.
+    `owner_by_flow` stores the agent to which this agent sent a flow, `waits`
+    the openings that wait, and `dispatch` places these later.
     """
 
     def __init__(
@@ -49,7 +47,18 @@
         self._context = context
         self._reports = reports
         self._owner_by_flow = owner_by_flow
-        self._started_s = context.timers.now()
+        # Number of the last copy that was sent to the agent of a flow.
+        self._sent_copy: RecentMap[bytes, int] = RecentMap(MAX_SENT_COPIES)
+        self._refusals = OpeningRefusals(context)
+        self.waits = OpeningWaits(context, reports, self._refusals)
+        self.dispatch = OpeningDispatch(
+            context,
+            self.waits,
+            self._refusals,
+            estimate_own=self._estimate_own,
+            accept=self._accept,
+            place_at_peer=self._place_at_peer,
+        )
 
     def handle_opening(self, message: PeerMessage, segment: Segment) -> None:
         """Handle an opening packet from a balancer or another agent."""
@@ -58,17 +67,21 @@
             held.last_used_s = self._context.timers.now()
             self._context.outbox.to_target(segment.raw)
             return
-        if message.kind is PeerKind.OPEN:
+        if self.waits.record_copy(segment):
+            return
+        if message.kind is PeerKind.OPEN or self._is_later_copy(segment):
             owner = self._owner_by_flow.get(segment.flow)
-            if owner in self._context.peers.load_by_address:
+            load = self._context.peers.load_by_address.get(owner)
+            if load and not load.is_newly_silent(self._context.timers.now()):
                 self._send_place(owner, message, segment)
                 return
-        is_last_resort = (
-            not self._context.allows_cold()
-            and self._choose_peer(message) is None
-        )
-        own = self._estimate_own(is_last_resort=is_last_resort)
-        self._place(message, segment, own)
+        if self.waits.holds_before(message.priority):
+            # Openings that wait are served first.
+            self._place_or_refuse(message, segment, None)
+            self.dispatch.serve()
+            return
+        self.waits.record_passed(message.priority)
+        self._place(message, segment, self._estimate_own())
 
     def handle_returned(self, segment: Segment, held: HeldFlow | None) -> None:
         """Hand over an opening packet that the target sent back or reset.
@@ -138,14 +151,19 @@
             self._reports.send_all()
 
     def _place(
-        self, message: PeerMessage, segment: Segment, own: Estimate | None
+        self,
+        message: PeerMessage,
+        segment: Segment,
+        own: Estimate | None,
+        *,
+        may_wait: bool = True,
     ) -> None:
         """Choose between this target and those of other agents.
 
         `own` is None if this target does not accept the flow.
         """
         chosen = self._choose_peer(message)
-        if own is not None and _is_own_better(own, chosen, message.hops):
+        if own is not None and is_own_better(own, chosen, message.hops):
             chosen = None
             estimate = own
         else:
@@ -154,53 +172,50 @@
         if estimate is None or not should_accept(
             estimate, objective_s, message.priority
         ):
-            self._place_or_refuse(message, segment, estimate)
+            self._place_or_refuse(message, segment, estimate, may_wait=may_wait)
         elif chosen is None:
             self._accept(message, segment, estimate)
         else:
             self._place_at_peer(chosen[1], message, segment)
 
     def _place_or_refuse(
-        self, message: PeerMessage, segment: Segment, estimate: Estimate | None
+        self,
+        message: PeerMessage,
+        segment: Segment,
+        estimate: Estimate | None,
+        *,
+        may_wait: bool = True,
     ) -> None:
-        """Try agents beyond the neighbours before a flow is refused."""
+        """Try agents beyond the neighbours before a flow waits.
+
+        An opening that does not wait, or would wait too long, is refused.
+        """
         distant = None
         if message.hops <= MAX_HOPS:
             distant = self._context.peers.choose_distant(
                 segment.flow, message.hops
             )
-        if distant is None:
-            self._refuse(segment, message, estimate)
-        else:
+        if distant is not None:
             self._context.counts['flows_placed_distantly'] += 1
             self._place_at_peer(distant, message, segment)
+        elif not may_wait or not self.waits.offer(message, segment):
+            self._refusals.refuse(
+                segment,
+                message,
+                'too late' if estimate or self.waits else 'no target',
+                finish_s=estimate.finish_s if estimate else None,
+            )
 
     def _hand_over(self, segment: Segment, held: HeldFlow | None) -> None:
-        self._place(self._make_hand_over(held), segment, None)
+        # It was offered to a target, whose answer may still come, so it
+        # does not wait.
+        message = self._make_hand_over(held)
+        self._place(message, segment, None, may_wait=False)
 
     def _make_hand_over(self, held: HeldFlow | None) -> PeerMessage:
-        """Return the message that hands an opening to another agent.
-
-        The time that the packet spent here is subtracted from its latency
-        objective.
-        """
-        service = self._context.identity.service
-        offer = held.offer if held else None
-        if held is None or offer is None:
-            # The agent has restarted since the packet was offered, so
-            # its latency objective and priority are not known.
-            return PeerMessage(PeerKind.PLACE, service, hops=1)
-        objective_ms = offer.objective_ms
-        if objective_ms:
-            held_s = self._context.timers.now() - held.offered_s
-            objective_ms = max(objective_ms - round(held_s * MS_PER_S), 1)
-        return PeerMessage(
-            PeerKind.PLACE,
-            service,
-            hops=offer.hops + 1,
-            balancer=offer.balancer,
-            priority=offer.priority,
-            objective_ms=objective_ms,
+        context = self._context
+        return make_hand_over(
+            context.identity.service, held, context.timers.now()
         )
 
     def _choose_peer(
@@ -211,11 +226,8 @@
         context = self._context
         return choose_peer(context.peers.loads, context.timers.now())
 
-    def _estimate_own(self, *, is_last_resort: bool) -> Estimate | None:
-        """Return the estimate of this target, None if it takes no flow.
-
-        `is_last_resort` tells that no other target accepts the flow.
-        """
+    def _estimate_own(self) -> Estimate | None:
+        """Return the estimate of this target, None if it takes no flow."""
         context = self._context
         gate = context.gate
         if context.is_leaving or not gate.is_open or not gate.is_responsive:
@@ -223,7 +235,7 @@
         if context.is_evacuated:
             context.counts['openings_evacuated'] += 1
             return None
-        if not context.allows_cold(is_last_resort=is_last_resort):
+        if not context.allows_cold() and not self._allows_last_resort():
             context.counts['openings_cold'] += 1
             return None
         now_s = context.timers.now()
@@ -239,6 +251,17 @@
         estimate.add_state_penalty(gate.reported_state())
         return estimate
 
+    def _allows_last_resort(self) -> bool:
+        """Return whether a cold target may exceed its rate.
+
+        It may, up to the tolerance of the deployment, if no other target
+        accepts flows.
+        """
+        context = self._context
+        if choose_peer(context.peers.loads, context.timers.now()):
+            return False
+        return context.allows_cold(is_last_resort=True)
+
     def _accept(
         self, message: PeerMessage, segment: Segment, estimate: Estimate
     ) -> None:
@@ -268,8 +291,20 @@
     ) -> None:
         chosen.record_placement(self._context.timers.now())
         self._owner_by_flow.put(segment.flow, chosen.address)
+        self._sent_copy.put(segment.flow, segment.copy_number)
         self._send_place(chosen.address, message, segment)
 
+    def _is_later_copy(self, segment: Segment) -> bool:
+        """Return whether an earlier copy was sent to another agent.
+
+        An agent that hands the same copy back does not get it again.
+        """
+        sent = self._sent_copy.get(segment.flow)
+        if sent is None or segment.copy_number <= sent:
+            return False
+        self._sent_copy.put(segment.flow, segment.copy_number)
+        return True
+
     def _send_place(
         self, owner: bytes, message: PeerMessage, segment: Segment
     ) -> None:
@@ -285,39 +320,3 @@
             body=segment.raw,
         )
         self._context.outbox.to_agent(owner, placed.encode())
-
-    def _refuse(
-        self, segment: Segment, message: PeerMessage, estimate: Estimate | None
-    ) -> None:
-        context = self._context
-        if context.timers.now() - self._started_s < WARM_UP_S:
-            # Agents that have not reported yet may accept the flow; the
-            # caller sends copies of the packet after 200 and 600 ms.
-            context.counts['dropped_unsettled'] += 1
-            return
-        context.counts['flows_refused'] += 1
-        log_event(
-            _logger,
-            'flow.refused',
-            repeats=True,
-            flow=describe_flow(segment.flow),
-            copy=segment.copy_number,
-            reason='too late' if estimate else 'no target',
-            finish_s=round(estimate.finish_s, 3) if estimate else None,
-            goal_ms=message.objective_ms,
-            hops=message.hops,
-            load=context.held_flows.load,
-            phase=context.gate.phase.value,
-            agents=len(context.peers.load_by_address),
-            version=context.latest_version,
-        )
-        context.outbox.reset(segment.flow)
-
-
-def _is_own_better(
-    own: Estimate, chosen: tuple[Estimate, PeerLoad] | None, hops: int
-) -> bool:
-    """Return whether the gain at the other target is below a hop's cost."""
-    if chosen is None:
-        return True
-    return own.rank_s <= chosen[0].rank_s + HAND_OVER_GAIN_S * hops
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -16,6 +16,7 @@
     'evacuation',
     'pace',
     'routing',
+    'waiting',
     'admission',
     'steering',
     'configuration',
