Count the requests that open flows will bring when flows are placed

Cause: the load of a target counted only requests in progress and flows whose first request is expected. 7 in 10 requests come on flows that stay open and cannot be moved, so a target with many idle open flows looked empty, and fast targets, which are idle first, got most of them.

Change: routing/standing_load.py learns, by route, the time between the requests of a flow and whether flows bring a second request, and counts flows from their opening on. The busy share goes into the header of a REPORT (objective_ms in thousandths, 0 from earlier builds; the body is unchanged) and into Estimate.rank_s by busy_wait_s, which routing/choice.py now uses as well. finish_s, which decides refusal, does not include it, and a target that would refuse ranks behind those that would not.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -133,6 +133,8 @@
         return {
             'flows_held': len(context.held_flows.by_flow),
             'load': context.held_flows.load,
+            'open_flows': len(context.held_flows.standing_load),
+            'open_flows_busy_share': context.estimate_standing_share(),
             'service_s': context.estimate_service_s(),
             'agents': len(context.peers.agents),
             'balancers': len(context.peers.balancers),
--- a/greengagepath/routing/choice.py
+++ b/greengagepath/routing/choice.py
@@ -18,6 +18,7 @@
 from .loads import TargetLoad
 from .outliers import OutlierDetector, OutlierSettings
 from .ramp import ColdStartRamp
+from .standing_load import busy_wait_s
 from .targets import TargetInfo, TargetState
 
 _US_PER_S = 1000000.0
@@ -28,11 +29,6 @@
 # request in flight is ranked as if a new one waited for this share of
 # its service time.
 IN_FLIGHT_WAIT_SHARE = 0.25
-# Wait added for a target whose slots are always busy, in mean service
-# times of the service. It evens out the busy time of targets of any
-# speed, also for requests on flows that cannot be moved;
-# docs/routing.md has the results for other values.
-BUSY_GAIN = 4.0
 # Weight of a new report in the mean service time.
 MEAN_SERVICE_WEIGHT = 0.05
 # Requests in flight that a new flow of a size class counts as until the
@@ -329,8 +325,7 @@
         )
         wait_s = max(requests + 1 - slots, 0.0) * service_s / slots
         wait_s += IN_FLIGHT_WAIT_SHARE * service_s * min(requests, 1.0)
-        busy = load.busy_slots / slots
-        wait_s += BUSY_GAIN * self._mean_service_s * busy
+        wait_s += busy_wait_s(load.busy_slots / slots, self._mean_service_s)
         if target.availability_zone != self._shared.place.availability_zone:
             wait_s += self._settings.zone_cost_s
         return wait_s, self._random.expovariate(1.0) * service_s
--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -12,6 +12,7 @@
 from .peer_messages import NO_ADDRESS, PeerKind, PeerMessage
 from .placement import average_service_s
 from .route_copies import RouteCopy
+from .service_times import DEFAULT_S
 from .target_gate import TargetGate
 
 _logger = logging.getLogger(__name__)
@@ -123,6 +124,17 @@
             self.timers.now(), average_service_s(self.peers.loads)
         )
 
+    def estimate_standing_share(self) -> float:
+        """Return the share of the slots that open flows will keep busy."""
+        peer_average_s = average_service_s(self.peers.loads)
+        now_s = self.timers.now()
+        service_s = self.held_flows.service_time.estimate_s(
+            now_s, peer_average_s
+        )
+        return self.held_flows.standing_load.estimate_share(
+            service_s or peer_average_s or DEFAULT_S, self.gate.slots, now_s
+        )
+
     def make_message(
         self, kind: PeerKind, *, body: bytes, balancer: bytes = NO_ADDRESS
     ) -> PeerMessage:
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -8,6 +8,7 @@
 from .held_flows import HeldFlow
 from .peer_messages import PeerKind, PeerMessage
 from .placement import (
+    Demand,
     Estimate,
     PeerLoad,
     average_service_s,
@@ -139,15 +140,17 @@
 
         `own` is None if this target does not accept the flow.
         """
-        chosen = self._choose_peer(message)
+        demand = Demand(message.objective_ms / MS_PER_S, message.priority)
+        chosen = self._choose_peer(message, demand)
+        if own is not None:
+            self._add_own_penalties(own, demand)
         if own is not None and _is_own_better(own, chosen, message.hops):
             chosen = None
             estimate = own
         else:
             estimate = chosen[0] if chosen else None
-        objective_s = message.objective_ms / MS_PER_S
         if estimate is None or not should_accept(
-            estimate, objective_s, message.priority
+            estimate, demand.objective_s, demand.priority
         ):
             self._place_or_refuse(message, segment, estimate)
         elif chosen is None:
@@ -199,12 +202,23 @@
         )
 
     def _choose_peer(
-        self, message: PeerMessage
+        self, message: PeerMessage, demand: Demand
     ) -> tuple[Estimate, PeerLoad] | None:
         if message.hops > MAX_HOPS:
             return None
         context = self._context
-        return choose_peer(context.peers.loads, context.timers.now())
+        return choose_peer(
+            context.peers.loads, context.timers.now(), demand=demand
+        )
+
+    def _add_own_penalties(self, own: Estimate, demand: Demand) -> None:
+        """Rank this target in the same way as `choose_peer` the others."""
+        context = self._context
+        own.add_standing_load(
+            context.estimate_standing_share(),
+            average_service_s(context.peers.loads),
+        )
+        own.add_refusal_penalty(demand)
 
     def _estimate_own(self) -> Estimate | None:
         context = self._context
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -27,6 +27,7 @@
 # Longest time between reports to an agent that is no neighbour.
 DISTANT_REPORT_INTERVAL_S = 2.0
 _MS_PER_S = 1000
+_THOUSANDTHS = 1000
 
 
 class AgentReports:
@@ -94,6 +95,9 @@
         else:
             peers = self._context.peers
             is_new = False
+            decoded.ok_value.standing_share = (
+                message.objective_ms / _THOUSANDTHS
+            )
             if message.service == self._context.identity.service:
                 is_new = peers.record_report(
                     sender,
@@ -169,6 +173,9 @@
             PeerKind.REPORT, body=report.encode()
         )
         message.hops = hops
+        message.objective_ms = round(
+            context.estimate_standing_share() * _THOUSANDTHS
+        )
         return message.encode()
 
     def _balancer_interval_s(self) -> float:
--- a/greengagepath/steering/held_flows.py
+++ b/greengagepath/steering/held_flows.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from ..routing.standing_load import StandingLoad
 from .ages import drop_older
 from .durations import DurationCounts
 from .peer_messages import PeerMessage
@@ -112,6 +113,7 @@
     def __init__(self) -> None:
         self.by_flow: dict[bytes, HeldFlow] = {}
         self.service_time = ServiceTime()
+        self.standing_load = StandingLoad()
         self.handshakes = DurationCounts()
         self.requests = DurationCounts()
         # Flows with an answer are removed at the next check.
@@ -138,6 +140,7 @@
         self._add(segment.flow, held)
         self._offered_by_flow[segment.flow] = held
         self._expected_since_s[segment.flow] = now_s
+        self.standing_load.record_opening(segment.flow)
         return held
 
     def add_existing(self, flow: bytes, now_s: float) -> HeldFlow:
@@ -159,6 +162,7 @@
             waiting = max(len(self._started_s_by_flow) - slots + 1, 0)
             held.service_rounds = 1 + waiting / slots
             self._started_s_by_flow[flow] = now_s
+            self.standing_load.record_request(flow, now_s)
 
     def record_opened(
         self, held: HeldFlow, sequence: int, now_s: float
@@ -214,6 +218,7 @@
         """Record that the flow was closed."""
         held.is_closed = True
         held.last_used_s = now_s
+        self.standing_load.discard(flow)
         self._expected_since_s.pop(flow, None)
         self._offered_by_flow.pop(flow, None)
         self._started_s_by_flow.pop(flow, None)
@@ -223,6 +228,7 @@
         self._expected_since_s.pop(flow, None)
         self._offered_by_flow.pop(flow, None)
         self._started_s_by_flow.pop(flow, None)
+        self.standing_load.discard(flow)
         return self.by_flow.pop(flow, None)
 
     def forget_load(self) -> None:
@@ -233,6 +239,7 @@
         Opening packets that are unanswered can still be handed over.
         """
         self._started_s_by_flow.clear()
+        self.standing_load.clear_flows()
         self.service_time = ServiceTime()
         self._limit = None
 
@@ -261,6 +268,7 @@
             if since_s >= before_s:
                 return
             del self._expected_since_s[flow]
+            self.standing_load.discard(flow)
 
     def sweep(self, now_s: float, idle_s: float) -> None:
         """Remove closed and idle flows; stop counting overlong requests.
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -71,7 +71,9 @@
     """A datagram between two processes of the system.
 
     `priority` (0 is highest) and `objective_ms` (0 if there is no latency
-    objective) come from the route of an opening packet.
+    objective) come from the route of an opening packet. In a REPORT,
+    `objective_ms` is the standing load in thousandths of the slots; earlier
+    builds send 0.
     """
 
     __slots__ = (
@@ -143,7 +145,9 @@
     request is still expected; `service_s` is the estimated duration of
     a request in seconds, 0 if unknown. `zone` identifies the availability
     zone and `interval_ms` is the longest time between reports to a
-    balancer; agents of earlier builds report 0 for both.
+    balancer; agents of earlier builds report 0 for both. `standing_share`
+    is the share of the slots that requests on open flows are expected to
+    keep busy; it is sent in the header of the REPORT, not in the body.
     """
 
     __slots__ = (
@@ -151,6 +155,7 @@
         'load',
         'service_s',
         'slots',
+        'standing_share',
         'started_ms',
         'state',
         'zone',
@@ -166,10 +171,12 @@
         service_s: float = 0,
         zone: int = 0,
         interval_ms: int = 0,
+        standing_share: float = 0,
     ) -> None:
         self.state = state
         self.zone = zone
         self.interval_ms = interval_ms
+        self.standing_share = standing_share
         self.started_ms = started_ms
         self.slots = slots
         self.load = load
--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -7,6 +7,7 @@
 that this agent has placed since a report are added to its load.
 """
 
+from ..routing.standing_load import busy_wait_s
 from .peer_messages import LoadReport, ReportedState
 from .service_times import DEFAULT_S
 
@@ -19,6 +20,8 @@
 # After a power loss an agent starts before its target, so targets that
 # have sent a heartbeat are preferred.
 UNHEARD_PENALTY_S = 0.1
+# Above any difference between the ranks of two targets.
+REFUSAL_PENALTY_S = 1000.0
 # States of targets that accept new flows.
 ACCEPTING_STATES = frozenset((ReportedState.READY, ReportedState.UNHEARD))
 # A request of the highest priority is accepted if it is expected to finish
@@ -77,12 +80,26 @@
         return self.report.load + len(self._placements_s)
 
 
+class Demand:
+    """Latency objective in seconds, and priority, of a new flow."""
+
+    __slots__ = ('objective_s', 'priority')
+
+    def __init__(self, objective_s: float = 0, priority: int = 0) -> None:
+        self.objective_s = objective_s
+        self.priority = priority
+
+
+NO_DEMAND = Demand()
+
+
 class Estimate:
     """Expected duration of a request that arrives now.
 
     `finish_s` is the duration in seconds; `is_waiting` tells whether the
     request would be queued. `rank_s` orders the targets; it is above
-    `finish_s` for a target that may not be running.
+    `finish_s` for a target that may not be running, or whose open flows
+    will bring further requests.
     """
 
     __slots__ = ('finish_s', 'is_waiting', 'rank_s')
@@ -106,6 +123,25 @@
         if state is ReportedState.UNHEARD:
             self.rank_s += UNHEARD_PENALTY_S
 
+    def add_standing_load(
+        self, standing_share: float, peer_average_s: float
+    ) -> None:
+        """Rank a target behind others by the load of its open flows.
+
+        `standing_share` is the share of its slots that they keep busy.
+        """
+        mean_s = peer_average_s or DEFAULT_S
+        self.rank_s += busy_wait_s(standing_share, mean_s)
+
+    def add_refusal_penalty(self, demand: Demand) -> None:
+        """Rank a target at which the request would finish too late last.
+
+        Otherwise the load of open flows at the other targets could lead to
+        the refusal of a request that one of them would serve in time.
+        """
+        if not should_accept(self, demand.objective_s, demand.priority):
+            self.rank_s += REFUSAL_PENALTY_S
+
 
 def average_service_s(loads: list[PeerLoad]) -> float:
     """Return the mean service time in seconds, 0 if none is known.
@@ -117,9 +153,13 @@
 
 
 def choose_peer(
-    loads: list[PeerLoad], now_s: float, excluded: bytes = b''
+    loads: list[PeerLoad],
+    now_s: float,
+    excluded: bytes = b'',
+    *,
+    demand: Demand = NO_DEMAND,
 ) -> tuple[Estimate, PeerLoad] | None:
-    """Return the target that is expected to finish first.
+    """Return the target with the lowest rank for a new flow.
 
     None if no target accepts new flows.
     """
@@ -133,6 +173,8 @@
             load.estimate_load(), report.slots, report.service_s, peer_average_s
         )
         estimate.add_state_penalty(report.state)
+        estimate.add_standing_load(report.standing_share, peer_average_s)
+        estimate.add_refusal_penalty(demand)
         if best is None or estimate.rank_s < best[0].rank_s:
             best = (estimate, load)
     return best
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -18,6 +18,7 @@
 OTHER_SERVICE = digest_service('proofs')
 ROUTE_ADDRESS = bytes((198, 18, 0, 1))
 ROUTE_PORT = 443
+ORDER_PORT = 444
 TARGET_SEQUENCE = 7000
 FIRST_ACKNOWLEDGED = TARGET_SEQUENCE + 1
 
@@ -85,6 +86,21 @@
     return response
 
 
+def make_refusal(flow: bytes) -> Segment:
+    """Return a response that says that the request was not run."""
+    response = make_response(flow)
+    response.raw = b'refusal%b' % flow
+    response.is_refusal = True
+    return response
+
+
+def make_final(flow: bytes) -> Segment:
+    """Return the target's answer to the end of a flow."""
+    final = Segment(b'final%b' % flow, flow, sequence=FIRST_ACKNOWLEDGED)
+    final.is_final = True
+    return final
+
+
 def make_acknowledgement(flow: bytes) -> Segment:
     """Return a target's acknowledgement of a caller's packet."""
     answer = Segment(b'ack%b' % flow, flow, sequence=FIRST_ACKNOWLEDGED)
@@ -207,3 +223,17 @@
     destination = struct.pack('!H4s', ROUTE_PORT, ROUTE_ADDRESS)
     shares = tuple(map(ServiceShare, services, weights))
     return RouteTable(version, {destination: Route('r', shares)})
+
+
+def make_load_table(objective_s: float, version: int = 2) -> RouteTable:
+    """Return a configuration with two routes to one service."""
+    by_destination = {
+        struct.pack('!H4s', port, ROUTE_ADDRESS): Route(
+            f'r-{port}',
+            (ServiceShare(SERVICE, 1.0),),
+            objective_s=objective_s,
+            priority=1,
+        )
+        for port in (ROUTE_PORT, ORDER_PORT)
+    }
+    return RouteTable(version, by_destination)
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -11,6 +11,7 @@
     ReportedState,
 )
 from greengagepath.steering.placement import (
+    Demand,
     Estimate,
     PeerLoad,
     choose_peer,
@@ -127,6 +128,19 @@
         peer = make_load(1, 0, 0.02, last_seen_s=0.0)
         self.assertIsNone(choose_peer([peer], 0.5))
 
+    def test_open_flows_change_the_choice_but_refuse_nothing(self):
+        # Guards against new flows for a target whose open flows are idle
+        # for a moment, and against a refusal at a target with a queue
+        # while one with many open flows would finish in time.
+        idle, busy = make_load(1, 0, 0.02), make_load(2, 0, 0.02)
+        busy.report.standing_share = 0.9
+        self.assertIs(idle, choose_peer([busy, idle], 0.0)[1])
+        idle.report.load = 8
+        demand = Demand(objective_s=0.15, priority=2)
+        chosen = choose_peer([busy, idle], 0.0, demand=demand)
+        self.assertIs(busy, chosen[1])
+        self.assertTrue(should_accept(chosen[0], 0.15, 2))
+
     def test_queue_lengthens_the_expected_time(self):
         # Guards against an estimate that ignores queued requests.
         self.assertEqual(20, make_estimate(1).finish_s * 1000)
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -11,6 +11,7 @@
 from greengagepath.steering.agent_steering import AgentSteering
 from greengagepath.steering.balancer_contacts import BalancerIdentity
 from greengagepath.steering.balancer_steering import BalancerSteering
+from greengagepath.steering.neighbours import digest_zone
 from greengagepath.steering.peer_messages import PeerKind, decode_message
 from greengagepath.steering.routes import RouteTable
 from greengagepath.steering.segments import Segment
@@ -285,7 +286,7 @@
         outbox = FakeOutbox(self, address)
         self.balancer_outboxes[address] = outbox
         steering = BalancerSteering(
-            BalancerIdentity(address, 'zone-a'),
+            BalancerIdentity(address, self.name_zone(number)),
             self.timers,
             outbox,
             lambda: None,
@@ -314,6 +315,7 @@
                 number,
                 is_first_start=is_first_start,
                 service=self.find_service(number),
+                zone=digest_zone(self.name_zone(number)),
             ),
             self.timers,
             FakeOutbox(self, address),
@@ -338,6 +340,10 @@
         steering.reports.report_to([*self.balancer_by_address, *known])
         return steering
 
+    def name_zone(self, number: int) -> str:
+        """Return the availability zone of the process with a number."""
+        return 'zone-a'
+
     def find_service(self, number: int) -> bytes:
         """Return the service of the target with a number."""
         return SERVICE if number <= self.first_agents else OTHER_SERVICE
