Prefer targets in the zone of the caller when a flow is placed

Cause: a home chose its target by load alone among neighbours of any zone, so two thirds of all flows crossed between zones, where bytes cost money.

Change: an opening packet carries the zone of its balancer in the pad byte of the header (0 from earlier builds: the zone of the agent is taken instead), and a target in another zone has to finish sooner by ZONE_COST_S. Homes stay as they are. Counter flows_offered_across_zones.

--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -6,6 +6,7 @@
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
 from .held_flows import HeldFlow
+from .neighbours import narrow_zone
 from .peer_messages import PeerKind, PeerMessage
 from .placement import (
     Demand,
@@ -140,7 +141,7 @@
 
         `own` is None if this target does not accept the flow.
         """
-        demand = Demand(message.objective_ms / MS_PER_S, message.priority)
+        demand = self._make_demand(message)
         chosen = self._choose_peer(message, demand)
         if own is not None:
             self._add_own_penalties(own, demand)
@@ -192,7 +193,7 @@
         if objective_ms:
             held_s = self._context.timers.now() - held.offered_s
             objective_ms = max(objective_ms - round(held_s * MS_PER_S), 1)
-        return PeerMessage(
+        message = PeerMessage(
             PeerKind.PLACE,
             service,
             hops=offer.hops + 1,
@@ -200,6 +201,8 @@
             priority=offer.priority,
             objective_ms=objective_ms,
         )
+        message.caller_zone = offer.caller_zone
+        return message
 
     def _choose_peer(
         self, message: PeerMessage, demand: Demand
@@ -218,8 +221,21 @@
             context.estimate_standing_share(),
             average_service_s(context.peers.loads),
         )
+        own.add_zone_cost(demand, context.identity.zone)
         own.add_refusal_penalty(demand)
 
+    def _make_demand(self, message: PeerMessage) -> Demand:
+        """Return the demand of a new flow.
+
+        Balancers of earlier builds send no zone; their callers are taken to
+        be in the zone of this agent.
+        """
+        return Demand(
+            message.objective_ms / MS_PER_S,
+            message.priority,
+            message.caller_zone or narrow_zone(self._context.identity.zone),
+        )
+
     def _estimate_own(self) -> Estimate | None:
         context = self._context
         gate = context.gate
@@ -256,6 +272,8 @@
         )
         context.held_flows.accept(segment, message, context.timers.now())
         context.counts['flows_offered'] += 1
+        if self._make_demand(message).crosses_zones(context.identity.zone):
+            context.counts['flows_offered_across_zones'] += 1
         context.outbox.to_target(segment.raw)
         self._reports.send_change()
 
@@ -280,6 +298,7 @@
             objective_ms=message.objective_ms,
             body=segment.raw,
         )
+        placed.caller_zone = message.caller_zone
         self._context.outbox.to_agent(owner, placed.encode())
 
     def _refuse(
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -14,6 +14,7 @@
     BalancerIdentity,
     BalancerOutbox,
 )
+from .neighbours import digest_zone, narrow_zone
 from .open_flows import OpenFlows
 from .peer_messages import (
     NO_SERVICE,
@@ -58,6 +59,7 @@
         self.routes = RouteHolder()
         self.contacts = BalancerContacts(identity, timers, outbox, self.routes)
         self._address = identity.address
+        self._caller_zone = narrow_zone(digest_zone(identity.availability_zone))
         self._timers = timers
         self._outbox = outbox
         self._on_behind = on_behind
@@ -212,6 +214,7 @@
             objective_ms=round(route.objective_s * MS_PER_S),
             body=segment.raw,
         )
+        opening.caller_zone = self._caller_zone
         self._outbox.to_agent(home, opening.encode())
 
     def _choose_home(
--- a/greengagepath/steering/peer_messages.py
+++ b/greengagepath/steering/peer_messages.py
@@ -1,8 +1,9 @@
 """Datagrams between balancers and agents.
 
-All start with the same header: kind, hops, priority and latency
-objective of the route in ms, digest of the service, address of a balancer
-and the highest configuration version that the sender has seen.
+All start with the same header: kind, hops, priority of the route, zone of
+the caller, latency objective of the route in ms, digest of the service,
+address of a balancer and the highest configuration version that the sender
+has seen.
 """
 
 import struct
@@ -11,7 +12,7 @@
 import xxhash
 from result import Err, Ok, Result
 
-HEADER = struct.Struct('!BBBxH8s4sQ')
+HEADER = struct.Struct('!BBBBH8s4sQ')
 NO_SERVICE = bytes(8)
 NO_ADDRESS = bytes(4)
 MAX_VERSION = 0xFFFFFFFFFFFFFFFF
@@ -73,12 +74,15 @@
     `priority` (0 is highest) and `objective_ms` (0 if there is no latency
     objective) come from the route of an opening packet. In a REPORT,
     `objective_ms` is the standing load in thousandths of the slots; earlier
-    builds send 0.
+    builds send 0. `caller_zone` is the zone of the balancer that an opening
+    packet came through, see `narrow_zone`; it is 0 if the zone is unknown,
+    in messages of earlier builds and in all other kinds.
     """
 
     __slots__ = (
         'balancer',
         'body',
+        'caller_zone',
         'hops',
         'kind',
         'objective_ms',
@@ -106,6 +110,7 @@
         self.version = version
         self.priority = priority
         self.objective_ms = objective_ms
+        self.caller_zone = 0
         self.body = body
 
     def encode(self) -> bytes:
@@ -114,6 +119,7 @@
             self.kind,
             self.hops,
             min(self.priority, MAX_PRIORITY),
+            self.caller_zone,
             min(self.objective_ms, MAX_OBJECTIVE_MS),
             self.service,
             self.balancer,
@@ -224,8 +230,8 @@
     fields = HEADER.unpack_from(datagram)
     if fields[0] not in _KINDS:
         return Err(f'kind {fields[0]} is unknown')
-    kind, hops, priority, objective_ms, *named = fields
-    service, balancer, version = named
+    kind, hops, priority, *named = fields
+    objective_ms, service, balancer, version = named[1:]
     message = PeerMessage(
         _KINDS[kind],
         service,
@@ -236,6 +242,7 @@
         objective_ms=objective_ms,
         body=datagram[HEADER.size :],
     )
+    message.caller_zone = named[0]
     return Ok(message)
 
 
--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -8,6 +8,7 @@
 """
 
 from ..routing.standing_load import busy_wait_s
+from .neighbours import UNKNOWN_ZONE, narrow_zone
 from .peer_messages import LoadReport, ReportedState
 from .service_times import DEFAULT_S
 
@@ -20,6 +21,9 @@
 # After a power loss an agent starts before its target, so targets that
 # have sent a heartbeat are preferred.
 UNHEARD_PENALTY_S = 0.1
+# Traffic between zones costs money, so a target in another zone has to
+# finish sooner by this time.
+ZONE_COST_S = 0.02
 # Above any difference between the ranks of two targets.
 REFUSAL_PENALTY_S = 1000.0
 # States of targets that accept new flows.
@@ -81,13 +85,28 @@
 
 
 class Demand:
-    """Latency objective in seconds, and priority, of a new flow."""
+    """Latency objective in seconds, priority and zone of a new flow.
 
-    __slots__ = ('objective_s', 'priority')
+    The zone is that of the caller as a number of one byte, 0 if unknown.
+    """
+
+    __slots__ = ('objective_s', 'priority', 'zone')
 
-    def __init__(self, objective_s: float = 0, priority: int = 0) -> None:
+    def __init__(
+        self,
+        objective_s: float = 0,
+        priority: int = 0,
+        zone: int = UNKNOWN_ZONE,
+    ) -> None:
         self.objective_s = objective_s
         self.priority = priority
+        self.zone = zone
+
+    def crosses_zones(self, target_zone: int) -> bool:
+        """Return whether a target is in another zone than the caller."""
+        if UNKNOWN_ZONE in {self.zone, target_zone}:
+            return False
+        return narrow_zone(target_zone) != self.zone
 
 
 NO_DEMAND = Demand()
@@ -133,6 +152,11 @@
         mean_s = peer_average_s or DEFAULT_S
         self.rank_s += busy_wait_s(standing_share, mean_s)
 
+    def add_zone_cost(self, demand: Demand, target_zone: int) -> None:
+        """Rank a target in another zone than the caller behind others."""
+        if demand.crosses_zones(target_zone):
+            self.rank_s += ZONE_COST_S
+
     def add_refusal_penalty(self, demand: Demand) -> None:
         """Rank a target at which the request would finish too late last.
 
@@ -174,6 +198,7 @@
         )
         estimate.add_state_penalty(report.state)
         estimate.add_standing_load(report.standing_share, peer_average_s)
+        estimate.add_zone_cost(demand, report.zone)
         estimate.add_refusal_penalty(demand)
         if best is None or estimate.rank_s < best[0].rank_s:
             best = (estimate, load)
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -86,21 +86,6 @@
     return response
 
 
-def make_refusal(flow: bytes) -> Segment:
-    """Return a response that says that the request was not run."""
-    response = make_response(flow)
-    response.raw = b'refusal%b' % flow
-    response.is_refusal = True
-    return response
-
-
-def make_final(flow: bytes) -> Segment:
-    """Return the target's answer to the end of a flow."""
-    final = Segment(b'final%b' % flow, flow, sequence=FIRST_ACKNOWLEDGED)
-    final.is_final = True
-    return final
-
-
 def make_acknowledgement(flow: bytes) -> Segment:
     """Return a target's acknowledgement of a caller's packet."""
     answer = Segment(b'ack%b' % flow, flow, sequence=FIRST_ACKNOWLEDGED)
@@ -218,22 +203,13 @@
     version: int = 1,
     services: tuple[bytes, ...] = (SERVICE,),
     weights: tuple[float, ...] = (1.0, 1.0),
+    objective_s: float = 0,
 ) -> RouteTable:
-    """Return a configuration with one route; each service has a weight."""
-    destination = struct.pack('!H4s', ROUTE_PORT, ROUTE_ADDRESS)
+    """Return routes on two ports; each service has a weight."""
     shares = tuple(map(ServiceShare, services, weights))
-    return RouteTable(version, {destination: Route('r', shares)})
-
-
-def make_load_table(objective_s: float, version: int = 2) -> RouteTable:
-    """Return a configuration with two routes to one service."""
-    by_destination = {
-        struct.pack('!H4s', port, ROUTE_ADDRESS): Route(
-            f'r-{port}',
-            (ServiceShare(SERVICE, 1.0),),
-            objective_s=objective_s,
-            priority=1,
-        )
+    route = Route('r', shares, objective_s=objective_s)
+    destinations = (
+        struct.pack('!H4s', port, ROUTE_ADDRESS)
         for port in (ROUTE_PORT, ORDER_PORT)
-    }
-    return RouteTable(version, by_destination)
+    )
+    return RouteTable(version, dict.fromkeys(destinations, route))
--- a/tests/steering/fleet.py
+++ b/tests/steering/fleet.py
@@ -1,10 +1,11 @@
 """Simulation of a service under load, in several availability zones.
 
-Targets run a few requests at once, queue some and refuse the rest. The
-process with a number is in the zone `number % zones`, and so is a caller.
+The process with a number is in the zone `number % zones`; the zone of a
+caller is the last byte of its address.
 """
 
 import random
+import statistics
 
 from greengagepath.steering.segments import Segment
 
@@ -12,15 +13,13 @@
     ORDER_PORT,
     ROUTE_PORT,
     TARGET_SEQUENCE,
+    make_acknowledgement,
     make_address,
-    make_answer,
     make_data,
-    make_final,
     make_flow,
-    make_load_table,
     make_opening,
-    make_refusal,
     make_response,
+    make_table,
 )
 from .world import FakeTarget, World
 
@@ -38,7 +37,7 @@
 
 
 class SlottedTarget(FakeTarget):
-    """A target that runs `SLOTS` requests at once, at a certain speed."""
+    """A target that runs `SLOTS` requests, queues some, refuses the rest."""
 
     def __init__(self, world: 'Fleet', number: int, speed: float) -> None:
         super().__init__(world, number)
@@ -47,25 +46,23 @@
         self.running = 0
         self.busy_s = 0.0
 
-    def _receive_opening(self, segment: Segment) -> None:
-        self._send(make_answer(segment.flow, self.sequence))
-        self.opened.add(segment.flow)
-
     def _receive_data(self, segment: Segment) -> None:
-        if len(self.queued) >= QUEUE:
-            self._send(make_refusal(segment.flow))
+        if len(self.queued) < QUEUE:
+            self.queued.append(segment.flow)
+            self._run_next()
             return
-        self.queued.append(segment.flow)
-        self._run_next()
+        self.world.refused += 1
+        refusal = make_response(segment.flow)
+        refusal.is_refusal = True
+        self._send(refusal)
 
     def _run_next(self) -> None:
-        if not self.queued or self.running >= SLOTS:
-            return
-        flow = self.queued.pop(0)
-        self.running += 1
-        work_s = WORK_S / self.speed * self.world.random.uniform(0.5, 1.5)
-        self.busy_s += work_s / SLOTS
-        self.world.timers.call_after(work_s, lambda: self._finish(flow))
+        if self.queued and self.running < SLOTS:
+            flow = self.queued.pop(0)
+            self.running += 1
+            work_s = WORK_S / self.speed * self.world.random.uniform(0.5, 1.5)
+            self.busy_s += work_s / SLOTS
+            self.world.timers.call_after(work_s, lambda: self._finish(flow))
 
     def _finish(self, flow: bytes) -> None:
         self.running -= 1
@@ -74,11 +71,10 @@
 
 
 class LoadCaller:
-    """A caller that sends `requests` requests on one flow.
+    """A caller that sends `requests` requests on one flow and closes it.
 
-    They are `Fleet.feed_s` seconds apart. The flow is closed after the
-    last response. If it is reset, the caller opens another one, twice at
-    most.
+    They are `Fleet.feed_s` seconds apart. If the flow is reset, the caller
+    opens another one, twice at most.
     """
 
     def __init__(
@@ -94,29 +90,33 @@
 
     def handle_answer(self, sequence: int) -> None:
         self.sequence = sequence
-        target = self.fleet.find_target(self)
-        zone = self.flow[-1]
-        self.fleet.crossing += target.number % self.fleet.zones != zone
+        zone = self.fleet.find_target(self).number % self.fleet.zones
+        self.fleet.opened += 1
+        self.fleet.crossing += zone != self.flow[-1]
         self._send_request()
 
     def handle_reset(self) -> None:
         if self.attempt < MAX_ATTEMPTS:
-            zone = self.flow[-1]
-            self.fleet.start_load(self.requests, zone, attempt=self.attempt + 1)
+            self.fleet.start_load(self.requests, self.flow[-1], self.attempt)
         else:
             self.fleet.refused += 1
 
-    def handle_response(self, *, is_refusal: bool) -> None:
+    def handle_response(self) -> None:
         took_s = self.fleet.timers.now() - self.sent_s
-        self.fleet.answered += 1
-        self.fleet.refused += is_refusal
         self.fleet.late += took_s > OBJECTIVE_S
         if self.sent < self.requests:
             wait_s = max(self.fleet.feed_s - took_s, 0)
             self.fleet.timers.call_after(wait_s, self._send_next)
-        else:
-            target = self.fleet.find_target(self)
-            self.fleet.send_from_target(target.number, make_final(self.flow))
+            return
+        final = make_acknowledgement(self.flow)
+        final.is_final = True
+        target = self.fleet.find_target(self)
+        self.fleet.send_from_target(target.number, final)
+
+    def reopen(self) -> None:
+        """Close the flow after its next response and open another one."""
+        self.requests = self.sent
+        self.fleet.start_load(FEED_REQUESTS, self.flow[-1])
 
     def _send_next(self) -> None:
         self.sent_s = self.fleet.timers.now()
@@ -125,14 +125,14 @@
     def _send_request(self) -> None:
         self.sent += 1
         packet = make_data(self.flow, self.sequence + 1, part=self.sent)
-        self.fleet.send(packet, self.fleet.find_balancer(self.flow))
+        self.fleet.send(packet, self.flow[-1] or self.fleet.zones)
 
 
 class Fleet(World):
     """Agents, targets and callers in `zones` zones, one balancer each.
 
-    Counts responses, those after `OBJECTIVE_S`, refusals, and flows
-    whose target is in another zone than the caller.
+    Counts late responses, refusals, flows, and those whose target is in
+    another zone than the caller.
     """
 
     def __init__(self, agents: int, zones: int = 3) -> None:
@@ -140,8 +140,8 @@
         self.random = random.Random(5)
         self.feed_s = FEED_S
         super().__init__(zones, agents)
+        self.apply_routes(make_table(2, objective_s=OBJECTIVE_S))
         self.reset_counts()
-        self.apply_routes(make_load_table(OBJECTIVE_S))
 
     def name_zone(self, number: int) -> str:
         return f'zone-{number % self.zones}'
@@ -158,23 +158,42 @@
         return int(sum(speeds) * SLOTS / WORK_S * FEED_S * share)
 
     def reset_counts(self) -> None:
-        """Count from now on; busy times too."""
-        self.late = self.answered = self.refused = self.crossing = 0
+        self.late = 0
+        self.refused = 0
+        self.opened = 0
+        self.crossing = 0
         self.counted_s = self.timers.now()
         for target in self.target_by_address.values():
             target.busy_s = 0.0
 
-    def list_busy_shares(self) -> list[float]:
-        """Return the busy share of each target since `reset_counts`."""
+    def list_busy_shares(self, zone: int | None = None) -> list[float]:
+        """Return the busy share of each target, or of those in a zone."""
         elapsed_s = self.timers.now() - self.counted_s
         return [
             target.busy_s / elapsed_s
             for target in self.target_by_address.values()
+            if zone in {None, target.number % self.zones}
+        ]
+
+    def list_zone_shares(self) -> list[float]:
+        """Return the mean busy share of the targets of each zone."""
+        return [
+            statistics.mean(self.list_busy_shares(zone))
+            for zone in range(self.zones)
         ]
 
-    def find_balancer(self, flow: bytes) -> int:
-        """Return the number of the balancer in the caller's zone."""
-        return flow[-1] or self.zones
+    @property
+    def failed(self) -> int:
+        return self.late + self.refused
+
+    def empty_zone(self, zone: int) -> None:
+        """Let the targets of a zone leave; their flows move in a second."""
+        for address, agent in self.agent_by_address.items():
+            if address[-1] % self.zones == zone:
+                agent.leave()
+        for caller in tuple(self.caller_by_flow.values()):
+            if self.find_target(caller).number % self.zones == zone:
+                self.timers.call_after(self.random.random(), caller.reopen)
 
     def find_target(self, caller: LoadCaller) -> SlottedTarget:
         """Return the target that holds the flow of a caller."""
@@ -183,18 +202,13 @@
 
     def receive_at_caller(self, flow: bytes, raw: bytes) -> None:
         super().receive_at_caller(flow, raw)
-        segment = self.segment_by_raw[raw]
-        if segment.data_bytes:
-            caller = self.caller_by_flow[flow]
-            caller.handle_response(is_refusal=segment.is_refusal)
+        if self.segment_by_raw[raw].data_bytes:
+            self.caller_by_flow[flow].handle_response()
 
-    def start_load(
-        self, requests: int, zone: int | None = None, *, attempt: int = 1
-    ) -> None:
-        """Open a flow for a caller in a zone, by default in any."""
-        if zone is None:
-            zone = self.random.randrange(self.zones)
+    def start_load(self, requests: int, zone: int, attempts: int = 0) -> None:
+        """Open a flow for a caller in a zone."""
         port = ROUTE_PORT if requests > 1 else ORDER_PORT
         flow = make_flow(len(self.caller_by_flow), port, caller=zone)
-        self.caller_by_flow[flow] = LoadCaller(self, flow, requests, attempt)
-        self.send(make_opening(flow), self.find_balancer(flow))
+        caller = LoadCaller(self, flow, requests, attempts + 1)
+        self.caller_by_flow[flow] = caller
+        self.send(make_opening(flow), zone or self.zones)
--- a/tests/steering/test_neighbours.py
+++ b/tests/steering/test_neighbours.py
@@ -76,6 +76,18 @@
             self.assertGreaterEqual(len(near), ZONE_NEIGHBOURS)
             self.assertLess(len(near), MAX_NEIGHBOURS)
 
+    def test_others_are_taken_from_all_zones_alike(self):
+        # Guards against homes that know no target in the zone of a caller,
+        # and against a surplus of load that reaches one zone only.
+        zones = {
+            address: number % 3 + 1
+            for number, address in enumerate(make_zones(60))
+        }
+        for address, zone in zones.items():
+            chosen = choose_neighbours(address, zone, zones)
+            counts = Counter(zones[entry] for entry in chosen)
+            self.assertEqual([2, 2, 4], sorted(counts.values()))
+
     def test_neighbours_connect_all_agents(self):
         # Guards against a group of agents whose surplus of load reaches
         # no other one.
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -5,6 +5,7 @@
 from testtools import TestCase
 
 from greengagepath.steering.held_flows import HeldFlows
+from greengagepath.steering.neighbours import narrow_zone
 from greengagepath.steering.peer_messages import (
     LoadReport,
     PeerKind,
@@ -141,6 +142,19 @@
         self.assertIs(busy, chosen[1])
         self.assertTrue(should_accept(chosen[0], 0.15, 2))
 
+    def test_other_zone_is_chosen_if_it_finishes_sooner(self):
+        # Guards against traffic between zones while the zone of the caller
+        # has room, and against any effect of zones that are not known.
+        near, far = make_load(1, 0, 0.03), make_load(2, 0, 0.02)
+        near.report.zone = 7
+        far.report.zone = 8
+        demand = Demand(zone=narrow_zone(7))
+        loads = [far, near]
+        self.assertIs(near, choose_peer(loads, 0.0, demand=demand)[1])
+        self.assertIs(far, choose_peer(loads, 0.0)[1])
+        near.report.load = 4
+        self.assertIs(far, choose_peer(loads, 0.0, demand=demand)[1])
+
     def test_queue_lengthens_the_expected_time(self):
         # Guards against an estimate that ignores queued requests.
         self.assertEqual(20, make_estimate(1).finish_s * 1000)
