--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -134,6 +134,7 @@
             'flows_held': len(context.held_flows.by_flow),
             'load': context.held_flows.load,
             'open_flows': len(context.held_flows.standing_load),
+            'open_flow_routes': context.held_flows.standing_load.count_routes(),
             'open_flows_busy_share': context.estimate_standing_share(),
             'service_s': context.estimate_service_s(),
             'agents': len(context.peers.agents),
