--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -9,14 +9,16 @@
 from .held_flows import HeldFlow
 from .opening_dispatch import OpeningDispatch
 from .opening_refusals import OpeningRefusals
-from .opening_waits import MAX_HOPS, MS_PER_S, OpeningWaits
+from .opening_waits import MAX_HOPS, OpeningWaits
 from .peer_messages import PeerKind, PeerMessage
 from .placement import (
+    Demand,
     Estimate,
     PeerLoad,
     average_service_s,
     choose_peer,
     is_own_better,
+    make_demand,
     should_accept,
 )
 from .recent_map import RecentMap
@@ -162,15 +164,17 @@
 
         `own` is None if this target does not accept the flow.
         """
-        chosen = self._choose_peer(message)
+        demand = make_demand(message, self._context.identity.zone)
+        chosen = self._choose_peer(message, demand)
+        if own is not None:
+            self._add_own_penalties(own, demand)
         if own is not None and is_own_better(own, chosen, message.hops):
             chosen = None
             estimate = own
         else:
             estimate = chosen[0] if chosen else None
-        objective_s = message.objective_ms / MS_PER_S
         if estimate is None or not should_accept(
-            estimate, objective_s, message.priority
+            estimate, demand.objective_s, demand.priority
         ):
             self._place_or_refuse(message, segment, estimate, may_wait=may_wait)
         elif chosen is None:
@@ -219,12 +223,21 @@
         )
 
     def _choose_peer(
-        self, message: PeerMessage
+        self, message: PeerMessage, demand: Demand
     ) -> tuple[Estimate, PeerLoad] | None:
         if message.hops > MAX_HOPS:
             return None
         context = self._context
-        return choose_peer(context.peers.loads, context.timers.now())
+        return choose_peer(
+            context.peers.loads, context.timers.now(), demand=demand
+        )
+
+    def _add_own_penalties(self, own: Estimate, demand: Demand) -> None:
+        """Rank this target in the same way as `choose_peer` the others."""
+        context = self._context
+        peer_average_s = average_service_s(context.peers.loads)
+        own.add_zone_cost(demand, context.identity.zone, peer_average_s)
+        own.add_refusal_penalty(demand)
 
     def _estimate_own(self) -> Estimate | None:
         """Return the estimate of this target, None if it takes no flow."""
@@ -249,6 +262,9 @@
             peer_average_s,
         )
         estimate.add_state_penalty(gate.reported_state())
+        estimate.add_standing_load(
+            context.estimate_standing_share(), peer_average_s
+        )
         return estimate
 
     def _allows_last_resort(self) -> bool:
@@ -283,6 +299,10 @@
         if context.cold_limit is not None:
             context.cold_limit.record(now_s)
         context.counts['flows_offered'] += 1
+        if make_demand(message, self._context.identity.zone).crosses_zones(
+            context.identity.zone
+        ):
+            context.counts['flows_offered_across_zones'] += 1
         context.outbox.to_target(segment.raw)
         self._reports.send_change()
 
@@ -319,4 +339,5 @@
             objective_ms=message.objective_ms,
             body=segment.raw,
         )
+        placed.caller_zone = message.caller_zone
         self._context.outbox.to_agent(owner, placed.encode())
--- a/greengagepath/steering/hand_overs.py
+++ b/greengagepath/steering/hand_overs.py
@@ -23,7 +23,7 @@
     if objective_ms:
         held_s = now_s - held.offered_s
         objective_ms = max(objective_ms - round(held_s * MS_PER_S), 1)
-    return PeerMessage(
+    message = PeerMessage(
         PeerKind.PLACE,
         service,
         hops=offer.hops + 1,
@@ -31,3 +31,5 @@
         priority=offer.priority,
         objective_ms=objective_ms,
     )
+    message.caller_zone = offer.caller_zone
+    return message
--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -7,7 +7,9 @@
 that this agent has placed since a report are added to its load.
 """
 
-from .peer_messages import LoadReport, ReportedState
+from ..routing.standing_load import busy_wait_s
+from .neighbours import UNKNOWN_ZONE, narrow_zone
+from .peer_messages import LoadReport, PeerMessage, ReportedState
 from .service_times import DEFAULT_S
 
 # Reports arrive at least every 100 ms; three lost in a row mean that the
@@ -29,6 +31,13 @@
 UNHEARD_PENALTY_S = 0.1
 # Another target has to finish sooner by this time per hop so far.
 HAND_OVER_GAIN_S = 0.004
+# Traffic between zones costs money, so a target in another zone has to
+# finish sooner by this time, in mean service times of the service. A fixed
+# time of 60 ms led to refusals in an overloaded zone at a service time of
+# 20 ms, and 20 ms kept few flows in their zone at 150 ms.
+ZONE_COST = 0.4
+# Above any difference between the ranks of two targets.
+REFUSAL_PENALTY_S = 1000.0
 # States of targets that accept new flows.
 ACCEPTING_STATES = frozenset((ReportedState.READY, ReportedState.UNHEARD))
 # A request of the highest priority is accepted if it is expected to finish
@@ -103,12 +112,55 @@
         return self.report.load + len(self._placements_s)
 
 
+class Demand:
+    """Latency objective in seconds, priority and zone of a new flow.
+
+    The zone is that of the caller as a number of one byte, 0 if unknown.
+    """
+
+    __slots__ = ('objective_s', 'priority', 'zone')
+
+    def __init__(
+        self,
+        objective_s: float = 0,
+        priority: int = 0,
+        zone: int = UNKNOWN_ZONE,
+    ) -> None:
+        self.objective_s = objective_s
+        self.priority = priority
+        self.zone = zone
+
+    def crosses_zones(self, target_zone: int) -> bool:
+        """Return whether a target is in another zone than the caller."""
+        if UNKNOWN_ZONE in {self.zone, target_zone}:
+            return False
+        return narrow_zone(target_zone) != self.zone
+
+
+NO_DEMAND = Demand()
+_MS_PER_S = 1000
+
+
+def make_demand(message: PeerMessage, own_zone: int) -> Demand:
+    """Return the demand of the new flow in an opening message.
+
+    Balancers of earlier builds send no zone; their callers are taken to be
+    in the own zone of the agent.
+    """
+    return Demand(
+        message.objective_ms / _MS_PER_S,
+        message.priority,
+        message.caller_zone or narrow_zone(own_zone),
+    )
+
+
 class Estimate:
     """Expected duration of a request that arrives now.
 
     `finish_s` is the duration in seconds; `is_waiting` tells whether the
     request would be queued. `rank_s` orders the targets; it is above
-    `finish_s` for a target that may not be running.
+    `finish_s` for a target that may not be running, or whose open flows
+    will bring further requests.
     """
 
     __slots__ = ('finish_s', 'is_waiting', 'rank_s')
@@ -132,6 +184,32 @@
         if state is ReportedState.UNHEARD:
             self.rank_s += UNHEARD_PENALTY_S
 
+    def add_standing_load(
+        self, standing_share: float, peer_average_s: float
+    ) -> None:
+        """Rank a target behind others by the load of its open flows.
+
+        `standing_share` is the share of its slots that they keep busy.
+        """
+        mean_s = peer_average_s or DEFAULT_S
+        self.rank_s += busy_wait_s(standing_share, mean_s)
+
+    def add_zone_cost(
+        self, demand: Demand, target_zone: int, peer_average_s: float
+    ) -> None:
+        """Rank a target in another zone than the caller behind others."""
+        if demand.crosses_zones(target_zone):
+            self.rank_s += ZONE_COST * (peer_average_s or DEFAULT_S)
+
+    def add_refusal_penalty(self, demand: Demand) -> None:
+        """Rank a target at which the request would finish too late last.
+
+        Otherwise the load of open flows at the other targets could lead to
+        the refusal of a request that one of them would serve in time.
+        """
+        if not should_accept(self, demand.objective_s, demand.priority):
+            self.rank_s += REFUSAL_PENALTY_S
+
 
 def average_service_s(loads: list[PeerLoad]) -> float:
     """Return the mean service time in seconds, 0 if none is known.
@@ -143,9 +221,13 @@
 
 
 def choose_peer(
-    loads: list[PeerLoad], now_s: float, excluded: bytes = b''
+    loads: list[PeerLoad],
+    now_s: float,
+    excluded: bytes = b'',
+    *,
+    demand: Demand = NO_DEMAND,
 ) -> tuple[Estimate, PeerLoad] | None:
-    """Return the target that is expected to finish first.
+    """Return the target with the lowest rank for a new flow.
 
     None if no target accepts new flows.
     """
@@ -159,6 +241,9 @@
             load.estimate_load(), report.slots, report.service_s, peer_average_s
         )
         estimate.add_state_penalty(report.state)
+        estimate.add_standing_load(report.standing_share, peer_average_s)
+        estimate.add_zone_cost(demand, report.zone, peer_average_s)
+        estimate.add_refusal_penalty(demand)
         if best is None or estimate.rank_s < best[0].rank_s:
             best = (estimate, load)
     return best
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -19,6 +19,7 @@
 OTHER_SERVICE = digest_service('proofs')
 ROUTE_ADDRESS = bytes((198, 18, 0, 1))
 ROUTE_PORT = 443
+ORDER_PORT = 444
 TARGET_SEQUENCE = 7000
 FIRST_ACKNOWLEDGED = TARGET_SEQUENCE + 1
 
@@ -209,8 +210,13 @@
     version: int = 1,
     services: tuple[bytes, ...] = (SERVICE,),
     weights: tuple[float, ...] = (1.0, 1.0),
+    objective_s: float = 0,
 ) -> RouteTable:
-    """Return a configuration with one route; each service has a weight."""
-    destination = struct.pack('!H4s', ROUTE_PORT, ROUTE_ADDRESS)
+    """Return routes on two ports; each service has a weight."""
     shares = tuple(map(ServiceShare, services, weights))
-    return RouteTable(version, {destination: Route('r', shares)})
+    route = Route('r', shares, objective_s=objective_s)
+    destinations = (
+        struct.pack('!H4s', port, ROUTE_ADDRESS)
+        for port in (ROUTE_PORT, ORDER_PORT)
+    )
+    return RouteTable(version, dict.fromkeys(destinations, route))
--- a/tests/steering/test_evacuation.py
+++ b/tests/steering/test_evacuation.py
@@ -13,25 +13,32 @@
     make_heartbeat,
     make_table,
 )
-from .world import World, find_zone
+from .world import World
 
 FLOWS = 40
 RATE = 4.0
 
 
+class ZonedWorld(World):
+    """A world with VMs in the zones a, b, a, b and so on."""
+
+    def name_zone(self, number: int) -> str:
+        return 'ab'[(number - 1) % 2]
+
+
 def count_by_zone(world: World, flows: list[bytes]) -> dict[str, int]:
     """Return how many of the flows opened in each zone."""
     count_by_name = {'a': 0, 'b': 0}
     for target in world.target_by_address.values():
         found = len(target.opened & set(flows))
-        count_by_name[find_zone(target.number)] += found
+        count_by_name[world.name_zone(target.number)] += found
     return count_by_name
 
 
 class EvacuationTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.world = World()
+        self.world = ZonedWorld()
         self._callers = 0
 
     def _serve(self, count: int = FLOWS) -> list[bytes]:
@@ -141,7 +148,7 @@
 class ColdTargetTest(TestCase):
     def setUp(self):
         super().setUp()
-        self.world = World(cold_bounds=ColdBounds(1.5, 5))
+        self.world = ZonedWorld(cold_bounds=ColdBounds(1.5, 5))
         table = make_table(version=2)
         self.world.apply_routes(
             RouteTable(2, table.by_destination, {SERVICE: RATE})
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -12,6 +12,7 @@
 from greengagepath.steering.agent_steering import AgentSteering
 from greengagepath.steering.balancer_contacts import BalancerIdentity
 from greengagepath.steering.balancer_steering import BalancerSteering
+from greengagepath.steering.neighbours import digest_zone
 from greengagepath.steering.peer_messages import (
     PeerKind,
     decode_message,
@@ -248,8 +249,7 @@
     """One service on `agents` VMs behind `balancers` VMs.
 
     With `other_agents` a second service of the same route runs on so many
-    further VMs; their numbers follow those of the first service. VMs of
-    agents are in the zones a, b, a, b and so on.
+    further VMs; their numbers follow those of the first service.
     """
 
     def __init__(
@@ -300,7 +300,7 @@
         outbox = FakeOutbox(self, address)
         self.balancer_outboxes[address] = outbox
         steering = BalancerSteering(
-            BalancerIdentity(address, 'zone-a'),
+            BalancerIdentity(address, self.name_zone(number)),
             self.timers,
             outbox,
             lambda: None,
@@ -339,8 +339,9 @@
                 number,
                 is_first_start=is_first_start,
                 service=self.find_service(number),
-                zone_digest=digest_service(find_zone(number)),
+                zone_digest=digest_service(self.name_zone(number)),
                 cold_bounds=self.cold_bounds,
+                zone=digest_zone(self.name_zone(number)),
             ),
             self.timers,
             FakeOutbox(self, address),
@@ -367,6 +368,10 @@
         )
         return steering
 
+    def name_zone(self, number: int) -> str:
+        """Return the availability zone of the process with a number."""
+        return 'zone-a'
+
     def find_service(self, number: int) -> bytes:
         """Return the service of the target with a number."""
         return SERVICE if number <= self.first_agents else OTHER_SERVICE
@@ -614,11 +619,6 @@
         balancer.handle_peer_message(sender, message, segment)
 
 
-def find_zone(number: int) -> str:
-    """Return the availability zone of an agent's VM."""
-    return 'ab'[(number - 1) % 2]
-
-
 def _count_within(times_s: list[float], start_s: float, from_s: float) -> int:
     """Return how many times are in `from_s` to `start_s` + `REORDER_S`."""
     return sum(from_s <= at_s < start_s + REORDER_S for at_s in times_s)
