Learn the service time of a target anew after an idle time

The estimate of a target that was cold stayed high: it decays while the target is idle, but the next sample was averaged into the undecayed value with the low gain of a long history.

--- a/greengagepath/steering/service_times.py
+++ b/greengagepath/steering/service_times.py
@@ -30,6 +30,11 @@
 
     def add(self, duration_s: float, now_s: float) -> None:
         """Add the duration of one request."""
+        if self._samples and now_s - self._sampled_s > IDLE_S:
+            # Samples of before the idle time, such as those of a target
+            # that was cold, count no more than the assumption at a start.
+            self._average_s = self.estimate_s(now_s, 0.0)
+            self._samples = 0
         self._samples += 1
         self._sampled_s = now_s
         gain = max(GAIN, 1 / (self._samples + PRIOR_REQUESTS))
