Limit the load of targets that start or recover by how they answer

The load limit after a rejection rose by one every 250 ms, whatever the target answered, and cost a rejected request each time. A target that had just started had no limit, and one that fails requests fast had the lowest load and the shortest service time, so it got the most requests.

TargetPace (new package pace) keeps a limit of concurrent requests: 2 per slot after a start or a silence, doubled with each round of good answers, lowered by a slow or failed round, removed when twice the load. Answers with status 5xx other than 503 are failures: they are counted (requests_failed), give no service time, and hold their place under the limit for a second. A limit only ranks a target behind others; a flow is refused only at the load at which the target has rejected requests.

--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -130,10 +130,12 @@
 
     def _read_gauges(self) -> dict[str, float]:
         context = self.steering.context
+        pace_limit = context.held_flows.pace.limit(self._timers.now())
         return {
             'flows_held': len(context.held_flows.by_flow),
             'load': context.held_flows.load,
             'service_s': context.estimate_service_s(),
+            'pace_limit': -1 if pace_limit is None else pace_limit,
             'agents': len(context.peers.agents),
             'balancers': len(context.peers.balancers),
             'latest_version': context.latest_version,
--- a/greengagepath/platform/packets.py
+++ b/greengagepath/platform/packets.py
@@ -23,6 +23,8 @@
 _BOUNCED = 8
 # Status lines of answers to requests that have not run.
 _REFUSALS = (b'HTTP/1.1 503', b'HTTP/1.1 421')
+# Status lines of answers to requests that have failed, unless refused.
+_FAILURE = b'HTTP/1.1 5'
 
 
 def decode_from_caller(raw: bytes) -> Segment | None:
@@ -50,6 +52,8 @@
     segment = _decode(raw, port + source_port + source + destination)
     if segment is not None:
         segment.is_refusal = raw.startswith(_REFUSALS, _HEADER.size)
+        is_error = raw.startswith(_FAILURE, _HEADER.size)
+        segment.is_failure = is_error and not segment.is_refusal
     return segment
 
 
--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -6,13 +6,13 @@
 from .agent_context import AgentContext
 from .agent_reports import AgentReports
 from .held_flows import HeldFlow
+from .paced_targets import LIMIT_PENALTY_S, choose_at_limit, is_acceptable
 from .peer_messages import PeerKind, PeerMessage
 from .placement import (
     Estimate,
     PeerLoad,
     average_service_s,
     choose_peer,
-    should_accept,
 )
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
@@ -145,30 +145,50 @@
             estimate = own
         else:
             estimate = chosen[0] if chosen else None
-        objective_s = message.objective_ms / MS_PER_S
-        if estimate is None or not should_accept(
-            estimate, objective_s, message.priority
-        ):
-            self._place_or_refuse(message, segment, estimate)
-        elif chosen is None:
+        if not is_acceptable(estimate, message):
+            self._place_or_refuse(message, segment, own, estimate)
+            return
+        if chosen is None:
             self._accept(message, segment, estimate)
         else:
             self._place_at_peer(chosen[1], message, segment)
 
     def _place_or_refuse(
-        self, message: PeerMessage, segment: Segment, estimate: Estimate | None
+        self,
+        message: PeerMessage,
+        segment: Segment,
+        own: Estimate | None,
+        estimate: Estimate | None,
     ) -> None:
-        """Try agents beyond the neighbours before a flow is refused."""
-        distant = None
-        if message.hops <= MAX_HOPS:
-            distant = self._context.peers.choose_distant(
-                segment.flow, message.hops
-            )
-        if distant is None:
+        """Try targets at their limit and distant ones before a refusal.
+
+        `own` is as in `_place`, `estimate` that of the best target.
+        """
+        if own is not None and is_acceptable(own, message):
+            self._accept(message, segment, own)
+            return
+        peer = self._choose_last_resort(message, segment)
+        if peer is None:
             self._refuse(segment, message, estimate)
         else:
-            self._context.counts['flows_placed_distantly'] += 1
-            self._place_at_peer(distant, message, segment)
+            self._place_at_peer(peer, message, segment)
+
+    def _choose_last_resort(
+        self, message: PeerMessage, segment: Segment
+    ) -> PeerLoad | None:
+        """Return a distant agent, else a target at its limit."""
+        context = self._context
+        if message.hops > MAX_HOPS:
+            return None
+        distant = context.peers.choose_distant(segment.flow, message.hops)
+        if distant is not None:
+            context.counts['flows_placed_distantly'] += 1
+            return distant
+        peer = choose_at_limit(
+            context.peers.loads, message, context.timers.now()
+        )
+        context.counts['flows_placed_at_limit'] += peer is not None
+        return peer
 
     def _hand_over(self, segment: Segment, held: HeldFlow | None) -> None:
         self._place(self._make_hand_over(held), segment, None)
@@ -212,7 +232,7 @@
         if context.is_leaving or not gate.is_open or not gate.is_responsive:
             return None
         now_s = context.timers.now()
-        if context.held_flows.is_full(now_s):
+        if context.held_flows.is_full():
             return None
         peer_average_s = average_service_s(context.peers.loads)
         estimate = Estimate(
@@ -222,6 +242,8 @@
             peer_average_s,
         )
         estimate.add_state_penalty(gate.reported_state())
+        if context.held_flows.is_at_limit(now_s):
+            estimate.rank_s += LIMIT_PENALTY_S
         return estimate
 
     def _accept(
@@ -240,7 +262,10 @@
             finish_s=round(estimate.finish_s, 4),
             version=context.latest_version,
         )
-        context.held_flows.accept(segment, message, context.timers.now())
+        now_s = context.timers.now()
+        is_at_limit = context.held_flows.is_at_limit(now_s)
+        context.counts['flows_accepted_at_limit'] += is_at_limit
+        context.held_flows.accept(segment, message, now_s)
         context.counts['flows_offered'] += 1
         context.outbox.to_target(segment.raw)
         self._reports.send_change()
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -151,7 +151,8 @@
             return state
         if context.is_leaving:
             return ReportedState.DRAINING
-        is_full = context.held_flows.is_full(context.timers.now())
+        flows = context.held_flows
+        is_full = flows.is_full() or flows.is_at_limit(context.timers.now())
         return ReportedState.FULL if is_full else state
 
     def _make_report(self, hops: int = 0) -> bytes:
--- a/greengagepath/steering/agent_steering.py
+++ b/greengagepath/steering/agent_steering.py
@@ -13,11 +13,13 @@
 from .incarnations import Heartbeat
 from .leave_notices import LeaveNotices
 from .owner_search import MAX_OWNERS, OwnerSearch
+from .paced_targets import PaceWatch
 from .peer_messages import PeerKind, PeerMessage
 from .recent_map import RecentMap
-from .segments import Segment, describe_flow
+from .segments import Segment
 from .target_gate import HeartbeatOutcome
 from .target_resets import TargetResets
+from .target_responses import record_response
 
 CHECK_S = 0.02
 SWEEP_S = 1.0
@@ -59,6 +61,7 @@
         self._search = OwnerSearch(self.context, self.reports, owner_by_flow)
         self._resets = TargetResets(self.context, self._openings, self._search)
         self._notices = LeaveNotices(self.context, self.reports)
+        self._pace_watch = PaceWatch(self.context)
         self.backlog = Backlog(timers)
         timers.subscribe_pauses(self._exclude_pause)
         timers.subscribe(CHECK_S, self._check)
@@ -142,9 +145,14 @@
     def handle_heartbeat(self, heartbeat: Heartbeat) -> HeartbeatOutcome:
         """Handle a heartbeat of the target; return what it changed."""
         gate = self.context.gate
+        flows = self.context.held_flows
+        is_first = gate.incarnations.current is None
         outcome = gate.handle_heartbeat(heartbeat)
+        now_s = self.context.timers.now()
         if outcome is HeartbeatOutcome.NEW_INCARNATION:
-            self.context.held_flows.forget_load()
+            flows.forget_load(gate.slots, now_s)
+        elif is_first and gate.incarnations.current is not None:
+            flows.pace.restart(gate.slots, now_s)
         if gate.incarnations.take_restart():
             self._search.stop_trying()
         if outcome in {
@@ -227,14 +235,8 @@
         held.last_used_s = now_s
         if segment.is_opening_answer:
             self._handle_opened(segment, held)
-        elif segment.is_refusal:
-            self.context.counts['requests_refused'] += 1
-            slots = self.context.gate.slots
-            flows.record_refusal(segment.flow, held, slots, now_s)
         elif segment.data_bytes:
-            duration_s = flows.record_response(segment.flow, held, now_s)
-            if duration_s is not None:
-                self._log_answer(segment, duration_s)
+            record_response(self.context, segment, held)
         held.record_sent(segment)
         if segment.is_final or segment.is_reset:
             flows.record_closed(segment.flow, held, now_s)
@@ -257,17 +259,6 @@
         if home and home != self.context.identity.address:
             self.reports.send_notice(PeerKind.HELD, flow, home)
 
-    def _log_answer(self, segment: Segment, duration_s: float) -> None:
-        log_event(
-            _logger,
-            'flow.answered',
-            repeats=True,
-            flow=describe_flow(segment.flow),
-            duration_s=round(duration_s, 4),
-            load=self.context.held_flows.load,
-            target_id=self.context.gate.target_id,
-        )
-
     def _exclude_pause(self, pause_s: float) -> None:
         """Exclude a pause of this process from the silence of others."""
         self.context.counts['pauses'] += 1
@@ -278,6 +269,7 @@
         self._openings.check_unanswered()
         self._search.check_trials()
         self._notices.send_due()
+        self._pace_watch.check()
         self.context.held_flows.expire_expected(self.context.timers.now())
         self.reports.send_due()
 
--- a/greengagepath/steering/held_flows.py
+++ b/greengagepath/steering/held_flows.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from ..pace.target_pace import TargetPace
 from .ages import drop_older
 from .durations import DurationCounts
 from .peer_messages import PeerMessage
@@ -15,12 +16,6 @@
 REQUEST_EXPECTED_S = 0.15
 # A request that runs for longer is no longer counted as load.
 MAX_REQUEST_S = 10.0
-# After a refusal the load limit rises by one request per interval.
-LIMIT_STEP_S = 0.25
-# Lowest load limit per slot. A target also refuses requests that have
-# waited too long, however short its queue is; without this minimum such
-# refusals would leave it idle.
-MIN_LOAD_PER_SLOT = 2
 # Closed flows are kept this long, since the target still answers their
 # late packets.
 CLOSED_RETENTION_S = 3.0
@@ -91,6 +86,11 @@
         ahead = (segment.acknowledged - self.first_sequence) & _SEQUENCE_MASK
         return ahead <= self.sent_numbers
 
+    def end_request(self, now_s: float) -> None:
+        """Record that the target has answered the request."""
+        self.last_used_s = now_s
+        self.request_started_s = None
+
     def record_sent(self, segment: Segment) -> None:
         """Record the sequence numbers that a packet of the target uses.
 
@@ -114,12 +114,11 @@
         self.service_time = ServiceTime()
         self.handshakes = DurationCounts()
         self.requests = DurationCounts()
+        self.pace = TargetPace()
         # Flows with an answer are removed at the next check.
         self._offered_by_flow: dict[bytes, HeldFlow] = {}
         self._expected_since_s: dict[bytes, float] = {}
         self._started_s_by_flow: dict[bytes, float] = {}
-        self._limit: int | None = None
-        self._limit_set_s = 0.0
         # Whether open flows were removed because there were too many.
         self.has_evicted = False
 
@@ -172,12 +171,17 @@
         self.handshakes.add(now_s - held.offered_s)
 
     def record_response(
-        self, flow: bytes, held: HeldFlow, now_s: float
+        self,
+        flow: bytes,
+        held: HeldFlow,
+        now_s: float,
+        peer_average_s: float = 0.0,
     ) -> float | None:
         """Record response data of the target, which ends the request.
 
-        Return the duration of the request in seconds, None if none was
-        in progress.
+        `peer_average_s` is the service time of the other targets, 0 if
+        unknown. Return the duration of the request in seconds, None if
+        none was in progress.
         """
         held.last_used_s = now_s
         if held.request_started_s is None:
@@ -185,7 +189,9 @@
         duration_s = now_s - held.request_started_s
         self.requests.add(duration_s)
         if flow in self._started_s_by_flow:
-            self.service_time.add(duration_s / held.service_rounds, now_s)
+            service_s = duration_s / held.service_rounds
+            self.service_time.add(service_s, now_s)
+            self.pace.record_answer(service_s, peer_average_s, self.load, now_s)
         held.request_started_s = None
         self._started_s_by_flow.pop(flow, None)
         return duration_s
@@ -197,18 +203,44 @@
 
         The load at that moment, without the request, becomes the limit.
         """
-        held.last_used_s = now_s
-        held.request_started_s = None
+        held.end_request(now_s)
+        self._started_s_by_flow.pop(flow, None)
+        self.pace.slots = slots
+        self.pace.record_rejection(self.load, now_s)
+
+    def record_failure(
+        self,
+        flow: bytes,
+        held: HeldFlow,
+        slots: int,
+        now_s: float,
+        *,
+        may_limit: bool = True,
+    ) -> bool:
+        """Record a response that says that the request has failed.
+
+        It is no service time, since failures are often fast. With
+        `may_limit`, it lowers the limit of the load. Return whether a
+        request was in progress.
+        """
+        if held.request_started_s is None:
+            return False
+        if may_limit:
+            self.pace.slots = slots
+            self.pace.record_failure(self.load, now_s)
+        held.end_request(now_s)
         self._started_s_by_flow.pop(flow, None)
-        self._limit = max(self.load, slots * MIN_LOAD_PER_SLOT)
-        self._limit_set_s = now_s
+        return True
 
-    def is_full(self, now_s: float) -> bool:
+    def is_at_limit(self, now_s: float) -> bool:
+        """Return whether the target should get no flow that others accept."""
+        limit = self.pace.limit(now_s)
+        return limit is not None and self.load >= limit
+
+    def is_full(self) -> bool:
         """Return whether the target would probably refuse another flow."""
-        if self._limit is None:
-            return False
-        risen = int((now_s - self._limit_set_s) / LIMIT_STEP_S)
-        return self.load >= self._limit + risen
+        queue_limit = self.pace.queue_limit
+        return queue_limit is not None and self.load >= queue_limit
 
     def record_closed(self, flow: bytes, held: HeldFlow, now_s: float) -> None:
         """Record that the flow was closed."""
@@ -225,7 +257,7 @@
         self._started_s_by_flow.pop(flow, None)
         return self.by_flow.pop(flow, None)
 
-    def forget_load(self) -> None:
+    def forget_load(self, slots: int, now_s: float) -> None:
         """Count no request of before the restart of the target.
 
         The flows are kept: the target may have opened some of them before
@@ -234,7 +266,7 @@
         """
         self._started_s_by_flow.clear()
         self.service_time = ServiceTime()
-        self._limit = None
+        self.pace.restart(slots, now_s)
 
     def iter_unanswered(
         self, min_checks: int
--- a/greengagepath/steering/segments.py
+++ b/greengagepath/steering/segments.py
@@ -16,6 +16,8 @@
     `is_opening_answer` marks a target's answer to an opening packet,
     `is_returned` a caller's packet that the target sent back, and
     `is_refusal` a response that says that the request was not run.
+    `is_failure` marks a response that says that the request has failed at
+    the target.
     """
 
     __slots__ = (
@@ -23,6 +25,7 @@
         'data_bytes',
         'flow',
         'has_acknowledgement',
+        'is_failure',
         'is_final',
         'is_opening',
         'is_opening_answer',
@@ -54,6 +57,7 @@
         self.is_reset = False
         self.is_returned = False
         self.is_refusal = False
+        self.is_failure = False
 
     @property
     def copy_number(self) -> int:
--- /dev/null
+++ b/greengagepath/steering/target_responses.py
@@ -0,0 +1,63 @@
+"""Responses of the target, and what they tell about it."""
+
+import logging
+
+from ..foundation.logs import log_event
+from .agent_context import AgentContext
+from .held_flows import HeldFlow
+from .paced_targets import may_hold_back
+from .placement import average_service_s
+from .segments import Segment, describe_flow
+
+_logger = logging.getLogger(__name__)
+
+
+def record_response(
+    context: AgentContext, segment: Segment, held: HeldFlow
+) -> None:
+    """Record a packet with response data of the target."""
+    if segment.is_refusal:
+        context.counts['requests_refused'] += 1
+        context.held_flows.record_refusal(
+            segment.flow, held, context.gate.slots, context.timers.now()
+        )
+    elif segment.is_failure:
+        _record_failure(context, segment, held)
+    else:
+        _record_answer(context, segment, held)
+
+
+def _record_failure(
+    context: AgentContext, segment: Segment, held: HeldFlow
+) -> None:
+    has_ended = context.held_flows.record_failure(
+        segment.flow,
+        held,
+        context.gate.slots,
+        context.timers.now(),
+        may_limit=may_hold_back(context.peers.loads),
+    )
+    if has_ended:
+        context.counts['requests_failed'] += 1
+
+
+def _record_answer(
+    context: AgentContext, segment: Segment, held: HeldFlow
+) -> None:
+    flows = context.held_flows
+    peer_average_s = 0.0
+    if flows.pace.is_limited:
+        peer_average_s = average_service_s(context.peers.loads)
+    duration_s = flows.record_response(
+        segment.flow, held, context.timers.now(), peer_average_s
+    )
+    if duration_s is not None:
+        log_event(
+            _logger,
+            'flow.answered',
+            repeats=True,
+            flow=describe_flow(segment.flow),
+            duration_s=round(duration_s, 4),
+            load=flows.load,
+            target_id=context.gate.target_id,
+        )
--- /dev/null
+++ b/tests/pace/test_paced_agents.py
@@ -0,0 +1,117 @@
+"""Agents whose targets are at their limit."""
+
+from testtools import TestCase
+
+from greengagepath.pace.target_pace import PaceReason, TargetPace
+from greengagepath.steering.homes import HomeTable
+from greengagepath.steering.paced_targets import may_hold_back
+from greengagepath.steering.peer_messages import LoadReport, ReportedState
+from greengagepath.steering.placement import PeerLoad
+from tests.steering.builders import make_address, make_flow, make_response
+from tests.steering.world import World
+
+
+def start_callers(world: World, count: int) -> list[int]:
+    """Start a caller each ms; return the loads of the busy targets."""
+    for target in world.target_by_address.values():
+        target.work_s = 0.5
+    for number in range(count):
+        world.timers.call_after(
+            number * 0.001, lambda n=number: world.start_caller(make_flow(n))
+        )
+    world.timers.advance(count * 0.001 + 0.02)
+    return [
+        agent.context.held_flows.load
+        for _, agent in sorted(world.agent_by_address.items())
+    ]
+
+
+def count_events(world: World, name: str) -> int:
+    return sum(
+        agent.context.counts[name] for agent in world.agent_by_address.values()
+    )
+
+
+class PacedAgentsTest(TestCase):
+    def setUp(self):
+        super().setUp()
+        self.world = World(agents=3)
+
+    def test_restarted_target_gets_a_few_flows_while_others_have_room(self):
+        # Guards against a target that is flooded because it is idle.
+        for agent in self.world.agent_by_address.values():
+            agent.context.held_flows.pace = TargetPace()
+        self.world.replace_target(1)
+        self.world.timers.advance(0.02)
+        loads = start_callers(self.world, 40)
+        self.assertEqual(4, loads[0], loads)
+        self.assertEqual([], self.world.resets)
+
+    def test_nothing_is_refused_if_all_targets_have_restarted(self):
+        # Guards against refusals because each target is at its limit.
+        for number in (1, 2, 3):
+            self.world.replace_target(number)
+        loads = start_callers(self.world, 40)
+        self.assertEqual(40, sum(loads))
+        self.assertEqual([], self.world.resets)
+        self.assertLess(0, count_events(self.world, 'flows_accepted_at_limit'))
+
+    def test_full_target_sends_flows_to_one_at_its_limit(self):
+        # Guards against a refusal at a home whose queue is full while the
+        # target of another agent is only paced.
+        flow = make_flow()
+        home = HomeTable(self.world.agent_by_address).find_home(flow)
+        for address, agent in self.world.agent_by_address.items():
+            pace = agent.context.held_flows.pace
+            for _ in range(4):
+                pace.record_failure(0, self.world.timers.now())
+            pace.queue_limit = 0 if address == home else None
+        self.world.timers.advance(0.03)
+        caller = self.world.start_caller(flow)
+        self.world.timers.advance(0.6)
+        self.assertTrue(caller.is_served)
+        self.assertEqual(1, count_events(self.world, 'flows_placed_at_limit'))
+
+    def test_target_that_was_silent_is_paced(self):
+        # Guards against a flood of flows to a VM that was frozen.
+        agent = self.world.agent_by_address[make_address(1)]
+        agent.context.held_flows.pace = TargetPace()
+        self.world.target_by_address[make_address(1)].is_dead = True
+        self.world.timers.advance(6.0)
+        self.world.target_by_address[make_address(1)].is_dead = False
+        self.world.timers.advance(1.3)
+        pace = agent.context.held_flows.pace
+        self.assertEqual(PaceReason.SILENT, pace.reason)
+        self.assertEqual(4, pace.limit(self.world.timers.now()))
+
+    def test_failed_request_is_counted_and_is_no_service_time(self):
+        # Guards against a target that seems the fastest as it fails fast.
+        flow = make_flow(0)
+        start_callers(self.world, 1)
+        number = self.world.find_holder(flow)
+        context = self.world.agent_by_address[make_address(number)].context
+        failure = make_response(flow)
+        failure.is_failure = True
+        for _ in range(2):
+            self.world.send_from_target(number, failure)
+        self.world.timers.advance(0.01)
+        self.assertEqual(1, context.counts['requests_failed'])
+        self.assertEqual(0, context.held_flows.load)
+        self.assertEqual(0, context.estimate_service_s())
+
+    def test_at_most_a_third_of_the_targets_is_held_back(self):
+        # Guards against failures of a whole service that leave its load to
+        # a few targets.
+        loads = [PeerLoad(make_address(number)) for number in range(5)]
+        held_back = []
+        for load in loads:
+            held_back.append(may_hold_back(loads))
+            load.report = LoadReport(ReportedState.FULL)
+        self.assertNotIn(True, held_back)
+        for load in loads:
+            load.report = LoadReport(ReportedState.READY)
+        self.assertTrue(may_hold_back(loads))
+        loads[0].report = LoadReport(ReportedState.FULL)
+        self.assertTrue(may_hold_back(loads))
+        loads[1].report = LoadReport(ReportedState.FULL)
+        self.assertFalse(may_hold_back(loads))
--- a/tests/platform/test_translation.py
+++ b/tests/platform/test_translation.py
@@ -62,6 +62,24 @@
         self.assertIsNone(decode_from_caller(b'%bx' % OPENING))
         self.assertIsNone(decode_from_caller(OPENING[:-1]))
 
+    def test_status_tells_failures_from_rejections(self):
+        # Guards against a failed request that counts as a fast answer, and
+        # against a rejected one that counts as a fault of the target.
+        outcomes = []
+        for status in (b'200', b'404', b'421', b'500', b'503', b'599'):
+            line = b'HTTP/1.1 %b x' % status
+            raw = b'%b%b@%b' % (len(line).to_bytes(2), RESET[2:30], line)
+            segment = decode_from_target(raw)
+            outcomes.append((segment.is_refusal, segment.is_failure))
+        answer, rejection, failure = (
+            (False, False),
+            (True, False),
+            (False, True),
+        )
+        self.assertEqual(
+            [answer, answer, rejection, failure, rejection, failure], outcomes
+        )
+
     @given(st.binary(max_size=1400))
     def test_any_bytes_give_a_packet_or_none(self, raw):
         # Guards against an exception that ends the process on a stray
--- a/tests/steering/test_placement.py
+++ b/tests/steering/test_placement.py
@@ -54,12 +54,14 @@
             flow = make_flow(number)
             entry = held.accept(make_opening(flow), OFFER, 0.0)
             held.record_request(flow, entry, 2, 0.0)
-        self.assertFalse(held.is_full(0.0))
+        self.assertFalse(held.is_full())
         held.record_refusal(flow, entry, 2, 0.001)
-        self.assertTrue(held.is_full(0.001))
+        self.assertTrue(held.is_full())
+        self.assertTrue(held.is_at_limit(0.001))
         for number in range(3):
             held.remove(make_flow(number))
-        self.assertFalse(held.is_full(0.002))
+        self.assertFalse(held.is_full())
+        self.assertFalse(held.is_at_limit(0.002))
 
     def test_flows_without_a_request_count_only_for_a_round_trip(self):
         # Replays opening packets of callers that have timed out after an
@@ -99,7 +101,10 @@
             held.record_request(flow, entry, 2, 0.0)
         for flow, entry in tuple(held.by_flow.items()):
             held.record_refusal(flow, entry, 2, 0.001)
-        self.assertFalse(held.is_full(0.001))
+        self.assertFalse(held.is_at_limit(0.001))
+        for number in range(10, 13):
+            held.accept(make_opening(make_flow(number)), OFFER, 0.002)
+        self.assertFalse(held.is_at_limit(0.002))
 
 
 class PlacementTest(TestCase):
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,6 +13,7 @@
     'generated',
     'foundation',
     'protocol',
+    'pace',
     'routing',
     'admission',
     'steering',
