Own protocol: pace new and readmitted targets by their probe replies

The ramp by time gave a target that had just started a share of 0.1 of its flows however it answered, and its full share only after 10 s. TargetChooser now uses TargetPace: a few flows until the first replies, then twice as many with each round of good ones; targets at their limit are used if no other candidate is left.

The help of undrain claimed a ramp that undrain never had.

--- a/greengagepath/bench/systems.py
+++ b/greengagepath/bench/systems.py
@@ -87,7 +87,6 @@
             place=Place(REGION, zone),
             timers=self.environment.timers,
             random=self.environment.random,
-            wall_clock=self.environment.timers.now,
         )
         balancer = Balancer(
             self._get_context(), shared, self.setup.make_chooser
--- a/greengagepath/cli/undrain.py
+++ b/greengagepath/cli/undrain.py
@@ -10,7 +10,7 @@
 @cappa.command(
     help='Let drained targets receive new work again.',
     description="""
-Traffic to the targets ramps up over 10 s, as after a cold start.
+The targets get new flows at once, by their load.
 
 Examples:
 
--- a/greengagepath/routing/choice.py
+++ b/greengagepath/routing/choice.py
@@ -5,8 +5,7 @@
 """
 
 import random
-import time
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import IntEnum, StrEnum, unique
 
@@ -15,10 +14,10 @@
 from ..foundation.timers import TimerService
 from ..generated.messages import SizeClass
 from .candidates import CandidateTable
-from .loads import TargetLoad
+from .loads import LOAD_BY_SIZE_CLASS, TargetLoad
 from .outliers import OutlierDetector, OutlierSettings
-from .ramp import ColdStartRamp
-from .targets import TargetInfo, TargetState
+from .paces import TargetPaces
+from .targets import Place, TargetInfo, TargetState
 
 _US_PER_S = 1000000.0
 # Time of one request, assumed for a target of weight 1 until a probe
@@ -35,13 +34,6 @@
 BUSY_GAIN = 4.0
 # Weight of a new report in the mean service time.
 MEAN_SERVICE_WEIGHT = 0.05
-# Requests in flight that a new flow of a size class counts as until the
-# next probe reply reports the real load.
-_LOAD_BY_SIZE_CLASS = {
-    SizeClass.unknown: 1.0,
-    SizeClass.short: 1.0,
-    SizeClass.long: 4.0,
-}
 
 
 @unique
@@ -122,25 +114,13 @@
     zone_cost_s: float = 0.001
 
 
-@dataclass(slots=True, frozen=True)
-class Place:
-    """Region and availability zone in which the balancer runs."""
-
-    region: str
-    availability_zone: str
-
-
 @dataclass(slots=True)
 class ChooserServices:
-    """Dependencies and parameters shared by a balancer's choosers.
-
-    `wall_clock` returns seconds since the epoch.
-    """
+    """Dependencies and parameters shared by a balancer's choosers."""
 
     place: Place
     timers: TimerService
     random: random.Random
-    wall_clock: Callable[[], float] = time.time
     choice: ChoiceSettings = field(default_factory=ChoiceSettings)
     outliers: OutlierSettings = field(default_factory=OutlierSettings)
 
@@ -155,7 +135,7 @@
         self._timers = shared.timers
         self._random = shared.random
         self._outliers = OutlierDetector(shared.timers, shared.outliers)
-        self._ramp = ColdStartRamp(shared.timers, shared.wall_clock)
+        self._paces = TargetPaces(shared.timers, shared.choice.slots)
         self._targets_by_id: dict[str, TargetInfo] = {}
         self._loads_by_target_id: dict[str, TargetLoad] = {}
         self._draining: set[str] = set()
@@ -181,11 +161,11 @@
         """
         old_by_id = self._targets_by_id
         new_by_id = {target.target_id: target for target in targets}
+        self._paces.remove(old_by_id.keys() - new_by_id.keys())
         for target_id in old_by_id.keys() - new_by_id.keys():
-            self._ramp.remove(target_id)
             self._loads_by_target_id.pop(target_id, None)
         if old_by_id:
-            self._start_ramps(new_by_id)
+            self._start_paces(new_by_id)
         for target_id in new_by_id:
             self._loads_by_target_id.setdefault(target_id, TargetLoad())
         self._targets_by_id = new_by_id
@@ -207,24 +187,22 @@
         pool.sort(key=self._rank)
         target = pool[0]
         load = self._loads_by_target_id[target.target_id]
-        load.requests_since_report += _LOAD_BY_SIZE_CLASS[size_class]
+        load.requests_since_report += LOAD_BY_SIZE_CLASS[size_class]
         self._add_probe_credit()
         end = 1 + self._settings.alternates
         return Ok(Choice(target, tuple(pool[1:end])))
 
     def record_probe(self, reply: ProbeReply) -> None:
-        """Update load, drain state and ejection from a probe reply.
+        """Update load, limit, drain state and ejection from a probe reply.
 
         A reply from an unknown target is ignored.
         """
         load = self._loads_by_target_id.get(reply.target_id)
         if load is None:
             return
+        service_s = reply.latency_us / _US_PER_S
         load.record_report(
-            reply.in_flight,
-            reply.queued,
-            reply.latency_us / _US_PER_S,
-            self._timers.now(),
+            reply.in_flight, reply.queued, service_s, self._timers.now()
         )
         self._mean_service_s += MEAN_SERVICE_WEIGHT * (
             load.latency_s - self._mean_service_s
@@ -235,8 +213,13 @@
         failing = reply.state == ProbeState.FAILING
         if failing:
             self._outliers.record_outcome(reply.target_id, succeeded=False)
+        else:
+            requests = reply.in_flight + reply.queued
+            self._paces.record_answer(
+                reply.target_id, service_s, self._mean_service_s, requests
+            )
         if self._outliers.record_probe(reply.target_id, succeeded=not failing):
-            self._ramp.restart(reply.target_id)
+            self._paces.restart(reply.target_id)
 
     def record_outcome(self, target_id: str, *, succeeded: bool) -> None:
         """Count an accepted or failed flow; a lost probe is a failure."""
@@ -268,12 +251,12 @@
             self._loads_by_target_id[target.target_id].probe_sent_s = now_s
         return tuple(chosen)
 
-    def _start_ramps(self, new_by_id: dict[str, TargetInfo]) -> None:
+    def _start_paces(self, new_by_id: dict[str, TargetInfo]) -> None:
         for target_id, target in new_by_id.items():
             old = self._targets_by_id.get(target_id)
             if old is None or old.incarnation != target.incarnation:
                 self._loads_by_target_id[target_id] = TargetLoad()
-                self._ramp.start(target)
+                self._paces.restart(target_id)
 
     def _filter_usable(self) -> list[TargetInfo]:
         alive = [
@@ -288,10 +271,10 @@
     def _list_eligible(self, flow_id: int) -> list[TargetInfo]:
         """Return the candidates that may get a new flow.
 
-        Draining and ejected targets are left out, and targets in slow
-        start at random. More candidates are ranked than needed, so that
-        others replace those left out. Ejected targets are used if no
-        other is left, draining ones never.
+        Draining and ejected targets are left out, and those at their
+        limit. More candidates are ranked than needed, so that others
+        replace those left out. Targets at their limit and ejected ones are
+        used if no other is left, draining ones never.
         """
         excluded = len(self._outliers.ejected) + len(self._draining)
         count = self._settings.candidates
@@ -306,13 +289,21 @@
             if target.target_id not in self._outliers.ejected
         ]
         healthy = (healthy or accepting)[:count]
-        warm = [
+        if not self._paces:
+            return healthy
+        free = [
             target
             for target in healthy
-            if self._random.random()
-            < self._ramp.traffic_share(target.target_id)
+            if not self._paces.is_at_limit(
+                target.target_id, self._estimate_requests(target)
+            )
         ]
-        return warm or healthy
+        return free or healthy
+
+    def _estimate_requests(self, target: TargetInfo) -> float:
+        return self._loads_by_target_id[target.target_id].estimate_requests(
+            self._timers.now(), self._settings.half_life_s
+        )
 
     def _rank(self, target: TargetInfo) -> tuple[float, float]:
         """Return the expected wait and a random tie-break, in seconds.
@@ -324,9 +315,7 @@
         load = self._loads_by_target_id[target.target_id]
         service_s = load.latency_s or DEFAULT_SERVICE_S / target.weight
         slots = self._settings.slots
-        requests = load.estimate_requests(
-            self._timers.now(), self._settings.half_life_s
-        )
+        requests = self._estimate_requests(target)
         wait_s = max(requests + 1 - slots, 0.0) * service_s / slots
         wait_s += IN_FLIGHT_WAIT_SHARE * service_s * min(requests, 1.0)
         busy = load.busy_slots / slots
--- a/greengagepath/routing/loads.py
+++ b/greengagepath/routing/loads.py
@@ -3,12 +3,21 @@
 import math
 from dataclasses import dataclass
 
+from ..generated.messages import SizeClass
+
 # A report changes the latency by at most a tenth. A single long request
 # raises the mean run time that an agent reports tenfold for some
 # requests; with this limit the estimate follows the usual reports.
 MAX_LATENCY_STEP = 1.1
 # Time constant of the moving average of a target's busy slots.
 BUSY_AVERAGE_S = 3.0
+# Requests in flight that a new flow of a size class counts as until the
+# next probe reply reports the real load.
+LOAD_BY_SIZE_CLASS = {
+    SizeClass.unknown: 1.0,
+    SizeClass.short: 1.0,
+    SizeClass.long: 4.0,
+}
 
 
 @dataclass(slots=True)
--- a/greengagepath/routing/targets.py
+++ b/greengagepath/routing/targets.py
@@ -17,6 +17,14 @@
     DRAINING = 'draining'
 
 
+@dataclass(slots=True, frozen=True)
+class Place:
+    """Region and availability zone in which the balancer runs."""
+
+    region: str
+    availability_zone: str
+
+
 @dataclass(slots=True, frozen=True)
 class TargetInfo:
     """A target of one service.
--- a/tests/pace/builders.py
+++ b/tests/pace/builders.py
@@ -68,7 +68,7 @@
 
 
 class TimeRamp(NoPace):
-    """Limits that rise with time, as before.
+    """Limits that rise with time, as both protocols had before.
 
     The share of flows of a target rises for `RAMP_S` after its start, its
     load limit after a rejection by one every `STEP_S`.
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -35,7 +35,6 @@
         place=HOME,
         timers=timers or VirtualTimerService(),
         random=random.Random(seed),
-        wall_clock=lambda: 1000.0,
         **fields,
     )
 
--- a/tests/routing/test_choice.py
+++ b/tests/routing/test_choice.py
@@ -80,19 +80,22 @@
         counts = count_choices(chooser, SHORT, 200)
         self.assertLess(max(counts.values()), 80)
 
-    def test_new_target_ramps_up(self):
+    def test_new_target_gets_its_share_as_it_answers(self):
         # Guards against a new target that gets its full share of flows
-        # before it has warmed up.
+        # before it has answered, and against one that has to wait for a
+        # timer although it answers well. The ramp by time gave it 32 of
+        # the first 400 flows, and 40 of the next 400.
         timers = VirtualTimerService()
         targets = build_targets(3)
         chooser = build_chooser(targets, timers)
         chooser.replace_targets((*targets, build_target(9)))
         cold = count_choices(chooser, SHORT, 400).get('target-9', 0)
-        timers.advance(11)
-        for number in (0, 1, 2, 9):
-            chooser.record_probe(ProbeReply(f'target-{number}', 0, 0, 10000))
+        self.assertEqual(4, cold)
+        for _ in range(8):
+            for number in (0, 1, 2, 9):
+                reply = ProbeReply(f'target-{number}', 1, 0, 10000)
+                chooser.record_probe(reply)
         warm = count_choices(chooser, SHORT, 400)['target-9']
-        self.assertLess(cold, 60)
         self.assertGreater(warm, 80)
 
     def test_probe_rate_follows_new_flows(self):
