--- a/greengagepath/pace/target_pace.py
+++ b/greengagepath/pace/target_pace.py
@@ -25,6 +25,9 @@
 # A target that has answered this share of its requests with an error is
 # failing. Single errors are usually the fault of the request.
 FAILING_SHARE = 0.1
+# The limit of a failing target ends below this share only, so that it does
+# not come and go at a share near the other one.
+RECOVERED_SHARE = 0.05
 # Weight of one answer in the moving share of failures.
 FAILURE_WEIGHT = 0.03
 # A failed request keeps its place under the limit for this long. Failures
@@ -218,10 +221,10 @@
             self._limit = max(int(limit * DECREASE), self._floor)
             return
         self._record_best(ended)
-        if ended.peak_load * 2 <= limit:
+        if ended.peak_load * 2 > limit:
+            self._grow(limit)
+        elif self._failing_share < RECOVERED_SHARE:
             self._end()
-            return
-        self._grow(limit)
 
     def _grow(self, limit: int) -> None:
         queue_limit = self.queue_limit
--- a/tests/pace/test_target_pace.py
+++ b/tests/pace/test_target_pace.py
@@ -89,3 +89,18 @@
             pace.record_failure(1, 1.0)
         self.assertEqual(0, pace.limit(1.5))
         self.assertEqual(4, pace.limit(2.0))
+
+    def test_limit_stays_while_a_share_of_the_requests_fails(self):
+        # Guards against a limit that comes and goes several times a second
+        # at a target that fails one request in twelve.
+        pace = make_pace()
+        answer(pace, 4, load=2)
+        limited = []
+        for _ in range(4):
+            pace.record_failure(1, 1.0)
+        for _ in range(40):
+            answer(pace, 11, load=1)
+            pace.record_failure(1, 1.0)
+            limited.append(pace.is_limited)
+        self.assertNotIn(False, limited)
+        self.assertIsNone(answer(pace, 60, load=1))
