--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -8,6 +8,7 @@
 
 from ..foundation.exit_codes import ExitCode
 from ..foundation.logs import log_event
+from ..foundation.start_steps import StartSteps
 from ..steering.agent_context import AgentIdentity
 from ..steering.agent_steering import AgentSteering
 from ..steering.incarnations import Heartbeat
@@ -66,16 +67,19 @@
         settings: SteeringSettings,
         codec: AgentCodec,
         store: SteeringStore,
+        steps: StartSteps | None = None,
     ) -> None:
-        super().__init__(settings, store, MemberRole.AGENT)
+        super().__init__(settings, store, MemberRole.AGENT, steps)
         self._codec = codec
         identity = AgentIdentity(
             settings.address,
             digest_service(settings.service),
             heartbeat_s=settings.heartbeat_ms / 1000,
-            idle_s=settings.flow_lifetime_s,
+            idle_s=settings.bounds.flow_lifetime_s,
             is_first_start=settings.first_start,
             zone=digest_zone(settings.availability_zone),
+            zone_digest=digest_service(settings.availability_zone),
+            cold_bounds=settings.bounds.cold,
         )
         self.steering = AgentSteering(identity, self._timers, self)
         context = self.steering.context
@@ -106,6 +110,7 @@
         self._add_members(self._settings.seeds, [])
         self._listing.start()
         log_event(_logger, 'agent.started', service=self._settings.service)
+        self._log_start('serving')
         self._stopping.wait()
         self._leave()
         log_event(_logger, 'agent.stopped', **self.steering.context.counts)
@@ -139,6 +144,9 @@
             'agents': len(context.peers.agents),
             'balancers': len(context.peers.balancers),
             'latest_version': context.latest_version,
+            'is_evacuated': context.is_evacuated,
+            'zones_revision': context.zones.revision,
+            'is_cold_limited': not context.allows_cold(),
         }
 
     def _leave(self) -> None:
@@ -153,7 +161,7 @@
         if self.steering.context.gate.phase is TargetPhase.GONE:
             self._store.remove_member(self._own)
             return
-        end_s = self._timers.now() + self._settings.termination_s
+        end_s = self._timers.now() + self._settings.bounds.termination_s
         end_s -= LEAVE_RESERVE_S
         while self._timers.now() < end_s:
             if self.steering.context.gate.phase is TargetPhase.GONE:
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -7,6 +7,7 @@
 
 from ..foundation.exit_codes import ExitCode
 from ..foundation.logs import log_event
+from ..foundation.start_steps import StartSteps
 from ..steering.balancer_contacts import BalancerIdentity
 from ..steering.balancer_steering import BalancerSteering
 from ..steering.peer_messages import PeerKind, PeerMessage
@@ -14,6 +15,7 @@
 from ..steering.settings import SteeringSettings
 from ..steering.store import MemberRole, SteeringStore
 from .datagram_socket import DatagramSocket
+from .evacuation_follower import EvacuationFollower
 from .http_listener import (
     NOT_FOUND,
     OK,
@@ -49,8 +51,9 @@
         settings: SteeringSettings,
         codec: SteeringCodec,
         store: SteeringStore,
+        steps: StartSteps | None = None,
     ) -> None:
-        super().__init__(settings, store, MemberRole.BALANCER)
+        super().__init__(settings, store, MemberRole.BALANCER, steps)
         self._codec = codec
         self._is_leaving = False
         self.steering = BalancerSteering(
@@ -72,6 +75,10 @@
         self._follower = RouteFollower(
             store, self.steering, random.Random(), store.apply_s
         )
+        self._evacuations = EvacuationFollower(
+            store, self.steering, random.Random(), settings.bounds.evacuate_s
+        )
+        self._follower.on_applied = self._record_progress
         self._started_s = self._timers.now()
 
     def run(self) -> ExitCode:
@@ -79,7 +86,12 @@
         self._open(self._settings.listening.readiness)
         self._callers.start()
         self.steering.contacts.add_balancers(self._settings.seeds)
+        # Seeds tell agents of this balancer, which then report to it, also
+        # while the store does not answer.
+        self.steering.contacts.announce()
         self._follower.start()
+        if self._settings.bounds.evacuate_s:
+            self._evacuations.start()
         self._listing.start()
         log_event(_logger, 'balancer.started', apply_s=self._store.apply_s)
         self._stopping.wait()
@@ -95,6 +107,9 @@
             'store_age_s': contacts.freshness.age_s,
             'agents': len(contacts.agents.by_address),
             'pauses': contacts.agents.pauses,
+            'evacuated_zones': len(contacts.zones.zones.digests),
+            'zones_revision': contacts.zones.zones.revision,
+            'zones_age_s': contacts.zones.freshness.age_s,
             'stage': contacts.stage,
         }
 
@@ -105,7 +120,9 @@
         rotation = self.steering.contacts.rotation
         rotation.request_leave()
         self.steering.contacts.enter_stage(BalancerStage.LEAVING)
-        limit_s = self._settings.termination_s - LEAVE_S - LEAVE_RESERVE_S
+        limit_s = (
+            self._settings.bounds.termination_s - LEAVE_S - LEAVE_RESERVE_S
+        )
         while not rotation.may_leave():
             if self._timers.now() - asked_s >= limit_s:
                 break
@@ -145,6 +162,14 @@
         if message.kind is PeerKind.DENIED:
             segment = self._codec.decode_from_caller(message.body)
         self.steering.handle_peer_message(sender, message, segment)
+        if not self._steps.has('agents'):
+            self._record_progress()
+
+    def _record_progress(self) -> None:
+        if self.steering.routes.table is not None:
+            self._steps.record('routes')
+        if self.steering.has_agents:
+            self._steps.record('agents')
 
     def _answer(self, request: HttpRequest) -> HttpReply:
         if request.path.partition('?')[0] != self._codec.readiness_path:
@@ -154,6 +179,7 @@
         if self.steering.contacts.stage is BalancerStage.STARTING:
             after_s = round(self._timers.now() - self._started_s, 3)
             log_event(_logger, 'balancer.ready', after_s=after_s)
+            self._log_start('ready')
             self.steering.contacts.enter_stage(BalancerStage.READY)
         return HttpReply(OK)
 
--- a/greengagepath/steering/balancer_steering.py
+++ b/greengagepath/steering/balancer_steering.py
@@ -16,6 +16,7 @@
 )
 from .open_flows import OpenFlows
 from .peer_messages import (
+    ASK_REPORT,
     NO_SERVICE,
     PeerKind,
     PeerMessage,
@@ -33,6 +34,9 @@
 # many checks in a row, which gives the store time to deliver it.
 PULL_CHECK_S = 0.3
 PULL_AFTER_CHECKS = 2
+# After its start a balancer reads the store and asks so many processes that
+# show a version at the same time, whichever answers first.
+MAX_FIRST_PULLS = 3
 # Until this time after its start a balancer may not have received the
 # reports of all agents.
 WARM_UP_S = 1.5
@@ -67,6 +71,7 @@
         self._assembly = RouteAssembly()
         self._copy = RouteCopy()
         self._outdated_checks = 0
+        self._first_pulls = 0
         self.backlog = Backlog(timers)
         self._started_s = timers.now()
         timers.subscribe(PULL_CHECK_S, self.pull_routes)
@@ -103,6 +108,8 @@
         """
         if self.routes.observe_version(message.version):
             self._on_behind()
+        if self.routes.table is None and message.version:
+            self._pull_first(sender, message.kind)
         match message.kind:
             case PeerKind.HELD:
                 self._open_flows.record_owner(
@@ -116,8 +123,8 @@
                 self._send_routes(sender, message)
             case PeerKind.PART:
                 self._handle_part(sender, message)
-            case PeerKind.PRESENCE:
-                self.contacts.handle_presence(sender, message)
+            case PeerKind.PRESENCE | PeerKind.ZONES:
+                self.contacts.handle_message(sender, message)
             case _:
                 self.counts['dropped_unexpected'] += 1
 
@@ -148,6 +155,20 @@
             self._encode(PeerKind.PULL, NO_SERVICE, b''), self._outdated_checks
         )
 
+    def _pull_first(self, sender: bytes, kind: PeerKind) -> None:
+        """Ask a process that knows of a configuration for its copy."""
+        match kind:
+            case PeerKind.REPORT:
+                send = self._outbox.to_agent
+            case PeerKind.PRESENCE:
+                send = self._outbox.to_balancer
+            case _:
+                return
+        if self._first_pulls < MAX_FIRST_PULLS:
+            self._first_pulls += 1
+            self.counts['pulls'] += 1
+            send(sender, self._encode(PeerKind.PULL, NO_SERVICE, b''))
+
     def _send_routes(self, sender: bytes, message: PeerMessage) -> None:
         if not self._copy.version:
             return
@@ -272,6 +293,9 @@
         agents = self.contacts.agents
         if agents.record_report(sender, message.service, decoded.ok_value):
             self.contacts.send_roster(agents.by_address[sender])
+        elif message.hops == ASK_REPORT:
+            # An agent that has just started knows of no evacuation.
+            self.contacts.zones.send_to_agent(agents.by_address[sender])
 
     def _send(
         self, address: bytes, kind: PeerKind, service: bytes, body: bytes
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,6 +13,7 @@
     'generated',
     'foundation',
     'protocol',
+    'evacuation',
     'pace',
     'routing',
     'admission',
