--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -10,6 +10,7 @@
 from .opening_dispatch import OpeningDispatch
 from .opening_refusals import OpeningRefusals
 from .opening_waits import MAX_HOPS, OpeningWaits
+from .paced_targets import LIMIT_PENALTY_S, choose_last_resort, is_acceptable
 from .peer_messages import PeerKind, PeerMessage
 from .placement import (
     Demand,
@@ -19,7 +20,6 @@
     choose_peer,
     is_own_better,
     make_demand,
-    should_accept,
 )
 from .recent_map import RecentMap
 from .segments import Segment, describe_flow
@@ -79,7 +79,7 @@
                 return
         if self.waits.holds_before(message.priority):
             # Openings that wait are served first.
-            self._place_or_refuse(message, segment, None)
+            self._place_or_refuse(message, segment, None, None)
             self.dispatch.serve()
             return
         self.waits.record_passed(message.priority)
@@ -173,11 +173,12 @@
             estimate = own
         else:
             estimate = chosen[0] if chosen else None
-        if estimate is None or not should_accept(
-            estimate, demand.objective_s, demand.priority
-        ):
-            self._place_or_refuse(message, segment, estimate, may_wait=may_wait)
-        elif chosen is None:
+        if not is_acceptable(estimate, message):
+            self._place_or_refuse(
+                message, segment, own, estimate, may_wait=may_wait
+            )
+            return
+        if chosen is None:
             self._accept(message, segment, estimate)
         else:
             self._place_at_peer(chosen[1], message, segment)
@@ -186,22 +187,22 @@
         self,
         message: PeerMessage,
         segment: Segment,
+        own: Estimate | None,
         estimate: Estimate | None,
         *,
         may_wait: bool = True,
     ) -> None:
-        """Try agents beyond the neighbours before a flow waits.
+        """Try targets at their limit and distant ones before a flow waits.
 
-        An opening that does not wait, or would wait too long, is refused.
+        `own` is as in `_place`, `estimate` that of the best target. An
+        opening that does not wait, or would wait too long, is refused.
         """
-        distant = None
-        if message.hops <= MAX_HOPS:
-            distant = self._context.peers.choose_distant(
-                segment.flow, message.hops
-            )
-        if distant is not None:
-            self._context.counts['flows_placed_distantly'] += 1
-            self._place_at_peer(distant, message, segment)
+        if own is not None and is_acceptable(own, message):
+            self._accept(message, segment, own)
+            return
+        peer = choose_last_resort(self._context, message, segment.flow)
+        if peer is not None:
+            self._place_at_peer(peer, message, segment)
         elif not may_wait or not self.waits.offer(message, segment):
             self._refusals.refuse(
                 segment,
@@ -252,7 +253,7 @@
             context.counts['openings_cold'] += 1
             return None
         now_s = context.timers.now()
-        if context.held_flows.is_full(now_s):
+        if context.held_flows.is_full():
             return None
         peer_average_s = average_service_s(context.peers.loads)
         estimate = Estimate(
@@ -265,6 +266,8 @@
         estimate.add_standing_load(
             context.estimate_standing_share(), peer_average_s
         )
+        if context.held_flows.is_at_limit(now_s):
+            estimate.rank_s += LIMIT_PENALTY_S
         return estimate
 
     def _allows_last_resort(self) -> bool:
@@ -295,6 +298,8 @@
             version=context.latest_version,
         )
         now_s = context.timers.now()
+        is_at_limit = context.held_flows.is_at_limit(now_s)
+        context.counts['flows_accepted_at_limit'] += is_at_limit
         context.held_flows.accept(segment, message, now_s)
         if context.cold_limit is not None:
             context.cold_limit.record(now_s)
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -160,7 +160,8 @@
             return state
         if context.is_leaving or context.is_evacuated:
             return ReportedState.DRAINING
-        is_full = context.held_flows.is_full(context.timers.now())
+        flows = context.held_flows
+        is_full = flows.is_full() or flows.is_at_limit(context.timers.now())
         if is_full or not context.allows_cold():
             return ReportedState.FULL
         return state
