--- a/greengagepath/steering/placement.py
+++ b/greengagepath/steering/placement.py
@@ -18,9 +18,8 @@
 # report every 10 to 100 ms; with the limit above, the first copy would be
 # lost, which the caller sends after 0.2 s.
 NEWLY_SILENT_S = 0.15
-# Agents that are silent for longer may never have reported each change, and
-# the caller has sent all copies by then.
-LONG_SILENT_S = 2.0
+# The caller has sent all copies of a packet by then, 0.6 s after the first.
+LONG_SILENT_S = 0.8
 # Transit time of a report: flows placed less than this long before its
 # arrival are not included in its load.
 REPORT_TRANSIT_S = 0.003
@@ -47,12 +46,21 @@
     `last_seen_s` is the monotonic time of the report in seconds.
     """
 
-    __slots__ = ('_placements_s', 'address', 'last_seen_s', 'report')
+    __slots__ = (
+        '_is_frequent',
+        '_placements_s',
+        'address',
+        'last_seen_s',
+        'report',
+    )
 
     def __init__(self, address: bytes) -> None:
         self.address = address
         self.report = LoadReport(ReportedState.ABSENT)
         self.last_seen_s = -SILENCE_LIMIT_S
+        # Whether the last two reports came as soon after each other as
+        # those of an agent that reports each change.
+        self._is_frequent = False
         self._placements_s: list[float] = []
 
     def update(
@@ -65,6 +73,7 @@
         """
         self.report = report
         if not is_rare:
+            self._is_frequent = now_s - self.last_seen_s < NEWLY_SILENT_S
             self.last_seen_s = now_s
         if self._placements_s:
             since_s = now_s - REPORT_TRANSIT_S
@@ -94,9 +103,8 @@
 
     def is_newly_silent(self, now_s: float) -> bool:
         """Return whether the target's agent may just have been killed."""
-        if self.last_seen_s < 0:
-            return False
-        return NEWLY_SILENT_S <= now_s - self.last_seen_s < LONG_SILENT_S
+        silent_s = now_s - self.last_seen_s
+        return self._is_frequent and NEWLY_SILENT_S <= silent_s < LONG_SILENT_S
 
     def estimate_load(self) -> int:
         """Return the reported load plus the placements since."""
