--- a/greengagepath/steering/agent_openings.py
+++ b/greengagepath/steering/agent_openings.py
@@ -101,7 +101,9 @@
         if held is None and owner in self._context.peers.load_by_address:
             # Another copy of a packet that was handed over: a second choice
             # could open the flow at two targets.
-            self._send_place(owner, self._make_hand_over(None), segment)
+            self._send_place(
+                owner, make_hand_over(self._context, None), segment
+            )
             return
         self._hand_over(segment, held)
 
@@ -214,15 +216,9 @@
     def _hand_over(self, segment: Segment, held: HeldFlow | None) -> None:
         # It was offered to a target, whose answer may still come, so it
         # does not wait.
-        message = self._make_hand_over(held)
+        message = make_hand_over(self._context, held)
         self._place(message, segment, None, may_wait=False)
 
-    def _make_hand_over(self, held: HeldFlow | None) -> PeerMessage:
-        context = self._context
-        return make_hand_over(
-            context.identity.service, held, context.timers.now()
-        )
-
     def _choose_peer(
         self, message: PeerMessage, demand: Demand
     ) -> tuple[Estimate, PeerLoad] | None:
--- a/greengagepath/steering/paced_targets.py
+++ b/greengagepath/steering/paced_targets.py
@@ -123,7 +123,8 @@
     best: tuple[Estimate, PeerLoad] | None = None
     for load in loads:
         report = load.report
-        if report.state is not ReportedState.FULL or not load.is_fresh(now_s):
+        is_running = load.is_fresh(now_s) and not load.is_newly_silent(now_s)
+        if report.state is not ReportedState.FULL or not is_running:
             continue
         estimate = Estimate(
             load.estimate_load(), report.slots, report.service_s, peer_average_s
