Take the bounds of evacuations and cold targets from the environment

Change: the bounds come with the environment of each role, as the time in which a configuration has to be in force does; an empty one turns the feature off.

--- a/greengagepath/platform/__main__.py
+++ b/greengagepath/platform/__main__.py
@@ -11,7 +11,7 @@
 from ..foundation.logs import DroppingStream, configure_logs
 from ..foundation.start_steps import StartSteps
 from ..steering.settings import SteeringSettings, load_steering_settings
-from .bounds import read_apply_limit_s
+from .bounds import read_apply_limit_s, read_zone_bounds
 from .store import PlatformStore
 from .wire import PlatformWire
 
@@ -42,6 +42,7 @@
         sys.stderr.write('store_address is missing\n')
         return ExitCode.BAD_USAGE
     apply_s = read_apply_limit_s(os.environ)
+    read_zone_bounds(os.environ, settings.bounds)
     store = PlatformStore(settings.store_address, apply_s)
     match role:
         case 'balancer':
--- a/greengagepath/platform/bounds.py
+++ b/greengagepath/platform/bounds.py
@@ -1,13 +1,21 @@
-"""Bounds of the deployment that limits are derived from."""
+"""Bounds of the deployment that limits are derived from.
+
+The platform gives them in the environment; a bound that the deployment
+does not have is an empty text there.
+"""
 
 import logging
 import math
 from collections.abc import Mapping
 
 from ..foundation.logs import log_event
-from ..steering.settings import DEFAULT_APPLY_LIMIT_S
+from ..pace.cold_limit import ColdBounds
+from ..steering.settings import DEFAULT_APPLY_LIMIT_S, DeploymentBounds
 
 APPLY_VARIABLE = 'GREENGAGEPATH_CONFIG_APPLY_MS'
+EVACUATE_VARIABLE = 'GREENGAGEPATH_EVACUATE_MS'
+COLD_OVERAGE_VARIABLE = 'GREENGAGEPATH_COLD_OVERAGE'
+COLD_SLACK_VARIABLE = 'GREENGAGEPATH_COLD_SLACK'
 _MS_PER_S = 1000
 
 _logger = logging.getLogger(__name__)
@@ -16,24 +24,40 @@
 def read_apply_limit_s(environment: Mapping[str, str]) -> float:
     """Return the time in which a configuration has to be in force, in s.
 
-    The platform gives it in ms. The default holds where it is missing or
-    no positive number.
+    The default holds where it is missing or no positive number.
     """
-    text = environment.get(APPLY_VARIABLE, '')
+    default_ms = DEFAULT_APPLY_LIMIT_S * _MS_PER_S
+    return _read(environment, APPLY_VARIABLE, default_ms) / _MS_PER_S
+
+
+def read_zone_bounds(
+    environment: Mapping[str, str], bounds: DeploymentBounds
+) -> None:
+    """Set the bounds of evacuations and cold targets that there are."""
+    bounds.evacuate_s = _read(environment, EVACUATE_VARIABLE, 0) / _MS_PER_S
+    overage = _read(environment, COLD_OVERAGE_VARIABLE, 0)
+    if overage:
+        slack = _read(environment, COLD_SLACK_VARIABLE, 0)
+        bounds.cold = ColdBounds(overage, slack)
+
+
+def _read(environment: Mapping[str, str], name: str, default: float) -> float:
+    """Return a positive number, or the default where there is none."""
+    text = environment.get(name, '')
     if not text:
-        return DEFAULT_APPLY_LIMIT_S
+        return default
     try:
-        limit_s = float(text) / _MS_PER_S
+        found = float(text)
     except ValueError:
-        limit_s = math.nan
-    if limit_s > 0 and math.isfinite(limit_s):
-        return limit_s
+        found = math.nan
+    if found > 0 and math.isfinite(found):
+        return found
     log_event(
         _logger,
         'settings.ignored',
         level=logging.WARNING,
-        name=APPLY_VARIABLE,
+        name=name,
         reason='not a positive number',
-        default_s=DEFAULT_APPLY_LIMIT_S,
+        default=default,
     )
-    return DEFAULT_APPLY_LIMIT_S
+    return default
--- a/greengagepath/steering/settings.py
+++ b/greengagepath/steering/settings.py
@@ -14,7 +14,6 @@
 MAX_PORT = 65535
 # Time in which a configuration has to be in force, in seconds.
 DEFAULT_APPLY_LIMIT_S = 3.0
-_MS_PER_S = 1000
 _UNREADABLE = (OSError, ValueError, TypeError, AttributeError)
 
 
@@ -49,7 +48,7 @@
     `flow_lifetime_s` how long a flow may be open, and `evacuate_s` the time
     in which an evacuation has to be in force, 0 if the deployment has none;
     all in seconds. `cold` is None if the rate of cold targets is not
-    limited.
+    limited. The platform's adapter sets the last two.
     """
 
     __slots__ = ('cold', 'evacuate_s', 'flow_lifetime_s', 'termination_s')
@@ -57,11 +56,8 @@
     def __init__(self, found: dict[str, Any]) -> None:
         self.termination_s = float(found['termination_s'])
         self.flow_lifetime_s = float(found['flow_lifetime_s'])
-        self.evacuate_s = float(found.get('evacuate_ms') or 0) / _MS_PER_S
-        overage = found.get('cold_overage')
+        self.evacuate_s = 0.0
         self.cold: ColdBounds | None = None
-        if overage is not None:
-            self.cold = ColdBounds(float(overage), float(found['cold_slack']))
 
 
 class SteeringSettings:
--- a/tests/platform/builders.py
+++ b/tests/platform/builders.py
@@ -4,6 +4,8 @@
 import struct
 from typing import Any
 
+from greengagepath.steering.settings import DeploymentBounds
+
 
 def make_configuration(version: Any = 7) -> dict[str, Any]:
     """Return an operator's configuration with three kinds of route."""
@@ -40,6 +42,11 @@
     }
 
 
+def make_bounds() -> DeploymentBounds:
+    """Return the bounds of a deployment without evacuations."""
+    return DeploymentBounds({'termination_s': 6, 'flow_lifetime_s': 60})
+
+
 def make_heartbeat_body(**changed: Any) -> bytes:
     """Return a heartbeat; a value of None removes the field."""
     fields = {
--- a/tests/platform/test_evacuations.py
+++ b/tests/platform/test_evacuations.py
@@ -10,9 +10,16 @@
 from testtools import TestCase
 
 from greengagepath.daemon.evacuation_follower import EvacuationFollower
+from greengagepath.platform.bounds import (
+    COLD_OVERAGE_VARIABLE,
+    COLD_SLACK_VARIABLE,
+    EVACUATE_VARIABLE,
+    read_zone_bounds,
+)
 from greengagepath.platform.store import PlatformStore
 from greengagepath.steering.peer_messages import digest_service
 
+from .builders import make_bounds
 from .stand_in import StoreStandIn
 from .test_lost_answers import Fleet
 
@@ -20,6 +27,23 @@
 BALANCERS = 3
 
 
+class ZoneBoundsTest(TestCase):
+    def test_bounds_of_the_deployment_turn_the_features_on(self):
+        # Guards against evacuations and limits that are not in force, or
+        # that are where a deployment does not have them.
+        bounds = make_bounds()
+        read_zone_bounds({EVACUATE_VARIABLE: ''}, bounds)
+        self.assertEqual((0, None), (bounds.evacuate_s, bounds.cold))
+        environment = {
+            EVACUATE_VARIABLE: '5000',
+            COLD_OVERAGE_VARIABLE: '1.5',
+            COLD_SLACK_VARIABLE: '5',
+        }
+        read_zone_bounds(environment, bounds)
+        self.assertEqual(5, bounds.evacuate_s)
+        self.assertEqual((1.5, 5), (bounds.cold.overage, bounds.cold.slack))
+
+
 class EvacuationFollowerTest(TestCase):
     def setUp(self):
         super().setUp()
