--- a/greengagepath/steering/opening_waits.py
+++ b/greengagepath/steering/opening_waits.py
@@ -6,7 +6,7 @@
 from ..waiting.opening_queue import OpeningQueue, WaitingOpening
 from ..waiting.wait_times import (
     LIMIT_SHARE,
-    TargetPace,
+    FinishForecast,
     can_begin_to_wait,
     find_longest_wait_s,
     is_in_time,
@@ -132,14 +132,18 @@
     def offer(self, message: PeerMessage, segment: Segment) -> bool:
         """Let an opening wait; False if it would not be served in time."""
         context = self._context
-        pace = self._find_pace()
-        if self._refusals.is_warming_up or context.is_leaving or pace is None:
+        forecast = self._forecast()
+        if (
+            self._refusals.is_warming_up
+            or context.is_leaving
+            or forecast is None
+        ):
             return False
         now_s = context.timers.now()
         entry = QueuedOpening(message, segment, now_s)
-        longest_s = find_longest_wait_s(entry.objective_s, pace.service_s)
+        longest_s = find_longest_wait_s(entry.objective_s, forecast.service_s)
         entry.latest_s = now_s + longest_s
-        finish_s = pace.finish_after_s(
+        finish_s = forecast.finish_after_s(
             self._queue.count_before(entry),
             self._queue.find_overtaking_share(entry.priority),
         )
@@ -159,13 +163,13 @@
         if not self._queue:
             return
         now_s = self._context.timers.now()
-        pace = self._find_pace()
-        if pace is None:
+        forecast = self._forecast()
+        if forecast is None:
             for entry in self._queue.take_all():
                 self._refuse(entry, 'no target')
             return
         for entry in self._queue.take_due(
-            now_s, pace.finish_s, pace.interval_s
+            now_s, forecast.finish_s, forecast.interval_s
         ):
             self._context.counts['waiting_late'] += 1
             self._refuse(entry, 'too late')
@@ -236,9 +240,10 @@
         left_s = entry.left_s(self._context.timers.now())
         return should_accept(chosen[0], left_s, entry.priority)
 
-    def _find_pace(self) -> TargetPace | None:
-        """Return the pace of the target that serves the queue, if one runs.
+    def _forecast(self) -> FinishForecast | None:
+        """Return when requests end at the target that serves the queue.
 
+        None if no target runs.
         That is the own target: as many homes place flows at another one as
         this home uses.
         """
@@ -247,7 +252,7 @@
         average_s = average_service_s(loads)
         if self._is_own_running():
             service_s = context.estimate_service_s() or average_s or DEFAULT_S
-            return TargetPace(
+            return FinishForecast(
                 context.held_flows.load, context.gate.slots, service_s
             )
         running = choose_running(loads, context.timers.now())
@@ -255,7 +260,7 @@
             return None
         report = running.report
         service_s = report.service_s or average_s or DEFAULT_S
-        return TargetPace(running.estimate_load(), report.slots, service_s)
+        return FinishForecast(running.estimate_load(), report.slots, service_s)
 
     def _is_own_running(self) -> bool:
         return self._reports.state in RUNNING_STATES
--- a/greengagepath/waiting/wait_times.py
+++ b/greengagepath/waiting/wait_times.py
@@ -25,7 +25,7 @@
 MAX_WAIT_S = 1.0
 
 
-class TargetPace:
+class FinishForecast:
     """When the requests of packets that wait for a target would end.
 
     `load` is the number of requests at the target and `service_s` the
