--- a/greengagepath/steering/opening_waits.py
+++ b/greengagepath/steering/opening_waits.py
@@ -243,9 +243,8 @@
     def _forecast(self) -> FinishForecast | None:
         """Return when requests end at the target that serves the queue.
 
-        None if no target runs.
-        That is the own target: as many homes place flows at another one as
-        this home uses.
+        It is the own target if that runs: as many homes place flows at
+        another one as this home uses. None if no target runs.
         """
         context = self._context
         loads = context.peers.loads
