--- a/tests/steering/test_lost_flows.py
+++ b/tests/steering/test_lost_flows.py
@@ -54,6 +54,17 @@
                 self.world.list_members(number)
         self.world.timers.advance(WARM_UP_S + 0.1)
 
+    def _take_away_after_start(self):
+        """Restart all; end one agent that has not heard its target."""
+        self._restart_all()
+        other = self.holder % AGENTS + 1
+        self.world.stop_agent(other)
+        self.world.start_agent(
+            other, is_first_start=False, heartbeat_after_s=1000
+        )
+        self.world.timers.advance(0.1)
+        self.world.stop_agent(other)
+
     def test_flow_of_a_crashed_target_is_reset_at_once(self):
         # Guards against a caller that repeats its request until its
         # deadline, because the target has crashed and is back without
@@ -116,14 +127,7 @@
     def test_agent_that_left_without_a_target_is_a_short_obstacle(self):
         # Guards against lost flows that are not reset while VMs without
         # targets are taken away one after the other.
-        self._restart_all()
-        other = self.holder % AGENTS + 1
-        self.world.stop_agent(other)
-        self.world.start_agent(
-            other, is_first_start=False, heartbeat_after_s=1000
-        )
-        self.world.timers.advance(0.1)
-        self.world.stop_agent(other)
+        self._take_away_after_start()
         self.assertEqual([], self._request_again())
         self.world.timers.advance(IDLE_GONE_AFTER_S)
         self.assertNotEqual([], self._request_again())
@@ -132,14 +136,7 @@
         # Guards against callers that wait for seconds after a power loss,
         # because the VM of a target that had ended before was started and
         # taken away.
-        self._restart_all()
-        other = self.holder % AGENTS + 1
-        self.world.stop_agent(other)
-        self.world.start_agent(
-            other, is_first_start=False, heartbeat_after_s=1000
-        )
-        self.world.timers.advance(0.1)
-        self.world.stop_agent(other)
+        self._take_away_after_start()
         self.assertEqual([], self._request_again())
         self.world.timers.advance(IDLE_ANSWER_S)
         self.assertNotEqual([], self.world.open_resets[self.flow])
