Share the estimate of a request, the reported state and the idle check

Cause: a read of the whole change found three pieces that stood twice: the estimated duration of a request, a property that only called a method of the same body, and the check for agents without a running target. Change: one copy of each; behaviour stays.

--- a/greengagepath/steering/agent_context.py
+++ b/greengagepath/steering/agent_context.py
@@ -154,13 +154,10 @@
 
     def estimate_standing_share(self) -> float:
         """Return the share of the slots that open flows will keep busy."""
-        peer_average_s = average_service_s(self.peers.loads)
-        now_s = self.timers.now()
-        service_s = self.held_flows.service_time.estimate_s(
-            now_s, peer_average_s
-        )
+        average_s = average_service_s(self.peers.loads)
+        service_s = self.estimate_service_s() or average_s or DEFAULT_S
         return self.held_flows.standing_load.estimate_share(
-            service_s or peer_average_s or DEFAULT_S, self.gate.slots, now_s
+            service_s, self.gate.slots, self.timers.now()
         )
 
     def make_message(
--- a/greengagepath/steering/agent_peers.py
+++ b/greengagepath/steering/agent_peers.py
@@ -116,8 +116,7 @@
 
         Its last report, before `since_s`, named no running target.
         """
-        load = self.load_by_address.get(address)
-        if load is None or load.report.state not in IDLE_STATES:
+        if not _is_idle(self.load_by_address.get(address)):
             return False
         return self._agent_seen_s.get(address, since_s) <= since_s
 
@@ -221,5 +220,9 @@
 
 
 def _gone_after_s(load: PeerLoad | None) -> float:
-    is_idle = load is not None and load.report.state in IDLE_STATES
-    return IDLE_GONE_AFTER_S if is_idle else GONE_AFTER_S
+    return IDLE_GONE_AFTER_S if _is_idle(load) else GONE_AFTER_S
+
+
+def _is_idle(load: PeerLoad | None) -> bool:
+    """Return whether the last report named no running target."""
+    return load is not None and load.report.state in IDLE_STATES
--- a/greengagepath/steering/agent_reports.py
+++ b/greengagepath/steering/agent_reports.py
@@ -58,7 +58,7 @@
         Neighbours get one after a change of load or state, too.
         """
         now_s = self._context.timers.now()
-        load = (self._context.held_flows.load, self._current_state())
+        load = (self._context.held_flows.load, self.state)
         idle_s = now_s - self._agents_reported_s
         if idle_s >= MAX_REPORT_INTERVAL_S or load != self._last_reported:
             self._report_to_neighbours()
@@ -151,9 +151,6 @@
     @property
     def state(self) -> ReportedState:
         """Return the state of the target, as it is reported."""
-        return self._current_state()
-
-    def _current_state(self) -> ReportedState:
         context = self._context
         state = context.gate.reported_state()
         if state not in ACCEPTING_STATES:
@@ -169,7 +166,7 @@
     def _make_report(self, hops: int = 0) -> bytes:
         context = self._context
         report = LoadReport(
-            self._current_state(),
+            self.state,
             started_ms=context.gate.started_ms,
             slots=context.gate.slots,
             load=context.held_flows.load,
@@ -197,7 +194,7 @@
         encoded = self._make_report()
         self._last_reported = (
             self._context.held_flows.load,
-            self._current_state(),
+            self.state,
         )
         for address in self._context.peers.neighbours:
             self._context.outbox.to_agent(address, encoded)
