Show resets of flows that only the endpoint has closed

Cause: an agent forgets a flow 3 s after its target's FIN, and the FIN of the requester is then answered with a reset.

--- a/review/stand_ins_2/endpoint.py
+++ b/review/stand_ins_2/endpoint.py
@@ -20,16 +20,16 @@
 class Flow:
     """State of one flow at an endpoint; sequence numbers of both ends."""
 
-    __slots__ = ('acked', 'first', 'is_open', 'received', 'response', 'sent')
+    __slots__ = ('acked', 'first', 'is_closed', 'is_open', 'received', 'sent')
 
     def __init__(self) -> None:
         self.first = random.randrange(packets.SEQUENCE_RANGE)
         self.is_open = False
+        # Whether this end has sent a FIN.
+        self.is_closed = False
         self.received = 0
         self.sent = 1
         self.acked = 0
-        # Data of the last request, None before it.
-        self.response: bytes | None = None
 
 
 class Endpoint(asyncio.DatagramProtocol):
@@ -51,6 +51,8 @@
         self.state = 'ready'
         # Time of the last report that was acknowledged, in the record.
         self.acked_s = -1.0
+        # The same of the first report that it drains.
+        self.drain_acked_s = -1.0
         self._record = record
         self._zone = zone
         self._ports = ports
@@ -107,7 +109,10 @@
             self._spawn(self._run(packet, flow))
         elif packet.has(packets.FIN):
             flow.received = packet.sequence + 1
-            flags = packets.FIN | packets.ACK
+            flags = packets.ACK if flow.is_closed else packets.FIN | packets.ACK
+            self._record.write(
+                'endpoint.fin', endpoint=self.name, port=packet.source[1]
+            )
             self._send(packet, flags, flow.first + flow.sent, flow.received)
 
     def _acknowledge(self, packet: Packet, flow: Flow) -> None:
@@ -120,10 +125,16 @@
         await asyncio.sleep(self.work_s)
         body = f'HTTP/1.1 200 OK {self.name} {name}'.encode()
         sequence = flow.first + flow.sent
+        flags = packets.ACK
         flow.sent += len(body)
+        if self.state == 'draining':
+            # It closes each flow after its next response.
+            flags |= packets.FIN
+            flow.sent += 1
+            flow.is_closed = True
         pause_s = FIRST_REPEAT_S
         for _ in range(MAX_REPEATS + 1):
-            self._send(packet, packets.ACK, sequence, flow.received, body)
+            self._send(packet, flags, sequence, flow.received, body)
             await asyncio.sleep(pause_s)
             if flow.acked >= flow.sent:
                 return
@@ -155,6 +166,7 @@
         sequence = 0
         while True:
             sequence += 1
+            state = self.state
             status = await call(
                 (self.host, self._ports['control']),
                 'PUT',
@@ -163,6 +175,8 @@
             )
             if status in range(200, 300):
                 self.acked_s = self._record.now()
+                if state == 'draining' and self.drain_acked_s < 0:
+                    self.drain_acked_s = self.acked_s
             await asyncio.sleep(HEARTBEAT_S * random.uniform(0.95, 1.05))
 
     def _describe(self, sequence: int) -> dict[str, Any]:
--- a/review/stand_ins_2/requester.py
+++ b/review/stand_ins_2/requester.py
@@ -14,6 +14,8 @@
 OPENING_LIMIT_S = 1.4
 FIRST_REPEAT_S = 0.2
 LAST_REPEAT_S = 1.6
+REPEATS_S = (0.2, 0.4, 0.8, 1.6)
+COPY_RANGE = 100000
 PROBE_S = 0.5
 MISSES = 2
 
@@ -96,25 +98,65 @@
         self._record.write('request.ended', request=name, outcome=outcome)
         return outcome
 
+    def make_flow(self, route: End) -> 'LongFlow':
+        """Return a flow that is kept open for several requests."""
+        self._next_port += 1
+        source = (socket.inet_aton(self._host), self._next_port)
+        flow = LongFlow(self, source, route)
+        self._queue_by_port[source[1]] = flow.queue
+        return flow
+
     def send(self, raw: bytes, source: End, route: End) -> None:
         """Send a packet as the routers forward it."""
         node = self._router.choose(source, route)
         self._transport.sendto(raw, (node, self._data_port))
 
 
-class _Attempt:
-    """One request on one flow."""
+class _Flow:
+    """One end of a flow."""
 
-    def __init__(
-        self, requester: Requester, source: End, route: End, payload: bytes
-    ) -> None:
+    def __init__(self, requester: Requester, source: End, route: End) -> None:
         self.queue: asyncio.Queue[Packet] = asyncio.Queue()
+        self.port = source[1]
         self._requester = requester
         self._source = source
         self._route = route
-        self._payload = payload
         self._first = random.randrange(packets.SEQUENCE_RANGE)
 
+    async def _open(self) -> Packet | None:
+        """Return the answer to the opening packet, None without one."""
+        waits_s = (*COPIES_S[1:], OPENING_LIMIT_S)
+        for copy, from_s in enumerate(COPIES_S):
+            self._send(packets.SYN, self._first, copy)
+            answer = await self._receive(waits_s[copy] - from_s)
+            if answer is not None:
+                return answer
+        return None
+
+    async def _receive(self, limit_s: float) -> Packet | None:
+        try:
+            return await asyncio.wait_for(self.queue.get(), limit_s)
+        except TimeoutError:
+            return None
+
+    def _send(
+        self, flags: int, sequence: int, ack: int, payload: bytes = b''
+    ) -> None:
+        raw = packets.encode(
+            self._source, self._route, flags, sequence, ack, payload
+        )
+        self._requester.send(raw, self._source, self._route)
+
+
+class _Attempt(_Flow):
+    """One request on one flow."""
+
+    def __init__(
+        self, requester: Requester, source: End, route: End, payload: bytes
+    ) -> None:
+        super().__init__(requester, source, route)
+        self._payload = payload
+
     async def run(self) -> str:
         """Open the flow, send the request and wait for its answer."""
         opened = await self._open()
@@ -139,29 +181,75 @@
                 self._send(flags, end, answer.sequence + len(answer.payload))
                 return 'served'
 
-    async def _open(self) -> Packet | None:
-        """Return the answer to the opening packet, None without one."""
-        waits_s = (*COPIES_S[1:], OPENING_LIMIT_S)
-        for copy, from_s in enumerate(COPIES_S):
-            self._send(packets.SYN, self._first, copy)
-            answer = await self._receive(waits_s[copy] - from_s)
+
+class LongFlow(_Flow):
+    """A flow for several requests; `endpoint` is the one that answered.
+
+    `is_ended` tells whether the endpoint has sent a FIN.
+    """
+
+    def __init__(self, requester: Requester, source: End, route: End) -> None:
+        super().__init__(requester, source, route)
+        self.endpoint = ''
+        self.is_ended = False
+        self._sequence = self._first + 1
+        self._ack = 0
+
+    async def open(self) -> bool:
+        """Open the flow; False if it was refused or not answered."""
+        opened = await self._open()
+        if opened is None or opened.has(packets.RST):
+            return False
+        self._ack = opened.sequence + 1
+        self._send(packets.ACK, self._sequence, self._ack)
+        return True
+
+    async def request(self, name: str) -> str:
+        """Send a request and acknowledge its answer."""
+        payload = name.encode()
+        sequence = self._sequence
+        self._sequence += len(payload)
+        for pause_s in REPEATS_S:
+            self._send(packets.ACK, sequence, self._ack, payload)
+            answer = await self._receive_own(pause_s)
+            if answer is not None and answer.payload.endswith(payload):
+                self.is_ended = answer.has(packets.FIN)
+                length = len(answer.payload) + self.is_ended
+                self._ack = answer.sequence + length
+                self._send(packets.ACK, self._sequence, self._ack)
+                self.endpoint = answer.payload.decode().split()[3]
+                return 'served'
+            if answer is not None and answer.has(packets.RST):
+                return 'reset'
+        return 'no answer'
+
+    async def close(self) -> str:
+        """Send a FIN; return how it was answered."""
+        flags = packets.FIN | packets.ACK
+        for pause_s in REPEATS_S:
+            self._send(flags, self._sequence, self._ack)
+            answer = await self._receive_own(pause_s)
             if answer is not None:
-                return answer
+                return _describe_end(answer)
+        return 'no answer'
+
+    async def _receive_own(self, limit_s: float) -> Packet | None:
+        """Return the next packet but copies and resets that do not count."""
+        while (packet := await self._receive(limit_s)) is not None:
+            is_reset = packet.has(packets.RST)
+            if is_reset and not _is_near(packet.sequence, self._ack):
+                continue
+            is_copy = (self._ack - packet.sequence) % packets.SEQUENCE_RANGE
+            if is_reset or not 0 < is_copy < COPY_RANGE:
+                return packet
         return None
 
-    async def _receive(self, limit_s: float) -> Packet | None:
-        try:
-            return await asyncio.wait_for(self.queue.get(), limit_s)
-        except TimeoutError:
-            return None
 
-    def _send(
-        self, flags: int, sequence: int, ack: int, payload: bytes = b''
-    ) -> None:
-        raw = packets.encode(
-            self._source, self._route, flags, sequence, ack, payload
-        )
-        self._requester.send(raw, self._source, self._route)
+def _describe_end(answer: Packet) -> str:
+    if not answer.has(packets.RST):
+        return 'acknowledged'
+    # The sum of a reset of the system's own is 0.
+    return 'reset by the endpoint' if answer.sum else 'reset by the system'
 
 
 def _is_near(sequence: int, ack: int) -> bool:
