Show resets of living flows after two regions had lost each other

Cause: balancers and agents forget each other after 60 s of silence, and take what they still know for complete.

--- a/review/stand_ins_2/link.py
+++ b/review/stand_ins_2/link.py
@@ -9,6 +9,10 @@
 import asyncio
 
 from .http import Address
+from .nodes import Node
+
+# Balancers listen at the first internal port, agents at the next one.
+OFFSETS = {'balancer': 0, 'agent': 1}
 
 
 class Face(asyncio.DatagramProtocol):
@@ -47,6 +51,20 @@
         )
         self._face_by_own[own] = face
 
+    async def join(
+        self, first: list[Node], second: list[Node], ports: tuple[int, int]
+    ) -> None:
+        """Add all nodes of two regions.
+
+        `ports` are the first internal ports of each region.
+        """
+        for nodes, own, seen in ((first, *ports), (second, *reversed(ports))):
+            for node in nodes:
+                offset = OFFSETS[node.role]
+                await self.add(
+                    (node.host, own + offset), (node.host, seen + offset)
+                )
+
     def forward(self, datagram: bytes, sender: Address, face: Face) -> None:
         """Send a datagram on unless the link is cut."""
         sending = self._face_by_own.get((sender[0], sender[1]))
--- a/review/stand_ins_2/requester.py
+++ b/review/stand_ins_2/requester.py
@@ -21,10 +21,17 @@
 
 
 class Router:
-    """Sends packets to a front node by a hash over those in rotation."""
+    """Sends packets to a front node by a hash over those in rotation.
 
-    def __init__(self, hosts: list[str], ready_port: int) -> None:
+    `hosts` are the nodes of the requesters' zone, and `nearest` those of the
+    nearest zones, which are used if no node of the zone is in rotation.
+    """
+
+    def __init__(
+        self, hosts: list[str], ready_port: int, nearest: tuple[str, ...] = ()
+    ) -> None:
         self._hosts = hosts
+        self._nearest = list(nearest)
         self._ready_port = ready_port
         self._misses = dict.fromkeys(hosts, MISSES)
 
@@ -41,7 +48,9 @@
     def choose(self, source: End, route: End) -> str:
         """Return the node for a packet; all of them if few are ready."""
         ready = self.list_ready()
-        if len(ready) * 2 < len(self._hosts):
+        if not ready and self._nearest:
+            ready = self._nearest
+        elif len(ready) * 2 < len(self._hosts):
             ready = self._hosts
         key = repr((source, route)).encode()
         return ready[zlib.crc32(key) % len(ready)]
@@ -185,13 +194,15 @@
 class LongFlow(_Flow):
     """A flow for several requests; `endpoint` is the one that answered.
 
-    `is_ended` tells whether the endpoint has sent a FIN.
+    `is_ended` tells whether the endpoint has sent a FIN. `reset_sum` is the
+    sum of a reset that has ended the flow, 0 for one of the system's own.
     """
 
     def __init__(self, requester: Requester, source: End, route: End) -> None:
         super().__init__(requester, source, route)
         self.endpoint = ''
         self.is_ended = False
+        self.reset_sum: int | None = None
         self._sequence = self._first + 1
         self._ack = 0
 
@@ -220,6 +231,7 @@
                 self.endpoint = answer.payload.decode().split()[3]
                 return 'served'
             if answer is not None and answer.has(packets.RST):
+                self.reset_sum = answer.sum
                 return 'reset'
         return 'no answer'
 
--- a/review/stand_ins_2/scene.py
+++ b/review/stand_ins_2/scene.py
@@ -109,6 +109,18 @@
                 await asyncio.sleep(0.1)
         return requester
 
+    async def add_requester(
+        self, number: int, zone: list[str], nearest: tuple[str, ...]
+    ) -> Requester:
+        """Return a requester of another zone, whose front nodes are named."""
+        router = Router(zone, PORTS['ready'], nearest)
+        self._tasks.append(asyncio.ensure_future(router.probe()))
+        requester = Requester(
+            self.record, router, self.host(number), PORTS['data']
+        )
+        await requester.start()
+        return requester
+
     async def configure(self, config: dict[str, list[Any]]) -> float:
         """Write a configuration as the operator; return when it was acked.
 
