Show resets of living flows after a machine was cut off

Cause: a home that has declared a flow lost keeps that when the agent that was taken for gone reports again.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Exit code 1: the rule was broken, 0: it held, 2: the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+exec python3 -m review.10.case
--- a/review/stand_ins_2/endpoint.py
+++ b/review/stand_ins_2/endpoint.py
@@ -49,10 +49,13 @@
         self.service = service
         self.work_s = work_s
         self.state = 'ready'
+        self.slots = 2
         # Time of the last report that was acknowledged, in the record.
         self.acked_s = -1.0
         # The same of the first report that it drains.
         self.drain_acked_s = -1.0
+        # Ports of the requesters whose flows were opened here.
+        self.open_ports: set[int] = set()
         self._record = record
         self._zone = zone
         self._ports = ports
@@ -90,6 +93,7 @@
             return
         if not flow.is_open:
             flow.is_open = True
+            self.open_ports.add(key[0][1])
             self._record.write(
                 'endpoint.opened', endpoint=self.name, port=key[0][1]
             )
@@ -185,7 +189,7 @@
             'address': f'{self.host}:{self._ports["app"]}',
             'zone': self._zone,
             'version': 'v1',
-            'slots': 2,
+            'slots': self.slots,
             'state': self.state,
             'cold-remaining-ms': 0,
             'sequence': sequence,
--- a/review/stand_ins_2/nodes.py
+++ b/review/stand_ins_2/nodes.py
@@ -16,7 +16,7 @@
 PASSED_ON = ('PATH', 'HOME', 'LANG')
 RESTART_S = 0.5
 _PLACEHOLDER = re.compile(r'\{\{([\w.-]+)(\|json)?\}\}')
-_BOUNDS = {
+BOUNDS = {
     'config-apply-ms': 3000,
     'grace-s': 6,
     'flow-max-s': 60,
@@ -35,7 +35,7 @@
         self.host: str = fields['ip']
         self.role = role
         self._record = record
-        self._fields = fields | {'bounds': _BOUNDS}
+        self._fields = dict(fields)
         self._path = folder / f'{fields["node-id"]}.toml'
         self._log = folder / f'{fields["node-id"]}.log'
         self._process: subprocess.Popen[bytes] | None = None
--- a/review/stand_ins_2/requester.py
+++ b/review/stand_ins_2/requester.py
@@ -14,7 +14,7 @@
 OPENING_LIMIT_S = 1.4
 FIRST_REPEAT_S = 0.2
 LAST_REPEAT_S = 1.6
-REPEATS_S = (0.2, 0.4, 0.8, 1.6)
+REPEATS_S = (0.2, 0.4, 0.8, *(1.6,) * 6)
 COPY_RANGE = 100000
 PROBE_S = 0.5
 MISSES = 2
@@ -203,6 +203,7 @@
         self.endpoint = ''
         self.is_ended = False
         self.reset_sum: int | None = None
+        self.opened_s = 0.0
         self._sequence = self._first + 1
         self._ack = 0
 
--- a/review/stand_ins_2/scene.py
+++ b/review/stand_ins_2/scene.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from .endpoint import Endpoint
-from .nodes import Node
+from .nodes import BOUNDS, Node
 from .packets import End
 from .record import Record
 from .requester import Requester, Router
@@ -53,6 +53,7 @@
         self._network = random.randrange(1, 250)
         self._subnet = random.randrange(110, 200)
         self.seeds: list[str] = []
+        self.bounds = dict(BOUNDS)
         self._version = 0
         self._tasks: list[asyncio.Task[Any]] = []
 
@@ -76,7 +77,7 @@
         zone: str,
         service: str,
         internal_ports: str = INTERNAL_PORTS,
-        work_s: float = 0.03,
+        slots: int = 2,
     ) -> Node:
         """Add a machine with an endpoint, which starts at once."""
         fields = self._describe('side', number, zone, internal_ports)
@@ -84,7 +85,8 @@
         fields['app'] = f'{host}:{PORTS["app"]}'
         fields['service'] = service
         fields['listen']['outbound'] = f'{host}:{PORTS["outbound"]}'
-        endpoint = Endpoint(self.record, host, service, zone, PORTS, work_s)
+        endpoint = Endpoint(self.record, host, service, zone, PORTS)
+        endpoint.slots = slots
         await endpoint.start()
         self.endpoints.append(endpoint)
         return self._add('agent', fields)
@@ -159,6 +161,17 @@
                     node.start()
             await asyncio.sleep(pause_s)
 
+    async def wait_until(self, time_s: float) -> None:
+        """Wait until a time of the record."""
+        await asyncio.sleep(max(time_s - self.record.now(), 0.0))
+
+    def find_holder(self, port: int) -> str:
+        """Return the endpoint at which a requester's flow is open, or ''."""
+        for endpoint in self.endpoints:
+            if port in endpoint.open_ports:
+                return endpoint.name
+        return ''
+
     def stop(self) -> None:
         """End all processes."""
         for node in self.nodes.values():
@@ -189,6 +202,7 @@
             'internal-ports': internal_ports,
             'seeds': ','.join(self.seeds),
             'heartbeat-ms': 1200,
+            'bounds': self.bounds,
             'platform': {'address': f'{self.host(9)}:{PORTS["store"]}'},
         }
 
