--- a/review/7/case.py
+++ b/review/7/case.py
@@ -24,6 +24,7 @@
 ROUTE = 1
 # Flows at the endpoint that is cut off; it may hold 2,000.
 FLOWS = 1200
+LEAST_FLOWS = 1100
 AT_ONCE = 60
 # Times after the stop of the first nodes, in seconds. They stop after 5.2 s;
 # a front machine stops 2 s after it was asked to.
@@ -68,7 +69,12 @@
     await scene.wait_until(start_s + USE_S)
     first = await asyncio.gather(*(flow.request('first') for flow in flows))
     scene.record.write('flows.used', outcomes=dict(Counter(first)))
-    if set(first) != {'served'}:
+    flows = [
+        flow
+        for flow, outcome in zip(flows, first, strict=True)
+        if outcome == 'served'
+    ]
+    if len(flows) < LEAST_FLOWS:
         return NOT_RUN
     await scene.wait_until(start_s + FIRST_FRONT_S)
     restarts.append(asyncio.ensure_future(fronts[0].restart(signal.SIGTERM)))
