--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,6 +1,7 @@
 """Case 10: requesters close flows that a draining endpoint has closed."""
 
 import asyncio
+import os
 from collections import Counter
 from pathlib import Path
 
@@ -88,4 +89,8 @@
 
 
 if __name__ == '__main__':
-    run_case(Path(__file__).parent, play)
+    run_case(
+        Path(__file__).parent,
+        play,
+        has_trouble=os.environ['TROUBLE'] != '0',
+    )
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,6 +1,7 @@
 """Case 7: flows of an endpoint whose machine was cut off for 12 s."""
 
 import asyncio
+import os
 import random
 import signal
 from collections import Counter
@@ -163,4 +164,8 @@
 
 
 if __name__ == '__main__':
-    run_case(Path(__file__).parent, play)
+    run_case(
+        Path(__file__).parent,
+        play,
+        has_trouble=os.environ['TROUBLE'] != '0',
+    )
--- a/review/stand_ins_2/scene.py
+++ b/review/stand_ins_2/scene.py
@@ -41,14 +41,19 @@
 
 
 class Scene:
-    """Store, nodes, endpoints and one requester of a deployment."""
+    """Store, nodes, endpoints and one requester of a deployment.
 
-    def __init__(self, record: Record, folder: Path) -> None:
+    `has_trouble` tells whether the case brings its disruption about.
+    """
+
+    def __init__(
+        self, record: Record, folder: Path, *, has_trouble: bool
+    ) -> None:
         self.record = record
         self.store = Store()
         self.nodes: dict[str, Node] = {}
         self.endpoints: list[Endpoint] = []
-        self.has_trouble = os.environ.get('TROUBLE', '1') != '0'
+        self.has_trouble = has_trouble
         self._folder = folder
         self._network = random.randrange(1, 250)
         self._subnet = random.randrange(110, 200)
@@ -212,11 +217,19 @@
     return (socket.inet_aton(f'198.18.0.{number}'), ROUTE_PORT)
 
 
-def run_case(path: Path, play: Callable[[Scene], Awaitable[int]]) -> None:
-    """Run a case and end with its result as the exit code."""
+def run_case(
+    path: Path,
+    play: Callable[[Scene], Awaitable[int]],
+    *,
+    has_trouble: bool,
+) -> None:
+    """Run a case and end with its result as the exit code.
+
+    Without `has_trouble` the case leaves its disruption out.
+    """
     record = Record(path / 'record.txt')
     with tempfile.TemporaryDirectory() as folder:
-        scene = Scene(record, Path(folder))
+        scene = Scene(record, Path(folder), has_trouble=has_trouble)
         code = asyncio.run(_run_limited(scene, play))
         if code == NOT_RUN or os.environ.get('KEEP_LOGS'):
             for log in sorted(Path(folder).glob('*.log')):
