--- /dev/null
+++ b/review/stand_ins_3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, its endpoints and its requesters."""
