--- a/review/stand_ins_3/nodes.py
+++ b/review/stand_ins_3/nodes.py
@@ -64,6 +64,18 @@
         """Send a signal to a process."""
         self._processes[name].send_signal(number)
 
+    def restart_all(self) -> None:
+        """Start all processes again with the settings of now."""
+        for role, settings in list(self._started.values()):
+            self.start(role, settings | {'first-start': False})
+
+    def kill_all(self) -> None:
+        """Kill all processes at once."""
+        for process in self._processes.values():
+            process.kill()
+        for process in self._processes.values():
+            process.wait()
+
     def forget(self, name: str) -> int | None:
         """Return the exit code of a process that was stopped, if it ended.
 
--- a/review/stand_ins_3/scene.py
+++ b/review/stand_ins_3/scene.py
@@ -61,6 +61,8 @@
         self.endpoints: list[Endpoint] = []
         self.requesters: list[Requesters] = []
         self.results: list[str] = []
+        # When the flow of each request was sent, and what became of it.
+        self._sent: list[tuple[float, str]] = []
         self.net = NETS[0]
         self.base = self._find_ports()
         self.router = Router(self.base + READY, self.base + DATA)
@@ -228,8 +230,18 @@
         outcome = await channel.request(attempt, 500, 3.0, closes=closes)
         self._record(channel, attempt, outcome)
 
+    def share_served(self, from_s: float, until_s: float) -> float:
+        """Return the share of the requests sent in a span that were served."""
+        outcomes = [
+            outcome
+            for sent_s, outcome in self._sent
+            if from_s <= sent_s <= until_s
+        ]
+        return outcomes.count('served') / len(outcomes) if outcomes else 0.0
+
     def _record(self, channel: Channel, attempt: str, outcome: str) -> None:
         self.results.append(outcome)
+        self._sent.append((self.since_start(channel.sent_s), outcome))
         self.note(f'request {attempt} from {channel.ends[0][0]}: {outcome}')
 
     async def stop(self) -> None:
--- a/review/stand_ins_3/store.py
+++ b/review/stand_ins_3/store.py
@@ -7,7 +7,9 @@
 from urllib.parse import parse_qs, unquote, urlsplit
 
 ANSWER_S = 0.004
+# A list has so many entries or bytes at most.
 PAGE = 500
+PAGE_BYTES = 1000000
 
 
 class Store:
@@ -197,9 +199,16 @@
     def _list(self, kind: str, after: str) -> dict[str, Any]:
         stored = self.objects.get(kind, {})
         names = sorted(name for name in stored if name > after)
+        page: list[dict[str, Any]] = []
+        size = 0
+        for name in names[:PAGE]:
+            size += len(json.dumps(stored[name]))
+            if page and size > PAGE_BYTES:
+                break
+            page.append(stored[name])
         return {
-            'items': [stored[name] for name in names[:PAGE]],
-            'more': len(names) > PAGE,
+            'items': page,
+            'more': len(names) > len(page),
             'current-rev': self.revision,
         }
 
