Review case 12: balancers join at changing phases

Cause: all joins were whole seconds apart, so that a play met one phase of the announcements between agents, and a play on an idle machine could hold.

--- a/review/12/play.py
+++ b/review/12/play.py
@@ -18,9 +18,13 @@
 
 LEAVE_S, DRAIN_S, LATE_S, REUSE_S = 2.0, 5.5, 4.5, 2.5
 # When balancers join, in seconds after the flows have opened.
-JOINS = {'1.2': 5.0, '2.2': 8.0, '1.3': 11.0, '2.3': 14.0, '1.4': 17.0}
-FLOWS, IDLE_S, AFTER_S = 30, 0.4, 21.0
-OPEN_GAP_S = 0.05
+JOINS = {
+    f'{zone}.{2 + turn // 2}': 5.0 + 3.35 * turn
+    for turn, zone in enumerate('12121212')
+}
+FLOWS, IDLE_S, AFTER_S = 40, 0.3, 34.0
+WORK_S = 0.005
+OPEN_GAP_S = 0.04
 STOP_LIMIT_S = 8.0
 
 
@@ -37,7 +41,10 @@
     scene.store.late_s.clear()
     scene.note(f'{leaving.site.name} has left, its agent was stopped')
     await asyncio.sleep(REUSE_S)
-    await scene.add_side('12.2', 'zone-b', list(FRONTS), REPORT_SERVICE)
+    reusing = await scene.add_side(
+        '12.2', 'zone-b', list(FRONTS), REPORT_SERVICE
+    )
+    reusing.site.work_s = WORK_S
     await asyncio.sleep(LATE_S)
     listed = sorted(scene.store.objects['greengagepath-members'])
     scene.note(f'registered: {", ".join(listed)}')
