--- a/review/stand_ins_3/endpoint.py
+++ b/review/stand_ins_3/endpoint.py
@@ -100,6 +100,7 @@
             task.cancel()
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def connection_made(self, transport: Any) -> None:
         """Keep the socket."""
--- a/review/stand_ins_3/requester.py
+++ b/review/stand_ins_3/requester.py
@@ -237,6 +237,7 @@
         """Close the socket."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def connection_made(self, transport: Any) -> None:
         """Keep the socket."""
--- a/review/stand_ins_3/runner.py
+++ b/review/stand_ins_3/runner.py
@@ -49,6 +49,11 @@
     finally:
         if scene is not None:
             lines += scene.lines
+            lines += [
+                f'{endpoint.site.name} took {len(endpoint.took)} flows and ran '
+                f'{len(endpoint.ran)} requests: {" ".join(endpoint.ran)}'
+                for endpoint in scene.endpoints
+            ]
             await scene.stop()
             totals = dict(sorted(Counter(scene.results).items()))
             lines.append(f'requests by outcome: {totals}')
--- a/review/stand_ins_3/scene.py
+++ b/review/stand_ins_3/scene.py
@@ -209,7 +209,7 @@
         if await channel.open():
             while self.now() < end_s and not channel.outcome:
                 number += 1
-                attempt = f'{channel.ends[0][1]}-{number}'
+                attempt = f'{requesters.zone}-{channel.ends[0][1]}-{number}'
                 await self._request(channel, attempt, closes=False)
                 await asyncio.sleep(every_s * random.uniform(0.7, 1.3))
         channel.close()
@@ -217,18 +217,20 @@
 
     async def _send_one(self, requesters: Requesters, route: str) -> None:
         channel = requesters.make_channel(route)
-        attempt = f'{channel.ends[0][1]}'
+        attempt = f'{requesters.zone}-{channel.ends[0][1]}'
         if await channel.open():
             await self._request(channel, attempt, closes=True)
             channel.close()
         else:
-            self._record(channel, attempt, channel.outcome)
+            opening_s = self.since_start(channel.sent_s)
+            self._record(channel, attempt, opening_s, channel.outcome)
 
     async def _request(
         self, channel: Channel, attempt: str, *, closes: bool
     ) -> None:
+        sent_s = self.now()
         outcome = await channel.request(attempt, 500, 3.0, closes=closes)
-        self._record(channel, attempt, outcome)
+        self._record(channel, attempt, sent_s, outcome)
 
     def share_served(self, from_s: float, until_s: float) -> float:
         """Return the share of the requests sent in a span that were served."""
@@ -239,10 +241,15 @@
         ]
         return outcomes.count('served') / len(outcomes) if outcomes else 0.0
 
-    def _record(self, channel: Channel, attempt: str, outcome: str) -> None:
+    def _record(
+        self, channel: Channel, attempt: str, sent_s: float, outcome: str
+    ) -> None:
         self.results.append(outcome)
         self._sent.append((self.since_start(channel.sent_s), outcome))
-        self.note(f'request {attempt} from {channel.ends[0][0]}: {outcome}')
+        self.note(
+            f'request {attempt} from {channel.ends[0][0]}, sent at '
+            f'{sent_s:.3f} s: {outcome}'
+        )
 
     async def stop(self) -> None:
         """End everything."""
