Fix ignored evacuations after the store came back from an earlier copy

Hypotheses: balancers don't read (no: the store has their calls), agents drop the list (they would, too), balancers drop it (confirmed).

Change: a typed version, era before revision, comes from the adapter; the era of the header Store-Era is part of each list and of ZONES, in an entry that earlier builds keep and never match. An answer of an earlier era is an error, a watch of an earlier era ends, a peer's read of an earlier era is not fresh. A zone that the first list of an era lacks stays evacuated for evacuate-ms, unless a list of that era has named it: its entry may be lost and be written again.

This works because the store's era rises with each drill: whatever number a later word has, its era is higher.

--- a/greengagepath/daemon/http_connection.py
+++ b/greengagepath/daemon/http_connection.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import socket as native
+from collections.abc import Iterable
 
 import gevent
 import h11
@@ -21,13 +22,22 @@
 
 
 class HttpAnswer:
-    """Status and body of an answer."""
+    """Status, body and headers of an answer.
 
-    __slots__ = ('body', 'status')
+    The names of `headers` are in lower case.
+    """
+
+    __slots__ = ('body', 'headers', 'status')
 
-    def __init__(self, status: int, body: bytes) -> None:
+    def __init__(
+        self,
+        status: int,
+        body: bytes,
+        headers: Iterable[tuple[bytes, bytes]] = (),
+    ) -> None:
         self.status = status
         self.body = body
+        self.headers = dict(headers)
 
 
 class HttpConnection:
@@ -118,16 +128,18 @@
 
     def _receive(self) -> HttpAnswer:
         status = 0
+        headers: Iterable[tuple[bytes, bytes]] = ()
         body = b''
         while True:
             event = self._next_event()
             match event:
                 case h11.Response():
                     status = event.status_code
+                    headers = event.headers
                 case h11.Data():
                     body += bytes(event.data)
                 case h11.EndOfMessage():
-                    return HttpAnswer(status, body)
+                    return HttpAnswer(status, body, headers)
                 case h11.ConnectionClosed():
                     raise ConnectionResetError('server closed the connection')
             if len(body) > MAX_ANSWER_BYTES:
--- a/greengagepath/daemon/http_listener.py
+++ b/greengagepath/daemon/http_listener.py
@@ -41,9 +41,9 @@
 
 
 class HttpReply:
-    """Status, body and content type of an answer."""
+    """Status, body, content type and further headers of an answer."""
 
-    __slots__ = ('body', 'content_type', 'status')
+    __slots__ = ('body', 'content_type', 'headers', 'status')
 
     def __init__(
         self,
@@ -54,6 +54,7 @@
         self.status = status
         self.body = body
         self.content_type = content_type
+        self.headers: list[tuple[str, str]] = []
 
 
 Handler = Callable[[HttpRequest], HttpReply]
@@ -179,7 +180,7 @@
 def _send(
     accepted: socket.socket, protocol: h11.Connection, reply: HttpReply
 ) -> None:
-    headers = [('Content-Length', str(len(reply.body)))]
+    headers = [('Content-Length', str(len(reply.body))), *reply.headers]
     if reply.body:
         headers.append(('Content-Type', reply.content_type))
     head = protocol.send(
--- a/greengagepath/daemon/route_follower.py
+++ b/greengagepath/daemon/route_follower.py
@@ -13,6 +13,7 @@
 
 from ..foundation.greenlets import spawn_supervised
 from ..foundation.logs import log_event
+from ..foundation.store_version import StoreVersion
 from ..steering.balancer.balancer_steering import BalancerSteering
 from ..steering.settings import DEFAULT_APPLY_LIMIT_S
 from ..steering.store import SteeringStore, StoredRoutes, StoreProblem
@@ -56,8 +57,8 @@
         self._rng = rng
         self._apply_s = apply_s
         self._is_watching = False
-        # Revision of a read that has shown that the watch missed a change.
-        self._read_revision: int | None = None
+        # Version of a read that has shown that the watch missed a change.
+        self._read_version: StoreVersion | None = None
         self._catch_up_requested = Event()
         self._is_store_reachable = True
         # Called after each read of the store that has routes.
@@ -76,25 +77,23 @@
         self._catch_up_requested.set()
 
     def _follow(self) -> None:
-        revision: int | None = None
+        version: StoreVersion | None = None
         retry_s = FIRST_RETRY_S
         while True:
-            outcome = (
-                self._read() if revision is None else self._watch(revision)
-            )
-            if self._read_revision is not None:
-                revision = self._read_revision
-                self._read_revision = None
+            outcome = self._read() if version is None else self._watch(version)
+            if self._read_version is not None:
+                version = self._read_version
+                self._read_version = None
                 continue
             if isinstance(outcome, Err):
                 self._log_store_lost(outcome.err_value)
-                revision = None
+                version = None
                 gevent.sleep(self._rng.uniform(retry_s / 2, retry_s))
                 retry_s = min(retry_s * 2, MAX_RETRY_S)
                 continue
             self._log_store_regained()
             retry_s = FIRST_RETRY_S
-            revision = outcome.ok_value.revision
+            version = outcome.ok_value.version
             if self._apply(outcome.ok_value):
                 gevent.sleep(WATCH_PAUSE_S)
 
@@ -145,10 +144,12 @@
             self._steering.contacts.announce_read(started_s)
         return outcome
 
-    def _watch(self, revision: int) -> Result[StoredRoutes, StoreProblem]:
+    def _watch(
+        self, version: StoreVersion
+    ) -> Result[StoredRoutes, StoreProblem]:
         self._is_watching = True
         try:
-            return self._store.watch_routes(revision)
+            return self._store.watch_routes(version)
         finally:
             self._is_watching = False
 
@@ -162,9 +163,10 @@
                 'watch.missed',
                 level=logging.WARNING,
                 version=self._steering.routes.version,
-                revision=stored.revision,
+                era=stored.version.era,
+                revision=stored.version.revision,
             )
-            self._read_revision = stored.revision
+            self._read_version = stored.version
             self._store.interrupt_watch()
         return True
 
--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -85,6 +85,7 @@
             zone_digest=digest_service(settings.availability_zone),
             cold_bounds=settings.bounds.cold,
         )
+        identity.evacuate_s = settings.bounds.evacuate_s
         self.steering = AgentSteering(identity, self._timers, self)
         context = self.steering.context
         self._target_address = settings.target_address or (settings.host, 0)
@@ -156,7 +157,9 @@
             'balancers': len(context.peers.balancers),
             'latest_version': context.latest_version,
             'is_evacuated': context.is_evacuated,
-            'zones_revision': context.zones.revision,
+            'zones_era': context.zone.zones.version.era,
+            'zones_revision': context.zone.zones.version.revision,
+            'store_era': self._store.eras.latest,
             'is_cold_limited': not context.allows_cold(),
         }
 
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -108,7 +108,9 @@
             'agents': len(contacts.agents.by_address),
             'pauses': contacts.agents.pauses,
             'evacuated_zones': len(contacts.zones.zones.digests),
-            'zones_revision': contacts.zones.zones.revision,
+            'zones_era': contacts.zones.zones.version.era,
+            'zones_revision': contacts.zones.zones.version.revision,
+            'store_era': self._store.eras.latest,
             'zones_age_s': contacts.zones.freshness.age_s,
             'stage': contacts.stage,
         }
--- a/greengagepath/platform/store.py
+++ b/greengagepath/platform/store.py
@@ -10,6 +10,7 @@
 
 from ..daemon.http_connection import HttpAnswer, HttpConnection
 from ..foundation.logs import log_event
+from ..foundation.store_version import StoreVersion
 from ..foundation.tolerant_json import decode_json
 from ..steering.routes import RouteTable
 from ..steering.settings import (
@@ -24,6 +25,7 @@
     StoredZones,
     StoreProblem,
 )
+from ..steering.store_eras import StoreEras
 from .configuration import decode_configuration
 
 # A call may wait for this share of the time in which a configuration has to
@@ -42,6 +44,8 @@
 _CONFIGURATION_NAME = 'main'
 _MEMBERS = '/objects/greengagepath-members'
 _EVACUATIONS = '/objects/evacuations'
+_ERA_HEADER = b'store-era'
+_MAX_ERA_DIGITS = 12
 _OK = 200
 _CREATED = 201
 _CONFLICT = 409
@@ -66,6 +70,9 @@
         # Number of calls by operation and outcome, for metrics.
         self.calls: Counter[tuple[str, str]] = Counter()
         self.apply_s = apply_s
+        self.eras = StoreEras()
+        # It waits for changes after a revision of the earlier era.
+        self.eras.subscribe(self.interrupt_watch)
         self._address = address
         self._first_limit_s = apply_s * CALL_SHARE
         self._call_limit_s = self._first_limit_s
@@ -83,18 +90,26 @@
             return Err(StoreProblem('configuration cannot be decoded'))
         return decoded
 
-    def watch_routes(self, revision: int) -> Result[StoredRoutes, StoreProblem]:
-        """Wait for a configuration that is newer than the revision.
+    def watch_routes(
+        self, version: StoreVersion
+    ) -> Result[StoredRoutes, StoreProblem]:
+        """Wait for a configuration that is newer than the version.
 
         Waits up to `WATCH_TIMEOUT_MS`; without a newer configuration the
-        table is None.
+        table is None. The history of an earlier era is lost, also where
+        the store has given its revision out again.
         """
-        target = f'{_CONFIGURATION}?watch={revision}&wait-ms={WATCH_TIMEOUT_MS}'
+        if version.era < self.eras.latest:
+            return Err(_EARLIER_ERA)
+        query = f'watch={version.revision}&wait-ms={WATCH_TIMEOUT_MS}'
+        target = f'{_CONFIGURATION}?{query}'
         timeout_s = WATCH_TIMEOUT_MS / _MS_PER_S + _WATCH_MARGIN_S
         answer = self._watch_connection.call('GET', target, b'', timeout_s)
         response = self._interpret('watch_routes', answer)
         if isinstance(response, Err):
             return response
+        if version.era < self.eras.latest:
+            return Err(_EARLIER_ERA)
         changed = [
             event.get('object')
             for event in _read_list(response.ok_value, 'events')
@@ -115,15 +130,15 @@
         response = self._call('list_evacuated_zones', 'GET', _EVACUATIONS)
         if isinstance(response, Err):
             return response
-        revision = response.ok_value.get('current-rev')
-        if not isinstance(revision, int) or revision < 0:
+        version = self._read_version(response.ok_value)
+        if version is None:
             return Err(StoreProblem('answer has no revision'))
         entries = _read_list(response.ok_value, 'items')
         names = list(filter(None, map(_decode_name, entries)))
         odd = len(entries) - len(names)
         if odd:
             self.calls['list_evacuated_zones', 'odd_entry'] += odd
-        return Ok(StoredZones(names, revision))
+        return Ok(StoredZones(names, version))
 
     def list_members(self) -> Result[list[Member], StoreProblem]:
         """Return the registered processes, of at most `MAX_PAGES` pages.
@@ -206,6 +221,8 @@
             return Err(StoreProblem(answer.err_value))
         status = answer.ok_value.status
         self.calls[operation, str(status)] += 1
+        if not self.eras.record(_decode_era(answer.ok_value)):
+            return Err(StoreProblem('answer of an earlier era'))
         if status not in _SUCCESSES:
             is_history_lost = status == _GONE
             return Err(
@@ -242,8 +259,8 @@
         Others are logged and skipped, so that the watch goes on behind
         them.
         """
-        revision = body.get('current-rev')
-        if not isinstance(revision, int):
+        version = self._read_version(body)
+        if version is None:
             return Err(StoreProblem('answer has no revision'))
         latest: RouteTable | None = None
         for entry in entries:
@@ -257,14 +274,28 @@
                     'configuration.unreadable',
                     level=logging.ERROR,
                     repeats=True,
-                    revision=revision,
+                    revision=version.revision,
                     reason=decoded.err_value,
                 )
                 continue
             table = decoded.ok_value
             if latest is None or table.version > latest.version:
                 latest = table
-        return Ok(StoredRoutes(latest, revision))
+        return Ok(StoredRoutes(latest, version))
+
+    def _read_version(self, body: _Body) -> StoreVersion | None:
+        """Return the version in the latest answer, None if it has none."""
+        revision = body.get('current-rev')
+        if not isinstance(revision, int) or revision < 0:
+            return None
+        return StoreVersion(self.eras.latest, revision)
+
+
+def _decode_era(answer: HttpAnswer) -> int:
+    """Return the era in an answer's headers, 0 if it names none."""
+    text = answer.headers.get(_ERA_HEADER, b'')
+    is_number = text.isdigit() and len(text) <= _MAX_ERA_DIGITS
+    return int(text) if is_number else 0
 
 
 def _read_list(body: _Body, name: str) -> list[Any]:
@@ -299,6 +330,7 @@
     return Member(address, MemberRole(role))
 
 
+_EARLIER_ERA = StoreProblem('watch of an earlier era', is_history_lost=True)
 _CONFLICT_REASON = f'status {_CONFLICT}'
 _ROLES = frozenset(role.value for role in MemberRole)
 _UNQUOTED = frozenset(f'-._~{string.digits}{string.ascii_letters}'.encode())
--- a/greengagepath/steering/agent/agent_context.py
+++ b/greengagepath/steering/agent/agent_context.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from typing import Protocol
 
-from ...evacuation.zones import EvacuatedZones
+from ...evacuation.zones import ZoneState
 from ...foundation.logs import log_event
 from ...foundation.timers import TimerService
 from ...pace.cold_limit import ColdBounds, ColdLimit
@@ -64,11 +64,14 @@
     `heartbeat_s` is the interval of the target's heartbeats and `idle_s`
     how long an idle flow is kept, both in seconds. `is_first_start` is
     True only if no flow can have been opened before this process started.
+    `evacuate_s` is the time in seconds in which an evacuation has to be in
+    force, 0 if the deployment has none; set after construction.
     """
 
     __slots__ = (
         'address',
         'cold_bounds',
+        'evacuate_s',
         'heartbeat_s',
         'idle_s',
         'is_first_start',
@@ -92,6 +95,7 @@
         self.address = address
         self.zone = zone
         self.zone_digest = zone_digest
+        self.evacuate_s = 0.0
         self.cold_bounds = cold_bounds
         self.service = service
         self.heartbeat_s = heartbeat_s
@@ -121,7 +125,7 @@
         'peers',
         'routes',
         'timers',
-        'zones',
+        'zone',
     )
 
     def __init__(
@@ -141,7 +145,7 @@
         self.peers = AgentPeers(identity.address, identity.zone, timers)
         self.routes = RouteCopy()
         self.timers = timers
-        self.zones = EvacuatedZones()
+        self.zone = ZoneState(identity.zone_digest, identity.evacuate_s)
         self.cold_limit: ColdLimit | None = None
         if identity.cold_bounds is not None:
             self.cold_limit = ColdLimit(identity.cold_bounds, timers.now())
@@ -149,7 +153,7 @@
     @property
     def is_evacuated(self) -> bool:
         """Return whether the zone of this agent is evacuated."""
-        return self.identity.zone_digest in self.zones.digests
+        return self.zone.is_evacuated(self.timers.now())
 
     def allows_cold(self, *, is_last_resort: bool = False) -> bool:
         """Return whether the rate limit of a cold target allows a flow."""
--- a/greengagepath/steering/agent/agent_steering.py
+++ b/greengagepath/steering/agent/agent_steering.py
@@ -302,6 +302,7 @@
     def _sweep(self) -> None:
         now_s = self.context.timers.now()
         self._search.reset_search_limit()
+        self._zones.check()
         self.context.held_flows.sweep(now_s, self.context.identity.idle_s)
         self.context.peers.remove_silent()
         self._routes.pull_routes()
--- a/greengagepath/steering/balancer/balancer_contacts.py
+++ b/greengagepath/steering/balancer/balancer_contacts.py
@@ -2,6 +2,7 @@
 
 from typing import Protocol
 
+from ...foundation.store_version import StoreVersion
 from ...foundation.timers import TimerService
 from ..ages import drop_older
 from ..messages.peer_messages import (
@@ -122,10 +123,10 @@
         self._send_stage(list(self._balancer_seen_s))
 
     def announce_zones_read(
-        self, names: list[str], revision: int, started_s: float
+        self, names: list[str], version: StoreVersion, started_s: float
     ) -> None:
         """Record a list of evacuated zones and tell other balancers of it."""
-        is_changed = self.zones.record_read(names, revision, started_s)
+        is_changed = self.zones.record_read(names, version, started_s)
         self.zones.send_to_balancers(self._balancer_seen_s)
         if is_changed:
             self.zones.send_to_agents(self.agents)
--- a/greengagepath/steering/balancer/balancer_zones.py
+++ b/greengagepath/steering/balancer/balancer_zones.py
@@ -9,6 +9,7 @@
 from ...evacuation.notices import MAX_ZONES, ZoneNotice, decode_notice
 from ...evacuation.zones import EvacuatedZones
 from ...foundation.logs import log_event
+from ...foundation.store_version import StoreVersion
 from ...foundation.timers import TimerService
 from ..messages.peer_messages import (
     NO_SERVICE,
@@ -58,7 +59,7 @@
         self._routes = routes
 
     def record_read(
-        self, names: Iterable[str], revision: int, started_s: float
+        self, names: Iterable[str], version: StoreVersion, started_s: float
     ) -> bool:
         """Record a list read from the store; return whether it is a change.
 
@@ -74,22 +75,25 @@
                 repeats=True,
                 zones=len(digests),
                 announced=MAX_ZONES,
-                revision=revision,
+                revision=version.revision,
             )
-        return self._replace(digests, revision, 'store')
+        return self._replace(digests, version, 'store')
 
     def handle_notice(self, sender: bytes, message: PeerMessage) -> bool:
         """Handle the list of another balancer; True if it is a change.
 
-        `objective_ms` of the message is the age of the sender's read.
+        `objective_ms` of the message is the age of the sender's read. It
+        says nothing of the store if it was in an earlier era.
         """
         decoded = decode_notice(message.body)
         if isinstance(decoded, Err):
             return False
         notice = decoded.ok_value
+        if notice.version.era < self.zones.version.era:
+            return False
         self.freshness.record_peer_read(message.objective_ms)
         return self._replace(
-            notice.digests, notice.revision, format_address(sender)
+            notice.digests, notice.version, format_address(sender)
         )
 
     def send_to_balancers(self, addresses: Iterable[bytes]) -> None:
@@ -113,7 +117,7 @@
         if table is None:
             return
         rate_by_service = table.cold_per_s_by_service
-        if not self.zones.revision and not rate_by_service:
+        if not self.zones.version.is_read and not rate_by_service:
             return
         per_s = rate_by_service.get(agent.service, 0.0)
         self._outbox.to_agent(
@@ -121,25 +125,33 @@
         )
 
     def _replace(
-        self, digests: frozenset[bytes], revision: int, source: str
+        self, digests: frozenset[bytes], version: StoreVersion, source: str
     ) -> bool:
-        earlier = len(self.zones.digests)
-        is_first = not self.zones.revision
-        if not self.zones.replace(digests, revision):
-            # The first list is passed on even if it is empty.
-            return is_first and bool(self.zones.revision)
-        log_event(
-            _logger,
-            'zones.changed',
-            evacuated=len(digests),
-            was=earlier,
-            revision=revision,
-            source=source,
-        )
-        return True
+        """Apply a list; return whether it has to be passed on.
+
+        The first list of an era is passed on even if it names the same
+        zones: agents have to learn that they are evacuated in this era.
+        """
+        earlier = self.zones.digests
+        earlier_version = self.zones.version
+        if not self.zones.replace(digests, version):
+            return False
+        is_new_era = version.era > earlier_version.era
+        if digests != earlier or is_new_era:
+            log_event(
+                _logger,
+                'zones.changed',
+                evacuated=len(digests),
+                was=len(earlier),
+                era=version.era,
+                revision=version.revision,
+                source=source,
+            )
+            return True
+        return not earlier_version.is_read
 
     def _encode(self, service: bytes, per_s: float, age_ms: int) -> bytes:
-        notice = ZoneNotice(self.zones.digests, self.zones.revision, per_s)
+        notice = ZoneNotice(self.zones.digests, self.zones.version, per_s)
         message = PeerMessage(
             PeerKind.ZONES,
             service,
--- a/greengagepath/steering/store.py
+++ b/greengagepath/steering/store.py
@@ -6,7 +6,9 @@
 
 from result import Result
 
+from ..foundation.store_version import StoreVersion
 from .routes import RouteTable
+from .store_eras import StoreEras
 
 
 @unique
@@ -28,29 +30,29 @@
 
 
 class StoredRoutes:
-    """Routes and the store's revision; `table` is None if unchanged."""
+    """Routes and the store's version; `table` is None if unchanged."""
 
-    __slots__ = ('revision', 'table')
+    __slots__ = ('table', 'version')
 
-    def __init__(self, table: RouteTable | None, revision: int) -> None:
+    def __init__(self, table: RouteTable | None, version: StoreVersion) -> None:
         self.table = table
-        self.revision = revision
+        self.version = version
 
 
 class StoredZones:
-    """Names of the evacuated zones, and the revision of the list."""
+    """Names of the evacuated zones, and the version of the list."""
 
-    __slots__ = ('names', 'revision')
+    __slots__ = ('names', 'version')
 
-    def __init__(self, names: list[str], revision: int) -> None:
+    def __init__(self, names: list[str], version: StoreVersion) -> None:
         self.names = names
-        self.revision = revision
+        self.version = version
 
 
 class StoreProblem:
     """Reason why a call failed.
 
-    `is_history_lost` means that the store cannot watch from the revision
+    `is_history_lost` means that the store cannot watch from the version
     any more, so that the caller has to read again.
     """
 
@@ -65,17 +67,25 @@
     """Store whose calls block the greenlet until an answer or time-out.
 
     `calls` counts the calls by operation and outcome. `apply_s` is the
-    time in seconds in which a configuration has to be in force.
+    time in seconds in which a configuration has to be in force. `eras`
+    tells of a store that came back from an earlier copy; an answer of an
+    era before the latest is an error.
     """
 
     calls: Counter[tuple[str, str]]
     apply_s: float
+    eras: StoreEras
 
     def read_routes(self) -> Result[StoredRoutes, StoreProblem]:
         """Return the configuration of a linearizable read."""
 
-    def watch_routes(self, revision: int) -> Result[StoredRoutes, StoreProblem]:
-        """Wait for a configuration that is newer than the revision."""
+    def watch_routes(
+        self, version: StoreVersion
+    ) -> Result[StoredRoutes, StoreProblem]:
+        """Wait for a configuration that is newer than the version.
+
+        The history of an earlier era is lost.
+        """
 
     def interrupt_watch(self) -> None:
         """End the call of `watch_routes` that waits, if any, with an error."""
--- /dev/null
+++ b/greengagepath/steering/store_eras.py
@@ -0,0 +1,50 @@
+"""Eras of the store, as its answers to this process tell them.
+
+In each answer the store names its era, which rises by one when the store
+comes back from an earlier copy. What this process has read or written in
+an earlier era may be gone then, and has to be checked again.
+"""
+
+import logging
+from collections.abc import Callable
+
+from ..foundation.logs import log_event
+
+_logger = logging.getLogger(__name__)
+
+
+class StoreEras:
+    """Latest era of the store, 0 while no answer has named one."""
+
+    __slots__ = ('_callbacks', 'latest')
+
+    def __init__(self) -> None:
+        self.latest = 0
+        self._callbacks: list[Callable[[], None]] = []
+
+    def subscribe(self, callback: Callable[[], None]) -> None:
+        """Call `callback` after each change from one era to a later one."""
+        self._callbacks.append(callback)
+
+    def record(self, era: int) -> bool:
+        """Record the era of an answer; False if it is before the latest.
+
+        An answer without an era, as 0, says nothing of it.
+        """
+        if not era or era == self.latest:
+            return True
+        if era < self.latest:
+            return False
+        earlier = self.latest
+        self.latest = era
+        if earlier:
+            log_event(
+                _logger,
+                'store.era_changed',
+                level=logging.WARNING,
+                era=era,
+                was=earlier,
+            )
+            for callback in self._callbacks:
+                callback()
+        return True
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -1,9 +1,11 @@
 """Stand-in for the platform's store, written from its published page.
 
 Serves objects with revisions, lists and watches over HTTP/1.1 on
-127.0.0.1; can discard its history and refuse calls.
+127.0.0.1; can discard its history, refuse calls and come back from an
+earlier copy of itself.
 """
 
+import copy
 import json
 from collections.abc import Callable
 from typing import Any
@@ -21,12 +23,24 @@
 from .builders import make_object
 
 
+class StoreCopy:
+    """Objects of the store and its revision at one time."""
+
+    def __init__(
+        self, objects: dict[str, dict[str, Any]], revision: int
+    ) -> None:
+        self.objects = objects
+        self.revision = revision
+
+
 class StoreStandIn:
     """Serves objects by kind and name.
 
     A `forced_status` other than 0 is the answer to every call. `loses`
     decides for the path of a call whether its answer is lost: the call is
-    executed, and its connection stays open without a byte.
+    executed, and its connection stays open without a byte. `era` is named
+    in all answers unless it is 0. `delay_s` decides for a path how long
+    an answer is under way.
     """
 
     def __init__(self) -> None:
@@ -34,6 +48,8 @@
         self.calls: list[tuple[str, str]] = []
         self.forced_status = 0
         self.loses: Callable[[str], bool] = lambda path: False
+        self.delay_s: Callable[[str], float] = lambda path: 0
+        self.era = 0
         self.revision = 1
         self.oldest_revision = 0
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -61,10 +77,32 @@
         self._events.clear()
         self._changed.set()
 
+    def save(self) -> StoreCopy:
+        """Return a copy of the store as it is now."""
+        return StoreCopy(copy.deepcopy(self.objects), self.revision)
+
+    def restore(self, saved: StoreCopy) -> None:
+        """Come back from a copy; watches that wait end with 410."""
+        self.objects = copy.deepcopy(saved.objects)
+        self.revision = saved.revision
+        self.era += 1
+        self.discard_history()
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object, as another client of the store would."""
+        removed = self.objects.get(kind, {}).pop(name, None)
+        if removed is not None:
+            self.revision += 1
+            self._events.append((self.revision, kind, removed, True))
+            self._changed.set()
+
     def _answer(self, request: HttpRequest) -> HttpReply:
         reply = self._execute(request)
+        if self.era:
+            reply.headers.append(('Store-Era', str(self.era)))
         if self.loses(request.path):
             Event().wait()
+        gevent.sleep(self.delay_s(request.path))
         return reply
 
     def _execute(self, request: HttpRequest) -> HttpReply:
@@ -88,7 +126,7 @@
                 self.put(kind, rest[0], json.loads(request.body)['spec'])
                 return _reply(200, self.objects[kind][rest[0]])
             case 'DELETE':
-                self.objects.get(kind, {}).pop(rest[0], None)
+                self.remove(kind, rest[0])
                 return _reply(200, {})
         return HttpReply(405)
 
@@ -117,12 +155,12 @@
     def _watch(
         self, kind: str, revision: int, query: dict[str, str]
     ) -> HttpReply:
-        if revision < self.oldest_revision:
+        if not self.oldest_revision <= revision <= self.revision:
             return HttpReply(410)
         wait_s = int(query['wait-ms']) / 1000
         with gevent.Timeout(wait_s, exception=False):
             while not self._since(kind, revision):
-                if revision < self.oldest_revision:
+                if not self.oldest_revision <= revision <= self.revision:
                     return HttpReply(410)
                 self._changed.clear()
                 self._changed.wait()
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -20,6 +20,7 @@
 )
 from greengagepath.daemon.membership_listing import MembershipListing
 from greengagepath.daemon.route_follower import RouteFollower
+from greengagepath.foundation.store_version import StoreVersion
 from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.platform.configuration import decode_configuration
 from greengagepath.platform.heartbeats import decode_heartbeat
@@ -48,6 +49,7 @@
 from .builders import make_configuration, make_heartbeat_body, make_object
 from .odd_values import LONG_INTEGER, ODD_JSON, odd_values
 
+READ = StoreVersion(revision=1)
 OWN = Member(bytes((10, 1, 0, 13)), MemberRole.AGENT)
 VALID = bytes((10, 1, 0, 4))
 _ODD = '"odd-value"'
@@ -120,7 +122,7 @@
                 self.store.serve(answer, odd_json)
                 self.store.client.list_members()
                 self.store.client.read_routes()
-                self.store.client.watch_routes(1)
+                self.store.client.watch_routes(READ)
 
     def test_process_registers_beside_an_odd_entry(self):
         # Guards against a listing that ends by an exception, so that a
@@ -150,9 +152,9 @@
             for spec in (make_configuration(7), unreadable)
         ]
         self.store.serve({'events': events, 'current-rev': 9})
-        stored = self.store.client.watch_routes(1).unwrap()
+        stored = self.store.client.watch_routes(READ).unwrap()
         self.assertEqual(7, stored.table.version)
-        self.assertEqual(9, stored.revision)
+        self.assertEqual(9, stored.version.revision)
 
     def test_values_out_of_range_are_refused(self):
         # Guards against an exception, now or when the first packet of
@@ -280,9 +282,11 @@
         # A call gives other greenlets the time to run.
         gevent.sleep(0)
         table = decode_configuration(make_configuration(7)).unwrap()
-        return Ok(StoredRoutes(table, 5))
+        return Ok(StoredRoutes(table, READ))
 
-    def watch_routes(self, _: int) -> Result[StoredRoutes, StoreProblem]:
+    def watch_routes(
+        self, _: StoreVersion
+    ) -> Result[StoredRoutes, StoreProblem]:
         gevent.sleep(30)
         return Err(StoreProblem('no answer in time'))
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,6 +6,7 @@
 import gevent
 from testtools import TestCase
 
+from greengagepath.foundation.store_version import StoreVersion
 from greengagepath.platform.store import PlatformStore
 from greengagepath.steering.store import Member, MemberRole
 
@@ -28,14 +29,14 @@
         self.stand_in.put('config', 'main', make_configuration(7))
         stored = self.store.read_routes().unwrap()
         self.assertEqual(7, stored.table.version)
-        self.assertEqual(self.stand_in.revision, stored.revision)
+        self.assertEqual(self.stand_in.revision, stored.version.revision)
 
     def test_watch_brings_the_next_version(self):
         # Guards against a change that comes into force late, because the
         # watch does not return it.
         self.stand_in.put('config', 'main', make_configuration(7))
-        revision = self.store.read_routes().unwrap().revision
-        waiting = gevent.spawn(self.store.watch_routes, revision)
+        version = self.store.read_routes().unwrap().version
+        waiting = gevent.spawn(self.store.watch_routes, version)
         gevent.sleep(0.05)
         self.stand_in.put('config', 'main', make_configuration(9))
         stored = waiting.get(timeout=2).unwrap()
@@ -46,7 +47,7 @@
         # 410, instead of a new read.
         self.stand_in.put('config', 'main', make_configuration(7))
         self.stand_in.discard_history()
-        problem = self.store.watch_routes(0).unwrap_err()
+        problem = self.store.watch_routes(StoreVersion()).unwrap_err()
         self.assertTrue(problem.is_history_lost)
 
     def test_refused_call_returns_an_error(self):
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -21,6 +21,8 @@
 ROUTE_PORT = 443
 ORDER_PORT = 444
 TARGET_SEQUENCE = 7000
+# Time in which an evacuation has to be in force.
+EVACUATE_S = 5.0
 FIRST_ACKNOWLEDGED = TARGET_SEQUENCE + 1
 
 
@@ -155,7 +157,7 @@
     cold_bounds: ColdBounds | None = None,
 ) -> AgentIdentity:
     """Return the identity of an agent."""
-    return AgentIdentity(
+    identity = AgentIdentity(
         make_address(number),
         service,
         heartbeat_s=1.2,
@@ -165,6 +167,8 @@
         zone_digest=zone_digest,
         cold_bounds=cold_bounds,
     )
+    identity.evacuate_s = EVACUATE_S
+    return identity
 
 
 def make_heartbeat(
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -7,6 +7,7 @@
 
 from collections import defaultdict
 
+from greengagepath.foundation.store_version import StoreVersion
 from greengagepath.foundation.timers import VirtualTimerService
 from greengagepath.pace.cold_limit import ColdBounds
 from greengagepath.steering.agent.agent_steering import AgentSteering
@@ -278,6 +279,8 @@
         cold_bounds: ColdBounds | None = None,
     ) -> None:
         self.cold_bounds = cold_bounds
+        # Version of the store's latest list of evacuated zones.
+        self.era = 1
         self.revision = 1
         self.first_agents = agents
         self.table = make_table()
@@ -402,7 +405,9 @@
         self.revision += 1
         address = make_address(balancer, network=9)
         self.balancer_by_address[address].contacts.announce_zones_read(
-            list(zones), self.revision, self.timers.now()
+            list(zones),
+            StoreVersion(self.era, self.revision),
+            self.timers.now(),
         )
 
     def is_cut(self, sender: bytes, receiver: bytes) -> bool:
