Fix resets by processes that take the store's list for all agents

Hypotheses: wrong denials (no), too short a wait for listed agents (no: all had reported), the list is taken for all agents (confirmed by a test that draws the delay of the first word of the unlisted agent, 0 to 900 ms).

Change: `MemberKnowledge` holds the grounds on which balancers and agents take their knowledge for complete: a peer that knows all agents has named them, or a list that a member vouches for in the store's era and no peer that answers within 0.25 s, or 5 s without any of these. Balancers that join ask others (AGENTS); a started agent gets a roster with its first report.

It works because running balancers hear all agents, listed or not; after a loss of all nobody answers and a process decides 0.25 s after its list.

Steering and store tests passed; the whole suite was not run on this commit.

--- a/greengagepath/daemon/membership_listing.py
+++ b/greengagepath/daemon/membership_listing.py
@@ -9,12 +9,12 @@
 
 from ..foundation.greenlets import spawn_supervised
 from ..foundation.logs import log_event
-from ..steering.store import Member, MemberRole, SteeringStore
+from ..steering.store import Member, MemberList, SteeringStore
 
 FIRST_RETRY_S = 0.3
 MAX_RETRY_S = 5.0
 
-OnMembers = Callable[[list[bytes], list[bytes]], None]
+OnMembers = Callable[[MemberList], None]
 
 _logger = logging.getLogger(__name__)
 
@@ -26,14 +26,23 @@
     member has to watch the list. Each process reads the list again after
     it has registered: of two that start at the same time at least the
     one that reads later finds the other.
+
+    At the first start of a deployment the list has all members, since each
+    registers. Later the new member vouches for it if another one does.
     """
 
     def __init__(
-        self, store: SteeringStore, own: Member, on_members: OnMembers
+        self,
+        store: SteeringStore,
+        own: Member,
+        on_members: OnMembers,
+        *,
+        is_first_start: bool = False,
     ) -> None:
         self._store = store
         self._own = own
         self._on_members = on_members
+        self._is_first_start = is_first_start
 
     def start(self) -> None:
         """Start the greenlet; it ends when the member is registered."""
@@ -51,27 +60,16 @@
         listed = self._store.list_members()
         if isinstance(listed, Err):
             return False
-        self._report_members(listed.ok_value)
-        if any(
-            member.address == self._own.address
-            and member.role is self._own.role
-            for member in listed.ok_value
-        ):
+        members = listed.ok_value
+        self._on_members(members)
+        if self._own.address in members.find_addresses(self._own.role):
             return True
+        if self._is_first_start or members.is_vouched:
+            self._own.vouched_era = members.era
         if self._store.add_member(self._own).is_err():
             return False
         reread = self._store.list_members()
         if isinstance(reread, Err):
             return False
-        self._report_members(reread.ok_value)
+        self._on_members(reread.ok_value)
         return True
-
-    def _report_members(self, members: list[Member]) -> None:
-        self._on_members(
-            _addresses(members, MemberRole.BALANCER),
-            _addresses(members, MemberRole.AGENT),
-        )
-
-
-def _addresses(members: list[Member], role: MemberRole) -> list[bytes]:
-    return [member.address for member in members if member.role is role]
--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -19,7 +19,7 @@
 from ..steering.messages.segments import Segment
 from ..steering.neighbours import digest_zone
 from ..steering.settings import SteeringSettings
-from ..steering.store import MemberRole, SteeringStore
+from ..steering.store import MemberList, MemberRole, SteeringStore
 from ..steering.targets.incarnations import Heartbeat
 from ..steering.targets.target_gate import HeartbeatOutcome, TargetPhase
 from .datagram_socket import DatagramSocket
@@ -115,7 +115,7 @@
         listening = self._settings.listening
         self._open(listening.heartbeats, listening.readiness)
         self._target.start()
-        self._add_members(self._settings.seeds, [])
+        self._add_balancers(self._settings.seeds)
         self._listing.start()
         log_event(_logger, 'agent.started', service=self._settings.service)
         self._log_start('serving')
@@ -182,16 +182,21 @@
                 return
             gevent.sleep(LEAVE_POLL_S)
 
-    def _add_members(self, balancers: list[bytes], agents: list[bytes]) -> None:
+    def _add_members(self, members: MemberList) -> None:
+        # Agents of other services answer with a report that contains
+        # their service, and are not stored.
+        agents = self.steering.context.peers.record_listed(
+            members.find_addresses(MemberRole.AGENT),
+            is_vouched=members.is_vouched,
+        )
+        self._add_balancers(members.find_addresses(MemberRole.BALANCER))
+        self.steering.reports.report_to(agents, asks=True)
+
+    def _add_balancers(self, addresses: list[bytes]) -> None:
         peers = self.steering.context.peers
         added = [
-            address for address in balancers if peers.record_balancer(address)
+            address for address in addresses if peers.record_balancer(address)
         ]
-        # Agents of other services answer with a report that contains
-        # their service, and are not stored. The listing has agents only
-        # if it was read from the store.
-        if agents:
-            added += peers.record_listed(agents)
         self.steering.reports.report_to(added, asks=True)
 
     def _handle_target_packet(self, raw: bytes, _: str) -> None:
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -18,7 +18,7 @@
 )
 from ..steering.messages.peer_messages import PeerKind, PeerMessage
 from ..steering.settings import SteeringSettings
-from ..steering.store import MemberRole, SteeringStore
+from ..steering.store import MemberList, MemberRole, SteeringStore
 from .datagram_socket import DatagramSocket
 from .evacuation_follower import EvacuationFollower
 from .http_listener import (
@@ -145,9 +145,13 @@
             self._codec.encode_reset(flow), self._caller_addresses.find(caller)
         )
 
-    def _add_members(self, balancers: list[bytes], agents: list[bytes]) -> None:
-        self.steering.contacts.add_balancers(balancers)
-        self.steering.contacts.add_agents(agents)
+    def _add_members(self, members: MemberList) -> None:
+        contacts = self.steering.contacts
+        contacts.add_balancers(members.find_addresses(MemberRole.BALANCER))
+        contacts.agent_lists.record_listed(
+            members.find_addresses(MemberRole.AGENT),
+            is_vouched=members.is_vouched,
+        )
 
     def _handle_caller_packet(self, raw: bytes, _: str) -> None:
         segment = self._codec.decode_from_caller(raw)
--- a/greengagepath/daemon/steering_process.py
+++ b/greengagepath/daemon/steering_process.py
@@ -16,7 +16,7 @@
 from ..steering.messages.peer_messages import PeerMessage, decode_message
 from ..steering.messages.segments import Segment
 from ..steering.settings import Address, SteeringSettings, pack_address
-from ..steering.store import Member, MemberRole, SteeringStore
+from ..steering.store import Member, MemberList, MemberRole, SteeringStore
 from .datagram_socket import DatagramSocket, OnEmpty
 from .http_listener import HttpListener, HttpReply, HttpRequest
 from .membership_listing import MembershipListing
@@ -63,7 +63,12 @@
         self._timers = LoopTimerService()
         self._stopping = Event()
         self._own = Member(settings.address, role)
-        self._listing = MembershipListing(store, self._own, self._add_members)
+        self._listing = MembershipListing(
+            store,
+            self._own,
+            self._add_members,
+            is_first_start=settings.first_start,
+        )
         self._agent_addresses = PeerAddresses(settings.agent_port)
         self._balancer_addresses = PeerAddresses(settings.balancer_port)
 
@@ -122,7 +127,7 @@
     def _handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
         raise NotImplementedError
 
-    def _add_members(self, balancers: list[bytes], agents: list[bytes]) -> None:
+    def _add_members(self, members: MemberList) -> None:
         raise NotImplementedError
 
     def _answer(self, request: HttpRequest) -> HttpReply:
--- a/greengagepath/platform/store.py
+++ b/greengagepath/platform/store.py
@@ -20,6 +20,7 @@
 )
 from ..steering.store import (
     Member,
+    MemberList,
     MemberRole,
     StoredRoutes,
     StoredZones,
@@ -140,7 +141,7 @@
             self.calls['list_evacuated_zones', 'odd_entry'] += odd
         return Ok(StoredZones(names, version))
 
-    def list_members(self) -> Result[list[Member], StoreProblem]:
+    def list_members(self) -> Result[MemberList, StoreProblem]:
         """Return the registered processes, of at most `MAX_PAGES` pages.
 
         Entries that cannot be decoded are skipped and counted in `calls`
@@ -157,7 +158,7 @@
             members += self._decode_members(entries)
             last = max(map(_decode_name, entries), default='')
             if not response.ok_value.get('more'):
-                return Ok(members)
+                return Ok(MemberList(members, self.eras.latest))
             if last <= after:
                 # No entry of the page has a name to continue after.
                 break
@@ -169,13 +170,16 @@
             members=len(members),
             after=after,
         )
-        return Ok(members)
+        return Ok(MemberList(members, self.eras.latest, is_whole=False))
 
     def add_member(self, member: Member) -> Result[None, StoreProblem]:
         """Register a process; repeating the call has no further effect."""
         entry = {
             'meta': {'name': format_address(member.address)},
-            'spec': {'role': member.role.value},
+            'spec': {
+                'role': member.role.value,
+                'vouched-era': member.vouched_era,
+            },
             'status': None,
         }
         response = self._call('add_member', 'POST', _MEMBERS, entry)
@@ -327,7 +331,10 @@
     role = spec.get('role') if isinstance(spec, dict) else None
     if address is None or not isinstance(role, str) or role not in _ROLES:
         return None
-    return Member(address, MemberRole(role))
+    vouched_era = spec.get('vouched-era')
+    if not isinstance(vouched_era, int):
+        vouched_era = 0
+    return Member(address, MemberRole(role), vouched_era)
 
 
 _EARLIER_ERA = StoreProblem('watch of an earlier era', is_history_lost=True)
--- a/greengagepath/steering/agent/agent_peers.py
+++ b/greengagepath/steering/agent/agent_peers.py
@@ -8,6 +8,7 @@
     IDLE_GONE_AFTER_S,
 )
 from ..homes import HomeTable
+from ..member_knowledge import MemberKnowledge
 from ..messages.peer_messages import LoadReport, ReportedState, Roster
 from ..neighbours import choose_neighbours
 from ..openings.placement import (
@@ -38,7 +39,8 @@
     `homes` ranks this agent and all other agents of the service that
     have reported a target that is not absent. `agent_seen_s` is when each
     other agent has reported last, in monotonic seconds, and `evidence` tells
-    which conclusions about lost flows still hold.
+    which conclusions about lost flows still hold. `knowledge` tells on which
+    grounds the known agents are all of the service.
     """
 
     def __init__(
@@ -57,7 +59,7 @@
         self.evidence = LossEvidence(timers)
         # Listed agents whose service is not known, by when they were listed.
         self._unidentified_s: dict[bytes, float] = {}
-        self._is_listed = False
+        self.knowledge = MemberKnowledge(timers)
 
     @property
     def balancers(self) -> list[bytes]:
@@ -78,17 +80,22 @@
     def is_complete(self) -> bool:
         """Return whether all agents of the service should be known.
 
-        False until the store's list was read and a balancer is known,
-        and while a listed agent has not reported its service.
+        False until a balancer is known and there are grounds to know all
+        agents, and while a listed agent has not reported its service.
         """
-        if not self._is_listed or not self._balancer_seen_s:
+        if not self._balancer_seen_s or not self.knowledge.is_settled:
             return False
         drop_older(self._unidentified_s, self._timers.now() - IDENTIFY_S)
         return not self._unidentified_s
 
-    def record_listed(self, addresses: list[bytes]) -> list[bytes]:
-        """Record the agents in the store's list; return the unknown ones."""
-        self._is_listed = True
+    def record_listed(
+        self, addresses: list[bytes], *, is_vouched: bool = True
+    ) -> list[bytes]:
+        """Record the agents in the store's list; return the unknown ones.
+
+        `is_vouched` tells whether a member vouches for the list.
+        """
+        self.knowledge.record_list(is_vouched=is_vouched)
         now_s = self._timers.now()
         unknown = [
             address
--- a/greengagepath/steering/agent/agent_reports.py
+++ b/greengagepath/steering/agent/agent_reports.py
@@ -6,6 +6,7 @@
     ASK_REPORT,
     NO_ADDRESS,
     RARE_REPORT,
+    WHOLE_ROSTER,
     LoadReport,
     PeerKind,
     PeerMessage,
@@ -132,6 +133,8 @@
             self._context.outbox.to_balancer(sender, self._make_report())
         if message.service == self._context.identity.service:
             self.report_to(peers.add_roster(decoded.ok_value))
+            if message.hops == WHOLE_ROSTER:
+                peers.knowledge.record_peer()
 
     def send_held_to_balancer(self, flow: bytes, balancer: bytes) -> None:
         """Notify a balancer that the target holds the flow."""
--- a/greengagepath/steering/balancer/balancer_contacts.py
+++ b/greengagepath/steering/balancer/balancer_contacts.py
@@ -6,7 +6,9 @@
 from ...foundation.timers import TimerService
 from ..ages import drop_older
 from ..messages.peer_messages import (
+    MAX_ROSTER,
     NO_SERVICE,
+    WHOLE_ROSTER,
     PeerKind,
     PeerMessage,
     Roster,
@@ -15,14 +17,12 @@
 from ..paced_rounds import PacedRounds
 from ..routes import RouteHolder
 from ..store_freshness import StoreFreshness
+from .agent_lists import ASK_S, MAX_LISTED, AgentLists
 from .balancer_zones import BalancerZones
 from .known_agents import KnownAgent, KnownAgents
 from .rotation import BalancerStage, Rotation
 
 REMOVE_AFTER_S = 60.0
-# Agents, and balancers, that are taken from the store's list; bounds the
-# memory that entries of another writer can take.
-MAX_LISTED = 5000
 # Interval of the PRESENCE to balancers of the own zone, which have to
 # notice a silent one.
 PRESENCE_S = 1.0
@@ -59,7 +59,8 @@
     """Announces this balancer to agents and to other balancers.
 
     `stage` is the stage of this balancer's life cycle, `freshness` the age
-    of what it knows of the store, and `zones` the evacuated zones.
+    of what it knows of the store, `zones` the evacuated zones, and
+    `agent_lists` the agents that others have named.
     """
 
     def __init__(
@@ -80,6 +81,14 @@
         self._outbox = outbox
         self._routes = routes
         self._balancer_seen_s: dict[bytes, float] = {}
+        self.agent_lists = AgentLists(
+            identity.address,
+            outbox,
+            self.agents,
+            self._balancer_seen_s,
+            self._greet,
+        )
+        timers.subscribe(ASK_S, self.agent_lists.ask)
         # Balancers of the own zone, as they announced themselves.
         self._zone_peers: set[bytes] = set()
         self._rosters = 0
@@ -90,18 +99,6 @@
         timers.subscribe(ROSTER_CHECK_S, self._announce_returns)
         timers.subscribe(REMOVE_AFTER_S, self._remove_silent_balancers)
 
-    def add_agents(self, addresses: list[bytes]) -> None:
-        """Add the agents of the store's list; send them a PRESENCE."""
-        room = MAX_LISTED - len(self.agents.by_address)
-        added = [
-            address
-            for address in addresses
-            if address not in self.agents.by_address
-        ]
-        self.agents.is_listed = len(added) <= room
-        for address in added[: max(room, 0)]:
-            self._send_presence(self.agents.add(address), Roster([], []))
-
     def add_balancers(self, addresses: list[bytes]) -> None:
         """Add balancers from the store or the settings."""
         now_s = self._timers.now()
@@ -143,7 +140,9 @@
         self._rosters += 1
         start = self._rosters % len(agents) if agents else 0
         roster = Roster(balancers, agents[start:] + agents[:start])
-        self._send_presence(agent, roster)
+        is_whole = len(balancers) + len(agents) <= MAX_ROSTER
+        hops = WHOLE_ROSTER if is_whole and self.agents.is_complete else 0
+        self._send_presence(agent, roster, hops=hops)
 
     def enter_stage(self, stage: BalancerStage) -> None:
         """Set the stage of this balancer and announce a change."""
@@ -165,9 +164,11 @@
             self._outbox.to_agent(agents[attempt % len(agents)], datagram)
 
     def handle_message(self, sender: bytes, message: PeerMessage) -> None:
-        """Handle a PRESENCE or ZONES of another balancer."""
+        """Handle a PRESENCE, AGENTS or ZONES of another balancer."""
         if message.kind is PeerKind.PRESENCE:
             self.handle_presence(sender, message)
+        elif message.kind is PeerKind.AGENTS:
+            self.agent_lists.handle_message(sender, message)
         elif self.zones.handle_notice(sender, message):
             self.zones.send_to_agents(self.agents)
 
@@ -179,6 +180,10 @@
             self._zone_peers.add(sender)
             self.rotation.update(sender, _STAGES[message.hops])
 
+    def _greet(self, agent: KnownAgent) -> None:
+        """Tell an agent that was named of this balancer."""
+        self._send_presence(agent, Roster([], []))
+
     def _announce_to_zone(self) -> None:
         self._send_stage(list(self._zone_peers))
 
@@ -221,10 +226,13 @@
         )
         self._zone_peers.difference_update(removed)
 
-    def _send_presence(self, agent: KnownAgent, roster: Roster) -> None:
+    def _send_presence(
+        self, agent: KnownAgent, roster: Roster, hops: int = 0
+    ) -> None:
         encoded = self._encode(
             agent.service,
             roster.encode(),
+            hops=hops,
             objective_ms=self.agents.returns.age_ms,
         )
         self._outbox.to_agent(agent.address, encoded)
--- a/greengagepath/steering/balancer/balancer_steering.py
+++ b/greengagepath/steering/balancer/balancer_steering.py
@@ -123,7 +123,7 @@
                 self._send_routes(sender, message)
             case PeerKind.PART:
                 self._handle_part(sender, message)
-            case PeerKind.PRESENCE | PeerKind.ZONES:
+            case PeerKind.PRESENCE | PeerKind.ZONES | PeerKind.AGENTS:
                 self.contacts.handle_message(sender, message)
             case _:
                 self.counts['dropped_unexpected'] += 1
@@ -292,11 +292,11 @@
             self.counts['dropped_unreadable'] += 1
             return
         agents = self.contacts.agents
-        if agents.record_report(sender, message.service, decoded.ok_value):
+        is_new = agents.record_report(sender, message.service, decoded.ok_value)
+        # An agent that has just started asks: it knows neither the other
+        # agents nor of an evacuation.
+        if is_new or message.hops == ASK_REPORT:
             self.contacts.send_roster(agents.by_address[sender])
-        elif message.hops == ASK_REPORT:
-            # An agent that has just started knows of no evacuation.
-            self.contacts.zones.send_to_agent(agents.by_address[sender])
 
     def _send(
         self, address: bytes, kind: PeerKind, service: bytes, body: bytes
--- a/greengagepath/steering/balancer/known_agents.py
+++ b/greengagepath/steering/balancer/known_agents.py
@@ -12,6 +12,7 @@
     IDLE_GONE_AFTER_S,
 )
 from ..homes import HomeTable
+from ..member_knowledge import MemberKnowledge
 from ..messages.peer_messages import NO_SERVICE, LoadReport, ReportedState
 from ..settings import format_address
 from ..target_states import IDLE_STATES, is_heard_again
@@ -94,8 +95,9 @@
 class KnownAgents:
     """Table of agents by address and, for routing, by service.
 
-    `pauses` counts the pauses of this process. `is_listed` tells whether
-    the table has all agents of the store's list. `present_services` are
+    `pauses` counts the pauses of this process. `has_room` tells whether the
+    table has room for all agents that were named. `knowledge` tells on which
+    grounds they are all that there are. `present_services` are
     the services of all agents that are not gone, also of those without a
     running target: their agents have to deny a flow, too. `returns` are the
     reports of agents that were taken for gone.
@@ -105,7 +107,8 @@
         self.by_address: dict[bytes, KnownAgent] = {}
         self.by_service: dict[bytes, ServiceAgents] = {}
         self.pauses = 0
-        self.is_listed = False
+        self.has_room = True
+        self.knowledge = MemberKnowledge(timers)
         self.present_services: set[bytes] = set()
         self.returns = AgentReturns(timers)
         self._has_unidentified = False
@@ -117,10 +120,16 @@
     def is_complete(self) -> bool:
         """Return whether the services of all agents should be known.
 
-        False until the store's list was read, and while a listed agent has
-        not reported its service.
+        False until there are grounds to know them all, and while one that
+        was named has not reported its service.
         """
-        return self.is_listed and not self._has_unidentified
+        has_all = self.has_room and self.knowledge.is_settled
+        return has_all and not self._has_unidentified
+
+    @property
+    def present_addresses(self) -> list[bytes]:
+        """Return the addresses of the agents that are not gone."""
+        return [agent.address for agent in self._present_agents()]
 
     def find_searcher(self, service: bytes, flow: bytes) -> bytes | None:
         """Return the agent that searches a flow of another service.
--- a/greengagepath/steering/messages/peer_messages.py
+++ b/greengagepath/steering/messages/peer_messages.py
@@ -24,10 +24,14 @@
 # others neither try the packet at their targets nor deny the flow.
 KNOWN_ONLY = 1
 # Value of `hops` in a report whose receiver is to answer: an agent with its
-# own report, a balancer with the evacuated zones.
+# own report, a balancer with a roster and the evacuated zones. In an AGENTS
+# it asks for the receiver's list.
 ASK_REPORT = 1
 # Value of `hops` in a report that is repeated too rarely to place flows by.
 RARE_REPORT = 2
+# Value of `hops` in a PRESENCE whose roster has all agents of the service, of
+# a balancer that knows them all.
+WHOLE_ROSTER = 1
 # Addresses in one roster; keeps the datagram below 1,300 B.
 MAX_ROSTER = 300
 _REPORT = struct.Struct('!QHHHHfB')
@@ -70,6 +74,9 @@
     # Evacuated zones, from a balancer; for an agent also the rate that cold
     # targets of its service bear.
     ZONES = 14
+    # All agents that the sender knows, from a balancer that knows them all
+    # to one that has just started; earlier builds drop it.
+    AGENTS = 15
 
 
 class PeerMessage:
--- a/greengagepath/steering/store.py
+++ b/greengagepath/steering/store.py
@@ -20,13 +20,53 @@
 
 
 class Member:
-    """Address and role of a process that is registered in the store."""
+    """Address and role of a process that is registered in the store.
 
-    __slots__ = ('address', 'role')
+    `vouched_era` is the latest era of the store in which the process knew
+    that the list has all running members, 0 if it knows of none.
+    """
+
+    __slots__ = ('address', 'role', 'vouched_era')
 
-    def __init__(self, address: bytes, role: MemberRole) -> None:
+    def __init__(
+        self, address: bytes, role: MemberRole, vouched_era: int = 0
+    ) -> None:
         self.address = address
         self.role = role
+        self.vouched_era = vouched_era
+
+
+class MemberList:
+    """Registered processes, as of an era of the store.
+
+    Without `is_whole` the list is longer than what was read.
+    """
+
+    __slots__ = ('era', 'is_whole', 'members')
+
+    def __init__(
+        self, members: list[Member], era: int, *, is_whole: bool = True
+    ) -> None:
+        self.members = members
+        self.era = era
+        self.is_whole = is_whole
+
+    @property
+    def is_vouched(self) -> bool:
+        """Return whether a member vouches for the list in its era.
+
+        A store that names no era never loses an entry.
+        """
+        vouched_era = max(
+            (member.vouched_era for member in self.members), default=0
+        )
+        return self.is_whole and vouched_era >= self.era
+
+    def find_addresses(self, role: MemberRole) -> list[bytes]:
+        """Return the addresses of the members of a role."""
+        return [
+            member.address for member in self.members if member.role is role
+        ]
 
 
 class StoredRoutes:
@@ -93,7 +133,7 @@
     def list_evacuated_zones(self) -> Result[StoredZones, StoreProblem]:
         """Return the availability zones that operators have evacuated."""
 
-    def list_members(self) -> Result[list[Member], StoreProblem]:
+    def list_members(self) -> Result[MemberList, StoreProblem]:
         """Return all registered processes."""
 
     def add_member(self, member: Member) -> Result[None, StoreProblem]:
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -96,7 +96,9 @@
         for odd_json in ODD_JSON:
             self.store.serve_members(odd_json)
             listed = self.store.client.list_members().unwrap()
-            self.assertIn(VALID, [m.address for m in listed], odd_json[:40])
+            self.assertIn(
+                VALID, [m.address for m in listed.members], odd_json[:40]
+            )
 
     def test_members_beside_undecodable_bytes_are_found(self):
         # Guards against a list that is dropped for one byte that is not
@@ -104,7 +106,7 @@
         self.store.serve_members(_ODD)
         self.store.body = self.store.body.replace(b'odd-value', b'\xff\xfe')
         listed = self.store.client.list_members().unwrap()
-        self.assertEqual([VALID], [m.address for m in listed])
+        self.assertEqual([VALID], [m.address for m in listed.members])
 
     def test_odd_entries_are_counted(self):
         # Guards against entries that are skipped without a trace.
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -71,7 +71,9 @@
         self.stand_in.put(kind, '10.1.0.13', {'role': 'balancer'})
         self.assertTrue(self.store.add_member(OWN).is_ok())
         listed = self.store.list_members().unwrap()
-        self.assertEqual([MemberRole.AGENT], [entry.role for entry in listed])
+        self.assertEqual(
+            [MemberRole.AGENT], [entry.role for entry in listed.members]
+        )
 
     def test_malformed_members_are_left_out(self):
         # Guards against malformed entries of other writers that fail the
@@ -86,7 +88,9 @@
         ):
             self.stand_in.put(kind, name, spec)
         listed = self.store.list_members().unwrap()
-        self.assertEqual([bytes((10, 1, 0, 4))], [m.address for m in listed])
+        self.assertEqual(
+            [bytes((10, 1, 0, 4))], [m.address for m in listed.members]
+        )
 
     def test_malformed_configuration_returns_an_error(self):
         # Guards against a malformed route that makes the configuration
--- a/tests/steering/test_flow_denials.py
+++ b/tests/steering/test_flow_denials.py
@@ -13,6 +13,7 @@
     AGENT_SILENCE_S,
     KnownAgents,
 )
+from greengagepath.steering.member_knowledge import MemberKnowledge
 from greengagepath.steering.messages.peer_messages import (
     LoadReport,
     PeerKind,
@@ -44,9 +45,13 @@
         report = decode_report(make_report_message().body).unwrap()
         self.agents.record_report(HOME, SERVICE, report)
         self.agents.record_report(OTHER_HOME, OTHER_SERVICE, report)
-        self.agents.is_listed = True
+        self._list_members()
         self.denials = FlowDenials(self.timers, self.agents)
 
+    def _list_members(self) -> None:
+        self.agents.knowledge.record_list(is_vouched=True)
+        self.agents.knowledge.record_peer()
+
     def _record(self, home, service, acknowledged=7001):
         packet = make_data(make_flow(), acknowledged)
         return self.denials.record(home, service, packet, set())
@@ -113,9 +118,9 @@
         # service of an agent, or has not read the list of members.
         self._record(HOME, SERVICE)
         denied = self._record(OTHER_HOME, OTHER_SERVICE)
-        self.agents.is_listed = False
+        self.agents.knowledge = MemberKnowledge(self.timers)
         self.assertFalse(self.denials.is_lost(denied))
-        self.agents.is_listed = True
+        self._list_members()
         self.agents.add(make_address(3))
         self.assertFalse(self.denials.is_lost(denied))
 
--- a/tests/steering/test_neighbours.py
+++ b/tests/steering/test_neighbours.py
@@ -252,8 +252,8 @@
         # Guards against a balancer without memory, because the store
         # lists a million members that do not exist.
         listed = [number.to_bytes(4, 'big') for number in range(MAX_LISTED * 2)]
-        self.contacts.add_agents(listed)
-        self.contacts.add_agents(list(reversed(listed)))
+        self.contacts.agent_lists.record_listed(listed)
+        self.contacts.agent_lists.record_listed(list(reversed(listed)))
         self.contacts.add_balancers(listed)
         self.assertEqual(MAX_LISTED, len(self.contacts.agents.by_address))
         self.outbox.sent_to_balancers.clear()
--- a/tests/steering/test_route_copies.py
+++ b/tests/steering/test_route_copies.py
@@ -111,5 +111,5 @@
             lambda: None,
         )
         world.balancer_by_address[address] = started
-        started.contacts.add_agents(list(world.agent_by_address))
+        started.contacts.agent_lists.record_listed(list(world.agent_by_address))
         return started
--- a/tests/steering/test_two_services.py
+++ b/tests/steering/test_two_services.py
@@ -6,6 +6,7 @@
 
 from greengagepath.steering.flows.lost_flows import WARM_UP_S
 from greengagepath.steering.gone_agents import IDENTIFY_S
+from greengagepath.steering.member_knowledge import MemberKnowledge
 from greengagepath.steering.messages.peer_messages import digest_service
 
 from .builders import (
@@ -178,7 +179,7 @@
         other = self._select(OTHER_SERVICE)
         balancer = self.world.start_balancer(1)
         agents = balancer.contacts.agents
-        agents.is_listed = False
+        agents.knowledge = MemberKnowledge(self.world.timers)
         for number in range(AGENTS + 1, ALL_AGENTS + 1):
             self.world.stop_agent(number)
             agents.by_address.pop(make_address(number), None)
@@ -193,7 +194,9 @@
         for number in range(AGENTS + 1, ALL_AGENTS + 1):
             self.world.stop_agent(number)
         balancer = self.world.start_balancer(1)
-        balancer.contacts.add_agents(list(self.world.target_by_address))
+        balancer.contacts.agent_lists.record_listed(
+            list(self.world.target_by_address)
+        )
         self.world.timers.advance(IDENTIFY_S / 2)
         _request_again(self.world, other)
         self.assertEqual({}, dict(self.world.open_resets))
--- a/tests/steering/world.py
+++ b/tests/steering/world.py
@@ -333,7 +333,9 @@
         if reads_store:
             steering.apply_routes(self.table)
             # An agent that was killed stays in the store's list.
-            steering.contacts.add_agents(list(self.target_by_address))
+            steering.contacts.agent_lists.record_listed(
+                list(self.target_by_address)
+            )
         return steering
 
     def stop_all(self) -> None:
