Register again when the store has lost a registration

Hypotheses: the era isn't seen (so it was), the listing ends after its first success (so it did), complete knowledge at the joining processes is enough (no: 10 resets, 5 s later).

Change: in a new era each process reads the list within 1 s and registers if it is missing. Agents hear of the era in one byte of PRESENCE. 4 to 8 s later a balancer that hears no unlisted agent vouches for the list.

It works because whoever runs writes its own entry again, however the era became known, and the list names all again before others read it.

Steering, registration, process and layer tests passed; the whole suite was not run on this commit.

--- a/greengagepath/daemon/membership_listing.py
+++ b/greengagepath/daemon/membership_listing.py
@@ -1,20 +1,33 @@
-"""Registers a process in the store and reads the member list at start."""
+"""Registers a process in the store and reads the member list."""
 
 import logging
 import random
 from collections.abc import Callable
 
 import gevent
+from gevent.event import Event
 from result import Err
 
 from ..foundation.greenlets import spawn_supervised
 from ..foundation.logs import log_event
 from ..steering.store import Member, MemberList, SteeringStore
+from ..steering.store_eras import narrow_era
 
 FIRST_RETRY_S = 0.3
 MAX_RETRY_S = 5.0
+# In a new era all processes read the list within this time, so that a
+# thousand of them stay within the rates of the store.
+NEW_ERA_SPREAD_S = 1.0
+# Shortest time between two readings that a peer has caused.
+PEER_ERA_GAP_S = 5.0
+# How long after its registration in a new era a balancer looks whether the
+# list has all members; others need this time to register, too.
+VOUCH_AFTER_S = 4.0
+VOUCH_ATTEMPTS = 4
 
 OnMembers = Callable[[MemberList], None]
+# Whether a list has all members that this process hears.
+HasAll = Callable[[MemberList], bool]
 
 _logger = logging.getLogger(__name__)
 
@@ -25,10 +38,13 @@
     A new member announces itself to all members it has read, so that no
     member has to watch the list. Each process reads the list again after
     it has registered: of two that start at the same time at least the
-    one that reads later finds the other.
+    one that reads later finds the other. All do so again in a new era of
+    the store, which may have lost their entries.
 
     At the first start of a deployment the list has all members, since each
-    registers. Later the new member vouches for it if another one does.
+    registers. Later a new member vouches for it if another one does, and in
+    a new era a member does if it hears no other that is missing, as `has_all`
+    tells.
     """
 
     def __init__(
@@ -38,23 +54,59 @@
         on_members: OnMembers,
         *,
         is_first_start: bool = False,
+        has_all: HasAll | None = None,
     ) -> None:
         self._store = store
         self._own = own
         self._on_members = on_members
         self._is_first_start = is_first_start
+        self._has_all = has_all or _never
+        self._rng = random.Random()
+        self._era_changed = Event()
+        self._may_ask = True
+        store.eras.subscribe(self._era_changed.set)
 
     def start(self) -> None:
-        """Start the greenlet; it ends when the member is registered."""
+        """Start the greenlet that registers in each era of the store."""
         spawn_supervised('membership.listing', self._run)
 
+    def record_peer_era(self, narrowed: int) -> None:
+        """Read the list soon if a peer is in another era of the store.
+
+        `narrowed` is the era as `narrow_era` returns it, 0 if unknown.
+        """
+        is_other = narrowed != narrow_era(self._store.eras.latest)
+        if narrowed and is_other and self._may_ask:
+            self._may_ask = False
+            gevent.spawn_later(PEER_ERA_GAP_S, self._allow_asking)
+            self._era_changed.set()
+
+    def _allow_asking(self) -> None:
+        self._may_ask = True
+
     def _run(self) -> None:
+        self._register_until_done()
+        log_event(_logger, 'membership.registered')
+        while True:
+            self._era_changed.wait()
+            era = self._store.eras.latest
+            gevent.sleep(self._rng.uniform(0, NEW_ERA_SPREAD_S))
+            self._era_changed.clear()
+            self._is_first_start = False
+            self._register_until_done()
+            log_event(
+                _logger,
+                'membership.checked',
+                era=self._store.eras.latest,
+                was=era,
+            )
+            self._vouch()
+
+    def _register_until_done(self) -> None:
         retry_s = FIRST_RETRY_S
-        rng = random.Random()
         while not self._register():
-            gevent.sleep(rng.uniform(retry_s / 2, retry_s))
+            gevent.sleep(self._rng.uniform(retry_s / 2, retry_s))
             retry_s = min(retry_s * 2, MAX_RETRY_S)
-        log_event(_logger, 'membership.registered')
 
     def _register(self) -> bool:
         listed = self._store.list_members()
@@ -66,6 +118,7 @@
             return True
         if self._is_first_start or members.is_vouched:
             self._own.vouched_era = members.era
+        log_event(_logger, 'membership.missing', era=members.era)
         if self._store.add_member(self._own).is_err():
             return False
         reread = self._store.list_members()
@@ -73,3 +126,38 @@
             return False
         self._on_members(reread.ok_value)
         return True
+
+    def _vouch(self) -> None:
+        """Vouch for the list of a new era once it has all members."""
+        for attempt in range(1, VOUCH_ATTEMPTS + 1):
+            after_s = VOUCH_AFTER_S * self._rng.uniform(1, 2) * attempt
+            if self._era_changed.wait(after_s):
+                return
+            if self._is_vouched():
+                return
+
+    def _is_vouched(self) -> bool:
+        """Return whether a member vouches for the list, if need be this."""
+        if self._has_all is _never:
+            return True
+        listed = self._store.list_members()
+        if isinstance(listed, Err):
+            return False
+        members = listed.ok_value
+        if members.is_vouched or not self._has_all(members):
+            return members.is_vouched
+        self._own.vouched_era = members.era
+        is_written = self._store.add_member(self._own).is_ok()
+        log_event(
+            _logger,
+            'members.vouched',
+            era=members.era,
+            members=len(members.members),
+            is_written=is_written,
+        )
+        return is_written
+
+
+def _never(_: MemberList) -> bool:
+    """Vouch for no list: agents do not hear of all services."""
+    return False
--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -207,6 +207,8 @@
         self.steering.handle_target_packet(segment)
 
     def _handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
+        if message.kind is PeerKind.PRESENCE:
+            self._listing.record_peer_era(message.priority)
         segment = None
         if message.kind <= PeerKind.SEARCH:
             segment = self._codec.decode_from_caller(message.body)
--- a/greengagepath/daemon/steering_balancer.py
+++ b/greengagepath/daemon/steering_balancer.py
@@ -62,6 +62,7 @@
             self,
             lambda: self._follower.request_catch_up(),
         )
+        self.steering.contacts.eras = store.eras
         counts = self.steering.counts
         data_address = settings.listening.data or (settings.host, 0)
         self._caller_addresses = PeerAddresses(data_address[1])
@@ -145,6 +146,12 @@
             self._codec.encode_reset(flow), self._caller_addresses.find(caller)
         )
 
+    def _hears_only(self, members: MemberList) -> bool:
+        agents = self.steering.contacts.agents
+        listed = members.find_addresses(MemberRole.AGENT)
+        is_listed = set(agents.present_addresses) <= set(listed)
+        return agents.knowledge.is_settled and is_listed
+
     def _add_members(self, members: MemberList) -> None:
         contacts = self.steering.contacts
         contacts.add_balancers(members.find_addresses(MemberRole.BALANCER))
--- a/greengagepath/daemon/steering_process.py
+++ b/greengagepath/daemon/steering_process.py
@@ -68,6 +68,7 @@
             self._own,
             self._add_members,
             is_first_start=settings.first_start,
+            has_all=self._hears_only if role is MemberRole.BALANCER else None,
         )
         self._agent_addresses = PeerAddresses(settings.agent_port)
         self._balancer_addresses = PeerAddresses(settings.balancer_port)
@@ -127,6 +128,10 @@
     def _handle_peer_message(self, sender: bytes, message: PeerMessage) -> None:
         raise NotImplementedError
 
+    def _hears_only(self, members: MemberList) -> bool:
+        """Return whether a list has all members that a balancer hears."""
+        raise NotImplementedError
+
     def _add_members(self, members: MemberList) -> None:
         raise NotImplementedError
 
--- a/greengagepath/steering/balancer/balancer_contacts.py
+++ b/greengagepath/steering/balancer/balancer_contacts.py
@@ -16,6 +16,7 @@
 )
 from ..paced_rounds import PacedRounds
 from ..routes import RouteHolder
+from ..store_eras import StoreEras, narrow_era
 from ..store_freshness import StoreFreshness
 from .agent_lists import ASK_S, MAX_LISTED, AgentLists
 from .balancer_zones import BalancerZones
@@ -73,6 +74,8 @@
         self.agents = KnownAgents(timers)
         self.rotation = Rotation(timers)
         self.stage = BalancerStage.STARTING
+        # Those of the store that this balancer reads.
+        self.eras = StoreEras()
         self.freshness = StoreFreshness(timers)
         self.zones = BalancerZones(identity.address, timers, outbox, routes)
         self._address = identity.address
@@ -233,6 +236,7 @@
             agent.service,
             roster.encode(),
             hops=hops,
+            priority=narrow_era(self.eras.latest),
             objective_ms=self.agents.returns.age_ms,
         )
         self._outbox.to_agent(agent.address, encoded)
@@ -244,6 +248,7 @@
         body: bytes,
         *,
         hops: int = 0,
+        priority: int = 0,
         objective_ms: int = 0,
     ) -> bytes:
         message = PeerMessage(
@@ -252,6 +257,7 @@
             hops=hops,
             balancer=self._address,
             version=self._routes.latest_seen,
+            priority=priority,
             objective_ms=objective_ms,
             body=body,
         )
--- a/greengagepath/steering/messages/peer_messages.py
+++ b/greengagepath/steering/messages/peer_messages.py
@@ -90,7 +90,9 @@
     took for gone, 0 if none has or it is longer ago; earlier builds send 0.
     In a REPORT,
     `objective_ms` is the standing load in thousandths of the slots; earlier
-    builds send 0. `caller_zone` is the zone of the balancer that an opening
+    builds send 0. In a PRESENCE for an agent, `priority` is the era of the
+    store that the sender knows, see `narrow_era`; earlier builds send 0.
+    `caller_zone` is the zone of the balancer that an opening
     packet came through, see `narrow_zone`; it is 0 if the zone is unknown,
     in messages of earlier builds and in all other kinds.
     """
--- a/greengagepath/steering/store_eras.py
+++ b/greengagepath/steering/store_eras.py
@@ -10,9 +10,20 @@
 
 from ..foundation.logs import log_event
 
+# Eras of 1 to this have numbers of their own in one byte.
+_MAX_NARROW_ERA = 0xFF
+
 _logger = logging.getLogger(__name__)
 
 
+def narrow_era(era: int) -> int:
+    """Return the number of 1 to 255 that tells eras in a row apart.
+
+    0 if the era is unknown.
+    """
+    return (era - 1) % _MAX_NARROW_ERA + 1 if era else 0
+
+
 class StoreEras:
     """Latest era of the store, 0 while no answer has named one."""
 
