Remove and replace registrations only in the state that was seen

Hypotheses: never written (no), removed by a call without a condition (confirmed), a condition alone is enough (no: the entry had not been changed, so its revision was known to the earlier VM).

Change: entries name their owner (VM id and service); a process replaces another owner's entry under the revision that it has read; DELETE names the revision of the own entry; a process looks for its entry 4 and 12 s after its registration and every 30 s, with a stale read; one that leaves stops that before its removal. The codec of entries moves into platform/members.py.

It works because a late call then meets a revision that has gone, and where the store executes it all the same, the owner writes its entry again.

The whole suite was not run on this commit. Store calls: a tenth of a call for each process after 4 s, 12 s and every 30 s.

--- a/greengagepath/daemon/membership_listing.py
+++ b/greengagepath/daemon/membership_listing.py
@@ -24,6 +24,11 @@
 # list has all members; others need this time to register, too.
 VOUCH_AFTER_S = 4.0
 VOUCH_ATTEMPTS = 4
+# Times after the registration at which a process looks whether its entry is
+# still there; the longest one is repeated. A late call of an earlier VM at
+# the address is executed within some seconds.
+CHECKS_S = (4.0, 8.0, 30.0)
+CHECK_JITTER_SHARE = 0.25
 
 OnMembers = Callable[[MemberList], None]
 # Whether a list has all members that this process hears.
@@ -39,7 +44,8 @@
     member has to watch the list. Each process reads the list again after
     it has registered: of two that start at the same time at least the
     one that reads later finds the other. All do so again in a new era of
-    the store, which may have lost their entries.
+    the store, which may have lost their entries, and when the own entry
+    was removed.
 
     At the first start of a deployment the list has all members, since each
     registers. Later a new member vouches for it if another one does, and in
@@ -64,11 +70,17 @@
         self._rng = random.Random()
         self._era_changed = Event()
         self._may_ask = True
+        self._greenlet: gevent.Greenlet | None = None
         store.eras.subscribe(self._era_changed.set)
 
     def start(self) -> None:
         """Start the greenlet that registers in each era of the store."""
-        spawn_supervised('membership.listing', self._run)
+        self._greenlet = spawn_supervised('membership.listing', self._run)
+
+    def stop(self) -> None:
+        """Register no more: the process leaves."""
+        if self._greenlet is not None:
+            self._greenlet.kill()
 
     def record_peer_era(self, narrowed: int) -> None:
         """Read the list soon if a peer is in another era of the store.
@@ -87,8 +99,15 @@
     def _run(self) -> None:
         self._register_until_done()
         log_event(_logger, 'membership.registered')
+        checks = 0
         while True:
-            self._era_changed.wait()
+            after_s = CHECKS_S[min(checks, len(CHECKS_S) - 1)]
+            jitter = self._rng.uniform(-CHECK_JITTER_SHARE, CHECK_JITTER_SHARE)
+            checks += 1
+            if not self._era_changed.wait(after_s * (1 + jitter)):
+                self._check_entry()
+                continue
+            checks = 0
             era = self._store.eras.latest
             gevent.sleep(self._rng.uniform(0, NEW_ERA_SPREAD_S))
             self._era_changed.clear()
@@ -102,6 +121,12 @@
             )
             self._vouch()
 
+    def _check_entry(self) -> None:
+        """Register again if the own entry was removed or replaced."""
+        registered = self._store.is_registered(self._own)
+        if registered.is_ok() and not registered.ok_value:
+            self._register_until_done()
+
     def _register_until_done(self) -> None:
         retry_s = FIRST_RETRY_S
         while not self._register():
@@ -114,11 +139,10 @@
             return False
         members = listed.ok_value
         self._on_members(members)
-        if self._own.address in members.find_addresses(self._own.role):
+        if self._is_listed(members):
             return True
         if self._is_first_start or members.is_vouched:
             self._own.vouched_era = members.era
-        log_event(_logger, 'membership.missing', era=members.era)
         if self._store.add_member(self._own).is_err():
             return False
         reread = self._store.list_members()
@@ -127,6 +151,25 @@
         self._on_members(reread.ok_value)
         return True
 
+    def _is_listed(self, members: MemberList) -> bool:
+        """Return whether the own entry is in a list; log what is instead."""
+        found = [
+            member
+            for member in members.members
+            if member.address == self._own.address
+        ]
+        if found and found[0].is_same(self._own):
+            self._own.revision = found[0].revision
+            return True
+        log_event(
+            _logger,
+            'membership.missing',
+            era=members.era,
+            found=found[0].owner if found else '',
+            found_role=found[0].role.value if found else '',
+        )
+        return False
+
     def _vouch(self) -> None:
         """Vouch for the list of a new era once it has all members."""
         for attempt in range(1, VOUCH_ATTEMPTS + 1):
--- a/greengagepath/daemon/steering_agent.py
+++ b/greengagepath/daemon/steering_agent.py
@@ -173,6 +173,7 @@
         )
         self.steering.leave()
         if self.steering.context.gate.phase is TargetPhase.GONE:
+            self._listing.stop()
             self._store.remove_member(self._own)
             return
         end_s = self._timers.now() + self._settings.bounds.termination_s
--- a/greengagepath/daemon/steering_process.py
+++ b/greengagepath/daemon/steering_process.py
@@ -63,6 +63,7 @@
         self._timers = LoopTimerService()
         self._stopping = Event()
         self._own = Member(settings.address, role)
+        self._own.owner = f'{settings.member_id}/{settings.service}'
         self._listing = MembershipListing(
             store,
             self._own,
--- a/greengagepath/platform/store.py
+++ b/greengagepath/platform/store.py
@@ -15,19 +15,24 @@
 from ..steering.routes import RouteTable
 from ..steering.settings import (
     DEFAULT_APPLY_LIMIT_S,
-    format_address,
-    pack_address,
 )
 from ..steering.store import (
     Member,
     MemberList,
-    MemberRole,
     StoredRoutes,
     StoredZones,
     StoreProblem,
 )
 from ..steering.store_eras import StoreEras
 from .configuration import decode_configuration
+from .members import (
+    MEMBERS,
+    decode_member,
+    decode_name,
+    decode_revision,
+    encode_member,
+    find_member_path,
+)
 
 # A call may wait for this share of the time in which a configuration has to
 # be in force, so that a lost answer leaves room for another call. After an
@@ -43,12 +48,12 @@
 _MS_PER_S = 1000
 _CONFIGURATION = '/objects/config'
 _CONFIGURATION_NAME = 'main'
-_MEMBERS = '/objects/greengagepath-members'
 _EVACUATIONS = '/objects/evacuations'
 _ERA_HEADER = b'store-era'
 _MAX_ERA_DIGITS = 12
 _OK = 200
 _CREATED = 201
+_NOT_FOUND = 404
 _CONFLICT = 409
 _GONE = 410
 _SUCCESSES = frozenset((_OK, _CREATED, 204))
@@ -86,7 +91,7 @@
             return response
         entries = _read_list(response.ok_value, 'items')
         decoded = self._decode_routes(response.ok_value, entries)
-        has_entry = _CONFIGURATION_NAME in map(_decode_name, entries)
+        has_entry = _CONFIGURATION_NAME in map(decode_name, entries)
         if has_entry and decoded.is_ok() and decoded.ok_value.table is None:
             return Err(StoreProblem('configuration cannot be decoded'))
         return decoded
@@ -135,7 +140,7 @@
         if version is None:
             return Err(StoreProblem('answer has no revision'))
         entries = _read_list(response.ok_value, 'items')
-        names = list(filter(None, map(_decode_name, entries)))
+        names = list(filter(None, map(decode_name, entries)))
         odd = len(entries) - len(names)
         if odd:
             self.calls['list_evacuated_zones', 'odd_entry'] += odd
@@ -151,12 +156,12 @@
         after = ''
         for _ in range(MAX_PAGES):
             query = f'?after={_quote(after)}' if after else ''
-            response = self._call('list_members', 'GET', _MEMBERS + query)
+            response = self._call('list_members', 'GET', MEMBERS + query)
             if isinstance(response, Err):
                 return response
             entries = _read_list(response.ok_value, 'items')
             members += self._decode_members(entries)
-            last = max(map(_decode_name, entries), default='')
+            last = max(map(decode_name, entries), default='')
             if not response.ok_value.get('more'):
                 return Ok(MemberList(members, self.eras.latest))
             if last <= after:
@@ -173,30 +178,46 @@
         return Ok(MemberList(members, self.eras.latest, is_whole=False))
 
     def add_member(self, member: Member) -> Result[None, StoreProblem]:
-        """Register a process; repeating the call has no further effect."""
-        entry = {
-            'meta': {'name': format_address(member.address)},
-            'spec': {
-                'role': member.role.value,
-                'vouched-era': member.vouched_era,
-            },
-            'status': None,
-        }
-        response = self._call('add_member', 'POST', _MEMBERS, entry)
-        if (
-            isinstance(response, Err)
-            and response.err_value.reason == _CONFLICT_REASON
-        ):
-            # Entries are named by address: the existing one may be of an
-            # earlier VM at this address and have another role.
-            path = f'{_MEMBERS}/{format_address(member.address)}'
-            response = self._call('add_member', 'PUT', path, entry)
-        return response.map(lambda _: None)
+        """Register a process; repeating the call has no further effect.
+
+        Entries are named by address: an existing one may be of an earlier
+        VM. It is replaced only if nobody has changed it meanwhile.
+        """
+        response = self._call(
+            'add_member', 'POST', MEMBERS, encode_member(member, 0)
+        )
+        if _has_status(response, _CONFLICT):
+            found = self._call('add_member', 'GET', find_member_path(member))
+            if isinstance(found, Err):
+                return found
+            entry = encode_member(member, decode_revision(found.ok_value))
+            response = self._call(
+                'add_member', 'PUT', find_member_path(member), entry
+            )
+        if isinstance(response, Err):
+            return response
+        member.revision = decode_revision(response.ok_value)
+        return Ok(None)
+
+    def is_registered(self, member: Member) -> Result[bool, StoreProblem]:
+        """Return whether the entry is there, with a read that may be stale."""
+        target = f'{find_member_path(member)}?is-stale=1'
+        response = self._call('is_registered', 'GET', target)
+        if _has_status(response, _NOT_FOUND):
+            return Ok(False)
+        if isinstance(response, Err):
+            return response
+        found = decode_member(response.ok_value)
+        return Ok(found is not None and found.is_same(member))
 
     def remove_member(self, member: Member) -> Result[None, StoreProblem]:
-        """Remove the entry of a process."""
-        path = f'{_MEMBERS}/{format_address(member.address)}'
-        return self._call('remove_member', 'DELETE', path).map(lambda _: None)
+        """Remove the entry of a process in the state that it has written.
+
+        The call may be executed seconds later, when the address and the
+        entry are those of another VM.
+        """
+        target = f'{find_member_path(member)}?revision={member.revision}'
+        return self._call('remove_member', 'DELETE', target).map(lambda _: None)
 
     def _call(
         self, operation: str, method: str, target: str, entry: Any = None
@@ -241,7 +262,7 @@
         return Ok(body if isinstance(body, dict) else {})
 
     def _decode_members(self, entries: list[Any]) -> list[Member]:
-        members = list(filter(None, map(_decode_member, entries)))
+        members = list(filter(None, map(decode_member, entries)))
         odd = len(entries) - len(members)
         if odd:
             self.calls['list_members', 'odd_entry'] += odd
@@ -268,7 +289,7 @@
             return Err(StoreProblem('answer has no revision'))
         latest: RouteTable | None = None
         for entry in entries:
-            if _decode_name(entry) != _CONFIGURATION_NAME:
+            if decode_name(entry) != _CONFIGURATION_NAME:
                 continue
             decoded = decode_configuration(entry.get('spec'))
             if isinstance(decoded, Err):
@@ -319,25 +340,10 @@
     )
 
 
-def _decode_name(entry: Any) -> str:
-    meta = entry.get('meta') if isinstance(entry, dict) else None
-    name = meta.get('name') if isinstance(meta, dict) else None
-    return name if isinstance(name, str) else ''
-
-
-def _decode_member(entry: Any) -> Member | None:
-    address = pack_address(_decode_name(entry))
-    spec = entry.get('spec') if isinstance(entry, dict) else None
-    role = spec.get('role') if isinstance(spec, dict) else None
-    if address is None or not isinstance(role, str) or role not in _ROLES:
-        return None
-    vouched_era = spec.get('vouched-era')
-    if not isinstance(vouched_era, int):
-        vouched_era = 0
-    return Member(address, MemberRole(role), vouched_era)
+def _has_status(response: Result[_Body, StoreProblem], status: int) -> bool:
+    reason = response.err_value.reason if isinstance(response, Err) else ''
+    return reason == f'status {status}'
 
 
 _EARLIER_ERA = StoreProblem('watch of an earlier era', is_history_lost=True)
-_CONFLICT_REASON = f'status {_CONFLICT}'
-_ROLES = frozenset(role.value for role in MemberRole)
 _UNQUOTED = frozenset(f'-._~{string.digits}{string.ascii_letters}'.encode())
--- a/greengagepath/steering/store.py
+++ b/greengagepath/steering/store.py
@@ -23,10 +23,12 @@
     """Address and role of a process that is registered in the store.
 
     `vouched_era` is the latest era of the store in which the process knew
-    that the list has all running members, 0 if it knows of none.
+    that the list has all running members, 0 if it knows of none. `owner`
+    tells VMs apart that have had the same address, and `revision` is that
+    of the entry as it was last seen, 0 if unknown.
     """
 
-    __slots__ = ('address', 'role', 'vouched_era')
+    __slots__ = ('address', 'owner', 'revision', 'role', 'vouched_era')
 
     def __init__(
         self, address: bytes, role: MemberRole, vouched_era: int = 0
@@ -34,6 +36,16 @@
         self.address = address
         self.role = role
         self.vouched_era = vouched_era
+        self.owner = ''
+        self.revision = 0
+
+    def is_same(self, other: 'Member') -> bool:
+        """Return whether another entry is of the same VM and role."""
+        return (self.address, self.role, self.owner) == (
+            other.address,
+            other.role,
+            other.owner,
+        )
 
 
 class MemberList:
@@ -137,7 +149,10 @@
         """Return all registered processes."""
 
     def add_member(self, member: Member) -> Result[None, StoreProblem]:
-        """Register a process; idempotent."""
+        """Register a process and set its revision; idempotent."""
+
+    def is_registered(self, member: Member) -> Result[bool, StoreProblem]:
+        """Return whether the entry is there, as of some seconds ago."""
 
     def remove_member(self, member: Member) -> Result[None, StoreProblem]:
-        """Remove the registration of a process."""
+        """Remove the registration of a process, and no other's."""
--- a/tests/platform/stand_in.py
+++ b/tests/platform/stand_in.py
@@ -50,6 +50,10 @@
         self.loses: Callable[[str], bool] = lambda path: False
         self.delay_s: Callable[[str], float] = lambda path: 0
         self.era = 0
+        # Calls of these methods are executed so many seconds late, unanswered.
+        self.late_s: dict[str, float] = {}
+        # Whether calls are carried out whatever revision they bring.
+        self.ignores_revisions = False
         self.revision = 1
         self.oldest_revision = 0
         self._events: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -97,6 +101,10 @@
             self._changed.set()
 
     def _answer(self, request: HttpRequest) -> HttpReply:
+        late_s = self.late_s.get(request.method)
+        if late_s is not None:
+            gevent.spawn_later(late_s, self._execute, request)
+            Event().wait()
         reply = self._execute(request)
         if self.era:
             reply.headers.append(('Store-Era', str(self.era)))
@@ -112,16 +120,18 @@
         parts = urlsplit(request.path)
         _, _, kind, *rest = parts.path.split('/')
         query = {key: found[0] for key, found in parse_qs(parts.query).items()}
+        if not self._matches(request, kind, rest, query):
+            return HttpReply(409)
         match request.method:
             case 'GET':
                 return self._read(kind, rest, query)
             case 'POST':
                 entry = json.loads(request.body)
                 name = entry['meta']['name']
-                if name in self.objects.get(kind, {}):
-                    return _reply(409, self.objects[kind][name])
-                self.put(kind, name, entry['spec'])
-                return _reply(201, self.objects[kind][name])
+                is_new = name not in self.objects.get(kind, {})
+                if is_new:
+                    self.put(kind, name, entry['spec'])
+                return _reply(201 if is_new else 409, self.objects[kind][name])
             case 'PUT':
                 self.put(kind, rest[0], json.loads(request.body)['spec'])
                 return _reply(200, self.objects[kind][rest[0]])
@@ -130,6 +140,22 @@
                 return _reply(200, {})
         return HttpReply(405)
 
+    def _matches(
+        self,
+        request: HttpRequest,
+        kind: str,
+        rest: list[str],
+        query: dict[str, str],
+    ) -> bool:
+        """Return whether the condition of a write holds, if it has one."""
+        meta = json.loads(request.body)['meta'] if request.body else {}
+        expected = query.get('revision', meta.get('revision'))
+        if expected is None or self.ignores_revisions:
+            return True
+        stored = self.objects.get(kind, {}).get(rest[0])
+        revision = stored['meta']['revision'] if stored else None
+        return str(revision) == str(expected)
+
     def _read(
         self, kind: str, rest: list[str], query: dict[str, str]
     ) -> HttpReply:
--- a/tests/platform/test_registration.py
+++ b/tests/platform/test_registration.py
@@ -127,3 +127,105 @@
         for era in (1, 254, 255, 256, 2**40):
             self.assertNotEqual(narrow_era(era), narrow_era(era + 1))
             self.assertTrue(0 < narrow_era(era) < 256)
+
+
+class ReusedAddressTest(TestCase):
+    """The address of a VM that has left passes to another one."""
+
+    def setUp(self):
+        super().setUp()
+        self.store = StoreStandIn()
+        self.addCleanup(self.store.stop)
+        self.patch(membership_listing, 'CHECKS_S', (0.3,))
+
+    def _start(self, owner: str) -> tuple[PlatformStore, Member]:
+        """Start an agent at the address; return its client and entry."""
+        client = PlatformStore(self.store.address)
+        own = Member(bytes((10, 1, 0, 9)), MemberRole.AGENT)
+        own.owner = owner
+        listing = MembershipListing(client, own, lambda _: None)
+        listing.start()
+        self.addCleanup(listing.stop)
+        self.listing = listing
+        gevent.sleep(0.1)
+        return client, own
+
+    def _leave_soon(
+        self, client: PlatformStore, own: Member
+    ) -> gevent.Greenlet:
+        """Send the removal without waiting for its answer."""
+        self.listing.stop()
+        self.store.late_s = {'DELETE': 0.3}
+        sent = gevent.spawn(client.remove_member, own)
+        gevent.sleep(0.05)
+        return sent
+
+    def _owner(self) -> str:
+        entry = self.store.objects.get(KIND, {}).get('10.1.0.9')
+        return entry['spec']['owner'] if entry else ''
+
+    def _count(self, method: str) -> int:
+        return sum(method == called for called, _ in self.store.calls)
+
+    def test_late_removal_leaves_the_entry_of_the_next_vm(self):
+        # Guards against a removal without a condition, which is executed
+        # when the entry is that of another VM.
+        client, own = self._start('first')
+        gone = self._leave_soon(client, own)
+        self._start('second')
+        gone.join(timeout=2)
+        gevent.sleep(0.4)
+        self.assertEqual('second', self._owner())
+        # Its entry was not missing at any time.
+        self.assertEqual(2, self._count('POST'))
+
+    def test_entry_that_was_removed_by_mistake_is_written_again(self):
+        # Guards against a VM that runs and that no list names for good,
+        # also where a store executes the call whatever its condition.
+        self.store.ignores_revisions = True
+        client, own = self._start('first')
+        gone = self._leave_soon(client, own)
+        self._start('second')
+        gone.join(timeout=2)
+        gevent.sleep(1)
+        self.assertEqual('second', self._owner())
+        # It was written, removed and written again.
+        self.assertEqual(3, self._count('POST'))
+
+    def test_entry_of_an_earlier_vm_is_not_taken_for_the_own(self):
+        # Guards against an entry whose revision the earlier VM knows.
+        self._start('first')
+        self.listing.stop()
+        self._start('second')
+        self.assertEqual('second', self._owner())
+
+    def test_restarted_process_of_the_same_vm_writes_nothing(self):
+        # Guards against a write of each process after a kill of all.
+        self._start('first')
+        self.listing.stop()
+        self._start('first')
+        self.assertEqual(1, self._count('POST'))
+        self.assertEqual(0, self._count('PUT'))
+
+    def test_late_write_does_not_replace_the_entry_of_the_next_vm(self):
+        # Guards against the registration of a VM that is gone, written over
+        # that of the VM which has its address now.
+        client, own = self._start('first')
+        self.listing.stop()
+        own.owner = 'gone'
+        self.store.late_s = {'PUT': 0.3}
+        gevent.spawn(client.add_member, own)
+        gevent.sleep(0.05)
+        self.store.late_s = {}
+        self._start('second')
+        gevent.sleep(0.25)
+        self.assertEqual('second', self._owner())
+
+    def test_process_that_leaves_does_not_register_again(self):
+        # Guards against the entry of a VM that is gone, written by a check
+        # between its removal and its end.
+        client, own = self._start('first')
+        self.listing.stop()
+        self.assertTrue(client.remove_member(own).is_ok())
+        gevent.sleep(0.5)
+        self.assertEqual('', self._owner())
